--- /dev/null
+++ b/hareloom/wire.py
@@ -0,0 +1,208 @@
+"""The bench's wire: its lines to events, actions to its lines. Nothing is decided here."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from hareloom import interface as api
+
+
+class WireError(Exception):
+    """The other side said something that cannot be read."""
+
+
+EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
+STATES = {
+    "Ready": api.ServerState.READY,
+    "Terminating": api.ServerState.DRAINING,
+    "Gone": api.ServerState.GONE,
+}
+LIST_KINDS = {
+    "total": api.ListKind.FULL,
+    "incr": api.ListKind.DELTA,
+    "warm_copy": api.ListKind.CACHED,
+    "lost": api.ListKind.LOST,
+}
+OUTCOMES = {item.value: item for item in api.Outcome}
+TRUE, FALSE = "1", "0"
+
+
+def fields_of(line: str, text_field: str = "") -> dict[str, str]:
+    """The name=value pairs of a line; ``text_field`` runs to the end of the line."""
+    found: dict[str, str] = {}
+    rest = line.partition(" ")[2]
+    while rest:
+        name, sign, after = rest.partition("=")
+        if not sign or not name or " " in name:
+            raise WireError(f"not a name=value pair: {rest.split(' ', 1)[0]!r}")
+        if name == text_field:
+            found[name] = after
+            return found
+        found[name], _, rest = after.partition(" ")
+    return found
+
+
+def need(fields: dict[str, str], name: str) -> str:
+    try:
+        return fields[name]
+    except KeyError:
+        raise WireError(f"field {name!r} is missing") from None
+
+
+def number(text: str, name: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise WireError(f"field {name!r} is not a number: {text!r}") from None
+    if value != value or value in (float("inf"), float("-inf")):
+        raise WireError(f"field {name!r} is not a finite number: {text!r}")
+    return value
+
+
+def whole(text: str, name: str) -> int:
+    try:
+        return int(text)
+    except ValueError:
+        raise WireError(f"field {name!r} is not a whole number: {text!r}") from None
+
+
+def boolean(text: str, name: str) -> bool:
+    if text in (TRUE, FALSE):
+        return text == TRUE
+    raise WireError(f"field {name!r} is neither 1 nor 0: {text!r}")
+
+
+def one_of(table: Mapping[Any, Any], text: str | int, name: str) -> Any:
+    try:
+        return table[text]
+    except KeyError:
+        raise WireError(f"field {name!r} has an unknown value: {text!r}") from None
+
+
+def entry(line: str) -> api.ServerEntry:
+    fields = fields_of(line)
+    started = number(fields.get("boot-time-ms", "0"), "boot-time-ms")
+    return api.ServerEntry(
+        server=need(fields, "upstream"),
+        state=one_of(STATES, fields.get("condition", "Ready"), "condition"),
+        zone=fields.get("hall", ""),
+        cell=whole(fields.get("group", "0"), "group"),
+        kind=fields.get("hw", ""),
+        size=number(fields.get("rating", "1"), "rating"),
+        started_at=started or None,
+    )
+
+
+def event(word: str, line: str, lists: dict[int, tuple[api.ServerEntry, ...]]) -> api.Event | None:
+    """The event that a line holds; None for a kind of event that the module has no use for."""
+    fields = fields_of(line)
+    if word == "ASK":
+        hint = fields.get("work-ms")
+        return api.Request(
+            request=need(fields, "msg-id"),
+            klass=need(fields, "profile"),
+            deadline=number(need(fields, "not-after-ms"), "not-after-ms"),
+            cost_ms=None if hint is None else number(hint, "work-ms"),
+            retry=boolean(fields.get("is-retry", FALSE), "is-retry"),
+        )
+    if word == "RETURNED":
+        return api.AttemptEnded(
+            request=need(fields, "msg-id"),
+            attempt=whole(need(fields, "copy"), "copy"),
+            outcome=one_of(OUTCOMES, need(fields, "status"), "status"),
+            latency_ms=number(fields.get("took-ms", "0"), "took-ms"),
+            closed=boolean(fields.get("no-more", FALSE), "no-more"),
+        )
+    if word == "WAKE":
+        return api.Timer(whole(need(fields, "tag"), "tag"))
+    if word == "SYNC":
+        kind = one_of(LIST_KINDS, need(fields, "kind"), "kind")
+        version = whole(fields.get("index", "0"), "index")
+        if kind is api.ListKind.LOST:
+            return api.ServerList(kind, version)
+        return api.ServerList(kind, version, one_of(lists, whole(need(fields, "ref"), "ref"), "ref"))
+    if word == "ABANDONED":
+        return api.ClientGone(need(fields, "msg-id"))
+    if word == "FIRST":
+        return api.StreamStarted(
+            request=need(fields, "msg-id"),
+            attempt=whole(need(fields, "copy"), "copy"),
+            latency_ms=number(fields.get("took-ms", "0"), "took-ms"),
+        )
+    if word == "PROBED":
+        return api.ProbeEnded(
+            server=need(fields, "upstream"),
+            outcome=one_of(OUTCOMES, need(fields, "status"), "status"),
+            latency_ms=number(fields.get("took-ms", "0"), "took-ms"),
+        )
+    if word == "FROM_PEER":
+        return None
+    raise WireError(f"unknown message {word!r}")
+
+
+def action(item: api.Action) -> str:
+    if isinstance(item, api.Send):
+        return f"SEND msg-id={item.request} upstream={item.server} within-ms={item.timeout_ms:.3f}"
+    if isinstance(item, api.SetTimer):
+        return f"SET_ALARM span-ms={item.delay_ms:.3f} tag={item.token}"
+    if isinstance(item, api.Cancel):
+        return f"WITHDRAW msg-id={item.request} copy={item.attempt}"
+    if isinstance(item, api.Refuse):
+        return f"DENY msg-id={item.request} backoff-ms={item.retry_after_ms:.3f}"
+    if isinstance(item, api.Fail):
+        return f"ABORT msg-id={item.request}"
+    if isinstance(item, api.Probe):
+        return f"PING upstream={item.server}"
+    return f"KEEP_INFORMED on={TRUE}"
+
+
+def settings(text: str) -> api.Settings:
+    """The settings in the first message's JSON text; what is unknown in it is passed over."""
+    try:
+        config = json.loads(text)
+        limits, rules = config.get("limits", {}), config.get("rules", {})
+        plain = api.Rules()
+        return api.Settings(
+            classes=tuple(
+                api.RequestClass(
+                    name=item["name"],
+                    aim_ms=float(item["promise-ms"]),
+                    deadline_ms=float(item["give-up-ms"]),
+                    worth=float(item.get("importance", 1.0)),
+                    late_worth=float(item.get("late-share", 0.0)),
+                    effect=EFFECTS[item.get("idempotency", "single_shot")],
+                    group=api.Group(item.get("key-scope", "all")),
+                    window_ms=float(item.get("window-ms", 0.0)),
+                )
+                for item in config["classes"]
+            ),
+            peers=max(int(config.get("peers-total", 1)), 1),
+            zone=config.get("locality", ""),
+            asks_for_list=config.get("discovery", "push") == "ask",
+            sized=config.get("weight-source", "silent") in ("nominal", "rough"),
+            limits=api.Limits(
+                max_attempts=int(limits.get("max-attempts", 1)),
+                may_cancel=bool(limits.get("may-cancel", False)),
+                second_copies=bool(limits.get("second-copies", False)),
+                may_probe=bool(limits.get("probing", False)),
+                max_retry_after_ms=(
+                    float(limits.get("max-retry-after-ms", 0.0)) if limits.get("retry-after", False) else 0.0
+                ),
+            ),
+            rules=api.Rules(
+                answer_slack_ms=float(rules.get("answer-slack-ms", plain.answer_slack_ms)),
+                drain_grace_ms=float(rules.get("drain-grace-ms", plain.drain_grace_ms)),
+                ask_within_ms=float(rules.get("ask-within-ms", plain.ask_within_ms)),
+                cold_from=float(rules.get("cold-from", plain.cold_from)),
+                cold_ms=float(rules.get("cold-ms", plain.cold_ms)),
+                fall_multiple=float(rules.get("tip-multiple", plain.fall_multiple)),
+                fall_ms=float(rules.get("overload-for-ms", plain.fall_ms)),
+            ),
+            tick_ms=float(config.get("tick-ms", 1.0)),
+            worst_class_weight=float(config.get("scoring-mix", {}).get("worst-class", 0.0)),
+            by_work=config.get("worth-by", "request") == "work",
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as fault:
+        raise WireError(f"field 'config' cannot be used: {type(fault).__name__}: {fault}") from None
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,96 @@
+"""Refusals, the limit and late repeats: what keeps an overload from feeding itself."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import READ, Driver
+
+from hareloom import interface as api
+
+
+def test_a_repeat_whose_aim_has_passed_is_refused_at_once() -> None:
+    """A last try lives as long as is left of the deadline: what it has left tells when it was first asked."""
+    driver = Driver(READ)
+    driver.listed("a", "b")
+    for _ in range(5):
+        driver.now += 100.0
+        driver.end(driver.ask(life=700.0), api.Outcome.OK, 10.0)
+    late = driver.ask(life=550.0)  # first asked 450 ms ago, wanted within 400
+    assert late not in driver.sent and isinstance(driver.finals[late], api.Refuse)
+    again = driver.ask(life=800.0)  # 200 ms ago: half of the aim is left
+    (sent,) = [a for a in driver.log if isinstance(a, api.Send) and a.request == again]
+    assert sent.timeout_ms == pytest.approx(200.0, abs=2.0)
+
+
+def test_tries_of_a_new_usual_length_are_soon_taken_for_first_ones() -> None:
+    driver = Driver(READ)
+    driver.listed("a", "b")
+    for _ in range(50):
+        driver.now += 100.0
+        name = driver.ask(life=550.0)
+        if name in driver.sent:
+            driver.end(name, api.Outcome.OK, 10.0)
+    for _ in range(40):
+        driver.now += 100.0
+        name = driver.ask(life=700.0)
+        if name in driver.sent:
+            driver.end(name, api.Outcome.OK, 10.0)
+    assert driver.ask(life=700.0) in driver.sent
+
+
+def test_advice_to_stay_away_only_when_it_is_too_late() -> None:
+    driver = Driver(READ)
+    early = driver.ask()  # no server at all
+    driver.run_timers(150.0)
+    assert driver.finals[early] == api.Refuse(early, 0.0)
+    driver.listed("a")
+    late = driver.ask()
+    driver.run_timers(700.0)
+    driver.end(late, api.Outcome.TIMEOUT, 400.0)
+    assert driver.finals[late] == api.Refuse(late, 1000.0)
+
+
+def test_a_limit_below_one_is_kept_by_pauses() -> None:
+    """Hundreds of sidecars with one request each are too many for a crowded fleet: some must do with less."""
+    driver = Driver(READ)
+    driver.listed("a", "b", "c")
+    for _ in range(9):
+        driver.serve(latency=40.0)
+    for _ in range(60):
+        name = driver.ask()
+        driver.run_timers(driver.now + 390.0)
+        if name in driver.sent:
+            driver.end(name, api.Outcome.OK, 390.0)
+        driver.run_timers(driver.now + 10.0)
+    sent = [name for name in driver.sent if int(name[1:]) > 49]
+    assert driver.balancer.limit < 1.0
+    assert 0 < len(sent) < 16, "less than one at a time, but never nothing"
+
+
+def test_trials_of_failed_servers_are_a_small_part_of_a_quiet_sidecars_requests() -> None:
+    """Half of the set out, each due again in seconds: without a budget nearly every request is a trial."""
+    driver = Driver(READ)
+    names = [f"s{number}" for number in range(8)]
+    driver.listed(*names)
+    driver.warm(dict.fromkeys(names, 50.0))
+    failing = set(names[:4])
+    for name in failing:
+        driver.server(name).active, driver.server(name).due = False, driver.now
+    trials = 0
+    for _ in range(40):
+        request = driver.ask()
+        server = driver.sent[request][0]
+        trials += server in failing
+        driver.now += 60.0
+        driver.end(request, api.Outcome.ERROR if server in failing else api.Outcome.OK, 60.0)
+        driver.now += 900.0
+    assert 2 <= trials <= 2 + 0.1 * 40 + 1
+
+
+def test_hundreds_of_sidecars_start_with_one_request_out_each() -> None:
+    few, many = Driver(READ, peers=4), Driver(READ, peers=400)
+    for driver in (few, many):
+        driver.listed(*[f"s{number}" for number in range(20)])
+        for _ in range(5):
+            driver.ask()
+    assert len(few.sent) == 4 and len(many.sent) == 1
--- /dev/null
+++ b/tests/test_property.py
@@ -0,0 +1,201 @@
+"""Random legal event sequences: the four rules are checked on every action."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from hareloom import Balancer
+from hareloom import interface as api
+
+O = api.Outcome  # noqa: E741
+NEVER_RAN = {O.FULL, O.CONNECT_FAILED, O.MOOT}
+CLASSES = (
+    api.RequestClass("safe", 100.0, 500.0, effect=api.Effect.SAFE),
+    api.RequestClass("unsafe", 100.0, 500.0, late_worth=0.5, effect=api.Effect.UNSAFE),
+    *(
+        api.RequestClass(
+            f"keyed-{group.value}",
+            100.0,
+            500.0,
+            late_worth=0.5,
+            effect=api.Effect.KEYED,
+            group=group,
+            window_ms=150.0,
+        )
+        for group in api.Group
+    ),
+)
+
+
+class World:
+    """A legal other side: it knows what is out, what may have run, and what each server's state is."""
+
+    def __init__(self, chance: random.Random, second_copies: bool) -> None:
+        self.chance, self.now, self.second_copies = chance, 0.0, second_copies
+        limits = api.Limits(
+            max_attempts=3,
+            may_cancel=chance.random() < 0.5,
+            second_copies=second_copies,
+            max_retry_after_ms=500.0,
+        )
+        self.settings = api.Settings(
+            CLASSES, limits=limits, rules=api.Rules(answer_slack_ms=5.0, cold_ms=900.0)
+        )
+        self.balancer = Balancer(self.settings, chance.randrange(1000))
+        self.servers: dict[str, api.ServerEntry] = {}
+        self.timers: list[tuple[float, int]] = []
+        self.requests: dict[str, dict] = {}  # type: ignore[type-arg]
+        self.count = 0
+
+    def give(self, event: api.Event) -> None:
+        for action in self.balancer.handle(self.now, event):
+            self.check(action)
+
+    def check(self, action: api.Action) -> None:
+        if isinstance(action, api.SetTimer):
+            assert action.delay_ms >= 0.0
+            self.timers.append((self.now + action.delay_ms, action.token))
+            return
+        if isinstance(action, api.Subscribe | api.Probe):
+            return
+        held = self.requests[action.request]
+        if isinstance(action, api.Cancel):
+            assert self.settings.limits.may_cancel and action.attempt < len(held["attempts"])
+            return
+        assert not held["closed"], "rule 1: an action for a closed request"
+        klass, ran = held["klass"], [a for a in held["attempts"] if a["outcome"] not in NEVER_RAN]
+        if isinstance(action, api.Send):
+            entry = self.servers[action.server]
+            assert entry.state is api.ServerState.READY, "rule 3"
+            assert self.now < held["deadline"] and len(held["attempts"]) < 3
+            assert self.second_copies or all(a["outcome"] for a in held["attempts"])
+            if ran and klass.effect is not api.Effect.SAFE:
+                assert klass.effect is api.Effect.KEYED, "rule 2: an unsafe request sent again"
+                assert self.now <= ran[0]["sent"] + klass.window_ms, "rule 2: outside the window"
+                for attempt in ran:
+                    if klass.group is api.Group.ZONE:
+                        assert attempt["entry"].zone == entry.zone
+                    if klass.group is api.Group.CELL:
+                        assert attempt["entry"].cell == entry.cell
+            held["attempts"].append({"entry": entry, "sent": self.now, "outcome": None})
+            return
+        if isinstance(action, api.Refuse) and ran and klass.effect is not api.Effect.SAFE:
+            assert klass.effect is api.Effect.KEYED and klass.group is api.Group.ALL, "rule 2: refused"
+        held["closed"] = True
+
+    def step(self) -> None:
+        chance = self.chance
+        self.now += chance.choice([0.0, 1.0, 5.0, 20.0])
+        for item in sorted(item for item in self.timers if item[0] <= self.now):
+            self.timers.remove(item)
+            self.give(api.Timer(item[1]))
+        for held in self.requests.values():
+            if self.now > held["deadline"] + 5.0:
+                assert held["closed"], "rule 1: no final answer in time"
+        kind = chance.random()
+        if kind < 0.15:
+            self.change_list()
+        elif kind < 0.5:
+            self.count += 1
+            name, klass = f"r{self.count}", chance.choice(CLASSES)
+            deadline = self.now + chance.choice([1.0, 30.0, 200.0, 500.0])
+            self.requests[name] = {"klass": klass, "deadline": deadline, "attempts": [], "closed": False}
+            self.give(api.Request(name, klass.name, deadline))
+        elif kind < 0.95:
+            self.end_one()
+        elif self.requests:
+            name = chance.choice(sorted(self.requests))
+            self.requests[name]["closed"] = True
+            self.give(api.ClientGone(name))
+
+    def end_one(self) -> None:
+        out = [
+            (name, number)
+            for name, held in self.requests.items()
+            for number, attempt in enumerate(held["attempts"])
+            if not attempt["outcome"]
+        ]
+        if out:
+            name, number = self.chance.choice(out)
+            held = self.requests[name]
+            attempt = held["attempts"][number]
+            attempt["outcome"] = self.chance.choice([O.OK, O.OK, O.OK, *O])
+            held["closed"] = held["closed"] or attempt["outcome"] is O.OK
+            latency = self.now - attempt["sent"]
+            self.give(api.AttemptEnded(name, number, attempt["outcome"], latency, held["closed"]))
+
+    def change_list(self) -> None:
+        name = f"s{self.chance.randrange(6)}"
+        number = int(name[1])
+        state = self.chance.choice([api.ServerState.READY, api.ServerState.READY, *api.ServerState])
+        started = self.chance.choice([None, None, self.now])
+        entry = api.ServerEntry(name, state, f"z{number // 4}", number // 2, "kind", 1.0, started)
+        if self.chance.random() < 0.1:
+            self.give(api.ServerList(api.ListKind.LOST))
+        elif self.chance.random() < 0.2:
+            gone = [known for known in self.servers if known != name and self.chance.random() < 0.3]
+            for known in gone:
+                self.servers[known] = api.ServerEntry(known, api.ServerState.GONE)
+            self.servers[name] = entry
+            kept = tuple(item for item in self.servers.values() if item.state is not api.ServerState.GONE)
+            self.give(api.ServerList(api.ListKind.FULL, 1, kept))
+        else:
+            self.servers[name] = entry
+            self.give(api.ServerList(api.ListKind.DELTA, 1, (entry,)))
+
+
+@seed(20)
+@settings(max_examples=150, deadline=None, database=None)
+@given(st.integers(0, 2**32), st.booleans())
+def test_rules_hold_on_random_legal_sequences(number: int, second_copies: bool) -> None:
+    world = World(random.Random(number), second_copies)
+    world.give(api.ServerList(api.ListKind.CACHED, 1, ()))
+    for _ in range(300):
+        world.step()
+
+
+def test_the_same_events_give_the_same_actions() -> None:
+    def actions() -> list[api.Action]:
+        world, found = World(random.Random(5), True), []
+        plain = world.check
+        world.check = lambda action: (found.append(action), plain(action))[1]  # type: ignore[method-assign]
+        world.give(api.ServerList(api.ListKind.CACHED, 1, ()))
+        for _ in range(400):
+            world.step()
+        return found
+
+    assert actions() == actions() and len(actions()) > 300
+
+
+@pytest.mark.parametrize("field", ["max_attempts", "tick_ms", "cold_from", "cold_ms", "aim_ms", "window_ms"])
+def test_invalid_settings_name_the_field(field: str) -> None:
+    with pytest.raises(ValueError, match=field):
+        api.Settings(
+            (
+                api.RequestClass(
+                    "x", float(field != "aim_ms"), 2.0, window_ms=-1.0 if field == "window_ms" else 0.0
+                ),
+            ),
+            limits=api.Limits(max_attempts=0 if field == "max_attempts" else 1),
+            rules=api.Rules(
+                cold_from=0.0 if field == "cold_from" else 0.5, cold_ms=-1.0 if field == "cold_ms" else 0.0
+            ),
+            tick_ms=0.0 if field == "tick_ms" else 1.0,
+        )
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf")])
+def test_settings_that_are_not_finite_name_the_field(value: float) -> None:
+    safe = api.RequestClass("x", 1.0, 2.0)
+    for field, make in (
+        ("tick_ms", lambda: api.Settings((safe,), tick_ms=value)),
+        ("cold_ms", lambda: api.Settings((safe,), rules=api.Rules(cold_ms=value))),
+        ("max_retry_after_ms", lambda: api.Settings((safe,), limits=api.Limits(max_retry_after_ms=value))),
+        ("deadline_ms", lambda: api.Settings((api.RequestClass("x", 1.0, value),))),
+    ):
+        with pytest.raises(ValueError, match=field):
+            make()
