--- a/anisestair/upstream.py
+++ b/anisestair/upstream.py
@@ -14,9 +14,6 @@
 
 # Idle connections are closed this long before the upstream would: what crosses its closing ends as a reset.
 IDLE_MARGIN_MS = 500.0
-# An attempt that was given up keeps its connection for so long at the most: closing it stops no work, and
-# the next attempt would have to pay for a new one.
-LINGER_S = 5.0
 
 Done = Callable[[Outcome, http.Message | None], None]
 
@@ -85,15 +82,7 @@
         not read yet would turn the next request into one that may have run."""
         return not self.transport.is_closing() and not self.poll.poll(0)
 
-    def give_up(self, linger: bool) -> None:
-        """Stop waiting for the attempt on it."""
-        if self.unsent or not linger:
-            self.close()
-        else:
-            self.expire_after(LINGER_S)
-
     def expire_after(self, seconds: float) -> None:
-        self.keep()
         self.expiry = self.pools.loop.call_later(seconds, self.close)
 
     def keep(self) -> None:
@@ -155,8 +144,6 @@
         self.loop = asyncio.get_running_loop()
         self._connect_timeout = limits.connect_timeout_ms / 1000.0
         self._idle = max(limits.idle_ms - IDLE_MARGIN_MS, limits.idle_ms / 2.0) / 1000.0
-        # An attempt given up counts as still out while its connection is open.
-        self._linger = limits.second_copies
         self._most = most
         self._pools: dict[str, Pool] = {}
         self._connections: set[Connection] = set()
@@ -234,11 +221,14 @@
         return False
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
-        connection = attempt.connection
-        if connection is None and outcome is Outcome.TIMEOUT:
+        """Stop waiting for an answer. The connection ends as well: while it is open the attempt is still out,
+        and keeping it for the answer's sake saved no handshakes when that was measured."""
+        if attempt.ended:
+            return
+        if attempt.connection is not None:
+            attempt.connection.close()
+        elif outcome is Outcome.TIMEOUT:
             outcome = Outcome.CONNECT_FAILED  # it never left
-        if connection is not None and not attempt.ended:
-            connection.give_up(self._linger)
         attempt.end(outcome)
 
     def release(self, connection: Connection) -> None:
