--- a/hareloom/rules.py
+++ b/hareloom/rules.py
@@ -370,10 +370,12 @@
             self.finish(held)
 
     def finish(self, held: Held) -> None:
-        """The final answer: refused where trying again is harmless, else failed. Only those that are too late
-        are told to stay away: others may come back while their answer is still worth something."""
+        """The final answer: refused where trying again is harmless, else failed. Those that are too late are
+        told to stay away; others may come back while their answer is still worth something, after as long as
+        they have found no place."""
         klass, late = held.klass, self.now >= held.until
-        retry_after = min(klass.deadline_ms, self.settings.limits.max_retry_after_ms) if late else 0.0
+        retry_after = klass.deadline_ms if late else WAIT_SHARE * klass.aim_ms
+        retry_after = min(retry_after, self.settings.limits.max_retry_after_ms)
         harmless = klass.effect is Effect.SAFE or (klass.effect is Effect.KEYED and klass.group is Group.ALL)
         harmless = harmless or not any(a.may_have_run for a in held.attempts)
         self.actions.append(api.Refuse(held.id, retry_after) if harmless else api.Fail(held.id))
