--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -162,12 +162,13 @@
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     assert deploy["policy"] == ["hareloom/rules.py"] and deploy["packages"] == []
     assert deploy["sim"] == "exec .venv/bin/python -m hareloom.wirehost"
+    assert deploy["run"] == "exec .venv/bin/python -m anisestair" and deploy["node"] == ["anisestair"]
     lines = (ROOT / deploy["policy"][0]).read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 400
     assert max(map(len, lines)) <= 110
 
 
-def test_the_deploy_build_makes_an_environment_that_runs_the_adapter(tmp_path: Path) -> None:
+def test_the_deploy_build_makes_an_environment_that_runs_both_programs(tmp_path: Path) -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     names = subprocess.run(["git", "ls-files"], cwd=ROOT, capture_output=True, text=True, check=True).stdout
     for name in names.split():
@@ -183,6 +184,11 @@
         capture_output=True,
     )
     assert (done.returncode, done.stdout) == (0, "READY\n")
+    # The sidecar finds its packages there, and gets as far as asking for its configuration.
+    done = subprocess.run(
+        ["/bin/sh", "-c", deploy["run"]], cwd=tmp_path, env={}, text=True, capture_output=True
+    )
+    assert (done.returncode, done.stderr) == (2, "anisestair: BALANCER_CONFIG: not set\n")
 
 
 def test_nothing_is_opened_for_writing() -> None:
