Learn from resets how long a kept connection may stand idle

Cause: Pools kept a connection for the settings' idle_ms less 500 ms. Now each kept connection's reset, against those of fresh ones, moves the bound on the idle time; it comes back after minutes without resets.

--- a/anisestair/upstream.py
+++ b/anisestair/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 import select
 from collections.abc import Callable
 from http import HTTPStatus
@@ -17,6 +18,17 @@
 # Idle connections are closed this long before the upstream would: what crosses its closing ends as a reset.
 IDLE_MARGIN_MS = 500.0
 
+# The idle time up to which connections are used again is learnt, by steps of this factor from the least;
+# below that a connection counts as fresh.
+LIFE_LEAST_S, LIFE_STEP = 0.05, 1.5
+# A step is out when so much larger a share of its connections broke than of fresh ones: a new connection
+# costs time and an upstream's work, but less than a tenth of a request.
+LIFE_WORTH = 0.1
+# A step's share is over its last uses, about so many, with this many sound ones added, or one reset by chance
+# would decide. Old uses fade with this time constant: nothing new is learnt about a step that is out, and it
+# is tried again after some minutes.
+LIFE_USES, LIFE_DOUBT, LIFE_FADES_S = 50.0, 4.0, 60.0
+
 # A connection could not be opened for want of something on this side.
 OWN_SHORTAGE = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
 
@@ -32,6 +44,46 @@
     return Outcome.ERROR
 
 
+class IdleLife:
+    """How long a connection may stand idle and be used again, learnt from how requests on kept ones ended.
+
+    It covers peers that let go sooner than they announce, and what lies between them and this, where no end
+    can be seen before the next request is lost by it. Fresh connections are the measure: resets with another
+    cause (an upstream that dies, a bad network) change nothing. It is learnt over all upstreams, as one alone
+    sees few uses. It hurts where only few let go early: the others' connections are given up with theirs, at
+    worst all that have been idle for LIFE_LEAST_S, and new ones cost time and work. What drops requests
+    without a reset is not learnt from, since an overload looks the same."""
+
+    def __init__(self, longest: float) -> None:
+        self._longest = self.bound = longest
+        self._uses, self._broken = [0.0], [0.0]  # fresh ones first, then step by step
+        edge = LIFE_LEAST_S
+        while edge < longest:
+            self._uses.append(0.0)
+            self._broken.append(0.0)
+            edge *= LIFE_STEP
+        self._faded = 0.0
+
+    def learn(self, idle: float, broke: bool, now: float) -> None:
+        """A request went out on a connection that had been idle for so long (0: a new one)."""
+        step = 0 if idle < LIFE_LEAST_S else 1 + int(math.log(idle / LIFE_LEAST_S) / math.log(LIFE_STEP))
+        step = min(step, len(self._uses) - 1)
+        kept = min(LIFE_USES / (self._uses[step] + 1.0), 1.0)
+        self._uses[step] = (self._uses[step] + 1.0) * kept
+        self._broken[step] = (self._broken[step] + broke) * kept
+        if broke or now - self._faded > 1.0:
+            self._settle(now)
+
+    def _settle(self, now: float) -> None:
+        fades = math.exp((self._faded - now) / LIFE_FADES_S)
+        self._faded = now
+        self._uses = [item * fades for item in self._uses]
+        self._broken = [item * fades for item in self._broken]
+        shares = [broken / (uses + LIFE_DOUBT) for uses, broken in zip(self._uses, self._broken, strict=True)]
+        out = (step for step, share in enumerate(shares) if step and share > shares[0] + LIFE_WORTH)
+        self.bound = min((LIFE_LEAST_S * LIFE_STEP ** (step - 1) for step in out), default=self._longest)
+
+
 class Attempt:
     """One sending of one request to one upstream. It ends once: whatever comes after that is dropped."""
 
@@ -66,6 +118,9 @@
         self.reader = http.response_reader()
         self.unsent = False  # part of the request is still on this side
         self.expiry: asyncio.TimerHandle | None = None
+        self.idle_since: float | None = None  # on the loop's clock; None before its first answer
+        self.idled = 0.0  # how long it had been idle when the request in hand was written
+        self.learnt = True  # what became of that is known
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's are none by their class
@@ -82,6 +137,8 @@
 
     def send(self, attempt: Attempt) -> None:
         self.attempt, attempt.connection = attempt, self
+        self.idled = 0.0 if self.idle_since is None else self.pools.loop.time() - self.idle_since
+        self.learnt = False
         self.transport.write(attempt.payload(self.pools.loop.time()))
         if self.transport.is_closing():  # the write itself failed: nothing has left
             self.unsent = True
@@ -89,8 +146,16 @@
     def usable(self) -> bool:
         """Nothing may have come in while it stood idle. The kernel is asked, since an end that this loop has
         not read yet would turn the next request into one that may have run."""
+        if self.idle_since is not None and self.pools.loop.time() - self.idle_since > self.pools.life.bound:
+            return False
         return not self.transport.is_closing() and not self.poll.poll(0)
 
+    def learn(self, broke: bool) -> None:
+        """Once for each request: whether the connection still carried it."""
+        if not self.learnt:
+            self.learnt = True
+            self.pools.life.learn(self.idled, broke, self.pools.loop.time())
+
     def expire_after(self, seconds: float) -> None:
         self.expiry = self.pools.loop.call_later(seconds, self.close)
 
@@ -101,12 +166,14 @@
 
     def close(self) -> None:
         self.keep()
+        self.learnt = True  # our own end of it says nothing
         self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:  # nothing was asked: it is nobody's answer
             self.close()
             return
+        self.learn(broke=False)
         try:
             self.reader.feed(data)
         except http.BadMessage:
@@ -142,6 +209,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.keep()
+        self.learn(broke=True)
         self.pools.lost(self)
         self.finish(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET, None)
         self.reader.close()
@@ -161,7 +229,7 @@
     def __init__(self, limits: api.Limits, most: int) -> None:
         self.loop = asyncio.get_running_loop()
         self._connect_timeout = limits.connect_timeout_ms / 1000.0
-        self._idle = max(limits.idle_ms - IDLE_MARGIN_MS, limits.idle_ms / 2.0) / 1000.0
+        self.life = IdleLife(max(limits.idle_ms - IDLE_MARGIN_MS, limits.idle_ms / 2.0) / 1000.0)
         self._most = most
         self._pools: dict[str, Pool] = {}
         self._connections: set[Connection] = set()
@@ -261,7 +329,8 @@
     def release(self, connection: Connection) -> None:
         pool = connection.pool
         if pool.ready and connection.address == pool.address and not connection.transport.is_closing():
-            connection.expire_after(self._idle)
+            connection.idle_since = self.loop.time()
+            connection.expire_after(self.life.bound)
             pool.idle.append(connection)
             self._idle_since[connection] = None
         else:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import math
 import socket
 import time
 import weakref
@@ -15,7 +16,7 @@
 
 from anisestair import http
 from anisestair.discovery import parse_list, unix_offset_ms
-from anisestair.upstream import Attempt
+from anisestair.upstream import Attempt, IdleLife
 from hareloom import interface as api
 
 
@@ -433,6 +434,46 @@
     run(test)
 
 
+def test_how_long_connections_live_is_learnt_from_those_that_did_not() -> None:
+    answered: dict[Peer, float] = {}
+
+    async def lets_go_early(peer: Peer, message: http.Message) -> None:
+        # Long before the time in the settings, and unseen until the next request comes.
+        if time.monotonic() - answered.get(peer, math.inf) > 0.1:
+            peer.reset()
+        else:
+            await serve(peer, message)
+            answered[peer] = time.monotonic()
+
+    async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
+        async with world(discovery, host("s-1", upstream.dial)) as there:
+            client, got = await there.client(), []
+            for number in range(12):
+                got.append((await client.ask(f"r{number}")).status)
+                await asyncio.sleep(0.2 if number < 11 else 0.0)
+            assert got[0] == 200 and got.count(502) <= 3 and got[6:] == [200] * 6
+            for number in range(20):
+                assert (await client.ask(f"s{number}")).status == 200
+            assert len(upstream.peers) <= 13, "those in use are kept"
+
+    run(test, lets_go_early)
+
+
+def test_resets_that_fresh_connections_meet_as_well_teach_nothing_and_what_is_learnt_fades() -> None:
+    life, now = IdleLife(4.5), 0.0
+    for number in range(400):
+        now += 0.01
+        life.learn(0.0 if number % 3 else 1.0, number % 5 == 0, now)
+    assert life.bound == 4.5
+    for idle in (2.0, 1.0) * 10:
+        life.learn(idle, True, now)
+    assert 0.5 < life.bound <= 1.0
+    life.learn(0.0, False, now + 60.0)
+    assert life.bound <= 1.0, "not at once"
+    life.learn(0.0, False, now + 600.0)
+    assert life.bound == 4.5
+
+
 def test_at_the_bound_the_longest_idle_gives_way_and_no_upstream_is_to_blame() -> None:
     gate = Gate()
 
