Let idle client connections go before the application's own bound binds

Up to 128 connections that asked once stay open, a third of the 384 descriptors: the application's own bound. Our bound of 176 is never reached then, so that nothing but the 2 s of IDLE_S ended them (Frontend._sweep): some 60 new ones a second. In the seconds in which strangers filled our bound, idle ones went at once (_make_room), and 496 of 496 requests were served. Ruled out: the backlog, accept, the limit and the upstreams (15 of 15 active, nothing out).

Now a new connection's first request sends the longest idle one away while more than half of our room has asked.

--- a/anisestair/frontend.py
+++ b/anisestair/frontend.py
@@ -28,6 +28,11 @@
 # A connection with no request open may go after this. One that has never sent a whole request does; the
 # others while more than this share of the bound is taken: those kept for good would crowd the rest out.
 IDLE_S, ROOMY = 2.0, 0.3
+# While connections that have asked take more than this share, each new one's first request sends away the
+# longest idle, however short that is. An application's own bound may be lower than ours (it is a third of
+# the descriptors), and connections that asked once and stay fill it where we cannot see those that wait. It
+# covers any client that leaves connections open, and costs new ones where so many are used in turn.
+CROWDED = 0.5
 # From the first byte of a request (of a connection's first: from its start) to the last. Clients that send
 # half a request and wait are owed an answer within 3 s.
 REQUEST_S = 2.5
@@ -105,6 +110,7 @@
     def data_received(self, data: bytes) -> None:
         if self.refused:
             return
+        self.frontend.resting.pop(self, None)
         if self.asked and self.current is None and not self.reader.partial:
             self.since = time.monotonic()
         self.unread = self.unread + data if self.unread else data
@@ -130,7 +136,9 @@
             if self.reader.expects_continue and self.transport is not None:
                 self.reader.expects_continue = False
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self.asked = self.asked or bool(self.waiting)
+        if self.waiting and not self.asked:
+            self.asked = True
+            self.frontend.asks()
 
     def advance(self) -> None:
         """Go on with what has come, a request at a time and in its order."""
@@ -194,6 +202,7 @@
         if close:
             self.transport.close()
         else:
+            self.frontend.resting[self] = None
             self.frontend.loop.call_soon(self.advance)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -224,6 +233,8 @@
         self.stopping = False
         self._most = most
         self._connections: set[ClientConnection] = set()
+        self._askers = 0  # connections that have sent a request
+        self.resting: dict[ClientConnection, None] = {}  # nothing has come since the answer; longest first
         self._tasks: set[asyncio.Task[None]] = set()
         self._empty = asyncio.Event()
         self._listener: socket.socket | None = None
@@ -262,6 +273,16 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def asks(self) -> None:
+        """A connection's first request has come: it is an application's."""
+        self._askers += 1
+        while self._askers > self._most * CROWDED and self.resting:
+            connection = next(iter(self.resting))
+            del self.resting[connection]
+            if connection.idle():
+                connection.close()
+                return
+
     def _make_room(self) -> None:
         """Close what is of least use: connections that are refused, then those that never sent a request, so
         that a crowd of silent ones does not drive out the application's own, then the longest idle."""
@@ -316,6 +337,8 @@
 
     def lost(self, connection: ClientConnection) -> None:
         self._connections.discard(connection)
+        self.resting.pop(connection, None)
+        self._askers -= connection.asked
         if len(self._connections) == self._most - 1:
             self._resume()
         if not self._connections:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -754,7 +754,9 @@
     run(test)
 
 
-def test_at_the_bound_an_idle_connection_gives_way() -> None:
+def test_at_the_bound_an_idle_connection_gives_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("anisestair.frontend.CROWDED", 1.0)
+
     async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
         async with world(discovery, host("s-1", upstream.dial), most=2) as there:
             first, second = await there.client(), await there.client()
@@ -766,6 +768,23 @@
     run(test)
 
 
+def test_connections_that_stay_make_way_before_the_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("anisestair.frontend.IDLE_S", 60.0)
+
+    async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
+        async with world(discovery, host("s-1", upstream.dial), most=8) as there:
+            clients = []
+            for number in range(7):  # the application could open no eighth
+                clients.append(await there.client())
+                assert (await clients[-1].ask(f"r{number}")).status == 200
+            for client in clients[:3]:
+                assert await client.read() is None, "beyond half of the room the longest idle goes"
+            for number, client in enumerate(clients[3:]):
+                assert (await client.ask(f"s{number}")).status == 200
+
+    run(test)
+
+
 def test_silent_strangers_do_not_drive_out_the_application() -> None:
     async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
         async with world(discovery, host("s-1", upstream.dial), most=4) as there:
