Notice a watch gone silent after 4 to 5.5 s instead of 23

Seen, by a trace by the second: the module's list stays at the 15 upstreams of the start until 23.2 s, though a release replaces 11 of them from 8.8 s on; at most 4 of the 15 are still active then, FULL and CONNECT_FAILED from the rest. The log has one failed call: TimeoutError at 23.2 s, for the first one; the list comes with the next. Discovery had left that call unanswered on an open connection, and _watch waits WATCH_MS + OVERDUE_MS = 23 s for each. Ruled out: the sidecar's parsing and the pools (with the list, all 15 are active in a second).

Calls now wait 2.5 s, and the next ones of a watch are overdue after 1.5 s more.

--- a/anisestair/discovery.py
+++ b/anisestair/discovery.py
@@ -18,8 +18,13 @@
 
 Address = tuple[str, int]
 
-WATCH_MS = 20_000  # how long discovery may wait for something new before it answers
-OVERDUE_MS = 3_000  # how much longer an answer may take before the call counts as failed
+# How long discovery may wait for something new before it answers. Until then a watch that has gone silent (a
+# machine that vanished, something between that let the connection go) looks like one with nothing to tell,
+# and all upstreams may have been replaced; what it has to tell counts as told after 6 s. The next call of a
+# watch is no new one to discovery, so that short waits cost little; with very many sidecars they would.
+WATCH_MS = 2_500
+# How much longer an answer may take before the call counts as failed: a watch's first call may wait in turn.
+OVERDUE_MS, NEXT_OVERDUE_MS = 3_000, 1_500
 MAX_LIST = 4 * 1024 * 1024  # bytes; a list of some ten thousand upstreams
 
 STATES = {
@@ -133,15 +138,17 @@
         try:
             async with asyncio.timeout(OVERDUE_MS / 1000.0):
                 reader, writer = await asyncio.open_connection(*self._where)
+            overdue = OVERDUE_MS
             while True:
                 # The next call goes out at once: one that comes later is a new watch to discovery.
-                async with asyncio.timeout((WATCH_MS + OVERDUE_MS) / 1000.0):
+                async with asyncio.timeout((WATCH_MS + overdue) / 1000.0):
                     message = await self._call(reader, writer)
                 if message.status != 200:
                     raise ValueError(f"answered {message.status}")
                 found = parse_list(json.loads(message.body), self._offset_ms)
                 self._seq = found.seq
                 self._tell(found)
+                overdue = NEXT_OVERDUE_MS
                 if not message.keep_alive:
                     writer.close()
                     async with asyncio.timeout(OVERDUE_MS / 1000.0):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -15,7 +15,7 @@
 from sockets import PATIENCE_S, SETTINGS, FakeDiscovery, Peer, Upstream, host, serve, world
 
 from anisestair import http
-from anisestair.discovery import parse_list, unix_offset_ms
+from anisestair.discovery import WATCH_MS, parse_list, unix_offset_ms
 from anisestair.upstream import Attempt, IdleLife
 from hareloom import interface as api
 
@@ -621,7 +621,7 @@
 def test_a_watch_goes_on_at_once_and_from_what_was_told_last() -> None:
     async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
         async with world(discovery, host("s-1", upstream.dial)):
-            assert (await discovery.seen.get()).target == b"/v1/endpoints?after=1&wait_ms=20000"
+            assert (await discovery.seen.get()).target == b"/v1/endpoints?after=1&wait_ms=%d" % WATCH_MS
             waits = []
             for seq in (3, 4, 5):
                 told = time.monotonic()
@@ -640,6 +640,23 @@
     run(test)
 
 
+def test_a_watch_gone_silent_is_noticed_before_its_list_is_long_out_of_date() -> None:
+    async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
+        async with world(discovery, host("s-1", "127.0.0.1:1")) as there:
+            await discovery.seen.get()
+            discovery.tell(2)
+            await discovery.seen.get()
+            # It is not answered, and its connection stays open.
+            again = await asyncio.wait_for(discovery.seen.get(), 6.0)
+            assert again.target.startswith(b"/v1/endpoints?after=2&") and len(discovery.peers) == 2
+            discovery.answers.put_nowait(None)  # the call given up
+            discovery.tell(3, host("s-1", upstream.dial))
+            await discovery.seen.get()
+            assert (await (await there.client()).ask("r1")).status == 200
+
+    run(test)
+
+
 def test_a_move_of_discovery_waits_for_no_back_off_and_takes_nothing_late() -> None:
     async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
         new = FakeDiscovery()
