--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -193,13 +193,14 @@
     run(test, reset)
 
 
-def test_one_broken_connection_puts_no_upstream_out_and_a_death_does() -> None:
-    async def at_will(peer: Peer, message: http.Message) -> None:
-        if message.body == b"break":
-            peer.reset()
-        else:
-            await serve(peer, message)
+async def at_will(peer: Peer, message: http.Message) -> None:
+    if message.body == b"break":
+        peer.reset()
+    else:
+        await serve(peer, message)
+
 
+def test_one_broken_connection_puts_no_upstream_out_and_a_death_does() -> None:
     async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
         async with world(discovery, host("s-1", upstream.dial)) as there:
             client, numbers = await there.client(), iter(range(100))
@@ -220,6 +221,22 @@
     run(test, at_will)
 
 
+def test_where_many_connections_break_it_takes_more_in_a_row() -> None:
+    async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
+        async with world(discovery, host("s-1", upstream.dial)) as there:
+            client, server = await there.client(), there.sidecar.balancer.servers["s-1"]
+            for number in range(60):
+                await client.ask(f"r{number}", body=b"break" if number % 3 == 2 else b"serve")
+            for number in range(3):
+                await client.ask(f"s{number}", body=b"break")
+                assert server.active, "three in a row are no sign where every third breaks"
+            for number in range(8):
+                await client.ask(f"t{number}", body=b"break")
+            assert not server.active
+
+    run(test, at_will)
+
+
 def test_half_an_answer_is_a_failure_and_nothing_of_it_reaches_the_client() -> None:
     async def half(peer: Peer, message: http.Message) -> None:
         peer.writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf")
