Keep connections of use while new ones are still taken at an end

Cause: from SIGTERM on each answer closed its connection (ClientConnection.answer, by Frontend.stopping). They are kept now for the 0.5 s in which new ones are taken, then closed as before, so that the end comes no later.

--- a/anisestair/frontend.py
+++ b/anisestair/frontend.py
@@ -38,7 +38,8 @@
 REQUEST_S = 2.5
 SWEEP_S = 0.25  # how often those times are looked at: one timer, not one for each connection and request
 EVICTED = 8  # at the bound, so large a part (an eighth) of the connections is closed at most at a time
-# Order of an end: connections go on being taken, then those left idle are closed, then the rest.
+# Order of an end: connections go on being taken and kept, since others that start anew may not be up yet;
+# then answers close them and those left idle are closed, then the rest.
 ACCEPT_S, SETTLE_S, EXIT_S = 0.5, 0.1, 3.55
 
 
@@ -197,7 +198,7 @@
         if message is None or self.transport is None:
             return
         # At an end, what was read together with this request is answered first.
-        close = not message.keep_alive or (self.frontend.stopping and not (self.waiting or self.unread))
+        close = not message.keep_alive or (self.frontend.closing and not (self.waiting or self.unread))
         self.transport.write(http.write_response(status, headers, body, close))
         if close:
             self.transport.close()
@@ -230,7 +231,7 @@
     def __init__(self, sidecar: Sidecar, most: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.sidecar = sidecar
-        self.stopping = False
+        self.stopping = self.closing = False
         self._most = most
         self._connections: set[ClientConnection] = set()
         self._askers = 0  # connections that have sent a request
@@ -349,6 +350,7 @@
         self.stopping = True
         ends = self.loop.time() + EXIT_S
         await asyncio.sleep(accept_s)
+        self.closing = True
         self._accept()
         self._pause()
         if self._listener is not None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -916,6 +916,32 @@
     run(test)
 
 
+def test_at_an_end_connections_are_of_use_until_no_new_ones_are_taken() -> None:
+    gate = Gate()
+
+    async def serve_or_hold(peer: Peer, message: http.Message) -> None:
+        await (gate if message.body == b"hold" else serve)(peer, message)
+
+    async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
+        async with world(discovery, host("s-1", upstream.dial)) as there:
+            client, slow = await there.client(), await there.client()
+            slow.send("r1", "listing", left=4000, body=b"hold")
+            await upstream.seen.get()
+            end = asyncio.create_task(there.frontend.stop(accept_s=1.0))
+            await until(lambda: there.frontend.stopping)
+            for request in ("r2", "r3"):  # the others may not have started again yet
+                answer = await client.ask(request)
+                assert (answer.status, answer.keep_alive) == (200, True)
+            await until(lambda: there.frontend.closing)
+            gate.open.set()
+            last = await slow.read()
+            assert last is not None and (last.status, last.keep_alive) == (200, False)
+            assert await client.read() is None
+            await end
+
+    run(test, serve_or_hold)
+
+
 # Whatever the module does
 
 
