Seed 31 bugs in the machines and the module's rules, and find each by exploration

Need: a checker that finds nothing is believed only while it is seen to find something. Change: named bugs, each a small change of the machines or of may_send and finish, sought in the smallest model that shows it; models of the real Balancer by stateless exploration of orders; the command 'python -m anisestair states'. On the way: where the module may not cancel, an attempt that waited for its connection was written after its request's outcome; it ends as never sent now.

--- a/anisestair/__main__.py
+++ b/anisestair/__main__.py
@@ -52,7 +52,19 @@
     log.info("%s: ended", config.name)
 
 
-def main() -> int:
+def main(arguments: list[str]) -> int:
+    """Serve, with no arguments; else the subcommand that the first one names."""
+    if not arguments:
+        return run_sidecar()
+    if arguments[0] == "states":
+        from anisestair.states import command  # not loaded by a sidecar that serves
+
+        return command.main(arguments[1:])
+    print(f"anisestair: {arguments[0]}: not a subcommand: states, or none to serve", file=sys.stderr)
+    return 2
+
+
+def run_sidecar() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     offset_ms = unix_offset_ms(time.monotonic() * 1000.0)  # the loop's clock is the monotonic one
     try:
@@ -69,4 +81,4 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(main())
+    raise SystemExit(main(sys.argv[1:]))
--- a/anisestair/lifecycle/lives.py
+++ b/anisestair/lifecycle/lives.py
@@ -151,6 +151,10 @@
         connection = self.connections.get(number)
         if connection is None or connection.stage is not connections.Stage.CONNECTING:
             return
+        for call in connection.calls:
+            if not self.exchanges[call[0]].owed:  # nothing is sent any more for what has its outcome
+                connection = connections.without(connection, call)
+                self._ended(effects, call, Outcome.MOOT)
         self.connections[number] = connection = connections.up(connection)
         for call in connection.calls:
             self._now(call, Attempt(attempts.Stage.OUT, number, True))
--- /dev/null
+++ b/anisestair/states/bugs.py
@@ -0,0 +1,388 @@
+"""Seeded bugs: small named changes of the machines or of the module's rules; a model must find each.
+
+A checker that finds nothing is believed only while it finds these. Some are bugs that this program has had.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from anisestair.lifecycle import attempt as attempts
+from anisestair.lifecycle import connection as connections
+from anisestair.lifecycle import endpoint as endpoints
+from anisestair.lifecycle import events as ev
+from anisestair.lifecycle import exchange as exchanges
+from anisestair.lifecycle import lives as lives_module
+from anisestair.lifecycle.attempt import Attempt
+from anisestair.lifecycle.connection import Call, Connection
+from anisestair.lifecycle.endpoint import Endpoint
+from anisestair.lifecycle.exchange import Exchange, Final
+from anisestair.lifecycle.lives import Lives
+from hareloom import interface as api
+from hareloom import rules
+from hareloom.interface import Effect, Group, Outcome
+from hareloom.rules import Balancer
+
+
+@dataclass(frozen=True)
+class Bug:
+    name: str
+    words: str
+    model: str  # the scenario in which it shows
+    place: Any  # a module, a class, or the table of handlers
+    key: Any
+    changed: Callable[..., Any]
+    lasts: bool = False  # it shows as an obligation that is never met
+
+    @contextmanager
+    def seeded(self) -> Iterator[None]:
+        """The change, for as long as the context lasts."""
+        table = isinstance(self.place, dict)
+        sound = self.place[self.key] if table else getattr(self.place, self.key)
+
+        def put(value: Any) -> None:
+            if table:
+                self.place[self.key] = value
+            else:
+                setattr(self.place, self.key, value)
+
+        put(self.changed)
+        try:
+            yield
+        finally:
+            put(sound)
+
+
+ON = lives_module._ON
+Effects = list[ev.Effect]
+
+
+def _never_ran(attempt: Attempt) -> Outcome:
+    return Outcome.CONNECT_FAILED
+
+
+def _timeout_never_left(attempt: Attempt, why: Outcome) -> Outcome:
+    return Outcome.CONNECT_FAILED if why is Outcome.TIMEOUT else why
+
+
+def _spent_with_calls(connection: Connection) -> Connection:
+    return connection._replace(stage=connections.Stage.SPENT)
+
+
+def _give_up_keeping(self: Lives, effects: Effects, request: str, number: int, why: Outcome) -> None:
+    exchange = self.exchanges.get(request)
+    if exchange is None or exchange.attempts[number].stage is attempts.Stage.ENDED:
+        return
+    attempt = exchange.attempts[number]
+    connection = connections.without(self.connections[attempt.connection], (request, number))
+    self.connections[attempt.connection] = connection
+    if connection.stage is not connections.Stage.CONNECTING:
+        self._release(effects, attempt.connection, connection)
+    self._ended(effects, (request, number), attempts.given_up(attempt, why))
+
+
+def _strand_nothing(self: Lives, effects: Effects, changed: set[str]) -> None:
+    pass
+
+
+def _strand_drained_only(self: Lives, effects: Effects, changed: set[str]) -> None:
+    for number, connection in list(self.connections.items()):
+        if connection.server in changed and connection.stage is connections.Stage.CONNECTING:
+            if not endpoints.takes_new(self.endpoints.get(connection.server)):
+                for call in connection.calls:
+                    self.connections[number] = connections.without(self.connections[number], call)
+                    self._ended(effects, call, Outcome.CONNECT_FAILED)
+
+
+def _draining_takes_new(endpoint: Endpoint | None) -> bool:
+    return endpoint is not None
+
+
+def _keeps_any_life(endpoint: Endpoint | None, connection: Connection) -> bool:
+    return endpoint is not None and endpoint.ready
+
+
+def _keeps_while_draining(endpoint: Endpoint | None, connection: Connection) -> bool:
+    return endpoint is not None and endpoint.incarnation == connection.incarnation
+
+
+def _close_no_idle(self: Lives, effects: Effects, server: str) -> None:
+    pass
+
+
+_sound_answered = Lives._answered
+
+
+def _keeps_after_behind(
+    self: Lives, effects: Effects, number: int, call: Call, outcome: Outcome, clean: bool
+) -> None:
+    _sound_answered(self, effects, number, call, outcome, True)
+
+
+def _late_answer_counts(
+    self: Lives, effects: Effects, number: int, call: Call, outcome: Outcome, clean: bool
+) -> None:
+    if call[0] in self.exchanges and number in self.connections and not self.connections[number].calls:
+        self._ended(effects, call, outcome)
+    else:
+        _sound_answered(self, effects, number, call, outcome, clean)
+
+
+def _stray_ignored(self: Lives, effects: Effects, number: int) -> None:
+    connection = self.connections.get(number)
+    if connection is not None and connection.calls:
+        Lives._spoilt(self, effects, number)
+
+
+def _settle_again(self: Lives, effects: Effects, request: str, final: Final) -> None:
+    exchange = self.exchanges.get(request)
+    if exchange is not None:
+        self.exchanges[request] = exchange = exchanges.settled(exchange)
+        effects.append(ev.Reply(request, final, None))
+        self._forget(effects, request, exchange)
+
+
+def _reply_again(self: Lives, effects: Effects, call: Call, outcome: Outcome) -> None:
+    request, number = call
+    exchange = exchanges.with_attempt(self.exchanges[request], number, attempts.ended(outcome))
+    if outcome is Outcome.OK:
+        exchange = exchanges.settled(exchange)
+        effects.append(ev.Reply(request, Final.SERVED, number))
+    self.exchanges[request] = exchange
+    effects.append(ev.Ended(request, number, outcome, not exchange.owed))
+    self._forget(effects, request, exchange)
+
+
+def _forgotten_early(exchange: Exchange) -> bool:
+    return not exchange.owed
+
+
+def _never_forgotten(exchange: Exchange) -> bool:
+    return False
+
+
+def _not_up_kept(self: Lives, effects: Effects, number: int, short: bool) -> None:
+    connection = self.connections[number]
+    self.connections[number] = connections.spent(connection)
+    for call in connection.calls:
+        self._ended(effects, call, Outcome.CONNECT_FAILED)
+
+
+def _rests_for_ever(self: Lives, number: int, connection: Connection) -> None:
+    pass
+
+
+def _room_without_closing(self: Lives, effects: Effects) -> bool:
+    return True
+
+
+def _end_forgets(self: Lives, effects: Effects) -> None:
+    pass
+
+
+def _held_for_ever(self: Lives, effects: Effects, number: int, unsent: int) -> None:
+    if unsent:
+        Lives._held(self, effects, number, unsent)
+
+
+def _unusable_used(self: Lives, effects: Effects, number: int) -> None:
+    for call in self.connections[number].calls:
+        effects.append(ev.Write(number, call, False))
+
+
+def _up_writes_all(self: Lives, effects: Effects, number: int) -> None:
+    connection = self.connections.get(number)
+    if connection is None or connection.stage is not connections.Stage.CONNECTING:
+        return
+    self.connections[number] = connection = connections.up(connection)
+    for call in connection.calls:
+        self._now(call, Attempt(attempts.Stage.OUT, number, True))
+        effects.append(ev.Write(number, call, False))
+    if not connection.calls:
+        self._release(effects, number, connection)
+
+
+def _overdue_waits(self: Lives, effects: Effects, request: str, final: Final) -> None:
+    exchange = self.exchanges.get(request)
+    if (
+        final is Final.OVERDUE
+        and exchange is not None
+        and not all(item.stage is attempts.Stage.ENDED for item in exchange.attempts)
+    ):
+        return
+    Lives._settle(self, effects, request, final)
+
+
+def _refuses_always(self: Balancer, held: rules.Held) -> None:
+    self.actions.append(api.Refuse(held.id, 0.0))
+    self.close(held)
+
+
+def _sends_sales_again(self: Balancer, held: rules.Held, server: rules.Server) -> bool:
+    return held.open and len(held.attempts) < self.settings.limits.max_attempts
+
+
+def _may_send(
+    self: Balancer, held: rules.Held, server: rules.Server, since: int, connecting: bool, grouped: bool
+) -> bool:
+    """The module's rule, with its parts to be left out."""
+    limits, klass = self.settings.limits, held.klass
+    if not held.open or len(held.attempts) >= limits.max_attempts:
+        return False
+    ran = [item for item in held.attempts if item.may_have_run]
+    if not ran or klass.effect is Effect.SAFE:
+        return True
+    if klass.effect is Effect.UNSAFE:
+        return False
+    margin = limits.connect_timeout_ms if connecting else 0.0
+    if self.now > ran[since].sent + klass.window_ms - margin - 2.0 * self.settings.tick_ms:
+        return False
+    if klass.group is not Group.CELL or not grouped:
+        return True
+    return all(server.entry.cell == item.server.entry.cell for item in ran)
+
+
+BUGS = (
+    Bug("reset-never-ran", "a reset counts as never run", "sale-small", attempts, "broken", _never_ran),
+    Bug(
+        "spoilt-never-ran",
+        "a spoilt answer counts as never run",
+        "sale-small",
+        attempts,
+        "spoilt",
+        _never_ran,
+    ),
+    Bug(
+        *("timeout-never-left", "every time-out counts as never sent", "sale-small"),
+        *(attempts, "given_up", _timeout_never_left),
+    ),
+    Bug(
+        *("ended-with-its-line", "an attempt that has ended ends again with its connection", "sale-small"),
+        *(connections, "spent", _spent_with_calls),
+    ),
+    Bug(
+        *("given-up-line-kept", "the connection of an attempt given up is used again", "pair-small"),
+        *(ON, ev.GiveUp, _give_up_keeping),
+    ),
+    Bug(
+        *("nothing-stranded", "a drain between choosing and writing is missed", "sale-small"),
+        *(Lives, "_strand", _strand_nothing),
+    ),
+    Bug(
+        *(
+            "stranded-by-drain-only",
+            "an attempt waits on for a life that has ended (this program's)",
+            "sale-small",
+        ),
+        *(Lives, "_strand", _strand_drained_only),
+    ),
+    Bug(
+        *("drain-waits", "a draining server takes new requests for its grace", "sale-small"),
+        *(endpoints, "takes_new", _draining_takes_new),
+    ),
+    Bug(
+        *("old-life-kept", "a line to an earlier life is kept (this program's)", "sale-small"),
+        *(endpoints, "keeps", _keeps_any_life),
+    ),
+    Bug(
+        *("kept-while-draining", "a line to a draining server is kept", "sale-small"),
+        *(endpoints, "keeps", _keeps_while_draining),
+    ),
+    Bug(
+        *("idle-left-open", "idle lines are not closed at a drain or restart", "sale-small"),
+        *(Lives, "_close_idle", _close_no_idle),
+    ),
+    Bug(
+        *("behind-ignored", "a line is kept though something came behind an answer", "pair-small"),
+        *(ON, ev.Answered, _keeps_after_behind),
+    ),
+    Bug(
+        *("late-answer-counts", "an answer that comes after its attempt ended is taken", "sale-uncancelled"),
+        *(ON, ev.Answered, _late_answer_counts),
+    ),
+    Bug(
+        *("stray-ignored", "what comes unasked on an idle line is ignored", "pair-small"),
+        *(ON, ev.Spoilt, _stray_ignored),
+    ),
+    Bug(
+        *("settled-twice", "a request that has its outcome gets another", "sale-uncancelled"),
+        *(ON, ev.Settle, _settle_again),
+    ),
+    Bug(
+        *("served-after-the-end", "an answer is passed on after the outcome", "sale-uncancelled"),
+        *(Lives, "_ended", _reply_again),
+    ),
+    Bug(
+        *("forgotten-early", "a request is forgotten while an attempt is out", "sale-uncancelled"),
+        *(exchanges, "forgettable", _forgotten_early),
+    ),
+    Bug(
+        *("never-forgotten", "a request that is over stays in the table", "sale-small"),
+        *(exchanges, "forgettable", _never_forgotten),
+    ),
+    Bug(
+        *("refused-line-kept", "a connection that never came up stays in the table", "sale-small"),
+        *(ON, ev.NotUp, _not_up_kept),
+    ),
+    Bug(
+        *("rests-for-ever", "a line that has ended stays among the idle", "sale-small"),
+        *(Lives, "_unrest", _rests_for_ever),
+    ),
+    Bug(
+        *("room-for-nothing", "the bound on connections makes no room", "pair-at-the-bound"),
+        *(Lives, "_make_room", _room_without_closing),
+    ),
+    Bug(
+        *("end-forgets", "the end of the program leaves requests unanswered (this program's)", "sale-small"),
+        *(ON, ev.End, _end_forgets),
+    ),
+    Bug(
+        *("held-for-ever", "the kernel's word that all has left is missed", "sale-small"),
+        *(ON, ev.Held, _held_for_ever),
+    ),
+    Bug(
+        *("unusable-used", "a line that was found ended is written to", "pair-small"),
+        *(ON, ev.Unusable, _unusable_used),
+    ),
+    Bug(
+        *(
+            "written-after-the-end",
+            "an attempt is written once its line is up, though its request is over",
+            "sale-uncancelled",
+        ),
+        *(ON, ev.Up, _up_writes_all),
+    ),
+    Bug(
+        *("overdue-waits", "the guard on a request's time waits for its attempts", "sale-uncancelled"),
+        *(ON, ev.Settle, _overdue_waits),
+        lasts=True,
+    ),
+    Bug(
+        "refuses-always",
+        "a request that may have run is refused",
+        "sale-small",
+        Balancer,
+        "finish",
+        _refuses_always,
+    ),
+    Bug(
+        *("sale-sent-again", "a sale that may have run is sent again", "sale-small"),
+        *(Balancer, "may_send", _sends_sales_again),
+    ),
+    Bug(
+        *("window-from-last", "the window counts from the last attempt", "listing-window"),
+        *(Balancer, "may_send", lambda self, held, server: _may_send(self, held, server, -1, True, True)),
+    ),
+    Bug(
+        *("window-for-choosing", "the window leaves no time to connect (this program's)", "listing-small"),
+        *(Balancer, "may_send", lambda self, held, server: _may_send(self, held, server, 0, False, True)),
+    ),
+    Bug(
+        *("group-ignored", "a listing goes to another cell", "listing-cells"),
+        *(Balancer, "may_send", lambda self, held, server: _may_send(self, held, server, 0, True, False)),
+    ),
+)
+BY_NAME = {item.name: item for item in BUGS}
--- a/anisestair/states/permits.py
+++ b/anisestair/states/permits.py
@@ -17,7 +17,7 @@
     out: bool
     may_have_run: bool
     server: int  # -1 where it does not matter any more
-    tick: int  # when it was chosen
+    tick: float  # when it was chosen
 
 
 class Permits:
--- /dev/null
+++ b/anisestair/states/scenarios.py
@@ -0,0 +1,38 @@
+"""The sizes in which the machines are explored."""
+
+from __future__ import annotations
+
+from anisestair.states.world import Scenario
+
+LONG_WINDOW_MS = 2500.0  # in which a second attempt fits, a tick after the first
+
+# Small enough for every seeded bug to be looked for. CI explores these.
+SMALL = (
+    Scenario("sale-small", ("sale",), (0,), 2, 1),
+    Scenario("sale-two-servers", ("sale",), (0, 0), 3, 2),
+    Scenario("sale-uncancelled", ("sale",), (0,), 2, 1, may_cancel=False),
+    Scenario("look-small", ("look",), (0,), 2, 1, second_copies=True),
+    Scenario("listing-small", ("listing",), (0,), 2, 0, ticks=2, held=False, leaves=False),
+    Scenario(
+        *("listing-window", ("listing",), (0,), 3, 0),
+        ticks=3,
+        held=False,
+        leaves=False,
+        window_ms=LONG_WINDOW_MS,
+    ),
+    Scenario("listing-cells", ("listing",), (0, 1), 2, 1, ticks=2, held=False, leaves=False),
+    Scenario("listing-copies", ("listing",), (0, 1), 2, 0, ticks=2, second_copies=True, held=False),
+    Scenario("pair-small", ("sale", "sale"), (0,), 2, 1, held=False),
+    Scenario("pair-at-the-bound", ("sale", "sale"), (0,), 2, 0, most=1, held=False),
+)
+
+# The full sizes: one request over three servers with four attempts, and two over two with three.
+LARGE = (
+    Scenario("trio-sale", ("sale",), (0, 0, 0), 4, 2),
+    Scenario("trio-listing", ("listing",), (0, 0, 1), 4, 1, ticks=1, held=False),
+    Scenario("pair-sales", ("sale", "sale"), (0, 0), 3, 2, held=False),
+    Scenario("pair-listings", ("listing", "listing"), (0, 0), 3, 2, held=False),
+    Scenario("pair-mixed", ("sale", "listing"), (0, 0), 3, 2, held=False),
+)
+
+BY_NAME = {item.name: item for item in (*SMALL, *LARGE)}
--- a/anisestair/states/world.py
+++ b/anisestair/states/world.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Hashable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import lru_cache
 from itertools import permutations
 from typing import Any, NamedTuple
@@ -44,7 +44,7 @@
 CLASSES = {
     "sale": api.RequestClass("sale", 400.0, 1e9, late_worth=0.5, effect=Effect.UNSAFE),
     "listing": api.RequestClass(
-        "listing", 400.0, 1e9, late_worth=0.5, effect=Effect.KEYED, group=api.Group.CELL, window_ms=WINDOW_MS
+        "listing", 400.0, 1e9, late_worth=0.5, effect=Effect.KEYED, group=api.Group.CELL
     ),
     "look": api.RequestClass("look", 400.0, 1e9, late_worth=0.5, effect=Effect.SAFE),
 }
@@ -66,6 +66,7 @@
     held: bool = True  # the kernel may keep back part of a request
     may_cancel: bool = True
     leaves: bool = True  # clients may leave
+    window_ms: float = WINDOW_MS  # of the keyed class
 
 
 class Happens(NamedTuple):
@@ -129,8 +130,8 @@
     told: int = 0  # by the machines to the module: 0 nothing yet, 1 may have run, 2 never ran
     left: bool = False  # all of it has left, and no upstream has turned it away
     server: int = -1
-    chosen: int = -1  # ticks
-    written: int = -1
+    chosen: float = -1  # ticks
+    written: float = -1
 
 
 class Play:
@@ -143,6 +144,7 @@
         self.requests = list(state[:count])
         self.servers: list[int] = list(state[count])
         rows = state[count + 1]
+        self.tick: float
         self.tick, self.changes = state[count + 2]
         lives = self.lives = Lives(self.scenario.most, self.scenario.attempts)
         self.wires: dict[int, Wire] = {}
@@ -193,6 +195,9 @@
         except Exception:  # a fault of the machines is a finding like any other
             self.breaks(props.NO_FAULT)
             return
+        self.carry_out(effects)
+
+    def carry_out(self, effects: list[ev.Effect]) -> None:
         for effect in effects:
             getattr(self, "on_" + type(effect).__name__.lower())(*effect)
 
@@ -257,7 +262,7 @@
             cells = self.scenario.cells
             if any(cells[item.server] != cells[server] for item in ran):
                 self.breaks(props.ONE_GROUP)
-            if (self.tick - min(item.written for item in ran)) * TICK_MS > WINDOW_MS:
+            if (self.tick - min(item.written for item in ran)) * self.world.unit_ms > klass.window_ms:
                 self.breaks(props.IN_WINDOW)
         held, self.held_next = self.held_next, False
         sent[number] = sent[number]._replace(left=not held, server=server, written=self.tick)
@@ -478,18 +483,25 @@
 class World(Model):
     """The model of one scenario."""
 
-    def __init__(self, scenario: Scenario) -> None:
-        self.scenario, self.name = scenario, scenario.name
-        names = sorted(set(scenario.classes))
-        limits = api.Limits(
-            max_attempts=scenario.attempts,
-            may_cancel=True,
-            second_copies=scenario.second_copies,
-            connect_timeout_ms=TICK_MS,
+    def __init__(
+        self, scenario: Scenario, settings: api.Settings | None = None, unit_ms: float = TICK_MS
+    ) -> None:
+        self.scenario, self.name, self.unit_ms = scenario, scenario.name, unit_ms
+        self.settings = settings or api.Settings(
+            tuple(
+                replace(CLASSES[name], window_ms=scenario.window_ms) for name in sorted(set(scenario.classes))
+            ),
+            limits=api.Limits(
+                max_attempts=scenario.attempts,
+                may_cancel=True,
+                second_copies=scenario.second_copies,
+                connect_timeout_ms=TICK_MS,
+            ),
+            tick_ms=1.0,
         )
-        settings = api.Settings(tuple(CLASSES[name] for name in names), limits=limits, tick_ms=1.0)
-        self.klass = {name: CLASSES[klass] for name, klass in zip(NAMES, scenario.classes, strict=False)}
-        self.permits = Permits(settings, scenario.cells, TICK_MS)
+        classes = {item.name: item for item in self.settings.classes}
+        self.klass = {name: classes[klass] for name, klass in zip(NAMES, scenario.classes, strict=False)}
+        self.permits = Permits(self.settings, scenario.cells, TICK_MS)
         count, cells = len(scenario.classes), scenario.cells
         # Servers are alike within a cell, and whole cells of one size are alike; requests within a class.
         self._renamings = [
--- a/statecheck/trace.py
+++ b/statecheck/trace.py
@@ -52,8 +52,8 @@
         raise TraceError(f"{path}: cannot be read: {' '.join(str(fault).split())}") from None
     if not isinstance(data, dict) or data.get("format") != FORMAT:
         raise TraceError(f"{path}: format: not {FORMAT}: save the trace again with this version")
-    for name, kind in (("model", str), ("bug", str), ("property", str), ("words", str)):
-        if not isinstance(data.get(name), kind):
+    for name in ("model", "bug", "property", "words"):
+        if not isinstance(data.get(name), str):
             raise TraceError(f"{path}: {name}: missing or no text: save the trace again")
     for name, kind in (("events", str), ("choices", int)):
         items = data.get(name)
