--- a/anisestair/http.py
+++ b/anisestair/http.py
@@ -28,6 +28,9 @@
 NEEDED = frozenset({b"x-correlation-id", b"idempotency-key"})
 
 
+STATUS_LINES = {item.value: b"HTTP/1.1 %d %s" % (item.value, item.phrase.encode()) for item in HTTPStatus}
+
+
 class BadMessage(Exception):
     """The other side sent what cannot be read; ``status`` is what a server answers it with."""
 
@@ -56,14 +59,11 @@
 
     def end_to_end(self) -> Headers:
         """The headers that a proxy passes on."""
-        named = {
-            token.strip().lower()
-            for key, value in self.headers
-            if key == b"connection"
-            for token in value.split(b",")
-        }
-        dropped = HOP_BY_HOP | (named - NEEDED) if named else HOP_BY_HOP
-        return [(key, value) for key, value in self.headers if key not in dropped]
+        dropped = HOP_BY_HOP
+        for key, value in self.headers:
+            if key == b"connection":
+                dropped |= {token.strip().lower() for token in value.split(b",")} - NEEDED
+        return [item for item in self.headers if item[0] not in dropped]
 
 
 class Reader:
@@ -180,10 +180,9 @@
     framing = [(b"content-length", b"%d" % len(body))]
     if close:
         framing.append((b"connection", b"close"))
-    phrase = HTTPStatus(status).phrase.encode()
-    return _write(b"HTTP/1.1 %d %s" % (status, phrase), [*headers, *framing], body)
+    return _write(STATUS_LINES[status], [*headers, *framing], body)
 
 
 def _write(start: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> bytes:
-    lines = [start, *(b"%s: %s" % header for header in headers), b"", body]
+    lines = [start, *[b"%s: %s" % header for header in headers], b"", body]
     return b"\r\n".join(lines)
--- a/anisestair/states/properties.py
+++ b/anisestair/states/properties.py
@@ -36,7 +36,9 @@
     "a true word", "an attempt that may have run is not told to the module as one that never ran"
 )
 ONE_SENDING = Violation("one sending", "an attempt is written once, on one connection")
-BOUND_KEPT = Violation("the bound kept", "there are never more connections than the bound on them")
+BOUND_KEPT = Violation(
+    "the bound kept", "there are never more connections than the bound on them, those being closed aside"
+)
 NOTHING_LEFT = Violation(
     "nothing left behind",
     "the tables hold what is owed or out, and nothing else: none of them grows for good",
--- a/hareloom/rules.py
+++ b/hareloom/rules.py
@@ -140,8 +140,8 @@
         """The w that others are measured by: the best quarter's, not the lowest. One lucky answer makes a
         lowest w that shuts most of the fleet out, and what is left is pushed over. Cold servers do not count
         while any other is active: little is sent to them, so they look quick next to busy ones."""
-        active = [s for s in self.set if s.active and s.w is not None]
-        ranked = sorted(s.w or 0.0 for s in [s for s in active if s.cold_since is None] or active)
+        ranked = [s.w for s in self.set if s.active and s.w is not None and s.cold_since is None]
+        ranked = sorted(ranked or [s.w for s in self.set if s.active and s.w is not None])
         return ranked[len(ranked) // 4] if ranked else None
 
     def charge(self, server: Server, klass: api.RequestClass) -> float:
@@ -214,16 +214,19 @@
         alpha = min(ALPHA, server.samples / (server.samples + 1.0))
         server.w = delta if server.w is None or attempt.trial else alpha * server.w + (1.0 - alpha) * delta
         server.samples += 1
-        staying = sum(s.active for s in self.set) / max(len(self.set), 1)
         if attempt.trial:
             server.due = self.now + self.jitter(server.backoff)
-            if staying >= STAY_SHARE:
+            if self.staying() >= STAY_SHARE:
                 server.backoff = min(2.0 * server.backoff, BACKOFF_MAX_MS)
         elif server.active and best is not None and (down or server.w > ACTIVE_FACTOR * best):
             # If most are slow it is the load, and a smaller set would only be slower.
-            if down or staying - 1.0 / len(self.set) >= STAY_SHARE:
+            if down or self.staying() - 1.0 / len(self.set) >= STAY_SHARE:
                 server.active, server.due, self.stale = False, self.now + self.jitter(server.backoff), True
 
+    def staying(self) -> float:
+        """The share of the working set that is active."""
+        return sum(s.active for s in self.set) / max(len(self.set), 1)
+
     # Departures that feed the rule: class costs and cold servers
 
     def cost(self, server: Server, klass: api.RequestClass) -> float:
