Carry MessagePack-RPC on both sides, through the same machines and decisions

Need: calls over MessagePack-RPC had none of the protections. Calls are written one by one, and none while part of the last is kept back, so that which have left is known of each when a connection breaks.

--- a/anisestair/discovery.py
+++ b/anisestair/discovery.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field as dataclass_field
 from typing import Any
 
 from anisestair import http
@@ -40,6 +41,9 @@
     whole: bool
     entries: tuple[api.ServerEntry, ...]
     addresses: dict[str, Address]  # where to connect; may differ from one sidecar, and list, to the next
+    rpc: dict[str, Address] = dataclass_field(
+        default_factory=dict
+    )  # and where to for MessagePack-RPC, if it speaks that
 
     def event(self, kind: api.ListKind | None = None) -> api.ServerList:
         kind = kind or (api.ListKind.FULL if self.whole else api.ListKind.DELTA)
@@ -61,7 +65,7 @@
 
 def parse_list(data: Any, offset_ms: float) -> EndpointList:
     """Discovery's JSON; ValueError names the field that cannot be used."""
-    entries, addresses = [], {}
+    entries, addresses, rpc = [], {}, {}
     field = "seq"
     try:
         seq = int(data["seq"])
@@ -77,6 +81,9 @@
                 raise ValueError("not a name of its own")
             field = f"hosts[{number}].dial"
             addresses[name] = address(host["dial"])
+            field = f"hosts[{number}].dial_rpc"
+            if "dial_rpc" in host:
+                rpc[name] = address(host["dial_rpc"])
             field = f"hosts[{number}].health"
             state = STATES[host["health"]]
             field = f"hosts[{number}].block"
@@ -100,7 +107,7 @@
             )
     except (KeyError, TypeError, ValueError, OverflowError, AttributeError) as fault:
         raise ValueError(f"{field}: {type(fault).__name__}: {fault}") from None
-    return EndpointList(seq, whole, tuple(entries), addresses)
+    return EndpointList(seq, whole, tuple(entries), addresses, rpc)
 
 
 class Discovery:
--- a/anisestair/frontend.py
+++ b/anisestair/frontend.py
@@ -15,7 +15,7 @@
 
 from anisestair import http
 from anisestair.discovery import Address
-from anisestair.sidecar import Sidecar
+from anisestair.sidecar import HttpAsk, Sidecar
 from hareloom import interface as api
 from hareloom.interface import Effect
 
@@ -190,7 +190,7 @@
                 self.refuse(http.BadMessage(HTTPStatus.BAD_REQUEST))
             else:
                 self.request = request.request
-                sidecar.take(request, message, self.answer)
+                sidecar.take(request, HttpAsk(message, self.answer))
 
     def answer(self, status: int, headers: http.Headers, body: bytes) -> None:
         message, self.current, self.request = self.current, None, ""
--- a/anisestair/rpc/codec.py
+++ b/anisestair/rpc/codec.py
@@ -57,11 +57,11 @@
 
 
 def write_request(msgid: int, method: bytes, params: bytes) -> bytes:
-    return b"\x94\x00" + _packed(msgid) + method + params
+    return b"\x94\x00" + packed(msgid) + method + params
 
 
 def write_response(msgid: int, error: bytes, result: bytes) -> bytes:
-    return b"\x94\x01" + _packed(msgid) + error + result
+    return b"\x94\x01" + packed(msgid) + error + result
 
 
 def write_notification(method: bytes, params: bytes) -> bytes:
@@ -70,16 +70,18 @@
 
 def write_error(msgid: int, error: object) -> bytes:
     """A response of our own with that error and no result."""
-    return write_response(msgid, _packed(error), b"\xc0")
+    return write_response(msgid, packed(error), b"\xc0")
 
 
-def _packed(value: object) -> bytes:
+def packed(value: object) -> bytes:
     data: bytes = msgpack.packb(value)
     return data
 
 
 def _is_string(data: bytes | bytearray, at: int) -> bool:
-    return 0xA0 <= data[at] <= 0xBF or data[at] in (0xD9, 0xDA, 0xDB)
+    """The specification's string, or its bytes: libraries older than that difference, and some since, send
+    those (pynvim does)."""
+    return 0xA0 <= data[at] <= 0xBF or data[at] in (0xD9, 0xDA, 0xDB, 0xC4, 0xC5, 0xC6)
 
 
 def _is_array(data: bytes | bytearray, at: int) -> bool:
--- /dev/null
+++ b/anisestair/rpc/meaning.py
@@ -0,0 +1,168 @@
+"""What an RPC call means: its class by its method, its key, its outcome by an error, and the errors of our
+own.
+
+The protocol has no headers, so an operator's file says which methods are which class, and where in the params
+a key or an id stands. A method that nothing matches is refused, never guessed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from anisestair.lifecycle.exchange import Final
+from anisestair.rpc import codec
+from hareloom import interface as api
+from hareloom.interface import Effect, Outcome
+
+Path = tuple[int | str, ...]
+
+NIL = b"\xc0"
+MAX_KEY = 128  # bytes of a key or an id
+
+# The codes of our own errors: [error] is a map with "code", and "retry_after_ms" where a client may come
+# back.
+CODES = {
+    Final.REFUSED: "refused",
+    Final.FAILED: "failed",
+    Final.OVERDUE: "overdue",
+    Final.FAULT: "fault",
+}
+UNKNOWN_METHOD, BAD_CALL = "unknown_method", "bad_call"
+
+
+class BadCall(Exception):
+    """A call that goes nowhere: the code of the error that it is answered with, and why in words."""
+
+    def __init__(self, code: str, why: str) -> None:
+        super().__init__(why)
+        self.code = code
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """What an operator says of the methods that a pattern matches: a name, or the start of one and a
+    ``*``."""
+
+    pattern: str
+    klass: str
+    deadline_ms: float = 0.0  # 0: the class's
+    key: Path = ()  # where in params the idempotency key stands
+
+
+class Meaning:
+    """Raises ValueError, which names the pattern at fault, for rules that contradict the classes."""
+
+    def __init__(
+        self,
+        rules: tuple[Rule, ...],
+        turned_away: tuple[object, ...],
+        classes: Mapping[str, api.RequestClass],
+    ) -> None:
+        self._classes, self._turned_away = classes, turned_away
+        self._exact: dict[bytes, Rule] = {}
+        self._prefixes: list[tuple[bytes, Rule]] = []
+        for rule in rules:
+            klass = classes.get(rule.klass)
+            if klass is None:
+                raise ValueError(f"{rule.pattern}: class: no class {rule.klass!r} in the settings")
+            if (klass.effect is Effect.KEYED) != bool(rule.key):
+                wants = "needs a key" if klass.effect is Effect.KEYED else "takes no key"
+                raise ValueError(f"{rule.pattern}: key: the class {rule.klass} {wants}")
+            if not 0.0 <= rule.deadline_ms <= klass.deadline_ms:
+                raise ValueError(f"{rule.pattern}: deadline_ms: not within the class's {klass.deadline_ms:g}")
+            name = rule.pattern.encode()
+            if name.endswith(b"*"):
+                self._prefixes.append((name[:-1], rule))
+            elif name in self._exact:
+                raise ValueError(f"{rule.pattern}: pattern: given twice")
+            else:
+                self._exact[name] = rule
+        # The longest start wins, whatever the order in the file: two orders would be two meanings of a sale.
+        self._prefixes.sort(key=lambda item: -len(item[0]))
+        starts = [start for start, _ in self._prefixes]
+        if len(set(starts)) != len(starts):
+            raise ValueError("pattern: the same start is given twice")
+
+    def rule(self, name: bytes) -> Rule | None:
+        found = self._exact.get(name)
+        if found is None:
+            found = next((rule for start, rule in self._prefixes if name.startswith(start)), None)
+        return found
+
+    def request(self, message: codec.Message, name: str, now: float) -> api.Request:
+        """The module's view of a call, under an id of ours; raises BadCall."""
+        rule = self.rule(message.name)
+        if rule is None:
+            raise BadCall(UNKNOWN_METHOD, "no pattern of the operator's file matches the method")
+        klass = self._classes[rule.klass]
+        if rule.key and not _is_key(pick(message.params, rule.key)):
+            raise BadCall(BAD_CALL, f"no key at {list(rule.key)} in params")
+        if message.kind is codec.Kind.NOTIFICATION and klass.effect is Effect.UNSAFE:
+            raise BadCall(BAD_CALL, "a notification of an unsafe class: its outcome could not be told")
+        return api.Request(name, klass.name, now + (rule.deadline_ms or klass.deadline_ms))
+
+    def outcome(self, error: bytes) -> Outcome:
+        """An upstream's answer by its error: any but nil, and those of its word for "turned away unseen", may
+        come after the call has run."""
+        if error == NIL:
+            return Outcome.OK
+        said = _unpacked(error)
+        return Outcome.FULL if any(_matches(said, item) for item in self._turned_away) else Outcome.ERROR
+
+
+def error_of(final: Final, retry_after_ms: float) -> dict[str, object]:
+    """The error object of a final outcome without an upstream's answer."""
+    return own_error(CODES[final], retry_after_ms if final is Final.REFUSED else 0.0)
+
+
+def own_error(code: str, retry_after_ms: float = 0.0) -> dict[str, object]:
+    error: dict[str, object] = {"code": code}
+    if retry_after_ms > 0:
+        error["retry_after_ms"] = round(retry_after_ms)
+    return error
+
+
+def pick(params: bytes, path: Path) -> object:
+    """What stands at a path of places and names in packed params; None where nothing does."""
+    found = _unpacked(params)
+    for step in path:
+        if isinstance(found, list) and isinstance(step, int):
+            found = found[step] if 0 <= step < len(found) else None
+        elif isinstance(found, dict):
+            found = found.get(step.encode() if isinstance(step, str) else step)
+        else:
+            return None
+    return found
+
+
+def _is_key(value: object) -> bool:
+    if isinstance(value, bytes):
+        return 0 < len(value) <= MAX_KEY
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _matches(said: object, word: object) -> bool:
+    """A word is matched by itself, and a table by a map that has all that it has."""
+    if isinstance(word, str):
+        return said == word.encode()
+    if isinstance(word, dict):
+        return isinstance(said, dict) and all(
+            name.encode() in said and _matches(said[name.encode()], value) for name, value in word.items()
+        )
+    return type(said) is type(word) and said == word
+
+
+def _unpacked(data: bytes) -> Any:
+    """With maps as dicts of those keys that Python can hold; of repeats the last. Strings are bytes."""
+    try:
+        return msgpack.unpackb(data, raw=True, strict_map_key=False, object_pairs_hook=_dict)
+    except (ValueError, msgpack.UnpackException):
+        return None
+
+
+def _dict(pairs: list[tuple[Any, Any]]) -> dict[Any, Any]:
+    return {key: value for key, value in pairs if isinstance(key, bytes | int)}
--- /dev/null
+++ b/anisestair/rpc/setup.py
@@ -0,0 +1,24 @@
+"""A sidecar with MessagePack-RPC on, from the operator's table."""
+
+from __future__ import annotations
+
+from anisestair.config import Config, ConfigError
+from anisestair.operator_file import RpcTable
+from anisestair.rpc.frontend import Lane, RpcFrontend
+from anisestair.rpc.meaning import Meaning, Rule
+from anisestair.sidecar import Sidecar
+
+
+def start(
+    config: Config, offset_ms: float, most_upstream: int, table: RpcTable, most_clients: int
+) -> tuple[Sidecar, RpcFrontend]:
+    """Raises ConfigError, which names the field, for a table that contradicts the settings."""
+    rules = tuple(Rule(item.pattern, item.klass, item.deadline_ms, item.key) for item in table.methods)
+    classes = {item.name: item for item in config.settings.classes}
+    try:
+        meaning = Meaning(rules, table.turned_away, classes)
+    except ValueError as fault:
+        raise ConfigError(f"[[rpc.methods]] {fault}") from None
+    lane = Lane(meaning, table.calls_per_connection)
+    sidecar = Sidecar(config, offset_ms, most_upstream, lane)
+    return sidecar, RpcFrontend(sidecar, meaning, most_clients, table.calls_in_hand)
--- a/anisestair/upstream.py
+++ b/anisestair/upstream.py
@@ -8,7 +8,7 @@
 import select
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import cast
+from typing import Any, cast
 
 from anisestair import http
 from anisestair.discovery import Address
@@ -86,26 +86,23 @@
         self.bound = min((LIFE_LEAST_S * LIFE_STEP ** (step - 1) for step in out), default=self._longest)
 
 
-class Connection(asyncio.Protocol):
-    """One connection's bytes and timers. Where it is in its life is the machine's to know."""
+class Line(asyncio.Protocol):
+    """A connection of any protocol. Where it is in its life is the machine's to know."""
 
     def __init__(self, wires: Wires, number: int) -> None:
         self.wires, self.number = wires, number
-        self.call: Call | None = None  # what the next whole answer is to
         self.transport: asyncio.Transport | None = None
-        self.reader = http.response_reader()
         self.deadline: asyncio.TimerHandle | None = None  # for coming up
         self.idle_since: float | None = None  # on the loop's clock; None before its first rest
-        self.idled = 0.0  # how long it had been idle when the request in hand was written
-        self.learnt = True  # what became of that is known
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+    def up(self, transport: asyncio.BaseTransport, watched: int) -> None:
+        """It is there; ``watched`` are the events by which the kernel says that it can't be used again."""
         self.wait(None)
         self.transport = cast(asyncio.Transport, transport)  # uvloop's are none by their class
         # So that pause_writing tells of the first byte kept back.
         self.transport.set_write_buffer_limits(high=0)
         self.poll = select.poll()
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.poll.register(transport.get_extra_info("socket").fileno(), watched)
         self.wires.up(self)
 
     def wait(self, deadline: asyncio.TimerHandle | None) -> None:
@@ -113,6 +110,39 @@
             self.deadline.cancel()
         self.deadline = deadline
 
+    def usable(self) -> bool:
+        """Nothing is known, by this loop or the kernel, that would lose what is written to it now."""
+        assert self.transport is not None
+        return not self.transport.is_closing() and not self.poll.poll(0)
+
+    def rest(self) -> None:
+        self.idle_since = self.wires.loop.time()
+        self.wires.resting(self)
+
+    def close(self) -> None:
+        self.wait(None)
+        self.wires.resting_no_more(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.wait(None)
+        self.wires.lost(self.number)
+
+
+class Connection(Line):
+    """HTTP/1.1: one call at a time."""
+
+    def __init__(self, wires: Wires, number: int) -> None:
+        super().__init__(wires, number)
+        self.call: Call | None = None  # what the next whole answer is to
+        self.reader = http.response_reader()
+        self.idled = 0.0  # how long it had been idle when the request in hand was written
+        self.learnt = True  # what became of that is known
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.up(transport, select.POLLIN)
+
     def pause_writing(self) -> None:
         self.wires.feed(ev.Held(self.number, 1))
 
@@ -132,10 +162,9 @@
     def usable(self) -> bool:
         """Nothing may have come in while it stood idle. The kernel is asked, since an end that this loop has
         not read yet would turn the next request into one that may have run."""
-        assert self.transport is not None
         if self.idle_since is not None and self.wires.loop.time() - self.idle_since > self.wires.life.bound:
             return False
-        return not self.transport.is_closing() and not self.poll.poll(0)
+        return super().usable()
 
     def learn(self, broke: bool) -> None:
         """Once for each request: whether the connection still carried it."""
@@ -144,15 +173,12 @@
             self.wires.life.learn(self.idled, broke, self.wires.loop.time())
 
     def rest(self) -> None:
-        self.call, self.idle_since = None, self.wires.loop.time()
-        self.wires.resting(self)
+        self.call = None
+        super().rest()
 
     def close(self) -> None:
-        self.wait(None)
-        self.wires.resting_no_more(self)
         self.learnt = True  # our own end of it says nothing
-        if self.transport is not None:
-            self.transport.abort()
+        super().close()
 
     def data_received(self, data: bytes) -> None:
         if self.call is None:  # nothing was asked: it is nobody's answer
@@ -179,14 +205,13 @@
             return bool(answers)
         call, self.call = self.call, None
         clean = len(answers) == 1 and not self.reader.partial and answers[0].keep_alive
-        self.wires.answered(self.number, call, answers[0], clean)
+        self.wires.answered(self.number, call, answers[0], outcome_of(answers[0]), clean)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.wait(None)
         self.learn(broke=True)
         self.reader.close()
-        self.wires.lost(self.number)
+        super().connection_lost(exc)
 
 
 class Wires:
@@ -195,21 +220,21 @@
     ``feed`` takes what happens on them; ``arrived`` an answer, just before the event that tells of it.
     """
 
-    def __init__(self, limits: api.Limits, feed: Feed, arrived: Callable[[Call, http.Message], None]) -> None:
+    def __init__(self, limits: api.Limits, feed: Feed, arrived: Callable[[Call, Any], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.feed, self._arrived = feed, arrived
         self._connect_timeout = limits.connect_timeout_ms / 1000.0
         self.life = IdleLife(max(limits.idle_ms - IDLE_MARGIN_MS, limits.idle_ms / 2.0) / 1000.0)
-        self._connections: dict[int, Connection] = {}
-        self._resting: dict[int, Connection] = {}
+        self._connections: dict[int, Line] = {}
+        self._resting: dict[int, Line] = {}
         self._sweeper: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def __getitem__(self, number: int) -> Connection:
+    def __getitem__(self, number: int) -> Line:
         return self._connections[number]
 
-    def open(self, number: int, address: Address) -> None:
-        self._connections[number] = connection = Connection(self, number)
+    def open(self, line: Line, address: Address) -> None:
+        self._connections[line.number] = connection = line
         task = self.loop.create_task(self._open(connection, address))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -217,7 +242,7 @@
         # connection that already carries a request, or leave one behind that nobody holds.
         connection.wait(self.loop.call_later(self._connect_timeout, task.cancel))
 
-    async def _open(self, connection: Connection, address: Address) -> None:
+    async def _open(self, connection: Line, address: Address) -> None:
         short = False
         try:
             await self.loop.create_connection(lambda: connection, *address)
@@ -228,23 +253,22 @@
             pass
         if connection.transport is None:
             connection.wait(None)
-            connection.reader.close()
             del self._connections[connection.number]
             self.feed(ev.NotUp(connection.number, short))
 
-    def up(self, connection: Connection) -> None:
+    def up(self, connection: Line) -> None:
         if connection.number in self._connections:
             self.feed(ev.Up(connection.number))
         else:  # given up in the very turn in which it came up
             connection.close()
 
-    def resting(self, connection: Connection) -> None:
+    def resting(self, connection: Line) -> None:
         """One timer for all that rest: they come and go with every request."""
         self._resting[connection.number] = connection
         if self._sweeper is None:
             self._sweeper = self.loop.call_later(self.life.bound, self._sweep)
 
-    def resting_no_more(self, connection: Connection) -> None:
+    def resting_no_more(self, connection: Line) -> None:
         self._resting.pop(connection.number, None)
 
     def _sweep(self) -> None:
@@ -257,9 +281,9 @@
                 return
             self.feed(ev.Expire(connection.number))
 
-    def answered(self, number: int, call: Call, answer: http.Message, clean: bool) -> None:
+    def answered(self, number: int, call: Call, answer: Any, outcome: Outcome, clean: bool) -> None:
         self._arrived(call, answer)
-        self.feed(ev.Answered(number, call, outcome_of(answer), clean))
+        self.feed(ev.Answered(number, call, outcome, clean))
 
     def lost(self, number: int) -> None:
         self._resting.pop(number, None)
