Put the time left into RPC params where the operator says, and take ids; measure RPC

Need: a deadline may be passed on inside params only where the operator says where, and an application's own id belongs into the log. Change: paths for both in the operator's file; the number alone is replaced, every other byte of the params stays. A connection cut at each byte of an answer: a sale is never sent again, a listing is served by another sending.

--- a/anisestair/operator_file.py
+++ b/anisestair/operator_file.py
@@ -26,7 +26,9 @@
     pattern: str
     klass: str
     deadline_ms: float = 0.0
-    key: tuple[int | str, ...] = ()
+    key: tuple[int | str, ...] = ()  # paths in params, as of meaning.Rule
+    id: tuple[int | str, ...] = ()
+    deadline: tuple[int | str, ...] = ()
 
 
 class RpcTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/anisestair/rpc/frontend.py
+++ b/anisestair/rpc/frontend.py
@@ -53,7 +53,7 @@
         self._message, self._meaning, self._tell = message, meaning, tell
 
     def write(self, wire: Any, call: Call, left_ms: int) -> None:
-        wire.write(call, self._message.method, self._message.params)
+        wire.write(call, self._message.method, self._meaning.params(self._message, left_ms))
 
     def reply(self, final: Final, arrived: Any, retry_after_ms: float) -> None:
         failed = final is Final.FAILED and arrived is not None
@@ -135,6 +135,8 @@
         notified = message.kind is Kind.NOTIFICATION
         try:
             request = self.frontend.meaning.request(message, name, sidecar.now())
+            if sidecar.in_hand(request.request):
+                raise BadCall(meaning.BAD_CALL, f"{request.request} is in hand")
         except BadCall as fault:
             if notified:
                 log.warning("a notification was dropped: %s", fault)
@@ -151,7 +153,7 @@
             self.frontend.told()
 
         if not notified:
-            self.open[message.msgid] = name
+            self.open[message.msgid] = request.request
         sidecar.take(request, RpcAsk(message, self.frontend.meaning, tell))
 
     def overdue(self, now: float) -> bool:
--- a/anisestair/rpc/meaning.py
+++ b/anisestair/rpc/meaning.py
@@ -51,6 +51,8 @@
     klass: str
     deadline_ms: float = 0.0  # 0: the class's
     key: Path = ()  # where in params the idempotency key stands
+    id: Path = ()  # and an id by which the application knows the call: in the log, and in hand once at a time
+    deadline: Path = ()  # and where the milliseconds that are left are put for the upstream
 
 
 class Meaning:
@@ -99,12 +101,26 @@
         if rule is None:
             raise BadCall(UNKNOWN_METHOD, "no pattern of the operator's file matches the method")
         klass = self._classes[rule.klass]
+        if rule.id:
+            found = pick(message.params, rule.id)
+            if not _is_key(found):
+                raise BadCall(BAD_CALL, f"no id at {list(rule.id)} in params")
+            name = f"{name.split()[0]} id {found.decode('latin-1') if isinstance(found, bytes) else found}"
         if rule.key and not _is_key(pick(message.params, rule.key)):
             raise BadCall(BAD_CALL, f"no key at {list(rule.key)} in params")
         if message.kind is codec.Kind.NOTIFICATION and klass.effect is Effect.UNSAFE:
             raise BadCall(BAD_CALL, "a notification of an unsafe class: its outcome could not be told")
         return api.Request(name, klass.name, now + (rule.deadline_ms or klass.deadline_ms))
 
+    def params(self, message: codec.Message, left_ms: int) -> bytes:
+        """The params as they go on: as they came, but for the time that is left, where a rule says where."""
+        rule = self.rule(message.name)
+        return (
+            message.params
+            if rule is None or not rule.deadline
+            else put(message.params, rule.deadline, left_ms)
+        )
+
     def outcome(self, error: bytes) -> Outcome:
         """An upstream's answer by its error: any but nil, and those of its word for "turned away unseen", may
         come after the call has run."""
@@ -139,6 +155,39 @@
     return found
 
 
+def put(params: bytes, path: Path, value: int) -> bytes:
+    """Packed params with that number in place of what stands at the path, and every other byte as it was.
+    Where nothing stands there nothing changes: a call is not given arguments that its method may not know."""
+    walk = msgpack.Unpacker(raw=True, strict_map_key=False, object_pairs_hook=_dict)
+    walk.feed(params)
+    try:
+        for step in path:
+            if not _go_to(walk, params, step):
+                return params
+        start = walk.tell()
+        walk.skip()
+        return params[:start] + codec.packed(value) + params[walk.tell() :]
+    except (ValueError, msgpack.UnpackException):
+        return params
+
+
+def _go_to(walk: Any, params: bytes, step: int | str) -> bool:
+    """Move on from before a container to before its element."""
+    first = params[walk.tell()]
+    if isinstance(step, int) and (0x90 <= first <= 0x9F or first in (0xDC, 0xDD)):
+        length: int = walk.read_array_header()
+        for _ in range(min(step, length)):
+            walk.skip()
+        return 0 <= step < length
+    if 0x80 <= first <= 0x8F or first in (0xDE, 0xDF):
+        name = step.encode() if isinstance(step, str) else step
+        for _ in range(walk.read_map_header()):
+            if walk.unpack() == name:
+                return True
+            walk.skip()
+    return False
+
+
 def _is_key(value: object) -> bool:
     if isinstance(value, bytes):
         return 0 < len(value) <= MAX_KEY
--- a/anisestair/rpc/setup.py
+++ b/anisestair/rpc/setup.py
@@ -13,7 +13,10 @@
     config: Config, offset_ms: float, most_upstream: int, table: RpcTable, most_clients: int
 ) -> tuple[Sidecar, RpcFrontend]:
     """Raises ConfigError, which names the field, for a table that contradicts the settings."""
-    rules = tuple(Rule(item.pattern, item.klass, item.deadline_ms, item.key) for item in table.methods)
+    rules = tuple(
+        Rule(item.pattern, item.klass, item.deadline_ms, item.key, item.id, item.deadline)
+        for item in table.methods
+    )
     classes = {item.name: item for item in config.settings.classes}
     try:
         meaning = Meaning(rules, table.turned_away, classes)
--- /dev/null
+++ b/benchmarks/rpc.py
@@ -0,0 +1,173 @@
+"""MessagePack-RPC through the sidecar beside HTTP, in closed loops over loopback, in the same run.
+
+    python -m benchmarks.rpc [--seconds 3] [--rounds 3]
+
+Calls a second, the sidecar's CPU a call, and latency p50 and p99 added to asking an order server directly, at
+1, 8 and 64 calls in flight: pipelined on one connection for RPC, a connection each for HTTP. Medians of the
+rounds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import statistics
+import tempfile
+import time
+from pathlib import Path
+from typing import cast
+
+import msgpack
+import uvloop
+
+from rigs import fleet
+
+ROOT = Path(__file__).resolve().parent.parent
+IN_FLIGHT = (1, 8, 64)
+SERVERS = 4
+WARM_S = 0.5
+OPERATOR = """
+[rpc]
+listen = "127.0.0.1:0"
+[[rpc.methods]]
+pattern = "order.sale"
+class = "sale"
+[[rpc.methods]]
+pattern = "listing.add"
+class = "listing"
+key = [1]
+"""
+
+
+class EchoServer(asyncio.Protocol):
+    """Answers every call at once with 64 bytes."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.unpacker = msgpack.Unpacker(raw=True)
+
+    def data_received(self, data: bytes) -> None:
+        self.unpacker.feed(data)
+        answers = [msgpack.packb([1, message[1], None, b"x" * 64]) for message in self.unpacker]
+        self.transport.write(b"".join(answers))
+
+
+class Pipeline(asyncio.Protocol):
+    """One connection with so many calls in flight; the next goes out when one has come back."""
+
+    def __init__(self, in_flight: int, until: float) -> None:
+        self.in_flight, self.until = in_flight, until
+        self.msgid = self.others = 0
+        self.sent: dict[int, float] = {}
+        self.latencies: list[float] = []
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.unpacker = msgpack.Unpacker(raw=True)
+        for _ in range(self.in_flight):
+            self.ask()
+
+    def ask(self) -> None:
+        self.msgid += 1
+        self.sent[self.msgid] = time.perf_counter()
+        method, key = ("order.sale", []) if self.msgid % 3 else ("listing.add", [f"k{self.msgid}"])
+        self.transport.write(msgpack.packb([0, self.msgid, method, [b"b" * 200, *key]]))
+
+    def data_received(self, data: bytes) -> None:
+        self.unpacker.feed(data)
+        now = time.perf_counter()
+        for message in self.unpacker:
+            sent = self.sent.pop(message[1])
+            if message[2] is None:
+                self.latencies.append(now - sent)
+            else:
+                self.others += 1
+            if now < self.until:
+                self.ask()
+        if not self.sent:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+async def pipelined(port: int, in_flight: int, seconds: float) -> fleet.Load:
+    start = time.perf_counter()
+    loop = asyncio.get_running_loop()
+    _, caller = await loop.create_connection(lambda: Pipeline(in_flight, start + seconds), "127.0.0.1", port)
+    async with asyncio.timeout(seconds + fleet.ANSWER_S):
+        await caller.done
+    return fleet.Load(len(caller.latencies), caller.others, time.perf_counter() - start, caller.latencies)
+
+
+async def one_round(seconds: float) -> list[dict[str, float | str]]:
+    plain = [await fleet.serve_on_loopback(fleet.OrderServer) for _ in range(SERVERS)]
+    spoken = [await fleet.serve_on_loopback(EchoServer) for _ in range(SERVERS)]
+    hosts = fleet.hosts_of([port for _, port in plain])
+    for host, (_, port) in zip(hosts, spoken, strict=True):
+        host["dial_rpc"] = f"127.0.0.1:{port}"
+    discovery, discovery_port = await fleet.serve_on_loopback(fleet.Discovery)
+    fleet.Discovery.hosts = hosts
+    rows: list[dict[str, float | str]] = []
+    try:
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(OPERATOR)
+            file.flush()
+            async with fleet.sidecar(ROOT, hosts, discovery_port, "--operator", file.name) as running:
+                rpc_port = await running.said_port()
+                loads = {
+                    "http": (fleet.closed_loop, running.port, plain[0][1]),
+                    "rpc": (pipelined, rpc_port, spoken[0][1]),
+                }
+                for in_flight in IN_FLIGHT:
+                    for name, (load, port, straight) in loads.items():
+                        direct = await load(straight, in_flight, seconds / 2.0)
+                        await load(port, in_flight, WARM_S)
+                        before = running.cpu_s()
+                        through = await load(port, in_flight, seconds)
+                        asked = through.served + through.others
+                        rows.append(
+                            {
+                                "protocol": name,
+                                "in_flight": in_flight,
+                                "calls_per_s": asked / through.seconds,
+                                "cpu_us": (running.cpu_s() - before) / asked * 1e6,
+                                "added_p50_ms": through.percentile_ms(0.5) - direct.percentile_ms(0.5),
+                                "added_p99_ms": through.percentile_ms(0.99) - direct.percentile_ms(0.99),
+                                "not_served": float(through.others),
+                                "peak_mb": running.peak_mb(),
+                            }
+                        )
+                        print({key: _short(value) for key, value in rows[-1].items()}, flush=True)
+    finally:
+        for server, _ in [*plain, *spoken, (discovery, 0)]:
+            server.close()
+    return rows
+
+
+def _short(value: float | str) -> float | str:
+    return round(value, 3) if isinstance(value, float) else value
+
+
+def main() -> None:
+    words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    words.add_argument("--seconds", type=float, default=3.0)
+    words.add_argument("--rounds", type=int, default=3)
+    given = words.parse_args()
+    rounds = []
+    for _ in range(given.rounds):
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            rounds.append(runner.run(one_round(given.seconds)))
+    middle = []
+    for rows in zip(*rounds, strict=True):
+        numbers = [name for name, value in rows[0].items() if isinstance(value, float)]
+        medians = {name: round(statistics.median(float(row[name]) for row in rows), 3) for name in numbers}
+        middle.append(rows[0] | medians)
+    print(json.dumps(middle))
+
+
+if __name__ == "__main__":
+    main()
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -191,6 +191,15 @@
     process: asyncio.subprocess.Process
     port: int
 
+    async def said_port(self) -> int:
+        """The port of the next listener that the log tells of."""
+        assert self.process.stderr is not None
+        async with asyncio.timeout(START_S):
+            while line := await self.process.stderr.readline():
+                if found := re.search(rb"listening .*:(\d+)$", line.strip()):
+                    return int(found[1])
+        raise RuntimeError("the sidecar ended before it listened")
+
     def cpu_s(self) -> float:
         """User and system time of the process so far (proc(5), stat, fields 14 and 15)."""
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -320,6 +320,75 @@
     play(test)
 
 
+def test_the_time_left_is_put_where_the_operator_says_and_nowhere_else() -> None:
+    async def test() -> None:
+        order = await server()
+        methods = (MethodTable("order.sale", "sale", deadline=(1, "left")),)
+        async with world(order, methods=methods) as there:
+            caller = await there.caller()
+            _, (_, (found,)) = await answer(caller.send("order.sale", {"id": "a"}, {"left": 0, "x": 2**63}))
+            assert 0 < found["left"] <= 1200 and found["x"] == 2**63
+            for params in ([{"rest": 1}], [7], []):
+                assert await answer(caller.send("order.sale", {"id": "b"}, *params)) == (None, ["b", params])
+
+    play(test)
+
+
+def test_an_id_that_is_in_hand_is_not_taken_again() -> None:
+    async def test() -> None:
+        order = await server(lambda call: "late")
+        methods = (MethodTable("order.sale", "sale", id=(0, "id")),)
+        async with world(order, methods=methods) as there:
+            caller, other = await there.caller(), await there.caller()
+            held = caller.send("order.sale", {"id": "a"})
+            await asyncio.wait_for(order.calls.get(), PATIENCE_S)
+            assert (await answer(other.send("order.sale", {"id": "a"})))[0] == {"code": "bad_call"}
+            assert (await answer(other.send("order.sale", {"id": None})))[0] == {"code": "bad_call"}
+            order.release.set()
+            assert (await answer(held))[0] is None and order.seen == ["a"]
+
+    play(test)
+
+
+@pytest.mark.parametrize("class_", ["sale", "listing"])
+def test_a_connection_cut_at_each_byte_of_an_answer(class_: str) -> None:
+    whole = msgpack.packb([1, 0, None, "served"])
+
+    async def test() -> None:
+        for cut in range(len(whole) + 1):
+            calls = 0
+
+            async def connected(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: int = cut
+            ) -> None:
+                nonlocal calls
+                unpacker = msgpack.Unpacker()
+                while data := await reader.read(4096):
+                    unpacker.feed(data)
+                    for _, msgid, _, _ in unpacker:
+                        calls += 1
+                        answer_ = msgpack.packb([1, msgid, None, "served"])
+                        writer.write(answer_[:cut] if calls == 1 else answer_)
+                        if calls == 1 and cut < len(whole):
+                            writer.close()
+                            return
+
+            order = RpcServer(lambda call: "ok", Counter(), set())
+            order.server = await asyncio.start_server(connected, "127.0.0.1", 0)
+            order.dial = f"127.0.0.1:{order.server.sockets[0].getsockname()[1]}"
+            async with world(order) as there:
+                caller = await there.caller()
+                if class_ == "sale":
+                    error, result = await answer(caller.send("order.sale", {"id": "c"}))
+                    assert (error is None, calls) == (cut == len(whole), 1), "never sent again"
+                else:
+                    error, result = await answer(caller.send("listing.x", {"id": "c", "key": "k"}))
+                    assert (error, result) == (None, "served")
+            order.close()
+
+    play(test)
+
+
 def test_notifications_of_listings_go_on_and_of_sales_do_not() -> None:
     async def test() -> None:
         order = await server()
