--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
 import msgpack
@@ -67,7 +68,9 @@
     made = RpcTable(**({"listen": "127.0.0.1:0", "methods": METHODS, "turned_away": ("busy",)} | table))
     sidecar, frontend = setup.start(config, offset, 100, made, 100)
     where = await frontend.listen(made.listen)
-    there = World(sidecar, frontend, int(where.rpartition(":")[2]) if ":" in where else 0, discovery)
+    there = World(
+        sidecar, frontend, 0 if where.startswith("unix:") else int(where.rpartition(":")[2]), discovery
+    )
     try:
         yield there
     finally:
@@ -389,6 +392,99 @@
     play(test)
 
 
+def test_of_calls_behind_a_full_socket_each_ends_by_whether_it_had_left() -> None:
+    # What the kernel has taken may have run and fails; what stands on this side, the half written one with
+    # it, never ran, and is served over another connection.
+    async def test() -> None:
+        executed: Counter[str] = Counter()
+        order = await server("ok", executed)
+        reads = order.server
+        first: list[asyncio.StreamWriter] = []
+
+        async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if first:
+                await order._connected(reader, writer)
+            else:
+                first.append(writer)
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+        reads.close()
+        order.server = await asyncio.start_server(connected, "127.0.0.1", 0)
+        order.dial = f"127.0.0.1:{order.server.sockets[0].getsockname()[1]}"
+        body = b"x" * 60_000
+        async with world(order, calls_per_connection=4096, calls_in_hand=4096) as there:
+            there.sidecar.balancer.limit = 1e6
+            caller = await there.caller()
+            futures = []
+            while not any(item.unsent for item in there.sidecar.lives.connections.values()):
+                futures.append(caller.send("order.sale", {"id": f"c{len(futures)}"}, body))
+                await asyncio.sleep(0)
+                assert len(futures) < 2000, "no buffer of the kernel is so large"
+            futures += [caller.send("order.sale", {"id": f"d{number}"}) for number in range(5)]
+            await until(lambda: len(there.sidecar.lives.exchanges) == len(futures))
+            (connection,) = there.sidecar.lives.connections.values()
+            held = {call[0] for call in connection.calls[len(connection.calls) - connection.unsent :]}
+            assert 5 < len(held) < len(futures)
+            first[0].transport.abort()
+            errors = [(await answer(item))[0] for item in futures]
+            failed = [error for error in errors if error == {"code": "failed"}]
+            assert len(failed) == len(futures) - len(held), "they had left"
+            assert sum(executed.values()) == errors.count(None) > 0 and max(executed.values()) == 1
+            assert all(error is None or error["code"] in ("failed", "refused") for error in errors)
+
+    play(test)
+
+
+def test_a_client_that_does_not_read_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("anisestair.rpc.frontend.PATIENCE_S", 0.2)
+
+    async def test() -> None:
+        order = await server()
+        async with world(order) as there:
+            there.sidecar.balancer.limit = 1e6
+            _, writer = await asyncio.open_connection("127.0.0.1", there.port, limit=1)
+            for number in range(400):
+                writer.write(msgpack.packb([0, number, "order.sale", [{"id": f"c{number}"}, b"x" * 60_000]]))
+            await until(lambda: bool(there.frontend._clients))
+            await until(lambda: not there.frontend._clients)
+            assert len(order.seen) < 400, "what its answers had no room for was not begun"
+            await until(lambda: not there.sidecar.lives.exchanges)
+            writer.transport.abort()
+
+    play(test)
+
+
+def test_a_unix_socket_is_listened_on_also_where_one_was_left_behind(tmp_path: Path) -> None:
+    async def test() -> None:
+        path = tmp_path / "s.sock"
+        for _ in range(2):
+            order = await server()
+            async with world(order, listen=f"unix:{path}") as there:
+                caller = RpcCaller(*await asyncio.open_unix_connection(str(path)))
+                there.callers.append(caller)
+                assert await answer(caller.send("order.sale", {"id": "c"})) == (None, ["c", []])
+
+    play(test)
+
+
+def test_at_the_bound_on_connections_the_longest_silent_goes_and_none_with_a_call() -> None:
+    async def test() -> None:
+        order = await server(lambda call: "late" if call == "held" else "ok")
+        async with world(order) as there:
+            there.frontend._most = 3
+            busy = await there.caller()
+            held = busy.send("order.sale", {"id": "held"})
+            await asyncio.wait_for(order.calls.get(), PATIENCE_S)
+            for number in range(8):
+                caller = await there.caller()
+                assert (await answer(caller.send("order.sale", {"id": f"c{number}"})))[0] is None
+                await until(lambda: len(there.frontend._clients) <= 3)
+            order.release.set()
+            assert (await answer(held))[0] is None
+
+    play(test)
+
+
 def test_notifications_of_listings_go_on_and_of_sales_do_not() -> None:
     async def test() -> None:
         order = await server()
