--- a/anisestair/frontend.py
+++ b/anisestair/frontend.py
@@ -204,7 +204,8 @@
             self.transport.close()
         else:
             self.frontend.resting[self] = None
-            self.frontend.loop.call_soon(self.advance)
+            if self.waiting or self.unread or self.fault is not None:  # what is not paused needs no push
+                self.frontend.loop.call_soon(self.advance)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.frontend.lost(self)
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.start [--against CHECKOUT] [--starts 20]
 
-Milliseconds from the start of the process until it listens, CPU until then, and peak memory; medians over starts
-that take turns.
+Milliseconds from the start of the process until it listens, CPU until then, and peak memory; medians over
+starts that take turns.
 """
 
 from __future__ import annotations
--- a/hareloom/rules.py
+++ b/hareloom/rules.py
@@ -176,11 +176,11 @@
         costs = [self.cost(s, held.klass) for s in active]
         mean = sum(costs) / len(active)
         charges = {s: self.charge(s, held.klass) for s in self.set if s.active}
-        ranked = (
-            (self.standing(s, charges[s] * held.scale, mean / cost), s.rank, s)
-            for s, cost in zip(active, costs, strict=True)
-        )
-        chosen = min(ranked, key=lambda item: item[:2])[2]
+        chosen, least = active[0], (math.inf, math.inf)
+        for server, cost in zip(active, costs, strict=True):
+            rank = (self.standing(server, charges[server] * held.scale, mean / cost), server.rank)
+            if rank < least:
+                chosen, least = server, rank
         if not tried:
             # Turns passed over, a cold server's above all, are not saved up: it would then get everything.
             for server, charge in charges.items():
@@ -231,7 +231,8 @@
 
     def cost(self, server: Server, klass: api.RequestClass) -> float:
         """How long this class takes at this kind of machine, relative to the kind's mean request."""
-        return self.costs.get((server.entry.kind, klass.name), klass.aim_ms / self.mean_aim)
+        found = self.costs.get((server.entry.kind, klass.name))
+        return klass.aim_ms / self.mean_aim if found is None else found
 
     def learn_cost(self, server: Server, klass: api.RequestClass, latency: float) -> None:
         """Kinds suit classes differently, and answers of all classes must compare in one w."""
