--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -435,6 +435,45 @@
     play(test)
 
 
+def test_a_keyed_call_repeated_while_the_first_still_runs_runs_once_in_its_cell() -> None:
+    async def test() -> None:
+        executed, keys = Counter[str](), set[str]()
+        first, second = (RpcServer(lambda call: "late", executed, keys) for _ in range(2))
+        for order in (first, second):
+            await order.start()
+        async with world(first, second) as there:
+            there.sidecar.balancer.limit = 1000.0
+            caller = await there.caller()
+            futures = [caller.send("listing.x", {"id": "c", "key": "k"}) for _ in range(2)]
+            await until(lambda: len(first.seen) + len(second.seen) == 2)
+            for order in (first, second):
+                order.release.set()
+            assert [await answer(item) for item in futures] == [(None, ["c", []])] * 2
+            assert executed == Counter(c=1)
+
+    play(test)
+
+
+def test_what_both_protocols_hold_stays_within_one_bound_on_descriptors() -> None:
+    async def test() -> None:
+        order = await server("late")
+        async with world(order, calls_per_connection=1) as there:
+            there.sidecar.balancer.limit, there.sidecar.lives.most = 1000.0, 5
+            caller = await there.caller()
+            futures = [caller.send("order.sale", {"id": f"c{number}"}) for number in range(12)]
+            await until(lambda: len(order.seen) == 5)
+            assert len(there.sidecar.lives.connections) == len(order.connections) == 5
+            order.release.set()
+            errors = [(await answer(item))[0] for item in futures]
+            # The rest waits, is served when there is room, or hears that it never ran.
+            assert errors.count(None) >= 5 and all(
+                item is None or item["code"] == "refused" for item in errors
+            )
+            assert sum(order.executed.values()) == errors.count(None)
+
+    play(test)
+
+
 def test_a_client_that_does_not_read_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("anisestair.rpc.frontend.PATIENCE_S", 0.2)
 
