--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import json
+import socket
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import ExitStack, asynccontextmanager, contextmanager
 from typing import Any
 
 from anisestair import http
@@ -15,36 +16,22 @@
 from anisestair.frontend import Frontend
 from anisestair.sidecar import Sidecar
 from hareloom import wire
+from rigs import fleet
 
 PATIENCE_S = 10.0  # how long a test waits for an event that has to come
 
-SETTINGS: dict[str, Any] = {
-    "classes": [
-        {"name": "sale", "promise-ms": 400.0, "give-up-ms": 1200.0, "idempotency": "single_shot"},
-        {
-            "name": "listing",
-            "promise-ms": 750.0,
-            "give-up-ms": 4000.0,
-            "late-share": 0.5,
-            "idempotency": "guarded",
-            "key-scope": "cell",
-            "window-ms": 8000.0,
-        },
-    ],
-    "discovery": "ask",
-    "limits": {
-        "connect-timeout-ms": 200.0,
-        "keepalive-ms": 5000.0,
-        "max-attempts": 4,
-        "may-cancel": True,
-        "second-copies": True,
-        "retry-after": True,
-        "max-retry-after-ms": 2000.0,
-    },
-    "rules": {"answer-slack-ms": 20.0, "cold-from": 0.3, "cold-ms": 900.0, "drain-grace-ms": 2000.0},
-    "tick-ms": 5.0,
-    "something-new": 1,
-}
+SETTINGS: dict[str, Any] = fleet.SETTINGS | {"something-new": 1}
+
+
+@contextmanager
+def stuck() -> Iterator[str]:
+    """An address where a connect neither succeeds nor fails: more wait there than its backlog holds."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full, ExitStack() as fillers:
+        for _ in range(4):
+            filler = fillers.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        yield f"127.0.0.1:{full.getsockname()[1]}"
 
 
 async def read_message(reader: http.Reader, stream: asyncio.StreamReader) -> http.Message | None:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -8,7 +8,7 @@
 
 import pytest
 from helpers import Driver, keyed
-from sockets import SETTINGS, FakeDiscovery, Peer, Upstream, host, serve, world
+from sockets import SETTINGS, FakeDiscovery, Peer, Upstream, host, serve, stuck, world
 from test_sidecar import Gate, run, until
 
 from anisestair import http
@@ -155,16 +155,9 @@
 def test_what_waits_for_a_connection_to_an_address_that_the_list_has_moved_goes_nowhere() -> None:
     # Another upstream may have that address by now: one that drains, or one of another cell.
     async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
-        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
-            there_at = full.getsockname()
-            filler = []
-            for _ in range(4):  # more than its backlog holds: the next connect neither succeeds nor fails
-                filler.append(socket.socket())
-                filler[-1].setblocking(False)
-                filler[-1].connect_ex(there_at)
-            stuck = f"127.0.0.1:{there_at[1]}"
+        with stuck() as there_at:
             limits = SETTINGS["limits"] | {"connect-timeout-ms": 9000.0}
-            async with world(discovery, host("s-1", stuck), settings={"limits": limits}) as there:
+            async with world(discovery, host("s-1", there_at), settings={"limits": limits}) as there:
                 client = await there.client()
                 client.send("r1", left=9000)
                 await until(lambda: bool(there.sidecar.lives.connections))
@@ -172,8 +165,6 @@
                 discovery.tell(2, moved, host("s-2", upstream.dial))
                 answer = await client.read()
                 assert answer is not None and (answer.status, len(upstream.requests)) == (200, 1)
-            for item in filler:
-                item.close()
 
     run(test)
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,14 +5,13 @@
 import asyncio
 import gc
 import math
-import socket
 import time
 import weakref
 from collections.abc import Awaitable, Callable
 
 import pytest
 import uvloop
-from sockets import PATIENCE_S, SETTINGS, FakeDiscovery, Peer, Upstream, host, serve, world
+from sockets import PATIENCE_S, SETTINGS, FakeDiscovery, Peer, Upstream, host, serve, stuck, world
 
 from anisestair import http
 from anisestair.discovery import WATCH_MS, parse_list, unix_offset_ms
@@ -553,24 +552,15 @@
 
 def test_a_drained_upstream_gets_nothing_that_still_waited_for_its_connection() -> None:
     async def test(upstream: Upstream, discovery: FakeDiscovery) -> None:
-        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
-            there_at = full.getsockname()
-            filler = []
-            for _ in range(4):  # more than its backlog holds: the next connect neither succeeds nor fails
-                filler.append(socket.socket())
-                filler[-1].setblocking(False)
-                filler[-1].connect_ex(there_at)
-            stuck = f"127.0.0.1:{there_at[1]}"
+        with stuck() as there_at:
             limits = SETTINGS["limits"] | {"connect-timeout-ms": 9000.0}
-            async with world(discovery, host("s-1", stuck), settings={"limits": limits}) as there:
+            async with world(discovery, host("s-1", there_at), settings={"limits": limits}) as there:
                 client = await there.client()
                 client.send("r1", left=9000)
                 await until(lambda: bool(there.sidecar.lives.connections))
-                discovery.tell(2, host("s-1", stuck, "draining"), host("s-2", upstream.dial))
+                discovery.tell(2, host("s-1", there_at, "draining"), host("s-2", upstream.dial))
                 answer = await client.read()
                 assert answer is not None and (answer.status, len(upstream.requests)) == (200, 1)
-            for item in filler:
-                item.close()
 
     run(test)
 
