--- a/anisestair/http.py
+++ b/anisestair/http.py
@@ -28,6 +28,9 @@
 NEEDED = frozenset({b"x-correlation-id", b"idempotency-key"})
 
 
+# What says where a message ends; looked for in one pass, as every message has its headers read.
+FRAMING = frozenset({b"content-length", b"transfer-encoding", b"expect"})
+
 STATUS_LINES = {item.value: b"HTTP/1.1 %d %s" % (item.value, item.phrase.encode()) for item in HTTPStatus}
 
 
@@ -128,17 +131,21 @@
 
     def on_headers_complete(self) -> None:
         self._in_head = False
-        message, length = self._message, self._message.get(b"content-length")
-        if length is not None and message.get(b"transfer-encoding") is not None:
+        message, framing = self._message, dict[bytes, bytes]()
+        for key, value in message.headers:
+            if key in FRAMING:
+                framing.setdefault(key, value)
+        length = framing.get(b"content-length")
+        if length is not None and b"transfer-encoding" in framing:
             self._refuse(HTTPStatus.BAD_REQUEST)  # the two may hide another message in the body
         if length is not None and int(length) > self._max_body:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         if isinstance(self._parser, httptools.HttpRequestParser):
             message.method = self._parser.get_method()
-            self.expects_continue = (message.get(b"expect") or "").lower() == "100-continue"
+            self.expects_continue = framing.get(b"expect", b"").lower() == b"100-continue"
         else:
             message.status = self._parser.get_status_code()
-            chunked = message.get(b"transfer-encoding") is not None
+            chunked = b"transfer-encoding" in framing
             bodiless = message.status < 200 or message.status in (204, 304)
             self.until_eof = length is None and not chunked and not bodiless
 
--- a/anisestair/sidecar.py
+++ b/anisestair/sidecar.py
@@ -237,13 +237,12 @@
         expired = ev.GiveUp(request, number, Outcome.TIMEOUT)
         expiry = self.loop.call_at((now + timeout) / 1000.0, self.feed, expired)
         record.sendings.append(Sending(now, expiry))
-        endpoint = record.ask.lane + server
-        # A server that does not speak the protocol says nothing of itself by that: never sent, no failure.
-        self.feed(
-            ev.Choose(
-                request, endpoint, timeout > 0.0 and (not record.ask.lane or endpoint in self._addresses)
-            )
-        )
+        in_time = timeout > 0.0
+        if record.ask.lane:
+            # A server that does not speak the protocol says nothing of itself by that: never sent.
+            server = record.ask.lane + server
+            in_time = in_time and server in self._addresses
+        self.feed(ev.Choose(request, server, in_time))
 
     def _probe(self, now: float, server: str) -> None:
         """An exchange of our own. Its id has a space, which no client's has."""
