Explore two safe requests with three attempts each as well

Need: every class in pairs, as the models of sales and listings are. Change: the scenario pair-looks, two safe requests over two servers and one connection.

--- a/anisestair/states/scenarios.py
+++ b/anisestair/states/scenarios.py
@@ -40,6 +40,7 @@
     Scenario("look-two-servers", ("look",), (0, 0), 3, 2, second_copies=True),
     Scenario("pair-sales", ("sale", "sale"), (0, 0), 3, 2, most=3, held=False),
     Scenario("pair-listings", ("listing", "listing"), (0, 0), 3, 2, most=2, held=False),
+    Scenario("pair-looks", ("look", "look"), (0, 0), 3, 2, most=1, held=False),
     Scenario("pair-mixed", ("sale", "listing"), (0, 0), 3, 2, most=2, held=False),
 )
 
