Write, check, compare and try each application's configuration: anisestair config

Need: configurations were written by hand and drifted apart, a wrong one broke a rule in service, and a newcomer could not see the sidecar serve. The loaders moved there and are split from their I/O; __main__ loads only what it runs. A starting sidecar prints the same findings and starts as before. A max-attempts of 1e400 ended a start in a traceback and is one line now.

--- a/anisestair/__main__.py
+++ b/anisestair/__main__.py
@@ -1,118 +1,35 @@
-"""Start of a sidecar, signals, and an orderly end."""
+"""The command: a sidecar that serves, or the subcommand that the first argument names. Each loads its own."""
 
 from __future__ import annotations
 
-import asyncio
-import logging
-import os
-import signal
 import sys
-import time
-from pathlib import Path
-from typing import TYPE_CHECKING
-
-import uvloop
-
-from anisestair.config import Config, ConfigError, load, reload
-from anisestair.discovery import unix_offset_ms
-from anisestair.frontend import Frontend
-from anisestair.sidecar import Sidecar
-
-if TYPE_CHECKING:
-    from anisestair.operator_file import Operator
-
-log = logging.getLogger("anisestair")
-
-SPARE_SOCKETS = 32  # descriptors that are neither the application's nor upstreams': logs, discovery, the loop
-
-
-async def serve(config: Config, offset_ms: float, operator: Operator | None = None) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    each = (config.sockets - SPARE_SOCKETS) // 2
-    table, listener = operator.rpc if operator is not None else None, None
-    if table is None:
-        sidecar, clients = Sidecar(config, offset_ms, each), each
-    else:
-        from anisestair.rpc import setup  # not loaded where it is off
-
-        clients = each // 2  # the application's connections, of both protocols together
-        sidecar, listener = setup.start(config, offset_ms, each, table, each - clients)
-
-    def reread() -> None:
-        nonlocal config
-        try:
-            config, more = reload(os.environ, offset_ms, config)
-        except ConfigError as fault:
-            log.error("%s: configuration not read again: %s", config.name, fault)
-            return
-        log.info("%s: discovery is at %s:%d", config.name, *config.discovery)
-        if more:
-            log.warning("%s: the file differs in more than discovery: for that, start anew", config.name)
-        sidecar.discovery.move(config.discovery)
-
-    loop.add_signal_handler(signal.SIGHUP, reread)
-    frontend = Frontend(sidecar, clients)
-    host, port = frontend.listen(config.listen)
-    log.info("%s: listening on %s:%d", config.name, host, port)
-    if table is not None and listener is not None:
-        log.info("%s: listening for MessagePack-RPC on %s", config.name, await listener.listen(table.listen))
-    await stop.wait()
-    log.info("%s: ending", config.name)
-    await asyncio.gather(frontend.stop(), *([listener.stop()] if listener is not None else []))
-    await sidecar.close()
-    if listener is not None:
-        listener.close()
-    log.info("%s: ended", config.name)
 
 
 def main(arguments: list[str]) -> int:
     """Serve, with no arguments or with an operator's file; else the subcommand that the first one names."""
-    if not arguments:
-        return run_sidecar()
-    if arguments[0] == "--operator":
-        return run_with(arguments[1:])
+    if not arguments or arguments[0] == "--operator":
+        from anisestair import serving
+
+        return serving.run_with(arguments[1:]) if arguments else serving.run_sidecar()
+    if arguments[0] == "config":
+        from anisestair.configure import command as configure
+
+        return configure.main(arguments[1:])
     if arguments[0] == "states":
-        from anisestair.states import command  # not loaded by a sidecar that serves
+        from anisestair.states import command
 
         return command.main(arguments[1:])
     print(
-        f"anisestair: {arguments[0]}: not a subcommand: states, or none to serve (--operator FILE)",
+        f"anisestair: {arguments[0]}: not a subcommand: config, states, or none to serve (--operator FILE)",
         file=sys.stderr,
     )
     return 2
 
 
-def run_with(files: list[str]) -> int:
-    """Serve with what an operator's file switches on."""
-    from anisestair import operator_file  # not loaded without one
-
-    try:
-        if len(files) != 1:
-            raise operator_file.OperatorError("--operator: takes one file")
-        return run_sidecar(operator_file.load(Path(files[0])))
-    except operator_file.OperatorError as fault:
-        print(f"anisestair: {fault}", file=sys.stderr)
-        return 2
-
-
-def run_sidecar(operator: Operator | None = None) -> int:
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
-    offset_ms = unix_offset_ms(time.monotonic() * 1000.0)  # the loop's clock is the monotonic one
-    try:
-        config = load(os.environ, offset_ms)
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, offset_ms, operator))
-    except ConfigError as fault:
-        print(f"anisestair: {fault}", file=sys.stderr)
-        return 2
-    except OSError as fault:
-        print(f"anisestair: BALANCER_LISTEN: {fault}", file=sys.stderr)
-        return 1
-    return 0
+def script() -> int:
+    """The installed command."""
+    return main(sys.argv[1:])
 
 
 if __name__ == "__main__":
-    raise SystemExit(main(sys.argv[1:]))
+    raise SystemExit(script())
--- a/anisestair/config.py
+++ b/anisestair/configure/effective.py
@@ -1,14 +1,16 @@
-"""What the platform tells a sidecar, from its environment and the JSON file that this names."""
+"""What a sidecar really uses: the platform's JSON with the environment over it and defaults under it.
+
+Reading a file is platform_file's; here nothing does I/O, so that the checks judge by the loader's own words.
+"""
 
 from __future__ import annotations
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
-from pathlib import Path
+from dataclasses import dataclass
 from typing import Any
 
-from anisestair.discovery import Address, EndpointList, address, parse_list
+from anisestair.endpoints import Address, EndpointList, address, parse_list
 from hareloom import interface as api
 from hareloom import wire
 
@@ -26,24 +28,12 @@
     sockets: int  # descriptors that the process may hold
     known: EndpointList
     settings: api.Settings
+    memory_mb: float | None = None  # over it the platform kills; only the checks use it
 
 
-def reload(environ: Mapping[str, str], offset_ms: float, current: Config) -> tuple[Config, bool]:
-    """The configuration with the discovery that the file names now, and whether the file differs in more,
-    which takes a new start. What the environment says of discovery is as old as the process."""
-    found = load({key: value for key, value in environ.items() if key != "BALANCER_DISCOVERY"}, offset_ms)
-    moved = replace(current, discovery=found.discovery)
-    return moved, replace(found, seed=current.seed, known=current.known) != moved
-
-
-def load(environ: Mapping[str, str], offset_ms: float) -> Config:
-    path = environ.get("BALANCER_CONFIG")
-    if not path:
-        raise ConfigError("BALANCER_CONFIG: not set")
-    try:
-        data = json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as fault:
-        raise ConfigError(f"BALANCER_CONFIG: {fault}") from None
+def effective(data: Any, environ: Mapping[str, str], offset_ms: float) -> Config:
+    """Raises ConfigError for the first field that cannot be used. ``offset_ms`` turns Unix time into the
+    caller's clock."""
     if not isinstance(data, dict):
         raise ConfigError("BALANCER_CONFIG: not a JSON object")
 
@@ -82,4 +72,5 @@
         sockets=sockets,
         known=known,
         settings=settings,
+        memory_mb=memory if isinstance(memory := data["limits"].get("memory_mb"), int | float) else None,
     )
--- a/anisestair/operator_file.py
+++ b/anisestair/configure/operator_tables.py
@@ -1,23 +1,15 @@
-"""The operator's file: what an installation switches on beyond the platform's own configuration.
+"""The operator's file as types: what an installation switches on beyond the platform's own configuration.
 
-Given as ``--operator FILE`` (TOML). Without it nothing of this is loaded. Each direction has a table.
+Each direction has a table. Reading a file is operator_file's.
 """
 
 from __future__ import annotations
 
-import tomllib
-from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from anisestair.discovery import address
-
-MAX_BYTES = 1024 * 1024  # a file by hand has some kilobytes
-
-
-class OperatorError(Exception):
-    """One line: file, table and field, and what is wrong."""
+from anisestair.endpoints import address
 
 
 class MethodTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename={"klass": "class"}):
@@ -53,17 +45,3 @@
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     rpc: RpcTable | None = None
-
-
-def load(path: Path) -> Operator:
-    """Raises OperatorError."""
-    try:
-        if path.stat().st_size > MAX_BYTES:
-            raise OperatorError(f"{path}: larger than {MAX_BYTES} bytes: not an operator's file")
-        data = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError, RecursionError) as fault:
-        raise OperatorError(f"{path}: {' '.join(str(fault).split())}") from None
-    try:
-        return msgspec.convert(data, Operator)
-    except msgspec.ValidationError as fault:
-        raise OperatorError(f"{path}: {' '.join(str(fault).split())}") from None
--- a/anisestair/frontend.py
+++ b/anisestair/frontend.py
@@ -14,7 +14,7 @@
 from typing import cast
 
 from anisestair import http
-from anisestair.discovery import Address
+from anisestair.endpoints import Address
 from anisestair.sidecar import HttpAsk, Sidecar
 from hareloom import interface as api
 from hareloom.interface import Effect
--- a/anisestair/rpc/frontend.py
+++ b/anisestair/rpc/frontend.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from anisestair.discovery import address
+from anisestair.endpoints import address
 from anisestair.lifecycle.connection import Call
 from anisestair.lifecycle.exchange import Final
 from anisestair.rpc import codec, meaning
--- a/anisestair/rpc/setup.py
+++ b/anisestair/rpc/setup.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from anisestair.config import Config, ConfigError
-from anisestair.operator_file import RpcTable
+from anisestair.configure.effective import Config, ConfigError
+from anisestair.configure.operator_tables import RpcTable
 from anisestair.rpc.frontend import Lane, RpcFrontend
 from anisestair.rpc.meaning import Meaning, Rule
 from anisestair.sidecar import Sidecar
--- /dev/null
+++ b/anisestair/serving.py
@@ -0,0 +1,105 @@
+"""A sidecar that serves: its start, signals, and an orderly end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from anisestair.configure import startup
+from anisestair.configure.effective import Config, ConfigError
+from anisestair.configure.platform_file import load, reload
+from anisestair.discovery import unix_offset_ms
+from anisestair.frontend import Frontend
+from anisestair.sidecar import Sidecar
+
+if TYPE_CHECKING:
+    from anisestair.configure.operator_tables import Operator
+
+log = logging.getLogger("anisestair")
+
+SPARE_SOCKETS = 32  # descriptors that are neither the application's nor upstreams': logs, discovery, the loop
+
+
+async def serve(
+    config: Config, offset_ms: float, operator: Operator | None = None, file: Path | None = None
+) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    each = (config.sockets - SPARE_SOCKETS) // 2
+    table, listener = operator.rpc if operator is not None else None, None
+    if table is None:
+        sidecar, clients = Sidecar(config, offset_ms, each), each
+    else:
+        from anisestair.rpc import setup  # not loaded where it is off
+
+        clients = each // 2  # the application's connections, of both protocols together
+        sidecar, listener = setup.start(config, offset_ms, each, table, each - clients)
+
+    def reread() -> None:
+        nonlocal config
+        try:
+            config, more = reload(os.environ, offset_ms, config)
+        except ConfigError as fault:
+            log.error("%s: configuration not read again: %s", config.name, fault)
+            return
+        log.info("%s: discovery is at %s:%d", config.name, *config.discovery)
+        if more:
+            log.warning("%s: the file differs in more than discovery: for that, start anew", config.name)
+        sidecar.discovery.move(config.discovery)
+
+    loop.add_signal_handler(signal.SIGHUP, reread)
+    frontend = Frontend(sidecar, clients)
+    host, port = frontend.listen(config.listen)
+    log.info("%s: listening on %s:%d", config.name, host, port)
+    if table is not None and listener is not None:
+        log.info("%s: listening for MessagePack-RPC on %s", config.name, await listener.listen(table.listen))
+    # Connections wait in the backlog meanwhile: before it they would be refused. The program that is started
+    # goes on whatever is found (startup).
+    for line in startup.lines(os.environ, file):
+        print(f"anisestair: {line}", file=sys.stderr)
+    await stop.wait()
+    log.info("%s: ending", config.name)
+    await asyncio.gather(frontend.stop(), *([listener.stop()] if listener is not None else []))
+    await sidecar.close()
+    if listener is not None:
+        listener.close()
+    log.info("%s: ended", config.name)
+
+
+def run_with(files: list[str]) -> int:
+    """Serve with what an operator's file switches on."""
+    from anisestair.configure import operator_file  # not loaded without one
+
+    try:
+        if len(files) != 1:
+            raise operator_file.OperatorError("--operator: takes one file")
+        return run_sidecar(operator_file.load(Path(files[0])), Path(files[0]))
+    except operator_file.OperatorError as fault:
+        print(f"anisestair: {fault}", file=sys.stderr)
+        return 2
+
+
+def run_sidecar(operator: Operator | None = None, file: Path | None = None) -> int:
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    offset_ms = unix_offset_ms(time.monotonic() * 1000.0)  # the loop's clock is the monotonic one
+    try:
+        config = load(os.environ, offset_ms)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(config, offset_ms, operator, file))
+    except ConfigError as fault:
+        print(f"anisestair: {fault}", file=sys.stderr)
+        return 2
+    except OSError as fault:
+        print(f"anisestair: BALANCER_LISTEN: {fault}", file=sys.stderr)
+        return 1
+    return 0
--- a/anisestair/sidecar.py
+++ b/anisestair/sidecar.py
@@ -13,8 +13,9 @@
 from typing import Any, Protocol
 
 from anisestair import http
-from anisestair.config import Config
-from anisestair.discovery import Address, Discovery, EndpointList
+from anisestair.configure.effective import Config
+from anisestair.discovery import Discovery
+from anisestair.endpoints import Address, EndpointList
 from anisestair.lifecycle import Lives
 from anisestair.lifecycle import events as ev
 from anisestair.lifecycle.connection import Call
--- a/anisestair/upstream.py
+++ b/anisestair/upstream.py
@@ -11,7 +11,7 @@
 from typing import Any, cast
 
 from anisestair import http
-from anisestair.discovery import Address
+from anisestair.endpoints import Address
 from anisestair.lifecycle import events as ev
 from anisestair.lifecycle.connection import Call
 from hareloom import interface as api
--- a/hareloom/wire.py
+++ b/hareloom/wire.py
@@ -206,5 +206,11 @@
             worst_class_weight=float(config.get("scoring-mix", {}).get("worst-class", 0.0)),
             by_work=config.get("worth-by", "request") == "work",
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as fault:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+    ) as fault:  # overflow: 1e400 attempts
         raise WireError(f"field 'config' cannot be used: {type(fault).__name__}: {fault}") from None
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import re
+import signal
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -184,6 +186,10 @@
     return Load(len(latencies), others[0], time.perf_counter() - start, latencies)
 
 
+class NoStart(Exception):
+    """The sidecar ended before it listened; what it said."""
+
+
 @dataclass(frozen=True, slots=True)
 class Running:
     """A sidecar that runs as a process, and how much of the machine it has used."""
@@ -233,39 +239,57 @@
     ]
 
 
+def _end_with_parent() -> None:
+    """In the child: be killed when its parent ends, also where that is killed itself (prctl(2),
+    PR_SET_PDEATHSIG). Nothing is left running, whatever happened."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 @asynccontextmanager
 async def sidecar(
     checkout: Path, hosts: list[dict[str, Any]], discovery_port: int, *arguments: str
 ) -> AsyncIterator[Running]:
-    """The program of a checkout, started and waited for; it is killed at the end."""
+    """The program of a checkout with the settings of these stand-ins, as ``program`` runs it."""
+    data = {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "discovery": f"127.0.0.1:{discovery_port}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 1024},
+        "known": {"seq": 1, "whole": True, "hosts": hosts},
+        "settings": SETTINGS,
+    }
+    async with program(checkout, json.dumps(data), *arguments) as running:
+        yield running
+
+
+@asynccontextmanager
+async def program(
+    checkout: Path, config: str, *arguments: str, environ: Mapping[str, str] | None = None
+) -> AsyncIterator[Running]:
+    """A sidecar with this text as its JSON, started and waited for; it is killed at the end. Raises
+    NoStart, with what it said, where it ends before it listens."""
     with tempfile.TemporaryDirectory() as folder:
         file = Path(folder) / "config.json"
-        discovery = f"127.0.0.1:{discovery_port}"
-        data = {
-            "name": "n1",
-            "listen": "127.0.0.1:0",
-            "discovery": discovery,
-            "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": 1024},
-            "known": {"seq": 1, "whole": True, "hosts": hosts},
-            "settings": SETTINGS,
-        }
-        file.write_text(json.dumps(data))
+        file.write_text(config)
         process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "anisestair", *arguments),
             cwd=checkout,
-            env={"BALANCER_CONFIG": str(file)},
+            env={"BALANCER_CONFIG": str(file)} | dict(environ or {}),
             stderr=asyncio.subprocess.PIPE,
+            preexec_fn=_end_with_parent,
         )
         assert process.stderr is not None
         try:
             async with asyncio.timeout(START_S):
-                while (
-                    found := re.search(rb"listening on 127\.0\.0\.1:(\d+)", await process.stderr.readline())
-                ) is None:
-                    if process.stderr.at_eof():
-                        raise RuntimeError("the sidecar ended before it listened")
+                said = b""
+                while (found := re.search(rb"listening on 127\.0\.0\.1:(\d+)", said)) is None:
+                    line = await process.stderr.readline()
+                    if not line:
+                        raise NoStart(said.decode(errors="replace").strip())
+                    said += line
             yield Running(process, int(found[1]))
         finally:
-            process.kill()
+            if process.returncode is None:
+                process.kill()
             await process.communicate()
--- a/rigs/rpc_peer.py
+++ b/rigs/rpc_peer.py
@@ -59,7 +59,15 @@
             self.connections.discard(writer)
             writer.transport.abort()
 
-    def _run(self, call: dict[str, Any]) -> None:
+    async def work(self) -> None:
+        """How long a call takes; none, unless a server of another kind says otherwise."""
+
+    def read(self, method: str, params: list[Any]) -> dict[str, Any]:
+        """A call's id, and its key where it has one."""
+        found: dict[str, Any] = params[0]
+        return found
+
+    def run(self, call: dict[str, Any]) -> None:
         key = call.get("key")
         if key is not None:
             if key in self.keys:
@@ -68,7 +76,7 @@
         self.executed[call["id"]] += 1
 
     async def _call(self, writer: asyncio.StreamWriter, msgid: int, method: str, params: list[Any]) -> None:
-        call = params[0]
+        call = self.read(method, params)
         self.seen.append(call["id"])
         self.calls.put_nowait(call["id"])
         way = self.way(call["id"])
@@ -78,9 +86,10 @@
             elif way == "busy":
                 writer.write(msgpack.packb([1, msgid, "busy", None]))
             return
-        self._run(call)
+        self.run(call)
         if way == "late":
             await self.release.wait()
+        await self.work()
         if writer.transport.is_closing():
             return  # dropped by another call meanwhile
         answer = msgpack.packb([1, msgid, None, [call["id"], params[1:]]])
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from anisestair import http
-from anisestair.config import Config
-from anisestair.discovery import parse_list, unix_offset_ms
+from anisestair.configure.effective import Config
+from anisestair.discovery import unix_offset_ms
+from anisestair.endpoints import parse_list
 from anisestair.frontend import Frontend
 from anisestair.sidecar import Sidecar
 from hareloom import wire
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -15,7 +15,8 @@
 from sockets import PATIENCE_S, FakeDiscovery, Upstream, host
 from test_process import ROOT, config, connect
 
-from anisestair.operator_file import MethodTable, OperatorError, load
+from anisestair.configure.operator_file import OperatorError, load
+from anisestair.configure.operator_tables import MethodTable
 from rigs.rpc_peer import RpcCaller, RpcServer
 
 GOOD = """
@@ -74,7 +75,7 @@
 
 
 def test_a_file_too_large_or_missing_is_not_read(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("anisestair.operator_file.MAX_BYTES", 10)
+    monkeypatch.setattr("anisestair.configure.operator_file.MAX_BYTES", 10)
     (tmp_path / "sidecar.toml").write_text(GOOD)
     with pytest.raises(OperatorError, match="larger than"):
         load(tmp_path / "sidecar.toml")
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -18,9 +18,10 @@
 from sockets import PATIENCE_S, SETTINGS, FakeDiscovery, host
 from test_sidecar import until
 
-from anisestair.config import Config, ConfigError
-from anisestair.discovery import parse_list, unix_offset_ms
-from anisestair.operator_file import MethodTable, RpcTable
+from anisestair.configure.effective import Config, ConfigError
+from anisestair.configure.operator_tables import MethodTable, RpcTable
+from anisestair.discovery import unix_offset_ms
+from anisestair.endpoints import parse_list
 from anisestair.rpc import setup
 from anisestair.rpc.frontend import RpcFrontend
 from anisestair.sidecar import Sidecar
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,7 +14,8 @@
 from sockets import PATIENCE_S, SETTINGS, FakeDiscovery, Peer, Upstream, host, serve, stuck, world
 
 from anisestair import http
-from anisestair.discovery import WATCH_MS, parse_list, unix_offset_ms
+from anisestair.discovery import WATCH_MS, unix_offset_ms
+from anisestair.endpoints import parse_list
 from anisestair.upstream import IdleLife
 from hareloom import interface as api
 
--- a/tests/test_states.py
+++ b/tests/test_states.py
@@ -149,7 +149,7 @@
 
 
 def test_serving_loads_nothing_of_the_checker() -> None:
-    look = "import sys, anisestair.__main__; print([n for n in sys.modules if 'state' in n])"
+    look = "import sys, anisestair.serving; print([n for n in sys.modules if 'state' in n])"
     done = subprocess.run([sys.executable, "-c", look], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
     done = subprocess.run(
