Show that a sidecar whose discovery is its own address keeps no drain

Need: the proof of the drain rule let an address where nobody answers stand in for the sidecar's own, so that the file of the corpus was not what ran. Change: the sidecar really listens where it asks.

--- a/tests/test_configure_real.py
+++ b/tests/test_configure_real.py
@@ -56,12 +56,13 @@
     capacity: float = 1e9,
     then: Then | None = None,
     discovery: str = "",
+    listen: str = "127.0.0.1:0",
     zone: str = "a",
 ) -> Market:
     """Calls through the real sidecar with a bad configuration, but for the addresses of the loopback."""
     platform, operator = values(bad)
     async with Market(kinds, servers, SEED, ways or Ways(), zone, capacity) as market:
-        platform |= {"listen": "127.0.0.1:0", "discovery": discovery or market.discovery}
+        platform |= {"listen": listen, "discovery": discovery or market.discovery}
         platform["known"] = {"seq": 1, "whole": True, "hosts": market.hosts()}
         text = json.dumps(platform)
         if bad.rule == "duplicate-key":  # which a value does not show
@@ -149,8 +150,10 @@
         market.drain(max(market.servers, key=lambda server: server.arrived))
 
     bad = BAD[name]
-    # The loopback's port is known only later: an address where nobody answers stands in for both.
-    market = played(bad, http_kinds(sale=100), seconds=4.0, then=drains, discovery="127.0.0.1:9")
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        own = f"127.0.0.1:{free.getsockname()[1]}"
+    asked = own if name == "stall: asks itself" else "127.0.0.1:9"  # where nobody answers
+    market = played(bad, http_kinds(sale=100), seconds=4.0, then=drains, discovery=asked, listen=own)
     assert market.late_sends() > 0
 
 
