Learn what counts as a quick answer slowly, so that standing queues are not timely

Change: steps of 0.002 of the aim, larger ones only for the first few hundred requests; a test that fails without it.

--- a/hareloom/rules.py
+++ b/hareloom/rules.py
@@ -51,8 +51,10 @@
 LIMIT_EACH, LIMIT_EVEN, LIMIT_PULL = 3.0, 2.0, 0.25
 LIMIT_START, LIMIT_SOON, LIMIT_EACH_MIN = 0.5, 2.0, 1.0
 # Timely: within this share of what the aim leaves beyond the class's quick answers, its lowest fifth. More
-# lets queues stand that some servers do not recover from.
-TIMELY, QUICK, QUICK_STEP = 0.25, 0.2, 0.05
+# lets queues stand that some servers do not recover from. The fifth is learnt in steps of this share of the
+# aim, large ones at first: where it follows within a second, a queue that stands raises what counts as quick,
+# is timely by that, and stays for good.
+TIMELY, QUICK, QUICK_STEP, QUICK_FIRST = 0.25, 0.2, 0.002, 0.5
 # Where crossing zones costs: while the limit is not nearly used, servers of the own zone come first that are
 # this near to the best w and have no more out than so many times the even part. It hurts where one zone's
 # sidecars have far more traffic than its servers can take, by what their w lags behind.
@@ -411,7 +413,8 @@
             self.learn_cost(server, klass, max(event.latency_ms, 0.0) / held.scale)
         quick, timely = self.quick.get(klass.name, event.latency_ms), False
         if outcome is Outcome.OK:
-            self.quick[klass.name] = quick + QUICK_STEP * klass.aim_ms * (QUICK - (event.latency_ms < quick))
+            step = klass.aim_ms * max(QUICK_STEP, QUICK_FIRST / (10.0 + self.seen[klass.name]))
+            self.quick[klass.name] = quick + step * (QUICK - (event.latency_ms < quick))
             timely = event.latency_ms <= (quick + TIMELY * (klass.aim_ms - quick)) * max(held.scale, 1.0)
         if timely:
             self.starting = self.starting and self.limit < LIMIT_SOON * self.even
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -136,6 +136,25 @@
     assert driver.balancer.limit >= 4.0, "one at each server, over both sidecars"
 
 
+def test_a_queue_that_stands_does_not_come_to_count_as_quick() -> None:
+    """What counts as timely followed a standing queue within a second, and the queue stayed for good."""
+    driver = Driver(READ, peers=2)
+    driver.listed(*(f"s-{number}" for number in range(8)))
+
+    def rounds(count: int, latency: float) -> None:
+        for _ in range(count):
+            names = [driver.ask() for _ in range(int(driver.balancer.limit))]
+            driver.now += latency
+            for name in names:
+                if name in driver.sent:
+                    driver.end(name, api.Outcome.OK, latency)
+
+    rounds(60, 40.0)
+    before = driver.balancer.limit
+    rounds(40, 200.0)
+    assert driver.balancer.limit <= before / 2.0
+
+
 ZONED = tuple(api.ServerEntry(f"{zone}{n}", zone=zone) for zone in "ab" for n in range(3))
 
 
