See storms of retries: figures, a state with hysteresis, its log line, table and command

Need: nothing in the sidecar saw a storm of retries, and all who were refused in one moment were told to come back in one moment.

Change: anisestair/storms/, off unless the operator's file has [storms]: figures from what the module is told and says, a state (calm, forming, storm, recovering) that a burst of first tries does not leave calm by, advice spread at random out of calm, a log line a change, a table on a Unix socket and python -m anisestair storms show.

--- a/anisestair/__main__.py
+++ b/anisestair/__main__.py
@@ -19,8 +19,12 @@
         from anisestair.states import command
 
         return command.main(arguments[1:])
+    if arguments[0] == "storms":
+        from anisestair.storms import command as storms
+
+        return storms.main(arguments[1:])
     print(
-        f"anisestair: {arguments[0]}: not a subcommand: config, states, or none to serve (--operator FILE)",
+        f"anisestair: {arguments[0]}: not a subcommand: config, states, storms; or none (--operator FILE)",
         file=sys.stderr,
     )
     return 2
--- a/anisestair/configure/operator_tables.py
+++ b/anisestair/configure/operator_tables.py
@@ -11,6 +11,8 @@
 
 from anisestair.endpoints import address
 
+MOST_PATH = 100  # bytes of a Unix socket's address: sun_path holds 108, with the end and "unix:" beside it
+
 
 class MethodTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename={"klass": "class"}):
     """[[rpc.methods]]: what the methods of a pattern mean."""
@@ -43,5 +45,18 @@
             raise ValueError("methods: none, so that every call would be refused")
 
 
+class StormsTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """[storms]: the watch for storms of retries and reconnects, and advice that spreads returns."""
+
+    show: str = ""  # a Unix socket that gives the table of what is seen to whoever connects; empty: none
+
+    def __post_init__(self) -> None:
+        if self.show and not self.show.startswith("unix:/"):
+            raise ValueError('show: not "unix:" and a path from the root')
+        if len(self.show.encode()) > MOST_PATH:
+            raise ValueError(f"show: longer than {MOST_PATH} bytes, which no socket's path may be")
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     rpc: RpcTable | None = None
+    storms: StormsTable | None = None
--- a/anisestair/rpc/setup.py
+++ b/anisestair/rpc/setup.py
@@ -6,11 +6,16 @@
 from anisestair.configure.operator_tables import RpcTable
 from anisestair.rpc.frontend import Lane, RpcFrontend
 from anisestair.rpc.meaning import Meaning, Rule
-from anisestair.sidecar import Sidecar
+from anisestair.sidecar import Sidecar, Watcher
 
 
 def start(
-    config: Config, offset_ms: float, most_upstream: int, table: RpcTable, most_clients: int
+    config: Config,
+    offset_ms: float,
+    most_upstream: int,
+    table: RpcTable,
+    most_clients: int,
+    storms: Watcher | None = None,
 ) -> tuple[Sidecar, RpcFrontend]:
     """Raises ConfigError, which names the field, for a table that contradicts the settings."""
     rules = tuple(
@@ -23,5 +28,5 @@
     except ValueError as fault:
         raise ConfigError(f"[[rpc.methods]] {fault}") from None
     lane = Lane(meaning, table.calls_per_connection)
-    sidecar = Sidecar(config, offset_ms, most_upstream, lane)
+    sidecar = Sidecar(config, offset_ms, most_upstream, lane, storms)
     return sidecar, RpcFrontend(sidecar, meaning, most_clients, table.calls_in_hand)
--- a/anisestair/serving.py
+++ b/anisestair/serving.py
@@ -37,13 +37,18 @@
         loop.add_signal_handler(number, stop.set)
     each = (config.sockets - SPARE_SOCKETS) // 2
     table, listener = operator.rpc if operator is not None else None, None
+    storms = None
+    if operator is not None and operator.storms is not None:
+        from anisestair.storms import report  # not loaded where it is off
+
+        storms = report.Reported(config, operator.storms.show)
     if table is None:
-        sidecar, clients = Sidecar(config, offset_ms, each), each
+        sidecar, clients = Sidecar(config, offset_ms, each, storms=storms), each
     else:
         from anisestair.rpc import setup  # not loaded where it is off
 
         clients = each // 2  # the application's connections, of both protocols together
-        sidecar, listener = setup.start(config, offset_ms, each, table, each - clients)
+        sidecar, listener = setup.start(config, offset_ms, each, table, each - clients, storms)
 
     def reread() -> None:
         nonlocal config
@@ -63,6 +68,8 @@
     log.info("%s: listening on %s:%d", config.name, host, port)
     if table is not None and listener is not None:
         log.info("%s: listening for MessagePack-RPC on %s", config.name, await listener.listen(table.listen))
+    if storms is not None:
+        await storms.listen()
     # Connections wait in the backlog meanwhile: before it they would be refused. The program that is started
     # goes on whatever is found (startup).
     for line in startup.lines(os.environ, file):
@@ -73,6 +80,8 @@
     await sidecar.close()
     if listener is not None:
         listener.close()
+    if storms is not None:
+        storms.close()
     log.info("%s: ended", config.name)
 
 
--- a/anisestair/sidecar.py
+++ b/anisestair/sidecar.py
@@ -85,6 +85,19 @@
         """A connection that has not been opened yet; ``carried`` gives the calls the machine holds on it."""
 
 
+class Watcher(Protocol):
+    """What the driver needs of the watch for storms, where that is on."""
+
+    def told(self, now: float, event: api.Event) -> object:
+        """Before the module is told."""
+
+    def said(self, now: float, action: api.Action) -> api.Action:
+        """The module's action as it goes on: a refusal may get other advice."""
+
+    def opened(self, now: float) -> None:
+        """A connection to an upstream is begun."""
+
+
 @dataclass(slots=True, eq=False)
 class Sending:
     """When an attempt began, in the module's milliseconds, and its time-out."""
@@ -108,7 +121,12 @@
 
 class Sidecar:
     def __init__(
-        self, config: Config, offset_ms: float, most_upstream: int, rpc: RpcLane | None = None
+        self,
+        config: Config,
+        offset_ms: float,
+        most_upstream: int,
+        rpc: RpcLane | None = None,
+        storms: Watcher | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.settings = config.settings
@@ -120,7 +138,7 @@
         self._records: dict[str, Record] = {}
         self._addresses: dict[str, Address] = {}
         self._probes = 0
-        self._rpc = rpc
+        self._rpc, self._storms = rpc, storms
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._list(config.known, config.known.event(ListKind.CACHED))
@@ -204,10 +222,12 @@
             self._handling = False
 
     def _handle(self, event: api.Event) -> None:
-        now = self.now()
+        now, storms = self.now(), self._storms
         try:
+            if storms is not None:
+                storms.told(now, event)
             for action in self.balancer.handle(now, event):
-                self._act(now, action)
+                self._act(now, action if storms is None else storms.said(now, action))
         except Exception:
             # A fault in the decisions costs the request at hand its answer, not all others the sidecar.
             log.exception("the module failed on %r", event)
@@ -294,6 +314,8 @@
 
     def _open(self, connection: int, server: str) -> None:
         line: Line
+        if self._storms is not None:
+            self._storms.opened(self.now())
         if self._rpc is not None and server.startswith(self._rpc.lane):
             line = self._rpc.connection(self.wires, connection, self._carried)
         else:
--- a/anisestair/states/command.py
+++ b/anisestair/states/command.py
@@ -10,14 +10,15 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from anisestair.states import bugs, policy, scenarios
+from anisestair.states import bugs, policy, scenarios, storm_state
 from anisestair.states.world import World
 from statecheck import Choices, Violation, explore, lasting, run_orders
+from statecheck.model import Model
 from statecheck.orders import Broken
 from statecheck.trace import Trace, TraceError, load, step_through
 
 # Liveness is looked for in the smallest: it wants all edges, and no reduction.
-LIVENESS = ("sale-small", "sale-uncancelled", "listing-small")
+LIVENESS = ("sale-small", "sale-uncancelled", "listing-small", storm_state.NAME)
 POLICIES = {script.name: script for script in policy.SCRIPTS}
 MAX_JOBS = 8
 
@@ -56,7 +57,7 @@
     """Explore one model; a small one for liveness as well."""
     if name in POLICIES:
         return [_policy(name, seconds)]
-    model = World(scenarios.BY_NAME[name])
+    model = _model(name)
     report = explore(model, memory_mb=memory_mb, seconds=seconds, symmetry=reduced, partial_order=reduced)
     found = report.violation or Violation("", "")
     rows = [
@@ -67,7 +68,8 @@
         )
     ]
     if name in LIVENESS and report.complete:
-        live = lasting(model, memory_mb=memory_mb, seconds=seconds)
+        lasts = storm_state.Calming() if name == storm_state.NAME else model
+        live = lasting(lasts, memory_mb=memory_mb, seconds=seconds)
         found, report = live.violation or Violation("", ""), live.report
         rows.append(
             Row(
@@ -86,6 +88,10 @@
     return rows
 
 
+def _model(name: str) -> Model:
+    return storm_state.StormState() if name == storm_state.NAME else World(scenarios.BY_NAME[name])
+
+
 def _policy(name: str, seconds: float) -> Row:
     report = run_orders(policy.run_of(POLICIES[name]), seconds=seconds)
     found = report.violation or Violation("", "")
@@ -128,11 +134,11 @@
     trace = load(path)
     if trace.bug and trace.bug not in bugs.BY_NAME:
         raise TraceError(f"{path}: bug: {trace.bug}: not known: see --list-bugs")
-    if trace.model not in scenarios.BY_NAME and trace.model not in POLICIES:
+    if trace.model not in (*scenarios.BY_NAME, *POLICIES, storm_state.NAME):
         raise TraceError(f"{path}: model: {trace.model}: not known: see --list")
     if trace.model in POLICIES:
         return _step_policy(trace)
-    model, broken = World(scenarios.BY_NAME[trace.model]), False
+    model, broken = _model(trace.model), False
 
     def play() -> None:
         nonlocal broken
@@ -197,7 +203,12 @@
     """Exit 0: all explored, nothing broken; 1: a property broken, or a search not complete; 2: unusable
     words."""
     given = _words().parse_args(arguments)
-    every = [*(item.name for item in scenarios.SMALL), *POLICIES, *(item.name for item in scenarios.LARGE)]
+    every = [
+        storm_state.NAME,
+        *(item.name for item in scenarios.SMALL),
+        *POLICIES,
+        *(item.name for item in scenarios.LARGE),
+    ]
     if given.list:
         print(*every, sep="\n")
         return 0
--- a/rigs/storm_scenario.py
+++ b/rigs/storm_scenario.py
@@ -55,6 +55,7 @@
     ignoring: Share = 0.0  # of the calls: come back at once, whatever they were told
     impatient: Share = 0.0  # of the calls: gone after a third of their time, and back
     backoff_ms: Positive = 40.0  # before a second try where nothing was told; doubled with each
+    try_share: Annotated[float, Meta(gt=0, le=1)] = 0.6  # of the whole time, after which a try is given up
     marked: bool = True  # repeats are marked as such
     sales: Share = 0.4
     burst: Annotated[float, Meta(ge=1)] = 1.0  # first tries are so many times as many, from 15 s on for 5 s
--- a/rigs/storm_twin.py
+++ b/rigs/storm_twin.py
@@ -17,6 +17,8 @@
 from itertools import count
 from typing import Any
 
+from anisestair.storms.state import Change
+from anisestair.storms.watch import Watch
 from hareloom import Balancer
 from hareloom import interface as api
 from hareloom.interface import Effect, ListKind, Outcome
@@ -168,8 +170,8 @@
 
 
 class Sidecar:
-    def __init__(self, twin: Twin, number: int, balancer: Any) -> None:
-        self.twin, self.number, self.balancer = twin, number, balancer
+    def __init__(self, twin: Twin, number: int, balancer: Any, watch: Watch | None) -> None:
+        self.twin, self.number, self.balancer, self.watch = twin, number, balancer, watch
         self.kept = [0] * twin.scenario.servers.count  # idle connections by server
         self.calls: dict[str, Call] = {}
         self.jobs: dict[tuple[str, int], Job] = {}
@@ -177,8 +179,12 @@
         self.clients: dict[str, Call] = {}
 
     def handle(self, event: api.Event) -> None:
-        twin = self.twin
+        twin, watch = self.twin, self.watch
+        if watch is not None and (change := watch.told(twin.now, event)) is not None:
+            twin.changes.append((self.number, change))
         for action in self.balancer.handle(twin.now, event):
+            if watch is not None:
+                action = watch.said(twin.now, action)
             if isinstance(action, api.Send):
                 self.send(action)
             elif isinstance(action, api.SetTimer):
@@ -198,7 +204,11 @@
         call.tries += 1
         name = f"{self.number}-{next(twin.names)}"
         self.calls[name] = call
-        life = call.klass.deadline_ms / (3.0 if call.impatient and call.tries == 1 else 1.0)
+        # As clients of the platform do: a try is given up before the call is; the last has what is left.
+        life = call.klass.deadline_ms * twin.scenario.clients.try_share
+        life = min(life, call.begun + call.klass.deadline_ms - twin.now)
+        if call.impatient and call.tries == 1:
+            life /= 3.0
         made = twin.bin()
         made.offered += 1
         made.first += call.tries == 1
@@ -231,6 +241,8 @@
             twin.at(net, lambda: self.written(job))
             return
         twin.bin().connects += 1
+        if self.watch is not None:
+            self.watch.opened(twin.now)
         if server.state == "dead":
             twin.at(2.0 * net, lambda: twin.ended(job, Outcome.CONNECT_FAILED))
         elif server.state == "silent":
@@ -264,7 +276,7 @@
             made.good += spent <= call.klass.deadline_ms
             return
         harmless = what == "refused" or call.klass.effect is not Effect.UNSAFE
-        left = call.begun + 2.0 * call.klass.deadline_ms - twin.now
+        left = call.begun + call.klass.deadline_ms - twin.now
         wait = clients.backoff_ms * 2.0 ** (call.tries - 1) * twin.chance.uniform(0.5, 1.5)
         if what == "refused" and advice_ms > 0 and not call.ignores:
             wait = advice_ms
@@ -293,13 +305,14 @@
 
 
 class Twin:
-    """One run; ``balancer`` makes the decisions of each sidecar."""
+    """One run; ``balancer`` makes the decisions of each sidecar, and ``watched`` switches storms on."""
 
     def __init__(
         self,
         scenario: Scenario,
         seed: int,
         balancer: Callable[[api.Settings, int], Any] = Balancer,
+        watched: bool = False,
     ) -> None:
         self.scenario, self.seed, self.now = scenario, seed, 0.0
         self.chance = random.Random(f"{scenario.name}/{seed}")
@@ -320,8 +333,11 @@
             tick_ms=1.0,
         )
         self.sidecars: list[Sidecar] = []
+        self.changes: list[tuple[int, Change]] = []  # of the state of storms, by sidecar, in their order
         for number in range(scenario.sidecars):
-            self.sidecars.append(Sidecar(self, number, balancer(settings, seed * 1000 + number)))
+            own = seed * 1000 + number
+            watch = Watch(settings, own) if watched else None
+            self.sidecars.append(Sidecar(self, number, balancer(settings, own), watch))
         self.version = 1
         for sidecar in self.sidecars:
             sidecar.handle(api.ServerList(ListKind.FULL, 1, tuple(s.entry() for s in self.servers)))
