--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import argparse
+import itertools
 import json
 import math
 import statistics
@@ -28,7 +29,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 OUTAGE = ROOT / "rigs" / "scenarios" / "outage.toml"
-GRID = [(load, share) for load in (0.7, 0.9) for share in (0.18, 0.6)]
+LOADS, SHARES = (0.7, 0.9), (0.18, 0.6)
 MAP_LOADS, MAP_SHARES = (0.5, 0.7, 0.8, 0.9, 1.0, 1.2, 1.5), (0.18, 0.4, 0.6)
 MAP_WARM_UPS_MS = (4_000.0, 12_000.0)
 
@@ -80,6 +81,7 @@
     words.add_argument("--seeds", type=int, default=3)
     words.add_argument("--processes", type=int, default=4)
     words.add_argument("--sidecars", type=int, nargs="+", default=[5])
+    words.add_argument("--load", type=float, nargs="+", default=LOADS)
     words.add_argument("--map", action="store_true", help="the module alone, over the grid of the map")
     given = words.parse_args()
     base = storm_scenario.load(OUTAGE)
@@ -103,17 +105,18 @@
                         )
                         points[label] = (made, "module")
             continue
-        for load, share in GRID:
+        for load, share in itertools.product(given.load, SHARES):
             outage = msgspec.structs.replace(base.outage, share=share)
             made = msgspec.structs.replace(base, sidecars=sidecars, load=load, outage=outage)
             for way in WAYS:
                 points[f"{sidecars} sidecars, load {load:g}, {share:.0%} out: {way}"] = (made, way)
     jobs = [(made, seed, way) for made, way in points.values() for seed in range(given.seeds)]
+    rows = {}
     with Pool(given.processes) as pool:
-        found = pool.map(point, jobs, 1)
-    rows = {name: told(found[n * given.seeds : (n + 1) * given.seeds]) for n, name in enumerate(points)}
-    for name, row in rows.items():
-        print(name, row)
+        found = pool.imap(point, jobs, 1)
+        for name in points:
+            rows[name] = told([next(found) for _ in range(given.seeds)])
+            print(name, rows[name], flush=True)
     print(json.dumps(rows))
 
 
