--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -13,22 +13,43 @@
 
 O = api.Outcome  # noqa: E741
 NEVER_RAN = {O.FULL, O.CONNECT_FAILED, O.MOOT}
-CLASSES = (
-    api.RequestClass("safe", 100.0, 500.0, effect=api.Effect.SAFE),
-    api.RequestClass("unsafe", 100.0, 500.0, late_worth=0.5, effect=api.Effect.UNSAFE),
-    *(
+EFFECTS = ((api.Effect.SAFE, api.Group.ALL), (api.Effect.UNSAFE, api.Group.ALL)) + tuple(
+    (api.Effect.KEYED, group) for group in api.Group
+)
+
+
+def deployment(chance: random.Random, second_copies: bool) -> api.Settings:
+    """Any setup: times over two orders of magnitude, few sidecars and many, one attempt and six."""
+    aim = 100.0 * 10.0 ** chance.uniform(-1.0, 1.0)
+    classes = tuple(
         api.RequestClass(
-            f"keyed-{group.value}",
-            100.0,
-            500.0,
-            late_worth=0.5,
-            effect=api.Effect.KEYED,
+            f"{effect.value}-{group.value}",
+            aim * chance.uniform(0.5, 2.0),
+            aim * chance.uniform(2.5, 6.0),
+            late_worth=chance.choice([0.0, 0.5]),
+            effect=effect,
             group=group,
-            window_ms=150.0,
+            window_ms=aim * chance.uniform(0.5, 6.0),
         )
-        for group in api.Group
-    ),
-)
+        for effect, group in EFFECTS
+    )
+    limits = api.Limits(
+        max_attempts=chance.randint(1, 6),
+        may_cancel=chance.random() < 0.5,
+        second_copies=second_copies,
+        max_retry_after_ms=chance.choice([0.0, 500.0]),
+        connect_timeout_ms=aim * chance.uniform(0.1, 2.0),
+    )
+    return api.Settings(
+        classes,
+        peers=chance.choice([1, 2, 10, 60]),
+        zone="z0",
+        asks_for_list=chance.random() < 0.5,
+        sized=chance.random() < 0.5,
+        limits=limits,
+        rules=api.Rules(answer_slack_ms=5.0, cold_ms=chance.choice([0.0, 9.0 * aim])),
+        cross_zone_price=chance.choice([0.0, 0.02]),
+    )
 
 
 class World:
@@ -36,15 +57,9 @@
 
     def __init__(self, chance: random.Random, second_copies: bool) -> None:
         self.chance, self.now, self.second_copies = chance, 0.0, second_copies
-        limits = api.Limits(
-            max_attempts=3,
-            may_cancel=chance.random() < 0.5,
-            second_copies=second_copies,
-            max_retry_after_ms=500.0,
-        )
-        self.settings = api.Settings(
-            CLASSES, limits=limits, rules=api.Rules(answer_slack_ms=5.0, cold_ms=900.0)
-        )
+        self.settings = deployment(chance, second_copies)
+        self.pace = self.settings.classes[0].aim_ms / 100.0
+        self.fleet = chance.choice([3, 6, 60])
         self.balancer = Balancer(self.settings, chance.randrange(1000))
         self.servers: dict[str, api.ServerEntry] = {}
         self.timers: list[tuple[float, int]] = []
@@ -71,7 +86,8 @@
         if isinstance(action, api.Send):
             entry = self.servers[action.server]
             assert entry.state is api.ServerState.READY, "rule 3"
-            assert self.now < held["deadline"] and len(held["attempts"]) < 3
+            assert self.now < held["deadline"]
+            assert len(held["attempts"]) < self.settings.limits.max_attempts
             assert self.second_copies or all(a["outcome"] for a in held["attempts"])
             if ran and klass.effect is not api.Effect.SAFE:
                 assert klass.effect is api.Effect.KEYED, "rule 2: an unsafe request sent again"
@@ -89,7 +105,7 @@
 
     def step(self) -> None:
         chance = self.chance
-        self.now += chance.choice([0.0, 1.0, 5.0, 20.0])
+        self.now += self.pace * chance.choice([0.0, 1.0, 5.0, 20.0])
         for item in sorted(item for item in self.timers if item[0] <= self.now):
             self.timers.remove(item)
             self.give(api.Timer(item[1]))
@@ -101,8 +117,8 @@
             self.change_list()
         elif kind < 0.5:
             self.count += 1
-            name, klass = f"r{self.count}", chance.choice(CLASSES)
-            deadline = self.now + chance.choice([1.0, 30.0, 200.0, 500.0])
+            name, klass = f"r{self.count}", chance.choice(self.settings.classes)
+            deadline = self.now + min(self.pace * chance.choice([1.0, 30.0, 200.0, 500.0]), klass.deadline_ms)
             self.requests[name] = {"klass": klass, "deadline": deadline, "attempts": [], "closed": False}
             self.give(api.Request(name, klass.name, deadline))
         elif kind < 0.95:
@@ -129,8 +145,8 @@
             self.give(api.AttemptEnded(name, number, attempt["outcome"], latency, held["closed"]))
 
     def change_list(self) -> None:
-        name = f"s{self.chance.randrange(6)}"
-        number = int(name[1])
+        number = self.chance.randrange(self.fleet)
+        name = f"s{number}"
         state = self.chance.choice([api.ServerState.READY, api.ServerState.READY, *api.ServerState])
         started = self.chance.choice([None, None, self.now])
         entry = api.ServerEntry(name, state, f"z{number // 4}", number // 2, "kind", 1.0, started)
@@ -222,3 +238,22 @@
     ):
         with pytest.raises(ValueError, match=field):
             make()
+
+
+def test_one_alarm_serves_many_requests_and_an_early_ring_counts_as_its_instant() -> None:
+    balancer = Balancer(api.Settings((api.RequestClass("x", 100.0, 500.0, late_worth=0.5),)), 1)
+    alarms = []
+    for number in range(50):  # no server is listed: all wait, and end by the alarms alone
+        actions = balancer.handle(0.1 * number, api.Request(f"r{number}", "x", 400.0))
+        alarms += [item for item in actions if isinstance(item, api.SetTimer)]
+    assert len(alarms) == 1
+    refused, now = 0, 0.0
+    while alarms:
+        alarm = alarms.pop(0)
+        now += alarm.delay_ms - 0.001
+        actions = balancer.handle(now, api.Timer(alarm.token))
+        refused += sum(isinstance(item, api.Refuse) for item in actions)
+        assert any(isinstance(item, api.Refuse) for item in actions), "nothing was due when it rang"
+        alarms += [item for item in actions if isinstance(item, api.SetTimer)]
+        assert balancer.handle(now, api.Timer(10**9)) == [], "a ring that was not asked for"
+    assert refused == 50 and not balancer.requests
