--- a/hareloom/rules.py
+++ b/hareloom/rules.py
@@ -42,21 +42,27 @@
 # counts as less than this.
 CROWD_LEAST, CROWD_SIZE = 1.5, 1e-3
 OUT_WEIGHT = 4.0  # what is still out counts this much again in the deficits compared
-# Attempts that may be out at once: the most at first (a restarted sidecar has its full share to carry), the
-# least; up for a timely answer, down for one late or missing; below one, in proportion. Below the even
-# size, so many a server over all sidecars, up by more. Up by LIMIT_START until the first is late or the
-# limit has come to LIMIT_SOON even sizes: a sidecar that starts into a full load needs several times its
-# first limit within a second, and without an end hundreds that start together push the servers over before
-# any answer is late. Never below LIMIT_EACH_MIN a server over all sidecars: where servers are slow by
-# themselves all answers are late, whatever is held back.
-LIMIT_FIRST, LIMIT_MIN, LIMIT_UP, LIMIT_DOWN = 12.0, 0.1, 0.1, 0.2
+# Attempts that may be out at once: the least; up for a timely answer, down for one late or missing; below 1,
+# in proportion. Below the even size, so many a server over all sidecars, up by more. Up by LIMIT_START until
+# LATE_START of the answers is late, by LATE_ALPHA, or the limit has come to LIMIT_SOON even sizes: one that
+# starts into a full load needs many times its first limit within a second, and more where a server does more
+# work at once, which nobody tells; a single late answer says little where work itself differs. Never below
+# LIMIT_EACH_MIN a server over all sidecars: where servers are slow by themselves all answers are late,
+# whatever is held back.
+LIMIT_MIN, LIMIT_UP, LIMIT_DOWN = 0.1, 0.1, 0.2
 LIMIT_EACH, LIMIT_EVEN, LIMIT_PULL = 3.0, 2.0, 0.25
-LIMIT_START, LIMIT_SOON, LIMIT_EACH_MIN = 0.5, 2.0, 1.0
+LIMIT_START, LIMIT_SOON, LIMIT_EACH_MIN = 0.5, 32.0, 1.0
 # Timely: within this share of what the aim leaves beyond the class's quick answers, its lowest fifth. More
 # lets queues stand that some servers do not recover from. The fifth is learnt in steps of this share of the
 # aim, large ones at first: where it follows within a second, a queue that stands raises what counts as quick,
-# is timely by that, and stays for good.
+# is timely by that, and stays for good. Where work itself takes about as long as that, a third of the answers
+# was late with nothing waiting, and the limit fell to its least: what is usual, the USUAL quantile, is timely
+# too. It is learnt from what was sent while this sidecar made no queue: the limit not over LIMIT_CALM times
+# its least, or the first USUAL_FIRST of a start; before USUAL_LEAST of those the whole aim is timely.
 TIMELY, QUICK, QUICK_STEP, QUICK_FIRST = 0.25, 0.2, 0.002, 0.5
+QUICK_RATE = 0.0002  # of the aim a millisecond at the most, or many short calls would make the steps fast
+USUAL, USUAL_STEP, LIMIT_CALM, USUAL_FIRST, USUAL_LEAST = 0.8, 0.005, 2.0, 50, 30
+LATE_ALPHA, LATE_START = 0.9, 0.5
 # Where crossing zones costs: while the limit is not nearly used, servers of the own zone come first that are
 # this near to the best w and have no more out than so many times the even part. It hurts where one zone's
 # sidecars have far more traffic than its servers can take, by what their w lags behind.
@@ -82,7 +88,7 @@
     __slots__ = (
         *("entry", "rank", "size", "kind", "listed", "active", "trial", "w", "pull", "ranked", "samples"),
         *("deficit", "breaks", "backoff", "due", "cold_since", "cold_next", "out", "held", "owed", "late"),
-        *("late_sent", "counted"),
+        *("late_sent", "counted", "full_until"),
     )
 
     def __init__(self, entry: api.ServerEntry, rank: float, sized: bool = True) -> None:
@@ -99,6 +105,7 @@
         self.held = 0  # how many that is
         # What is out as deficits count it: charges of those in time, number and sent instants of the overdue.
         self.owed, self.late, self.late_sent = 0.0, 0, 0.0
+        self.full_until = -math.inf  # it turned a request away, and has no place before
         self.counted = False  # among the active of the working set
 
     def tell(self, entry: api.ServerEntry, sized: bool) -> None:
@@ -123,18 +130,45 @@
 
 
 class Attempt:
-    __slots__ = ("server", "sent", "timeout", "cost", "charge", "trial", "ended", "may_have_run", "overdue")
+    __slots__ = (
+        "server",
+        "sent",
+        "timeout",
+        "cost",
+        "charge",
+        "trial",
+        "ended",
+        "may_have_run",
+        "overdue",
+        "calm",
+    )
 
     def __init__(self, server: Server, now: float, timeout: float, cost: float, charge: float) -> None:
         self.server, self.sent, self.timeout, self.cost, self.charge = server, now, timeout, cost, charge
         self.trial = not server.active
         self.ended, self.may_have_run, self.overdue = False, True, False
+        self.calm = False  # sent while this sidecar made no queue by itself
 
 
 class Class:
     """A class of requests, and what this sidecar has learnt of it."""
 
-    __slots__ = ("klass", "worth", "line", "costs", "plain", "wait_ms", "seen", "hint", "quick", "harmless")
+    __slots__ = (
+        "klass",
+        "worth",
+        "line",
+        "costs",
+        "plain",
+        "wait_ms",
+        "seen",
+        "hint",
+        "quick",
+        "usual",
+        "calm",
+        "first",
+        "harmless",
+        "at",
+    )
 
     def __init__(self, klass: api.RequestClass, settings: api.Settings, mean_aim: float) -> None:
         self.klass = klass
@@ -142,7 +176,8 @@
         self.line: dict[str, Held] = {}  # those with no place yet; classes of one worth share a line
         self.costs: dict[str, float] = {}  # by kind of machine
         self.plain, self.wait_ms = klass.aim_ms / mean_aim, WAIT_SHARE * klass.aim_ms
-        self.seen, self.hint, self.quick = 1.0, -1.0, -1.0
+        self.seen, self.hint, self.quick, self.usual, self.calm, self.first = 1.0, -1.0, -1.0, -1.0, 0, 0
+        self.at = -math.inf  # of the last answer
         self.harmless = klass.effect is SAFE or (klass.effect is Effect.KEYED and klass.group is Group.ALL)
 
 
@@ -228,6 +263,8 @@
         self.done, self.done_at = 0.0, -math.inf  # work answered a millisecond, in mean requests
         self.limit, self.even, self.share, self.rest_until = 1.0, 1.0, 0.0, -math.inf
         self.set_least: float = SET_MIN
+        self.late = 0.0  # share of late answers, of late
+        self.full_until = -math.inf  # the last of the servers'
         self.starting = True  # no answer has been late yet, and the limit is small
         self.now, self.actions = -math.inf, list[api.Action]()
 
@@ -332,9 +369,10 @@
         actives, resting, near = self.actives, self.resting, self.near_ones
         out, size = self.active_out, self.active_size
         tried = [a.server for a in held.attempts] if held.attempts else None
-        if tried or self.cold:
+        if tried or self.cold or self.now < self.full_until:
             # A cold server is pushed over when all send it a warm one's load: each keeps to its part.
             able = [s for s in self.set if s.cold_since is None or self.now >= s.cold_next]
+            able = [s for s in able if self.now >= s.full_until]
             if tried:
                 able = [s for s in able if self.may_send(held, s)]
                 able = [s for s in able if s not in tried] or able
@@ -560,6 +598,10 @@
         now, left, cost = self.now, held.until - self.now, held.of.costs[server.kind] * held.scale
         charge = cost * server.pull if server.counted else self.charge(server, held.of) * held.scale
         attempt = Attempt(server, now, left, cost, charge)
+        attempt.calm = self.limit <= LIMIT_CALM * self.least()
+        if self.starting and not attempt.calm:
+            held.of.first += 1
+            attempt.calm = held.of.first <= USUAL_FIRST
         server.take(attempt)
         held.attempts.append(attempt)
         held.out += 1
@@ -596,7 +638,7 @@
             self.learn_cost(server, of, latency / held.scale)
         else:
             self.on_fault(attempt, of, event, age)
-        self.on_pace(held, outcome, event.latency_ms, busy)
+        self.on_pace(held, attempt, outcome, event.latency_ms, busy)
         if self.limit < 1.0:  # less than one at a time: a pause after each keeps to it
             self.rest_until = self.now + age * (1.0 / self.limit - 1.0)
             self.agenda.add(self.rest_until, "fill", None)
@@ -625,25 +667,42 @@
             server.breaks = 0
         down = server.breaks >= BREAKS_OUT and self.broken**server.breaks < BREAKS_CHANCE
         self.learn(attempt, of, max(event.latency_ms, 0.0), True, down)
+        if outcome is FULL:  # it has no place until something there is done
+            server.full_until = self.now + max(of.quick, self.settings.tick_ms)
+            self.full_until = max(self.full_until, server.full_until)
 
-    def on_pace(self, held: Held, outcome: Outcome, latency: float, busy: bool) -> None:
+    def on_pace(self, held: Held, attempt: Attempt, outcome: Outcome, latency: float, busy: bool) -> None:
         """Moves the limit: up for a timely answer, down for one late or missing."""
         of, timely = held.of, False
         if outcome is OK:
             aim, quick = of.klass.aim_ms, of.quick if of.quick >= 0.0 else latency
-            step = QUICK_FIRST / (10.0 + of.seen)
-            step = aim * (step if step > QUICK_STEP else QUICK_STEP)
+            step, first = QUICK_RATE * (self.now - of.at), QUICK_FIRST / (10.0 + of.seen)
+            step = step if step < QUICK_STEP else QUICK_STEP
+            step, of.at = aim * (first if first > step else step), self.now
             of.quick = max(quick + step * (QUICK - (latency < quick)), 0.0)
-            timely = latency <= (quick + TIMELY * (aim - quick)) * (held.scale if held.scale > 1.0 else 1.0)
+            # What is usual follows answers only where this sidecar itself makes no queue.
+            usual = of.usual if of.usual >= 0.0 else latency
+            if attempt.calm:
+                of.calm += 1
+                step = aim * max(USUAL_STEP, QUICK_FIRST / (10.0 + of.calm))
+                usual = max(usual + step * (USUAL - (latency < usual)), 0.0)
+            of.usual = usual
+            most = max(quick + TIMELY * (aim - quick), usual if of.calm >= USUAL_LEAST else aim)
+            timely = latency <= most * (held.scale if held.scale > 1.0 else 1.0)
         if timely:
+            self.late *= LATE_ALPHA
             self.starting = self.starting and self.limit < LIMIT_SOON * self.even
             if busy:
                 step = LIMIT_START if self.starting else LIMIT_UP * (self.even / self.limit) ** LIMIT_PULL
                 self.limit += step if self.limit >= 1.0 else step * self.limit
         elif outcome is OK or outcome is TIMEOUT or outcome is FULL:
-            least = max(LIMIT_MIN, LIMIT_EACH_MIN * self.share)
-            self.limit = max(self.limit - LIMIT_DOWN * min(self.limit, 1.0), least)
-            self.starting = False
+            self.limit = max(self.limit - LIMIT_DOWN * min(self.limit, 1.0), self.least())
+            self.late = LATE_ALPHA * self.late + 1.0 - LATE_ALPHA
+            self.starting = self.starting and self.late < LATE_START
+
+    def least(self) -> float:
+        """The limit's lower end."""
+        return max(LIMIT_MIN, LIMIT_EACH_MIN * self.share)
 
     def on_timer(self, event: api.Timer) -> None:
         until = self.agenda.rung(self.now, event.token)
@@ -736,7 +795,7 @@
         self.even = max(LIMIT_EACH * self.share, LIMIT_EVEN)
         self.set_least = max(SET_COVER * self.share, SET_MIN)
         if event.kind is ListKind.CACHED:  # hundreds that start with several each would crowd every server
-            self.limit = min(self.even / LIMIT_EVEN, LIMIT_FIRST)
+            self.limit = self.even / LIMIT_EVEN
 
     def jitter(self, span: float) -> float:
         return span * self.random.uniform(1.0 - JITTER, 1.0 + JITTER)
