Let waits and time constants follow the mean aim, not milliseconds of one market

Need: five constants of the module carried a unit and were tuned on the first market (docs/design/deployments.md, Constants). Change: waits before trials, the working set's time, the rate's memory and quick answers by time are shares of the mean aim, asking discovery again shares of the time it may go unasked.

--- a/hareloom/rules.py
+++ b/hareloom/rules.py
@@ -20,8 +20,9 @@
 ALPHA = 0.9
 # Active: w within this of the best; two, as in the paper, shuts merely slower machines out.
 ACTIVE_FACTOR = 4.0
-# First wait before a trial, and where doubling stops, so that a recovery is found while it still matters.
-BACKOFF_MIN_MS, BACKOFF_MAX_MS = 500.0, 4000.0
+# First wait before a trial, and where doubling stops, in mean aims: a recovery is found while it still
+# matters.
+BACKOFF_MIN, BACKOFF_MAX = 0.87, 7.0
 # Broken or failed connections in a row, with no answer between, that put a server out at once: at the least,
 # and more while chance alone gives that many in a row so often, by the share that breaks everywhere. One says
 # little: networks and peers, restarts of something in between or full tables end single ones, and with a
@@ -29,9 +30,9 @@
 # It hurts by one failure more where only one is out, by a few where one dies while all are troubled.
 BREAKS_OUT, BREAKS_CHANCE, BREAKS_ALPHA = 2, 0.002, 0.98
 STAY_SHARE = 0.6  # servers leave for being slow only while this share of the set stays active
-# Working set: each server is met about once in this time, within bounds, and is in so many sidecars' sets, or
-# their loads do not even out; widened so far if some do not stand.
-SET_MS, SET_MIN, SET_MAX, SET_COVER, SET_WIDER = 250.0, 3, 48, 20.0, 4
+# Working set: each server is met about once in so many mean aims, within bounds, and is in so many sidecars'
+# sets, or their loads do not even out; widened so far if some do not stand.
+SET_AIMS, SET_MIN, SET_MAX, SET_COVER, SET_WIDER = 0.43, 3, 48, 20.0, 4
 # Trials of servers that failed before: so many per request, saved up to this. A quiet sidecar with half its
 # set out would send little else but trials, at the pace of their back-off alone.
 TRIAL_SHARE, TRIAL_SAVED = 0.1, 2.0
@@ -60,7 +61,7 @@
 # too. It is learnt from what was sent while this sidecar made no queue: the limit not over LIMIT_CALM times
 # its least, or the first USUAL_FIRST of a start; before USUAL_LEAST of those the whole aim is timely.
 TIMELY, QUICK, QUICK_STEP, QUICK_FIRST = 0.25, 0.2, 0.002, 0.5
-QUICK_RATE = 0.0002  # of the aim a millisecond at the most, or many short calls would make the steps fast
+QUICK_RATE = 0.115  # of the aim a mean aim's time at the most, or many short calls would make the steps fast
 USUAL, USUAL_STEP, LIMIT_CALM, USUAL_FIRST, USUAL_LEAST = 0.8, 0.005, 2.0, 50, 30
 LATE_ALPHA, LATE_START = 0.9, 0.5
 # Where crossing zones costs: while the limit is not nearly used, servers of the own zone come first that are
@@ -69,8 +70,9 @@
 NEAR_W, NEAR_CROWD, NEAR_ROOM = 1.5, 2.0, 0.5
 COST_ALPHA = 0.98  # smoothing of the classes' relative costs, which begin as their relative aims
 COST_MIN, COST_MAX = 0.01, 100.0  # their bounds: an answer in no time at all would make one of any size
-RATE_MS = 10000.0  # time constant of the rate at which this sidecar gets work done
-ASK_AGAIN_MS, ASK_AGAIN_MAX_MS = 500.0, 4000.0  # discovery is asked again: first wait, longest
+RATE_AIMS = 17.0  # time constant of the rate at which this sidecar gets work done, in mean aims
+# Discovery is asked again: first wait and longest, as shares of the time that it may go unasked.
+ASK_AGAIN, ASK_AGAIN_MAX = 0.05, 0.4
 # A request with no place or server waits this share of its aim; a latency follows its hint by this share.
 WAIT_SHARE, HINT_SHARE = 0.15, 0.5
 
@@ -91,7 +93,7 @@
         *("late_sent", "counted", "full_until"),
     )
 
-    def __init__(self, entry: api.ServerEntry, rank: float, sized: bool = True) -> None:
+    def __init__(self, entry: api.ServerEntry, rank: float, sized: bool = True, backoff: float = 0.0) -> None:
         self.rank = rank  # breaks ties, differently at each sidecar
         self.tell(entry, sized)
         self.listed, self.active, self.trial = True, False, False
@@ -99,7 +101,7 @@
         self.pull = 0.0  # w as it is charged: more while the server is cold
         self.ranked: float | None = None  # the w by which it stands among those that give the best
         self.samples, self.deficit, self.breaks = 0, 0.0, 0
-        self.backoff, self.due = BACKOFF_MIN_MS, -math.inf
+        self.backoff, self.due = backoff, -math.inf
         self.cold_since, self.cold_next = entry.started_at, -math.inf
         self.out: set[Attempt] = set()
         self.held = 0  # how many that is
@@ -236,6 +238,11 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
         self.mean_aim = sum(item.aim_ms for item in settings.classes) / len(settings.classes)
+        self.backoff_min, self.backoff_max = BACKOFF_MIN * self.mean_aim, BACKOFF_MAX * self.mean_aim
+        self.set_ms, self.rate_ms = SET_AIMS * self.mean_aim, RATE_AIMS * self.mean_aim
+        self.quick_rate, unasked = QUICK_RATE / self.mean_aim, settings.rules.ask_within_ms
+        self.ask_min = max(ASK_AGAIN * unasked, settings.tick_ms)
+        self.ask_max = max(ASK_AGAIN_MAX * unasked, settings.tick_ms)
         self.classes = {item.name: Class(item, settings, self.mean_aim) for item in settings.classes}
         # Lines of those with no place yet, by worth, the most first; the last in a line is served first.
         worths: dict[float, dict[str, Held]] = {of.worth: of.line for of in self.classes.values()}
@@ -245,7 +252,7 @@
         self.servers: dict[str, Server] = {}
         self.order: list[Server] = []  # all servers, by this sidecar's own rank
         self.set: list[Server] = []  # the working set, and whether it has to be drawn again
-        self.stale, self.size, self.asked, self.ask_wait = True, SET_MIN, False, ASK_AGAIN_MS
+        self.stale, self.size, self.asked, self.ask_wait = True, SET_MIN, False, self.ask_min
         # Views of the set, kept as it changes: the active ones, those of the own zone, the others, the cold;
         # attempts out at the active ones and their sizes; w of the warm active ones, sorted.
         self.unsettled = True
@@ -456,7 +463,12 @@
             lowest = min((s.deficit for s in active), default=0.0)
             for other in active:
                 other.deficit -= lowest
-            server.active, server.w, server.samples, server.backoff = server.listed, delta, 1, BACKOFF_MIN_MS
+            server.active, server.w, server.samples, server.backoff = (
+                server.listed,
+                delta,
+                1,
+                self.backoff_min,
+            )
             self.stale = self.unsettled = True
             server.deficit = self.charge(server, of)
             return
@@ -468,7 +480,7 @@
         if attempt.trial:
             server.due = self.now + self.jitter(server.backoff)
             if self.staying() >= STAY_SHARE:
-                server.backoff = min(2.0 * server.backoff, BACKOFF_MAX_MS)
+                server.backoff = min(2.0 * server.backoff, self.backoff_max)
         elif server.active and best is not None and (down or server.w > ACTIVE_FACTOR * best):
             # If most are slow it is the load, and a smaller set would only be slower.
             if down or self.staying() - 1.0 / len(self.set) >= STAY_SHARE:
@@ -494,7 +506,9 @@
         self.means[kind] = COST_ALPHA * mean + (1.0 - COST_ALPHA) * latency
         cost = COST_ALPHA * cost + (1.0 - COST_ALPHA) * latency / (mean if mean > 1e-9 else 1e-9)
         of.costs[kind] = COST_MIN if cost < COST_MIN else COST_MAX if cost > COST_MAX else cost
-        self.done = self.done * math.exp(min(self.done_at - self.now, 0.0) / RATE_MS) + cost / RATE_MS
+        self.done = (
+            self.done * math.exp(min(self.done_at - self.now, 0.0) / self.rate_ms) + cost / self.rate_ms
+        )
         self.done_at = self.now
 
     def warmth(self, server: Server) -> float:
@@ -510,7 +524,7 @@
         (done, not sent: in an overload the two lie far apart). A first send waits a random turn as well:
         where hundreds hear of a start together, their trials alone would push the server over."""
         warm = [s for s in self.set if s.active and s.cold_since is None] or self.set  # none: all came back
-        rate = self.done * math.exp(-max(self.now - self.done_at, 0.0) / RATE_MS)
+        rate = self.done * math.exp(-max(self.now - self.done_at, 0.0) / self.rate_ms)
         rate *= self.warmth(server) * server.size / max(sum(s.size for s in warm), server.size)
         server.cold_next = self.now + cost / max(rate, 1e-9)
 
@@ -531,7 +545,7 @@
             self.budget = min(self.budget + RETRY_SHARE, RETRY_SAVED)
         if self.trials < TRIAL_SAVED:
             self.trials = min(self.trials + TRIAL_SHARE, TRIAL_SAVED)
-        size = self.done * SET_MS
+        size = self.done * self.set_ms
         size = size if size > self.set_least else self.set_least
         size = round(size) if size < SET_MAX else SET_MAX
         if not 0.8 * self.size <= size <= 1.25 * self.size:
@@ -676,7 +690,7 @@
         of, timely = held.of, False
         if outcome is OK:
             aim, quick = of.klass.aim_ms, of.quick if of.quick >= 0.0 else latency
-            step, first = QUICK_RATE * (self.now - of.at), QUICK_FIRST / (10.0 + of.seen)
+            step, first = self.quick_rate * (self.now - of.at), QUICK_FIRST / (10.0 + of.seen)
             step = step if step < QUICK_STEP else QUICK_STEP
             step, of.at = aim * (first if first > step else step), self.now
             of.quick = max(quick + step * (QUICK - (latency < quick)), 0.0)
@@ -750,13 +764,13 @@
         if event.kind is ListKind.LOST:
             # The old list stands; calls are spread out, or a discovery that comes back is run over at once.
             self.agenda.add(self.now + self.jitter(self.ask_wait), "ask", None)
-            self.ask_wait = min(2.0 * self.ask_wait, ASK_AGAIN_MAX_MS)
+            self.ask_wait = min(2.0 * self.ask_wait, self.ask_max)
             return
         if self.settings.asks_for_list and not self.asked:
             self.asked = True
             self.actions.append(api.Subscribe())
         elif event.kind is not ListKind.CACHED:
-            self.ask_wait = ASK_AGAIN_MS
+            self.ask_wait = self.ask_min
         self.stale = self.unsettled = True
         if event.kind is not ListKind.DELTA:
             named = {entry.server for entry in event.entries}
@@ -772,7 +786,7 @@
                 # New, or restarted under the same id: what was learnt of it is void, and it is cold.
                 size = entry.size if self.settings.sized else 1.0  # larger ones are in more sidecars' sets
                 rank = known.rank if known else self.random.expovariate(max(size, 1e-3))
-                known = self.servers[entry.server] = Server(entry, rank)
+                known = self.servers[entry.server] = Server(entry, rank, backoff=self.backoff_min)
             known.tell(entry, self.settings.sized)
             for of in self.classes.values():  # a kind not met yet costs what its aims say
                 of.costs.setdefault(entry.kind, of.plain)
