--- a/benchmarks/panel.py
+++ b/benchmarks/panel.py
@@ -5,7 +5,7 @@
 Each deployment is a changed copy of one of the sites, drawn over the ranges of both and beyond: 2 to 60
 sidecars, 3 to 60 servers, work of 2 to 500 ms, aims of 1.2 to 20 times the work, drains of 200 ms to 5 s,
 classes safe, keyed by cell, zone and all, and unsafe, 1 to 6 attempts, with and without probes, cancel and
-advice; lists pushed or asked as in the site. A deployment's figure is the mean over its days; of the built-in
+advice; lists pushed or asked. A deployment's figure is the mean over its days; of the built-in
 policies the best that kept the rules. --checkout names another revision's decisions. The plays' journal stays
 in a scratch folder. Not part of CI: the simulator is the operators'.
 """
@@ -85,6 +85,8 @@
         "cancel": chance.random() < 0.5,
         "retry_after": chance.random() < 0.6,
     }
+    # Drawn beside, so that the rest is as it was before lists were drawn as well.
+    site["discovery"]["mode"] = random.Random(f"{name}/list").choice(["push", "ask"])
     return site
 
 
--- /dev/null
+++ b/lab/__main__.py
@@ -0,0 +1,3 @@
+from lab.command import main
+
+main()
--- /dev/null
+++ b/lab/clients.py
@@ -0,0 +1,175 @@
+"""Clients: calls that arrive whatever becomes of those before, tries that are given up, and who comes back
+when."""
+
+from __future__ import annotations
+
+import math
+from itertools import accumulate
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+from lab.scenario import Class
+from lab.streams import lognormal
+
+if TYPE_CHECKING:
+    from lab.market import Market
+    from lab.sidecars import Sidecar
+    from lab.streams import Stream
+
+OVER_SHARE_WORTH = 0.1  # of a call beyond what its member is entitled to
+
+
+class Call:
+    """What a client wants, over all its tries; ``worth`` is what its answer in time earns."""
+
+    __slots__ = ("klass", "member", "begun", "worth", "work", "key", "chance", "tries", "ignores", "hasty")
+
+    def __init__(self, klass: Class, member: int, begun: float, worth: float, work: float, key: int) -> None:
+        self.klass, self.member, self.begun, self.worth = klass, member, begun, worth
+        self.work, self.key, self.tries = work, key, 0
+        self.chance, self.ignores, self.hasty = 0.0, False, False
+
+
+class Try:
+    """One request of a call."""
+
+    __slots__ = ("name", "call", "sidecar", "life", "open", "marked")
+
+    def __init__(self, name: str, call: Call, sidecar: Sidecar, marked: bool) -> None:
+        self.name, self.call, self.sidecar, self.marked = name, call, sidecar, marked
+        self.life, self.open = sidecar.life, True
+
+
+class Clients:
+    """``hot`` and ``loud`` hold the troubles of the moment: how many times its part a sidecar or member
+    sends."""
+
+    def __init__(self, market: Market) -> None:
+        self.market, self.clock, scenario = market, market.clock, market.scenario
+        self.made, self.load, self.scenario = scenario.clients, scenario.load, scenario
+        self.class_bounds = list(accumulate(item.share for item in scenario.classes))
+        self.shares = [item.share for item in scenario.members]
+        self.member_bounds = list(accumulate(self.shares))
+        self.burst = 1.0
+        self.hot: dict[int, float] = {}
+        self.loud: dict[int, float] = {}
+        count = scenario.load.keys.count
+        ranks = np.arange(1, count + 1, dtype=np.float64) ** -scenario.load.keys.zipf
+        self.key_bounds: list[float] = np.cumsum(ranks).tolist()
+        self.names = 0
+        # What a member may still have at full worth, and since when that is so.
+        capacity = scenario.rate() / 1000.0
+        self.entitled = [item.entitled * capacity for item in scenario.members]
+        self.saved = [(1000.0 * rate, 0.0) for rate in self.entitled]
+
+    def begin(self) -> None:
+        sidecars = self.market.sidecars
+        uneven, chance = self.scenario.sidecars.uneven, self.market.streams.of("uneven")
+        parts = [lognormal(chance.random(), uneven) for _ in sidecars]
+        rate = self.scenario.rate() * self.load.share / 1000.0
+        for sidecar, part in zip(sidecars, parts, strict=True):
+            own = rate * part / sum(parts)
+            if own > 0:
+                stream = self.market.streams.of("calls", sidecar.number)
+                self.clock.at(stream.exponential(self.load.burst / own), self._arrive, sidecar, own, stream)
+
+    def _now(self, number: int) -> float:
+        """The load of the moment, as a multiple of the usual."""
+        load, part = self.load, self.clock.now / self.load.period_ms
+        times = self.burst * self.hot.get(number, 1.0)
+        if load.shape == "wave":
+            times *= 1.0 + load.swing * math.sin(2.0 * math.pi * part)
+        elif load.shape == "ramp":
+            times *= 1.0 - load.swing + 2.0 * load.swing * self.clock.now / (1000.0 * self.scenario.seconds)
+        if self.loud:
+            loud = sum(share * self.loud.get(member, 1.0) for member, share in enumerate(self.shares))
+            times *= loud / self.member_bounds[-1]
+        return max(times, 1e-6)
+
+    def _arrive(self, sidecar: Sidecar, rate: float, stream: Stream) -> None:
+        gap = stream.exponential(self.load.burst / (rate * self._now(sidecar.number)))
+        self.clock.at(gap, self._arrive, sidecar, rate, stream)
+        for _ in range(self.load.burst):
+            self._call(sidecar, stream)
+
+    def _call(self, sidecar: Sidecar, stream: Stream) -> None:
+        """The same number of draws for every call, so that a change of one share moves no other draw."""
+        klass = self.scenario.classes[stream.pick(self.class_bounds)]
+        bounds = self.member_bounds
+        if self.loud:
+            bounds = list(accumulate(s * self.loud.get(m, 1.0) for m, s in enumerate(self.shares)))
+        member = stream.pick(bounds)
+        drawn = stream.random()
+        key = stream.pick(self.key_bounds) if self.key_bounds else -1
+        part = -math.log(1.0 - drawn) if klass.dist == "exp" else lognormal(drawn, klass.cv)
+        call = Call(klass, member, self.clock.due, klass.worth, klass.work_ms * part, key)
+        call.chance = stream.random()
+        call.ignores = stream.random() < self.made.ignoring
+        call.hasty = stream.random() < self.made.impatient
+        if not self._within(member):
+            call.worth *= OVER_SHARE_WORTH
+        self.market.measures.asked(call)
+        self._try(sidecar, call)
+
+    def _within(self, member: int) -> bool:
+        """Whether a call is within what its member is entitled to: a bucket that holds one second's worth."""
+        (saved, at), rate, now = self.saved[member], self.entitled[member], self.clock.now
+        saved = min(saved + (now - at) * rate, 1000.0 * rate)
+        within = saved >= 1.0
+        self.saved[member] = (saved - within, now)
+        return within
+
+    def _try(self, sidecar: Sidecar, call: Call) -> None:
+        """As clients of the platform do: a try is given up before the call is; the last has what is left."""
+        now, made = self.clock.now, self.made
+        call.tries += 1
+        self.names += 1
+        held = Try(f"c{self.names}", call, sidecar, made.marked and call.tries > 1)
+        self.market.measures.bin().offered += 1
+        if not sidecar.up:
+            held.open = False
+            self._again(held, "cut", 0.0)
+            return
+        left = call.begun + call.klass.deadline_ms - now
+        life = min(call.klass.deadline_ms * made.try_share, left) if call.tries < made.tries else left
+        waits = life / 3.0 if call.hasty and call.tries == 1 else life + self.scenario.allow.answer_slack_ms
+        self.clock.at(waits, self._give_up, held, not call.hasty or call.tries > 1)
+        sidecar.ask(held, now + life)
+
+    def _give_up(self, held: Try, overdue: bool) -> None:
+        if not held.open:
+            return
+        sidecar = held.sidecar
+        if overdue and sidecar.up and not sidecar.paused and held.life == sidecar.life:
+            self.market.checker.overdue(sidecar.number, held.name)
+        sidecar.gone(held)
+        self.ended(held, "lost", 0.0)
+
+    def ended(self, held: Try, what: str, advice_ms: float) -> None:
+        """The one outcome of a try, as its client sees it."""
+        if not held.open:
+            return
+        held.open = False
+        call, measures = held.call, self.market.measures
+        spent = self.clock.now - call.begun
+        measures.outcome(what)
+        if what == "served":
+            measures.served(call, spent)
+        else:
+            self._again(held, what, advice_ms)
+
+    def _again(self, held: Try, what: str, advice_ms: float) -> None:
+        call, made = held.call, self.made
+        # What failed may have run: a client repeats only what is harmless, and what was refused or never
+        # taken.
+        harmless = what in ("refused", "cut") or call.klass.effect != "unsafe"
+        turn = 0.5 + ((call.chance * 7.0 + call.tries * 0.618) % 1.0)
+        wait = made.backoff_ms * turn * (2.0 ** (call.tries - 1) if made.growing else 1.0)
+        if call.ignores:
+            wait = made.backoff_ms * 0.5 * (1.0 + turn / 3.0)
+        elif what == "refused" and advice_ms > 0 and made.max_retry_after_ms > 0:
+            wait = min(advice_ms, made.max_retry_after_ms)
+        left = call.begun + call.klass.deadline_ms - self.clock.now
+        if harmless and call.tries < made.tries and wait < left:
+            self.clock.at(wait, self._try, held.sidecar, call)
--- /dev/null
+++ b/lab/command.py
@@ -0,0 +1,400 @@
+"""python -m lab: plays, experiments, comparisons, reports, hunts. Exit status 0 done, 1 a rule broken or a
+play not ended where that was asked for, 2 something given cannot be used."""
+
+from __future__ import annotations
+
+import os
+import sys
+import tempfile
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import Any, Literal, ParamSpec
+
+import click
+import msgspec
+import tomli_w
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+
+from lab import experiment, hunt, pool, report, running, scenario, statistics, tables
+from lab.experiment import Experiment, Plan, Play, Point
+from lab.market import Market
+from lab.policies import POLICIES, Unknown, policy
+from lab.reduce import RULES, Symptom, reduced
+from lab.results import Folder, Mixed
+from lab.revisions import Revisions, libraries
+from lab.scenario import Source, Wrong
+from lab.worker import Job, broken
+
+P = ParamSpec("P")
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+FOLDER = click.Path(file_okay=False, path_type=Path)
+CORES = os.cpu_count() or 1
+
+
+def told(command: Callable[P, int | None]) -> Callable[P, None]:
+    """What cannot be used ends in one line and status 2."""
+
+    @wraps(command)
+    def call(*args: P.args, **kwargs: P.kwargs) -> None:
+        try:
+            sys.exit(command(*args, **kwargs) or 0)
+        except (Wrong, Unknown, Mixed) as fault:
+            click.echo(f"lab: {fault}", err=True)
+            sys.exit(2)
+
+    return call
+
+
+class _Bar:
+    """Progress on a terminal's standard error; nothing where there is none."""
+
+    def __init__(self) -> None:
+        self._bar = Progress(
+            *(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn()),
+            transient=True,
+            disable=not sys.stderr.isatty(),
+        )
+        self._task = self._bar.add_task("plays")
+
+    def __enter__(self) -> _Bar:
+        self._bar.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._bar.stop()
+
+    def __call__(self, done: int, of: int, last: str) -> None:
+        self._bar.update(self._task, completed=done, total=of)
+
+
+@click.group(help=__doc__, context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    pass
+
+
+def _changes(given: tuple[str, ...]) -> dict[str, Any]:
+    """PLACE=VALUE words; values as JSON, or as text. Raises Wrong."""
+    found: dict[str, Any] = {}
+    for word in given:
+        place, equals, value = word.partition("=")
+        if not equals:
+            raise Wrong(f"--set {word!r}: no value; write it as load.share=0.9")
+        try:
+            found[place] = msgspec.json.decode(value)
+        except msgspec.DecodeError:
+            found[place] = value
+    return found
+
+
+SET = click.option(
+    "--set", "settings", multiple=True, metavar="PLACE=VALUE", help="another value in the scenario"
+)
+WORKERS = click.option("--workers", type=click.IntRange(1, 256), default=CORES, show_default=True)
+
+
+@main.command("play")
+@click.argument("file", type=FILE)
+@click.option("--policy", "way", default="module", show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@SET
+@told
+def play(file: Path, way: str, seed: int, settings: tuple[str, ...]) -> int:
+    """One play of a scenario, here, as JSON.
+
+    Example: python -m lab play lab/scenarios/outage.toml --set load.share=0.9
+    """
+    decides, watched = policy(way)
+    market = Market(scenario.load(file).changed(_changes(settings)).play_of(seed), seed, decides, watched)
+    row = market.run()
+    click.echo(msgspec.json.format(msgspec.json.encode(msgspec.structs.asdict(row))).decode())
+    for rule, words in sorted(market.checker.first.items()):
+        click.echo(f"{rule}: {words}", err=True)
+    return 1 if market.checker.broken or row.falls or row.fault else 0
+
+
+@main.command("run")
+@click.argument("file", type=FILE)
+@click.option(
+    "--out", type=FOLDER, help="the folder of results; beside the file, by its name, where not given"
+)
+@click.option("--shard", default="1/1", metavar="N/OF", help="this part of the plays alone")
+@click.option("--most-seconds", type=float, default=3600.0, show_default=True, help="of real time, a play")
+@WORKERS
+@told
+def run(file: Path, out: Path | None, shard: str, most_seconds: float, workers: int) -> int:
+    """Makes the plays of an experiment that are missing, and one file of all.
+
+    Example: python -m lab run lab/experiments/policies.toml --out results/policies
+    """
+    plan = experiment.load(file)
+    folder = out or file.with_suffix("")
+    with _Bar() as bar:
+        loaded = running.make(plan, folder, workers=workers, part=shard, progress=bar, most_s=most_seconds)
+    _print(tables.cells(loaded.rows, "score"), "score")
+    asked = len(plan.points) * plan.experiment.seeds
+    click.echo(f"{folder}: {len(loaded.rows)} plays; the experiment has {asked}")
+    return 0
+
+
+def _print(found: list[tables.Cell], metric: str) -> None:
+    for cell in found:
+        ends = f"[{tables.number(cell.metric.low)} to {tables.number(cell.metric.high)}]"
+        mean = f"{metric} {tables.number(cell.metric.mean)} {ends}"
+        line = f"{cell.point.label()}: {mean}, {cell.metric.n} plays"
+        if cell.broken:
+            line += "; plays that broke " + ", ".join(f"{rule}: {n}" for rule, n in cell.broken.items())
+        click.echo(line + (f"; not ended: {cell.faults}" if cell.faults else ""))
+
+
+@main.command("merge")
+@click.argument("folders", type=FOLDER, nargs=-1, required=True)
+@click.option("--into", type=FOLDER, required=True)
+@told
+def merge(folders: tuple[Path, ...], into: Path) -> int:
+    """Joins folders of results, of shards on several machines."""
+    loaded = Folder(into, libraries()).compact([Folder(path) for path in folders])
+    for path in loaded.damaged:
+        click.echo(f"{path}: could not be read and was set aside", err=True)
+    click.echo(f"{into}: {len(loaded.rows)} plays")
+    return 1 if loaded.damaged else 0
+
+
+@main.command("compare")
+@click.argument("files", type=FILE, nargs=-1, required=True)
+@click.option(
+    "--a", "first", default="module", show_default=True, help="a policy; NAME@REVISION for older code"
+)
+@click.option("--b", "second", default="module", show_default=True)
+@click.option("--set-a", multiple=True, metavar="PLACE=VALUE")
+@click.option("--set-b", multiple=True, metavar="PLACE=VALUE")
+@click.option("--metric", default="score", show_default=True)
+@click.option("--seeds", type=click.IntRange(1), default=20, show_default=True)
+@click.option(
+    "--until", type=float, default=0.0, help="more seeds until the interval is this wide to each side"
+)
+@click.option("--most-seeds", type=click.IntRange(1), default=400, show_default=True)
+@click.option("--out", type=FOLDER, help="keep the plays here, and use those that are there")
+@WORKERS
+@told
+def compare(
+    files: tuple[Path, ...],
+    first: str,
+    second: str,
+    set_a: tuple[str, ...],
+    set_b: tuple[str, ...],
+    metric: str,
+    seeds: int,
+    until: float,
+    most_seeds: int,
+    out: Path | None,
+    workers: int,
+) -> int:
+    """Two policies, two settings or two revisions on the same seeds.
+
+    Example: python -m lab compare lab/scenarios/outage.toml --a module --b module@HEAD~20 --until 0.004
+    """
+    policy(first), policy(second)
+    changes = [_changes(set_a), _changes(set_b)]
+    sources = {path.stem: scenario.load(path) for path in files}
+    ways = dict.fromkeys((first, second))
+    made = Experiment(
+        name="compare", scenarios=tuple(sources), policies=tuple(ways), seeds=seeds, series_seeds=0
+    )
+    plan = Plan(made, sources)
+    plan.points = [
+        Point(scenario=name, policy=way, changes=change)
+        for name in sources
+        for way, change in zip((first, second), changes, strict=True)
+    ]
+    with tempfile.TemporaryDirectory() as scratch:
+        folder, count = out or Path(scratch), seeds
+        while True:
+            with _Bar() as bar:
+                loaded = running.make(plan, folder, workers=workers, seeds=range(1, count + 1), progress=bar)
+            rows = [row for row in loaded.rows if row["seed"] <= count]
+            with tempfile.TemporaryDirectory() as place:
+                revisions = Revisions(Path(place))
+                codes = {revisions.code(way) for way in ways}
+            rows = [row for row in rows if row["code"] in codes]
+            found = [
+                tables.against(rows, plan.points[2 * at], plan.points[2 * at + 1], metric)
+                for at in range(len(sources))
+            ]
+            more = (
+                max(statistics.more_seeds(item.difference, until, most_seeds) for item in found)
+                if until
+                else 0
+            )
+            if not more:
+                break
+            count += more
+    labels = [
+        f"{way}{' with ' + ', '.join(given) if given else ''}"
+        for way, given in ((first, set_a), (second, set_b))
+    ]
+    for name, item in zip(sources, found, strict=True):
+        click.echo(f"{name}: {item.verdict(labels[0], labels[1], metric)}")
+    return 0
+
+
+@main.command("report")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--metric", default="score", show_default=True)
+@click.option("--title", default="")
+@click.option(
+    "--multiple", default=2.5, show_default=True, help="of what a server can do, where it falls over"
+)
+@told
+def write_report(folder: Path, metric: str, title: str, multiple: float) -> int:
+    """One HTML page with PNG charts, beside the results."""
+    loaded = Folder(folder).load()
+    page = report.write(loaded, folder / "report", title or folder.name, metric, multiple)
+    click.echo(page)
+    return 0
+
+
+def _all(jobs: list[tuple[Play, Job, Path]], workers: int) -> dict[int, Any]:
+    with _Bar() as bar:
+        found = {}
+        for done, (made, result) in enumerate(pool.run(jobs, workers), 1):
+            found[made.seed] = result.row
+            bar(done, len(jobs), "")
+    return found
+
+
+@main.command("hunt")
+@click.argument("file", type=FILE)
+@click.option("--policy", "way", default="module", show_default=True)
+@click.option("--rounds", type=click.IntRange(1, 64), default=4, show_default=True)
+@click.option("--plays", type=click.IntRange(1, 100_000), default=64, show_default=True, help="a round")
+@click.option("--first-seed", type=int, default=1, show_default=True)
+@click.option(
+    "--found", type=FOLDER, default=Path("found"), show_default=True, help="where the worst are kept"
+)
+@WORKERS
+@told
+def hunt_worst(
+    file: Path, way: str, rounds: int, plays: int, first_seed: int, found: Path, workers: int
+) -> int:
+    """Searches a scenario's ranges for the plays that break a rule or lose most."""
+    policy(way)
+    source = scenario.load(file)
+    search = hunt.Hunt(source, first_seed)
+    with tempfile.TemporaryDirectory() as scratch:
+        place = Revisions(Path(scratch)).place(way)
+        for turn in range(rounds):
+            proposed = search.propose(plays)
+            jobs = []
+            for values, seed in proposed:
+                point = Point(scenario=file.stem, policy=way, changes=values)
+                jobs.append(
+                    (
+                        Play(point=point, seed=seed, code=""),
+                        Job(source=source.changed(values), policy=way, seed=seed),
+                        place,
+                    )
+                )
+            rows = _all(jobs, workers)
+            search.told([hunt.Tried(values=values, seed=seed, row=rows[seed]) for values, seed in proposed])
+            worst = search.worst(1)[0]
+            broken = sum(item.breaks() for item in search.tried)
+            click.echo(
+                f"round {turn + 1}: {len(search.tried)} plays, {broken} broke a rule; worst score"
+                f" {worst.row.score:.3f}, seed {worst.seed}"
+            )
+    found.mkdir(parents=True, exist_ok=True)
+    for item in search.worst(3):
+        path = found / f"{file.stem}-{item.seed}.toml"
+        path.write_text(
+            _file(search.file_of(item), item.seed, f"score {item.row.score:.3f}"), encoding="utf-8"
+        )
+        click.echo(path)
+    return 1 if any(item.breaks() for item in search.tried) else 0
+
+
+def _file(tree: dict[str, Any], seed: int, words: str) -> str:
+    return f"# Seed {seed}: {words}.\n" + tomli_w.dumps(tree)
+
+
+@main.command("reduce")
+@click.argument("file", type=FILE)
+@click.option("--policy", "way", default="module", show_default=True)
+@click.option("--seed", type=int, required=True)
+@click.option("--rule", type=click.Choice(RULES), help="the symptom: this rule is broken")
+@click.option("--below", type=float, help="the symptom: a score below this")
+@click.option("--plays", type=click.IntRange(1, 100_000), default=200, show_default=True, help="at the most")
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), required=True)
+@told
+def shrink(
+    file: Path, way: str, seed: int, rule: str | None, below: float | None, plays: int, out: Path
+) -> int:
+    """Shrinks a scenario to the smallest that still shows a symptom, as a file."""
+    if (rule is None) == (below is None):
+        raise Wrong("--rule or --below: give one of them, as the symptom")
+    symptom = Symptom(rule=rule or "", below=below or 0.0)
+    decides, watched = policy(way)
+    source = scenario.load(file)
+
+    def shows(tree: dict[str, Any]) -> bool:
+        try:
+            made = Source(path=str(file), tree=tree, draws={}).play_of(seed)
+        except Wrong:
+            return False
+        return symptom.shows(Market(made, seed, decides, watched).run())
+
+    tree = hunt.Hunt(source).file_of(
+        hunt.Tried(values=hunt.draw(source.draws, seed), seed=seed, row=broken(""))
+    )
+    if not shows(tree):
+        raise Wrong(
+            f"{file}: seed {seed}: it does not show the symptom ({symptom.words()}); take another seed"
+        )
+    smaller, made = reduced(tree, shows, plays, lambda words: click.echo(f"kept: {words}", err=True))
+    out.write_text(_file(smaller, seed, symptom.words()), encoding="utf-8")
+    click.echo(f"{out}: after {made} plays")
+    return 0
+
+
+@main.command("sockets")
+@click.argument("file", type=FILE)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--speaks", type=click.Choice(["http", "rpc"]), default="http", show_default=True)
+@SET
+@told
+def over_sockets(file: Path, seed: int, speaks: Literal["http", "rpc"], settings: tuple[str, ...]) -> int:
+    """One play over real sockets, with real sidecar processes, beside the same play in virtual time.
+
+    It takes as long as the scenario says. Example: python -m lab sockets lab/scenarios/outage.toml --set
+    seconds=12
+    """
+    from lab import sockets  # the sidecar's own packages are needed for this alone
+
+    made = scenario.load(file).changed(_changes(settings)).play_of(seed)
+    market, real = sockets.play(made, seed, speaks)
+    percentiles = {
+        f"p{part:g}_ms": market.latency.get_value_at_percentile(part) / 1000.0 for part in (50, 99, 99.9)
+    }
+    emulated = Market(made, seed).run()
+    shown = {
+        "sockets": msgspec.structs.asdict(real) | percentiles,
+        "emulated": msgspec.structs.asdict(emulated),
+        "service_less_emulated": round(real.service - emulated.service, 4),
+        "most_late_ms": round(market.wall.most_late_ms, 1),
+    }
+    click.echo(msgspec.json.format(msgspec.json.encode(shown)).decode())
+    for rule, words in sorted(market.checker.first.items()):
+        click.echo(f"{rule}: {words}", err=True)
+    return 1 if market.checker.broken or real.fault else 0
+
+
+@main.command("schema")
+def schema() -> None:
+    """The JSON schema of scenario files."""
+    click.echo(msgspec.json.format(msgspec.json.encode(scenario.schema())).decode())
+
+
+@main.command("policies")
+def policies() -> None:
+    """The names of what can decide."""
+    click.echo("\n".join(sorted(POLICIES)))
--- /dev/null
+++ b/lab/discovery.py
@@ -0,0 +1,129 @@
+"""The list of servers: what is noticed, when, and how each sidecar hears of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hareloom import interface as api
+from hareloom.interface import ListKind, ServerState
+
+if TYPE_CHECKING:
+    from lab.market import Market
+    from lab.servers import Server
+    from lab.sidecars import Sidecar
+
+
+class Discovery:
+    """The list as it stands, its changes by version, and those who are told."""
+
+    def __init__(self, market: Market) -> None:
+        self.market, self.made, self.clock = market, market.scenario.discovery, market.clock
+        self.chance = market.streams.of("discovery")
+        self.entries: dict[str, api.ServerEntry] = {}
+        self.changes: list[api.ServerEntry] = []  # the n-th made version n + 1
+        self.away, self.late_ms = False, 0.0
+        self.wrong: set[str] = set()
+        self.free_at = 0.0  # asked: calls are served in turn
+
+    def first(self, servers: list[Server]) -> tuple[api.ServerEntry, ...]:
+        """The list at the start, which every sidecar has."""
+        for server in servers:
+            self.entries[server.name] = server.entry(ServerState.READY)
+        return tuple(self.entries.values())
+
+    # What is noticed
+
+    def ended(self, server: Server, silent: bool) -> None:
+        low, high = self.made.silent_notice_ms if silent else self.made.notice_ms
+        self.clock.at(self.chance.uniform(low, high), self._gone, server, server.epoch)
+
+    def _gone(self, server: Server, epoch: int) -> None:
+        if server.epoch == epoch:
+            self.tell(server, ServerState.GONE)
+
+    def started(self, server: Server) -> None:
+        self.clock.at(self.chance.uniform(*self.made.add_ms), self._added, server, server.epoch)
+
+    def _added(self, server: Server, epoch: int) -> None:
+        if server.epoch == epoch:
+            self.tell(server, ServerState.READY)
+
+    def tell(self, server: Server, state: ServerState) -> None:
+        """A change of the list; all who are told of changes hear of it, each after its own lag."""
+        entry = server.entry(state)
+        if self.entries.get(server.name) == entry:
+            return
+        if state is ServerState.GONE:
+            self.entries.pop(server.name, None)
+        else:
+            self.entries[server.name] = entry
+        self.changes.append(entry)
+        if self.away:
+            return
+        for sidecar in self.market.sidecars:
+            if sidecar.subscribed:
+                self._push(sidecar)
+
+    # How a sidecar hears
+
+    def _push(self, sidecar: Sidecar) -> None:
+        lag = sidecar.lag.uniform(*self.made.lag_ms)  # its own draws, whatever the others hear
+        self.clock.at(lag + self.late_ms, self._deliver, sidecar, sidecar.life, len(self.changes))
+
+    def _deliver(self, sidecar: Sidecar, life: int, version: int) -> None:
+        """All changes up to a version, in their order; one that came by an earlier message is not told
+        again."""
+        if sidecar.life != life or sidecar.version >= version:
+            return
+        entries = tuple(self.changes[sidecar.version : version])
+        sidecar.version = version
+        sidecar.hear(api.ServerList(ListKind.DELTA, version, entries))
+
+    def subscribe(self, sidecar: Sidecar) -> None:
+        """A call for the changes from here on, where the list is asked for. Calls wait in turn, and fail
+        where they wait too long or nobody is there."""
+        wait = max(self.free_at - self.clock.now, 0.0)
+        if self.away or wait > self.made.timeout_ms:
+            self.clock.at(self.made.timeout_ms, self._failed, sidecar, sidecar.life)
+            return
+        self.free_at = self.clock.now + wait + self.made.call_ms
+        self.clock.at(wait + self.made.call_ms, self._answered, sidecar, sidecar.life)
+
+    def _failed(self, sidecar: Sidecar, life: int) -> None:
+        if sidecar.life == life:
+            sidecar.subscribed = False
+            sidecar.hear(api.ServerList(ListKind.LOST))
+
+    def _answered(self, sidecar: Sidecar, life: int) -> None:
+        if sidecar.life != life:
+            return
+        if self.away:
+            self._failed(sidecar, life)
+            return
+        sidecar.subscribed = True
+        sidecar.version = len(self.changes)
+        sidecar.hear(api.ServerList(ListKind.FULL, sidecar.version, tuple(self.entries.values())))
+
+    def go_away(self) -> None:
+        """Pushed: nothing comes. Asked: the calls that wait end."""
+        self.away = True
+        if self.made.mode == "ask":
+            for sidecar in self.market.sidecars:
+                if sidecar.subscribed:
+                    self._failed(sidecar, sidecar.life)
+
+    def come_back(self) -> None:
+        self.away = False
+        if self.made.mode == "push":
+            for sidecar in self.market.sidecars:
+                self._push(sidecar)
+
+    def mistake(self, servers: list[Server]) -> None:
+        """Servers that answer are called gone."""
+        for server in servers:
+            self.tell(server, ServerState.GONE)
+
+    def mend(self, servers: list[Server]) -> None:
+        for server in servers:
+            if server.state == "up" and server.name not in self.market.leaving:
+                self.tell(server, ServerState.READY)
--- /dev/null
+++ b/lab/market.py
@@ -0,0 +1,144 @@
+"""The whole market in virtual time: a play is a function of its scenario, its seed and the code.
+
+What decides is real (the module, the watch for storms, or a policy to hold against them); servers, network,
+discovery and clients are models. Nothing here reads a clock or a file.
+"""
+
+from __future__ import annotations
+
+from itertools import accumulate
+
+from hareloom import Balancer
+from hareloom import interface as api
+from hareloom.interface import Effect, Group, Outcome
+from lab import troubles
+from lab.checker import Checker
+from lab.clients import Clients
+from lab.clock import Clock, Unending
+from lab.discovery import Discovery
+from lab.measures import Measures, Row
+from lab.scenario import Kind, Scenario
+from lab.servers import Attempt, Server
+from lab.sidecars import Policy, Sidecar
+from lab.streams import Streams
+
+
+def classes(scenario: Scenario) -> tuple[api.RequestClass, ...]:
+    return tuple(
+        api.RequestClass(
+            item.name,
+            item.aim_ms,
+            item.deadline_ms,
+            item.worth,
+            item.late_worth,
+            Effect(item.effect),
+            Group(item.group),
+            item.window_ms,
+        )
+        for item in scenario.classes
+    )
+
+
+class Market:
+    """One play. ``watched``: the watch for storms stands before each module, as the operator's file has
+    it."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int, policy: Policy = Balancer, watched: bool = False
+    ) -> None:
+        self.scenario, self.seed = scenario, seed
+        self.streams = Streams(seed)
+        self.clock = Clock(scenario.most_events, scenario.ties)
+        self.measures = Measures(scenario, self.clock)
+        self.checker = Checker(scenario, self.settings(scenario.network.zones[0]))
+        self.discovery = Discovery(self)
+        self.clients = Clients(self)
+        self._lay_out(Server)
+        self.sidecars = [Sidecar(self, n, policy, watched) for n in range(scenario.sidecars.count)]
+
+    def _lay_out(self, make: type[Server]) -> None:
+        """The servers of the start, and that nothing has befallen the network yet."""
+        self.cut: set[str] = set()  # zones that no message leaves or enters
+        self.loss = 0.0  # share of attempts that are swallowed
+        self.leaving: set[str] = set()  # servers that do not come back
+        self._loss, self._make = self.streams.of("loss"), make
+        self.servers: list[Server] = []
+        self.by_name: dict[str, Server] = {}
+        made = self.scenario.servers
+        bounds = list(accumulate(kind.share for kind in made.kinds))
+        for number in range(made.count):
+            # Kinds are laid out evenly by their shares: which server is of which is the same for every seed.
+            place = (number + 0.5) / made.count * bounds[-1]
+            kind = next(kind for kind, bound in zip(made.kinds, bounds, strict=True) if place <= bound)
+            self._put(make(self, number, kind, f"s-{number}"))
+
+    def _put(self, server: Server) -> None:
+        self.servers.append(server)
+        self.by_name[server.name] = server
+
+    def add_server(self, kind: Kind) -> None:
+        """A machine that the market has not had, started now."""
+        number = len(self.servers)
+        server = self._make(self, number, kind, f"s-{number}", cold=True)
+        self._put(server)
+        self.discovery.started(server)
+
+    def settings(self, zone: str) -> api.Settings:
+        made = self.scenario
+        limits = api.Limits(
+            max_attempts=made.allow.max_attempts,
+            may_cancel=made.allow.cancel,
+            max_retry_after_ms=made.clients.max_retry_after_ms,
+            connect_timeout_ms=made.network.connect_timeout_ms,
+            idle_ms=made.servers.idle_ms,
+        )
+        rules = api.Rules(
+            made.allow.answer_slack_ms,
+            made.allow.drain_grace_ms,
+            cold_from=made.servers.cold_share,
+            cold_ms=made.servers.warm_up_ms,
+            fall_multiple=made.servers.fall_multiple,
+            fall_ms=made.servers.fall_ms,
+        )
+        return api.Settings(
+            classes=classes(made),
+            peers=made.sidecars.count,
+            zone=zone,
+            asks_for_list=made.discovery.mode == "ask",
+            limits=limits,
+            rules=rules,
+            worst_class_weight=made.goal.klass,
+        )
+
+    # Messages
+
+    def swallowed(self, sidecar: Sidecar, server: Server) -> bool:
+        """Whether nothing of an attempt arrives, nor anything comes back."""
+        if self.cut and (sidecar.zone in self.cut) != (server.zone in self.cut):
+            return True
+        return self.loss > 0 and self._loss.random() < self.loss
+
+    def reply(self, attempt: Attempt, outcome: Outcome) -> None:
+        """What a server answers, or its end, on its way back."""
+        sidecar, server = attempt.sidecar, attempt.server
+        if self.cut and (sidecar.zone in self.cut) != (server.zone in self.cut):
+            return
+        self.clock.at(sidecar.delay(server), sidecar.ended, attempt, outcome)
+
+    # The play
+
+    def run(self) -> Row:
+        """Plays it to the end, or to the bound of its events; what it came to."""
+        entries, fault = self.discovery.first(self.servers), ""
+        chance, spread = self.streams.of("start"), self.scenario.sidecars.start_spread_ms
+        for sidecar in self.sidecars:
+            self.clock.at(chance.uniform(0.0, spread), sidecar.start, entries)
+        self.clock.at(spread, self.clients.begin)
+        troubles.plan(self)
+        try:
+            self.clock.run(1000.0 * self.scenario.seconds)
+        except Unending as bound:
+            fault = str(bound)
+        peak = max((server.peak for server in self.servers), default=0.0)
+        broken = dict(self.checker.broken)
+        return self.measures.row(broken, self.checker.ran_twice, peak, fault, self.clock.events)
--- /dev/null
+++ b/lab/sidecars.py
@@ -0,0 +1,271 @@
+"""A sidecar in virtual time: what hosts a decision module, with its connections, and what may befall it."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+from anisestair.storms.watch import Watch
+from hareloom import interface as api
+from hareloom.interface import ListKind, Outcome
+from lab.servers import DEAD, SILENT, UP, Attempt, Server
+from lab.streams import lognormal, turned
+
+if TYPE_CHECKING:
+    from lab.clients import Try
+    from lab.market import Market
+
+
+class Decides(Protocol):
+    """What takes a sidecar's decisions: the module, or a policy to hold it against."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
+
+
+Policy = Callable[[api.Settings, int], Decides]
+# A connection kept: the server's life, and since when it is idle.
+Kept = tuple[int, float]
+
+
+class Sidecar:
+    """``life`` counts its starts: what was planned in an earlier one is void."""
+
+    def __init__(self, market: Market, number: int, policy: Policy, watched: bool) -> None:
+        self.market, self.clock, self.number = market, market.clock, number
+        self.policy, self.watched = policy, watched
+        zones = market.scenario.network.zones
+        self.zone = zones[number % len(zones)]
+        self.settings = market.settings(self.zone)
+        self.net, self.lag = market.streams.of("net", number), market.streams.of("lag", number)
+        self.up, self.paused, self.life = False, False, 0
+        self.inbox: deque[tuple[Callable[..., None], tuple[object, ...]]] = deque()
+        self.version, self.subscribed = 0, False
+        self.known: dict[str, api.ServerEntry] = {}  # the list as it last had it
+        self.tries: dict[str, Try] = {}
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.sent: dict[str, int] = {}  # attempts of a request so far, and those that have not ended
+        self.out: dict[str, int] = {}
+        self.kept: dict[int, list[Kept]] = {}  # by server, the one used last at the end
+
+    def start(self, entries: tuple[api.ServerEntry, ...] | None = None) -> None:
+        """Starts, or starts again with nothing but its last list."""
+        self.up, self.paused, self.life = True, False, self.life + 1
+        seed = self.market.seed * 100_003 + self.number * 101 + self.life
+        self.module = self.policy(self.settings, seed)
+        self.watch = Watch(self.settings, seed) if self.watched else None
+        self.subscribed = self.market.scenario.discovery.mode == "push"
+        first = entries is not None
+        if entries is not None:
+            self.known = {entry.server: entry for entry in entries}
+        entries = tuple(self.known.values())
+        self.market.checker.started(self.number)
+        self.hear(api.ServerList(ListKind.CACHED, self.version, entries))
+        if first and self.subscribed:
+            self.hear(api.ServerList(ListKind.FULL, self.version, entries))
+
+    def die(self) -> None:
+        """What it held is the clients' to try again; its attempts' connections end."""
+        if not self.up:
+            return
+        self.up, self.life = False, self.life + 1
+        self.inbox.clear()
+        for attempt in list(self.attempts.values()):
+            attempt.open = False
+            attempt.server.cancel(attempt)
+        self.attempts.clear()
+        self.sent.clear()
+        self.out.clear()
+        for number, kept in self.kept.items():
+            self.market.servers[number].connections -= len(kept)
+        self.kept.clear()
+        tries, self.tries = self.tries, {}
+        for held in tries.values():
+            self.market.clients.ended(held, "cut", 0.0)
+
+    def pause(self) -> None:
+        self.paused = True
+
+    def resume(self) -> None:
+        """All that came in the meantime, in its order."""
+        self.paused = False
+        while self.inbox and not self.paused:
+            what, arguments = self.inbox.popleft()
+            what(*arguments)
+
+    # Events
+
+    def hear(self, event: api.Event) -> None:
+        if self.paused:
+            self.inbox.append((self.hear, (event,)))
+            return
+        if isinstance(event, api.ServerList):
+            for entry in event.entries if event.kind is not ListKind.LOST else ():
+                if entry.state is api.ServerState.GONE:
+                    self.known.pop(entry.server, None)
+                else:
+                    self.known[entry.server] = entry
+            if event.kind is ListKind.FULL:
+                named = {entry.server for entry in event.entries}
+                self.known = {name: entry for name, entry in self.known.items() if name in named}
+            self.market.checker.listed(self.number, self.clock.now, event)
+        now, watch = self.clock.now, self.watch
+        if watch is not None and (change := watch.told(now, event)) is not None:
+            self.market.measures.changes.append((self.number, change))
+        for action in self.module.handle(now, event):
+            if watch is not None:
+                action = watch.said(now, action)
+            if isinstance(action, api.Send):
+                self._send(action)
+            elif isinstance(action, api.SetTimer):
+                self.clock.at(action.delay_ms, self._ring, self.life, action.token)
+            elif isinstance(action, api.Cancel):
+                if (attempt := self.attempts.get((action.request, action.attempt))) is not None:
+                    self.clock.at(0.0, self.ended, attempt, Outcome.CANCELLED)
+            elif isinstance(action, api.Refuse):
+                self._answer(action.request, "refused", action.retry_after_ms)
+            elif isinstance(action, api.Fail):
+                self._answer(action.request, "failed", 0.0)
+            elif isinstance(action, api.Subscribe):
+                self.market.discovery.subscribe(self)
+
+    def _ring(self, life: int, token: int) -> None:
+        if life == self.life:
+            self.hear(api.Timer(token))
+
+    def ask(self, held: Try, until: float) -> None:
+        """A client's request has come whole. A process that stands still accepts it all the same."""
+        if self.paused:
+            self.inbox.append((self.ask, (held, until)))
+            return
+        if not held.open:
+            return
+        self.tries[held.name] = held
+        self.market.checker.asked(self.number, held, until)
+        self.hear(api.Request(held.name, held.call.klass.name, until, None, held.marked))
+
+    def gone(self, held: Try) -> None:
+        """The client waits no longer."""
+        if self.tries.pop(held.name, None) is not None and self.up:
+            self.market.checker.left(self.number, held.name, self.clock.now)
+            self.hear(api.ClientGone(held.name))
+            self._forget(held.name)
+
+    def _answer(self, name: str, what: str, advice_ms: float) -> None:
+        self.market.checker.final(self.number, name, what, self.clock.now)
+        held = self.tries.pop(name, None)
+        self._forget(name)
+        if held is not None:
+            self.market.clients.ended(held, what, advice_ms)
+
+    def _forget(self, name: str) -> None:
+        """Counts of attempts are kept while one can still end."""
+        if name not in self.tries and not self.out.get(name):
+            self.sent.pop(name, None)
+            self.out.pop(name, None)
+
+    # Attempts
+
+    def _send(self, action: api.Send) -> None:
+        market, now, name = self.market, self.clock.now, action.request
+        number = self.sent.get(name, 0)
+        self.sent[name] = number + 1
+        self.out[name] = self.out.get(name, 0) + 1
+        server = market.by_name[action.server]
+        market.checker.sent(self.number, name, server, now)
+        held = self.tries.get(name)
+        work, key = 0.0, -1
+        if held is not None:
+            call = held.call
+            noise = lognormal(turned(call.chance, call.tries * 8 + number), call.klass.noise)
+            work, key = call.work * noise, call.key
+        attempt = self.attempts[name, number] = Attempt(self, name, number, server, now, work, key)
+        market.measures.bin().sent += 1
+        self.clock.at(action.timeout_ms, self.ended, attempt, Outcome.TIMEOUT)
+        if market.swallowed(self, server):
+            return  # nothing comes back, not even of the connect
+        one_way = self.delay(server)
+        epoch = self._take(server)
+        if epoch >= 0:
+            attempt.epoch = epoch
+            self.clock.at(one_way, server.arrive, attempt)
+            return
+        market.measures.bin().connects += 1
+        if self.watch is not None:
+            self.watch.opened(now)
+        made = market.scenario.servers
+        if server.state == DEAD:
+            self.clock.at(2.0 * one_way, self.ended, attempt, Outcome.CONNECT_FAILED)
+        elif server.state == SILENT:
+            wait = market.scenario.network.connect_timeout_ms
+            self.clock.at(wait, self.ended, attempt, Outcome.CONNECT_FAILED)
+        else:
+            hello = one_way * (1.0 + 2.0 * made.handshake_rtts)
+            self.clock.at(hello, self._connected, attempt, server.epoch)
+
+    def _connected(self, attempt: Attempt, epoch: int) -> None:
+        server = attempt.server
+        if not attempt.open:
+            return
+        if server.state != UP or server.epoch != epoch:
+            self.ended(attempt, Outcome.CONNECT_FAILED)
+            return
+        if server.connections >= server.made.connections:
+            self.market.reply(attempt, Outcome.FULL)  # too many connections: turned away unseen
+            return
+        server.connections += 1
+        attempt.epoch = epoch
+        if server.made.handshake_ms > 0:
+            server.take(server.made.handshake_ms)
+            if server.state != UP:
+                self.ended(attempt, Outcome.RESET)
+                return
+        server.arrive(attempt)
+
+    def _take(self, server: Server) -> int:
+        """The life to which a kept connection goes, the one used last first; -1: there is none. One to a
+        server that is silent is found out by its silence, one to an earlier life by its reset."""
+        kept = self.kept.get(server.number)
+        if not kept:
+            return -1
+        idle = self.clock.now - 0.9 * server.made.idle_ms  # let go before the other side does
+        while kept:
+            epoch, since = kept.pop()
+            if since >= idle and (epoch == server.epoch or server.state != DEAD):
+                return epoch
+            if epoch == server.epoch:
+                server.connections -= 1
+        return -1
+
+    def delay(self, server: Server) -> float:
+        """One way, ms."""
+        net = self.market.scenario.network
+        base = net.same_ms if server.zone == self.zone else net.cross_ms
+        return base * (1.0 + net.jitter * self.net.random())
+
+    def ended(self, attempt: Attempt, outcome: Outcome) -> None:
+        """What a sidecar sees of an attempt's end; only the first counts."""
+        if self.paused:
+            if attempt.open:
+                self.inbox.append((self.ended, (attempt, outcome)))
+            return
+        if not attempt.open:
+            return
+        attempt.open = False
+        name, number, server = attempt.request, attempt.number, attempt.server
+        del self.attempts[name, number]
+        self.out[name] -= 1
+        whole = outcome is Outcome.OK or outcome is Outcome.ERROR or outcome is Outcome.FULL
+        if attempt.epoch == server.epoch and attempt.epoch >= 0:
+            if whole:
+                self.kept.setdefault(server.number, []).append((attempt.epoch, self.clock.now))
+            else:
+                server.connections -= 1
+                server.cancel(attempt)
+        self.market.checker.ended(self.number, name, number, outcome)
+        if outcome is Outcome.OK and name in self.tries:
+            self._answer(name, "served", 0.0)
+        else:
+            self._forget(name)
+        closed = name not in self.tries
+        self.hear(api.AttemptEnded(name, number, outcome, self.clock.now - attempt.sent, closed))
--- /dev/null
+++ b/lab/statistics.py
@@ -0,0 +1,106 @@
+"""Is one better, or is it noise: differences paired by seed, their interval, and how many seeds would tell.
+
+No I/O; the resamples are drawn from a fixed key, so that the same differences give the same words.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from statistics import NormalDist
+
+import msgspec
+import numpy as np
+
+RESAMPLES = 4000
+LEVEL = 0.95
+POWER = 0.8  # how often a true difference of the smallest that would show is seen
+_NORMAL = NormalDist()
+_Z = _NORMAL.inv_cdf(0.5 + LEVEL / 2.0)
+FEW = 5  # below so many pairs an interval says nothing
+
+
+class Interval(msgspec.Struct, frozen=True):
+    """A mean with its bootstrap interval; NaN ends where there are too few."""
+
+    mean: float
+    low: float
+    high: float
+    n: int
+
+    def half(self) -> float:
+        return (self.high - self.low) / 2.0
+
+
+def interval(values: Sequence[float]) -> Interval:
+    """The mean's interval at 95%, bias-corrected and accelerated (Efron, "Better Bootstrap Confidence
+    Intervals", 1987)."""
+    data = np.asarray(values, dtype=np.float64)
+    n = len(data)
+    if n == 0:
+        return Interval(math.nan, math.nan, math.nan, 0)
+    mean = float(data.mean())
+    if n < FEW:
+        return Interval(mean, math.nan, math.nan, n)
+    if float(data.std()) == 0.0:
+        return Interval(mean, mean, mean, n)
+    generator = np.random.Generator(np.random.Philox(key=n))
+    means = np.sort(data[generator.integers(0, n, size=(RESAMPLES, n))].mean(axis=1))
+    below = (np.count_nonzero(means < mean) + 0.5 * np.count_nonzero(means == mean)) / RESAMPLES
+    bias = _NORMAL.inv_cdf(min(max(below, 1.0 / RESAMPLES), 1.0 - 1.0 / RESAMPLES))
+    left_out = (data.sum() - data) / (n - 1)  # the jackknife
+    spread = left_out.mean() - left_out
+    squares = float((spread**2).sum())
+    bend = float((spread**3).sum()) / (6.0 * squares**1.5) if squares > 0 else 0.0
+    ends = []
+    for z in (-_Z, _Z):
+        moved = _NORMAL.cdf(bias + (bias + z) / max(1.0 - bend * (bias + z), 1e-9))
+        ends.append(float(means[min(max(int(moved * RESAMPLES), 0), RESAMPLES - 1)]))
+    return Interval(mean, ends[0], ends[1], n)
+
+
+class Comparison(msgspec.Struct, frozen=True):
+    """Two ways on the same seeds. ``shows`` is the smallest difference that so many seeds would show;
+    ``settles`` how many would tell a difference as large as the one seen from none (0: none seen)."""
+
+    difference: Interval  # the first less the second
+    shows: float
+    settles: int
+
+    def verdict(self, first: str, second: str, metric: str) -> str:
+        found = self.difference
+        if found.n < FEW:
+            return f"{found.n} seeds say nothing; play {FEW} at the least"
+        ends = f"[{found.low:+.4f}, {found.high:+.4f}]"
+        if found.low > 0.0 or found.high < 0.0:
+            more, less = (first, second) if found.mean > 0 else (second, first)
+            return f"{more} has {abs(found.mean):.4f} more {metric} than {less} {ends} at n = {found.n}"
+        words = f"no difference seen at n = {found.n} {ends}, smallest that would show {self.shows:.4f}"
+        if self.settles:
+            words += f"; {self.settles} seeds would settle one of {found.mean:+.4f}"
+        return words
+
+
+def compared(first: dict[int, float], second: dict[int, float]) -> Comparison:
+    """Values by seed; seeds that only one has are left out."""
+    seeds = sorted(first.keys() & second.keys())
+    differences = [first[seed] - second[seed] for seed in seeds]
+    found = interval(differences)
+    deviation = float(np.std(differences, ddof=1)) if len(seeds) > 1 else math.nan
+    shows = (_Z + _NORMAL.inv_cdf(POWER)) * deviation / math.sqrt(max(len(seeds), 1))
+    settles = 0
+    if deviation > 0 and found.mean != 0.0:
+        settles = min(math.ceil((_Z * deviation / found.mean) ** 2), 10**9)
+    return Comparison(found, shows, settles)
+
+
+def more_seeds(found: Interval, precision: float, most: int) -> int:
+    """How many further seeds make the interval half as wide as ``precision``, by the root of n; at least a
+    fifth more, at most ``most`` in all. 0: it is narrow enough, or the bound is reached."""
+    if found.n >= most or (found.n >= FEW and found.half() <= precision):
+        return 0
+    if found.n < FEW or precision <= 0:
+        wanted = max(2 * found.n, FEW)
+    else:
+        wanted = math.ceil(found.n * (found.half() / precision) ** 2)
+    return min(max(wanted, math.ceil(1.2 * found.n), found.n + 1), most) - found.n
--- /dev/null
+++ b/lab/troubles.py
@@ -0,0 +1,191 @@
+"""What befalls the market, when: each trouble of a scenario planned on the clock before the play begins.
+
+Who is hit is drawn from a stream of the trouble's own, before anything has happened: the same under every
+policy.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING
+
+from hareloom.interface import ServerState
+from lab.scenario import Trouble
+from lab.servers import DEAD, SILENT, UP, Server
+
+if TYPE_CHECKING:
+    from lab.market import Market
+    from lab.sidecars import Sidecar
+    from lab.streams import Stream
+
+
+def plan(market: Market) -> None:
+    for number, trouble in enumerate(market.scenario.troubles):
+        made = _Planned(market, trouble, market.streams.of("trouble", number, trouble.kind))
+        getattr(made, f"plan_{trouble.kind}")()
+
+
+class _Planned:
+    """One trouble; a method a kind. What it hits is among the servers and sidecars of the play's start."""
+
+    def __init__(self, market: Market, trouble: Trouble, chance: Stream) -> None:
+        self.market, self.made, self.chance = market, trouble, chance
+        self.clock = market.clock
+        self.start, self.end = trouble.at_ms, trouble.at_ms + trouble.for_ms
+
+    def hit(self) -> list[Server]:
+        servers = self.market.servers
+        count = min(math.ceil(self.made.share * len(servers)), len(servers))
+        return [servers[at] for at in sorted(self.chance.shuffled(len(servers))[:count])]
+
+    def hit_sidecars(self) -> list[Sidecar]:
+        sidecars = self.market.sidecars
+        count = min(math.ceil(self.made.share * len(sidecars)), len(sidecars))
+        return [sidecars[at] for at in sorted(self.chance.shuffled(len(sidecars))[:count])]
+
+    def during(self, begin: Callable[[], object], end: Callable[[], object]) -> None:
+        self.clock.at(self.start, begin)
+        self.clock.at(self.end, end)
+
+    # Servers
+
+    def _down(self, state: str) -> None:
+        for server in self.hit():
+            later = self.chance.uniform(0.0, self.made.spread_ms)
+            for turn in range(self.made.times):
+                begin = self.start + 2.0 * turn * self.made.for_ms
+                self.clock.at(begin, self._stop, server, state)
+                self.clock.at(begin + self.made.for_ms + later, server.start)
+
+    @staticmethod
+    def _stop(server: Server, state: str) -> None:
+        if server.state == UP:
+            server.stop(state)
+
+    def plan_silent(self) -> None:
+        self._down(SILENT)
+
+    def plan_dead(self) -> None:
+        self._down(DEAD)
+
+    plan_flapping = plan_dead
+
+    def plan_none(self) -> None:
+        for server in self.market.servers:
+            self.during(partial(self._stop, server, DEAD), server.start)
+
+    def plan_slow(self) -> None:
+        for server in self.hit():
+            self.during(
+                partial(setattr, server, "slow", self.made.size), partial(setattr, server, "slow", 1.0)
+            )
+
+    def plan_errors(self) -> None:
+        usual = self.market.scenario.servers.error_share
+        for server in self.hit():
+            self.during(
+                partial(setattr, server, "errors", min(self.made.size, 1.0)),
+                partial(setattr, server, "errors", usual),
+            )
+
+    def plan_replaced(self) -> None:
+        """Each hit server ends at a time of its own; a new one, of another name, takes its place."""
+        for server in self.hit():
+            self.clock.at(self.start + self.chance.uniform(0.0, self.made.for_ms), self._replace, server)
+
+    def _replace(self, server: Server) -> None:
+        self._stop(server, DEAD)
+        self.market.leaving.add(server.name)
+        self.market.add_server(server.kind)
+
+    def plan_drain(self) -> None:
+        """One after the other: told to finish, ended when its calls are done at the latest, and back cold."""
+        hit = self.hit()
+        for turn, server in enumerate(hit):
+            begin = self.start + turn * self.made.for_ms / max(len(hit), 1)
+            self.clock.at(begin, self._drain, server)
+
+    def _drain(self, server: Server) -> None:
+        most = max(item.deadline_ms for item in self.market.scenario.classes)
+        wait = self.market.scenario.allow.drain_grace_ms + most
+        self.market.discovery.tell(server, ServerState.DRAINING)
+        self.clock.at(wait, self._stop, server, DEAD)
+        self.clock.at(wait + 500.0, server.start)
+
+    def plan_shrink(self) -> None:
+        """The fleet gets smaller for good, and the load with it."""
+        hit = self.hit()
+        for turn, server in enumerate(hit):
+            self.clock.at(self.start + turn * self.made.for_ms / len(hit), self._leave, server)
+        self.clock.at(self.start, setattr, self.market.clients, "burst", 1.0 - self.made.share)
+
+    def _leave(self, server: Server) -> None:
+        most = max(item.deadline_ms for item in self.market.scenario.classes)
+        self.market.leaving.add(server.name)
+        self.market.discovery.tell(server, ServerState.DRAINING)
+        self.clock.at(self.market.scenario.allow.drain_grace_ms + most, self._stop, server, DEAD)
+
+    # The network
+
+    def plan_partition(self) -> None:
+        zones = self.market.scenario.network.zones
+        if len(zones) > 1:
+            self.during(lambda: self.market.cut.add(zones[-1]), lambda: self.market.cut.discard(zones[-1]))
+
+    def plan_loss(self) -> None:
+        self.during(
+            partial(setattr, self.market, "loss", min(self.made.size, 1.0)),
+            partial(setattr, self.market, "loss", 0.0),
+        )
+
+    # Discovery
+
+    def plan_away(self) -> None:
+        self.during(self.market.discovery.go_away, self.market.discovery.come_back)
+
+    def plan_late(self) -> None:
+        found = self.market.discovery
+        self.during(
+            partial(setattr, found, "late_ms", self.made.size), partial(setattr, found, "late_ms", 0.0)
+        )
+
+    def plan_wrong(self) -> None:
+        hit = self.hit()
+        self.during(lambda: self.market.discovery.mistake(hit), lambda: self.market.discovery.mend(hit))
+
+    # Clients
+
+    def plan_burst(self) -> None:
+        clients = self.market.clients
+        self.during(
+            partial(setattr, clients, "burst", self.made.size), partial(setattr, clients, "burst", 1.0)
+        )
+
+    def plan_hot(self) -> None:
+        hot = self.market.clients.hot
+        hit = {sidecar.number: self.made.size for sidecar in self.hit_sidecars()}
+        self.during(lambda: hot.update(hit), hot.clear)
+
+    def plan_loud(self) -> None:
+        names = [item.name for item in self.market.scenario.members]
+        loud, member = self.market.clients.loud, names.index(self.made.member)
+        self.during(lambda: loud.update({member: self.made.size}), lambda: loud.pop(member, None))
+
+    # Sidecars
+
+    def plan_die(self) -> None:
+        for sidecar in self.hit_sidecars():
+            later = self.chance.uniform(0.0, self.made.spread_ms)
+            self.clock.at(self.start, sidecar.die)
+            self.clock.at(self.end + later, self._restart, sidecar)
+
+    @staticmethod
+    def _restart(sidecar: Sidecar) -> None:
+        if not sidecar.up:
+            sidecar.start()
+
+    def plan_pause(self) -> None:
+        for sidecar in self.hit_sidecars():
+            self.during(sidecar.pause, sidecar.resume)
--- /dev/null
+++ b/lab/wire_sidecars.py
@@ -0,0 +1,318 @@
+"""Real sidecars as the market's models meet them: a process each, its clients' connections, and the list it
+is told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Literal, cast
+
+from hareloom import interface as api
+from hareloom.interface import ListKind
+from lab.clients import Try
+from lab.revisions import ROOT
+from lab.servers import Server
+from lab.wire_servers import BUSY, WireServer
+from rigs import fleet
+from rigs.rpc_peer import RpcCaller
+
+if TYPE_CHECKING:
+    from lab.sockets import WireMarket
+
+Speaks = Literal["http", "rpc"]
+
+
+class _ClientSide(fleet._Messages):
+    """A client's connection to its sidecar: one request at a time."""
+
+    def __init__(self, sidecar: WireSidecar) -> None:
+        super().__init__()
+        self.sidecar = sidecar
+        self.held: Try | None = None
+
+    def ask(self, held: Try, life: float) -> None:
+        self.held = held
+        klass = held.call.klass
+        method, body = ("GET", b"") if klass.effect == "safe" else ("POST", b"b" * 64)
+        key = f"idempotency-key: key-{held.name}\r\n" if klass.effect == "keyed" else ""
+        mark = "x-repeat: 1\r\n" if held.marked else ""
+        self.transport.write(
+            f"{method} /api HTTP/1.1\r\nhost: api.internal\r\nx-correlation-id: {held.name}\r\n"
+            f"x-service-class: {klass.name}\r\nx-time-left-ms: {round(life)}\r\n{key}{mark}"
+            f"content-length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+
+    def message(self, head: bytes, body: bytes) -> None:
+        held, self.held = self.held, None
+        if fleet.head_value(head, b"connection").lower() == b"close":
+            self.transport.close()
+        else:
+            self.sidecar.idle.append(self)
+        if held is None:
+            return
+        status = int(head[9:12])
+        what = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
+        if what == "served" and body != b"done:" + held.name.encode():
+            self.sidecar.market.checker.breach("lost", f"{held.name} got another call's answer")
+        advice = fleet.head_value(head, b"retry-after") or b"0"
+        self.sidecar.answered(held, what, float(advice) * 1000.0)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self in self.sidecar.idle:
+            self.sidecar.idle.remove(self)
+        held, self.held = self.held, None
+        if held is not None:
+            self.sidecar.cut(held)
+
+
+class _Agent(fleet._Messages):
+    """Discovery as one sidecar meets it: a watch is held until there is something new."""
+
+    def __init__(self, sidecar: WireSidecar) -> None:
+        super().__init__()
+        self.sidecar = sidecar
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.sidecar.agents.add(self)
+
+    def message(self, head: bytes, body: bytes) -> None:
+        after = head.partition(b"after=")[2][:18].partition(b"&")[0].partition(b" ")[0]
+        wait = head.partition(b"wait_ms=")[2][:8].partition(b"&")[0].partition(b" ")[0]
+        if self.sidecar.market.discovery.away:
+            if self.sidecar.market.scenario.discovery.mode == "ask":
+                self.transport.abort()
+            return
+        if not after.isdigit() or int(after) < self.sidecar.version + 1 or not wait.isdigit():
+            self.send()
+        else:
+            delay = min(int(wait), 60_000) / 1000.0
+            self.timer = asyncio.get_running_loop().call_later(delay, self.send)
+
+    def send(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if not self.transport.is_closing():
+            data = json.dumps(self.sidecar.list_told()).encode()
+            self.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(data), data))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.sidecar.agents.discard(self)
+        if self.timer is not None:
+            self.timer.cancel()
+
+
+class WireSidecar:
+    """A real sidecar as a process, as the market's models meet it."""
+
+    def __init__(self, market: WireMarket, number: int, speaks: Speaks) -> None:
+        self.market, self.number, self.speaks = market, number, speaks
+        zones = market.scenario.network.zones
+        self.zone = zones[number % len(zones)]
+        self.net, self.lag = market.streams.of("net", number), market.streams.of("lag", number)
+        self.up, self.paused, self.life, self.version, self.subscribed = False, False, 0, 0, True
+        self.known: dict[str, api.ServerEntry] = {}
+        self.sent: dict[str, int] = {}
+        self.idle: list[_ClientSide] = []
+        self.busy: dict[str, _ClientSide] = {}
+        self.agents: set[_Agent] = set()
+        self.running: fleet.Running | None = None
+        self.rpc_port = 0
+        self.rpc: RpcCaller | None = None
+        self._opening = asyncio.Lock()
+        self._stack = AsyncExitStack()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.tries = market.tries  # as the checker asks
+
+    def delay(self, server: Server) -> float:
+        net = self.market.scenario.network
+        base = net.same_ms if server.zone == self.zone else net.cross_ms
+        return base * (1.0 + net.jitter * self.net.random())
+
+    def _do(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def begin(self, entries: tuple[api.ServerEntry, ...]) -> None:
+        self.known = {entry.server: entry for entry in entries}
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: _Agent(self), "127.0.0.1", 0)
+        self._stack.callback(server.close)
+        self.agent_port = server.sockets[0].getsockname()[1]
+        await self._run()
+
+    async def _run(self) -> None:
+        words: tuple[str, ...] = ()
+        if self.speaks == "rpc":
+            folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+            (folder / "sidecar.toml").write_text(self._operator(), encoding="utf-8")
+            words = ("--operator", str(folder / "sidecar.toml"))
+        config = self.market.config(self)
+        self.running = await self._stack.enter_async_context(fleet.program(ROOT, config, *words))
+        if words:
+            self.rpc_port = await self.running.said_port()
+        self.up, self.life = True, self.life + 1
+        self.market.checker.started(self.number)
+        told = api.ServerList(ListKind.FULL, self.version, tuple(self.known.values()))
+        self.market.checker.listed(self.number, self.market.clock.now, told)
+
+    def _operator(self) -> str:
+        """The operator's file: each class a method of its name."""
+        lines = ["[rpc]", 'listen = "127.0.0.1:0"', f'turned_away = ["{BUSY}"]']
+        for item in self.market.scenario.classes:
+            lines += ["[[rpc.methods]]", f'pattern = "{item.name}"', f'class = "{item.name}"']
+            lines += ['id = [0, "id"]', 'deadline = [0, "left_ms"]']
+            if item.effect == "keyed":
+                lines.append('key = [0, "key"]')
+        return "\n".join(lines)
+
+    async def close(self) -> None:
+        self.up = False  # what ends from here on is ended by the play's end
+        if self.rpc is not None:
+            self.rpc.close()
+        for task in list(self._tasks):
+            task.cancel()
+        for side in [*self.idle, *self.busy.values(), *self.agents]:
+            side.transport.abort()
+        await self._stack.aclose()
+
+    # What befalls it
+
+    def start(self, entries: Any = None) -> None:
+        self._do(self._run())
+
+    def die(self) -> None:
+        if self.up and self.running is not None:
+            self.up, self.life = False, self.life + 1
+            self.running.process.kill()
+            self.sent.clear()
+
+    def pause(self) -> None:
+        if self.up and self.running is not None:
+            self.paused = True
+            self.running.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        if self.paused and self.running is not None:
+            self.paused = False
+            self.running.process.send_signal(signal.SIGCONT)
+
+    # The list
+
+    def hear(self, event: api.ServerList) -> None:
+        if event.kind is ListKind.LOST:
+            self.subscribed = True
+            for agent in list(self.agents):
+                agent.transport.abort()
+            return
+        for entry in event.entries:
+            self.known[entry.server] = entry
+        self.market.checker.listed(self.number, self.market.clock.now, event)
+        for agent in [agent for agent in self.agents if agent.timer is not None]:
+            agent.send()
+        self.known = {k: e for k, e in self.known.items() if e.state is not api.ServerState.GONE}
+
+    def list_told(self) -> dict[str, Any]:
+        market = self.market
+        if market.scenario.discovery.mode == "ask":
+            self.version = len(market.discovery.changes)
+            self.known = dict(market.discovery.entries)
+        dials = {name: cast(WireServer, market.by_name[name]).dials() for name in self.known}
+        hosts = [
+            {
+                "host": entry.server,
+                "dial": dials[entry.server][0],
+                "dial_rpc": dials[entry.server][1],
+                "site": entry.zone,
+                "class": entry.kind,
+                "block": entry.cell,
+                "health": "up" if entry.state is api.ServerState.READY else "draining",
+                "share": entry.size,
+                "born_ms": 0 if entry.started_at is None else round(market.began_unix_ms + entry.started_at),
+            }
+            for entry in self.known.values()
+            if entry.state is not api.ServerState.GONE
+        ]
+        return {"seq": self.version + 1, "whole": True, "hosts": hosts}
+
+    # Calls
+
+    def ask(self, held: Try, until: float) -> None:
+        self.market.tries[held.name] = held
+        self._do(self._ask(held, until))
+
+    async def _ask(self, held: Try, until: float) -> None:
+        if self.speaks == "rpc":
+            await self._call(held, until)
+            return
+        try:
+            if self.idle:
+                side = self.idle.pop()
+            else:
+                assert self.running is not None
+                loop = asyncio.get_running_loop()
+                _, side = await loop.create_connection(
+                    lambda: _ClientSide(self), "127.0.0.1", self.running.port
+                )
+        except OSError:
+            self.cut(held)
+            return
+        if not held.open:
+            self.idle.append(side)
+            return
+        self.busy[held.name] = side
+        self.market.checker.asked(self.number, held, until)
+        side.ask(held, until - self.market.clock.now)
+
+    async def _call(self, held: Try, until: float) -> None:
+        """Over MessagePack-RPC: all calls on one connection, which nothing but its end gives up."""
+        try:
+            async with self._opening:
+                if self.rpc is None or self.rpc.writer.is_closing():
+                    self.rpc = await RpcCaller.connect(self.rpc_port)
+            self.market.checker.asked(self.number, held, until)
+            left = round(until - self.market.clock.now)
+            params = {"id": held.name, "key": f"key-{held.name}", "left_ms": left}
+            error, result = await self.rpc.send(held.call.klass.name, params)
+        except OSError:
+            self.cut(held)
+            return
+        code = error.get("code") if isinstance(error, dict) else None
+        what = "served" if error is None else "refused" if code == "refused" else "failed"
+        if error is None and result != [held.name]:
+            self.market.checker.breach("lost", f"{held.name} got another call's answer")
+        self.answered(held, what, float(error.get("retry_after_ms", 0.0)) if code == "refused" else 0.0)
+
+    def answered(self, held: Try, what: str, advice_ms: float) -> None:
+        self.busy.pop(held.name, None)
+        if held.open:
+            self.market.checker.final(self.number, held.name, what, self.market.clock.now)
+            if what == "served":
+                self.market.heard(held)
+        self.market.tries.pop(held.name, None)
+        self.sent.pop(held.name, None)
+        self.market.clients.ended(held, what, advice_ms)
+
+    def cut(self, held: Try) -> None:
+        """The connection ended without an answer."""
+        self.busy.pop(held.name, None)
+        if held.open and self.up and held.life == self.life:
+            self.market.checker.breach("lost", f"{held.name} was cut off by a running sidecar")
+        self.market.clients.ended(held, "cut", 0.0)
+
+    def gone(self, held: Try) -> None:
+        side = self.busy.pop(held.name, None)
+        if self.speaks == "rpc":
+            return  # nothing tells the sidecar; what it was told of the time left does
+        self.market.checker.left(self.number, held.name, self.market.clock.now)
+        if side is not None:
+            side.held = None
+            side.transport.abort()
--- /dev/null
+++ b/tests/test_lab_experiments.py
@@ -0,0 +1,392 @@
+"""Experiments: what is missing is played and lands whole, and what is said of it is what the rows hold."""
+
+from __future__ import annotations
+
+import math
+import os
+import shutil
+import signal
+import statistics
+import subprocess
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lab import experiment, hunt, pool, report, running, scenario, tables
+from lab.command import main
+from lab.experiment import Plan, Play, Point
+from lab.measures import Row
+from lab.reduce import Symptom, candidates, reduced
+from lab.results import Folder, Mixed, of_one_code
+from lab.revisions import libraries
+from lab.scenario import Draw, Wrong
+from lab.statistics import compared, interval, more_seeds
+from lab.worker import Job, broken
+
+TINY = """
+name = "tiny"
+seconds = 3
+settle_ms = 500
+[servers]
+count = 3
+kinds = [{ workers = 1 }]
+[sidecars]
+count = 2
+[[troubles]]
+kind = "dead"
+at_ms = 1000
+for_ms = 500
+share = 0.3
+"""
+PLAN = """
+name = "try"
+scenarios = ["tiny.toml"]
+policies = ["module", "least of two"]
+seeds = 3
+[factors]
+"load.share" = [0.5, 0.9]
+"servers.warm_up_ms" = [500, 1500]
+"""
+
+
+@pytest.fixture
+def plan(tmp_path: Path) -> Plan:
+    (tmp_path / "tiny.toml").write_text(TINY)
+    (tmp_path / "plan.toml").write_text(PLAN)
+    return experiment.load(tmp_path / "plan.toml")
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> Iterator[tuple[Plan, Path]]:
+    folder = tmp_path_factory.mktemp("played")
+    (folder / "tiny.toml").write_text(TINY)
+    (folder / "plan.toml").write_text(PLAN)
+    plan = experiment.load(folder / "plan.toml")
+    running.make(plan, folder / "all", workers=2)
+    yield plan, folder / "all"
+
+
+def copied(folder: Path, to: Path) -> Path:
+    shutil.copytree(folder, to)
+    return to
+
+
+# Results
+
+
+def test_one_worker_and_two_shards_come_to_the_same_bytes(played: tuple[Plan, Path], tmp_path: Path) -> None:
+    plan, whole = played
+    for part in ("1/2", "2/2"):
+        running.make(plan, tmp_path / part[0], workers=1, part=part)
+    Folder(tmp_path / "both", libraries()).compact([Folder(tmp_path / "1"), Folder(tmp_path / "2")])
+    assert len(Folder(whole).load().rows) == 24
+    for name in ("plays.parquet", "series.parquet"):
+        assert (tmp_path / "both" / name).read_bytes() == (whole / name).read_bytes()
+
+
+def test_a_second_run_plays_only_what_is_missing(
+    played: tuple[Plan, Path], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plan, whole = played
+    folder = copied(whole, tmp_path / "here")
+    seen: list[int] = []
+    running.make(plan, folder, workers=1, progress=lambda done, of, _: seen.append(of))
+    assert not seen
+    loaded = Folder(folder).load()
+    (folder / "plays.parquet").unlink()
+    Folder(folder).add(loaded.rows[:-2], [])
+    running.make(plan, folder, workers=1, progress=lambda done, of, _: seen.append(of))
+    assert seen == [2, 2]
+
+
+@pytest.mark.parametrize("keep", [0, 3, 100, -1])
+def test_a_file_cut_short_is_set_aside_and_its_plays_are_made_again(
+    played: tuple[Plan, Path], tmp_path: Path, keep: int, capsys: pytest.CaptureFixture[str]
+) -> None:
+    plan, whole = played
+    folder = copied(whole, tmp_path / "here")
+    file = folder / "plays.parquet"
+    file.write_bytes(file.read_bytes()[:keep])
+    (folder / "parts").mkdir()
+    (folder / "parts" / "plays-all-1-00000.unfinished").write_bytes(b"PAR1 killed in mid-write")
+    loaded = running.make(plan, folder, workers=2)
+    assert loaded.rows == Folder(whole).load().rows
+    assert (folder / "plays.damaged").exists() and "set aside" in capsys.readouterr().err
+
+
+def test_results_of_another_code_are_not_mixed_in(played: tuple[Plan, Path], tmp_path: Path) -> None:
+    plan, whole = played
+    folder = copied(whole, tmp_path / "here")
+    rows = Folder(folder).load().rows
+    older = [row | {"code": "0" * 16, "score": 0.0} for row in rows]
+    Folder(folder).add(older, [])
+    with pytest.raises(Mixed, match=r"several codes .*--code"):
+        of_one_code(Folder(folder).load().rows)
+    assert of_one_code(Folder(folder).load().rows, [rows[0]["code"]]) == rows
+    seen: list[int] = []
+    running.make(plan, folder, workers=1, progress=lambda done, of, _: seen.append(of))
+    assert not seen, "this code's plays are all there"
+
+
+def test_a_worker_that_is_killed_costs_its_play_alone(plan: Plan, monkeypatch: pytest.MonkeyPatch) -> None:
+    killed = []
+    usual = pool._Worker.play
+
+    def play(worker: Any, job: Job) -> Any:
+        if job.seed == 2 and job.policy == "module":
+            os.kill(worker._process.pid, signal.SIGKILL)
+            killed.append(1)
+        return usual(worker, job)
+
+    monkeypatch.setattr(pool._Worker, "play", play)
+    codes = dict.fromkeys(plan.experiment.policies, "c")
+    jobs = [
+        (play_, Job(source=plan.source(play_.point), policy=play_.point.policy, seed=play_.seed), pool.ROOT)
+        for play_ in list(plan.plays(codes))[::4]
+    ]
+    found = {(p.point.label(), p.seed): f.row for p, f in pool.run(jobs, 2)}
+    faults = {key: row.fault for key, row in found.items() if row.fault}
+    assert len(found) == len(jobs) and len(killed) == pool.TRIES * len(faults)
+    assert all(seed == 2 and "the worker ended" in fault for (_, seed), fault in faults.items()) and faults
+
+
+def test_a_play_that_raises_is_a_row_with_its_fault(plan: Plan) -> None:
+    source = plan.sources["tiny"]
+    job = Job(source=msgspec.structs.replace(source, tree={"name": 3}), policy="module", seed=1)
+    point = Point(scenario="tiny", policy="module")
+    [(_, found)] = pool.run([(Play(point=point, seed=1, code=""), job, pool.ROOT)], 1)
+    assert found.row.fault.startswith("Wrong: ") and found.row.score == 0.0
+
+
+# What is asked for
+
+
+def test_shards_split_the_plays_and_seeds_come_first(plan: Plan) -> None:
+    plays = list(plan.plays({"module": "a", "least of two": "b"}))
+    parts = [experiment.shard(plays, f"{n}/3") for n in (1, 2, 3)]
+    assert sorted(p.key() for part in parts for p in part) == sorted(p.key() for p in plays)
+    assert [p.seed for p in plays] == sorted(p.seed for p in plays)
+    for bad in ("0/3", "4/3", "3", "a/b"):
+        with pytest.raises(Wrong, match="--shard"):
+            experiment.shard(plays, bad)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("lode = 1", r"s\.toml: the file: .*lode"),
+        ("[load]\nshare = 'a'", r"s\.toml: load\.share: Expected `float`"),
+        ("[load]\nshare = -1.0", r"s\.toml: load\.share: "),
+        ("[[troubles]]\nkind = 'rain'", r"s\.toml: troubles\[0\]\.kind: "),
+        ("[[troubles]]\nkind = 'loud'\nmember = 'x'", r"troubles\.0\.member: 'x' is no member"),
+        ("[[classes]]\nname = 'a'\n[[classes]]\nname = 'a'", "classes: a name stands twice"),
+        ("[[classes]]\nname = 'a'\naim_ms = 9e9", r"classes\.0\.aim_ms: beyond the deadline"),
+        ("[draw]\n'load.share' = { low = 2.0, high = 1.0 }", r"draw\.load\.share: low is above high"),
+        ("[draw]\n'load.share' = { low = 2.0 }", "give low and high, or one_of"),
+        ("[draw]\n'troubles.3.size' = { one_of = [1] }", r"troubles\.3\.size: there is no such place"),
+        ("include = ['s.toml']", "includes itself"),
+        ("include = 's.toml'", "not an array"),
+        ("include = ['gone.toml']", r"gone\.toml: "),
+        ("[load", r"s\.toml: "),
+    ],
+)
+def test_what_cannot_be_used_is_one_line_with_file_and_field(tmp_path: Path, text: str, said: str) -> None:
+    file = tmp_path / "s.toml"
+    file.write_text(('name = "s"\n' if "include" not in text else "") + text)
+    with pytest.raises(Wrong, match=said) as found:
+        scenario.load(file)
+    assert "\n" not in str(found.value)
+
+
+def test_an_included_file_lies_under_and_what_is_set_is_not_drawn(tmp_path: Path) -> None:
+    (tmp_path / "under.toml").write_text('name = "u"\n[load]\nshare = 0.2\nburst = 3\n')
+    (tmp_path / "s.toml").write_text(
+        'include = ["under.toml"]\n[load]\nshare = 0.4\n[draw]\n"servers.count" = { low = 3, high = 90 }\n'
+    )
+    source = scenario.load(tmp_path / "s.toml")
+    made = source.play_of(1)
+    assert (made.name, made.load.share, made.load.burst) == ("u", 0.4, 3)
+    assert len({source.play_of(seed).servers.count for seed in range(20)}) > 8
+    assert {source.changed({"servers.count": 7}).play_of(seed).servers.count for seed in range(5)} == {7}
+
+
+# Is it better
+
+
+def test_an_interval_holds_the_mean_as_often_as_it_says() -> None:
+    held = 0
+    for turn in range(200):
+        values = [math.exp(((turn * 7919 + n * 104_729) % 10_007) / 10_007 * 2.0) for n in range(30)]
+        found = interval(values)
+        truth = (math.exp(2.0) - 1.0) / 2.0
+        held += found.low <= truth <= found.high
+    assert held >= 180
+    assert math.isnan(interval([1.0, 2.0]).low) and interval([3.0] * 9).half() == 0.0
+
+
+def test_a_verdict_says_better_or_how_many_seeds_would_tell() -> None:
+    base = {n: math.sin(n * 12.9898) for n in range(20)}
+    better = {n: value + 0.2 + 0.02 * math.cos(n * 78.2) for n, value in base.items()}
+    assert compared(better, base).verdict("a", "b", "score").startswith("a has 0.2")
+    assert compared(base, better).verdict("a", "b", "score").startswith("b has 0.2")
+    same = {n: value + 0.05 * math.cos(n * 3.7) for n, value in base.items()}
+    words = compared(same, base).verdict("a", "b", "score")
+    assert words.startswith("no difference seen at n = 20") and "seeds would settle" in words
+    assert compared({1: 1.0}, {1: 2.0}).verdict("a", "b", "score").startswith("1 seeds say nothing")
+
+
+@settings(deadline=None, max_examples=60)
+@given(st.lists(st.floats(-1.0, 1.0), min_size=0, max_size=40), st.floats(0.0, 0.5), st.integers(1, 200))
+def test_more_seeds_end_at_the_bound_or_where_it_is_narrow_enough(
+    values: list[float], precision: float, most: int
+) -> None:
+    found = interval(values)
+    more = more_seeds(found, precision, most)
+    assert more >= 0 and (more == 0 or found.n + more <= most)
+    if more == 0:
+        assert found.n >= most or found.half() <= precision
+
+
+# What is found is made small
+
+
+def row(**fields: Any) -> Row:
+    return msgspec.structs.replace(broken(""), **fields)
+
+
+def test_a_hunt_closes_in_on_the_worst(tmp_path: Path) -> None:
+    drawn = [
+        '"load.share" = { low = 0.1, high = 1.5 }',
+        '"servers.count" = { low = 1, high = 64, log = true }',
+        '"clients.growing" = { one_of = [true, false] }',
+    ]
+    (tmp_path / "s.toml").write_text("\n".join(['name = "s"', "[draw]", *drawn]))
+    search = hunt.Hunt(scenario.load(tmp_path / "s.toml"))
+    for _ in range(6):
+        tried = []
+        for values, seed in search.propose(16):
+            score = abs(values["load.share"] - 0.9) + abs(math.log(values["servers.count"] / 20.0))
+            tried.append(hunt.Tried(values=values, seed=seed, row=row(score=score)))
+        search.told(tried)
+    [worst] = search.worst(1)
+    assert abs(worst.values["load.share"] - 0.9) < 0.1 and 16 <= worst.values["servers.count"] <= 25
+    made = scenario.typed(search.file_of(worst), "found")
+    assert made.load.share == worst.values["load.share"]
+    broke = hunt.Tried(values=worst.values, seed=99, row=row(score=0.9, broke_twice=1))
+    search.told([broke])
+    assert search.worst(1) == [broke], "a broken rule is worse than any score"
+
+
+@settings(deadline=None, max_examples=60)
+@given(st.floats(0.1, 5.0), st.floats(1.01, 50.0), st.booleans(), st.floats(0.0, 1.0))
+def test_half_a_range_lies_within_it_and_holds_the_value(
+    low: float, times: float, log: bool, at: float
+) -> None:
+    given_, high = Draw(low=low, high=low * times, log=log), low * times
+    value = low + (high - low) * at
+    half = hunt.halved(given_, value)
+    assert half.low is not None and half.high is not None
+    assert low - 1e-6 <= half.low <= value + 1e-6 and value - 1e-6 <= half.high <= high + 1e-6
+
+
+def test_a_scenario_is_reduced_to_what_shows_the_symptom() -> None:
+    tree = {
+        "name": "s",
+        "seconds": 40.0,
+        "servers": {"count": 16, "queue": 3},
+        "sidecars": {"count": 8},
+        "load": {"share": 0.9, "burst": 4},
+        "troubles": [{"kind": kind, "at_ms": 1000.0} for kind in ("dead", "slow", "loss")],
+    }
+
+    def shows(made: dict[str, Any]) -> bool:
+        kinds = [item["kind"] for item in made["troubles"]]
+        return "slow" in kinds and made["servers"]["count"] >= 4 and made["load"].get("burst", 1) == 4
+
+    smaller, plays = reduced(tree, shows, 200)
+    assert smaller["troubles"] == [{"kind": "slow", "at_ms": 1000.0}] and smaller["servers"] == {"count": 4}
+    assert smaller["sidecars"] == {"count": 1} and smaller["load"] == {"burst": 4} and plays <= 200
+    assert smaller["seconds"] < 8.0
+    assert reduced(tree, lambda _: True, 3)[1] == 3 and tree["sidecars"] == {"count": 8}
+    assert all(made != tree for _, made in candidates(tree))
+
+
+@pytest.mark.parametrize(
+    ("symptom", "fields", "shows"),
+    [
+        (Symptom(rule="fall"), {"broke_fall": 2}, True),
+        (Symptom(rule="twice"), {"broke_fall": 2}, False),
+        (Symptom(below=0.5), {"score": 0.4}, True),
+        (Symptom(below=0.5), {"score": 0.6}, False),
+        (Symptom(below=0.5), {"score": 0.0, "fault": "ended"}, False),
+    ],
+)
+def test_a_symptom_is_a_broken_rule_or_a_low_score(
+    symptom: Symptom, fields: dict[str, Any], shows: bool
+) -> None:
+    assert symptom.shows(row(**fields)) is shows
+
+
+# Reports and the command
+
+
+def test_a_report_is_a_function_of_its_rows(played: tuple[Plan, Path], tmp_path: Path) -> None:
+    _, whole = played
+    pages = [report.write(Folder(whole).load(), tmp_path / name, "try") for name in ("a", "b")]
+    text = pages[0].read_text()
+    assert "least of two" in text and "Broken rules" in text and "never" in text
+    files = sorted(path.name for path in (tmp_path / "a").iterdir())
+    assert {"scores.png", "latency-tiny.png", "map-0.png", "map-1.png", "report.html"} < set(files)
+    for name in files:
+        assert (tmp_path / "a" / name).read_bytes() == (tmp_path / "b" / name).read_bytes(), name
+
+
+def test_cells_hold_what_their_rows_hold(played: tuple[Plan, Path]) -> None:
+    rows = Folder(played[1]).load().rows
+    found = tables.cells(rows, "service")
+    assert len(found) == 8 and all(cell.metric.n == 3 for cell in found)
+    [cell] = [
+        c
+        for c in found
+        if c.point.policy == "module" and c.point.changes == {"load.share": 0.5, "servers.warm_up_ms": 500}
+    ]
+    own = tables.by_seed(rows, cell.point, "service")
+    assert cell.metric.mean == pytest.approx(statistics.mean(own.values())) and len(own) == 3
+    assert len(tables.beside(rows, "module", "score")) == 4
+
+
+def test_the_command_plays_compares_reduces_and_names_what_is_wrong(tmp_path: Path) -> None:
+    file = tmp_path / "tiny.toml"
+    file.write_text(TINY)
+    call = CliRunner().invoke
+    assert '"score"' in call(main, ["play", str(file), "--set", "load.share=0.5"]).output
+    same = call(main, ["compare", str(file), "--seeds", "5", "--workers", "2"])
+    assert same.exit_code == 0 and "no difference seen at n = 5" in same.output
+    out = tmp_path / "small.toml"
+    words = ["reduce", str(file), "--seed", "1", "--below", "2", "--plays", "12", "--out", str(out)]
+    assert call(main, words).exit_code == 0 and "Seed 1: score below 2" in out.read_text()
+    for bad in (["play", str(file), "--policy", "x"], ["play", str(file), "--set", "load.share=x"]):
+        result = call(main, bad)
+        assert result.exit_code == 2 and result.output.startswith("lab: ") and result.output.count("\n") == 1
+    assert '"$defs"' in call(main, ["schema"]).output
+
+
+def test_an_older_revisions_decisions_are_loaded_from_the_history(tmp_path: Path) -> None:
+    known = subprocess.run(["git", "rev-parse", "HEAD"], cwd=pool.ROOT, capture_output=True)
+    if known.returncode:
+        pytest.skip("no history here")
+    file = tmp_path / "tiny.toml"
+    file.write_text(TINY)
+    words = ["compare", str(file), "--b", "module@HEAD", "--seeds", "5", "--workers", "2"]
+    result = CliRunner().invoke(main, [*words, "--out", str(tmp_path / "out")])
+    assert result.exit_code == 0 and "at n = 5" in result.output
+    rows = Folder(tmp_path / "out").load().rows
+    assert {row["policy"] for row in rows} == {"module", "module@HEAD"} and not any(r["fault"] for r in rows)
+    result = CliRunner().invoke(main, ["compare", str(file), "--b", "module@nowhere"])
+    assert result.exit_code == 2 and "no revision" in result.output
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -30,9 +30,9 @@
 from anisestair.storms.watch import KEPT_CHANGES, Watch
 from hareloom import interface as api
 from hareloom.interface import ListKind, Outcome, ServerState
+from lab import scenario
+from lab.market import Market
 from rigs import fleet
-from rigs.storm_scenario import Scenario
-from rigs.storm_twin import Twin
 from statecheck import explore, lasting
 
 CALM = Figures(
@@ -319,14 +319,18 @@
 # The fleet in virtual time
 
 
-def twin(**changes: object) -> Twin:
-    made = {"name": "t", "seconds": 32, "sidecars": 3, "servers": {"count": 5, "workers": 2}, "load": 0.7}
-    return Twin(msgspec.convert(made | changes, Scenario), 1, watched=True).run()
+def changes_in(**tables: object) -> list[tuple[int, Change]]:
+    """Of the state, by sidecar, in a market of three."""
+    made = {"name": "t", "seconds": 32, "sidecars": {"count": 3}, "load": {"share": 0.7}}
+    servers = {"count": 5, "kinds": [{"workers": 2}]}
+    market = Market(scenario.typed(made | {"servers": servers} | tables, "test"), 1, watched=True)
+    market.run()
+    return market.measures.changes
 
 
 def test_every_sidecar_sees_the_storm_of_an_outage_and_its_end() -> None:
-    outage = {"at_ms": 6000, "for_ms": 5000, "share": 0.4}
-    found = twin(outage=outage, clients={"ignoring": 0.3}).changes
+    outage = {"kind": "silent", "at_ms": 6000, "for_ms": 5000, "share": 0.4}
+    found = changes_in(troubles=[outage], clients={"ignoring": 0.3})
     for number in range(3):
         own = [change for who, change in found if who == number]
         assert [change.after.value for change in own][:2] == ["forming", "storm"], own
@@ -335,7 +339,7 @@
 
 
 def test_a_plain_burst_is_not_taken_for_a_storm() -> None:
-    found = twin(outage={"kind": "none"}, clients={"burst": 1.25}).changes
+    found = changes_in(troubles=[{"kind": "burst", "at_ms": 15_000, "for_ms": 5000, "size": 1.25}])
     assert [change for _, change in found if change.after is State.STORM] == []
 
 
