Hold one policy against each other in reports, with the intervals of their differences

Need: the report showed means and intervals by policy, from which a paired difference cannot be read. Measured: the same bytes for the same rows (tests/test_lab_experiments.py).

--- a/lab/report.py
+++ b/lab/report.py
@@ -17,12 +17,15 @@
 STYLE = (
     "body{font:15px/1.45 sans-serif;max-width:1000px;margin:2em auto;padding:0 1em}"
     "table{border-collapse:collapse;margin:1em 0;font-size:13px}td,th{border:1px solid #ccc;padding:3px 8px}"
-    "td.n{text-align:right}tr.broken td{background:#fdd}img{max-width:100%}"
+    "td.n{text-align:right}tr.broken td{background:#fdd}tr.same td{color:#888}img{max-width:100%}"
 )
 
 
-def write(loaded: Loaded, folder: Path, title: str, metric: str = "score", multiple: float = 2.5) -> Path:
-    """The page's path. Raises results.Mixed where rows of several codes lie in one policy."""
+def write(
+    loaded: Loaded, folder: Path, title: str, metric: str = "score", multiple: float = 2.5, own: str = ""
+) -> Path:
+    """The page's path. ``own`` is the policy that all others are held against; the first by name where it is
+    empty. Raises results.Mixed where rows of several codes lie in one policy."""
     rows = of_one_code(loaded.rows)
     folder.mkdir(parents=True, exist_ok=True)
     found = tables.cells(rows, metric)
@@ -31,6 +34,7 @@
         charts.scores(found, metric, folder / "scores.png")
         parts += [_image("scores.png"), _table(found, metric)]
         parts.append(_broken(found))
+        parts.append(_beside(rows, own or found[0].point.policy, metric))
     for at, plane in enumerate(tables.maps(rows, metric)):
         name = f"map-{at}.png"
         charts.plane(plane, metric, folder / name)
@@ -107,6 +111,31 @@
     return "\n".join([*lines, "</table>"])
 
 
+def _beside(rows: Sequence[dict[str, Any]], own: str, metric: str) -> str:
+    """A policy's differences from each other on the same seeds; what an interval does not tell apart is
+    grey."""
+    compared = tables.beside(rows, own, metric)
+    if not compared:
+        return ""
+    heads = ("scenario", "levels", "against", f"{metric}: {own} less it", "95% interval", "seeds")
+    lines = [f"<h2>{escape(own)} against the others</h2>"]
+    lines.append("<table><tr>" + "".join(f"<th>{escape(head)}</th>" for head in heads) + "</tr>")
+    for point, item in compared:
+        found = item.difference
+        levels = ", ".join(f"{place} {value}" for place, value in point.changes.items())
+        mark = "" if found.low > 0 or found.high < 0 else " class=same"
+        words = (
+            point.scenario,
+            levels,
+            point.policy,
+            f"{found.mean:+.4f}",
+            f"{found.low:+.4f} to {found.high:+.4f}",
+        )
+        cells = "".join(f"<td>{escape(word)}</td>" for word in (*words, str(found.n)))
+        lines.append(f"<tr{mark}>{cells}</tr>")
+    return "\n".join([*lines, "</table>"])
+
+
 def _broken(found: Sequence[Cell]) -> str:
     """Which policies break which rules, over all scenarios, in plays."""
     totals: dict[str, dict[str, int]] = {}
--- a/tests/test_lab_experiments.py
+++ b/tests/test_lab_experiments.py
@@ -338,9 +338,14 @@
 
 def test_a_report_is_a_function_of_its_rows(played: tuple[Plan, Path], tmp_path: Path) -> None:
     _, whole = played
-    pages = [report.write(Folder(whole).load(), tmp_path / name, "try") for name in ("a", "b")]
+    pages = [report.write(Folder(whole).load(), tmp_path / n, "try", own="module") for n in ("a", "b")]
     text = pages[0].read_text()
-    assert "least of two" in text and "Broken rules" in text and "never" in text
+    assert (
+        "module against the others" in text
+        and "least of two" in text
+        and "Broken rules" in text
+        and "never" in text
+    )
     files = sorted(path.name for path in (tmp_path / "a").iterdir())
     assert {"scores.png", "latency-tiny.png", "map-0.png", "map-1.png", "report.html"} < set(files)
     for name in files:
