--- a/lab/policies/__init__.py
+++ b/lab/policies/__init__.py
@@ -9,7 +9,7 @@
 from hareloom import Balancer
 from lab.policies.choices import Ejecting, LeastOfTwo, Random, RoundRobin, SmoothedOfTwo
 from lab.policies.limits import GradientLimit
-from lab.policies.module import BudgetAlone
+from lab.policies.module import NoLimit, NoRetries
 from lab.policies.repeats import FixedRetries, JitteredBackoff, RetryBudget
 from lab.sidecars import Policy
 
@@ -17,7 +17,8 @@
 POLICIES: dict[str, tuple[Policy, bool]] = {
     "module": (Balancer, False),
     "module+storms": (Balancer, True),
-    "module without limit": (BudgetAlone, False),
+    "module without limit": (NoLimit, False),
+    "module without retries": (NoRetries, False),
     "round robin": (RoundRobin, False),
     "random": (Random, False),
     "least of two": (LeastOfTwo, False),
--- a/lab/report.py
+++ b/lab/report.py
@@ -44,7 +44,7 @@
             name = f"latency-{_plain(scenario)}.png"
             charts.latencies(curves, scenario, folder / name)
             parts.append(_image(name))
-    parts += _plays(loaded.series, {row["code"] for row in rows}, multiple, folder)
+    parts += _plays(loaded.series, {row["code"] for row in rows}, multiple, own, folder)
     page = folder / "report.html"
     body = "\n".join(parts)
     page.write_text(
@@ -54,13 +54,17 @@
     return page
 
 
-def _plays(series: Sequence[dict[str, Any]], codes: set[str], multiple: float, folder: Path) -> list[str]:
+def _plays(
+    series: Sequence[dict[str, Any]], codes: set[str], multiple: float, own: str, folder: Path
+) -> list[str]:
     groups: dict[tuple[str, str, str, int], list[dict[str, Any]]] = {}
     for row in series:
         if row["code"] in codes:
             groups.setdefault((row["scenario"], row["factors"], row["policy"], row["seed"]), []).append(row)
     parts = ["<h2>Over time</h2>"] if groups else []
-    for at, (place, rows) in enumerate(sorted(groups.items())[:MOST_PICTURES]):
+    for at, (place, rows) in enumerate(
+        sorted(groups.items(), key=lambda item: (item[0][2] != own, item[0]))[:MOST_PICTURES]
+    ):
         scenario, factors, policy, seed = place
         name = f"time-{at:02}-{_plain(scenario)}-{_plain(policy)}.png"
         words = f"{scenario}, {policy}, seed {seed}" + (f", {factors}" if factors != "{}" else "")
