--- a/tests/test_lab_market.py
+++ b/tests/test_lab_market.py
@@ -219,6 +219,15 @@
     assert sum(b.got for b in play.measures.bins[-8:-4]) > 0.0
 
 
+def test_a_sidecar_that_stood_still_is_not_blamed_for_clients_that_left_meanwhile() -> None:
+    """Found by a hunt: what is due at its resumption answers requests whose clients it does not know to be
+    gone."""
+    pause = {"kind": "pause", "at_ms": 2000, "for_ms": 4000, "share": 0.6}
+    play = Market(made(troubles=[pause], load={"share": 1.5}, clients={"tries": 1}), 18)
+    row = play.run()
+    assert kept(row) and row.lost > 0.02, play.checker.first
+
+
 # The checker sees what breaks them
 
 
