--- a/anisestair/sidecar.py
+++ b/anisestair/sidecar.py
@@ -256,8 +256,8 @@
             self.discovery.watch()
 
     def _ring(self, due: float, token: int) -> None:
-        """An alarm of the module's. One that is late tells how far behind this process is: the module then works
-        with less effort."""
+        """An alarm of the module's. One that is late tells how far behind this process is: the module then
+        works with less effort."""
         late = self.now() - due
         if late > self._late_ms:
             self.handle(api.Late(late))
--- a/hareloom/governor.py
+++ b/hareloom/governor.py
@@ -30,6 +30,7 @@
 # Filled below the first, effort falls to the step; filled above the second, it comes back from it.
 MARKS: Final = ((0.7, 0.9), (0.5, 0.7), (0.35, 0.5))
 LESS_WORTH: Final = 0.35  # of the bucket is kept for the classes of the most worth for their work
+EACH: Final = 1.5  # over so many times what a request may cost, few servers are looked at
 SMOOTH: Final = 0.98  # of the cost of a request, by request
 # A host's delay as a share of the shortest aim at which each step begins; it comes back at half of that.
 # Those of a moment ago fade by half in this many aims.
@@ -114,5 +115,5 @@
         while level > FULL and share < 0.5 * DELAYS[level - 1]:
             level -= 1
         self.delay_level = level
-        least = SAMPLED if self.on and 0.0 < self.each < self.mean else FULL
+        least = SAMPLED if self.on and 0.0 < EACH * self.each < self.mean else FULL
         self.level = max(self.fill_level, self.delay_level, least)
--- /dev/null
+++ b/hareloom/host.py
@@ -0,0 +1,136 @@
+"""Many instances of the module in one process, on the bench's wire. What is read and written is the
+caller's."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import replace
+from typing import TextIO
+
+from hareloom import interface as api
+from hareloom import rules, wire
+from hareloom.rules import Balancer
+from hareloom.wire import WireError
+
+# What an event costs here with its lines read and written (`python -m benchmarks.event_kinds`), in the
+# microseconds in which the other side charges: of a standard core, a twelfth of the interpreter's. From source
+# it costs three times as much as compiled.
+_SCALE = (1.0 if rules.__file__.endswith(".so") else 3.0) / 12.0
+COSTS = api.Costs(
+    request=16.0 * _SCALE,
+    pick=14.0 * _SCALE,
+    look=0.3 * _SCALE,
+    ended=14.0 * _SCALE,
+    timer=10.0 * _SCALE,
+    entry=3.0 * _SCALE,
+    other=4.0 * _SCALE,
+)
+
+
+class Host:
+    """All instances of one process; each is reached by its number only and shares nothing with the others."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Balancer] = {}
+        self.lists: dict[int, tuple[api.ServerEntry, ...]] = {}
+        self.now: float | None = None
+        self.who: int | None = None
+        self.pending: list[str] = []  # ITEM lines of the list being read
+        self.awaited = 0
+        self.ref = 0
+        self.replies: list[str] = []
+        self.speaker: int | None = None
+
+    def line(self, line: str) -> list[str] | None:
+        """Take one line; at the end of a batch, the lines of its reply."""
+        word = line.partition(" ")[0]
+        if self.awaited:
+            if word != "ITEM":
+                raise WireError(f"list {self.ref} is short of {self.awaited} entries")
+            self.pending.append(line)
+            self.awaited -= 1
+            if not self.awaited:
+                self.keep_list()
+            return None
+        if word == "FRAME":
+            if self.now is not None:
+                raise WireError("a batch begins inside a batch")
+            self.now = wire.number(wire.need(wire.fields_of(line), "now-ms"), "now-ms")
+            return None
+        if self.now is None:
+            raise WireError(f"{word!r} outside a batch")
+        if word == "END":
+            replies, self.replies = self.replies, []
+            self.now = self.who = self.speaker = None
+            return [*replies, "READY"]
+        if word == "FOR":
+            self.who = wire.whole(wire.need(wire.fields_of(line), "who"), "who")
+        elif word == "MANIFEST":
+            fields = wire.fields_of(line)
+            self.ref = wire.whole(wire.need(fields, "ref"), "ref")
+            self.awaited = wire.whole(wire.need(fields, "entries"), "entries")
+            if self.awaited < 0:
+                raise WireError(f"field 'entries' is below zero: {self.awaited}")
+            self.pending = []
+            if not self.awaited:
+                self.keep_list()
+        else:
+            self.instance_line(word, line)
+        return None
+
+    def keep_list(self) -> None:
+        self.lists[self.ref] = tuple(wire.entry(item) for item in self.pending)
+        self.pending = []
+
+    def instance_line(self, word: str, line: str) -> None:
+        if self.who is None or self.now is None:
+            raise WireError(f"{word!r} names no instance")
+        if word == "DOWN":
+            self.instances.pop(self.who, None)
+            return
+        if word == "NEW_INSTANCE":
+            fields = wire.fields_of(line, text_field="config")
+            seed = wire.whole(wire.need(fields, "entropy"), "entropy")
+            settings = replace(wire.settings(wire.need(fields, "config")), costs=COSTS)
+            self.instances[self.who] = Balancer(settings, seed)
+            return
+        happened = wire.event(word, line, self.lists)
+        balancer = self.instances.get(self.who)
+        if balancer is None:
+            raise WireError(f"{word!r} for instance {self.who}, which is not running")
+        if happened is None:
+            return
+        try:
+            actions = balancer.handle(self.now, happened)
+        except Exception as fault:  # the module's fault, not the wire's: say so and let the other side stop
+            self.say(f"DIE words={type(fault).__name__}: {' '.join(str(fault).split())}")
+            return
+        for item in actions:
+            self.say(wire.action(item))
+
+    def say(self, line: str) -> None:
+        if self.speaker != self.who:
+            self.speaker = self.who
+            self.replies.append(f"SOURCE who={self.who}")
+        self.replies.append(line)
+
+
+def serve(source: TextIO, sink: TextIO) -> int:
+    host = Host()
+    line_number = 0
+    try:
+        for line in source:
+            line_number += 1
+            line = line.rstrip("\r\n")
+            if not line:
+                continue
+            reply = host.line(line)
+            if reply is not None:
+                sink.write("\n".join(reply) + "\n")
+                sink.flush()
+        if host.now is not None:
+            raise WireError("the input ends inside a batch")
+    except (WireError, UnicodeDecodeError) as fault:
+        print(f"hareloom: bad input, line {line_number}: {fault}", file=sys.stderr)
+        return 2
+    return 0
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,7 +11,7 @@
 import pytest
 
 from hareloom import wire
-from hareloom.wirehost import Host
+from hareloom.host import Host
 
 ROOT = Path(__file__).parent.parent
 COMPILED = os.environ | {"HARELOOM_PLAIN": ""}
