Let a start's limit grow by smaller steps where many sidecars share few servers

Traced: each grew its first limit by 0.5 an answer, together 400 attempts out at 15 servers before the first late answer. Change: the step follows each one's part of the servers by a power of 0.6.

--- a/hareloom/rules.py
+++ b/hareloom/rules.py
@@ -60,6 +60,10 @@
 LIMIT_MIN, LIMIT_UP, LIMIT_DOWN = 0.1, 0.1, 0.2
 LIMIT_EACH, LIMIT_EVEN, LIMIT_PULL = 3.0, 2.0, 0.25
 LIMIT_START, LIMIT_SOON, LIMIT_EACH_MIN = 0.5, 32.0, 1.0
+# Many that share few servers start by smaller steps, by this power of each one's part of them: with the whole
+# step two hundred sidecars had 400 attempts out at 15 servers before the first late answer. It hurts where
+# one of very many carries most of the traffic.
+LIMIT_ROOT = 0.6
 # Timely: within this share of what the aim leaves beyond the class's quick answers, its lowest fifth. More
 # lets queues stand that some servers do not recover from. The fifth is learnt in steps of this share of the
 # aim, large ones at first: where it follows within a second, a queue that stands raises what counts as quick,
@@ -293,6 +297,7 @@
         self.done, self.done_at = 0.0, -math.inf  # work answered a millisecond, in mean requests
         self.limit, self.even, self.share, self.rest_until = 1.0, 1.0, 0.0, -math.inf
         self.set_least: float = float(SET_MIN)
+        self.start_step = LIMIT_START
         self.late = 0.0  # share of late answers, of late
         self.full_until = -math.inf  # the last of the servers'
         self.starting = True  # no answer has been late yet, and the limit is small
@@ -801,7 +806,7 @@
             self.late *= LATE_ALPHA
             self.starting = self.starting and self.limit < LIMIT_SOON * self.even
             if busy:
-                step = LIMIT_START if self.starting else LIMIT_UP * (self.even / self.limit) ** LIMIT_PULL
+                step = self.start_step if self.starting else LIMIT_UP * (self.even / self.limit) ** LIMIT_PULL
                 self.limit += step if self.limit >= 1.0 else step * self.limit
         elif (outcome is OK or outcome is TIMEOUT or outcome is FULL) and not attempt.stray:
             self.limit = max(self.limit - LIMIT_DOWN * min(self.limit, 1.0), self.least())
@@ -915,6 +920,7 @@
         self.share = listed / self.settings.peers
         self.even = max(LIMIT_EACH * self.share, LIMIT_EVEN)
         self.set_least = max(SET_COVER * self.share, SET_MIN)
+        self.start_step = LIMIT_START * min((self.share / LIMIT_EACH) ** LIMIT_ROOT, 1.0)
         if event.kind is ListKind.CACHED:  # hundreds that start with several each would crowd every server
             self.limit = self.even / LIMIT_EVEN
 
