Let an answer that is usual for its class speak for a server beside the best ones

Ruled out: sizes and list (23 listed, read at once), the limit's start. Change: an answer within what is usual for the class with nothing waiting brings a server back, and none leaves by one.

--- a/benchmarks/panel.py
+++ b/benchmarks/panel.py
@@ -94,8 +94,9 @@
     """The rows of one site's quick days; RuntimeError, with the bench's last line, where there are none."""
     with tempfile.TemporaryDirectory() as folder:
         scratch = Path(folder)
-        for part in ("hareloom", "deploy"):
-            shutil.copytree(checkout / part, scratch / part)
+        for part in ("hareloom", "deploy", ".compiled"):  # the last where that checkout has built it
+            if (checkout / part).is_dir():
+                shutil.copytree(checkout / part, scratch / part)
         subprocess.run(["git", "init", "-q", folder], check=True)
         words = [str(bench), "score", str(site), "--quick", "--no-build", "--jobs", str(jobs)]
         words += ["--why", f"Panel: {site.stem}", "--", sys.executable, "-m", "hareloom.wirehost"]
--- a/hareloom/governor.py
+++ b/hareloom/governor.py
@@ -8,7 +8,7 @@
 
     full     every active server is looked at for a request
     sampled  a few of them, in turns; the lowest deficit among those
-    spare    and nothing beside what requests ask for: no trial that is not needed, no place in a line
+    spare    and none has a place in a line, which costs a timer and a second look
     shed     and requests that the bucket cannot pay for are refused before anything is looked at, those of
     less worth
              first: a refusal costs least, and is harmless
--- a/hareloom/host.py
+++ b/hareloom/host.py
@@ -13,9 +13,9 @@
 from hareloom.wire import WireError
 
 # What an event costs here with its lines read and written (`python -m benchmarks.event_kinds`), in the
-# microseconds in which the other side charges: of a standard core, a twelfth of the interpreter's. From source
-# it costs three times as much as compiled.
-_SCALE = (1.0 if rules.__file__.endswith(".so") else 3.0) / 12.0
+# microseconds in which the other side charges: of a standard core, a twelfth of the interpreter's. From
+# source it costs twice as much as compiled.
+_SCALE = (1.0 if rules.__file__.endswith(".so") else 2.1) / 12.0
 COSTS = api.Costs(
     request=16.0 * _SCALE,
     pick=14.0 * _SCALE,
--- a/hareloom/rules.py
+++ b/hareloom/rules.py
@@ -439,9 +439,8 @@
             actives, resting = [s for s in able if s.active], [s for s in able if not s.active]
             near = [s for s in actives if s.entry.zone == self.settings.zone]
             out, size = sum([s.held for s in actives]), sum([s.size for s in actives])
-        if resting and not tried and (self.governor.level < governor.SPARE or not actives):
-            if (trial := self.trial_due(resting)) is not None:
-                return trial
+        if resting and not tried and (trial := self.trial_due(resting)):
+            return trial
         if not actives:
             return min(resting, key=lambda s: (len(s.out), s.due, s.rank), default=None)
         even = out / max(size, CROWD_SIZE)
@@ -524,7 +523,10 @@
         if failed:  # errors come back fast and must not look fast
             latency = max(latency, attempt.timeout, of.klass.deadline_ms)
         delta = latency / attempt.cost
-        if attempt.trial and not failed and (best is None or delta <= ACTIVE_FACTOR * best):
+        # Where work itself differs much, four times the best of a few quick answers shuts most of a sound
+        # fleet out: what is usual for the class with nothing waiting speaks for a server as well.
+        usual = not failed and of.calm >= USUAL_LEAST and latency <= of.usual
+        if attempt.trial and not failed and (usual or best is None or delta <= ACTIVE_FACTOR * best):
             active = [s for s in self.set if s.active]
             lowest = min((s.deficit for s in active), default=0.0)
             for other in active:
@@ -547,7 +549,7 @@
             server.due = self.now + self.jitter(server.backoff)
             if self.staying() >= STAY_SHARE:
                 server.backoff = min(2.0 * server.backoff, self.backoff_max)
-        elif server.active and best is not None and (down or server.w > ACTIVE_FACTOR * best):
+        elif server.active and best is not None and (down or server.w > ACTIVE_FACTOR * best and not usual):
             # If most are slow it is the load, and a smaller set would only be slower.
             if down or self.staying() - 1.0 / len(self.set) >= STAY_SHARE:
                 server.active, server.due = False, self.now + self.jitter(server.backoff)
