--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,6 +7,7 @@
 import pytest
 from helpers import READ, Driver
 
+from hareloom import Balancer, rules
 from hareloom import interface as api
 
 
@@ -286,3 +287,36 @@
     assert balancer.out == 0 and (balancer.limit == before) is passing, (
         "what was lost says nothing of the load"
     )
+
+
+def test_many_that_share_few_servers_start_by_smaller_steps() -> None:
+    """Two hundred that each grow by a whole step have hundreds out before the first answer is late."""
+    steps = {}
+    for peers in (1, 5, 30, 200, 1000):
+        module = Balancer(api.Settings(classes=(READ,), peers=peers), 1)
+        module.handle(
+            0.0, api.ServerList(api.ListKind.FULL, 1, tuple(api.ServerEntry(f"s{n}") for n in range(15)))
+        )
+        steps[peers] = module.start_step
+    assert steps[1] == steps[5] == rules.LIMIT_START > steps[30] > steps[200] > steps[1000] > 0.0
+    assert 200 * steps[200] < 30.0
+
+
+def test_an_answer_that_is_usual_brings_a_server_back() -> None:
+    """Work that differs much: a trial's answer is ten times the best of a few, and no later than most."""
+    for latency, back in ((300.0, True), (390.0, False)):
+        module = Balancer(api.Settings(classes=(READ,)), 1)
+        entries = tuple(api.ServerEntry(f"s{n}") for n in range(3))
+        module.handle(0.0, api.ServerList(api.ListKind.FULL, 1, entries))
+        of = module.classes[READ.name]
+        of.calm, of.usual = 100, 320.0
+        for number in range(4):
+            actions = module.handle(number * 1.0, api.Request(f"r{number}", READ.name, 1200.0))
+            sends = [action for action in actions if isinstance(action, api.Send)]
+            took = latency if number == 3 else 20.0
+            last = module.servers[sends[0].server]
+            if number == 3:
+                last.active, last.trial = False, True
+                module.requests["r3"].attempts[0].trial, module.unsettled = True, True
+            module.handle(number + took, api.AttemptEnded(f"r{number}", 0, api.Outcome.OK, took, True))
+        assert last.active is back
