Pass over a CPU limit that cannot be used, as config check says

Need: found in rereading: a negative or absent-as-null cpu-us-per-s, passed over before, would have ended a start since the governor reads it, while config check found nothing. Change: what cannot be used as a limit is no limit.

--- a/hareloom/wire.py
+++ b/hareloom/wire.py
@@ -158,6 +158,12 @@
     return f"KEEP_INFORMED on={TRUE}"
 
 
+def budget(value: Any) -> float:
+    """A limit on CPU; what cannot be used as one is passed over, as `config check` says: no limit."""
+    usable = isinstance(value, (int, float)) and 0.0 <= value < 1e15
+    return float(value) if usable else 0.0
+
+
 def settings(text: str) -> api.Settings:
     """The settings in the first message's JSON text; what is unknown in it is passed over."""
     try:
@@ -192,8 +198,8 @@
                 ),
                 connect_timeout_ms=float(limits.get("connect-timeout-ms", bounds.connect_timeout_ms)),
                 idle_ms=float(limits.get("keepalive-ms", bounds.idle_ms)),
-                cpu_us_per_s=float(limits.get("cpu-us-per-s", 0.0)),
-                cpu_us_per_request=float(limits.get("cpu-us-per-request", 0.0)),
+                cpu_us_per_s=budget(limits.get("cpu-us-per-s")),
+                cpu_us_per_request=budget(limits.get("cpu-us-per-request")),
             ),
             rules=api.Rules(
                 answer_slack_ms=float(rules.get("answer-slack-ms", plain.answer_slack_ms)),
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -209,6 +209,16 @@
     assert found.strip().endswith("rules.py")
 
 
+@pytest.mark.parametrize(
+    ("given", "read"),
+    [(8000, 8000.0), (0, 0.0), (-1.0, 0.0), (None, 0.0), ("8", 0.0), (1e400, 0.0), ([], 0.0)],
+)
+def test_a_cpu_limit_that_cannot_be_used_is_passed_over(given: object, read: float) -> None:
+    config = CONFIG | {"limits": {"cpu-us-per-s": given, "cpu-us-per-request": given}}
+    limits = wire.settings(json.dumps(config)).limits
+    assert (limits.cpu_us_per_s, limits.cpu_us_per_request) == (read, read)
+
+
 def test_nothing_is_opened_for_writing() -> None:
     """The file system is read-only in service: any open but for reading fails here, as it would there."""
     guard = """
