--- a/anisestair/http/frontend.py
+++ b/anisestair/http/frontend.py
@@ -12,10 +12,10 @@
 from collections import deque
 from collections.abc import Mapping
 from http import HTTPStatus
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Protocol, cast
 
 from anisestair.endpoints import Address
-from anisestair.flow.budget import Body
+from anisestair.flow.budget import Body, Budget
 from anisestair.http import codec as http
 from anisestair.sidecar import HttpAsk, Sidecar
 from hareloom import interface as api
@@ -130,6 +130,18 @@
     return bool(poll.poll(0))
 
 
+class Host(Protocol):
+    """What a connection needs of whatever takes its requests."""
+
+    budget: Budget
+
+    def now(self) -> float:
+        """Milliseconds of a steady clock."""
+
+    def client_gone(self, request: str) -> None:
+        """Nobody is there for that request any more."""
+
+
 class ClientConnection(http.Buffered):
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
@@ -251,7 +263,8 @@
         self.frontend.loop.call_later(REFUSED_LINGER_S, self.transport.abort)
 
     def begin(self, taken: float, message: http.Message) -> None:
-        sidecar = self.frontend.sidecar
+        """A whole request, in its turn: it gets one ``answer``."""
+        sidecar = cast(Sidecar, self.frontend.sidecar)
         path = message.target.partition(b"?")[0]
         if not TARGET.fullmatch(message.target):
             self.refuse(http.BadMessage(HTTPStatus.BAD_REQUEST))
@@ -371,7 +384,10 @@
 class Frontend:
     """Listens, and holds a bounded number of connections, none of them for ever without a request."""
 
-    def __init__(self, sidecar: Sidecar, most: int) -> None:
+    connection: type[ClientConnection] = ClientConnection
+    request_s = REQUEST_S
+
+    def __init__(self, sidecar: Host, most: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.sidecar = sidecar
         self.stopping = self.closing = False
@@ -418,7 +434,7 @@
                 self.loop.call_later(ACCEPT_AGAIN_S, self._resume)
                 return
             client.setblocking(False)
-            connection = ClientConnection(self)
+            connection = self.connection(self)
             self._connections.add(connection)
             task = self.loop.create_task(self._adopt(client, connection))
             self._tasks.add(task)
@@ -460,10 +476,10 @@
             elif connection.current is not None and connection.reader.stream is None:
                 continue
             elif connection.choked:
-                if age > REQUEST_S:
+                if age > self.request_s:
                     connection.transport.abort()
             elif connection.reader.partial:
-                if age > REQUEST_S:
+                if age > self.request_s:
                     connection.refuse(http.BadMessage(HTTPStatus.REQUEST_TIMEOUT))
             elif age > IDLE_S:
                 if connection.asked:
--- a/environment.sh
+++ b/environment.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11) and "python3 is older than 3.11")'
-cat requirements.txt requirements-configure.txt requirements-lab.txt "$2" > ".$2.wanted"
+cat requirements.txt requirements-configure.txt requirements-lab.txt requirements-mesh.txt requirements-operate.txt "$2" > ".$2.wanted"
 if ! cmp -s ".$2.wanted" "$1/installed.txt"; then
     python3 -m venv --clear "$1"
     "$1/bin/pip" -q install -r "$2"
--- /dev/null
+++ b/tests/mesh/test_aquifer_exchange.py
@@ -0,0 +1,241 @@
+"""Stores that pull from each other through losses, doubles, delays, restarts: invariant P, convergence."""
+
+import random
+from collections.abc import Mapping
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waterworks.aquifer.items import Item, Key, outranks, same_content
+from waterworks.aquifer.store import PAGE, Lack, Store
+
+NODES = 3
+Taken = dict[tuple[str, int], Item]
+
+
+def broken_claims(store: Store, taken: Taken) -> list[str]:
+    """Where invariant P does not hold: what the vector claims and the store lacks."""
+    broken = []
+    for (source, number), item in taken.items():
+        held = store.items.get(item.key)
+        if number <= store.vector.get(source, 0) and (held is None or outranks(item, held)):
+            broken.append(f"{store.source} claims {source}:{store.vector[source]}, lacks {source}:{number}")
+    return broken
+
+
+class ClaimsWhatThePageBears(Store):
+    """The fault: a page raises each source to its last number in it, past gaps whose items come later."""
+
+    def lacking(self, vector: Mapping[str, int], most: int) -> Lack:
+        stamps = sorted(
+            (item.source, item.number)
+            for item in self.items.values()
+            if item.number > vector.get(item.source, 0)
+        )
+        by_stamp = {(item.source, item.number): item for item in self.items.values()}
+        if len(stamps) <= most:
+            return super().lacking(vector, most)
+        return Lack([by_stamp[stamp] for stamp in stamps[:most]], dict(stamps[:most]), True)
+
+
+class HidesWhatItDoesNotClaim(Store):
+    """The fault: items above the own vector are not answered, though they may have replaced claimed ones."""
+
+    def lacking(self, vector: Mapping[str, int], most: int) -> Lack:
+        lack = super().lacking(vector, most)
+        claimed = [item for item in lack.items if item.number <= self.vector.get(item.source, 0)]
+        return Lack(claimed, lack.vector, lack.more)
+
+
+class PageForgetsWhatMoved(Store):
+    """The fault: an item that replaces another keeps its place in the order of arrival."""
+
+    def _put(self, item: Item) -> bool:
+        before = self._arrived.get(item.key)
+        changed = super()._put(item)
+        if changed and before is not None:
+            self._arrived[item.key] = before
+        return changed
+
+
+class Mesh:
+    """Nodes, what they ever stamped, and the answers under way."""
+
+    def __init__(self, kind: type[Store]) -> None:
+        self.kind = kind
+        self.lives = 0
+        self.taken: Taken = {}
+        self.stores = [self.begin() for _ in range(NODES)]
+        self.disks: list[tuple[list[Item], dict[str, int]]] = [([], {}) for _ in range(NODES)]
+        self.answers: list[tuple[Store, Lack]] = []
+
+    def begin(self) -> Store:
+        self.lives += 1
+        return self.kind(f"s{self.lives}", 1000)
+
+    def step(self, op: tuple[Any, ...]) -> None:
+        match op:
+            case ("take", node, name, newer, value):
+                held = self.stores[node].items.get(("k", str(name)))
+                version = newer + (held.version if held is not None else 1)
+                item = self.stores[node].take("k", str(name), version, value)
+                if isinstance(item, Item):
+                    self.taken[(item.source, item.number)] = item
+            case ("ask", node, peer, most):
+                store = self.stores[node]
+                self.answers.append((store, self.stores[peer].lacking(store.vector, most)))
+            case ("deliver", which, keep) if self.answers:
+                store, lack = self.answers[which % len(self.answers)]
+                if not keep:
+                    del self.answers[which % len(self.answers)]
+                if any(store is one for one in self.stores):  # else its asker has died
+                    store.merge(lack.items, lack.vector)
+            case ("persist", node):
+                self.disks[node] = (list(self.stores[node].items.values()), dict(self.stores[node].vector))
+            case ("restart", node):
+                self.stores[node] = self.begin()
+                self.stores[node].restore(*self.disks[node])
+
+    def broken(self) -> list[str]:
+        return [claim for store in self.stores for claim in broken_claims(store, self.taken)]
+
+    def settle(self, most: int, only_news: bool) -> int:
+        """Pulls in rounds until none changes anything; the rounds it took, over 200 meaning that it never
+        ends.
+        """
+        for rounds in range(201):
+            busy = False
+            for store in self.stores:
+                for peer in self.stores:
+                    if peer is store or (only_news and not peer.has_news(store.vector)):
+                        continue
+                    before = dict(store.vector)
+                    lack = peer.lacking(store.vector, most)
+                    changed = store.merge(lack.items, lack.vector)
+                    busy = busy or bool(changed) or store.vector != before or lack.more or only_news
+            if not busy:
+                return rounds
+        return 201
+
+
+NODE = st.integers(0, NODES - 1)
+OP = st.one_of(
+    st.tuples(
+        st.just("take"),
+        NODE,
+        st.integers(0, 3),
+        st.integers(1, 4),
+        st.sampled_from([None, {}, {"a": 1}, {"a": 2}]),
+    ),
+    st.tuples(st.just("ask"), NODE, NODE, st.integers(1, 3)),
+    st.tuples(st.just("deliver"), st.integers(0, 5), st.booleans()),
+    st.tuples(st.just("persist"), NODE),
+    st.tuples(st.just("restart"), NODE),
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(OP, min_size=30, max_size=60), st.integers(1, 3))
+def test_claims_hold_at_every_step_and_copies_converge(ops: list[tuple[Any, ...]], most: int) -> None:
+    mesh = Mesh(Store)
+    for op in ops:
+        mesh.step(op)
+        assert mesh.broken() == []
+    assert mesh.settle(most, only_news=False) < 200
+    assert mesh.broken() == []
+    first, *others = mesh.stores
+    for other in others:
+        assert other.items.keys() == first.items.keys()
+        assert all(same_content(item, first.items[key]) for key, item in other.items.items())
+        assert other.digests.at("") == first.digests.at("")
+    assert mesh.settle(most, only_news=True) < 200  # nobody claims news to another for ever
+
+
+def drawn(rng: random.Random) -> tuple[Any, ...]:
+    node, peer = rng.randrange(NODES), rng.randrange(NODES)
+    takes = ("take", node, rng.randrange(4), rng.randint(0, 2), rng.choice([None, {}, {"a": 1}]))
+    return rng.choice([takes, ("ask", node, peer, rng.randint(1, 3)), ("deliver", rng.randrange(3), False)])
+
+
+def caught(kind: type[Store]) -> bool:
+    for seed in range(100):
+        rng, mesh = random.Random(seed), Mesh(kind)
+        for _ in range(80):
+            mesh.step(drawn(rng))
+            if mesh.broken():
+                return True
+    return False
+
+
+@pytest.mark.parametrize("fault", [ClaimsWhatThePageBears, HidesWhatItDoesNotClaim, PageForgetsWhatMoved])
+def test_the_property_sees_each_fault_and_none_without(fault: type[Store]) -> None:
+    assert caught(fault)
+    assert not caught(Store)
+
+
+def test_a_claim_past_a_gap_loses_an_item_for_ever() -> None:
+    for kind, reached in ((ClaimsWhatThePageBears, False), (Store, True)):
+        sender, third, asker = kind("sender", 10), Store("third", 10), Store("asker", 10)
+        sender.take("k", "a", 1, {})
+        old = sender.lacking({}, 10)
+        third.merge(old.items, old.vector)
+        sender.take("k", "b", 1, {})
+        sender.take("k", "a", 2, {})
+        page = sender.lacking({}, 1)
+        assert [item.name for item in page.items] == ["b"] and page.more
+        asker.merge(page.items, page.vector)  # and the sender is lost, with the newer "a"
+        rest = third.lacking(asker.vector, 10)
+        asker.merge(rest.items, rest.vector)
+        assert (("k", "a") in asker.items) == reached
+
+
+KEYS = st.sampled_from(["a", "b"])
+COPIES = st.builds(
+    Item,
+    st.just("k"),
+    KEYS,
+    st.integers(1, 2),
+    st.sampled_from([None, {}, {"a": 1}]),
+    st.sampled_from("st"),
+    st.integers(1, 4),
+)
+
+
+@settings(max_examples=150)
+@given(
+    st.lists(COPIES, max_size=8, unique_by=lambda item: (item.source, item.number)), st.randoms(), st.data()
+)
+def test_merge_does_not_depend_on_order_doubles_or_groups(
+    copies: list[Item], rng: random.Random, data: st.DataObject
+) -> None:
+    def end(batches: list[list[Item]]) -> dict[Key, tuple[int, Any]]:
+        store = Store("own", 100)
+        for batch in batches:
+            store.merge(batch, {})
+        return {key: (item.version, item.value) for key, item in store.items.items()}
+
+    first = data.draw(st.lists(st.sampled_from(copies))) if copies else []
+    shuffled = copies + first
+    rng.shuffle(shuffled)
+    whole = end([copies])
+    assert end([first, shuffled]) == whole
+    assert end([[item] for item in shuffled]) == whole
+    assert end([copies, copies]) == whole
+
+
+def test_pages_end_while_writes_go_on_and_leave_no_entry() -> None:
+    sender, asker = Store("sender", 1000), Store("asker", 1000)
+    for number in range(100):
+        sender.take("k", str(number), 1, {})
+    pages = 0
+    while (lack := sender.lacking(asker.vector, 10)).more:
+        assert set(lack.vector) == {PAGE + "sender"} and len(lack.items) == 10
+        asker.merge(lack.items, lack.vector)
+        pages += 1
+        for number in range(5):  # replaced before and behind the page
+            sender.take("k", str(number * 20), pages + 1, {})
+    asker.merge(lack.items, lack.vector)
+    assert asker.items == sender.items and asker.vector == sender.vector
+    assert 10 <= pages <= 20
--- /dev/null
+++ b/tests/mesh/test_aquifer_store.py
@@ -0,0 +1,156 @@
+"""One store: what writes and merges change, what is answered, and every bound."""
+
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import PAGE, PAGINGS, SPARE_SOURCES, Full, Lack, Store
+
+
+def pull(asker: Store, sender: Store) -> list[Item]:
+    lack = sender.lacking(asker.vector, 100)
+    changed = asker.merge(lack.items, lack.vector)
+    assert isinstance(changed, list)
+    return changed
+
+
+def test_a_write_is_stamped_and_one_that_changes_nothing_uses_no_number() -> None:
+    store = Store("s", 10)
+    assert store.take("k", "a", 1, {"x": 1}) == Item("k", "a", 1, {"x": 1}, "s", 1)
+    assert store.take("k", "a", 1, {"x": 1}) is None
+    taken = store.take_all([("k", "b", 1, {}), ("k", "a", 1, {"x": 1}), ("k", "b", 2, {})])
+    assert isinstance(taken, list)
+    assert [(item.name, item.number) for item in taken] == [("b", 2), ("b", 3)]
+    assert store.vector == {"s": 3}
+
+
+def test_a_tombstone_beats_an_older_set_item_that_comes_later() -> None:
+    store = Store("s", 10)
+    store.take("k", "a", 2, None)
+    assert store.merge([Item("k", "a", 1, {}, "t", 1), Item("k", "a", 2, {}, "t", 2)], {"t": 2}) == []
+    assert store.items["k", "a"].value is None
+    assert store.take("k", "a", 3, {}) is not None
+
+
+def test_equal_content_keeps_its_stamp_and_a_replaced_item_takes_the_peers() -> None:
+    a, b = Store("a", 10), Store("b", 10)
+    a.take("k", "same", 1, {})
+    b.take("k", "same", 1, {})
+    a.take("k", "both", 1, {})
+    b.take("k", "both", 2, {})
+    assert [item.name for item in pull(a, b)] == ["both"]
+    assert a.items["k", "same"].source == "a" and a.items["k", "both"].source == "b"
+    assert pull(b, a) == [] and not a.has_news(b.vector) and not b.has_news(a.vector)
+
+
+def test_an_answer_holds_just_what_lies_above_the_vector_and_all_of_an_unknown_source() -> None:
+    a, b = Store("a", 10), Store("b", 10)
+    for name in "xyz":
+        a.take("k", name, 1, {})
+    b.take("k", "w", 1, {})
+    pull(b, a)
+    assert [item.name for item in b.lacking({"a": 2}, 10).items] == ["w", "z"]
+    assert b.lacking({"b": 1}, 10) == Lack([a.items["k", n] for n in "xyz"], {"a": 3}, False)
+    assert b.lacking(b.vector, 10) == Lack([], {}, False)
+
+
+def test_what_came_by_repair_is_answered_but_neither_claimed_nor_news() -> None:
+    a, b = Store("a", 10), Store("b", 10)
+    a.merge([Item("k", "x", 1, {}, "dead", 7)], {})
+    assert a.lacking(b.vector, 10) == Lack([a.items["k", "x"]], {}, False)
+    assert not a.has_news(b.vector)
+
+
+def test_writes_stop_at_the_bound_whole_batches_and_merges_at_twice_it() -> None:
+    store = Store("s", 2)
+    assert store.take("k", "a", 1, None) is not None
+    assert isinstance(store.take_all([("k", "b", 1, {}), ("k", "c", 1, {})]), Full)
+    assert set(store.items) == {("k", "a")} and store.vector == {"s": 1}
+    assert isinstance(store.take_all([("k", "b", 1, {}), ("k", "b", 2, {})]), list)
+    assert isinstance(store.take("k", "c", 1, {}), Full)
+    assert isinstance(store.take("k", "b", 3, None), Item)  # what is held may change
+
+    others = [Item("k", name, 1, {}, "t", number) for number, name in enumerate("cdef", 1)]
+    full = store.merge(others, {"t": 4})
+    assert full == Full("state: 6 items with these, at most 4: drop some and wait till they are forgotten")
+    assert len(store.items) == 2 and "t" not in store.vector
+    assert store.merge(others[:2], {"t": 2}) == others[:2]
+    assert isinstance(store.merge(others[2:], {"t": 4}), Full)
+    store.forget(("k", "a"))
+    assert store.merge(others[2:3], {"t": 3}) == others[2:3]
+
+
+def test_only_tombstones_are_forgotten_and_peers_do_not_bring_them_back() -> None:
+    a, b = Store("a", 10), Store("b", 10)
+    a.take("k", "x", 1, {})
+    a.take("k", "y", 1, None)
+    pull(b, a)
+    for store in (a, b):
+        for name in ("x", "y", "absent"):
+            store.forget(("k", name))
+        assert set(store.items) == {("k", "x")}
+        assert len(store.digests.keys(next(iter(store.digests.at("")))[:1])) == 0  # no leaf's prefix
+    b.take("k", "x", 2, None)
+    b.forget(("k", "x"))
+    assert b.items == {} and b.digests.at("") == {}
+    assert not a.has_news(b.vector) and pull(b, a) == []
+
+
+def test_sources_without_items_leave_the_oldest_first_and_are_not_taught_again() -> None:
+    a, b = Store("a", 10), Store("b", 10)
+    lives = SPARE_SOURCES + 5
+    for number in range(1, lives + 1):
+        a.merge([Item("k", "x", number, {}, f"life{number}", 1)], {f"life{number}": 1})
+    assert len(a.vector) == SPARE_SOURCES + 1 and "life4" not in a.vector and "life5" in a.vector
+    pull(b, a)
+    assert set(b.vector) == {f"life{lives}"}  # the one that an item bears
+    assert not a.has_news(b.vector) and not b.has_news(a.vector)
+    a.take("k", "x", lives + 1, {})
+    a.merge([Item("k", "x", lives + 2, {}, "z", 1)], {"z": 1})
+    assert a.vector["a"] == 1 and a.has_news(b.vector)  # its own it keeps and tells, for it waits for it
+    pull(b, a)
+    assert b.vector["a"] == 1 and not a.has_news(b.vector)
+
+
+def test_pages_under_way_are_bounded_and_the_latest_stay() -> None:
+    store = Store("s", 10)
+    for number in range(PAGINGS):
+        store.merge([], {f"{PAGE}{number}": 1})
+    store.merge([], {f"{PAGE}0": 5})
+    store.merge([], {f"{PAGE}0": 3, f"{PAGE}more": 1})  # the first one late and doubled
+    assert len(store.vector) == PAGINGS
+    assert store.vector[f"{PAGE}0"] == 5 and f"{PAGE}1" not in store.vector
+    store.merge([], {f"{PAGE}0": 0})
+    assert len(store.vector) == PAGINGS - 1
+
+
+def test_a_new_life_keeps_stamps_and_begins_pages_anew() -> None:
+    old = Store("old", 10)
+    old.take("k", "a", 1, {})
+    old.merge([Item("k", "b", 1, {}, "t", 4)], {PAGE + "t": 9})
+    new = Store("new", 1)
+    new.restore(old.items.values(), old.vector)
+    assert new.items == old.items and new.vector == {"old": 1} and new.digests.at("") == old.digests.at("")
+    assert new.lacking({"old": 1}, 10).items == [old.items["k", "b"]]
+    assert new.take("k", "a", 2, {}) == Item("k", "a", 2, {}, "new", 1)
+
+
+def test_the_cost_of_an_answer_does_not_grow_with_the_store() -> None:
+    class Counted(dict[tuple[str, str], Item]):
+        reads = 0
+
+        def __getitem__(self, key: tuple[str, str]) -> Item:
+            self.reads += 1
+            return super().__getitem__(key)
+
+        def values(self):  # type: ignore[no-untyped-def]
+            raise AssertionError("walks the store")
+
+        items = __iter__ = values
+
+    store = Store("s", 10_000)
+    for number in range(5_000):
+        store.take("k", str(number), 1, {})
+    for version in range(2, 500):
+        store.take("k", "hot", version, {})  # replaced stamps leave nothing to be walked past
+    asked = {"s": store.vector["s"] - 400}
+    counted = store.items = Counted(store.items)
+    assert [item.name for item in store.lacking(asked, 100).items] == ["hot"]
+    assert counted.reads == 1 and len(store._stamped["s"]) == 5_001
--- /dev/null
+++ b/tests/mesh/test_cistern_keeper.py
@@ -0,0 +1,411 @@
+"""The store: what was said to be kept is there after any loss of power, or the store says that it is not."""
+
+import os
+import resource
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import lmdb
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from waterworks.cistern import keeper as keeping
+from waterworks.cistern import layout
+from waterworks.cistern.keeper import NAME, Failed, Fresh, Keeper, Kept, Opened, Refused, SetAside, room
+
+PAGE = 4096
+MOST = 1 << 20
+FIRST = {b"route": b"a" * 100, b"large": os.urandom(3 * PAGE), b"small": b""}
+SECOND = {**FIRST, b"route": b"b" * 150, b"late": b"c" * 2000}
+
+
+def begun(folder: Path, rows: dict[bytes, bytes], most: int = MOST) -> Keeper:
+    found = Keeper.open(folder, most)
+    assert isinstance(found, Fresh)
+    assert found.keeper.keep(list(rows.items())) == Kept()
+    return found.keeper
+
+
+def reopened(folder: Path) -> Opened | Fresh | SetAside | Failed:
+    found = Keeper.open(folder, MOST)
+    if not isinstance(found, Failed):
+        found.keeper.close()
+    return found
+
+
+@pytest.fixture(scope="module")
+def states(tmp_path_factory: pytest.TempPathFactory) -> tuple[bytes, bytes]:
+    """The file's bytes with FIRST kept, and with SECOND kept after it."""
+    folder = tmp_path_factory.mktemp("states")
+    keeper = begun(folder, FIRST)
+    before = (folder / NAME).read_bytes()
+    keeper.keep([(b"route", SECOND[b"route"]), (b"late", SECOND[b"late"])])
+    keeper.close()
+    return before, (folder / NAME).read_bytes()
+
+
+def meta(data: bytes, newest: bool) -> int:
+    """The number of the newer, or older, meta page: its transaction stands at byte 144 of the page."""
+    numbers = [int.from_bytes(data[page * PAGE + 144 : page * PAGE + 152], "little") for page in (0, 1)]
+    return numbers.index(max(numbers) if newest else min(numbers))
+
+
+def test_a_start_finds_what_was_kept_and_not_what_was_dropped(tmp_path: Path) -> None:
+    keeper = begun(tmp_path / "state", FIRST)
+    assert (
+        keeper.keep([(b"route", b"x"), (b"route", b"y"), (b"small", b"z")], [b"large", b"none", b"small"])
+        == Kept()
+    )
+    kept = {b"route": b"y", b"small": b"z"}
+    assert keeper.rows() == kept
+    assert keeper.verify() == ()
+    keeper.close()
+    found = Keeper.open(tmp_path / "state", MOST)
+    assert isinstance(found, Opened)
+    assert (found.rows, found.notes, found.keeper.rows()) == (kept, (), kept)
+    assert os.listdir(tmp_path / "state") == [NAME]
+
+
+def test_power_lost_within_a_keep_leaves_the_rows_before_it(
+    tmp_path: Path, states: tuple[bytes, bytes]
+) -> None:
+    """lmdb writes pages, syncs, writes the meta page, syncs: each write in turn is torn, and those after it
+    missing."""
+    before, after = states
+    size = max(len(before), len(after))
+    before = before.ljust(size, b"\0")
+    newest = meta(after, newest=True)
+    changed = [
+        page for page in range(2, size // PAGE) if before[page * PAGE :][:PAGE] != after[page * PAGE :][:PAGE]
+    ]
+    assert len(changed) >= 2
+    disk = bytearray(before)
+    for page in (*changed, newest):
+        for cut in (0, 8, 24, 120, 148, 2000, PAGE):
+            start = page * PAGE
+            disk[start : start + cut] = after[start : start + cut]
+            (tmp_path / NAME).write_bytes(disk)
+            found = reopened(tmp_path)
+            assert isinstance(found, Opened), (page, cut, found)
+            complete = page == newest and cut > 144
+            assert found.rows == (SECOND if complete else FIRST), (page, cut)
+
+
+@settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(st.data())
+def test_pages_of_two_times_are_one_of_them_or_set_aside(
+    tmp_path_factory: pytest.TempPathFactory, states: tuple[bytes, bytes], data: st.DataObject
+) -> None:
+    """A disk that lies about its order: any mixture of old and new pages."""
+    folder = tmp_path_factory.mktemp("mixed")
+    before, after = states
+    disk = bytearray(after)
+    for page in data.draw(st.sets(st.integers(0, len(after) // PAGE - 1))):
+        old = before[page * PAGE :][:PAGE].ljust(PAGE, b"\0")
+        cut = data.draw(st.sampled_from((PAGE, 144, 148, 512)))
+        disk[page * PAGE : page * PAGE + cut] = old[:cut]
+    (folder / NAME).write_bytes(disk)
+    found = reopened(folder)
+    if isinstance(found, Opened):
+        newest = disk[PAGE * meta(after, True) :][:PAGE] == after[PAGE * meta(after, True) :][:PAGE]
+        assert found.rows == SECOND if newest else found.rows in (FIRST, SECOND)
+    else:
+        assert isinstance(found, SetAside)
+
+
+def harms(after: bytes) -> dict[str, bytes]:
+    newest, older = meta(after, True), meta(after, False)
+    at = after.index(SECOND[b"late"])
+    return {
+        "byte of a row": after[: at + 7] + b"?" + after[at + 8 :],
+        "newest meta page zeroed": after[: newest * PAGE] + bytes(PAGE) + after[(newest + 1) * PAGE :],
+        "newest meta page is the older": after[: newest * PAGE]
+        + after[older * PAGE :][:PAGE][:144]
+        + after[newest * PAGE + 144 :],
+        "empty": b"",
+        "no store at all": b"x" * 3 * PAGE,
+    }
+
+
+@pytest.mark.parametrize(
+    "harm",
+    ["byte of a row", "newest meta page zeroed", "newest meta page is the older", "empty", "no store at all"],
+)
+def test_a_damaged_store_is_set_aside_and_told(
+    tmp_path: Path, states: tuple[bytes, bytes], harm: str
+) -> None:
+    _, after = states
+    harmed = harms(after)[harm]
+    (tmp_path / NAME).write_bytes(harmed)
+    found = Keeper.open(tmp_path, MOST)
+    assert isinstance(found, SetAside), found
+    assert found.moved_to == tmp_path / f"{NAME}.aside-1"
+    assert found.moved_to.read_bytes() == harmed
+    assert found.reason
+    assert found.keeper.rows() == {}
+    assert found.keeper.keep([(b"again", b"1")]) == Kept()
+
+
+def test_a_file_cut_at_any_page_is_whole_or_set_aside(tmp_path: Path, states: tuple[bytes, bytes]) -> None:
+    _, after = states
+    told = 0
+    for pages in range(len(after) // PAGE):
+        (tmp_path / NAME).write_bytes(after[: pages * PAGE])
+        found = reopened(tmp_path)
+        assert isinstance(found, SetAside) or (isinstance(found, Opened) and found.rows == SECOND)
+        told += isinstance(found, SetAside)
+    assert told >= 3
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.data())
+def test_any_flipped_byte_is_harmless_or_set_aside(
+    tmp_path_factory: pytest.TempPathFactory, states: tuple[bytes, bytes], data: st.DataObject
+) -> None:
+    folder = tmp_path_factory.mktemp("flipped")
+    _, after = states
+    at = data.draw(st.integers(0, len(after) - 1))
+    # Meta pages, branch headers and the head of a leaf are few of the bytes and most of the danger.
+    at = data.draw(
+        st.sampled_from((at, at % (2 * PAGE), at // PAGE * PAGE + at % 64, at % 200 + at % 2 * PAGE))
+    )
+    flipped = bytearray(after)
+    flipped[at] ^= data.draw(st.integers(1, 255))
+    (folder / NAME).write_bytes(flipped)
+    found = reopened(folder)
+    assert isinstance(found, SetAside) or (isinstance(found, Opened) and found.rows == SECOND)
+
+
+def test_verify_finds_a_flipped_byte_by_the_checksum_alone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    keeper = begun(tmp_path, SECOND)
+    whole = (tmp_path / NAME).read_bytes()
+    at = whole.index(SECOND[b"late"])
+    with open(tmp_path / NAME, "r+b") as file:
+        file.seek(at)
+        file.write(b"?")
+    with monkeypatch.context() as patch:
+        patch.setattr(keeping, "unseal", lambda key, stored: stored[8:])
+        assert keeper.verify() == ()
+    assert any("checksum differs" in finding for finding in keeper.verify())
+    with pytest.raises(layout.CisternError):
+        keeper.rows()
+
+
+def test_a_row_that_went_missing_is_found_by_the_head(tmp_path: Path) -> None:
+    begun(tmp_path, SECOND).close()
+    environment = lmdb.open(str(tmp_path / NAME), subdir=False, lock=False)
+    with environment.begin(write=True) as transaction:
+        head = layout.unpack_head(transaction.get(layout.HEAD))
+        assert isinstance(head, layout.Head)
+        transaction.delete(b"rlate")
+        transaction.put(layout.HEAD, layout.pack_head(head.changed(transaction.id(), (), ())))
+    environment.close()
+    assert isinstance(reopened(tmp_path), SetAside)
+
+
+def test_a_full_store_refuses_and_keeps_what_it_had(tmp_path: Path) -> None:
+    keeper = begun(tmp_path, FIRST, most=64 * PAGE)
+    kept = dict(FIRST)
+    for number in range(100):
+        row = (b"more-%d" % number, os.urandom(2 * PAGE))
+        outcome = keeper.keep([row])
+        if isinstance(outcome, Refused):
+            break
+        kept.update([row])
+    assert isinstance(outcome, Refused) and "full" in outcome.reason
+    assert (tmp_path / NAME).stat().st_size <= 64 * PAGE
+    assert keeper.rows() == kept
+    assert keeper.verify() == ()
+    assert keeper.keep([(b"route", b"again")], [b"more-0"]) == Kept()
+
+
+def test_a_disk_that_refuses_writes_is_told_and_serves_again(tmp_path: Path) -> None:
+    keeper = begun(tmp_path, FIRST)
+    usual = resource.getrlimit(resource.RLIMIT_FSIZE)
+    resource.setrlimit(resource.RLIMIT_FSIZE, ((tmp_path / NAME).stat().st_size, usual[1]))
+    try:
+        outcome = keeper.keep([(b"late", os.urandom(40 * PAGE))])
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, usual)
+    assert isinstance(outcome, Refused)
+    assert keeper.rows() == FIRST
+    assert keeper.keep([(b"late", SECOND[b"late"]), (b"route", SECOND[b"route"])]) == Kept()
+    keeper.close()
+    assert getattr(reopened(tmp_path), "rows", None) == SECOND
+
+
+class Broken:
+    """An environment of which one call fails."""
+
+    def __init__(self, real: Any, call: str, error: Exception) -> None:
+        self.real, self.call, self.error = real, call, error
+
+    def __getattr__(self, name: str) -> Any:
+        if name != self.call:
+            return getattr(self.real, name)
+
+        def fail(*_: Any, **__: Any) -> Any:
+            raise self.error
+
+        return fail
+
+
+@pytest.mark.parametrize("call", ["begin", "sync"])
+def test_no_row_is_kept_before_the_disk_says_so(tmp_path: Path, call: str) -> None:
+    keeper = begun(tmp_path, FIRST)
+    keeper._environment = Broken(keeper._environment, call, lmdb.DiskError("no"))  # type: ignore[assignment]
+    assert isinstance(keeper.keep([(b"late", b"1")]), Refused)
+    assert keeper.keep([(b"late", b"1")]) == Kept()
+    assert keeper.rows() == {**FIRST, b"late": b"1"}
+
+
+def test_keys_out_of_bounds_are_refused(tmp_path: Path) -> None:
+    keeper = begun(tmp_path, {})
+    longest = b"k" * layout.MOST_KEY_BYTES
+    assert keeper.keep([(longest, b"v")]) == Kept()
+    assert isinstance(keeper.keep([(longest + b"k", b"v")]), Refused)
+    assert isinstance(keeper.keep([(b"", b"v")]), Refused)
+    assert keeper.rows() == {longest: b"v"}
+
+
+@settings(max_examples=25, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.dictionaries(st.integers(0, 40), st.sampled_from((0, 30, 1500, 4100, 9000))),
+            st.sets(st.integers(0, 40)),
+        ),
+        max_size=12,
+    )
+)
+def test_any_order_of_keeps_and_drops_reads_back(
+    tmp_path_factory: pytest.TempPathFactory, steps: list[tuple[dict[int, int], set[int]]]
+) -> None:
+    folder = tmp_path_factory.mktemp("order")
+    keeper = begun(folder, {}, most=8 << 20)
+    expected: dict[bytes, bytes] = {}
+    for come, go in steps:
+        rows = {b"%d" % key: bytes([key]) * size for key, size in come.items()}
+        assert keeper.keep(list(rows.items()), [b"%d" % key for key in go]) == Kept()
+        for key in go:
+            expected.pop(b"%d" % key, None)
+        expected.update(rows)
+        assert keeper.verify() == ()
+    assert keeper.rows() == expected
+
+
+def test_a_backup_restored_equals_the_store(tmp_path: Path) -> None:
+    keeper = begun(tmp_path / "state", FIRST)
+    assert keeper.backup(tmp_path / "copy") == Kept()
+    assert isinstance(keeper.backup(tmp_path / "copy"), Refused)
+    assert keeper.keep([(b"late", b"1")]) == Kept()
+    found = Keeper.open(tmp_path / "copy", MOST)
+    assert isinstance(found, Opened) and found.rows == FIRST
+    assert found.keeper.keep([(b"late", b"2")]) == Kept()
+
+
+def test_asides_are_bounded_in_number_and_in_bytes(tmp_path: Path) -> None:
+    def aside(size: int) -> Path:
+        (tmp_path / NAME).write_bytes(b"x" * size)
+        found = reopened(tmp_path)
+        assert isinstance(found, SetAside)
+        return found.moved_to
+
+    begun(tmp_path, {}).close()
+    made = [aside(10) for _ in range(5)]
+    assert sorted(tmp_path.glob("*.aside-*")) == made[2:]
+    large = aside(MOST)
+    assert list(tmp_path.glob("*.aside-*")) == [large]
+
+
+@pytest.mark.parametrize("call", ["_begin", "_publish"])
+def test_a_setting_aside_cut_short_is_told_at_the_next_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str
+) -> None:
+    (tmp_path / NAME).write_bytes(b"torn")
+
+    def crash(*_: object) -> None:
+        raise OSError("power")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(keeping, call, crash)
+        assert isinstance(Keeper.open(tmp_path, MOST), Failed)
+    found = Keeper.open(tmp_path, MOST)
+    assert isinstance(found, SetAside)
+    assert found.moved_to.read_bytes() == b"torn"
+    assert found.keeper.keep([(b"a", b"b")]) == Kept()
+
+
+def test_a_first_start_cut_short_is_a_first_start_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    (tmp_path / (NAME + ".new")).write_bytes(b"torn")
+    assert isinstance(reopened(tmp_path), Fresh)
+    assert os.listdir(tmp_path) == [NAME]
+
+
+def test_what_cannot_be_read_is_no_damage(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    begun(tmp_path, SECOND).close()
+
+    def refuse(*_: object) -> None:
+        raise lmdb.DiskError("no")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(keeping, "_environment", refuse)
+        assert isinstance(Keeper.open(tmp_path, MOST), Failed)
+    found = reopened(tmp_path)
+    assert isinstance(found, Opened) and found.rows == SECOND
+
+
+def renamed(rows: dict[bytes, bytes]) -> dict[bytes, bytes]:
+    return {b"new-" + key: value for key, value in rows.items()}
+
+
+def moving(patch: pytest.MonkeyPatch, move: Callable[[dict[bytes, bytes]], dict[bytes, bytes]]) -> None:
+    patch.setattr(keeping, "LAYOUT", 2)
+    patch.setitem(layout.MOVES, 1, move)
+
+
+def test_an_older_layout_is_moved_on_whole_or_not_at_all(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    begun(tmp_path, FIRST).close()
+
+    def crash(*_: Any, **__: Any) -> None:
+        raise lmdb.DiskError("power")
+
+    with monkeypatch.context() as patch:
+        moving(patch, renamed)
+        patch.setattr(keeping, "pack_head", crash)  # the last row of the moving transaction
+        assert isinstance(Keeper.open(tmp_path, MOST), Failed)
+    found = reopened(tmp_path)
+    assert isinstance(found, Opened) and found.rows == FIRST
+    with monkeypatch.context() as patch:
+        moving(patch, renamed)
+        found = reopened(tmp_path)
+        assert isinstance(found, Opened)
+        assert found.rows == renamed(FIRST)
+        assert found.notes == ("moved on from layout 1 to 2",)
+        found = reopened(tmp_path)
+        assert isinstance(found, Opened) and found.rows == renamed(FIRST) and found.notes == ()
+
+
+def test_a_newer_layout_is_left_alone(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    with monkeypatch.context() as patch:
+        moving(patch, renamed)
+        begun(tmp_path, FIRST).close()
+    data = (tmp_path / NAME).read_bytes()
+    found = Keeper.open(tmp_path, MOST)
+    assert isinstance(found, Failed) and "newer program" in found.reason
+    assert (tmp_path / NAME).read_bytes() == data
+    assert os.listdir(tmp_path) == [NAME]
+
+
+def test_room_is_half_the_disk_up_to_a_bound() -> None:
+    assert room(256) == keeping.MOST_MAP_BYTES
+    assert room(100) == 50 << 20
+    assert room(0.01) % PAGE == 0
--- /dev/null
+++ b/tests/mesh/test_gauge_log.py
@@ -0,0 +1,95 @@
+"""The log's lines: their form, their bounds, and what they cost nothing."""
+
+import io
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waterworks.gauge import events
+from waterworks.gauge.events import Level
+from waterworks.gauge.log import MOST_A_SECOND, MOST_VALUE, Gauge
+
+
+class Clock:
+    now = 86400.0 * 20000 + 14 * 3600 + 3 * 60 + 7.25
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def log(level: Level = Level.INFO) -> tuple[Gauge, io.StringIO, Clock]:
+    stream, clock = io.StringIO(), Clock()
+    return Gauge("core-1", stream, level=level, clock=clock), stream, clock
+
+
+def test_a_line_has_time_number_text_and_values_in_order() -> None:
+    gauge, stream, _ = log()
+    gauge.tell(events.LINK_LOST, why="reset by peer", peer="core-2", after_ms=12.5)
+    gauge.tell(events.DISK_FRESH, first=False)
+    gauge.tell(events.DUTY_LEFT, duty="census", why=None)
+    assert stream.getvalue().splitlines() == [
+        '14:03:07.250 W202 link lost peer=core-2 why="reset by peer" after_ms=12.5',
+        "14:03:07.250 W402 store begun on an empty disk first=no",
+        "14:03:07.250 I602 duty left duty=census epoch=? why=-",
+    ]
+
+
+class Costly:
+    shown = 0
+
+    def __str__(self) -> str:
+        Costly.shown += 1
+        return "costly"
+
+
+def test_what_is_below_the_level_or_over_the_rate_is_not_formatted() -> None:
+    gauge, stream, _ = log()
+    Costly.shown = 0
+    gauge.tell(events.READ_BACK, items=Costly())
+    assert (stream.getvalue(), Costly.shown) == ("", 0)
+    for _ in range(MOST_A_SECOND + 5):
+        gauge.tell(events.LINK_UP, peer=Costly())
+    assert len(stream.getvalue().splitlines()) == Costly.shown == MOST_A_SECOND
+    verbose, stream, _ = log(Level.DEBUG)
+    verbose.tell(events.READ_BACK, items=3)
+    assert stream.getvalue().endswith("D306 configuration read back items=3\n")
+
+
+def test_the_suppressed_are_told_once_and_each_event_has_its_own_bound() -> None:
+    gauge, stream, clock = log()
+    for _ in range(MOST_A_SECOND + 17):
+        gauge.tell(events.LINK_UP, peer="a")
+    gauge.tell(events.LINK_LOST, peer="a", why="b")
+    assert "suppressed" not in stream.getvalue()
+    for step in (1.0, 0.1, -50.0):  # a clock set back starts a second of its own
+        clock.now += step
+        gauge.tell(events.LINK_UP, peer="a")
+    lines = stream.getvalue().splitlines()[MOST_A_SECOND:]
+    assert [line.partition("suppressed=")[2] for line in lines] == ["", "17", "", ""]
+
+
+@settings(max_examples=80, deadline=None)
+@given(st.text() | st.integers() | st.floats() | st.lists(st.text()))
+def test_any_value_keeps_to_its_line_and_its_length(value: object) -> None:
+    gauge, stream, _ = log()
+    gauge.tell(events.LINK_LOST, peer=value, why="x" * 10_000)
+    written = stream.getvalue()
+    assert written.isascii() and written.isprintable() == ("\n" not in written)
+    assert written.splitlines() == [written[:-1]]
+    assert len(written) < 6 * MOST_VALUE + MOST_VALUE + 100
+
+
+def test_a_stream_that_fails_or_a_value_that_cannot_be_shown_ends_nothing() -> None:
+    class Broken(io.StringIO):
+        def write(self, text: str, /) -> int:
+            raise BrokenPipeError
+
+    Gauge("core-1", Broken(), clock=Clock()).tell(events.STARTED, role="x")
+
+    class Nameless:
+        def __str__(self) -> str:
+            raise RuntimeError
+
+    gauge, stream, _ = log()
+    gauge.tell(events.STARTED, role=Nameless())
+    assert "role=RuntimeError" in stream.getvalue()
--- /dev/null
+++ b/waterworks/aquifer/digest.py
@@ -0,0 +1,75 @@
+"""Digests over ranges of keys, by which two copies find in three steps where they differ."""
+
+from collections.abc import Mapping
+from hashlib import blake2b
+
+import msgspec
+
+from waterworks.aquifer.items import Item, Key
+
+DEPTH = 3  # hex digits of a leaf's prefix: 4,096 leaves, the bound of the tree
+HEX = "0123456789abcdef"
+
+
+class Digests:
+    """A tree of fan-out 16 over the hashes of keys; a node's digest is the xor of its items' 64-bit hashes.
+
+    Xor lets one item change in three steps, without its neighbours. Stamps do not count: copies that reached
+    two stores by different ways are equal. A node without items is absent.
+    """
+
+    def __init__(self) -> None:
+        self._sums: dict[str, int] = {}
+        self._leaves: dict[str, set[Key]] = {}
+
+    def note(self, old: Item | None, new: Item | None) -> None:
+        """``old`` (None: there was none) has been replaced by ``new`` (None: forgotten) of the same key."""
+        if old is not None:
+            self._turn(_prefix(old.key), _hash(old))
+        if new is not None:
+            self._turn(_prefix(new.key), _hash(new))
+            self._leaves.setdefault(_prefix(new.key), set()).add(new.key)
+        elif old is not None:
+            leaf = self._leaves[_prefix(old.key)]
+            leaf.discard(old.key)
+            if not leaf:
+                del self._leaves[_prefix(old.key)]
+
+    def at(self, prefix: str) -> dict[str, str]:
+        """Digests (16 hex digits) of the up to 16 children of ``prefix`` ("" to 2 hex digits), by child
+        prefix.
+
+        Empty where nothing lies below, and for what is no inner node's prefix.
+        """
+        return {
+            prefix + digit: f"{self._sums[prefix + digit]:016x}"
+            for digit in HEX
+            if prefix + digit in self._sums
+        }
+
+    def keys(self, prefix: str) -> list[Key]:
+        """The keys under a leaf's prefix (3 hex digits), sorted; empty where there are none."""
+        return sorted(self._leaves.get(prefix, ()))
+
+    def _turn(self, leaf: str, bits: int) -> None:
+        for length in range(1, DEPTH + 1):
+            node = leaf[:length]
+            left = self._sums.get(node, 0) ^ bits
+            if left:
+                self._sums[node] = left
+            else:
+                del self._sums[node]
+
+
+def differing(mine: Mapping[str, str], theirs: Mapping[str, str]) -> list[str]:
+    """The child prefixes, sorted, whose digests differ or that only one side has."""
+    return sorted(child for child in mine.keys() | theirs.keys() if mine.get(child) != theirs.get(child))
+
+
+def _prefix(key: Key) -> str:
+    return blake2b(msgspec.json.encode(key), digest_size=2).hexdigest()[:DEPTH]
+
+
+def _hash(item: Item) -> int:
+    told = msgspec.json.encode([item.kind, item.name, item.version, item.value], order="deterministic")
+    return int.from_bytes(blake2b(told, digest_size=8).digest())
--- /dev/null
+++ b/waterworks/aquifer/quorum.py
@@ -0,0 +1,77 @@
+"""Which sets of machines make a write durable, and which hear of every durable write.
+
+A write is durable once more than half of the members hold it and every tolerated loss leaves a holder. The
+half makes any two durable sets of one view meet, and those of two views that differ by one member; the rest
+makes a holder outlive the loss. A loss strikes machines, or zones, or regions, not several kinds at once.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a machine stands, "" where that is unknown. Zones are told apart by name alone."""
+
+    zone: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tolerance:
+    """What may be lost at once: so many machines, or zones, or regions; 0 asks nothing of that kind."""
+
+    machines: int
+    zones: int
+    regions: int
+
+
+def durable(have: Collection[str], members: Mapping[str, Place], tolerance: Tolerance) -> bool:
+    """Whether what the machines ``have`` hold is durable among ``members``; others do not count.
+
+    An unknown zone or region may be any, so also one of the lost: it adds nothing. Where all members together
+    could not bear a kind of loss (a single member and one machine lost, all members in one zone and one zone
+    lost), that kind asks for all members instead, so that a small mesh still takes writes and loses them only
+    with a loss that nobody could have borne. Nothing is durable without members.
+    """
+    return _durable(have, members, tolerance, unknown_adds=False)
+
+
+def overlaps(heard: Collection[str], members: Mapping[str, Place], tolerance: Tolerance) -> bool:
+    """Whether every set that may have been durable meets ``heard``, machines whose disks are whole.
+
+    That is so when the members not heard can't have been durable. Whoever called them durable may have known
+    the places that are unknown here: each unknown zone or region is taken for one of its own. Monotone in
+    ``heard``.
+    """
+    return not _durable(members.keys() - set(heard), members, tolerance, unknown_adds=True)
+
+
+def durable_in_views(
+    have: Collection[str], views: Iterable[Mapping[str, Place]], tolerance: Tolerance
+) -> bool:
+    """Whether ``have`` is durable under each view that any who answered holds; False without a view."""
+    judged = [durable(have, view, tolerance) for view in views]
+    return bool(judged) and all(judged)
+
+
+def _durable(
+    have: Collection[str], members: Mapping[str, Place], tolerance: Tolerance, *, unknown_adds: bool
+) -> bool:
+    held = members.keys() & set(have)
+    if 2 * len(held) <= len(members):
+        return False
+    if len(held) == len(members):
+        return True
+    zones = {name: place.zone for name, place in members.items()}
+    regions = {name: place.region for name, place in members.items()}
+    return (
+        len(held) > tolerance.machines
+        and (tolerance.zones == 0 or _distinct(held, zones, unknown_adds) > tolerance.zones)
+        and (tolerance.regions == 0 or _distinct(held, regions, unknown_adds) > tolerance.regions)
+    )
+
+
+def _distinct(held: Collection[str], areas: Mapping[str, str], unknown_adds: bool) -> int:
+    known = {areas[name] for name in held if areas[name]}
+    return len(known) + (sum(not areas[name] for name in held) if unknown_adds else 0)
--- /dev/null
+++ b/waterworks/aquifer/store.py
@@ -0,0 +1,226 @@
+"""One node's copy of the control state: the items it holds, and what a peer with some vector lacks."""
+
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from heapq import nsmallest
+from operator import itemgetter
+from typing import Any
+
+from waterworks.aquifer.digest import Digests
+from waterworks.aquifer.items import Item, Key, outranks
+
+Write = tuple[str, str, int, Mapping[str, Any] | None]  # kind, name, version, value
+
+SPARE_SOURCES = 64  # entries of the vector that no item bears; each costs its bytes in every question
+PAGINGS = 16  # answers that may be under way in pages at once
+PAGE = "page:"  # before a source's name: an entry that counts pages of that source's answer, see Store
+
+
+@dataclass(frozen=True, slots=True)
+class Full:
+    """Nothing was taken, for the store would pass its bound; ``reason`` is one line."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lack:
+    """What a peer lacks: items in the order of their arrival here, and what its vector may rise to with them.
+
+    With ``more`` this is a page: the vector holds but the page's own entry, and the peer is to ask again.
+    """
+
+    items: list[Item]
+    vector: dict[str, int]
+    more: bool
+
+
+class Store:
+    """Items by key, and a vector by source.
+
+    Invariant P: for each source s and each n <= vector[s], the store holds an item of the key that was
+    stamped (s, n), at that item's rank or higher; tombstones that were forgotten excepted. So a peer that
+    asks with its vector needs only the items whose stamps lie above it, and merging a whole answer raises the
+    vector safely. An item may bear a stamp above the vector (it came in a page, or by repair): it is
+    answered, not claimed.
+
+    Pages. A number that no item bears was replaced by an item whose stamp may lie anywhere, of the same
+    source or another. A page that raised entries of sources would thus claim what comes only in later pages;
+    if its sender were lost in between, the asker would never ask anyone for it again. So a page is cut by the
+    order in which the items came to its sender, and bears a single entry, "page:" and the sender's source:
+    the asker holds whatever the sender still holds of its first n arrivals. An item replaced meanwhile
+    arrives anew, past the page. Only the sender heeds that entry, the last page ends it, and nobody passes it
+    on.
+    """
+
+    def __init__(self, source: str, most: int) -> None:
+        """``source`` names this life of this process; writes fill up to ``most`` items, with tombstones.
+
+        Raises ValueError for a source that is empty or looks like a page's entry.
+        """
+        if not source or source.startswith(PAGE):
+            raise ValueError(f"source {source!r}: give a name that does not begin with {PAGE!r}")
+        self.source = source
+        self.most = most
+        self.items: dict[Key, Item] = {}
+        self.vector: dict[str, int] = {}
+        self.digests = Digests()
+        self._stamped: dict[str, list[tuple[int, Key]]] = {}  # by source: its items by number
+        self._arrived: dict[Key, int] = {}
+        self._arrivals = 0
+        self._unborne: dict[str, None] = {}  # sources in the vector that no item bears, oldest first
+
+    def take(self, kind: str, name: str, version: int, value: Mapping[str, Any] | None) -> Item | Full | None:
+        """A write at this node, stamped with its source; None where the held item is not outranked."""
+        taken = self.take_all([(kind, name, version, value)])
+        if isinstance(taken, Full):
+            return taken
+        return taken[0] if taken else None
+
+    def take_all(self, writes: Sequence[Write]) -> list[Item] | Full:
+        """Writes in their order, all or (past the bound) none; the items that changed something."""
+        if (full := self._full({(kind, name) for kind, name, _, _ in writes}, self.most)) is not None:
+            return full
+        taken = []
+        for write in writes:
+            item = Item(*write, self.source, self.vector.get(self.source, 0) + 1)
+            if self._put(item):
+                self.vector[self.source] = item.number
+                taken.append(item)
+        return taken
+
+    def merge(self, items: Iterable[Item], vector: Mapping[str, int]) -> list[Item] | Full:
+        """A peer's answer, whole or a page, to a question that this store asked; the items that changed it.
+
+        Items from elsewhere (repair) come with an empty vector. An item of equal content keeps the stamp it
+        has here. Merges may fill the store to twice ``most``, since nodes apart from each other take writes
+        up to ``most`` each; past that nothing of the answer is merged.
+        """
+        told = list(items)
+        if (full := self._full({item.key for item in told}, 2 * self.most)) is not None:
+            return full
+        changed = {item.key: item for item in told if self._put(item)}
+        self._raise(vector)
+        return list(changed.values())
+
+    def lacking(self, vector: Mapping[str, int], most: int) -> Lack:
+        """What a peer with this vector lacks: at most ``most`` (>= 1) items, then ``more``.
+
+        merge(lack.items, lack.vector) is right for pages and whole answers alike, also late or doubled. The
+        cost is that of all that is lacking and of the sources, not of the store.
+        """
+        page = PAGE + self.source
+        after = vector.get(page, 0)
+        found = []
+        for source, stamped in self._stamped.items():
+            for _, key in stamped[bisect_right(stamped, vector.get(source, 0), key=itemgetter(0)) :]:
+                if self._arrived[key] > after:
+                    found.append((self._arrived[key], key))
+        first = nsmallest(most, found)
+        items = [self.items[key] for _, key in first]
+        if len(found) > most:
+            return Lack(items, {page: first[-1][0]}, True)
+        risen = {source: self.vector[source] for source in self._risen(vector)}
+        return Lack(items, risen | ({page: 0} if page in vector else {}), False)
+
+    def has_news(self, vector: Mapping[str, int]) -> bool:
+        """Whether an answer to this vector would raise it, by the cost of the sources.
+
+        Items above this store's own vector go out with any answer but are no news: the asker's vector would
+        not rise by them and it would be sent them for ever. Alone, they spread with the next answer or by
+        repair.
+        """
+        return next(self._risen(vector), None) is not None
+
+    def forget(self, key: Key) -> None:
+        """Drops a tombstone whose time is over: no store that may come back holds an older copy of it.
+
+        Nothing happens where the key is absent or has been set again. Entries of sources that no item bears
+        any more stay in the vector up to SPARE_SOURCES of them, the oldest leave first: an entry that left at
+        once would let peers that have not yet forgotten bring the tombstone back.
+        """
+        held = self.items.get(key)
+        if held is None or held.value is not None:
+            return
+        del self.items[key]
+        del self._arrived[key]
+        self.digests.note(held, None)
+        self._unstamp(held)
+
+    def restore(self, items: Iterable[Item], vector: Mapping[str, int]) -> None:
+        """What an earlier life of this process kept on disk, items and vector of one moment; stamps are kept.
+
+        No bound: what was acknowledged is held, and a lowered ``most`` refuses but new writes. Pages under
+        way are begun anew.
+        """
+        for item in items:
+            self._put(item)
+        self._raise({source: number for source, number in vector.items() if not source.startswith(PAGE)})
+
+    def _full(self, keys: set[Key], most: int) -> Full | None:
+        count = len(self.items) + sum(key not in self.items for key in keys)
+        if count <= most or count == len(self.items):  # what is held may change at the bound, too
+            return None
+        return Full(
+            f"state: {count} items with these, at most {most}: drop some and wait till they are forgotten"
+        )
+
+    def _put(self, item: Item) -> bool:
+        held = self.items.get(item.key)
+        if held is not None and not outranks(item, held):
+            return False
+        self.items[item.key] = item
+        self._arrivals += 1
+        self._arrived[item.key] = self._arrivals
+        self.digests.note(held, item)
+        insort(self._stamped.setdefault(item.source, []), (item.number, item.key))
+        self._unborne.pop(item.source, None)
+        if held is not None:
+            self._unstamp(held)
+        return True
+
+    def _unstamp(self, item: Item) -> None:
+        stamped = self._stamped[item.source]
+        del stamped[bisect_left(stamped, (item.number, item.key))]
+        if not stamped:
+            del self._stamped[item.source]
+            self._spare(item.source)
+
+    def _raise(self, vector: Mapping[str, int]) -> None:
+        for source, number in vector.items():
+            if source.startswith(PAGE):
+                self._turn_page(source, number)
+            elif number > self.vector.get(source, 0):
+                self.vector[source] = number
+                if source not in self._stamped:
+                    self._spare(source)
+
+    def _turn_page(self, entry: str, number: int) -> None:
+        held = self.vector.pop(entry, 0)
+        if number == 0:
+            return
+        self.vector[entry] = max(held, number)  # at the end, as the latest in use
+        pagings = [entry for entry in self.vector if entry.startswith(PAGE)]
+        for oldest in pagings[:-PAGINGS]:
+            del self.vector[oldest]
+
+    def _spare(self, source: str) -> None:
+        if source == self.source or source not in self.vector:
+            return
+        self._unborne[source] = None
+        while len(self._unborne) > SPARE_SOURCES:
+            oldest = next(iter(self._unborne))
+            del self._unborne[oldest]
+            del self.vector[oldest]
+
+    def _risen(self, vector: Mapping[str, int]) -> Iterator[str]:
+        """Sources whose entries here exceed ``vector``'s and are worth telling.
+
+        An entry that no item bears is told only to those who know the source, and by the source itself, who
+        may wait for it to be confirmed: otherwise sources long dead would go round for ever.
+        """
+        for source, number in self.vector.items():
+            if number > vector.get(source, 0) and not source.startswith(PAGE):
+                if source == self.source or source in self._stamped or source in vector:
+                    yield source
--- /dev/null
+++ b/waterworks/cistern/__init__.py
@@ -0,0 +1,1 @@
+"""The disk: what was acknowledged, in lmdb."""
--- /dev/null
+++ b/waterworks/cistern/keeper.py
@@ -0,0 +1,366 @@
+"""The durable store of a process: one lmdb file in a folder, opened, checked, written and set aside.
+
+Calls come one at a time and wait for the disk. The file's name appears only when the file is complete and
+synced, so that a start finds a whole store, none, or a damaged one, and can tell the three apart. A damaged
+one is renamed, never overwritten and never passed over in silence: what was acknowledged is not on this disk,
+and the caller must know it.
+"""
+
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import lmdb
+from lmdb.verify import VerifyError
+from lmdb.verify import verify as walk
+
+from waterworks.cistern.layout import (
+    HEAD,
+    LAYOUT,
+    MOST_KEY_BYTES,
+    MOVES,
+    CisternError,
+    Head,
+    Rows,
+    pack_head,
+    seal,
+    unpack_head,
+    unseal,
+    weight,
+)
+
+NAME = "store.mdb"
+MOST_ASIDES = 3
+MOST_MAP_BYTES = 64 << 20
+_ROW = b"r"
+# Errors of the machine, not of the file: the file may be well, so it stays where it is.
+_OUTSIDE = (lmdb.DiskError, lmdb.ReadonlyError, lmdb.MemoryError, lmdb.LockError, lmdb.InvalidParameterError)
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """The rows are on the disk and outlast a loss of power."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The rows are not known to be on the disk: they may be there or not. Keep the same rows again before
+    relying on them; what was kept before still stands."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """A store that holds every row that it said was kept. ``notes`` tell what opening it changed."""
+
+    keeper: "Keeper"
+    rows: Rows
+    notes: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Fresh:
+    """The folder held no store and none set aside: a first start, or a disk that came back empty."""
+
+    keeper: "Keeper"
+
+
+@dataclass(frozen=True, slots=True)
+class SetAside:
+    """The store was damaged and lies under ``moved_to``; the keeper's is empty. This disk has lost what it
+    held."""
+
+    keeper: "Keeper"
+    moved_to: Path
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """No store could be opened, and none that was there was changed."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Damaged:
+    reason: str
+
+
+def room(disk_mb: float) -> int:
+    """How large the store may grow, in bytes, on a disk of that many MB: half of it, since as much again may
+    lie set aside, and no more than MOST_MAP_BYTES."""
+    return min(MOST_MAP_BYTES, int(disk_mb * (1 << 20) / 2)) & ~4095
+
+
+class Keeper:
+    """An open store. Made by Keeper.open; one call at a time, from whichever thread."""
+
+    def __init__(self, path: Path, most_bytes: int, environment: lmdb.Environment) -> None:
+        self._path = path
+        self._most = most_bytes
+        self._environment: lmdb.Environment | None = (
+            environment  # None after a refusal, until the next call opens it anew
+        )
+
+    @staticmethod
+    def open(folder: Path, most_bytes: int) -> Opened | Fresh | SetAside | Failed:
+        """Open the store of a folder, or begin one, at most ``most_bytes`` large.
+
+        The folder is made if it is missing. Every row is read and checked. A store of an older layout is
+        moved on; one of a newer layout is Failed, and stays as it is.
+        """
+        path = folder / NAME
+        try:
+            if not folder.is_dir():
+                folder.mkdir(parents=True)
+                _sync_folder(folder.parent)
+            asides = _asides(path)
+            if not path.exists():
+                keeper = _begin(path, most_bytes)
+                if not asides:
+                    return Fresh(keeper)
+                # Setting aside was cut short between its two renames, or the caller never came to hear of it.
+                return SetAside(
+                    keeper, asides[-1], "an earlier store was set aside and none begun in its place"
+                )
+            found = _read(path, most_bytes)
+            if not isinstance(found, _Damaged):
+                return found
+            moved_to = _set_aside(path, most_bytes)
+            return SetAside(_begin(path, most_bytes), moved_to, found.reason)
+        except (OSError, lmdb.Error) as error:
+            return Failed(f"{path}: {error}; mend the disk or its rights and start again")
+
+    def keep(self, rows: Sequence[tuple[bytes, bytes]], gone: Sequence[bytes] = ()) -> Kept | Refused:
+        """Write rows and drop the keys in ``gone``, in one transaction; return when the disk has it.
+
+        Of two rows with one key the later counts; a key in both stays. Keys are at most MOST_KEY_BYTES long.
+        """
+        # Once each: lmdb writes a second value of one transaction into the first one's pages and loses count
+        # of them.
+        wanted = {_ROW + key: value for key, value in rows}
+        dropped = {_ROW + key for key in gone}
+        if any(not 0 < len(key) - 1 <= MOST_KEY_BYTES for key in (*wanted, *dropped)):
+            return Refused(f"a key is empty or longer than {MOST_KEY_BYTES} bytes; shorten it")
+        try:
+            environment = self._opened()
+            with environment.begin(write=True) as transaction:
+                head = unpack_head(transaction.get(HEAD))
+                if isinstance(head, str):
+                    return Refused(f"{self._path}: {head}; start again")
+                came, went = [], []
+                for key in dropped:
+                    went.append(transaction.pop(key))
+                for key, value in wanted.items():
+                    came.append(seal(key, value))
+                    went.append(transaction.replace(key, came[-1]))
+                after = head.changed(
+                    transaction.id(), came, [stored for stored in went if stored is not None]
+                )
+                transaction.put(HEAD, pack_head(after))
+            # The commit's last write is made durable by a flag of its descriptor alone, which not every disk
+            # honours.
+            environment.sync(True)
+        except lmdb.MapFullError:
+            return Refused(f"{self._path}: full at {self._most} bytes; drop rows or give the disk more room")
+        except (lmdb.Error, OSError) as error:
+            # The pages in memory may differ from those on the disk; a new look at the file tells what it
+            # holds.
+            self.close()
+            return Refused(f"{self._path}: {error}; keep the rows again when the disk is well")
+        return Kept()
+
+    def rows(self) -> Rows:
+        """All rows. Raises CisternError where one cannot be read or has another checksum."""
+        try:
+            rows, findings, _ = _survey(self._opened())
+        except (lmdb.Error, OSError) as error:
+            raise CisternError(f"{self._path}: {error}; start again") from error
+        if findings:
+            raise CisternError(f"{self._path}: {findings[0]}; start again")
+        return rows
+
+    def verify(self) -> tuple[str, ...]:
+        """What is wrong with the store as it lies on the disk, a line each; () where nothing is. Reads all of
+        it."""
+        findings = list(_structure(self._path))
+        try:
+            findings += _survey(self._opened())[1]
+        except (lmdb.Error, OSError) as error:
+            findings.append(str(error))
+        return tuple(findings)
+
+    def backup(self, to: Path) -> Kept | Refused:
+        """Copy the store, as it is now, to a folder that holds none yet; the copy opens like the store
+        itself."""
+        try:
+            to.mkdir(parents=True, exist_ok=True)
+            copy = to / NAME
+            if copy.exists():
+                return Refused(f"{copy}: is there already; name another folder")
+            unfinished = copy.with_name(copy.name + ".new")
+            unfinished.unlink(missing_ok=True)
+            self._opened().copy(str(unfinished))
+            _publish(unfinished, copy)
+            _sync_folder(to.parent)
+        except (lmdb.Error, OSError) as error:
+            return Refused(f"{to}: {error}; name a folder with room")
+        return Kept()
+
+    def close(self) -> None:
+        """Let go of the file. Nothing is lost by not calling it."""
+        if self._environment is not None:
+            self._environment.close()
+            self._environment = None
+
+    def _opened(self) -> lmdb.Environment:
+        if self._environment is None:
+            self._environment = _environment(self._path, self._most)
+        return self._environment
+
+
+def _environment(path: Path, most_bytes: int) -> lmdb.Environment:
+    # No lock file: one process has the file, and the machines' locks do nothing. No writable map: a write
+    # through it would reach the file when the kernel likes, not when it is synced.
+    return lmdb.open(str(path), map_size=most_bytes, subdir=False, lock=False, mode=0o640, readahead=False)
+
+
+def _read(path: Path, most_bytes: int) -> Opened | Failed | _Damaged:
+    """Check and open a store that is there. Raises OSError, or lmdb.Error for what is not the file's own
+    fault."""
+    # Before lmdb maps it: a page that is cut off would end the process at the first look.
+    findings = _structure(path)
+    if findings:
+        return _Damaged(findings[0])
+    environment = _environment(path, most_bytes)
+    opened = False
+    try:
+        rows, findings, head = _survey(environment)
+        if head is not None and head.layout > LAYOUT:
+            return Failed(f"{path}: layout {head.layout}, newest known {LAYOUT}; start the newer program")
+        if head is None or findings:
+            return _Damaged(findings[0])
+        notes = []
+        for layout in range(head.layout, LAYOUT):
+            rows = MOVES[layout](rows)
+            _write_all(environment, layout + 1, rows)
+            notes.append(f"moved on from layout {layout} to {layout + 1}")
+        opened = True
+    except lmdb.Error as error:
+        if isinstance(error, _OUTSIDE):
+            raise
+        return _Damaged(str(error))
+    finally:
+        if not opened:
+            environment.close()
+    return Opened(Keeper(path, most_bytes, environment), rows, tuple(notes))
+
+
+def _structure(path: Path) -> tuple[str, ...]:
+    """What is wrong with the file's pages, found without lmdb. Raises OSError."""
+    try:
+        return tuple(str(finding) for finding in walk(str(path)))  # type: ignore[no-untyped-call]
+    except VerifyError as error:
+        return (str(error),)
+
+
+def _survey(environment: lmdb.Environment) -> tuple[Rows, tuple[str, ...], Head | None]:
+    """The rows, what is wrong with them by their checksums and by the head, and the head."""
+    rows: Rows = {}
+    findings = []
+    total = 0
+    with environment.begin() as transaction:
+        for key, stored in transaction.cursor():
+            if key == HEAD:
+                continue
+            value = unseal(key, stored)
+            if not key.startswith(_ROW):
+                findings.append(f"row {key.hex()}: not the store's own")
+            elif value is None:
+                findings.append(f"row {key.hex()}: checksum differs")
+            else:
+                rows[key[len(_ROW) :]] = value
+            total += weight(stored)
+        number = transaction.id()
+        head = unpack_head(transaction.get(HEAD))
+    if isinstance(head, str):
+        return rows, (*findings, head), None
+    if head.transaction != number:
+        findings.append(f"head row: of transaction {head.transaction}, the file is at {number}")
+    if (head.count, head.total) != (len(rows), total % 2**64):
+        findings.append(
+            f"head row: {head.count} rows were kept, {len(rows)} good ones are here, or others are"
+        )
+    return rows, tuple(findings), head
+
+
+def _write_all(environment: lmdb.Environment, layout: int, rows: Rows) -> None:
+    """Put these rows and a head in place of all that is there, in one transaction, and sync it."""
+    with environment.begin(write=True) as transaction:
+        transaction.drop(environment.open_db(None, txn=transaction), delete=False)
+        sealed = {_ROW + key: seal(_ROW + key, value) for key, value in rows.items()}
+        for key, stored in sealed.items():
+            transaction.put(key, stored)
+        none = Head(layout=layout, transaction=0, count=0, total=0)
+        transaction.put(HEAD, pack_head(none.changed(transaction.id(), sealed.values(), ())))
+    environment.sync(True)
+
+
+def _begin(path: Path, most_bytes: int) -> Keeper:
+    """An empty store under that name, there whole or not at all. Raises OSError, lmdb.Error."""
+    unfinished = path.with_name(path.name + ".new")
+    unfinished.unlink(missing_ok=True)
+    environment = _environment(unfinished, most_bytes)
+    try:
+        _write_all(environment, LAYOUT, {})
+    finally:
+        environment.close()
+    _publish(unfinished, path)
+    return Keeper(path, most_bytes, _environment(path, most_bytes))
+
+
+def _publish(unfinished: Path, path: Path) -> None:
+    descriptor = os.open(unfinished, os.O_RDWR)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    os.rename(unfinished, path)
+    _sync_folder(path.parent)
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _asides(path: Path) -> list[Path]:
+    """The stores set aside, the oldest first."""
+    numbered = []
+    for aside in path.parent.glob(f"{path.name}.aside-*"):
+        number = aside.name.rpartition("-")[2]
+        if number.isascii() and number.isdecimal():
+            numbered.append((int(number), aside))
+    return [aside for _, aside in sorted(numbered)]
+
+
+def _set_aside(path: Path, most_bytes: int) -> Path:
+    """Rename a damaged store and remove the oldest ones beyond MOST_ASIDES or beyond ``most_bytes`` in all;
+    the newest stays whatever its size. Raises OSError."""
+    asides = _asides(path)
+    number = int(asides[-1].name.rpartition("-")[2]) + 1 if asides else 1
+    moved_to = path.with_name(f"{path.name}.aside-{number}")
+    os.rename(path, moved_to)
+    _sync_folder(path.parent)
+    asides.append(moved_to)
+    while len(asides) > 1 and (
+        len(asides) > MOST_ASIDES or sum(aside.stat().st_size for aside in asides) > most_bytes
+    ):
+        asides.pop(0).unlink()
+    return moved_to
--- /dev/null
+++ b/waterworks/gauge/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events."""
--- /dev/null
+++ b/waterworks/gauge/events.py
@@ -0,0 +1,95 @@
+"""The numbered events of the mesh's log. docs/operate/log_events.md says what each means and what to do.
+
+A number is never used again for anything else. Its hundred is its subject: 1 start and settings, 2
+membership, 3 configuration, 4 disk, 5 calls, 6 duties, 7 repair.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Level(IntEnum):
+    """How urgent an event is; the initial stands in the line."""
+
+    DEBUG = 1
+    INFO = 2
+    WARNING = 3
+    ERROR = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A kind of event: its number, its level, what is said, and the names of the values that are told with
+    it."""
+
+    number: int
+    level: Level
+    text: str
+    fields: tuple[str, ...] = ()
+
+    @property
+    def code(self) -> str:
+        """The level's initial and the number, as in the log: W202."""
+        return f"{self.level.name[0]}{self.number}"
+
+
+CATALOGUE: dict[int, Event] = {}
+"""All events, by number."""
+
+
+def _event(number: int, level: Level, text: str, *fields: str) -> Event:
+    event = Event(number, level, text, fields)
+    if CATALOGUE.setdefault(number, event) is not event:
+        raise ValueError(f"events: {number} is given twice; take a free number")
+    return event
+
+
+STARTED = _event(101, Level.INFO, "started", "role")
+SETTINGS_UNKNOWN = _event(102, Level.INFO, "unknown settings ignored", "names")
+STOPPING = _event(103, Level.INFO, "asked to end", "open_calls")
+ENDED = _event(104, Level.INFO, "ended")
+SETTINGS_TAKEN = _event(106, Level.INFO, "changed settings taken")
+SETTINGS_REFUSED = _event(107, Level.WARNING, "changed settings refused", "findings")
+FAULT = _event(105, Level.ERROR, "fault in the program", "where", "what")
+
+LINK_UP = _event(201, Level.INFO, "link up", "peer")
+LINK_LOST = _event(202, Level.WARNING, "link lost", "peer", "why")
+INSTANCE_NEW = _event(203, Level.INFO, "instance new", "service", "instance", "address")
+INSTANCE_SETTLED = _event(204, Level.INFO, "instance settled", "service", "instance")
+INSTANCE_DECAYING = _event(205, Level.INFO, "instance decaying", "service", "instance")
+INSTANCE_GONE = _event(206, Level.INFO, "instance gone", "service", "instance", "why")
+SUSPECTED = _event(207, Level.WARNING, "machine suspected", "peer", "silent_ms")
+ADDRESS_REUSED = _event(208, Level.INFO, "address used again", "address", "before", "now")
+PEER_REFUSED = _event(209, Level.WARNING, "peer refused", "peer", "reason")
+
+CHANGE_TAKEN = _event(301, Level.INFO, "change taken", "items", "of")
+CHANGE_REFUSED = _event(302, Level.WARNING, "change refused", "reason")
+NOT_ACKNOWLEDGED = _event(303, Level.WARNING, "change not acknowledged in time", "reason")
+PULLED = _event(304, Level.INFO, "configuration pulled", "peer", "items")
+IN_FORCE = _event(305, Level.INFO, "configuration in force", "items", "version")
+READ_BACK = _event(306, Level.DEBUG, "configuration read back", "items")
+BEHIND = _event(307, Level.WARNING, "configuration behind", "peer", "items")
+STATE_FULL = _event(308, Level.ERROR, "control state full", "reason")
+
+DISK_OPENED = _event(401, Level.INFO, "store opened", "items", "whole")
+DISK_FRESH = _event(402, Level.WARNING, "store begun on an empty disk", "first")
+DISK_SET_ASIDE = _event(403, Level.ERROR, "damaged store set aside", "moved_to", "reason")
+DISK_SLOW = _event(404, Level.WARNING, "disk slow", "took_ms", "rows")
+DISK_REFUSED = _event(405, Level.ERROR, "disk refused", "reason")
+DISK_WHOLE = _event(406, Level.INFO, "store whole again", "items")
+DISK_FAILED = _event(407, Level.ERROR, "store cannot be opened", "reason")
+DISK_MOVED_ON = _event(408, Level.INFO, "store moved on", "note")
+
+SHED = _event(501, Level.INFO, "calls shed", "service", "why")
+BUDGET_SPENT = _event(502, Level.WARNING, "budget for further tries spent", "service")
+CALLS_CUT = _event(503, Level.WARNING, "link lost with calls out", "peer", "calls", "why")
+WRONG_ANSWER = _event(504, Level.ERROR, "wrong answer dropped", "wanted", "got")
+UNCLEAR = _event(505, Level.WARNING, "effectful call unclear", "attempt", "why")
+
+DUTY_TAKEN = _event(601, Level.INFO, "duty taken", "duty", "epoch")
+DUTY_LEFT = _event(602, Level.INFO, "duty left", "duty", "epoch", "why")
+EPOCH_OLD = _event(603, Level.WARNING, "order of an old epoch refused", "duty", "epoch", "newest")
+
+REPAIR_BEGUN = _event(701, Level.INFO, "repair begun", "peer", "buckets")
+REPAIR_DONE = _event(702, Level.INFO, "repair done", "peer", "items")
+REPAIR_DIFFERS = _event(703, Level.WARNING, "digests differ after repair", "peer", "buckets")
--- /dev/null
+++ b/waterworks/gauge/log.py
@@ -0,0 +1,106 @@
+"""The log: one line an event, on the stream that is given, at most so many a second of each kind."""
+
+import json
+import time
+from collections.abc import Callable
+from typing import Any, TextIO
+
+import logbook
+
+from waterworks.gauge.events import CATALOGUE, Event, Level
+
+MOST_A_SECOND = 20
+"""Lines of one event in one second; the suppressed are counted and told with the event's next line."""
+MOST_VALUE = 300
+"""Characters of one value."""
+
+_LEVELS = {
+    Level.DEBUG: logbook.DEBUG,
+    Level.INFO: logbook.INFO,
+    Level.WARNING: logbook.WARNING,
+    Level.ERROR: logbook.ERROR,
+}
+_PLAIN = frozenset("!#$%&()*+,-./:;<>?@[]^_{|}~")  # stands without quotes beside letters and digits
+
+
+class _Lines(logbook.StreamHandler):  # type: ignore[misc]
+    """Writes records as they are. A stream that fails must not end the process that tells what goes on in
+    it."""
+
+    def __init__(self, stream: TextIO) -> None:
+        super().__init__(stream)
+        self.formatter = lambda record, handler: record.msg
+
+    def handle_error(self, record: logbook.LogRecord, exc_info: Any) -> None:
+        pass
+
+
+class Gauge:
+    """The log of one process. ``clock`` gives seconds since 1970, UTC; lines have the time of day by it."""
+
+    def __init__(
+        self,
+        node: str,
+        stream: TextIO,
+        level: Level = Level.INFO,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._logger = logbook.Logger(node)
+        self._logger.handlers.append(_Lines(stream))
+        self._level = level
+        self._clock = clock
+        self._told = {
+            number: [0, 0, 0] for number in CATALOGUE
+        }  # second, lines in it, suppressed since a line
+
+    def tell(self, event: Event, /, **values: object) -> None:
+        """Write ``HH:MM:SS.mmm W202 link lost peer=... why=...``, the event's fields first and in its order;
+        one that is not given is ``?``. Nothing is formatted below the log's level or beyond MOST_A_SECOND.
+        Values keep to one line and MOST_VALUE characters. Never raises for a value or a stream."""
+        if event.level < self._level:
+            return
+        now = self._clock()
+        told = self._told[event.number]
+        if told[0] != int(now):
+            told[0], told[1] = int(now), 0
+        if told[1] >= MOST_A_SECOND:
+            told[2] += 1
+            return
+        told[1] += 1
+        parts = [f"{_time(now)} {event.code} {event.text}"]
+        parts += [f"{name}={_shown(values.pop(name, _Missing))}" for name in event.fields]
+        parts += [f"{name}={_shown(value)}" for name, value in values.items()]
+        if told[2]:
+            parts.append(f"suppressed={told[2]}")
+            told[2] = 0
+        self._logger.log(_LEVELS[event.level], " ".join(parts))
+
+
+class _Missing:
+    """Stands for a value that was not given."""
+
+
+def _time(now: float) -> str:
+    milliseconds = int(now * 1000)
+    seconds = milliseconds // 1000
+    return f"{seconds // 3600 % 24:02}:{seconds // 60 % 60:02}:{seconds % 60:02}.{milliseconds % 1000:03}"
+
+
+def _shown(value: object) -> str:
+    if value is _Missing:
+        return "?"
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    try:
+        text = str(value)
+    except Exception as error:  # a value that cannot be shown is no reason to lose the line
+        return type(error).__name__
+    if len(text) > MOST_VALUE:
+        text = text[: MOST_VALUE - 3] + "..."
+    if text and text.isascii() and all(sign.isalnum() or sign in _PLAIN for sign in text):
+        return text
+    return json.dumps(text)
--- /dev/null
+++ b/waterworks/headworks/__init__.py
@@ -0,0 +1,1 @@
+"""A process's settings file, read and checked."""
--- /dev/null
+++ b/waterworks/headworks/deploy.py
@@ -0,0 +1,104 @@
+"""The deploy file, checked: which program runs on which machines. Mistakes are told before any machine is
+used."""
+
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+CLASSES = ("auxiliary", "core")
+SERVED = ("auxiliary", "supervisor")
+MOST_ROLES = 2
+"""Roles on one class of machines."""
+_HELPERS = ("env", "npx")
+_SHELL = frozenset("|&;<>$`\"'\\*?(){}~#")
+_FIELDS = frozenset({"run", "on", "count", "share", "apart", "serves"})
+
+
+def check_deploy(text: str) -> tuple[str, ...]:
+    """What is wrong with the text of a deploy file, a line each (field, what is wrong, the mend); () where
+    nothing is. Never raises."""
+    try:
+        tables = tomllib.loads(text)
+    except (ValueError, RecursionError) as error:
+        return (f"deploy: no TOML ({' '.join(str(error).split())}); write the file anew",)
+    findings = []
+    build = tables.get("build")
+    if not isinstance(build, str) or not build.strip():
+        findings.append(
+            "build: missing or no text; write the shell line that installs what the programs need"
+        )
+    findings += [
+        f"{name!r}: no field of the file; remove it" for name in tables if name not in ("build", "roles")
+    ]
+    roles = tables.get("roles")
+    if not isinstance(roles, dict) or not roles:
+        return (*findings, "roles: none; write [roles.NAME] with run, on and serves")
+    for name, role in roles.items():
+        if isinstance(role, dict):
+            findings += [f"roles.{name!r}.{finding}" for finding in _check_role(role)]
+        else:
+            findings.append(f"roles.{name!r}: no table; write [roles.NAME]")
+    good = {name: role for name, role in roles.items() if isinstance(role, dict)}
+    return (*findings, *_check_classes(good))
+
+
+def _check_role(role: Mapping[str, Any]) -> list[str]:
+    findings = [f"{name!r}: no field of a role; remove it" for name in role if name not in _FIELDS]
+    run = role.get("run")
+    if not isinstance(run, str) or not run.split():
+        findings.append("run: missing or no text; write the program and its arguments")
+    else:
+        if run.split()[0].rpartition("/")[2] in _HELPERS:
+            findings.append(f"run: begins with {run.split()[0]}; name the program itself")
+        if _SHELL & set(run):
+            signs = " ".join(sorted(_SHELL & set(run)))
+            findings.append(
+                f"run: has {signs} and no shell reads it; write the program and its arguments plainly"
+            )
+    on = role.get("on")
+    if on not in CLASSES:
+        findings.append(f"on: no class of machines; write one of {', '.join(CLASSES)}")
+    serves = role.get("serves", [])
+    if not isinstance(serves, list) or any(served not in SERVED for served in serves):
+        findings.append(f"serves: not a list of {' and '.join(SERVED)}; name these alone")
+    elif len(set(serves)) < len(serves):
+        findings.append("serves: names one twice; name each once")
+    if not isinstance(role.get("apart", False), bool):
+        findings.append("apart: neither true nor false; write one of them")
+    return findings + _check_amount(role)
+
+
+def _check_amount(role: Mapping[str, Any]) -> list[str]:
+    findings = []
+    count, share = role.get("count"), role.get("share")
+    if count is not None and share is not None:
+        findings.append("count: given beside share; remove one of them")
+    # A role on auxiliary machines runs on all of them, whatever is given.
+    if count is None and share is None and role.get("on") != "auxiliary":
+        findings.append("share: missing, and count too; give one of them")
+    if count is not None and (isinstance(count, bool) or not isinstance(count, int) or count < 1):
+        findings.append("count: no whole number of 1 or more; write one")
+    if share is not None and (
+        isinstance(share, bool) or not isinstance(share, int | float) or not 0 < share <= 1
+    ):
+        findings.append("share: no number above 0 and at most 1; write one")
+    return findings
+
+
+def _check_classes(roles: Mapping[str, Mapping[str, Any]]) -> list[str]:
+    """What holds among the roles of one class."""
+    findings = []
+    for machines in CLASSES:
+        here = {name: role for name, role in roles.items() if role.get("on") == machines}
+        if len(here) > MOST_ROLES:
+            findings.append(f"roles: {len(here)} on {machines}; keep at most {MOST_ROLES} there")
+        for served in SERVED:
+            serving = [name for name, role in here.items() if served in _listed(role.get("serves"))]
+            if len(serving) > 1:
+                names = ", ".join(map(repr, serving))
+                findings.append(f"roles: {names} on {machines} all serve {served}; let one of them")
+    return findings
+
+
+def _listed(value: object) -> list[object]:
+    return value if isinstance(value, list) else []
--- /dev/null
+++ b/waterworks/headworks/settings.py
@@ -0,0 +1,350 @@
+"""A process's settings file: what a process is told at its start, read from TOML and checked by hand.
+
+``read`` never raises: whatever stands in the file, the outcome is Settings or a list of findings, one line
+each.
+"""
+
+import ipaddress
+import math
+import tomllib
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, fields
+from types import MappingProxyType
+from typing import Any
+
+from waterworks.aquifer.quorum import Tolerance
+
+Address = tuple[str, int]
+
+MOST_TEXT = 1 << 20
+"""A settings file's length in characters; parsing time grows with it."""
+MOST_LISTED = 10_000
+"""Entries of a list or table."""
+_MOST_NUMBER = 1e15
+_MOST_SHOWN = 60
+_MOST_LINE = 300
+
+# Fields of the file that the mesh has no use for: known, so that they are not told as new.
+_UNUSED = frozenset({"observer", "ingress", "mode"})
+
+
+@dataclass(frozen=True, slots=True)
+class Wrong:
+    """The file cannot be used. A finding is one line: the field, what is wrong, the mend."""
+
+    findings: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """Addresses of what the role serves; None where it does not serve that."""
+
+    inbound: Address | None
+    outbound: Address | None
+    readiness: Address | None
+    control: Address | None
+
+
+@dataclass(frozen=True, slots=True)
+class MachineLimits:
+    """What the machine grants: cpu_share of a core that runs ``cores`` times as fast, memory and disk in MB,
+    file descriptors, and the link in Mbit/s."""
+
+    cpu_share: float
+    cores: float
+    memory_mb: float
+    file_handles: int
+    link_mbps: float
+    disk_mb: float
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The figures of the rules in force, in the unit that ends the name; a figure that the file lacks has the
+    value here."""
+
+    seed_delay_s: float = 3
+    reuse_delay_s: float = 2
+    contact_ms: float = 3000
+    ack_ms: float = 4000
+    convergence_s: float = 4
+    drain_ms: float = 2000
+    grace_s: float = 6
+    loss_slack_ms: float = 200
+    settle_ms: float = 2000
+    revert_slack_ms: float = 250
+    stretch_max_ms: float = 5000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 62
+    recovery_s: float = 15
+
+
+_DEFAULTS: dict[str, float] = asdict(Bounds())
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a process is told. ``state_dir`` is "" where the machine has no disk; ``upstream`` is None where
+    the machine has none; ``unknown`` names the fields of the file that this program does not know."""
+
+    node: str
+    role: str
+    machine_class: str
+    serves: tuple[str, ...]
+    ip: str
+    zone: str
+    region: str
+    port_range: tuple[int, int]
+    seeds: tuple[Address, ...]
+    cold_boot: bool
+    counted: bool
+    state_dir: str
+    beat_period_ms: float
+    upstream: Address | None
+    plant: str
+    zones: Mapping[str, str]
+    ports: Ports
+    limits: MachineLimits
+    tolerance: Tolerance
+    bounds: Bounds
+    invariants: tuple[str, ...]
+    unknown: tuple[str, ...]
+
+
+def read(text: str) -> Settings | Wrong:
+    """Settings from the text of the file. Where a field is missing: cold_boot and counted are false,
+    state_dir and plant are "", serves and invariants are empty, beat_period_ms is 1,500, a bound has its
+    default; any other one is a finding. Roles that serve "auxiliary" need an upstream, outbound, inbound and
+    readiness; those that serve "supervisor" need control."""
+    if len(text) > MOST_TEXT:
+        return Wrong((f"file: {len(text)} characters, at most {MOST_TEXT} are read; shorten the file",))
+    try:
+        tables = tomllib.loads(text)
+    except (ValueError, RecursionError) as error:  # a number of too many digits is a plain ValueError
+        return Wrong((f"file: no TOML ({_line(str(error))}); write the file anew",))
+    file = _Table(tables, "", [])
+    settings = _settings(file)
+    return Wrong(tuple(file.findings)) if file.findings else settings
+
+
+def _settings(file: "_Table") -> Settings:
+    zones, ports, limits = file.table("zones"), file.table("ports", needed=False), file.table("input_limits")
+    disturbance, envelope = file.table("disturbance"), file.table("envelope", needed=False)
+    settings = Settings(
+        node=file.text("node"),
+        role=file.text("role"),
+        machine_class=file.text("machine_class"),
+        serves=file.texts("serves"),
+        ip=file.ip("ip"),
+        zone=file.text("zone"),
+        region=file.text("region"),
+        port_range=file.port_range("port_range"),
+        seeds=file.addresses("seeds"),
+        cold_boot=file.truth("cold_boot"),
+        counted=file.truth("counted"),
+        state_dir=file.text("state_dir", ""),
+        beat_period_ms=file.number("beat_period_ms", default=1500, above=0),
+        upstream=file.address("upstream"),
+        plant=file.text("plant", ""),
+        zones=MappingProxyType({zone: zones.text(zone) for zone in zones.values}),
+        ports=Ports(**{field.name: ports.address(field.name) for field in fields(Ports)}),
+        limits=MachineLimits(
+            cpu_share=limits.number("cpu_share", above=0),
+            cores=limits.number("cores", above=0),
+            memory_mb=limits.number("memory_mb", above=0),
+            file_handles=limits.whole("file_handles"),
+            link_mbps=limits.number("link_mbps", above=0),
+            disk_mb=limits.number("disk_mb"),
+        ),
+        tolerance=Tolerance(**{field.name: disturbance.whole(field.name) for field in fields(Tolerance)}),
+        bounds=Bounds(**{name: envelope.number(name, value) for name, value in _DEFAULTS.items()}),
+        invariants=file.texts("invariants"),
+        unknown=_unknown(file.values),
+    )
+    _check_together(settings, file)
+    return settings
+
+
+def _check_together(settings: Settings, file: "_Table") -> None:
+    """What no field shows by itself."""
+    place = settings.zones.get(settings.zone)
+    if settings.zone and place != settings.region:
+        file.find(
+            "zones", f"has {settings.zone!r} in {place!r}, region says {settings.region!r}", "make them agree"
+        )
+    needs = {
+        "auxiliary": ("inbound", "outbound", "readiness"),
+        "supervisor": ("control",),
+    }
+    for served in settings.serves:
+        for port in needs.get(served, ()):
+            if getattr(settings.ports, port) is None:
+                file.find(f"ports.{port}", f"missing, and the role serves {served!r}", "give its ip:port")
+    if "auxiliary" in settings.serves and settings.upstream is None:
+        file.find("upstream", "missing, and the role serves 'auxiliary'", "give its ip:port")
+
+
+def _unknown(values: Mapping[str, Any]) -> tuple[str, ...]:
+    tables = {"ports": Ports, "input_limits": MachineLimits, "disturbance": Tolerance, "envelope": Bounds}
+    known = {field.name for field in fields(Settings)} - {"limits", "tolerance", "bounds", "unknown"}
+    found = [name for name in values if name not in known and name not in tables and name not in _UNUSED]
+    for table, part in tables.items():
+        ours = {field.name for field in fields(part)}
+        inner = values.get(table)
+        if isinstance(inner, dict):
+            found += [f"{table}.{name}" for name in inner if name not in ours]
+    return tuple(_line(name) for name in found)
+
+
+class _Table:
+    """A table of the file with the findings about it: every getter gives a value of its type, and a stand-in
+    plus a finding where the file has none."""
+
+    def __init__(self, values: Mapping[str, Any], name: str, findings: list[str]) -> None:
+        self.values = values
+        self.findings = findings
+        self._name = name
+
+    def find(self, field: str, wrong: str, mend: str) -> None:
+        path = f"{self._name}.{field}" if self._name else field
+        self.findings.append(_line(f"{path}: {wrong}; {mend}"))
+
+    def table(self, field: str, needed: bool = True) -> "_Table":
+        value = self.values.get(field)
+        if value is None and not needed:
+            value = {}
+        if not isinstance(value, dict):
+            self.find(field, "missing" if value is None else f"is {_shown(value)}", f"write [{field}]")
+            # Its fields would each be missing too; one finding says it.
+            return _Table({}, field, [])
+        if len(value) > MOST_LISTED:
+            self.find(field, f"{len(value)} entries", f"write at most {MOST_LISTED}")
+        return _Table(value, field, self.findings)
+
+    def text(self, field: str, default: str | None = None) -> str:
+        value = self.values.get(field, default)
+        if isinstance(value, str) and (value or default is not None):
+            return value
+        self._wrong(field, value, "write a text that is not empty")
+        return ""
+
+    def texts(self, field: str) -> tuple[str, ...]:
+        value = self.values.get(field, [])
+        if (
+            isinstance(value, list)
+            and len(value) <= MOST_LISTED
+            and all(isinstance(one, str) for one in value)
+        ):
+            return tuple(value)
+        self._wrong(field, value, f"write a list of at most {MOST_LISTED} texts")
+        return ()
+
+    def truth(self, field: str) -> bool:
+        value = self.values.get(field, False)
+        if isinstance(value, bool):
+            return value
+        self._wrong(field, value, "write true or false")
+        return False
+
+    def number(self, field: str, default: float | None = None, above: float | None = None) -> float:
+        value = self.values.get(field, default)
+        number = _number(value)
+        if number is not None and (number >= 0 if above is None else number > above):
+            return number
+        self._wrong(field, value, "write a number " + ("of 0 or more" if above is None else f"above {above}"))
+        return 1.0
+
+    def whole(self, field: str) -> int:
+        value = self.values.get(field)
+        number = _number(value)
+        if number is not None and number >= 0 and number == int(number):
+            return int(number)
+        self._wrong(field, value, "write a whole number of 0 or more")
+        return 0
+
+    def ip(self, field: str) -> str:
+        value = self.values.get(field)
+        if isinstance(value, str) and _is_ip(value):
+            return value
+        self._wrong(field, value, "write an address like 10.1.0.35")
+        return ""
+
+    def address(self, field: str) -> Address | None:
+        """The address, or None where the field is missing."""
+        value = self.values.get(field)
+        if value is None:
+            return None
+        found = address(value)
+        if found is None:
+            self._wrong(field, value, "write ip:port like 10.1.0.35:8146")
+        return found
+
+    def addresses(self, field: str) -> tuple[Address, ...]:
+        value = self.values.get(field)
+        if not isinstance(value, list) or len(value) > MOST_LISTED:
+            self._wrong(field, value, f"write a list of at most {MOST_LISTED} ip:port")
+            return ()
+        found = [(one, address(one)) for one in value]
+        for one, parsed in found:
+            if parsed is None:
+                self._wrong(field, one, "write ip:port like 10.1.0.35:8146")
+        return tuple(parsed for _, parsed in found if parsed is not None)
+
+    def port_range(self, field: str) -> tuple[int, int]:
+        value = self.values.get(field)
+        if isinstance(value, list) and len(value) == 2:
+            first, last = _number(value[0]), _number(value[1])
+            if first is not None and last is not None and first == int(first) and last == int(last):
+                if 1 <= first <= last <= 65535:
+                    return int(first), int(last)
+        self._wrong(field, value, "write two ports from 1 to 65535, the lower one first")
+        return 1, 1
+
+    def _wrong(self, field: str, value: object, mend: str) -> None:
+        self.find(field, "missing" if value is None else f"is {_shown(value)}", mend)
+
+
+def address(value: object) -> Address | None:
+    """``ip:port`` as (ip, port); None where the value is no such text, or the port is none from 1 to
+    65535."""
+    if not isinstance(value, str):
+        return None
+    ip, _, port = value.rpartition(":")
+    if not (
+        _is_ip(ip) and port.isascii() and port.isdecimal() and len(port) <= 5 and 1 <= int(port) <= 65535
+    ):
+        return None
+    return ip, int(port)
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _number(value: object) -> float | None:
+    """An int or float that is finite and below 1e15 in size, as it is; None for anything else, booleans
+    too."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return value if math.isfinite(value) and abs(value) < _MOST_NUMBER else None
+
+
+def _shown(value: object) -> str:
+    """A value of the file in few characters. Only texts and plain values are printed: a number may have more
+    digits than may be printed, and lists may be nested deeper than may be walked."""
+    if isinstance(value, str):
+        return repr(value[:_MOST_SHOWN])
+    if isinstance(value, bool | float):
+        return str(value).lower()
+    if isinstance(value, int) and abs(value) < _MOST_NUMBER:
+        return str(value)
+    return f"of type {type(value).__name__}"
+
+
+def _line(text: str) -> str:
+    return " ".join(text.split())[:_MOST_LINE]
--- /dev/null
+++ b/waterworks/headworks/starting.py
@@ -0,0 +1,103 @@
+"""How a program of the mesh starts: its settings file read, checked and followed, its loop, its signals."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Protocol
+
+import uvloop
+
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.headworks.settings import Settings, Wrong, read
+
+VARIABLE = "ANISESTAIR_BOOT"
+LOOK_S = 1.0  # between two looks at the file, which may change without a signal
+
+
+class Program(Protocol):
+    async def start(self) -> None:
+        """Raises OSError where an address or the disk cannot be had."""
+
+    def retune(self, settings: Settings) -> None:
+        """The settings file has changed, and can be used."""
+
+    async def stop(self) -> None:
+        """An orderly end."""
+
+
+def load(environment: Mapping[str, str]) -> Settings | Wrong:
+    path = environment.get(VARIABLE, "")
+    if not path:
+        return Wrong((f"{VARIABLE}: not set; give the path of the settings file",))
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as fault:
+        return Wrong((f"{path}: cannot be read ({fault}); give a TOML file",))
+    return read(text)
+
+
+class Following:
+    """The settings file as it changes, by signal or silently. What cannot be used is told and left alone."""
+
+    def __init__(self, settings: Settings, gauge: Gauge, program: Program) -> None:
+        self._settings, self._gauge, self._program = settings, gauge, program
+        self._loop = asyncio.get_running_loop()
+        self._seen = self._stamp()
+        self._loop.add_signal_handler(signal.SIGHUP, self._read)
+        self._loop.call_later(LOOK_S, self._look)
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            status = os.stat(os.environ[VARIABLE])
+        except OSError:
+            return 0, 0
+        return status.st_mtime_ns, status.st_size
+
+    def _look(self) -> None:
+        if self._stamp() != self._seen:
+            self._read()
+        self._loop.call_later(LOOK_S, self._look)
+
+    def _read(self) -> None:
+        self._seen = self._stamp()
+        settings = load(os.environ)
+        if isinstance(settings, Wrong):
+            self._gauge.tell(events.SETTINGS_REFUSED, findings="; ".join(settings.findings))
+        elif settings != self._settings:
+            self._settings = settings
+            self._gauge.tell(events.SETTINGS_TAKEN)
+            self._program.retune(settings)
+
+
+async def _serve(settings: Settings, gauge: Gauge, make: Callable[[Settings, Gauge], Program]) -> None:
+    loop, ends = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ends.set)
+    program = make(settings, gauge)
+    await program.start()
+    following = Following(settings, gauge, program)
+    await ends.wait()
+    await program.stop()
+    del following
+
+
+def run(make: Callable[[Settings, Gauge], Program]) -> int:
+    """The exit status: 2 for settings that cannot be used, 1 for an address or a disk that cannot."""
+    settings = load(os.environ)
+    if isinstance(settings, Wrong):
+        for line in settings.findings:
+            print(f"settings: {line}", file=sys.stderr)
+        return 2
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(settings, Gauge(settings.node, sys.stderr), make))
+    except OSError as fault:
+        print(f"{settings.node}: {fault}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/waterworks/leat/channels.py
@@ -0,0 +1,234 @@
+"""News over links: which few others this process asks, and what it does with what they tell. Both programs
+have it; only how many it asks, and what it keeps on disk, differs between them.
+
+A sidecar names the few control processes that it asks by rendezvous over all that it knows. One that cannot
+be had, or says that it is cut off from most others, makes room for the next in that order for a while.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Store
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.leat.exchange import Exchange
+from waterworks.penstock.frames import Head
+from waterworks.penstock.link import Address, Link, connect
+from waterworks.weir.rendezvous import order
+
+AGAIN_S, AGAIN_MOST_S = 0.15, 1.5
+BATCH_S = 0.01  # what changes within this goes out together
+
+Changed = Callable[[str, list[Item]], None]
+
+
+class Channel:
+    """One link with news on it, whoever opened it."""
+
+    def __init__(self, channels: Channels, link: Link, name: str, opened_here: bool) -> None:
+        self.channels, self.link, self.name, self.opened_here = channels, link, name, opened_here
+        self.exchange = Exchange(channels.stores)
+        self.node = self.peer_source = ""  # the peer's, once it has said so
+        self.extra: Head = {}  # all that it has said of itself
+        self.said_whole: bool | None = None  # as we told it last
+        self.whole = False  # as the peer told us last
+        self.told = False  # the peer has told us anything
+        link.steady = True
+        link.peer = self
+
+    def begin(self) -> None:
+        self.link.send({**self.channels.hello, "for": "news"})
+        self.link.send(self.exchange.question())
+
+    def frame(self, head: Head) -> bool:
+        """Whether it was one of news. Raises KeyError, TypeError, ValueError for what cannot be read."""
+        kind = head["t"]
+        if kind == "pull":
+            self.exchange.asked(head, self.peer_source)
+            self.answer()
+        elif kind == "news":
+            self.whole, self.told = bool(head["whole"]), True
+            changed = self.exchange.answered(head)
+            self.link.send(self.exchange.question())
+            for name, items in changed.items():
+                if items:
+                    self.channels.changed(name, items)
+            self.channels.heard(self)
+        else:
+            return False
+        return True
+
+    def answer(self) -> None:
+        whole = self.channels.whole()
+        told = self.exchange.answer(whole)
+        if told is None and self.exchange.open and whole is not self.said_whole:
+            told = self.exchange.nothing(whole)
+        if told is not None:
+            self.said_whole = whole
+            self.link.send(told)
+
+
+class Asked:
+    """A peer that this process opens a link to."""
+
+    __slots__ = ("address", "channel", "coming", "name", "not_before", "pause")
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.name, self.address = name, address
+        self.channel: Channel | None = None
+        self.coming: asyncio.Task[None] | None = None
+        self.not_before, self.pause = 0.0, AGAIN_S
+
+
+class Channels:
+    """All of them. ``hello`` is what this process says of itself on each; ``most`` is how many it asks."""
+
+    def __init__(
+        self,
+        me: str,
+        hello: Head,
+        stores: Mapping[str, Store],
+        most: int,
+        gauge: Gauge,
+        changed: Changed,
+        whole: Callable[[], bool] = lambda: False,
+        extra: Callable[[Channel, Head, bytes], None] | None = None,
+        opened: Callable[[Channel], None] | None = None,
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.me, self.hello, self.stores, self.most, self.gauge = me, hello, stores, most, gauge
+        self.changed, self.whole, self._extra, self._opened = changed, whole, extra, opened
+        self.open: set[Channel] = set()
+        self._asked: dict[str, Asked] = {}
+        self._poked: asyncio.TimerHandle | None = None
+        self.whole_at = -1e9  # when one that holds all that was acknowledged last answered, or beat
+
+    # Whom to ask
+
+    def know(self, candidates: Mapping[str, Address]) -> None:
+        """All that could be asked, by name."""
+        for name, address in candidates.items():
+            known = self._asked.get(name)
+            if known is None or known.address != address:
+                self._drop(name)
+                self._asked[name] = Asked(name, address)
+        for name in [name for name in self._asked if name not in candidates]:
+            self._drop(name)
+        self._choose()
+
+    def _drop(self, name: str) -> None:
+        asked = self._asked.pop(name, None)
+        if asked is not None and asked.channel is not None:
+            asked.channel.link.close("not one to ask any more")
+
+    def _choose(self) -> None:
+        """Links to the first of this process's order that can be had now."""
+        now, wanted = self.loop.time(), 0
+        for name in order(self.me, self._asked):
+            asked = self._asked[name]
+            if wanted >= self.most:
+                if asked.channel is not None:
+                    asked.channel.link.close("others come first")
+                continue
+            if asked.channel is not None:
+                wanted += asked.channel.whole or not asked.channel.told
+                continue
+            if asked.coming is not None:
+                wanted += 1
+                continue
+            if now >= asked.not_before:
+                asked.coming = self.loop.create_task(self._come_up(asked))
+                wanted += 1
+
+    async def _come_up(self, asked: Asked) -> None:
+        link = await connect(asked.address, lambda: Link(lambda _: None, self._frame, self._lost))
+        asked.coming = None
+        if link is None or not link.up or self._asked.get(asked.name) is not asked:
+            asked.not_before = self.loop.time() + asked.pause
+            asked.pause = min(2.0 * asked.pause, AGAIN_MOST_S)
+            if link is not None:
+                link.close("not wanted")
+            return
+        asked.pause = AGAIN_S
+        asked.channel = channel = Channel(self, link, asked.name, True)
+        self.open.add(channel)
+        channel.begin()
+
+    # Links that others open
+
+    def adopt(self, link: Link, hello: Head) -> Channel:
+        """A link whose other end wants news. Raises KeyError where it does not say who it is."""
+        channel = Channel(self, link, str(hello["node"]), False)
+        self.open.add(channel)
+        self._met(channel, hello)
+        channel.begin()
+        return channel
+
+    def _met(self, channel: Channel, hello: Head) -> None:
+        channel.node, channel.peer_source = str(hello["node"]), str(hello["source"])
+        channel.extra = hello
+        self.gauge.tell(events.LINK_UP, peer=channel.node)
+        if self._opened is not None:
+            self._opened(channel)
+
+    def frame(self, channel: Channel, head: Head, body: bytes) -> None:
+        """Raises nothing: what cannot be read ends the link."""
+        try:
+            if head["t"] == "hello":
+                self._met(channel, head)
+            elif not channel.frame(head) and self._extra is not None:
+                self._extra(channel, head, body)
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+            channel.link.close(f"unreadable {head.get('t')}: {fault!r}")
+
+    def _frame(self, link: Link, head: Head, body: bytes) -> None:
+        if isinstance(link.peer, Channel):
+            self.frame(link.peer, head, body)
+
+    def _lost(self, link: Link, why: str) -> None:
+        if isinstance(link.peer, Channel):
+            self.lost(link.peer, why)
+
+    def lost(self, channel: Channel, why: str) -> None:
+        self.open.discard(channel)
+        self.gauge.tell(events.LINK_LOST, peer=channel.node or channel.name, why=why)
+        asked = self._asked.get(channel.name)
+        if asked is not None and asked.channel is channel:
+            asked.channel = None
+            asked.not_before = self.loop.time() + asked.pause
+            asked.pause = min(2.0 * asked.pause, AGAIN_MOST_S)
+            self._choose()
+
+    # News
+
+    def heard(self, channel: Channel) -> None:
+        if channel.whole and channel.exchange.pulled:
+            self.whole_at = self.loop.time()
+
+    def poke(self) -> None:
+        """Something has changed here: who asked is answered."""
+        if self._poked is None:
+            self._poked = self.loop.call_later(BATCH_S, self._answer_all)
+
+    def _answer_all(self) -> None:
+        self._poked = None
+        for channel in list(self.open):
+            channel.answer()
+
+    def fresh(self, within_s: float) -> bool:
+        """Whether somebody that holds all that was acknowledged has been heard so lately."""
+        now = self.loop.time()
+        for channel in self.open:
+            if channel.whole and channel.exchange.pulled:
+                self.whole_at = max(self.whole_at, channel.link.heard_at)
+        return now - self.whole_at <= within_s
+
+    def tick(self, now: float) -> None:
+        for channel in list(self.open):
+            channel.link.tick(now)
+            if channel.link.up:
+                channel.answer()  # where ``whole`` has changed
+        self._choose()
--- /dev/null
+++ b/waterworks/leat/exchange.py
@@ -0,0 +1,118 @@
+"""What two processes tell each other over a link: each asks with its vectors, and is answered when there is
+something that it lacks. No I/O, no clock: frames in, frames out.
+
+A question stands until it is answered, so that news travels at once and a quiet link carries nothing. A
+question names only the entries that have changed since the last one on this link; whatever a peer stamped
+itself it never lacks.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Full, Store
+from waterworks.penstock.frames import Head
+
+PAGE = 500  # items of one answer
+NEVER = 1 << 62  # more than any source can count to
+
+
+def pack(item: Item) -> list[Any]:
+    return [item.kind, item.name, item.version, item.value, item.source, item.number]
+
+
+def unpack(fields: list[Any]) -> Item:
+    """Raises ValueError for what is no item."""
+    kind, name, version, value, source, number = fields
+    if not (isinstance(kind, str) and isinstance(name, str) and isinstance(source, str)):
+        raise ValueError("an item's kind, name and source are text")
+    if not (isinstance(version, int) and isinstance(number, int)):
+        raise ValueError("an item's version and number are whole numbers")
+    if not (value is None or isinstance(value, dict)):
+        raise ValueError("an item's value is an object, or null where it was dropped")
+    return Item(kind, name, version, value, source, number)
+
+
+class Exchange:
+    """One end of a link. ``stores`` by the name that both ends give them."""
+
+    def __init__(self, stores: Mapping[str, Store]) -> None:
+        self._stores = stores
+        self._told: dict[str, dict[str, int]] = {name: {} for name in stores}  # of our vectors, to the peer
+        self._asked: dict[str, dict[str, int]] | None = None  # the peer's vectors; None: it has not asked
+        self._open = False  # its question has not been answered
+        self.pulled = False  # we have had one whole answer
+
+    def question(self) -> Head:
+        """What this end asks, at the start and after every answer."""
+        changed: dict[str, dict[str, int]] = {}
+        for name, store in self._stores.items():
+            told = self._told[name]
+            news = {source: number for source, number in store.vector.items() if told.get(source) != number}
+            told.update(news)
+            for source in [source for source in told if source not in store.vector]:
+                del told[source]
+                news[source] = 0  # a paging that has ended, or an entry that no item bears any more
+            if news:
+                changed[name] = news
+        return {"t": "pull", "v": changed}
+
+    def asked(self, head: Head, peer_source: str) -> None:
+        """The peer's question has come."""
+        if self._asked is None:
+            self._asked = {name: {peer_source: NEVER} for name in self._stores}
+        for name, vector in head["v"].items():
+            if name in self._asked:
+                known = self._asked[name]
+                for source, number in vector.items():
+                    if number:
+                        known[source] = max(number, known.get(source, 0))
+                    elif source != peer_source:
+                        known.pop(source, None)
+        self._open = True
+
+    def answer(self, whole: bool) -> Head | None:
+        """The answer to an open question, if there is anything to say. ``whole``: this end holds all that was
+        acknowledged, as far as can be known now."""
+        if not self._open or self._asked is None:
+            return None
+        told: dict[str, Any] = {}
+        more = False
+        for name, store in self._stores.items():
+            asked = self._asked[name]
+            if store.has_news(asked):
+                lack = store.lacking(asked, PAGE)
+                told[name] = {"items": [pack(item) for item in lack.items], "v": lack.vector}
+                more = more or lack.more
+        if not told:
+            return None
+        return self._say(told, more, whole)
+
+    def nothing(self, whole: bool) -> Head:
+        """An answer that says that nothing is lacked: how the first question of a link ends, and how
+        ``whole`` is told where it has changed."""
+        return self._say({}, False, whole)
+
+    def _say(self, told: dict[str, Any], more: bool, whole: bool) -> Head:
+        self._open = False
+        return {"t": "news", "n": told, "more": more, "whole": whole}
+
+    def answered(self, head: Head) -> dict[str, list[Item]]:
+        """Takes an answer in; gives what has changed here, by store. Raises ValueError."""
+        changed: dict[str, list[Item]] = {}
+        for name, part in head["n"].items():
+            store = self._stores.get(name)
+            if store is not None:
+                taken = store.merge([unpack(item) for item in part["items"]], part["v"])
+                if isinstance(taken, Full):
+                    raise ValueError(taken.reason)
+                changed[name] = taken
+        if not head["more"]:
+            self.pulled = True
+        return changed
+
+    @property
+    def open(self) -> bool:
+        return self._open
--- /dev/null
+++ b/waterworks/manifold/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's configuration: decoded, checked, routed by."""
--- /dev/null
+++ b/waterworks/manifold/decode.py
@@ -0,0 +1,319 @@
+"""The operator's call, read and judged as far as it can be with no view of what stands.
+
+A ``PATCH /configuration`` becomes a ``Change``, one write for each name in it, or the first fault found.
+Fields that this program does not use are kept, as an item must read back exactly as it was sent.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from waterworks.manifold.routes import fold_host
+
+ROUTE = "route"
+PLANT = "plant"
+INPUT_LIMITS = "input_limits"  # the kind, and the name of the only item of that kind
+
+ITEMS_MOST = 20_000
+NAME_MOST = 256
+HOST_MOST = 255
+PATH_MOST = 4096
+SPLIT_MOST = 1000
+DEPTH_MOST = 64  # far below what rendering or comparing a value could take before the stack ends
+NUMBER_MOST = 2**53  # beyond it, programs that read numbers as floats would not agree on it
+HORIZON_MOST_MS = 600_000
+SETPOINT_BEYOND_MS = 60_000
+
+_EPOCH = re.compile(r"r[0-9]{1,18}")
+_HEALTH_PATH = re.compile(r"/[!-~]*")
+_SHOWN_MOST = 60
+_LIMITS = ("header_bytes", "body_bytes", "header_lag_ms", "quiescent_ms")
+# What `remove` may call a kind: `apply` has services under another name than the page's text does.
+_REMOVED = (("routes", ROUTE), ("plants", PLANT), ("plant_groups", PLANT))
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """One item set or dropped. ``value`` is the item as sent, a route's with its ``host`` added; None says
+    that the item is dropped."""
+
+    kind: str
+    name: str
+    version: int
+    value: dict[str, Any] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A call that can be read whole: at most one write for each kind and name, at most ITEMS_MOST."""
+
+    writes: tuple[Write, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """Why nothing of a call comes into force: the item, its field, and what to mend."""
+
+    item: str
+    field: str
+    reason: str
+
+    def line(self) -> str:
+        """The fault as one line of printable text, for the answer's body and the log."""
+        return f"{self.item}: {self.field} {self.reason}"
+
+
+def decode_change(body: bytes) -> Change | Invalid:
+    """The change that ``body`` asks for, or the first fault in it. Raises nothing, whatever the bytes.
+
+    Of one name given twice, the higher version holds; the same version with two contents is a fault.
+    """
+    try:
+        call = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        return Invalid("call", "body", f"is not whole JSON: {error}; send it again in full")
+    except RecursionError:
+        return Invalid("call", "body", f"is nested too deep; give at most {DEPTH_MOST} levels")
+    if not isinstance(call, dict):
+        return Invalid("call", "body", "is not a JSON object; give an object with apply and remove")
+    if _too_deep(call):
+        return Invalid("call", "body", f"is nested too deep; give at most {DEPTH_MOST} levels")
+    gathered = _Gathered()
+    fault = _read_apply(call.get("apply"), gathered) or _read_remove(call.get("remove"), gathered)
+    return fault or Change(tuple(gathered.writes.values()))
+
+
+def shown(value: object) -> str:
+    """``value``, which may be anything out of a call, as a short printable piece of a line."""
+    text = value if isinstance(value, str) and value.isprintable() and value else ascii(value)
+    return text if len(text) <= _SHOWN_MOST else text[:_SHOWN_MOST] + "..."
+
+
+def label(kind: str, name: str) -> str:
+    """What a fault calls an item."""
+    return INPUT_LIMITS if kind == INPUT_LIMITS else f"{kind} {shown(name)}"
+
+
+class _Gathered:
+    """The writes of one call, the higher version of each name."""
+
+    def __init__(self) -> None:
+        self.writes: dict[tuple[str, str], Write] = {}
+        self.taken = 0
+
+    def take(
+        self, kind: str, name: str, sent: dict[str, Any], value: dict[str, Any] | None
+    ) -> Invalid | None:
+        """Adds the item ``sent``, whose ``epoch`` is read here, with ``value`` as what it sets."""
+        self.taken += 1
+        if self.taken > ITEMS_MOST:
+            return Invalid("call", "body", f"holds over {ITEMS_MOST} items; send them in several calls")
+        item = label(kind, name)
+        epoch = sent.get("epoch")
+        if not isinstance(epoch, str) or not _EPOCH.fullmatch(epoch):
+            return Invalid(item, "epoch", _instead(epoch, "r and a number, such as r12"))
+        write = Write(kind, name, int(epoch[1:]), value)
+        other = self.writes.get((kind, name))
+        if other is None or write.version > other.version:
+            self.writes[kind, name] = write
+        elif write.version == other.version and write.value != other.value:
+            return Invalid(
+                item, "epoch", f"is {epoch} twice with different content; give each its own version"
+            )
+        return None
+
+
+def _read_apply(apply: object, gathered: _Gathered) -> Invalid | None:
+    if apply is None:
+        return None
+    if not isinstance(apply, dict):
+        return Invalid("call", "apply", _instead(apply, "an object"))
+    limits = apply.get("input_limits")
+    if limits is not None:
+        fault = _limits_fault(limits) or gathered.take(INPUT_LIMITS, INPUT_LIMITS, limits, limits)
+        if fault:
+            return fault
+    for where, entry in _entries(apply.get("input_ports"), "input_ports"):
+        fault = _read_host(where, entry, gathered)
+        if fault:
+            return fault
+    for where, plant in _entries(apply.get("plant_groups"), "plant_groups"):
+        fault = _name_fault(where, plant) or _plant_fault(label(PLANT, plant["name"]), plant)
+        fault = fault or gathered.take(PLANT, plant["name"], plant, plant)
+        if fault:
+            return fault
+    return None
+
+
+def _read_host(where: str, entry: object, gathered: _Gathered) -> Invalid | None:
+    if not isinstance(entry, dict):
+        return Invalid(where, "entry", _instead(entry, "a list of objects with host and control_law"))
+    host = entry.get("host")
+    if not isinstance(host, str) or len(host) > HOST_MOST or not fold_host(host):
+        return Invalid(where, "host", _instead(host, f"a host of 1 to {HOST_MOST} characters"))
+    for at, rule in _entries(entry.get("control_law"), f"{where}.control_law"):
+        fault = _name_fault(at, rule) or _route_fault(label(ROUTE, rule["name"]), rule)
+        fault = fault or gathered.take(ROUTE, rule["name"], rule, {**rule, "host": host})
+        if fault:
+            return fault
+    return None
+
+
+def _read_remove(remove: object, gathered: _Gathered) -> Invalid | None:
+    if remove is None:
+        return None
+    if not isinstance(remove, dict):
+        return Invalid("call", "remove", _instead(remove, "an object"))
+    for part, kind in _REMOVED:
+        for where, named in _entries(remove.get(part), f"remove.{part}"):
+            fault = _name_fault(where, named) or gathered.take(kind, named["name"], named, None)
+            if fault:
+                return fault
+    for where, limits in _entries(remove.get(INPUT_LIMITS), f"remove.{INPUT_LIMITS}"):
+        # There is but one, so it needs no name.
+        if not isinstance(limits, dict):
+            return Invalid(where, "entry", _instead(limits, "a list of objects with epoch"))
+        fault = gathered.take(INPUT_LIMITS, INPUT_LIMITS, limits, None)
+        if fault:
+            return fault
+    return None
+
+
+def _entries(part: object, where: str) -> Iterator[tuple[str, Any]]:
+    """Each entry of a list and where it stands. A part that is missing or null has none; what is no list is
+    handed on as an entry, for the reader of entries to refuse."""
+    if part is None:
+        return
+    if not isinstance(part, list):
+        yield where, [part]  # a list is never a fit entry, whatever the part was
+        return
+    for index, entry in enumerate(part):
+        yield f"{where}[{index}]", entry
+
+
+def _name_fault(where: str, entry: object) -> Invalid | None:
+    if not isinstance(entry, dict):
+        return Invalid(where, "entry", _instead(entry, "a list of objects with name and epoch"))
+    name = entry.get("name")
+    if not _is_name(name):
+        return Invalid(where, "name", _instead(name, f"a name of 1 to {NAME_MOST} characters"))
+    return None
+
+
+def _limits_fault(limits: object) -> Invalid | None:
+    if not isinstance(limits, dict):
+        return Invalid(INPUT_LIMITS, "entry", _instead(limits, "an object with epoch"))
+    for field in _LIMITS:
+        if limits.get(field) is not None and not _is_number(limits[field], above=0):
+            return Invalid(INPUT_LIMITS, field, _instead(limits[field], "a number above 0"))
+    return None
+
+
+def _plant_fault(item: str, plant: dict[str, Any]) -> Invalid | None:
+    most = plant.get("conn_saturation")
+    if most is not None and not _is_number(most, above=0):
+        return Invalid(item, "conn_saturation", _instead(most, "a number above 0"))
+    path = plant.get("health_path")
+    if path is not None:
+        # It is sent in a request line, where a space or a line's end would make another request of it.
+        if not isinstance(path, str) or len(path) > PATH_MOST or not _HEALTH_PATH.fullmatch(path):
+            return Invalid(item, "health_path", _instead(path, "a path that begins with /, without spaces"))
+    return None
+
+
+def _route_fault(item: str, rule: dict[str, Any]) -> Invalid | None:
+    if "host" in rule:
+        # The stored value has the entry's host in this place, and could not be read back as it was sent.
+        return Invalid(item, "host", "stands in the rule; give it in the entry of input_ports alone")
+    if rule.get("kind") not in ("idempotent", "effectful"):
+        return Invalid(item, "kind", _instead(rule.get("kind"), "idempotent or effectful"))
+    priority = rule.get("priority")
+    if priority is not None and not _is_whole(priority, least=0):
+        return Invalid(item, "priority", _instead(priority, "a whole number from 0"))
+    predicate = rule.get("predicate")
+    if not isinstance(predicate, dict):
+        return Invalid(item, "predicate", _instead(predicate, "an object with prefix"))
+    prefix = predicate.get("prefix")
+    if not isinstance(prefix, str) or not (prefix.startswith("/") and prefix.endswith("/")):
+        return Invalid(item, "predicate.prefix", _instead(prefix, "a path that begins and ends with /"))
+    if len(prefix) > PATH_MOST:
+        return Invalid(item, "predicate.prefix", f"is too long; give at most {PATH_MOST} characters")
+    response = rule.get("response")
+    if not isinstance(response, dict):
+        return Invalid(item, "response", _instead(response, "an object with plant or distribution"))
+    return _target_fault(item, response) or _bounds_fault(item, response, rule.get("setpoint_ms"))
+
+
+def _bounds_fault(item: str, response: dict[str, Any], setpoint: Any) -> Invalid | None:
+    horizon: Any = response.get("horizon_ms")
+    if not _is_number(horizon, above=0) or horizon > HORIZON_MOST_MS:
+        return Invalid(item, "response.horizon_ms", _instead(horizon, f"1 to {HORIZON_MOST_MS}"))
+    trials = response.get("trials")
+    if trials is not None and not _is_whole(trials, least=1):
+        return Invalid(item, "response.trials", _instead(trials, "a whole number from 1"))
+    if setpoint is not None:
+        if not _is_number(setpoint) or setpoint >= horizon + SETPOINT_BEYOND_MS:
+            mend = f"0 to less than horizon_ms + {SETPOINT_BEYOND_MS}"
+            return Invalid(item, "setpoint_ms", _instead(setpoint, mend))
+    return None
+
+
+def _target_fault(item: str, response: dict[str, Any]) -> Invalid | None:
+    plant, split = response.get("plant"), response.get("distribution")
+    if split is None:
+        if not _is_name(plant):
+            return Invalid(item, "response.plant", _instead(plant, "a service's name, or a distribution"))
+        return None
+    field = "response.distribution"
+    if plant is not None:
+        return Invalid(item, field, "stands beside response.plant; give one of the two")
+    if not isinstance(split, list) or not 0 < len(split) <= SPLIT_MOST:
+        return Invalid(item, field, f"is no list of 1 to {SPLIT_MOST} entries; give plant and gain in each")
+    for index, part in enumerate(split):
+        if not isinstance(part, dict):
+            return Invalid(item, f"{field}[{index}]", _instead(part, "an object with plant and gain"))
+        if not _is_name(part.get("plant")):
+            return Invalid(item, f"{field}[{index}].plant", _instead(part.get("plant"), "a service's name"))
+        if not _is_number(part.get("gain")):
+            return Invalid(item, f"{field}[{index}].gain", _instead(part.get("gain"), "a number from 0"))
+    if not any(part["gain"] for part in split):
+        return Invalid(item, field, "has no gain above 0; give one to a service")
+    return None
+
+
+def _instead(value: object, wanted: str) -> str:
+    return f"is missing; give {wanted}" if value is None else f"is {shown(value)}; give {wanted}"
+
+
+def _is_name(value: object) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= NAME_MOST
+
+
+def _is_number(value: Any, above: float | None = None) -> bool:
+    """Whether it is a number from 0, or over ``above``. JSON has no infinities, and the decoder refuses
+    what would overflow to one."""
+    if type(value) not in (int, float):  # true and false are no numbers, though Python counts them as such
+        return False
+    return bool((value >= 0 if above is None else value > above) and value <= NUMBER_MOST)
+
+
+def _is_whole(value: Any, least: int) -> bool:
+    return _is_number(value) and value >= least and value == int(value)
+
+
+def _too_deep(call: dict[str, Any]) -> bool:
+    """Whether values stand over DEPTH_MOST levels deep; level by level, so that depth costs no stack."""
+    level: list[Any] = [call]
+    for _ in range(DEPTH_MOST):
+        within: list[Any] = []
+        for value in level:
+            within += value.values() if isinstance(value, dict) else value
+        level = [value for value in within if isinstance(value, (dict, list))]
+        if not level:
+            return False
+    return True
--- /dev/null
+++ b/waterworks/manifold/render.py
@@ -0,0 +1,30 @@
+"""The answer to ``GET /configuration``."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from waterworks.manifold.decode import INPUT_LIMITS, PLANT, ROUTE
+
+
+def render(items: Iterable[tuple[str, str, int, dict[str, Any]]]) -> bytes:
+    """``items``, each a kind, name, version and stored value and none of them dropped, as JSON laid out like
+    the ``apply`` of a call. The same items give the same bytes, in whatever order they come; without
+    ``input_limits`` among them that part is left out."""
+    laid_out: dict[str, Any] = {}
+    ports: dict[str, list[dict[str, Any]]] = {}
+    plants: list[dict[str, Any]] = []
+    for kind, _, version, value in sorted(items, key=lambda item: item[:2]):
+        sent = {**value, "epoch": f"r{version}"}
+        if kind == INPUT_LIMITS:
+            laid_out["input_limits"] = sent
+        elif kind == PLANT:
+            plants.append(sent)
+        elif kind == ROUTE:
+            ports.setdefault(sent.pop("host"), []).append(sent)
+    laid_out["input_ports"] = [{"host": host, "control_law": ports[host]} for host in sorted(ports)]
+    laid_out["plant_groups"] = plants
+    return msgspec.json.encode(laid_out)
--- /dev/null
+++ b/waterworks/penstock/desk.py
@@ -0,0 +1,138 @@
+"""HTTP/1.1 calls of upstreams, the platform and operators: read whole, handed on, answered in their order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+from anisestair.http import codec as http
+from waterworks.penstock.link import Address
+
+MOST_BODY = 16 * 1024 * 1024
+WAITING = 16  # calls read ahead on one connection; more, and it is closed
+MOST = 256  # connections; at it the longest idle is closed
+JSON = (b"content-type", b"application/json")
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    body: bytes = b""
+    location: str = ""
+    retry_after_s: float = 0.0
+
+
+Handle = Callable[[http.Message], Awaitable[Answer]]
+
+
+class _Caller(asyncio.Protocol):
+    def __init__(self, desk: Desk) -> None:
+        self._desk = desk
+        self._reader = http.Reader(httptools.HttpRequestParser, MOST_BODY)
+        self._transport: asyncio.Transport | None = None
+        self._waiting: deque[http.Message] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self.used = desk.loop.time()
+
+    @property
+    def idle(self) -> bool:
+        return self._task is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._desk.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.used = self._desk.loop.time()
+        fault: http.BadMessage | None = None
+        try:
+            self._reader.feed(data)
+        except http.BadMessage as bad:
+            fault = bad
+        if self._reader.expects_continue and self._transport is not None:
+            self._reader.expects_continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._waiting.extend(self._reader.take())
+        if fault is not None or len(self._waiting) > WAITING:
+            if self._transport is not None:
+                if fault is not None and self._task is None and not self._waiting:
+                    self._transport.write(http.write_response(fault.status, [], b"", close=True))
+                self._transport.close()
+            return
+        if self._task is None and self._waiting:
+            self._task = self._desk.loop.create_task(self._work())
+
+    async def _work(self) -> None:
+        try:
+            while self._waiting:
+                message = self._waiting.popleft()
+                answer = await self._desk.handle(message)
+                if self._transport is None or self._transport.is_closing():
+                    return
+                headers = [JSON] if answer.body else []
+                if answer.location:
+                    headers.append((b"location", answer.location.encode("latin-1")))
+                if answer.retry_after_s > 0.0:
+                    headers.append((b"retry-after", b"%.3f" % answer.retry_after_s))
+                close = not message.keep_alive or self._desk.closing
+                self._transport.write(http.write_response(answer.status, headers, answer.body, close))
+                self.used = self._desk.loop.time()
+                if close:
+                    self._transport.close()
+                    return
+        finally:
+            self._task = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._desk.lost(self)
+        self._reader.close()
+        self._waiting.clear()
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+
+class Desk:
+    """One address. ``handle`` must answer every call within a bound of its own."""
+
+    def __init__(self, handle: Handle) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.handle = handle
+        self.closing = False
+        self._callers: set[_Caller] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: Address) -> Address:
+        """Raises OSError where the address cannot be had."""
+        self._server = await self.loop.create_server(lambda: _Caller(self), *address, backlog=256)
+        bound = self._server.sockets[0].getsockname()
+        return str(bound[0]), int(bound[1])
+
+    def opened(self, caller: _Caller) -> None:
+        self._callers.add(caller)
+        if len(self._callers) > MOST:
+            idle = [item for item in self._callers if item.idle and item is not caller]
+            (min(idle, key=lambda item: item.used) if idle else caller).close()
+
+    def lost(self, caller: _Caller) -> None:
+        self._callers.discard(caller)
+
+    @property
+    def busy(self) -> bool:
+        """A call is being worked on."""
+        return any(not item.idle for item in self._callers)
+
+    def stop(self) -> None:
+        """Takes no more connections; calls in hand are answered, idle connections end."""
+        self.closing = True
+        if self._server is not None:
+            self._server.close()
+        for caller in list(self._callers):
+            if caller.idle:
+                caller.close()
--- /dev/null
+++ b/waterworks/penstock/link.py
@@ -0,0 +1,119 @@
+"""A link: one TCP connection between two of the system's processes, its frames and its signs of life.
+
+A cut is silent, so an end that owes the other something says so every `BEAT_S`, and an end that expects
+something takes `SILENT_S` without a byte for the link's loss.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+from waterworks.penstock.frames import BadFrame, Frames, Head, frame
+
+Address = tuple[str, int]
+
+BEAT_S = 0.25
+SILENT_S = 1.0  # it hurts where a process stands still for so long: its calls are given up
+CONNECT_S = 0.6
+BACKLOG_BYTES = 4 * 1024 * 1024  # unsent to a peer that does not read; more ends the link
+ALIVE = frame({})
+
+
+class Link(asyncio.Protocol):
+    """Either end. ``on_frame(link, head, body)`` is called for each frame, ``on_lost(link, why)`` once."""
+
+    def __init__(
+        self,
+        on_up: Callable[[Link], None],
+        on_frame: Callable[[Link, Head, bytes], None],
+        on_lost: Callable[[Link, str], None],
+    ) -> None:
+        self._on_up, self._on_frame, self._on_lost = on_up, on_frame, on_lost
+        self._loop = asyncio.get_running_loop()
+        self._frames = Frames()
+        self._transport: asyncio.Transport | None = None
+        self._why = "closed by the other end"
+        self.sent_at = self.heard_at = self._loop.time()
+        self.owes = 0  # answers that this end has still to give
+        self.expects = 0  # answers that this end waits for
+        self.steady = False  # both ends beat all the time
+        self.peer: Any = None  # whose it is, as its owner has it
+
+    @property
+    def up(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that the kernel has not taken."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sent_at = self.heard_at = self._loop.time()
+        self._on_up(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = self._loop.time()
+        try:
+            frames = self._frames.feed(data)
+        except BadFrame as fault:
+            self.close(f"bad frame: {fault}")
+            return
+        for head, body in frames:
+            if head and self.up:
+                self._on_frame(self, head, body)
+
+    def send(self, head: Head, body: bytes | None = None) -> bool:
+        """False where the link is down, or its peer does not read."""
+        if not self.up:
+            return False
+        assert self._transport is not None
+        if self.unsent > BACKLOG_BYTES:
+            self.close("the other end does not read")
+            return False
+        self._transport.write(frame(head, body))
+        self.sent_at = self._loop.time()
+        return True
+
+    def tick(self, now: float) -> None:
+        """Called every so often, more often than BEAT_S."""
+        if not self.up:
+            return
+        assert self._transport is not None
+        if (self.expects or self.steady) and now - self.heard_at > SILENT_S:
+            self.close("silent")
+        elif (self.owes or self.steady) and now - self.sent_at >= BEAT_S:
+            self._transport.write(ALIVE)
+            self.sent_at = now
+
+    def close(self, why: str) -> None:
+        self._why = why
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if exc is not None:
+            self._why = str(exc)
+        self._on_lost(self, self._why)
+
+
+async def connect(address: Address, make: Callable[[], Link]) -> Link | None:
+    """A link that is up, or None where the other end cannot be had within CONNECT_S."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            _, link = await loop.create_connection(make, address[0], address[1])
+    except (OSError, TimeoutError):
+        return None
+    return link
+
+
+async def listen(address: Address, make: Callable[[], Link]) -> asyncio.Server:
+    """Raises OSError where the address cannot be had."""
+    return await asyncio.get_running_loop().create_server(make, address[0], address[1], backlog=512)
--- /dev/null
+++ b/waterworks/reservoir/__init__.py
@@ -0,0 +1,1 @@
+"""The control plane: a program that holds the configuration and hands it on."""
--- /dev/null
+++ b/waterworks/reservoir/program.py
@@ -0,0 +1,215 @@
+"""The control plane: holds the operator's configuration and the membership, and hands both on."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from pathlib import Path
+
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Full, Store
+from waterworks.cistern.keeper import Failed, Fresh, Keeper, Opened, SetAside, room
+from waterworks.cistern.layout import held
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.headworks.settings import Settings
+from waterworks.leat.channels import Channel, Channels
+from waterworks.penstock.desk import Desk
+from waterworks.penstock.frames import Head
+from waterworks.penstock.link import Link, listen
+from waterworks.reservoir.clerk import Clerk
+from waterworks.reservoir.council import MEMBER, Council
+from waterworks.reservoir.ledger import Ledger
+from waterworks.sluice.membership import NODE, RESERVOIR, Membership
+from waterworks.weir.tombs import Tombs
+
+MOST_CHARTER = 20_000  # items, dropped ones included
+MOST_ROLL = 20_000
+TICK_S = 0.1
+AGAIN_S = 0.25  # between tries to become a member whose disk counts
+GATHER_S = 0.8
+JOIN_S = 2.0
+ALL = 64  # control processes that each other one asks; beyond that, the first in its order
+
+
+class Reservoir:
+    def __init__(self, settings: Settings, gauge: Gauge) -> None:
+        self.settings, self.gauge = settings, gauge
+        self.loop = asyncio.get_running_loop()
+        self.me = settings.ip
+        self.peer_address = (settings.ip, settings.port_range[0])
+        life = f"{settings.node}.{os.urandom(4).hex()}"
+        self.charter, self.roll = Store(life, MOST_CHARTER), Store(life, MOST_ROLL)
+        self.membership = Membership()
+        self.tombs = Tombs()
+        self.ledger = self._open_disk()
+        self.channels = Channels(
+            settings.node,
+            {
+                "t": "hello",
+                "node": settings.node,
+                "source": life,
+                "ip": self.me,
+                "role": RESERVOIR,
+                "complete": self.ledger.whole,
+            },
+            {"charter": self.charter, "roll": self.roll},
+            ALL,
+            gauge,
+            self._changed,
+            whole=lambda: self.council.in_touch(),
+            extra=lambda channel, head, _: self.council.frame(channel, head),
+            opened=lambda channel: self.council.opened(channel),
+        )
+        self.council = Council(self.me, self.charter, self.ledger, self.channels, settings.tolerance, gauge)
+        self.clerk = Clerk(self.charter, self.council, gauge, lambda items: self._changed("charter", items))
+        self.desk = Desk(self.clerk.handle)
+        self.stopping = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._joining: asyncio.Task[None] | None = None
+
+    def _open_disk(self) -> Ledger:
+        """Raises OSError where the disk cannot be used at all."""
+        settings = self.settings
+        folder = Path(settings.state_dir) / "charter"
+        outcome = Keeper.open(folder, room(settings.limits.disk_mb))
+        whole = False
+        if isinstance(outcome, Failed):
+            raise OSError(outcome.reason)
+        if isinstance(outcome, SetAside):
+            self.gauge.tell(events.DISK_SET_ASIDE, moved_to=str(outcome.moved_to), reason=outcome.reason)
+        elif isinstance(outcome, Opened):
+            kept = held(outcome.rows)
+            self.charter.restore(kept.items, kept.vector)
+            whole = kept.whole
+            self.gauge.tell(events.DISK_OPENED, items=len(kept.items), whole=whole)
+        else:
+            assert isinstance(outcome, Fresh)
+            self.gauge.tell(events.DISK_FRESH, first=settings.cold_boot)
+        ledger = Ledger(self.charter, outcome.keeper, self.gauge, whole)
+        if isinstance(outcome, Fresh) and settings.cold_boot:
+            # The machines that every process is told of at the very first start are the first members.
+            founders = {host for host, _ in settings.seeds}
+            taken = self.charter.take_all(
+                [(MEMBER, host, 1, {"zone": "", "region": "", "counted": True}) for host in sorted(founders)]
+            )
+            assert not isinstance(taken, Full)
+            ledger.mark(taken)
+            ledger.whole = self.me in founders
+        return ledger
+
+    # Start and end
+
+    async def start(self) -> None:
+        settings = self.settings
+        self._server = await listen(self.peer_address, lambda: Link(lambda _: None, self._met, self._unmet))
+        assert settings.ports.control is not None
+        await self.desk.listen(settings.ports.control)
+        self._say_node()
+        self._know()
+        self._joining = self.loop.create_task(self._join())
+        self.loop.call_later(TICK_S, self._tick)
+        self.gauge.tell(events.STARTED, role=RESERVOIR)
+
+    def _say_node(self) -> None:
+        settings = self.settings
+        told = self.roll.take(
+            NODE,
+            settings.node,
+            int(time.time() * 1000),
+            {
+                "address": f"{self.peer_address[0]}:{self.peer_address[1]}",
+                "role": RESERVOIR,
+                "zone": settings.zone,
+                "region": settings.region,
+            },
+        )
+        if isinstance(told, Item):
+            self._changed("roll", [told])
+
+    def _tick(self) -> None:
+        now = self.loop.time()
+        self.channels.tick(now)
+        for key in self.tombs.due(now):
+            self.roll.forget(key)
+        if not self.stopping.is_set():
+            self.loop.call_later(TICK_S, self._tick)
+
+    async def stop(self) -> None:
+        self.stopping.set()
+        self.desk.stop()
+        until = self.loop.time() + min(self.settings.bounds.grace_s * 0.5, 2.0)
+        while self.desk.busy and self.loop.time() < until:
+            await asyncio.sleep(0.02)
+        if self._server is not None:
+            self._server.close()
+        self.gauge.tell(events.ENDED)
+
+    # Members
+
+    async def _join(self) -> None:
+        """Until this machine's disk counts, as the settings say that it does: it hears all that was
+        acknowledged, is made a member, and hears it once more, since what was acknowledged in between need
+        not have counted it."""
+        settings = self.settings
+        value = {"zone": settings.zone, "region": settings.region, "counted": settings.counted}
+        while not self.stopping.is_set():
+            standing = self.charter.items.get((MEMBER, self.me))
+            named = standing is not None and standing.value == value
+            if not named and standing is None and not settings.counted:
+                return
+            if not named and await self.council.gather(GATHER_S):
+                standing = self.charter.items.get((MEMBER, self.me))
+                version = standing.version + 1 if standing is not None else 1
+                taken = self.charter.take(MEMBER, self.me, version, value)
+                if isinstance(taken, Item):
+                    self._changed("charter", [taken])
+                item = self.charter.items[MEMBER, self.me]
+                await self.council.hold([item], JOIN_S)
+            if not self.ledger.whole and await self.council.gather(GATHER_S):
+                await self.ledger.become_whole()
+                self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
+                self.council.said_complete()
+                self.channels.hello["complete"] = True
+            elif self.ledger.whole and named:
+                await self.ledger.become_whole()
+                return
+            await asyncio.sleep(AGAIN_S)
+
+    # News
+
+    def _changed(self, name: str, items: list[Item]) -> None:
+        if name == "charter":
+            self.ledger.mark(items)
+        else:
+            self.membership.take(items)
+            self.tombs.note(self.loop.time(), items)
+            if any(item.kind == NODE for item in items):
+                self._know()
+        self.channels.poke()
+
+    def _know(self) -> None:
+        """Other control processes: those of the settings, and those that have said that they are."""
+        port = self.settings.port_range[0]
+        known = {host: (host, port) for host, _ in self.settings.seeds}
+        known.update(self.membership.reservoirs())
+        known.pop(self.me, None)
+        self.channels.know(known)
+
+    def _met(self, link: Link, head: Head, body: bytes) -> None:
+        if isinstance(link.peer, Channel):
+            self.channels.frame(link.peer, head, body)
+        elif head.get("t") == "hello" and head.get("for") == "news" and "source" in head and "node" in head:
+            self.channels.adopt(link, head)
+        else:
+            link.close("no hello")
+
+    def _unmet(self, link: Link, why: str) -> None:
+        if isinstance(link.peer, Channel):
+            self.channels.lost(link.peer, why)
+
+    def retune(self, settings: Settings) -> None:
+        """The settings file has changed: other seeds."""
+        self.settings = settings
+        self._know()
--- /dev/null
+++ b/waterworks/sluice/hop.py
@@ -0,0 +1,109 @@
+"""One call as it goes between the two hops, and what the second tells the first of its end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from anisestair.http import codec as http
+from waterworks.penstock.frames import Head
+from waterworks.valve.passing import Why
+
+
+@dataclass(slots=True)
+class Call:
+    """A request on its way to the sidecar beside ``instance``; ``left_ms`` is what its caller still waits."""
+
+    attempt: str
+    method: bytes
+    target: bytes
+    headers: http.Headers
+    body: bytes
+    instance: str
+    caller: str
+    left_ms: float
+
+    def head(self, number: int) -> Head:
+        return {
+            "t": "call",
+            "n": number,
+            "a": self.attempt,
+            "m": self.method.decode("latin-1"),
+            "p": self.target.decode("latin-1"),
+            "h": pack_headers(self.headers),
+            "i": self.instance,
+            "c": self.caller,
+            "l": round(self.left_ms, 1),
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Returned:
+    """The upstream's own answer, whole."""
+
+    status: int
+    headers: http.Headers
+    body: bytes
+    ran: bool  # it says that it ran the call, or does not say that it did not
+
+
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """It has not run and never will."""
+
+    why: Why
+    arrived: bool = False  # the upstream itself turned it away
+
+
+@dataclass(frozen=True, slots=True)
+class Unclear:
+    """No answer, and it may have run."""
+
+    why: str
+
+
+End = Returned | TurnedAway | Unclear
+
+
+def pack_headers(headers: http.Headers) -> list[list[str]]:
+    return [[name.decode("latin-1"), value.decode("latin-1")] for name, value in headers]
+
+
+def unpack_headers(fields: list[list[str]]) -> http.Headers:
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields]
+
+
+def read_call(head: Head, body: bytes) -> Call:
+    """Raises KeyError, TypeError or ValueError for what is no call."""
+    return Call(
+        attempt=str(head["a"]),
+        method=head["m"].encode("latin-1"),
+        target=head["p"].encode("latin-1"),
+        headers=unpack_headers(head["h"]),
+        body=body,
+        instance=str(head["i"]),
+        caller=str(head["c"]),
+        left_ms=float(head["l"]),
+    )
+
+
+def end_head(number: int, end: End) -> tuple[Head, bytes | None]:
+    """An end as a frame."""
+    head: dict[str, Any] = {"t": "end", "n": number}
+    if isinstance(end, Returned):
+        head.update(s=end.status, h=pack_headers(end.headers), r=end.ran)
+        return head, end.body
+    if isinstance(end, TurnedAway):
+        head.update(w=end.why.value, v=end.arrived)
+    else:
+        head.update(u=end.why)
+    return head, None
+
+
+def read_end(head: Head, body: bytes) -> End:
+    """Raises KeyError, TypeError or ValueError for what is no end."""
+    if "s" in head:
+        return Returned(int(head["s"]), unpack_headers(head["h"]), body, bool(head["r"]))
+    if "w" in head:
+        return TurnedAway(Why(head["w"]), bool(head["v"]))
+    return Unclear(str(head["u"]))
--- /dev/null
+++ b/waterworks/sluice/intake.py
@@ -0,0 +1,141 @@
+"""The clients' side of a sidecar: each request finds its route and service, and gets one answer."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from http import HTTPStatus
+
+import httptools
+
+from anisestair.flow.budget import Budget
+from anisestair.http import codec as http
+from anisestair.http.frontend import TARGET, ClientConnection, Frontend
+from waterworks.manifold.routes import Route, pick
+from waterworks.sluice.hop import Returned
+from waterworks.sluice.tables import Ask, Failed, Final, Refused, Served, Tables
+
+MOST_BODY = 8 * 1024 * 1024  # bytes kept whole, or less where the operator says so
+UNREADY_S = 0.3  # after which a client may come back while no configuration is here
+OTHERS_S = 0.2  # and where nothing better is known
+ID = re.compile(rb"[!-~]{1,128}")
+WHOLE = re.compile(rb"[0-9]{1,9}")
+ONCE = frozenset({b"host", b"attempt-id", b"time-remaining"})
+
+
+def fields_of(message: http.Message) -> dict[bytes, bytes] | None:
+    """The headers that decide; None where one stands twice."""
+    found: dict[bytes, bytes] = {}
+    for name, value in message.headers:
+        if name in ONCE:
+            if name in found:
+                return None
+            found[name] = value
+    return found
+
+
+class Outlet(ClientConnection):
+    """One client's connection."""
+
+    def __init__(self, frontend: Frontend) -> None:
+        super().__init__(frontend)
+        assert isinstance(frontend, Outlets)
+        self.intake = frontend.intake
+        self.reader = http.Reader(httptools.HttpRequestParser, self.intake.most_body)
+        self.ask: Ask | None = None
+
+    def begin(self, taken: float, message: http.Message) -> None:
+        self.intake.begin(self, taken, message)
+
+
+class Outlets(Frontend):
+    connection = Outlet
+
+    def __init__(self, intake: Intake, most: int) -> None:
+        self.intake = intake
+        super().__init__(intake, most)
+
+
+class Intake:
+    """Takes whole requests from connections; ``find`` gives the route of a host and path."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        caller: str,
+        memory_mb: float,
+        find: Callable[[str, str], Route | None],
+        known: Callable[[], bool],
+        fill: Callable[[str], None],
+    ) -> None:
+        """``known``: whether a configuration is here at all. ``fill`` tells a new table its instances."""
+        self.tables, self.caller, self._find, self._known, self._fill = tables, caller, find, known, fill
+        self.budget = Budget(memory_mb)
+        self.most_body = MOST_BODY
+        self._count = 0
+        self._asks: dict[str, Ask] = {}
+
+    def now(self) -> float:
+        return self.tables.now()
+
+    @property
+    def in_hand(self) -> int:
+        return len(self._asks)
+
+    def client_gone(self, request: str) -> None:
+        ask = self._asks.pop(request, None)
+        if ask is not None:
+            self.tables.by_service[ask.service].gone(ask)
+
+    def begin(self, outlet: Outlet, taken: float, message: http.Message) -> None:
+        fields = fields_of(message)
+        if fields is None or not TARGET.fullmatch(message.target):
+            outlet.refuse(http.BadMessage(HTTPStatus.BAD_REQUEST))
+            return
+        attempt, left = fields.get(b"attempt-id", b""), fields.get(b"time-remaining")
+        if not ID.fullmatch(attempt) or left is not None and not WHOLE.fullmatch(left):
+            outlet.answer(HTTPStatus.BAD_REQUEST, [], b"")
+            return
+        path = message.target.partition(b"?")[0].decode("latin-1")
+        route = self._find(fields.get(b"host", b"").decode("latin-1"), path)
+        if route is None:
+            if self._known():
+                outlet.answer(HTTPStatus.NOT_FOUND, [], b"")
+            else:
+                outlet.answer(HTTPStatus.SERVICE_UNAVAILABLE, [(b"retry-after", b"%.3f" % UNREADY_S)], b"")
+            return
+        waits = min(float(left), route.horizon_ms) if left is not None else route.horizon_ms
+        service = pick(route, self.tables.draw())
+        self._count += 1
+        ask = Ask(
+            id=str(self._count),
+            route=route,
+            service=service,
+            message=message,
+            headers=message.end_to_end(),
+            attempt=attempt.decode("ascii"),
+            caller=self.caller,
+            deadline=taken + waits,
+            answer=lambda final: self._answer(outlet, ask, final),
+        )
+        self._asks[ask.id] = ask
+        outlet.request = ask.id
+        table, new = self.tables.of(service, route)
+        if new:
+            self._fill(service)
+        table.take(ask)
+
+    def _answer(self, outlet: Outlet, ask: Ask, final: Final) -> None:
+        self._asks.pop(ask.id, None)
+        if isinstance(final, Served):
+            answer: Returned = final.answer
+            if answer.status in http.STATUS_LINES:
+                outlet.answer(answer.status, answer.headers, answer.body)
+            else:
+                outlet.answer(HTTPStatus.BAD_GATEWAY, [], b"")
+        elif isinstance(final, Refused):
+            wait = final.retry_after_ms / 1000.0 if final.retry_after_ms > 0.0 else OTHERS_S
+            outlet.answer(HTTPStatus.SERVICE_UNAVAILABLE, [(b"retry-after", b"%.3f" % wait)], b"")
+        else:
+            assert isinstance(final, Failed)
+            outlet.answer(HTTPStatus.GATEWAY_TIMEOUT if final.late else HTTPStatus.BAD_GATEWAY, [], b"")
--- /dev/null
+++ b/waterworks/sluice/membership.py
@@ -0,0 +1,82 @@
+"""Who there is, as the items pulled so far say: nodes, instances, and where each instance is."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from waterworks.aquifer.items import Item
+from waterworks.penstock.link import Address
+from waterworks.weir.calls import read_address
+
+NODE, INSTANCE = "node", "instance"
+SLUICE, RESERVOIR = "sluice", "reservoir"
+
+
+class Membership:
+    def __init__(self) -> None:
+        self.nodes: dict[str, Mapping[str, Any]] = {}
+        self.instances: dict[str, Mapping[str, Any]] = {}
+        self._addresses: dict[str, Address] = {}
+        self.of_service: dict[str, set[str]] = {}
+
+    def take(self, items: Iterable[Item]) -> dict[str, list[tuple[str, Mapping[str, Any] | None]]]:
+        """Takes items that have changed; gives the instances among them, by service."""
+        told: dict[str, list[tuple[str, Mapping[str, Any] | None]]] = {}
+        for item in items:
+            if item.kind == NODE:
+                self._node(item)
+            elif item.kind == INSTANCE:
+                known = self.instances.pop(item.name, None)
+                if known is not None:
+                    service = str(known["plant"])
+                    self.of_service[service].discard(item.name)
+                    if not self.of_service[service]:
+                        del self.of_service[service]
+                    if item.value is None or item.value["plant"] != service:
+                        told.setdefault(service, []).append((item.name, None))
+                if item.value is not None:
+                    service = str(item.value["plant"])
+                    self.instances[item.name] = item.value
+                    self.of_service.setdefault(service, set()).add(item.name)
+                    told.setdefault(service, []).append((item.name, item.value))
+        return told
+
+    def _node(self, item: Item) -> None:
+        self.nodes.pop(item.name, None)
+        self._addresses.pop(item.name, None)
+        if item.value is not None:
+            self.nodes[item.name] = item.value
+            address = read_address(item.value.get("address"))
+            if address is not None:
+                self._addresses[item.name] = address
+
+    def address(self, node: str) -> Address | None:
+        return self._addresses.get(node)
+
+    def node_of(self, instance: str) -> str:
+        value = self.instances.get(instance)
+        return str(value["node"]) if value is not None else ""
+
+    def of(self, service: str) -> list[tuple[str, Mapping[str, Any] | None]]:
+        """The instances of one service."""
+        return [(name, self.instances[name]) for name in sorted(self.of_service.get(service, ()))]
+
+    def at(self, node: str) -> list[str]:
+        """The instances that are said to be there."""
+        return [name for name, value in self.instances.items() if value["node"] == node]
+
+    def reservoirs(self) -> dict[str, Address]:
+        """Control processes by the host of their address."""
+        found = {}
+        for name, value in self.nodes.items():
+            address = self._addresses.get(name)
+            if value.get("role") == RESERVOIR and address is not None:
+                found[address[0]] = address
+        return found
+
+    def sluices(self) -> int:
+        return sum(value.get("role") == SLUICE for value in self.nodes.values())
+
+    def zones(self) -> int:
+        return len({value.get("zone") for value in self.instances.values()})
--- /dev/null
+++ b/waterworks/sluice/passage.py
@@ -0,0 +1,205 @@
+"""The first hop's links to the sidecars beside other upstreams, and the calls that are out on them.
+
+A link is opened with the first call for its node. While it is not up, or just failed to come up, a call for
+it ends at once as never sent, so that another upstream can have it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.penstock.frames import Head
+from waterworks.penstock.link import Address, Link, connect
+from waterworks.sluice.hop import Call, End, TurnedAway, Unclear, end_head, read_call, read_end
+from waterworks.sluice.tailrace import Running, Tailrace
+from waterworks.valve.passing import Why
+
+AGAIN_S, AGAIN_MOST_S = 0.1, 1.0  # pauses after a link that did not come up
+IDLE_S = 20.0  # a link that carried nothing for so long is closed
+
+
+class Out:
+    """A call that the first hop has out."""
+
+    __slots__ = ("call", "ended", "link", "number", "running")
+
+    def __init__(self, call: Call, ended: Callable[[End], None]) -> None:
+        self.call, self.ended = call, ended
+        self.link: Outgoing | None = None
+        self.number = 0
+        self.running: Running | None = None  # where the second hop is this process
+
+
+class Outgoing:
+    """One node's link, as the first hop has it."""
+
+    def __init__(self, passage: Passage, node: str, address: Address) -> None:
+        self.passage, self.node, self.address = passage, node, address
+        self.link: Link | None = None
+        self.out: dict[int, Out] = {}
+        self.waiting: list[Out] = []  # while it comes up
+        self.coming: asyncio.Task[None] | None = None
+        self.not_before, self.pause = 0.0, AGAIN_S
+        self.used = 0.0
+
+    def send(self, out: Out) -> None:
+        loop = self.passage.loop
+        self.used = now = loop.time()
+        if self.link is not None and self.link.up:
+            self._write(out)
+        elif self.coming is not None:
+            self.waiting.append(out)
+        elif now < self.not_before:
+            out.ended(TurnedAway(Why.DOWN))
+        else:
+            self.waiting.append(out)
+            self.coming = loop.create_task(self._come_up())
+
+    def _write(self, out: Out) -> None:
+        assert self.link is not None
+        self.passage.count += 1
+        out.number = self.passage.count
+        out.link = self
+        self.out[out.number] = out
+        self.link.expects += 1
+        if len(self.out) == 1:
+            self.link.heard_at = self.passage.loop.time()  # silence counts from here
+        if not self.link.send(out.call.head(out.number), out.call.body):
+            if self.out.pop(out.number, None) is not None:
+                out.ended(TurnedAway(Why.DOWN))
+
+    async def _come_up(self) -> None:
+        link = await connect(self.address, lambda: Link(lambda _: None, self._frame, self._lost))
+        self.coming = None
+        waiting, self.waiting = self.waiting, []
+        if link is None or not link.up:
+            self.not_before = self.passage.loop.time() + self.pause
+            self.pause = min(2.0 * self.pause, AGAIN_MOST_S)
+            for out in waiting:
+                out.ended(TurnedAway(Why.DOWN))
+            return
+        self.link, self.pause = link, AGAIN_S
+        link.send({"t": "hello", "node": self.passage.node, "for": "calls"})
+        for out in waiting:
+            if link.up:
+                self._write(out)
+            else:
+                out.ended(TurnedAway(Why.DOWN))
+
+    def _frame(self, link: Link, head: Head, body: bytes) -> None:
+        if head.get("t") != "end":
+            return
+        try:
+            out = self.out.pop(head["n"], None)
+            end = read_end(head, body)
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+            link.close(f"unreadable end: {fault}")
+            return
+        if out is not None:
+            link.expects -= 1
+            out.ended(end)
+
+    def _lost(self, link: Link, why: str) -> None:
+        if self.link is not link:
+            return
+        self.link = None
+        out, self.out = self.out, {}
+        if out:
+            self.passage.gauge.tell(events.CALLS_CUT, peer=self.node, calls=len(out), why=why)
+        for item in out.values():
+            item.ended(Unclear(why))
+
+    def drop(self, out: Out) -> None:
+        """Nobody waits for it any more."""
+        if out in self.waiting:
+            self.waiting.remove(out)
+        elif self.out.pop(out.number, None) is not None and self.link is not None:
+            self.link.expects -= 1
+            self.link.send({"t": "drop", "n": out.number})
+
+    def tick(self, now: float) -> None:
+        if self.link is not None:
+            self.link.tick(now)
+            if not self.out and now - self.used > IDLE_S and self.link is not None:
+                self.link.close("idle")
+
+
+class Passage:
+    """All of them. ``local`` is the second hop of this process, ``node`` this one's name."""
+
+    def __init__(self, node: str, local: Tailrace, gauge: Gauge) -> None:
+        self.node, self.local, self.gauge = node, local, gauge
+        self.loop = asyncio.get_running_loop()
+        self.count = 0
+        self._links: dict[str, Outgoing] = {}
+
+    def send(self, call: Call, node: str, address: Address | None, ended: Callable[[End], None]) -> Out:
+        """``ended`` is called once, perhaps before this returns, unless the call is dropped."""
+        out = Out(call, ended)
+        if node == self.node:
+            out.running = self.local.take(call, ended)
+            return out
+        link = self._links.get(node)
+        if address is None:
+            ended(TurnedAway(Why.DOWN))
+            return out
+        if link is None or link.address != address:
+            if link is not None and link.link is not None:
+                link.link.close("it has another address now")
+            link = self._links[node] = Outgoing(self, node, address)
+        out.link = link
+        link.send(out)
+        return out
+
+    def drop(self, out: Out) -> None:
+        if out.running is not None:
+            self.local.drop(out.running)
+        elif out.link is not None:
+            out.link.drop(out)
+
+    def forget(self, node: str) -> None:
+        """A node that is known no more."""
+        link = self._links.pop(node, None)
+        if link is not None and link.link is not None:
+            link.link.close("gone")
+
+    def tick(self, now: float) -> None:
+        for link in list(self._links.values()):
+            link.tick(now)
+
+
+class Incoming:
+    """The other end: calls that come from a first hop over one link."""
+
+    MOST = 4096  # calls in hand over one link; more are turned away
+
+    def __init__(self, link: Link, tailrace: Tailrace) -> None:
+        self._link, self._tailrace = link, tailrace
+        self._running: dict[int, Running] = {}
+
+    def frame(self, head: Head, body: bytes) -> None:
+        """A call, or the word that nobody waits for one. Raises KeyError, TypeError, ValueError."""
+        number = int(head["n"])
+        if head["t"] == "drop":
+            running = self._running.pop(number, None)
+            if running is not None:
+                self._link.owes -= 1
+                self._tailrace.drop(running)
+            return
+        call = read_call(head, body)
+        self._link.owes += 1
+        if len(self._running) >= self.MOST:
+            self._end(number, TurnedAway(Why.FULL))
+            return
+        running = self._tailrace.take(call, lambda end: self._end(number, end))
+        if running is not None and not running.done:
+            self._running[number] = running
+
+    def _end(self, number: int, end: End) -> None:
+        self._running.pop(number, None)
+        self._link.owes -= 1
+        head, body = end_head(number, end)
+        self._link.send(head, body)
--- /dev/null
+++ b/waterworks/sluice/program.py
@@ -0,0 +1,229 @@
+"""The data plane: a sidecar beside one upstream. It takes the clients' requests of its machine, picks the
+upstream for each, and passes on what other sidecars send to its own."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+import zlib
+
+from anisestair.http import codec as http
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Store
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.headworks.settings import Settings
+from waterworks.leat.channels import Channel, Channels
+from waterworks.manifold.routes import Routes, read_route
+from waterworks.penstock.desk import Answer, Desk
+from waterworks.penstock.frames import Head
+from waterworks.penstock.link import Link, listen
+from waterworks.sluice.intake import MOST_BODY, Intake, Outlets
+from waterworks.sluice.membership import NODE, SLUICE, Membership
+from waterworks.sluice.passage import Incoming, Passage
+from waterworks.sluice.registry import Registry
+from waterworks.sluice.tables import Tables
+from waterworks.sluice.tailrace import Tailrace
+from waterworks.sluice.tap import Tap
+from waterworks.weir.lives import Upstream
+from waterworks.weir.tombs import Tombs
+
+MOST_CHARTER = 40_000
+MOST_ROLL = 20_000
+TICK_S = 0.1
+SPARE_FILES = 64  # descriptors that are neither clients', links' nor the upstream's
+ASKED_BEYOND = 2  # control processes asked for news beyond those that may be lost at once
+TAP_SHARE = 0.9  # of what an upstream accepts, this sidecar opens; it is the only one that can
+TAP_MOST = 100  # where the operator does not say
+NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
+EXIT_S = 0.4  # before the kill, what is left is given up
+
+
+class Sluice:
+    def __init__(self, settings: Settings, gauge: Gauge) -> None:
+        self.settings, self.gauge = settings, gauge
+        self.loop = asyncio.get_running_loop()
+        self.peer_address = (settings.ip, settings.port_range[0])
+        self.life = f"{settings.node}.{os.urandom(4).hex()}"
+        self.charter, self.roll = Store(self.life, MOST_CHARTER), Store(self.life, MOST_ROLL)
+        self.membership, self.routes, self.tombs = Membership(), Routes(), Tombs()
+        bounds = settings.bounds
+        self.upstream = Upstream(settings.node, settings.zone, settings.beat_period_ms, bounds.drain_ms)
+        assert settings.upstream is not None
+        self.tap = Tap(settings.upstream, TAP_MOST, gauge)
+        self.tailrace = Tailrace(self.upstream, self.tap, gauge, lambda told: self.registry.publish(told))
+        self.passage = Passage(settings.node, self.tailrace, gauge)
+        self.tables = Tables(
+            self.passage,
+            self.membership,
+            self.membership.node_of,
+            settings.zone,
+            (bounds.retry_ratio, bounds.retry_window_s * 1000.0, bounds.retry_slack),
+            zlib.crc32(self.life.encode()),
+            gauge,
+        )
+        self.intake = Intake(
+            self.tables,
+            settings.plant,
+            settings.limits.memory_mb,
+            self.routes.find,
+            self._configured,
+            lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
+        )
+        self.registry = Registry(
+            self.upstream,
+            self.roll,
+            self.membership,
+            gauge,
+            self.tables.now,
+            lambda items: self._changed("roll", items),
+        )
+        most = max((settings.limits.file_handles - SPARE_FILES) // 2, 16)
+        self.outlets = Outlets(self.intake, most)
+        self.control = Desk(self.registry.handle)
+        self.readiness = Desk(self._ready)
+        self.channels = Channels(
+            settings.node,
+            {"t": "hello", "node": settings.node, "source": self.life, "ip": settings.ip, "role": SLUICE},
+            {"charter": self.charter, "roll": self.roll},
+            settings.tolerance.machines + ASKED_BEYOND,
+            gauge,
+            self._changed,
+        )
+        self.ending = False
+        self._links: set[Link] = set()  # with calls from other sidecars
+        self._server: asyncio.Server | None = None
+        self._node_version = int(time.time() * 1000)
+
+    # Start and end
+
+    async def start(self) -> None:
+        ports = self.settings.ports
+        self._server = await listen(self.peer_address, lambda: Link(lambda _: None, self._met, self._unmet))
+        assert ports.outbound is not None and ports.readiness is not None and ports.control is not None
+        self.outlets.listen(ports.outbound)
+        await self.control.listen(ports.control)
+        await self.readiness.listen(ports.readiness)
+        self._say_node()
+        self._know()
+        self.loop.call_later(TICK_S, self._tick)
+        self.gauge.tell(events.STARTED, role=SLUICE)
+
+    def _say_node(self) -> None:
+        settings = self.settings
+        self._node_version += 1
+        told = self.roll.take(
+            NODE,
+            settings.node,
+            self._node_version,
+            {
+                "address": f"{self.peer_address[0]}:{self.peer_address[1]}",
+                "role": SLUICE,
+                "zone": settings.zone,
+                "region": settings.region,
+            },
+        )
+        if isinstance(told, Item):
+            self._changed("roll", [told])
+
+    def _tick(self) -> None:
+        now = self.loop.time()
+        self.channels.tick(now)
+        self.passage.tick(now)
+        self.tap.sweep()
+        for link in list(self._links):
+            link.tick(now)
+        for key in self.tombs.due(now):
+            self.roll.forget(key)
+        self.registry.mind()
+        self.loop.call_later(TICK_S, self._tick)
+
+    def _configured(self) -> bool:
+        return len(self.routes) > 0 and self.channels.whole_at > 0.0
+
+    async def _ready(self, message: http.Message) -> Answer:
+        return Answer(200 if self._configured() and not self.ending else 503)
+
+    async def stop(self) -> None:
+        """Readiness first, then word to the others that this upstream cannot be reached; what is in hand
+        ends."""
+        began = self.loop.time()
+        until = began + self.settings.bounds.grace_s - EXIT_S
+        self.ending = True
+        self.registry.publish(self.upstream.end(self.tables.now()))
+        notice = min(NOTICE_S, self.settings.bounds.grace_s * 0.4)
+        await asyncio.sleep(notice)
+        ends = self.loop.create_task(self.outlets.stop(accept_s=0.1))
+        while self.loop.time() < until and (self.tailrace.running or not ends.done()):
+            await asyncio.sleep(0.02)
+        self.control.stop()
+        self.readiness.stop()
+        self.gauge.tell(events.ENDED)
+
+    # News
+
+    def _changed(self, name: str, items: list[Item]) -> None:
+        if name == "charter":
+            for item in items:
+                self._configure(item)
+        else:
+            self.tombs.note(self.loop.time(), items)
+            for service, entries in self.membership.take(items).items():
+                table = self.tables.by_service.get(service)
+                if table is not None:
+                    table.tell(entries)
+            if any(item.kind == NODE for item in items):
+                self._know()
+            self.tables.people(self.membership.sluices(), self.membership.zones())
+        self.channels.poke()
+
+    def _configure(self, item: Item) -> None:
+        if item.kind == "route":
+            if item.value is None:
+                self.routes.drop(item.name)
+            else:
+                self.routes.put(read_route(item.name, item.version, dict(item.value)))
+        elif item.kind == "input_limits" and item.value is not None:
+            body = item.value.get("body_bytes")
+            self.intake.most_body = int(min(body, MOST_BODY)) if body else MOST_BODY
+            head = item.value.get("header_lag_ms")
+            if head:
+                self.outlets.request_s = float(head) / 1000.0 + 0.25
+        elif item.kind == "plant" and item.name == self.settings.plant and item.value is not None:
+            most = item.value.get("conn_saturation")
+            self.tap.most = max(int(TAP_SHARE * most), 1) if most else TAP_MOST
+
+    def _know(self) -> None:
+        port = self.settings.port_range[0]
+        known = {host: (host, port) for host, _ in self.settings.seeds}
+        known.update(self.membership.reservoirs())
+        self.channels.know(known)
+
+    def retune(self, settings: Settings) -> None:
+        """The settings file has changed: other seeds."""
+        self.settings = settings
+        self._know()
+
+    # Links that others open
+
+    def _met(self, link: Link, head: Head, body: bytes) -> None:
+        if isinstance(link.peer, Incoming):
+            try:
+                link.peer.frame(head, body)
+            except (KeyError, TypeError, ValueError, AttributeError) as fault:
+                link.close(f"unreadable {head.get('t')}: {fault!r}")
+        elif isinstance(link.peer, Channel):
+            self.channels.frame(link.peer, head, body)
+        elif head.get("t") == "hello" and head.get("for") == "calls":
+            link.peer = Incoming(link, self.tailrace)
+            self._links.add(link)
+        elif head.get("t") == "hello" and head.get("for") == "news" and "source" in head and "node" in head:
+            self.channels.adopt(link, head)
+        else:
+            link.close("no hello")
+
+    def _unmet(self, link: Link, why: str) -> None:
+        self._links.discard(link)
+        if isinstance(link.peer, Channel):
+            self.channels.lost(link.peer, why)
--- /dev/null
+++ b/waterworks/sluice/registry.py
@@ -0,0 +1,118 @@
+"""What the upstream beside this sidecar tells it, decoded into commands and run here; and what follows for
+the items that speak of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from anisestair.http import codec as http
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Store
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.penstock.desk import Answer
+from waterworks.sluice.membership import INSTANCE, Membership
+from waterworks.weir.calls import DECAYING, Beat, Leave, Unreadable, read_beat
+from waterworks.weir.lives import GONE_VERSION, SILENT_BEATS, Publish, Upstream
+
+PATH = b"/instances/"
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """No call of ours."""
+
+    status: int
+
+
+Command = Beat | Leave | Unreadable | Unknown
+
+
+def decode(message: http.Message) -> Command:
+    path = message.target.partition(b"?")[0]
+    if not path.startswith(PATH):
+        return Unknown(404)
+    try:
+        instance = path[len(PATH) :].decode("ascii")
+    except UnicodeDecodeError:
+        return Unreadable("path", "an id is of ASCII characters")
+    if message.method == b"PUT":
+        return read_beat(instance, message.body)
+    if message.method == b"DELETE":
+        return Leave(instance)
+    return Unknown(405)
+
+
+class Registry:
+    def __init__(
+        self,
+        upstream: Upstream,
+        roll: Store,
+        membership: Membership,
+        gauge: Gauge,
+        now: Callable[[], float],
+        changed: Callable[[list[Item]], None],
+    ) -> None:
+        """``now`` gives milliseconds; ``changed`` is told of items written here."""
+        self._upstream, self._roll, self._membership = upstream, roll, membership
+        self._gauge, self._now, self._changed = gauge, now, changed
+        self._began = now()
+
+    async def handle(self, message: http.Message) -> Answer:
+        command = decode(message)
+        if isinstance(command, Unknown):
+            return Answer(command.status)
+        if isinstance(command, Unreadable):
+            return Answer(400, msgspec.json.encode({"error": command.line()}))
+        if isinstance(command, Leave):
+            self._gauge.tell(
+                events.INSTANCE_GONE,
+                service=self._upstream.beat.plant if self._upstream.beat is not None else "",
+                instance=command.instance,
+                why="signed off",
+            )
+            self.publish(self._upstream.leave(command.instance))
+            return Answer(200, b"{}")
+        known = self._upstream.beat
+        if known is None or known.instance != command.instance:
+            self._gauge.tell(
+                events.INSTANCE_NEW,
+                service=command.plant,
+                instance=command.instance,
+                address=f"{command.address[0]}:{command.address[1]}",
+            )
+        elif known.state != command.state:
+            self._gauge.tell(
+                events.INSTANCE_DECAYING if command.state == DECAYING else events.INSTANCE_SETTLED,
+                service=command.plant,
+                instance=command.instance,
+            )
+        self.publish(self._upstream.take(self._now(), command))
+        return Answer(200, b"{}")
+
+    def publish(self, told: list[Publish]) -> None:
+        items = []
+        for one in told:
+            item = self._roll.take(INSTANCE, one.instance, one.version, one.value)
+            if isinstance(item, Item):
+                items.append(item)
+        if items:
+            self._changed(items)
+
+    def mind(self) -> None:
+        """What the membership says of this machine and is not so: of earlier lives, and of an upstream that
+        ended while this sidecar was down."""
+        mine = self._upstream.instance
+        silent = self._now() - self._began > SILENT_BEATS * self._upstream.beat_ms
+        told = []
+        for instance in self._membership.at(self._upstream.node):
+            if instance == mine:
+                item = self._roll.items.get((INSTANCE, instance))
+                if item is not None and item.version > self._upstream.version:
+                    told += self._upstream.republish(item.version)
+            elif mine or silent:
+                told.append(Publish(instance, GONE_VERSION, None))
+        self.publish(told)
