--- /dev/null
+++ b/waterworks/sluice/tables.py
@@ -0,0 +1,365 @@
+"""One table for each upstream service: hosts the decision module, which picks the upstream of each call, and
+carries out what it says. What it is fed are the ends of this sidecar's own calls and the membership."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from anisestair.http import codec as http
+from hareloom import Balancer
+from hareloom import interface as api
+from hareloom.interface import Effect, ListKind, Outcome, ServerState
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.manifold.routes import Route
+from waterworks.penstock.link import Address
+from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
+from waterworks.sluice.passage import Out, Passage
+from waterworks.valve.budget import Budget
+from waterworks.valve.passing import Why
+
+FURTHER = 2  # attempts of a request beyond its route's trials, for those that never reached an upstream
+LATE_WORTH = 0.3  # of an answer after its aim, as no configuration tells it
+COLD_FROM = 0.5  # share of its capacity that an upstream starts with, until its own answers tell
+RETRY_AFTER_MS = 10_000.0  # the longest advice; clients take a third of their time at the most
+CLASSES = 64  # routes with a class of their own; the rest share one by what they may do
+GUARD_MS = 40.0  # after its deadline a request without a decision is answered all the same
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """An upstream's own answer, to be passed on as it is."""
+
+    answer: Returned
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """It has not run and never will."""
+
+    retry_after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """It may have run; ``late``: its time is over."""
+
+    late: bool
+
+
+Final = Served | Refused | Failed
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """A client's request, from its whole arrival to its one answer."""
+
+    id: str
+    route: Route
+    service: str
+    message: http.Message
+    headers: http.Headers
+    attempt: str
+    caller: str
+    deadline: float  # milliseconds of the loop's clock
+    answer: Callable[[Final], None]
+    outs: list[Out | None] = field(default_factory=list)
+    sent: list[float] = field(default_factory=list)
+    arrived: int = 0  # upstreams that it reached, or may have
+    unclear: bool = False  # it may have run
+    last: Returned | None = None  # an upstream's answer that was no success
+    guard: asyncio.TimerHandle | None = None
+    over: bool = False
+
+
+class Place(Protocol):
+    """Where an instance is, as the membership has it."""
+
+    def address(self, node: str) -> Address | None: ...
+
+
+class Table:
+    """Of one service."""
+
+    def __init__(self, tables: Tables, service: str, first: Route) -> None:
+        self.tables, self.service = tables, service
+        self.loop = tables.loop
+        self.budget = Budget(tables.ratio, tables.window_ms, tables.slack)
+        self._classes: dict[str, api.RequestClass] = {}
+        self._add(first)
+        self.balancer = Balancer(self._settings(), tables.seed(service))
+        self.asks: dict[str, Ask] = {}
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self._entries: dict[str, api.ServerEntry] = {}
+        self._cold_ms = 0.0
+
+    # Settings, as the routes that have traffic give them
+
+    def _settings(self) -> api.Settings:
+        tables = self.tables
+        trials = max(tables.trials.get(name, 1) for name in self._classes)
+        return api.Settings(
+            classes=tuple(self._classes.values()),
+            peers=max(tables.sidecars, 1),
+            zone=tables.zone,
+            limits=api.Limits(
+                max_attempts=trials + FURTHER, may_cancel=True, max_retry_after_ms=RETRY_AFTER_MS
+            ),
+            rules=api.Rules(cold_from=COLD_FROM, cold_ms=getattr(self, "_cold_ms", 0.0)),
+            cross_zone_price=0.01 if tables.many_zones else 0.0,
+        )
+
+    def _add(self, route: Route) -> str:
+        """The class of a route, made or renewed where it is not as the route says."""
+        name = route.name
+        if name not in self._classes and len(self._classes) >= CLASSES:
+            name = "effectful" if route.effectful else "idempotent"
+        aim = min(route.aim_ms, route.horizon_ms) if route.aim_ms > 0 else route.horizon_ms
+        known = self._classes.get(name)
+        if known is not None and name != route.name:
+            return name
+        effect = Effect.UNSAFE if route.effectful else Effect.SAFE
+        if known is None or (known.aim_ms, known.deadline_ms, known.effect) != (
+            aim,
+            route.horizon_ms,
+            effect,
+        ):
+            self._classes[name] = api.RequestClass(
+                name,
+                aim_ms=aim,
+                deadline_ms=route.horizon_ms,
+                worth=2.0 ** -min(route.priority, 8),
+                late_worth=LATE_WORTH,
+                effect=effect,
+            )
+            self.tables.trials[name] = route.trials
+            if hasattr(self, "balancer"):
+                self.retune()
+        return name
+
+    def retune(self) -> None:
+        self.handle(api.Retune(self._settings()))
+
+    # Membership
+
+    def tell(self, entries: list[tuple[str, Mapping[str, Any] | None]], whole: bool = False) -> None:
+        """Instances of this service as they are now; no value: gone."""
+        told = []
+        for instance, value in entries:
+            if value is None:
+                if self._entries.pop(instance, None) is None:
+                    continue
+                told.append(api.ServerEntry(instance, ServerState.GONE))
+                continue
+            known = self._entries.get(instance)
+            started = known.started_at if known is not None else None
+            cold = float(value.get("cold_ms", 0.0))
+            if known is None and cold > 0.0:
+                if cold > self._cold_ms:
+                    self._cold_ms = cold
+                    self.retune()
+                started = self.tables.now() - (self._cold_ms - cold)
+            entry = api.ServerEntry(
+                instance,
+                ServerState.READY if value.get("state") == "settled" else ServerState.DRAINING,
+                zone=str(value.get("zone", "")),
+                size=float(value.get("capacity", 1)),
+                started_at=started,
+            )
+            if entry != known:
+                self._entries[instance] = entry
+                told.append(entry)
+        if told or whole:
+            self.handle(api.ServerList(ListKind.FULL if whole else ListKind.DELTA, 0, tuple(told)))
+
+    # Requests
+
+    def take(self, ask: Ask) -> None:
+        now = self.tables.now()
+        self.budget.request(now)
+        self.asks[ask.id] = ask
+        ask.guard = self.loop.call_at((ask.deadline + GUARD_MS) / 1000.0, self._overdue, ask)
+        klass = self._add(ask.route)
+        self.handle(api.Request(ask.id, klass, ask.deadline))
+
+    def gone(self, ask: Ask) -> None:
+        """Its client has left."""
+        if not ask.over:
+            self._over(ask)
+            self._cut(ask)
+            self.handle(api.ClientGone(ask.id))
+
+    def _overdue(self, ask: Ask) -> None:
+        if not ask.over:
+            may_run = ask.unclear or any(out is not None for out in ask.outs)
+            self._finish(ask, Failed(True) if may_run else Refused(0.0))
+            self._cut(ask)
+            self.handle(api.ClientGone(ask.id))
+
+    def _cut(self, ask: Ask) -> None:
+        for out in ask.outs:
+            if out is not None:
+                self.tables.passage.drop(out)
+
+    def _over(self, ask: Ask) -> None:
+        ask.over = True
+        if ask.guard is not None:
+            ask.guard.cancel()
+        self.asks.pop(ask.id, None)
+
+    def _finish(self, ask: Ask, final: Final) -> None:
+        if not ask.over:
+            self._over(ask)
+            ask.answer(final)
+
+    # The module: events in, actions out
+
+    def handle(self, event: api.Event) -> None:
+        """What is raised while one event is handled waits its turn."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                try:
+                    for action in self.balancer.handle(self.tables.now(), event):
+                        self._act(action)
+                except Exception as fault:
+                    # A fault in the decisions costs the request at hand its answer, not all others.
+                    self.tables.gauge.tell(events.FAULT, where=self.service, what=repr(fault))
+                    ask = self.asks.get(getattr(event, "request", ""))
+                    if ask is not None:
+                        self._finish(ask, Failed(False))
+        finally:
+            self._handling = False
+
+    def _act(self, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            ask = self.asks.get(action.request)
+            if ask is not None:
+                self._send(ask, action.server)
+            return
+        if isinstance(action, api.SetTimer):
+            self.loop.call_later(action.delay_ms / 1000.0, self.handle, api.Timer(action.token))
+            return
+        if isinstance(action, api.Cancel):
+            return  # what is out when a request is over has been cut with it
+        if isinstance(action, (api.Refuse, api.Fail)):
+            ask = self.asks.get(action.request)
+            if ask is None:
+                return
+            late = self.tables.now() >= ask.deadline - 2.0
+            if ask.last is not None:
+                final: Final = Served(ask.last)
+            elif ask.unclear or any(out is not None for out in ask.outs):
+                final = Failed(late)
+            else:
+                final = Refused(action.retry_after_ms if isinstance(action, api.Refuse) else 0.0)
+            self._finish(ask, final)
+            self._cut(ask)
+
+    def _send(self, ask: Ask, instance: str) -> None:
+        tables, now = self.tables, self.tables.now()
+        number = len(ask.outs)
+        ask.outs.append(None)
+        ask.sent.append(now)
+        if ask.arrived and (ask.arrived >= ask.route.trials or not self.budget.spend(now, tables.sidecars)):
+            self.handle(api.AttemptEnded(ask.id, number, Outcome.MOOT, 0.0, False))
+            return
+        node = tables.node_of(instance)
+        call = Call(
+            ask.attempt,
+            ask.message.method,
+            ask.message.target,
+            ask.headers,
+            ask.message.body,
+            instance,
+            ask.caller,
+            ask.deadline - now,
+        )
+        ask.arrived += 1
+        out = tables.passage.send(
+            call, node, tables.address_of(node), lambda end: self._ended(ask, number, end)
+        )
+        if not ask.over:
+            ask.outs[number] = out
+
+    def _ended(self, ask: Ask, number: int, end: End) -> None:
+        if ask.over:
+            return
+        ask.outs[number] = None
+        latency = self.tables.now() - ask.sent[number]
+        closed = False
+        if isinstance(end, Returned):
+            if end.status >= 500:
+                ask.last, ask.unclear = end, True
+                outcome = Outcome.TIMEOUT if end.status == 504 else Outcome.ERROR
+            else:
+                outcome, closed = Outcome.OK, True
+        elif isinstance(end, TurnedAway):
+            ask.arrived -= not end.arrived
+            outcome = Outcome.FULL if end.why in (Why.FULL, Why.LATE) else Outcome.CONNECT_FAILED
+        else:
+            assert isinstance(end, Unclear)
+            ask.unclear = True
+            outcome = Outcome.RESET
+        if closed:
+            assert isinstance(end, Returned)
+            self._finish(ask, Served(end))
+        self.handle(api.AttemptEnded(ask.id, number, outcome, latency, closed))
+
+
+class Tables:
+    """All services' tables of this sidecar, and what they share."""
+
+    def __init__(
+        self,
+        passage: Passage,
+        place: Place,
+        node_of: Callable[[str], str],
+        zone: str,
+        bounds: tuple[float, float, float],
+        seed: int,
+        gauge: Gauge,
+    ) -> None:
+        """``bounds``: ratio, window in milliseconds and slack of the budget of further tries."""
+        self.loop = asyncio.get_running_loop()
+        self.passage, self.node_of, self.address_of = passage, node_of, place.address
+        self.zone, self.gauge = zone, gauge
+        self.ratio, self.window_ms, self.slack = bounds
+        self._random = random.Random(seed)
+        self.trials: dict[str, int] = {}
+        self.sidecars, self.many_zones = 3, False
+        self.by_service: dict[str, Table] = {}
+
+    def now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    def seed(self, service: str) -> int:
+        return self._random.getrandbits(32)
+
+    def draw(self) -> float:
+        return self._random.random()
+
+    def of(self, service: str, route: Route) -> tuple[Table, bool]:
+        """The table of a service, and whether it has just been made and knows no instance yet."""
+        table = self.by_service.get(service)
+        if table is not None:
+            return table, False
+        table = self.by_service[service] = Table(self, service, route)
+        return table, True
+
+    def people(self, sidecars: int, zones: int) -> None:
+        """How many sidecars there are, and in how many zones."""
+        if (sidecars, zones > 1) != (self.sidecars, self.many_zones):
+            self.sidecars, self.many_zones = max(sidecars, 1), zones > 1
+            for table in self.by_service.values():
+                table.retune()
--- /dev/null
+++ b/waterworks/sluice/tailrace.py
@@ -0,0 +1,136 @@
+"""The second hop: calls from other sidecars, and from this one, to the upstream beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from anisestair.http import codec as http
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
+from waterworks.sluice.tap import Answered, NotSent, Outcome, Tap, TapConnection
+from waterworks.valve.passing import Turned, Why, judge
+from waterworks.weir.lives import Publish, Upstream
+
+# Written anew here, whatever was sent.
+OURS = frozenset({b"time-remaining", b"target-instance", b"calling-service", b"attempt-id"})
+TELLING = frozenset({b"plant-load", b"not-executed"})  # for this hop, not for the client
+LATE_S = 0.25  # an upstream that says nothing this long after its deadline is not waited for
+
+
+class Running:
+    """A call that has been passed on."""
+
+    __slots__ = ("call", "connection", "done", "dropped", "ended", "expiry", "task")
+
+    def __init__(self, call: Call, ended: Callable[[End], None]) -> None:
+        self.call, self.ended = call, ended
+        self.done = self.dropped = False
+        self.connection: TapConnection | None = None
+        self.expiry: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task[None] | None = None
+
+
+class Tailrace:
+    def __init__(
+        self, upstream: Upstream, tap: Tap, gauge: Gauge, publish: Callable[[list[Publish]], None]
+    ) -> None:
+        self.upstream, self.tap, self._gauge, self._publish = upstream, tap, gauge, publish
+        self._loop = asyncio.get_running_loop()
+        self.running: set[Running] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.load: tuple[int, int, int] | None = None  # running, waiting, slots, as last told
+
+    def now(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def take(self, call: Call, ended: Callable[[End], None]) -> Running | None:
+        """``ended`` is called once, at once where the call is turned away, unless it is dropped."""
+        verdict = judge(self.now(), self.upstream, call.instance, call.left_ms, len(self.running))
+        if isinstance(verdict, Turned):
+            ended(TurnedAway(verdict.why))
+            return None
+        running = Running(call, ended)
+        self.running.add(running)
+        running.expiry = self._loop.call_later(call.left_ms / 1000.0 + LATE_S, self._expire, running)
+        running.task = task = self._loop.create_task(self._pass(running))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return running
+
+    def drop(self, running: Running) -> None:
+        """The first hop waits no more."""
+        running.dropped = True
+        self._forget(running)
+        if running.connection is not None:
+            running.connection.drop()
+
+    async def _pass(self, running: Running) -> None:
+        call = running.call
+        headers = [item for item in call.headers if item[0] not in OURS]
+        headers += [
+            (b"attempt-id", call.attempt.encode("latin-1")),
+            (b"time-remaining", b"%d" % max(int(call.left_ms), 1)),
+            (b"target-instance", call.instance.encode("latin-1")),
+            (b"calling-service", call.caller.encode("latin-1")),
+        ]
+        payload = http.write_request(call.method, call.target, headers, call.body)
+        connection = await self.tap.ask(
+            call.attempt.encode("latin-1"), payload, lambda outcome: self._end(running, outcome)
+        )
+        if running.done or connection is None:
+            return
+        running.connection = connection
+        if running.dropped:
+            connection.drop()
+
+    def _expire(self, running: Running) -> None:
+        if not running.done:
+            if running.connection is not None:
+                running.connection.drop()
+            self._tell(running, Unclear("no answer in its time"))
+
+    def _forget(self, running: Running) -> None:
+        running.done = True
+        self.running.discard(running)
+        if running.expiry is not None:
+            running.expiry.cancel()
+
+    def _tell(self, running: Running, end: End) -> None:
+        if not running.done:
+            self._forget(running)
+            running.ended(end)
+
+    def _end(self, running: Running, outcome: Outcome) -> None:
+        if running.done:
+            return
+        if isinstance(outcome, NotSent):
+            if outcome.refused:
+                self._publish(self.upstream.refused(self.now()))
+            self._tell(running, TurnedAway(Why.DOWN if outcome.refused else Why.FULL))
+            return
+        if not isinstance(outcome, Answered):
+            self._gauge.tell(events.UNCLEAR, attempt=running.call.attempt, why=outcome.why)
+            self._tell(running, Unclear(outcome.why))
+            return
+        message = outcome.message
+        self._note_load(message.get(b"plant-load"))
+        if message.status == 421:
+            self._tell(running, TurnedAway(Why.OTHER, arrived=True))
+        elif message.get(b"not-executed") is not None:
+            self._tell(running, TurnedAway(Why.FULL, arrived=True))
+        elif 200 <= message.status < 300 and not self._sealed(running, message):
+            # Bytes that look like a success and are not the upstream's.
+            self._tell(running, Unclear("a success without its seal or id"))
+        else:
+            headers = [item for item in message.end_to_end() if item[0] not in TELLING]
+            self._tell(running, Returned(message.status, headers, message.body, ran=True))
+
+    def _sealed(self, running: Running, message: http.Message) -> bool:
+        return bool(message.get(b"response-seal")) and message.get(b"attempt-id") == running.call.attempt
+
+    def _note_load(self, told: str | None) -> None:
+        parts = (told or "").split(",")
+        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+            self.load = (int(parts[0]), int(parts[1]), int(parts[2]))
--- /dev/null
+++ b/waterworks/sluice/tap.py
@@ -0,0 +1,205 @@
+"""Connections to the upstream beside this sidecar: one call at a time on each, kept while that is safe.
+
+A connection is used again only after its answer was whole, alone and for its id. An answer with another id is
+one too many for an earlier call; it is passed over, and the right one waited for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+from anisestair.http import codec as http
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.penstock.link import Address
+
+CONNECT_S = 0.5
+IDLE_S = 3.0  # where an answer does not tell how long the connection is kept
+MARGIN_S = 0.7  # given back so long before the upstream would close it
+LONGEST_S = 30.0
+MOST_ANSWER = 16 * 1024 * 1024
+PASSED_OVER = 4  # answers with another id on one connection; more, and it is of no use
+ID = b"attempt-id"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer to this call."""
+
+    message: http.Message
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """Nothing has left: it has not run. ``refused``: nobody listens there."""
+
+    refused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """No whole answer, and it may have run."""
+
+    why: str
+
+
+Outcome = Answered | NotSent | Broken
+
+
+class TapConnection(http.Buffered):
+    def __init__(self, tap: Tap) -> None:
+        self._tap = tap
+        self._reader = http.Reader(httptools.HttpResponseParser, MOST_ANSWER)
+        self._transport: asyncio.Transport | None = None
+        self._poll = select.poll()
+        self._id = b""
+        self._ended: Callable[[Outcome], None] | None = None
+        self._passed_over = 0
+        self.keep_until = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._poll.register(sock.fileno(), select.POLLIN)
+
+    def usable(self, now: float) -> bool:
+        """Nothing has come while it stood idle, as far as the kernel knows, and it is not too old."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and now < self.keep_until
+            and not self._poll.poll(0)
+        )
+
+    def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> None:
+        assert self._transport is not None
+        self._id, self._ended = attempt, ended
+        self._transport.write(payload)
+
+    def drop(self) -> None:
+        """Nobody waits for the answer any more; the upstream stops when the connection closes."""
+        self._ended = None
+        self.close()
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _end(self, outcome: Outcome) -> None:
+        ended, self._ended = self._ended, None
+        if ended is not None:
+            ended(outcome)
+
+    def data_received(self, data: bytes) -> None:
+        if self._ended is None:  # nobody asked
+            self.close()
+            return
+        try:
+            self._reader.feed(data)
+        except http.BadMessage:
+            self._settle(self._reader.take(), False)
+            self.close()
+            self._end(Broken("what came is no answer"))
+            return
+        self._settle(self._reader.take(), True)
+
+    def eof_received(self) -> None:
+        try:
+            self._reader.end()
+        except http.BadMessage:
+            return
+        self._settle(self._reader.take(), False)
+
+    def _settle(self, answers: list[http.Message], good: bool) -> None:
+        while answers and self._ended is not None:
+            answer = answers.pop(0)
+            told = answer.get(ID)
+            if told is not None and told.encode("latin-1") != self._id:
+                self._passed_over += 1
+                self._tap.gauge.tell(events.WRONG_ANSWER, wanted=self._id.decode("latin-1"), got=told)
+                if self._passed_over > PASSED_OVER:
+                    self.close()
+                    self._end(Broken("answers to other calls"))
+                continue
+            clean = good and not answers and not self._reader.partial and answer.keep_alive
+            if clean:
+                self._tap.rest(self, answer)
+            else:
+                self.close()
+            self._end(Answered(answer))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._tap.lost(self)
+        self._reader.close()
+        self._end(Broken("the connection ended"))
+
+
+class Tap:
+    """All connections to one address. ``most`` bounds them."""
+
+    def __init__(self, address: Address, most: int, gauge: Gauge) -> None:
+        self.address, self.most, self.gauge = address, most, gauge
+        self._loop = asyncio.get_running_loop()
+        self._idle: list[TapConnection] = []
+        self._open: set[TapConnection] = set()
+        self._coming = 0
+
+    async def ask(
+        self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]
+    ) -> TapConnection | None:
+        """Puts a call on a connection; ``ended`` is called once with its outcome, unless it is dropped."""
+        now = self._loop.time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable(now):
+                connection.ask(attempt, payload, ended)
+                return connection
+            connection.close()
+        if len(self._open) + self._coming >= self.most:
+            ended(NotSent(False))
+            return None
+        self._coming += 1
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, connection = await self._loop.create_connection(lambda: TapConnection(self), *self.address)
+        except (OSError, TimeoutError) as fault:
+            ended(NotSent(isinstance(fault, ConnectionRefusedError)))
+            return None
+        finally:
+            self._coming -= 1
+        self._open.add(connection)
+        connection.ask(attempt, payload, ended)
+        return connection
+
+    def rest(self, connection: TapConnection, answer: http.Message) -> None:
+        keeps = IDLE_S + MARGIN_S
+        for part in (answer.get(b"keep-alive") or "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                keeps = float(value)
+        connection.keep_until = self._loop.time() + min(keeps - MARGIN_S, LONGEST_S)
+        self._idle.append(connection)
+
+    def lost(self, connection: TapConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def sweep(self) -> None:
+        """Closes what has stood idle for as long as it may."""
+        now = self._loop.time()
+        for connection in [item for item in self._idle if now >= item.keep_until]:
+            self._idle.remove(connection)
+            connection.close()
+
+    def close(self) -> None:
+        for connection in list(self._open):
+            connection.close()
--- /dev/null
+++ b/waterworks/valve/__init__.py
@@ -0,0 +1,1 @@
+"""Limits and last words on calls: the shared budget, may it have run, drains."""
--- /dev/null
+++ b/waterworks/weir/__init__.py
@@ -0,0 +1,1 @@
+"""Membership without I/O: beats, lives of upstreams, who knows whom, duties."""
--- /dev/null
+++ b/waterworks/weir/lives.py
@@ -0,0 +1,119 @@
+"""The upstream beside this sidecar: which life it is in, and what of it the others are to know. No I/O.
+
+Instants are milliseconds of the caller's steady clock. A life is told by its id; within one, `sample_count`
+tells a late beat from a new one. What is published as an item carries the version ``sample_count`` times
+`STEP`, so that a sidecar that starts anew and knows nothing goes on above what it published before, and has
+room for what it says between two beats.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from waterworks.weir.calls import DECAYING, SETTLED, Beat
+
+STEP = 1000  # versions that one beat leaves room for
+SILENT_BEATS = 2.6  # periods without a beat, and a connection refused as well, tell of an end without a word
+GONE_VERSION = 1 << 52  # of an id that never comes back
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """What the others are to be told of one instance; no value: it is gone."""
+
+    instance: str
+    version: int
+    value: dict[str, Any] | None
+
+
+class Upstream:
+    """The one upstream of this machine, as its beats and its connections show it."""
+
+    def __init__(self, node: str, zone: str, beat_ms: float, drain_ms: float) -> None:
+        self.node, self.zone, self.beat_ms, self.drain_ms = node, zone, beat_ms, drain_ms
+        self.beat: Beat | None = None
+        self.heard = 0.0  # when the last beat came
+        self.drains_since: float | None = None  # when its draining, or this sidecar's, was first acknowledged
+        self.leaving = False  # this sidecar ends: nothing new can reach its upstream
+        self.gone = False
+        self.version = 0
+        self._said: dict[str, Any] | None = None
+
+    @property
+    def instance(self) -> str:
+        return self.beat.instance if self.beat is not None else ""
+
+    def take(self, now: float, beat: Beat) -> list[Publish]:
+        """A beat. A late one of the same life, and any of a life that has ended here, changes nothing."""
+        known = self.beat
+        if known is not None and known.instance == beat.instance:
+            self.heard = now
+            if beat.sample_count <= known.sample_count:
+                return []
+            if known.state == DECAYING and beat.state == SETTLED:  # no way leads back in one life
+                beat = Beat(**{**{f: getattr(beat, f) for f in Beat.__slots__}, "state": DECAYING})
+            self.beat = beat
+            if self.gone:  # it was only silent
+                self.gone, self._said = False, None
+        else:
+            published = self._end() if known is not None and not self.gone else []
+            self.beat, self.heard, self.drains_since = beat, now, None
+            self.gone, self._said, self.version = False, None, 0
+            if beat.state == DECAYING:
+                self.drains_since = now
+            return published + self._publish()
+        if beat.state == DECAYING and self.drains_since is None:
+            self.drains_since = now
+        return self._publish()
+
+    def leave(self, instance: str) -> list[Publish]:
+        """The upstream has signed off."""
+        if self.beat is None or self.beat.instance != instance or self.gone:
+            return []
+        return self._end()
+
+    def refused(self, now: float) -> list[Publish]:
+        """A connection to it was refused: with no beat for a while, it has ended without a word."""
+        if self.beat is None or self.gone or now - self.heard < SILENT_BEATS * self.beat_ms:
+            return []
+        self.gone = True  # it may still come back in this life: the item's version stays below the last
+        self.version = max(self.version + 1, self.beat.sample_count * STEP)
+        return [Publish(self.beat.instance, self.version, None)]
+
+    def end(self, now: float) -> list[Publish]:
+        """This sidecar was told to end."""
+        self.leaving = True
+        if self.drains_since is None:
+            self.drains_since = now
+        return self._publish() if self.beat is not None and not self.gone else []
+
+    def republish(self, above: int) -> list[Publish]:
+        """Somebody else has spoken for it, with that version; what holds is said again, above it."""
+        if self.beat is None or self.gone:
+            return []
+        self.version, self._said = max(self.version, above), None
+        return self._publish()
+
+    def _end(self) -> list[Publish]:
+        self.gone = True
+        assert self.beat is not None
+        return [Publish(self.beat.instance, GONE_VERSION, None)]
+
+    def _publish(self) -> list[Publish]:
+        beat = self.beat
+        assert beat is not None
+        value: dict[str, Any] = {
+            "plant": beat.plant,
+            "node": self.node,
+            "zone": self.zone,
+            "epoch": beat.epoch,
+            "capacity": beat.capacity,
+            "state": DECAYING if self.leaving else beat.state,
+        }
+        if self._said is not None and {**self._said, "cold_ms": 0} == {**value, "cold_ms": 0}:
+            return []
+        value["cold_ms"] = beat.warmup_left_ms
+        self._said = value
+        self.version = max(self.version + 1, beat.sample_count * STEP)
+        return [Publish(beat.instance, self.version, value)]
--- /dev/null
+++ b/waterworks/weir/tombs.py
@@ -0,0 +1,36 @@
+"""How long a dropped item of the membership is kept. No I/O; instants in seconds of the caller's clock.
+
+An item's names never come back (an instance's id is of one life), so its tombstone may go when every copy
+that could still say otherwise has heard of it, or has been out of touch for so long that it asks anew.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from waterworks.aquifer.items import Item, Key
+
+KEPT_S = 60.0
+MOST = 4096  # beyond which the oldest go before their time
+
+
+class Tombs:
+    def __init__(self) -> None:
+        self._since: dict[Key, float] = {}
+
+    def note(self, now: float, items: Iterable[Item]) -> None:
+        for item in items:
+            if item.value is None:
+                self._since.setdefault(item.key, now)
+            else:
+                self._since.pop(item.key, None)
+
+    def due(self, now: float) -> list[Key]:
+        """Those whose time is over, forgotten here with this."""
+        found = []
+        for key, since in list(self._since.items()):  # in the order in which they came
+            if now - since < KEPT_S and len(self._since) <= MOST:
+                break
+            del self._since[key]
+            found.append(key)
+        return found
