--- a/tests/mesh/test_headworks_settings.py
+++ b/tests/mesh/test_headworks_settings.py
@@ -10,6 +10,7 @@
 
 from waterworks.aquifer.quorum import Tolerance
 from waterworks.headworks.settings import (
+    MOST_LISTED,
     MOST_TEXT,
     Bounds,
     MachineLimits,
@@ -181,13 +182,19 @@
         "a = " + "9" * 5000,
         "a" * (MOST_TEXT + 1),
         "zones = 5",
+        "[zones]\n" + "z" * 5000 + " = 5",
+        "seeds = [" + "'10.0.0.1:80'," * (MOST_LISTED + 1) + "]",
+        "[zones]\n" + "".join(f"z{number} = 'r'\n" for number in range(MOST_LISTED + 1)),
         'node = "\\ud800"',
     ],
+    ids=str.__len__,
 )
 def test_a_file_beyond_bounds_is_wrong_in_one_line_each(text: str) -> None:
     found = read(text)
     assert isinstance(found, Wrong)
     assert all("\n" not in line and 0 < len(line) < 400 for line in found.findings)
+    if str(MOST_LISTED) in text or text.count("10.0.0.1") > MOST_LISTED:
+        assert any(f"at most {MOST_LISTED}" in line for line in found.findings)
 
 
 @settings(max_examples=150, deadline=None)
--- a/tests/mesh/test_manifold_check.py
+++ b/tests/mesh/test_manifold_check.py
@@ -60,6 +60,7 @@
     [
         ({}, [route(1, "p")]),
         ({("route", "p"): (1, {})}, [route(1, "p")]),  # a route of that name is no service
+        ({}, [Write("route", "p", 1, route(1, "p").value), route(1, "p")][::-1]),
         (DROPPED, [route(1, "p")]),
         (STANDS, [route(1, "p"), drop(6)]),
         ({}, [drop(6), route(1, "p")]),
--- a/tests/mesh/test_manifold_render.py
+++ b/tests/mesh/test_manifold_render.py
@@ -101,6 +101,8 @@
     answer = json.loads(body)
     assert set(answer) == {"input_ports", "plant_groups"} | ({"input_limits"} if limits else set())
     assert answer.get("input_limits") == limits
+    hosts = [port["host"] for port in answer["input_ports"]]
+    assert hosts == sorted(set(hosts))
     assert answer["plant_groups"] == sorted(plants, key=lambda plant: plant["name"])
     rules = {rule["name"]: (port["host"], rule) for port in ports for rule in port["control_law"]}
     assert {
--- a/tests/mesh/test_manifold_routes.py
+++ b/tests/mesh/test_manifold_routes.py
@@ -158,3 +158,8 @@
     for index, gain in enumerate(gains):
         assert abs(picked.count(str(index)) - steps * gain / sum(gains)) <= 2
         assert gain or str(index) not in picked
+
+
+def test_a_share_ends_before_its_bound_and_the_last_service_has_what_rounding_leaves() -> None:
+    made = Route("r", 1, "h", "/", False, 1.0, 1.0, 1, 0, (("p", 0.5), ("q", 0.25)))
+    assert [pick(made, u) for u in (0.0, 0.49, 0.5, 0.74, 0.75, 0.99)] == ["p", "p", "q", "q", "q", "q"]
--- a/waterworks/headworks/settings.py
+++ b/waterworks/headworks/settings.py
@@ -5,7 +5,6 @@
 """
 
 import ipaddress
-import math
 import tomllib
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass, fields
@@ -162,14 +161,15 @@
         invariants=file.texts("invariants"),
         unknown=_unknown(file.values),
     )
-    _check_together(settings, file)
+    if not file.findings:
+        _check_together(settings, file)
     return settings
 
 
 def _check_together(settings: Settings, file: "_Table") -> None:
-    """What no field shows by itself."""
+    """What no field shows by itself; asked once each is good, so that a mistake is told once."""
     place = settings.zones.get(settings.zone)
-    if settings.zone and place != settings.region:
+    if place != settings.region:
         file.find(
             "zones", f"has {settings.zone!r} in {place!r}, region says {settings.region!r}", "make them agree"
         )
@@ -331,7 +331,7 @@
     too."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return None
-    return value if math.isfinite(value) and abs(value) < _MOST_NUMBER else None
+    return value if abs(value) < _MOST_NUMBER else None  # false for NaN; exact for an int of any size
 
 
 def _shown(value: object) -> str:
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -129,12 +129,13 @@
             self._changed("roll", [told])
 
     def _tick(self) -> None:
+        if self.stopping.is_set():
+            return
+        self.loop.call_later(TICK_S, self._tick)  # first: signs of life go on whatever is raised below
         now = self.loop.time()
         self.channels.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
-        if not self.stopping.is_set():
-            self.loop.call_later(TICK_S, self._tick)
 
     async def stop(self) -> None:
         self.stopping.set()
--- a/waterworks/sluice/intake.py
+++ b/waterworks/sluice/intake.py
@@ -6,11 +6,9 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-import httptools
-
 from anisestair.flow.budget import Budget
 from anisestair.http import codec as http
-from anisestair.http.frontend import TARGET, ClientConnection, Frontend
+from anisestair.http.frontend import TARGET
 from waterworks.manifold.routes import Route, pick
 from waterworks.sluice.hop import Returned
 from waterworks.sluice.tables import Ask, Failed, Final, Refused, Served, Tables
@@ -20,6 +18,8 @@
 OTHERS_S = 0.2  # and where nothing better is known
 ID = re.compile(rb"[!-~]{1,128}")
 WHOLE = re.compile(rb"[0-9]{1,9}")
+Reply = Callable[[int, http.Headers, bytes], None]
+
 ONCE = frozenset({b"host", b"attempt-id", b"time-remaining"})
 
 
@@ -34,28 +34,6 @@
     return found
 
 
-class Outlet(ClientConnection):
-    """One client's connection."""
-
-    def __init__(self, frontend: Frontend) -> None:
-        super().__init__(frontend)
-        assert isinstance(frontend, Outlets)
-        self.intake = frontend.intake
-        self.reader = http.Reader(httptools.HttpRequestParser, self.intake.most_body)
-        self.ask: Ask | None = None
-
-    def begin(self, taken: float, message: http.Message) -> None:
-        self.intake.begin(self, taken, message)
-
-
-class Outlets(Frontend):
-    connection = Outlet
-
-    def __init__(self, intake: Intake, most: int) -> None:
-        self.intake = intake
-        super().__init__(intake, most)
-
-
 class Intake:
     """Takes whole requests from connections; ``find`` gives the route of a host and path."""
 
@@ -87,23 +65,28 @@
         if ask is not None:
             self.tables.by_service[ask.service].gone(ask)
 
-    def begin(self, outlet: Outlet, taken: float, message: http.Message) -> None:
+    def route_of(self, message: http.Message) -> Route | None:
+        """Where a whole request goes, as things stand now."""
+        path = message.target.partition(b"?")[0].decode("latin-1")
+        return self._find((message.get(b"host") or ""), path)
+
+    def begin(self, taken: float, message: http.Message, reply: Reply) -> str | None:
+        """Takes a request; gives the id by which its client's leaving is told, or None where the answer has
+        been given already. Raises http.BadMessage for what cannot be read as a request at all."""
         fields = fields_of(message)
         if fields is None or not TARGET.fullmatch(message.target):
-            outlet.refuse(http.BadMessage(HTTPStatus.BAD_REQUEST))
-            return
+            raise http.BadMessage(HTTPStatus.BAD_REQUEST)
         attempt, left = fields.get(b"attempt-id", b""), fields.get(b"time-remaining")
         if not ID.fullmatch(attempt) or left is not None and not WHOLE.fullmatch(left):
-            outlet.answer(HTTPStatus.BAD_REQUEST, [], b"")
-            return
-        path = message.target.partition(b"?")[0].decode("latin-1")
-        route = self._find(fields.get(b"host", b"").decode("latin-1"), path)
+            reply(HTTPStatus.BAD_REQUEST, [], b"")
+            return None
+        route = self.route_of(message)
         if route is None:
             if self._known():
-                outlet.answer(HTTPStatus.NOT_FOUND, [], b"")
+                reply(HTTPStatus.NOT_FOUND, [], b"")
             else:
-                outlet.answer(HTTPStatus.SERVICE_UNAVAILABLE, [(b"retry-after", b"%.3f" % UNREADY_S)], b"")
-            return
+                reply(HTTPStatus.SERVICE_UNAVAILABLE, [(b"retry-after", b"%.3f" % UNREADY_S)], b"")
+            return None
         waits = min(float(left), route.horizon_ms) if left is not None else route.horizon_ms
         service = pick(route, self.tables.draw())
         self._count += 1
@@ -116,26 +99,26 @@
             attempt=attempt.decode("ascii"),
             caller=self.caller,
             deadline=taken + waits,
-            answer=lambda final: self._answer(outlet, ask, final),
+            answer=lambda final: self._answer(reply, ask, final),
         )
         self._asks[ask.id] = ask
-        outlet.request = ask.id
         table, new = self.tables.of(service, route)
         if new:
             self._fill(service)
         table.take(ask)
+        return ask.id if ask.id in self._asks else None
 
-    def _answer(self, outlet: Outlet, ask: Ask, final: Final) -> None:
+    def _answer(self, reply: Reply, ask: Ask, final: Final) -> None:
         self._asks.pop(ask.id, None)
         if isinstance(final, Served):
             answer: Returned = final.answer
             if answer.status in http.STATUS_LINES:
-                outlet.answer(answer.status, answer.headers, answer.body)
+                reply(answer.status, answer.headers, answer.body)
             else:
-                outlet.answer(HTTPStatus.BAD_GATEWAY, [], b"")
+                reply(HTTPStatus.BAD_GATEWAY, [], b"")
         elif isinstance(final, Refused):
             wait = final.retry_after_ms / 1000.0 if final.retry_after_ms > 0.0 else OTHERS_S
-            outlet.answer(HTTPStatus.SERVICE_UNAVAILABLE, [(b"retry-after", b"%.3f" % wait)], b"")
+            reply(HTTPStatus.SERVICE_UNAVAILABLE, [(b"retry-after", b"%.3f" % wait)], b"")
         else:
             assert isinstance(final, Failed)
-            outlet.answer(HTTPStatus.GATEWAY_TIMEOUT if final.late else HTTPStatus.BAD_GATEWAY, [], b"")
+            reply(HTTPStatus.GATEWAY_TIMEOUT if final.late else HTTPStatus.BAD_GATEWAY, [], b"")
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -19,8 +19,9 @@
 from waterworks.penstock.desk import Answer, Desk
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import Link, listen
-from waterworks.sluice.intake import MOST_BODY, Intake, Outlets
+from waterworks.sluice.intake import MOST_BODY, Intake
 from waterworks.sluice.membership import NODE, SLUICE, Membership
+from waterworks.sluice.outlet import Outlets
 from waterworks.sluice.passage import Incoming, Passage
 from waterworks.sluice.registry import Registry
 from waterworks.sluice.tables import Tables
@@ -128,6 +129,7 @@
             self._changed("roll", [told])
 
     def _tick(self) -> None:
+        self.loop.call_later(TICK_S, self._tick)  # first: signs of life go on whatever is raised below
         now = self.loop.time()
         self.channels.tick(now)
         self.passage.tick(now)
@@ -137,7 +139,6 @@
         for key in self.tombs.due(now):
             self.roll.forget(key)
         self.registry.mind()
-        self.loop.call_later(TICK_S, self._tick)
 
     def _configured(self) -> bool:
         return len(self.routes) > 0 and self.channels.whole_at > 0.0
