--- a/waterworks/sluice/hop.py
+++ b/waterworks/sluice/hop.py
@@ -22,6 +22,8 @@
     instance: str
     caller: str
     left_ms: float
+    rank: float = 0.0  # its worth for its work; the most is served first
+    patience_ms: float = 0.0  # it waits so long for a place at the most
 
     def head(self, number: int) -> Head:
         return {
@@ -34,6 +36,8 @@
             "i": self.instance,
             "c": self.caller,
             "l": round(self.left_ms, 1),
+            "k": self.rank,
+            "q": round(self.patience_ms, 1),
         }
 
 
@@ -84,6 +88,8 @@
         instance=str(head["i"]),
         caller=str(head["c"]),
         left_ms=float(head["l"]),
+        rank=float(head.get("k", 0.0)),
+        patience_ms=float(head.get("q", 0.0)),
     )
 
 
--- a/waterworks/sluice/intake.py
+++ b/waterworks/sluice/intake.py
@@ -98,6 +98,7 @@
             headers=message.end_to_end(),
             attempt=attempt.decode("ascii"),
             caller=self.caller,
+            taken=taken,
             deadline=taken + waits,
             answer=lambda final: self._answer(reply, ask, final),
         )
--- a/waterworks/sluice/tables.py
+++ b/waterworks/sluice/tables.py
@@ -28,6 +28,7 @@
 COLD_FROM = 0.5  # share of its capacity that an upstream starts with, until its own answers tell
 RETRY_AFTER_MS = 10_000.0  # the longest advice; clients take a third of their time at the most
 CLASSES = 64  # routes with a class of their own; the rest share one by what they may do
+PATIENCE = 0.25  # of its aim a request waits for a place; then it is told to come back
 GUARD_MS = 40.0  # after its deadline a request without a decision is answered all the same
 
 
@@ -66,7 +67,8 @@
     headers: http.Headers
     attempt: str
     caller: str
-    deadline: float  # milliseconds of the loop's clock
+    taken: float  # milliseconds of the loop's clock
+    deadline: float
     answer: Callable[[Final], None]
     outs: list[Out | None] = field(default_factory=list)
     sent: list[float] = field(default_factory=list)
@@ -109,7 +111,10 @@
             peers=max(tables.sidecars, 1),
             zone=tables.zone,
             limits=api.Limits(
-                max_attempts=trials + FURTHER, may_cancel=True, max_retry_after_ms=RETRY_AFTER_MS
+                max_attempts=trials + FURTHER,
+                paced=False,
+                may_cancel=True,
+                max_retry_after_ms=RETRY_AFTER_MS,
             ),
             rules=api.Rules(cold_from=COLD_FROM, cold_ms=getattr(self, "_cold_ms", 0.0)),
             cross_zone_price=0.01 if tables.many_zones else 0.0,
@@ -284,6 +289,8 @@
             instance,
             ask.caller,
             ask.deadline - now,
+            rank=2.0 ** -min(ask.route.priority, 8) / max(ask.route.aim_ms, 1.0),
+            patience_ms=PATIENCE * ask.route.aim_ms - (now - ask.taken),
         )
         ask.arrived += 1
         out = tables.passage.send(
@@ -306,7 +313,11 @@
                 outcome, closed = Outcome.OK, True
         elif isinstance(end, TurnedAway):
             ask.arrived -= not end.arrived
-            outcome = Outcome.FULL if end.why in (Why.FULL, Why.LATE) else Outcome.CONNECT_FAILED
+            if end.why in (Why.FULL, Why.LATE):
+                # What waited in vain says nothing of the upstream's pace, which is what w is.
+                outcome = Outcome.FULL if end.arrived else Outcome.MOOT
+            else:
+                outcome = Outcome.CONNECT_FAILED
         else:
             assert isinstance(end, Unclear)
             ask.unclear = True
--- a/waterworks/sluice/tailrace.py
+++ b/waterworks/sluice/tailrace.py
@@ -10,7 +10,8 @@
 from waterworks.gauge.log import Gauge
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
 from waterworks.sluice.tap import Answered, NotSent, Outcome, Tap, TapConnection
-from waterworks.valve.passing import Turned, Why, judge
+from waterworks.valve.line import Line
+from waterworks.valve.passing import Turned, Why, judge, places
 from waterworks.weir.lives import Publish, Upstream
 
 # Written anew here, whatever was sent.
@@ -20,12 +21,12 @@
 
 
 class Running:
-    """A call that has been passed on."""
+    """A call that waits for a place, or has been passed on."""
 
-    __slots__ = ("call", "connection", "done", "dropped", "ended", "expiry", "task")
+    __slots__ = ("call", "came", "connection", "done", "dropped", "ended", "expiry", "task")
 
-    def __init__(self, call: Call, ended: Callable[[End], None]) -> None:
-        self.call, self.ended = call, ended
+    def __init__(self, call: Call, ended: Callable[[End], None], came: float) -> None:
+        self.call, self.ended, self.came = call, ended, came
         self.done = self.dropped = False
         self.connection: TapConnection | None = None
         self.expiry: asyncio.TimerHandle | None = None
@@ -38,7 +39,9 @@
     ) -> None:
         self.upstream, self.tap, self._gauge, self._publish = upstream, tap, gauge, publish
         self._loop = asyncio.get_running_loop()
-        self.running: set[Running] = set()
+        self.running: set[Running] = set()  # at the upstream
+        self.line = Line()
+        self._alarm: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.load: tuple[int, int, int] | None = None  # running, waiting, slots, as last told
 
@@ -47,21 +50,71 @@
 
     def take(self, call: Call, ended: Callable[[End], None]) -> Running | None:
         """``ended`` is called once, at once where the call is turned away, unless it is dropped."""
-        verdict = judge(self.now(), self.upstream, call.instance, call.left_ms, len(self.running))
+        now = self.now()
+        verdict = judge(now, self.upstream, call.instance, call.left_ms)
         if isinstance(verdict, Turned):
             ended(TurnedAway(verdict.why))
             return None
-        running = Running(call, ended)
+        running = Running(call, ended, now)
+        at_once, waiting = places(self.upstream)
+        if len(self.running) < at_once:
+            self._start(running)
+        elif call.patience_ms <= 0.0:
+            ended(TurnedAway(Why.FULL))
+            return None
+        else:
+            over = self.line.add(running, call.rank, now + call.patience_ms, waiting)
+            if isinstance(over, Running):
+                self._turn_away(over, Why.FULL)
+            self._wake(now)
+        return running
+
+    def _start(self, running: Running) -> None:
+        call = running.call
+        call.left_ms -= self.now() - running.came
         self.running.add(running)
         running.expiry = self._loop.call_later(call.left_ms / 1000.0 + LATE_S, self._expire, running)
         running.task = task = self._loop.create_task(self._pass(running))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return running
+
+    def _turn_away(self, running: Running, why: Why) -> None:
+        running.done = True
+        running.ended(TurnedAway(why))
+
+    def _next(self) -> None:
+        """Places that are free go to those that wait."""
+        at_once, _ = places(self.upstream)
+        while len(self.running) < at_once and (running := self.line.next()) is not None:
+            assert isinstance(running, Running)
+            call = running.call
+            verdict = judge(
+                self.now(), self.upstream, call.instance, call.left_ms - self.now() + running.came
+            )
+            if isinstance(verdict, Turned):
+                self._turn_away(running, verdict.why)
+            else:
+                self._start(running)
+
+    def _wake(self, now: float) -> None:
+        """The alarm for the next whose patience ends."""
+        if self._alarm is None and (end := self.line.end()) is not None:
+            self._alarm = self._loop.call_later(max(end - now, 0.0) / 1000.0, self._out_of_patience)
+
+    def _out_of_patience(self) -> None:
+        self._alarm = None
+        now = self.now()
+        for running in self.line.over(now + 0.5):
+            assert isinstance(running, Running)
+            self._turn_away(running, Why.FULL)
+        self._wake(now)
 
     def drop(self, running: Running) -> None:
         """The first hop waits no more."""
         running.dropped = True
+        if self.line.drop(running):
+            running.done = True
+            return
         self._forget(running)
         if running.connection is not None:
             running.connection.drop()
@@ -96,6 +149,8 @@
         self.running.discard(running)
         if running.expiry is not None:
             running.expiry.cancel()
+        if len(self.line):
+            self._next()
 
     def _tell(self, running: Running, end: End) -> None:
         if not running.done:
--- /dev/null
+++ b/waterworks/valve/line.py
@@ -0,0 +1,83 @@
+"""Calls that wait at the second hop for a place at its upstream. No I/O; instants in milliseconds.
+
+The place that is free next goes to the call of most worth for its work, and among equals to the last that
+came: in an overload those that are served are then served soon, and those that are not are told within their
+patience. The queue stands here and not at the first hops, since here alone all that comes for an upstream is
+seen, and a free place is used at once.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections.abc import Hashable
+from heapq import heappop, heappush
+
+Place = tuple[float, int]  # rank, and how late it came
+
+
+class Line:
+    def __init__(self) -> None:
+        self._waiting: list[tuple[float, int, Hashable]] = []  # the next one last
+        self._places: dict[Hashable, Place] = {}
+        self._ends: list[tuple[float, int, Hashable]] = []  # when patience ends, the first on top
+        self._count = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, call: Hashable, rank: float, until: float, most: int) -> Hashable | None:
+        """``call`` waits until that instant at the longest. Gives the one that finds no room among ``most``:
+        the least in rank, the longest there; None where all have."""
+        self._count += 1
+        insort(self._waiting, (rank, self._count, call))
+        self._places[call] = (rank, self._count)
+        heappush(self._ends, (until, self._count, call))
+        if len(self._waiting) <= max(most, 0):
+            return None
+        least = self._waiting[0][2]
+        self.drop(least)
+        return least
+
+    def next(self) -> Hashable | None:
+        """Takes the one whose turn it is out of the line."""
+        if not self._waiting:
+            return None
+        _, _, call = self._waiting.pop()
+        del self._places[call]
+        return call
+
+    def drop(self, call: Hashable) -> bool:
+        """Takes that one out; False where it is not there."""
+        place = self._places.pop(call, None)
+        if place is None:
+            return False
+        self._waiting.remove((*place, call))
+        return True
+
+    def over(self, now: float) -> list[Hashable]:
+        """Takes out those whose patience has ended."""
+        found = []
+        while self._ends and (self._ends[0][0] <= now or not self._stands(self._ends[0])):
+            entry = heappop(self._ends)
+            if self._stands(entry):
+                self.drop(entry[2])
+                found.append(entry[2])
+        return found
+
+    def _stands(self, entry: tuple[float, int, Hashable]) -> bool:
+        place = self._places.get(entry[2])
+        return place is not None and place[1] == entry[1]
+
+    def end(self) -> float | None:
+        """When the next patience ends."""
+        while self._ends and not self._stands(self._ends[0]):
+            heappop(self._ends)
+        return self._ends[0][0] if self._ends else None
+
+    def clear(self) -> list[Hashable]:
+        """All of them, the first in turn first."""
+        found = [call for _, _, call in reversed(self._waiting)]
+        self._waiting.clear()
+        self._places.clear()
+        self._ends.clear()
+        return found
--- a/waterworks/valve/passing.py
+++ b/waterworks/valve/passing.py
@@ -11,8 +11,11 @@
 from waterworks.weir.lives import Upstream
 
 DRAIN_SHARE = 0.5  # of drain_ms from the acknowledgement of a drain, calls still pass; then none does
-QUEUE_SHARE = 0.5  # calls at the upstream beyond its slots, as a share of these; more would only wait there
-QUEUE_LEAST = 2
+# Calls at the upstream beyond its slots, as a share of these: one is there when a slot gets free. The others
+# wait here, where the next can be chosen.
+AHEAD_SHARE, AHEAD_LEAST = 0.1, 1
+LINE_SHARE = 4  # calls that wait here, as a multiple of the slots
+UNKNOWN_SLOTS = 8  # before the upstream has said how many it has
 
 
 class Why(str, Enum):
@@ -32,11 +35,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Passed:
-    """It goes on."""
+    """It goes on, or waits for a place."""
 
 
-def judge(now: float, upstream: Upstream, instance: str, left_ms: float, running: int) -> Passed | Turned:
-    """``instance``: whom the first hop chose. ``running``: calls that this upstream has in hand."""
+def judge(now: float, upstream: Upstream, instance: str, left_ms: float) -> Passed | Turned:
+    """``instance``: whom the first hop chose."""
     beat = upstream.beat
     if left_ms <= 0.0:
         return Turned(Why.LATE)
@@ -49,6 +52,10 @@
     since = upstream.drains_since
     if since is not None and now - since > DRAIN_SHARE * upstream.drain_ms:
         return Turned(Why.LEAVING)
-    if running >= beat.capacity + max(QUEUE_SHARE * beat.capacity, QUEUE_LEAST):
-        return Turned(Why.FULL)
     return Passed()
+
+
+def places(upstream: Upstream) -> tuple[int, int]:
+    """How many calls may be at the upstream, and how many may wait for it here."""
+    slots = upstream.beat.capacity if upstream.beat is not None else UNKNOWN_SLOTS
+    return slots + max(int(AHEAD_SHARE * slots), AHEAD_LEAST), LINE_SHARE * slots
