--- /dev/null
+++ b/waterworks/operate/asking.py
@@ -0,0 +1,218 @@
+"""Questions to the mesh's processes, each with a bound on its wait."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from waterworks.aquifer.items import Item, Key
+from waterworks.operate.view import Process, Told, View, newest, read_items, text
+from waterworks.penstock.frames import Head
+from waterworks.penstock.link import Address, Link, connect
+from waterworks.sluice.membership import INSTANCE, NODE, RESERVOIR, SLUICE
+from waterworks.weir.calls import read_address
+
+AT_ONCE = 128  # links that are open at once
+COPIES = 3  # processes whose copies of a store are read
+MOST_ITEMS = 100_000  # of one copy
+T = TypeVar("T")
+S = TypeVar("S")
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """An answer, and how long it took in seconds."""
+
+    value: Told
+    took_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The process answered that it has no answer."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """No answer; ``why`` is one line."""
+
+    why: str
+
+
+Reply = Answered | Refused | Silent
+
+
+class Line:
+    """A link to one process."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self._link: Link | None = None
+        self._waiting: dict[int, asyncio.Future[Reply]] = {}
+        self._count = 0
+
+    async def ask(self, question: str, within_s: float, **told: Any) -> Reply:
+        """One question, answered within so many seconds. Raises nothing."""
+        began = time.monotonic()
+        try:
+            async with asyncio.timeout(within_s):
+                if self._link is None:
+                    self._link = await connect(self.address, lambda: Link(_nothing, self._frame, self._lost))
+                    if self._link is None:
+                        return Silent("cannot be reached")
+                    self._link.send({"t": "hello", "for": "operate"})
+                self._count += 1
+                future = asyncio.get_running_loop().create_future()
+                self._waiting[self._count] = future
+                if not self._link.send({"t": "ask", "n": self._count, "q": question, **told}):
+                    return Silent("the link was lost")
+                reply = await future
+        except TimeoutError:
+            return Silent(f"no answer within {within_s:g} s")
+        return Answered(reply.value, time.monotonic() - began) if isinstance(reply, Answered) else reply
+
+    def _frame(self, link: Link, head: Head, body: bytes) -> None:
+        future = self._waiting.pop(head.get("n", 0), None)
+        if future is not None and not future.done():
+            if isinstance(head.get("a"), dict):
+                future.set_result(Answered(head["a"], 0.0))
+            else:
+                future.set_result(Refused(" ".join(str(head.get("e", "no answer")).split())))
+
+    def _lost(self, link: Link, why: str) -> None:
+        waiting, self._waiting = self._waiting, {}
+        for future in waiting.values():
+            if not future.done():
+                future.set_result(Silent("the link was lost; it may be of another version"))
+
+    def close(self) -> None:
+        if self._link is not None:
+            self._link.close("done")
+
+
+def _nothing(link: Link) -> None:
+    pass
+
+
+async def ask(address: Address, question: str, within_s: float, **told: Any) -> Reply:
+    """One question over a link of its own."""
+    line = Line(address)
+    try:
+        return await line.ask(question, within_s, **told)
+    finally:
+        line.close()
+
+
+async def all_of(work: Callable[[S], Awaitable[T]], what: Iterable[S]) -> list[T]:
+    """``work`` on each, AT_ONCE of them at a time; in their order."""
+    room = asyncio.Semaphore(AT_ONCE)
+
+    async def one(item: S) -> T:
+        async with room:
+            return await work(item)
+
+    return list(await asyncio.gather(*(one(item) for item in what)))
+
+
+async def status(name: str, address: Address, within_s: float) -> Process:
+    """One process's status."""
+    reply = await ask(address, "status", within_s)
+    if not isinstance(reply, Answered):
+        why = reply.why if isinstance(reply, Silent) else reply.reason
+        return Process(name, address, None, why)
+    clock = reply.value.get("clock")
+    half = reply.took_s / 2.0
+    ahead = clock - (time.time() - half) if isinstance(clock, int | float) else 0.0
+    return Process(name, address, reply.value, "", ahead, half)
+
+
+async def held(address: Address, store: str, within_s: float) -> list[Item] | Silent:
+    """All items that a process holds in ``store``, charter or roll; each page within ``within_s``."""
+    line = Line(address)
+    found: list[Item] = []
+    try:
+        while len(found) < MOST_ITEMS:
+            after = list(found[-1].key) if found else None
+            reply = await line.ask("items", within_s, store=store, after=after)
+            if not isinstance(reply, Answered):
+                return Silent(reply.why if isinstance(reply, Silent) else reply.reason)
+            page = read_items(reply.value.get("items"))
+            found += page
+            if not page or not reply.value.get("more"):
+                return found
+        return found
+    finally:
+        line.close()
+
+
+async def items(processes: Sequence[Process], store: str, within_s: float) -> dict[Key, Item] | Silent:
+    """What COPIES of these processes hold together, the first that answer in this order: control processes
+    that hear enough others first."""
+    order = sorted(processes, key=lambda p: (not (p.told or {}).get("in_touch"), p.role != RESERVOIR, p.node))
+    copies: list[list[Item]] = []
+    why = Silent("no process to ask")
+    for process in order:
+        copy = await held(process.address, store, within_s)
+        if isinstance(copy, Silent):
+            why = copy
+        else:
+            copies.append(copy)
+            if len(copies) == COPIES:
+                break
+    return newest(copies) if copies else why
+
+
+async def reach(addresses: Sequence[Address], within_s: float) -> list[Process]:
+    """Those at these addresses that answer, control processes that hear enough others first."""
+    asked = await all_of(
+        lambda address: status(f"{address[0]}:{address[1]}", address, within_s), dict.fromkeys(addresses)
+    )
+    found = [process for process in asked if process.told is not None]
+    return sorted(found, key=lambda p: (not (p.told or {}).get("in_touch"), p.role != RESERVOIR))
+
+
+async def look(
+    addresses: Sequence[Address], within_s: float, roles: Sequence[str] = (RESERVOIR, SLUICE)
+) -> View | Silent:
+    """The mesh as those at these addresses know it; each of its processes in these roles is asked as
+    well, and once more where it holds another configuration than most: a change may just be on its way."""
+    first = await reach(addresses, within_s)
+    if not first:
+        return Silent(f"nobody answers at {', '.join(f'{host}:{port}' for host, port in addresses)}")
+    roll = await items(first, "roll", within_s)
+    if isinstance(roll, Silent):
+        return roll
+    nodes = {i.name: i.value for i in roll.values() if i.kind == NODE and i.value is not None}
+    instances = {i.name: i.value for i in roll.values() if i.kind == INSTANCE and i.value is not None}
+    known = {process.address: process for process in first}
+    found, others = [], []
+    for name, value in sorted(nodes.items()):
+        address = read_address(value.get("address"))
+        if address is None:
+            found.append(Process(name, ("", 0), None, "the roll has no address of it"))
+        elif address in known:
+            process = known.pop(address)
+            found.append(Process(name, address, process.told, "", process.ahead_s, process.within_s))
+        elif text(value, "role") in roles:
+            others.append((name, address))
+        else:
+            found.append(Process(name, address, None, "not asked"))
+    found += known.values()  # at an address that was given and is in no roll yet
+    found += await all_of(lambda other: status(*other, within_s), others)
+    view = View(tuple(sorted(found, key=lambda p: p.name)), nodes, instances)
+    differing = {p.name for group in list(view.digests().values())[1:] for p in group}
+    if not differing:
+        return view
+    again = await all_of(lambda p: status(p.name, p.address, within_s), view.answering())
+    fresh = {process.name: process for process in again}
+    return View(tuple(fresh.get(p.name, p) for p in view.processes), nodes, instances)
+
+
+def role_in(view: View, process: Process) -> str:
+    """As the process says, or else as the roll has it."""
+    return process.role or text(view.nodes.get(process.name), "role")
--- /dev/null
+++ b/waterworks/operate/bearing.py
@@ -0,0 +1,212 @@
+"""A change of the configuration held against what stands and against what the mesh can bear. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from waterworks.aquifer.items import Item, Key, same_content
+from waterworks.manifold.check import check
+from waterworks.manifold.decode import PLANT, ROUTE, Change, Write, label
+from waterworks.manifold.routes import Route, read_route
+from waterworks.operate.view import Told, number, part
+
+FEW = 5  # answers; of fewer nothing is concluded
+MOST_FIELDS = 200  # of one item's differences
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One finding about one item's field."""
+
+    item: str
+    field: str
+    what: str
+    mend: str
+
+    def line(self) -> str:
+        return f"{self.item}: {self.field} {self.what}; {self.mend}"
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """What the mesh shows now. ``settled``: upstreams that take calls, by service; ``answers``: of late, from
+    several sidecars, each as it told them; ``ratios``: of the budgets for further tries."""
+
+    settled: Mapping[str, int]
+    answers: tuple[Told, ...] = ()
+    ratios: tuple[float, ...] = field(default=())
+
+
+def judged(change: Change, standing: Mapping[Key, Item], facts: Facts) -> list[Fault]:
+    """All that speaks against sending ``change`` now; what the mesh would refuse is first."""
+
+    def stands(kind: str, name: str) -> tuple[int, dict[str, Any] | None] | None:
+        item = standing.get((kind, name))
+        if item is None:
+            return None
+        return item.version, dict(item.value) if item.value is not None else None
+
+    found = []
+    refused = check(change, stands)
+    if refused is not None:
+        what, _, mend = refused.reason.partition("; ")
+        found.append(Fault(refused.item, refused.field, what, mend))
+    found += _versions(change, standing)
+    routes = [read_route(w.name, w.version, w.value) for w in change.writes if w.kind == ROUTE and w.value]
+    found += _shadowed(change, standing)
+    for route in routes:
+        found += _services(route, facts)
+        found += _aim(route, facts)
+        found += _trials(route, facts)
+    if refused is not None:  # told once
+        found[1:] = [one for one in found[1:] if (one.item, one.field) != (refused.item, refused.field)]
+    return found
+
+
+def _versions(change: Change, standing: Mapping[Key, Item]) -> Iterator[Fault]:
+    for write in change.writes:
+        item = standing.get((write.kind, write.name))
+        if item is None or write.version > item.version:
+            continue
+        name = label(write.kind, write.name)
+        if write.version < item.version:
+            what = f"is r{write.version} and r{item.version} stands: it changes nothing"
+        elif not same_content(_as_item(write), item):
+            what = f"is r{write.version}, which stands with other content"
+        else:
+            continue
+        yield Fault(name, "epoch", what, f"give r{item.version + 1} or higher")
+
+
+def _as_item(write: Write) -> Item:
+    return Item(write.kind, write.name, write.version, write.value)
+
+
+def after(change: Change, standing: Mapping[Key, Item]) -> dict[Key, Item]:
+    """What stands once the change is in force."""
+    found = dict(standing)
+    for write in change.writes:
+        held = found.get((write.kind, write.name))
+        if held is None or write.version > held.version:
+            found[write.kind, write.name] = _as_item(write)
+    return found
+
+
+def _shadowed(change: Change, standing: Mapping[Key, Item]) -> Iterator[Fault]:
+    """Routes that no request takes; told where the change has a part in it."""
+    named = {write.name for write in change.writes if write.kind == ROUTE}
+    alike: dict[tuple[str, str], list[Route]] = {}
+    for item in after(change, standing).values():
+        if item.kind == ROUTE and item.value is not None:
+            route = read_route(item.name, item.version, dict(item.value))
+            alike.setdefault((route.host, route.prefix), []).append(route)
+    for (host, prefix), routes in sorted(alike.items()):
+        *under, over = sorted(routes, key=lambda route: (route.version, route.name))
+        for route in under:
+            if route.name in named or over.name in named:
+                what = f"{prefix} at {host} is never reached: {over.name} r{over.version} outranks it"
+                yield Fault(label(ROUTE, route.name), "predicate.prefix", what, "drop one of the two")
+
+
+def _services(route: Route, facts: Facts) -> Iterator[Fault]:
+    for service, share in route.split:
+        if not facts.settled.get(service):
+            split = f"gives {share:.0%} to" if len(route.split) > 1 else "goes to"
+            where = "response.distribution" if len(route.split) > 1 else "response.plant"
+            what = f"{split} {service}, which has no upstream that takes calls"
+            yield Fault(label(ROUTE, route.name), where, what, "start one first, or name another service")
+
+
+def _aim(route: Route, facts: Facts) -> Iterator[Fault]:
+    """By the answers of this very route; where there are few, by those of its services."""
+    count, least = _least(facts, "by_route", {route.name})
+    whose = "this route's"
+    if count < FEW:
+        count, least = _least(facts, "by_service", {service for service, _ in route.split})
+        whose = "its services'"
+    if count >= FEW and least > route.aim_ms:
+        what = f"is {route.aim_ms:g}: none of {whose} last {count} answers met it, the best took {least:g} ms"
+        mend = "give a longer aim, or more or quicker upstreams"
+        yield Fault(label(ROUTE, route.name), "setpoint_ms", what, mend)
+
+
+def _least(facts: Facts, part_of: str, names: set[str]) -> tuple[int, float]:
+    told = [part(part(answers, part_of), name) for answers in facts.answers for name in sorted(names)]
+    times = [number(one, "least_ms") for one in told if number(one, "count") > 0]
+    return int(sum(number(one, "count") for one in told)), min(times, default=0.0)
+
+
+def _trials(route: Route, facts: Facts) -> Iterator[Fault]:
+    if route.trials > 1 and facts.ratios and min(facts.ratios) <= 0.0:
+        what = f"is {route.trials}, and the budget for further tries grows by nothing (retry_ratio 0)"
+        yield Fault(label(ROUTE, route.name), "response.trials", what, "give 1, or a retry_ratio above 0")
+
+
+# Against what stands
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """What sending one item would do. ``sign``: + new, ~ changed, - dropped, = stands already, < older than
+    what stands; ``fields``: one line for each that differs."""
+
+    sign: str
+    item: str
+    version: int
+    stands: int | None
+    fields: tuple[str, ...]
+
+
+def differences(change: Change, standing: Mapping[Key, Item]) -> list[Difference]:
+    """For each item of the change, in the order of kinds and names."""
+    found = []
+    for write in sorted(change.writes, key=lambda write: (write.kind, write.name)):
+        name, item = label(write.kind, write.name), standing.get((write.kind, write.name))
+        fields: tuple[str, ...] = ()
+        stands = item.version if item is not None else None
+        if item is not None and write.version < item.version:
+            sign = "<"
+        elif item is not None and write.version == item.version:
+            alike = same_content(_as_item(write), item)
+            sign, fields = ("=", ()) if alike else ("<", ("the same version stands with other content",))
+        elif write.value is None:
+            sign = "=" if item is None or item.value is None else "-"
+        elif item is None or item.value is None:
+            sign = "+"
+        else:
+            sign, fields = "~", tuple(_fields(dict(item.value), write.value))[:MOST_FIELDS]
+        found.append(Difference(sign, name, write.version, stands, fields))
+    return found
+
+
+def _fields(old: Any, new: Any, path: str = "") -> Iterator[str]:
+    if isinstance(old, dict) and isinstance(new, dict):
+        for name in sorted({*old, *new}):
+            if path or name != "epoch":
+                yield from _fields(old.get(name), new.get(name), f"{path}.{name}" if path else name)
+    elif isinstance(old, list) and isinstance(new, list) and len(old) == len(new):
+        for at, (one, other) in enumerate(zip(old, new, strict=True)):
+            yield from _fields(one, other, f"{path}[{at}]")
+    elif old != new or type(old) is not type(new):
+        yield f"{path}: {_short(old)} -> {_short(new)}"
+
+
+def _short(value: Any) -> str:
+    told = "-" if value is None else str(value)
+    return told if len(told) <= 40 else told[:37] + "..."
+
+
+def settled(instances: Mapping[str, Told]) -> dict[str, int]:
+    """Upstreams that take calls, by service."""
+    found: dict[str, int] = {}
+    for value in instances.values():
+        if value.get("state") == "settled":
+            found[str(value.get("plant"))] = found.get(str(value.get("plant")), 0) + 1
+    return found
+
+
+def is_configuration(key: Key) -> bool:
+    """Whether an item is the operator's: others in the same store are the core's own."""
+    return key[0] in (ROUTE, PLANT, "input_limits")
--- /dev/null
+++ b/waterworks/operate/config.py
@@ -0,0 +1,247 @@
+"""`config`: the operator's configuration read, judged, compared and sent."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated, Any, NoReturn
+
+import msgspec
+import typer
+
+from waterworks.aquifer.items import Item, Key
+from waterworks.manifold.decode import INPUT_LIMITS, Change, Invalid, decode_change, label
+from waterworks.manifold.render import render
+from waterworks.operate import bearing, sending
+from waterworks.operate.asking import Answered, Silent, all_of, ask, items, look
+from waterworks.operate.options import (
+    FINDINGS,
+    FINE,
+    NOBODY,
+    REFUSED,
+    USAGE,
+    WAIT_S,
+    AsJson,
+    At,
+    SettingsFile,
+    Wait,
+    fail,
+    found,
+    heard,
+    tell,
+)
+from waterworks.operate.text import wrapped
+from waterworks.operate.view import View, number, text
+from waterworks.penstock.link import Address
+from waterworks.sluice.membership import RESERVOIR, SLUICE
+from waterworks.weir.calls import read_address
+
+PATH = b"/configuration"
+MOST_FILE = 64 * 1024 * 1024  # bytes
+MOST_SIDECARS = 64  # that are asked how long answers took of late
+PARTS = ("input_limits", "input_ports", "plant_groups")
+
+config = typer.Typer(rich_markup_mode=None, no_args_is_help=True, help="The operator's configuration.")
+
+File = Annotated[
+    str,
+    typer.Argument(
+        metavar="FILE", help="A call with apply and remove, or what `config get` prints; - for input."
+    ),
+]
+
+
+def read_file(name: str, as_json: bool) -> bytes:
+    """The call that a file holds. Ends with USAGE where it cannot be read."""
+    try:
+        if name == "-":
+            told = sys.stdin.buffer.read(MOST_FILE + 1)
+        else:
+            with Path(name).open("rb") as stream:
+                told = stream.read(MOST_FILE + 1)
+    except OSError as fault:
+        fail(USAGE, f"FILE: {name} cannot be read ({fault.strerror}); give a JSON file", as_json)
+    if len(told) > MOST_FILE:
+        fail(USAGE, f"FILE: {name} has over {MOST_FILE} bytes; send it in several calls", as_json)
+    return as_call(told)
+
+
+def as_call(told: bytes) -> bytes:
+    """A configuration as `config get` prints it becomes a call that sets all of it; anything else stays."""
+    try:
+        read = msgspec.json.decode(told)
+    except (msgspec.DecodeError, RecursionError):
+        return told
+    if (
+        isinstance(read, dict)
+        and not {"apply", "remove"} & read.keys()
+        and any(part in read for part in PARTS)
+    ):
+        return msgspec.json.encode({"apply": read})
+    return told
+
+
+def decoded(body: bytes, as_json: bool) -> Change:
+    """Ends with FINDINGS where nobody would take it."""
+    change = decode_change(body)
+    if isinstance(change, Invalid):
+        what, _, mend = change.reason.partition("; ")
+        fault = bearing.Fault(change.item, change.field, what, mend or "mend it")
+        tell({"findings": [asdict(fault)]}, wrapped(fault.line()), as_json, FINDINGS)
+    return change
+
+
+async def _standing(addresses: Sequence[Address], wait: float) -> tuple[View, dict[Key, Item]] | Silent:
+    """The mesh, sidecars too, and what stands in its configuration, as those that can be had hold it."""
+    view = await look(addresses, wait)
+    if isinstance(view, Silent):
+        return view
+    standing = await items(view.answering(), "charter", wait)
+    if isinstance(standing, Silent):
+        return standing
+    return view, {key: item for key, item in standing.items() if bearing.is_configuration(key)}
+
+
+def controls(view: View) -> list[Address]:
+    """Where the operator's calls go, control processes that hear enough others first."""
+    order = sorted(view.answering(RESERVOIR), key=lambda p: not (p.told or {}).get("in_touch"))
+    found = [read_address(text(process.told, "control")) for process in order]
+    return [address for address in found if address is not None]
+
+
+@config.command("get")
+def _get(
+    item: Annotated[str, typer.Option("--item", metavar="KIND/NAME", help="One item alone.")] = "",
+    held: Annotated[
+        bool, typer.Option("--held", help="What the processes that answer hold, be it the newest or not.")
+    ] = False,
+    at: At = None,
+    settings: SettingsFile = None,
+    wait: Wait = WAIT_S,
+    as_json: AsJson = False,
+) -> None:
+    """The newest configuration, whole, or one item of it; always JSON."""
+    addresses = found(at, settings, as_json)
+    if held:
+        _, standing = heard(_standing(addresses, wait), as_json)
+        told = render(
+            (i.kind, i.name, i.version, dict(i.value)) for i in standing.values() if i.value is not None
+        )
+    else:
+        view = heard(look(addresses, wait, (RESERVOIR,)), as_json)
+        outcome = asyncio.run(sending.send(controls(view), b"GET", PATH, b"", wait))
+        if not isinstance(outcome, sending.Taken):
+            _unclear(outcome, "config get --held shows what those that answer hold", as_json)
+        told = outcome.body
+    value = msgspec.json.decode(told)
+    if item:
+        value = _one(told, item, as_json)
+    typer.echo(json.dumps(value, indent=None if as_json else 1))
+    raise typer.Exit(FINE)
+
+
+def _one(told: bytes, wanted: str, as_json: bool) -> Mapping[str, Any]:
+    kind, _, name = wanted.partition("/")
+    change = decode_change(as_call(told))
+    if isinstance(change, Change):
+        for write in change.writes:
+            if write.kind == kind and write.name == (name or INPUT_LIMITS) and write.value is not None:
+                return write.value
+    fail(FINDINGS, f"--item: {wanted} does not stand; give KIND/NAME such as route/r1 or plant/red", as_json)
+
+
+def _unclear(outcome: sending.Turned | sending.Unclear, mend: str, as_json: bool) -> NoReturn:
+    if isinstance(outcome, sending.Turned):
+        fail(REFUSED, f"{outcome.status}: {outcome.reason}", as_json)
+    fail(REFUSED if outcome.heard else NOBODY, f"no clear answer ({outcome.reason}); {mend}", as_json)
+
+
+@config.command("check")
+def _check(
+    file: File,
+    at: At = None,
+    settings: SettingsFile = None,
+    wait: Wait = WAIT_S,
+    as_json: AsJson = False,
+) -> None:
+    """Judges a change before it is sent: by itself, by what stands, and by what the mesh can bear now."""
+    change = decoded(read_file(file, as_json), as_json)
+    view, standing = heard(_standing(found(at, settings, as_json), wait), as_json)
+    faults = bearing.judged(change, standing, asyncio.run(_facts(view, wait)))
+    lines = [line for fault in faults for line in wrapped(fault.line())]
+    counted = f"{len(change.writes)} items: nothing speaks against them"
+    value = {"items": len(change.writes), "findings": [asdict(fault) for fault in faults]}
+    tell(value, lines or [counted], as_json, FINDINGS if faults else FINE)
+
+
+async def _facts(view: View, wait: float) -> bearing.Facts:
+    sluices = view.answering(SLUICE)
+    replies = await all_of(lambda p: ask(p.address, "answers", wait), sluices[:MOST_SIDECARS])
+    return bearing.Facts(
+        bearing.settled(view.instances),
+        tuple(reply.value for reply in replies if isinstance(reply, Answered)),
+        tuple(number(p.told, "retry_ratio", 1.0) for p in sluices),
+    )
+
+
+@config.command("diff")
+def _diff(
+    file: File,
+    at: At = None,
+    settings: SettingsFile = None,
+    wait: Wait = WAIT_S,
+    as_json: AsJson = False,
+) -> None:
+    """What sending a change would do: + new, ~ changed, - dropped, < older than what stands."""
+    change = decoded(read_file(file, as_json), as_json)
+    _, standing = heard(_standing(found(at, settings, as_json), wait), as_json)
+    found_ = bearing.differences(change, standing)
+    lines, alike = [], 0
+    for one in found_:
+        if one.sign == "=":
+            alike += 1
+            continue
+        before = f"r{one.stands} -> " if one.stands is not None else ""
+        lines += wrapped(f"{one.sign} {one.item}: {before}r{one.version}")
+        lines += [line for field in one.fields for line in wrapped(f"    {field}", "      ")]
+    named = {(write.kind, write.name) for write in change.writes}
+    others = sum(item.value is not None and key not in named for key, item in standing.items())
+    lines.append(f"{alike} items stand as they are in the file, {others} are not named in it and stay")
+    value = {
+        "differences": [asdict(one) for one in found_ if one.sign != "="],
+        "alike": alike,
+        "others": others,
+    }
+    tell(value, lines, as_json, FINDINGS if len(found_) > alike else FINE)
+
+
+@config.command("apply")
+def _apply(
+    file: File,
+    within: Annotated[
+        float, typer.Option("--within", min=0.5, max=3600.0, help="Seconds until a clear answer.")
+    ] = 10.0,
+    at: At = None,
+    settings: SettingsFile = None,
+    wait: Wait = WAIT_S,
+    as_json: AsJson = False,
+) -> None:
+    """Sends a change, the same to one control process after another, until one answers clearly."""
+    body = read_file(file, as_json)
+    change = decoded(body, as_json)
+    view = heard(look(found(at, settings, as_json), wait, (RESERVOIR,)), as_json)
+    addresses = controls(view)
+    if not addresses:
+        fail(NOBODY, "no control process answers: nothing was sent; check --at and whether they run", as_json)
+    outcome = asyncio.run(sending.send(addresses, b"PATCH", PATH, body, within))
+    if not isinstance(outcome, sending.Taken):
+        _unclear(outcome, "it may be in force: send the same file again", as_json)
+    else:
+        names = [label(write.kind, write.name) for write in change.writes]
+        host, port = outcome.address
+        value = {"items": len(names), "by": f"{host}:{port}", "tries": outcome.tries}
+        tell(value, [f"taken by {host}:{port}: {len(names)} items are in force and kept"], as_json)
--- /dev/null
+++ b/waterworks/operate/judge.py
@@ -0,0 +1,215 @@
+"""What is not as it should be, found in what was heard of the mesh. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from statistics import median
+
+from waterworks.operate.view import Process, View, number, part, text
+from waterworks.sluice.membership import RESERVOIR, SLUICE
+from waterworks.weir.lives import SILENT_BEATS
+
+CLOCK_S = 2.0  # a clock further off than this from the others' is told; retries and log lines suffer from it
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """``kind`` groups those that are alike, ``subject`` says where, ``mend`` what to do."""
+
+    kind: str
+    subject: str
+    what: str
+    mend: str
+
+    def line(self) -> str:
+        return f"{self.kind}: {self.subject}: {self.what}; {self.mend}"
+
+
+def findings(view: View) -> list[Finding]:
+    """All that is wrong, the gravest kinds first, each kind in the order of names."""
+    return [
+        *_members(view),
+        *_core(view),
+        *_disks(view),
+        *_silent(view),
+        *_behind(view),
+        *_instances(view),
+        *_sluices(view),
+        *_clocks(view),
+        *_settings(view),
+    ]
+
+
+def members(view: View) -> dict[str, str]:
+    """Whose disks count, by address, with their zone, as any control process that answers has it."""
+    found: dict[str, str] = {}
+    for process in view.answering(RESERVOIR):
+        for address, place in part(process.told, "members").items():
+            found[address] = str(place[0]) if isinstance(place, list) and place else ""
+    return dict(sorted(found.items()))
+
+
+def _members(view: View) -> Iterator[Finding]:
+    there = {text(process.told, "ip") for process in view.answering(RESERVOIR)}
+    for address in members(view):
+        if address not in there:
+            yield Finding(
+                "member missing",
+                address,
+                "its disk counts and it does not answer",
+                "start the control process there; its disk is needed for changes",
+            )
+
+
+def _core(view: View) -> Iterator[Finding]:
+    reservoirs = view.answering(RESERVOIR)
+    if not reservoirs:
+        yield Finding(
+            "core out of reach",
+            "-",
+            "no control process answers: no change can be made, calls go on",
+            "start the control processes, or look at the network to them",
+        )
+    for process in reservoirs:
+        if process.told is not None and not process.told.get("in_touch"):
+            yield Finding(
+                "core cut",
+                process.node,
+                "hears too few others: it takes no change and may miss some",
+                "start the missing members or mend the network between them",
+            )
+
+
+def _disks(view: View) -> Iterator[Finding]:
+    for process in view.answering(RESERVOIR):
+        assert process.told is not None
+        refused = text(process.told, "refused")
+        if refused:
+            yield Finding(
+                "disk refuses", process.node, refused, "make room or replace the disk; it is tried on"
+            )
+        if process.told.get("counted") and not process.told.get("whole"):
+            yield Finding(
+                "disk not whole",
+                process.node,
+                "its disk came back empty or damaged and does not count yet",
+                "it reads from the others by itself; where it stays so, start the missing members",
+            )
+
+
+def _silent(view: View) -> Iterator[Finding]:
+    missing = members(view)
+    for process in view.processes:
+        if process.told is None and process.address[0] not in missing:
+            yield Finding(
+                "no answer",
+                process.name,
+                process.why,
+                "start it or look at its network; where its machine is gone, nothing is to do",
+            )
+        elif process.told is not None and process.name in view.nodes and process.node != process.name:
+            yield Finding(
+                "other node there",
+                process.name,
+                f"{process.node} answers at its address",
+                "nothing, where one machine took the other's place; else give each its own address",
+            )
+
+
+def _behind(view: View) -> Iterator[Finding]:
+    groups = list(view.digests().values())
+    for group in groups[1:]:
+        for process in sorted(group, key=lambda p: p.node):
+            charter = part(process.told, "charter")
+            yield Finding(
+                "behind",
+                process.node,
+                f"holds {number(charter, 'items'):.0f} items, digest {process.digest}, unlike most",
+                "look again in 4 s; where it stays so, look at its links to the control processes",
+            )
+
+
+def _instances(view: View) -> Iterator[Finding]:
+    for instance, value in sorted(view.instances.items()):
+        node = text(value, "node")
+        if node not in view.nodes:
+            yield Finding(
+                "instance without node",
+                instance,
+                f"of {text(value, 'plant')}; its node {node or '?'} is not known",
+                "look whether that machine runs; calls to it fail and go elsewhere",
+            )
+
+
+def _sluices(view: View) -> Iterator[Finding]:
+    for process in view.answering(SLUICE):
+        told = process.told
+        assert told is not None
+        if told.get("ending"):
+            continue
+        if not told.get("ready"):
+            yield Finding(
+                "not ready",
+                process.node,
+                "has no configuration yet, or none that is known to be whole",
+                "look at the control processes; it asks them by itself",
+            )
+        upstream, beat_ms = part(told, "upstream"), number(told, "beat_ms", 1500.0)
+        silent = number(upstream, "silent_ms")
+        if not upstream:
+            what = "no upstream has announced itself beside it"
+        elif upstream.get("gone"):
+            what = f"its upstream {text(upstream, 'instance')} has gone and no other has come"
+        elif silent > SILENT_BEATS * beat_ms:
+            what = f"its upstream {text(upstream, 'instance')} is silent for {silent / 1000.0:.1f} s"
+        else:
+            continue
+        yield Finding("no beats", process.node, what, "look at the upstream on that machine")
+
+
+def _clocks(view: View) -> Iterator[Finding]:
+    told = view.answering()
+    if not told:
+        return
+    usual = median(process.ahead_s for process in told)
+    for process in told:
+        off = process.ahead_s - usual
+        if abs(off) - process.within_s > CLOCK_S:
+            yield Finding(
+                "clock off",
+                process.node,
+                f"{abs(off):.1f} s {'ahead of' if off > 0 else 'behind'} the others",
+                "set that machine's clock; its log lines and its own item's version go by it",
+            )
+
+
+def _settings(view: View) -> Iterator[Finding]:
+    for process in view.answering():
+        unknown = (process.told or {}).get("unknown")
+        if isinstance(unknown, list) and unknown:
+            yield Finding(
+                "unknown settings",
+                process.node,
+                ", ".join(str(name) for name in unknown[:5]),
+                "nothing, where the file is meant for a newer program; else mend the names",
+            )
+
+
+def grouped(found: list[Finding]) -> dict[str, list[Finding]]:
+    """By kind, in the order of the findings."""
+    kinds: dict[str, list[Finding]] = {}
+    for finding in found:
+        kinds.setdefault(finding.kind, []).append(finding)
+    return kinds
+
+
+def sound(view: View, process: Process) -> str:
+    """How a process stands, in a word or two."""
+    if process.told is None:
+        return process.why or "no answer"
+    if process.told.get("ending"):
+        return "ends"
+    if process.role == RESERVOIR:
+        return "in touch" if process.told.get("in_touch") else "cut"
+    return "ready" if process.told.get("ready") else "not ready"
--- /dev/null
+++ b/waterworks/operate/sending.py
@@ -0,0 +1,147 @@
+"""An operator's HTTP calls to the control processes, by the rules that the platform's operator keeps.
+
+The next process after a failure, a 5xx, a 408, a 429 or silence, with a pause that grows; a 307 followed
+twice; the same call exactly as it was, until there is a clear answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+import httptools
+import msgspec
+
+from anisestair.http import codec as http
+from waterworks.penstock.link import Address
+from waterworks.weir.calls import read_address
+
+SILENCE_S, SILENCE_BYTE_S = 1.0, 2e-6  # how long an answer may take, and more for each byte sent
+PAUSE_S, PAUSE_MOST_S = 0.1, 1.0
+FOLLOWED = 2
+AT_ONCE = frozenset({400, 409, 412, 413, 422})  # a call ends there
+OTHERS_MOST = 3  # any other 4xx ends it at this try
+AGAIN = frozenset({408, 429})
+MOST_BODY = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+    location: str
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A 200, by whom and at which try."""
+
+    body: bytes
+    address: Address
+    tries: int
+
+
+@dataclass(frozen=True, slots=True)
+class Turned:
+    """A clear no."""
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unclear:
+    """No clear answer in the time: it may be in force. ``heard``: something answered at all."""
+
+    reason: str
+    heard: bool
+
+
+Outcome = Taken | Turned | Unclear
+
+
+async def call(address: Address, method: bytes, path: bytes, body: bytes, within_s: float) -> Reply | None:
+    """One call on a connection of its own; None where no whole answer comes in time. Raises nothing."""
+    reader = http.Reader(httptools.HttpResponseParser, MOST_BODY)
+    try:
+        async with asyncio.timeout(within_s):
+            stream, writer = await asyncio.open_connection(*address)
+            try:
+                headers = [(b"host", b"control"), (b"content-type", b"application/json")]
+                writer.write(http.write_request(method, path, headers, body))
+                while True:
+                    data = await stream.read(65536)
+                    reader.feed(data) if data else reader.end()
+                    for message in reader.take():
+                        return Reply(message.status, message.body, message.get(b"location") or "")
+                    if not data:
+                        return None
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError, http.BadMessage):
+        return None
+
+
+async def send(
+    addresses: Sequence[Address],
+    method: bytes,
+    path: bytes,
+    body: bytes,
+    within_s: float,
+    pause: Callable[[float], Awaitable[None]] = asyncio.sleep,
+) -> Outcome:
+    """One call of the operator, at these processes in turn, until it is clear or ``within_s`` is over."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + within_s
+    wait, tries, others, heard, reason = PAUSE_S, 0, 0, False, "nobody answers"
+    while addresses and loop.time() < until:
+        address = addresses[tries % len(addresses)]
+        tries += 1
+        silence = min(SILENCE_S + SILENCE_BYTE_S * len(body), max(until - loop.time(), 0.01))
+        reply, address = await _followed(address, method, path, body, silence)
+        if reply is not None:
+            heard = True
+            if 200 <= reply.status < 300:
+                return Taken(reply.body, address, tries)
+            reason = f"{reply.status}: {said(reply.body)}"
+            if reply.status in AT_ONCE:
+                return Turned(reply.status, said(reply.body))
+            if 400 <= reply.status < 500 and reply.status not in AGAIN:
+                others += 1
+                if others == OTHERS_MOST:
+                    return Turned(reply.status, said(reply.body))
+        if loop.time() + wait < until:
+            await pause(wait)
+            wait = min(2.0 * wait, PAUSE_MOST_S)
+        elif tries >= len(addresses):
+            break
+    return Unclear(reason, heard)
+
+
+async def _followed(
+    address: Address, method: bytes, path: bytes, body: bytes, silence: float
+) -> tuple[Reply | None, Address]:
+    """The answer, FOLLOWED redirections on, and who gave it."""
+    for followed in range(FOLLOWED + 1):
+        reply = await call(address, method, path, body, silence)
+        if reply is None or reply.status != 307 or followed == FOLLOWED:
+            return reply, address
+        host, _, rest = reply.location.removeprefix("http://").partition("/")
+        to = read_address(host)
+        if to is None:
+            return reply, address
+        address, path = to, b"/" + rest.encode("latin-1", "replace")
+    raise AssertionError("the last one returns")
+
+
+def said(body: bytes) -> str:
+    """The reason in an answer's body, in one line."""
+    try:
+        told = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError):
+        told = None
+    reason = told.get("error") if isinstance(told, dict) else None
+    return " ".join(str(reason).split())[:300] if reason else "no reason given"
--- /dev/null
+++ b/waterworks/operate/state.py
@@ -0,0 +1,100 @@
+"""`state`: the control processes' disks, checked and copied while they run."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Annotated, Any
+
+import typer
+
+from waterworks.operate.asking import Answered, Silent, all_of, ask, look
+from waterworks.operate.options import (
+    DISK_WAIT_S,
+    FINDINGS,
+    FINE,
+    NOBODY,
+    REFUSED,
+    USAGE,
+    AsJson,
+    At,
+    SettingsFile,
+    Wait,
+    fail,
+    found,
+    heard,
+    tell,
+)
+from waterworks.operate.text import wrapped
+from waterworks.operate.view import Process, Told, number, text
+from waterworks.sluice.membership import RESERVOIR
+
+LOOK_S = 2.0  # for the processes' status; the longer wait is for their disks
+
+state = typer.Typer(rich_markup_mode=None, no_args_is_help=True, help="The state on the core's disks.")
+
+
+@state.command("verify")
+def _verify(
+    at: At = None, settings: SettingsFile = None, wait: Wait = DISK_WAIT_S, as_json: AsJson = False
+) -> None:
+    """Every row of every control process's disk, read and checked; changes wait for it there."""
+    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (RESERVOIR,)), as_json)
+    asked = view.answering(RESERVOIR)
+    if not asked:
+        fail(NOBODY, "no control process answers; check --at and whether they run", as_json)
+
+    async def one(process: Process) -> dict[str, Any]:
+        reply = await ask(process.address, "verify", wait)
+        if isinstance(reply, Answered):
+            return {"node": process.node, **reply.value, "findings": wrong(reply.value)}
+        return {"node": process.node, "findings": [reply.why if isinstance(reply, Silent) else reply.reason]}
+
+    rows = asyncio.run(all_of(one, asked))
+    lines = []
+    for row in rows:
+        for finding in row["findings"]:
+            lines += wrapped(f"{row['node']}: {finding}")
+        if not row["findings"]:
+            moving = "; changes came meanwhile, so memory was not compared" if row.get("moving") else ""
+            lines.append(f"{row['node']}: {row.get('items')} items, digest {row.get('disk')}{moving}")
+    bad = any(row["findings"] for row in rows)
+    tell(rows, lines, as_json, FINDINGS if bad else FINE)
+
+
+def wrong(told: Told) -> list[str]:
+    """What a process's answer says against its disk."""
+    findings = told.get("findings")
+    said = [str(one) for one in findings] if isinstance(findings, list) else []
+    if not said and not told.get("moving") and text(told, "disk") != text(told, "memory"):
+        said.append(
+            f"disk holds {number(told, 'items'):.0f} items, digest {text(told, 'disk')}, memory "
+            f"{text(told, 'memory')}; look for refusals of the disk in its log, then start it again"
+        )
+    return said
+
+
+@state.command("backup")
+def _backup(
+    to: Annotated[str, typer.Argument(metavar="TO", help="A folder under the process's state folder.")],
+    where: Annotated[str, typer.Option("--from", metavar="NODE", help="The control process; else any.")] = "",
+    at: At = None,
+    settings: SettingsFile = None,
+    wait: Wait = DISK_WAIT_S,
+    as_json: AsJson = False,
+) -> None:
+    """Has a control process copy its store, as it is now, to a new folder under its state folder."""
+    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (RESERVOIR,)), as_json)
+    able = [p for p in view.answering(RESERVOIR) if where in ("", p.node)]
+    able.sort(key=lambda p: not ((p.told or {}).get("in_touch") and (p.told or {}).get("whole")))
+    if not able and where and where not in view.nodes:
+        fail(USAGE, f"--from: no node {where} is known; nodes lists them", as_json)
+    if not able:
+        fail(NOBODY, "no such control process answers; check --at and whether it runs", as_json)
+    process = able[0]
+    reply = asyncio.run(ask(process.address, "backup", wait, to=to))
+    if isinstance(reply, Silent):
+        fail(NOBODY, f"{process.node}: {reply.why}; the copy may still be made: look there", as_json)
+    if not isinstance(reply, Answered):
+        fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
+    value = {"node": process.node, **reply.value}
+    tell(value, [f"{process.node}: {reply.value.get('bytes')} bytes in {reply.value.get('to')}"], as_json)
--- /dev/null
+++ b/waterworks/operate/view.py
@@ -0,0 +1,121 @@
+"""What was heard of the mesh, as the command line judges and prints it. No I/O.
+
+What a process told is kept as it came: one of another version may leave fields out or bring others, so every
+field is read with a stand-in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from waterworks.aquifer.items import Item, Key, outranks
+from waterworks.penstock.link import Address
+
+Told = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Process:
+    """One process that was asked for its status. ``told`` is None where it did not answer, ``why`` says why;
+    ``ahead_s`` is by how much its clock is ahead of this one's, known to ``within_s``."""
+
+    name: str  # as the roll or --at has it
+    address: Address
+    told: Told | None
+    why: str = ""
+    ahead_s: float = 0.0
+    within_s: float = 0.0
+
+    @property
+    def node(self) -> str:
+        return text(self.told, "node") or self.name
+
+    @property
+    def role(self) -> str:
+        return text(self.told, "role")
+
+    @property
+    def digest(self) -> str:
+        """Of the charter that it holds; "" where that is not known."""
+        return text(part(self.told, "charter"), "digest")
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """``processes``: those of the roll and those of ``--at``, by name; ``nodes`` and ``instances``: what
+    stands in the roll, by name."""
+
+    processes: tuple[Process, ...]
+    nodes: Mapping[str, Told] = field(default_factory=dict)
+    instances: Mapping[str, Told] = field(default_factory=dict)
+
+    def answering(self, role: str = "") -> list[Process]:
+        """Those that answered, of one role or (for "") of any."""
+        return [p for p in self.processes if p.told is not None and role in ("", p.role)]
+
+    def by_service(self) -> dict[str, list[tuple[str, Told]]]:
+        """Instances by service, both in the order of their names."""
+        found: dict[str, list[tuple[str, Told]]] = {}
+        for name, value in sorted(self.instances.items()):
+            found.setdefault(text(value, "plant"), []).append((name, value))
+        return dict(sorted(found.items()))
+
+    def digests(self) -> dict[str, list[Process]]:
+        """Processes by the digest of the charter that they hold; the one that counts is first: held by most
+        of the control processes that hear enough others, then by most of all."""
+        found: dict[str, list[Process]] = {}
+        for process in self.answering():
+            if process.digest:
+                found.setdefault(process.digest, []).append(process)
+
+        def standing(entry: tuple[str, list[Process]]) -> tuple[int, int, str]:
+            sound = sum(bool(p.told and p.told.get("in_touch")) for p in entry[1])
+            return sound, len(entry[1]), entry[0]
+
+        return dict(sorted(found.items(), key=standing, reverse=True))
+
+
+def part(told: Told | None, name: str) -> Told:
+    """A field that is an object; an empty one where it is not."""
+    value = told.get(name) if told is not None else None
+    return value if isinstance(value, Mapping) else {}
+
+
+def text(told: Told | None, name: str) -> str:
+    """A field that is text; "" where it is not."""
+    value = told.get(name) if told is not None else None
+    return value if isinstance(value, str) else ""
+
+
+def number(told: Told | None, name: str, instead: float = 0.0) -> float:
+    """A field that is a number; ``instead`` where it is not."""
+    value = told.get(name) if told is not None else None
+    return value if isinstance(value, int | float) and not isinstance(value, bool) else instead
+
+
+def read_items(page: object) -> list[Item]:
+    """Items of an answer, without stamps; what is none is passed over."""
+    found = []
+    for one in page if isinstance(page, Sequence) and not isinstance(page, str) else ():
+        if (
+            isinstance(one, Sequence)
+            and len(one) == 4
+            and isinstance(one[0], str)
+            and isinstance(one[1], str)
+        ):
+            if isinstance(one[2], int) and (one[3] is None or isinstance(one[3], dict)):
+                found.append(Item(one[0], one[1], one[2], one[3]))
+    return found
+
+
+def newest(copies: Iterable[Iterable[Item]]) -> dict[Key, Item]:
+    """Of several copies the item that rules under each key, dropped ones too."""
+    found: dict[Key, Item] = {}
+    for copy in copies:
+        for item in copy:
+            held = found.get(item.key)
+            if held is None or outranks(item, held):
+                found[item.key] = item
+    return found
--- a/waterworks/penstock/desk.py
+++ b/waterworks/penstock/desk.py
@@ -37,6 +37,7 @@
         self._transport: asyncio.Transport | None = None
         self._waiting: deque[http.Message] = deque()
         self._task: asyncio.Task[None] | None = None
+        self._fault: http.BadMessage | None = None  # what came last cannot be read
         self.used = desk.loop.time()
 
     @property
@@ -49,6 +50,8 @@
 
     def data_received(self, data: bytes) -> None:
         self.used = self._desk.loop.time()
+        if self._fault is not None:
+            return
         fault: http.BadMessage | None = None
         try:
             self._reader.feed(data)
@@ -58,20 +61,21 @@
             self._reader.expects_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._waiting.extend(self._reader.take())
-        if fault is not None or len(self._waiting) > WAITING:
-            if self._transport is not None:
-                if fault is not None and self._task is None and not self._waiting:
-                    self._transport.write(http.write_response(fault.status, [], b"", close=True))
-                self._transport.close()
-            return
-        if self._task is None and self._waiting:
+        self._fault = fault
+        if len(self._waiting) > WAITING and self._transport is not None:
+            self._transport.close()
+        elif self._task is None and (self._waiting or fault is not None):
             self._task = self._desk.loop.create_task(self._work())
 
     async def _work(self) -> None:
         try:
             while self._waiting:
                 message = self._waiting.popleft()
-                answer = await self._desk.handle(message)
+                try:
+                    answer = await self._desk.handle(message)
+                except Exception:
+                    # A fault of the handler costs its call an answer, and nobody else anything.
+                    answer = Answer(500)
                 if self._transport is None or self._transport.is_closing():
                     return
                 headers = [JSON] if answer.body else []
@@ -85,6 +89,9 @@
                 if close:
                     self._transport.close()
                     return
+            if self._fault is not None and self._transport is not None:
+                self._transport.write(http.write_response(self._fault.status, [], b"", close=True))
+                self._transport.close()
         finally:
             self._task = None
 
--- a/waterworks/penstock/frames.py
+++ b/waterworks/penstock/frames.py
@@ -75,7 +75,7 @@
                 continue
             try:
                 head = _decode(part)
-            except msgspec.DecodeError as fault:
+            except (msgspec.DecodeError, RecursionError) as fault:
                 raise BadFrame(str(fault)) from None
             if BODY in head:
                 self._head = head
--- a/waterworks/penstock/link.py
+++ b/waterworks/penstock/link.py
@@ -1,7 +1,8 @@
 """A link: one TCP connection between two of the system's processes, its frames and its signs of life.
 
 A cut is silent, so an end that owes the other something says so every `BEAT_S`, and an end that expects
-something takes `SILENT_S` without a byte for the link's loss.
+something takes `SILENT_S` without a byte for the link's loss. The time to notice is a good part of what most
+calls have; a process that is merely behind says so again as soon as it runs.
 """
 
 from __future__ import annotations
@@ -15,8 +16,8 @@
 
 Address = tuple[str, int]
 
-BEAT_S = 0.25
-SILENT_S = 1.0  # it hurts where a process stands still for so long: its calls are given up
+BEAT_S = 0.15
+SILENT_S = 0.55  # it hurts where a process stands still for so long: its calls are given up
 CONNECT_S = 0.6
 BACKLOG_BYTES = 4 * 1024 * 1024  # unsent to a peer that does not read; more ends the link
 ALIVE = frame({})
--- a/waterworks/reservoir/council.py
+++ b/waterworks/reservoir/council.py
@@ -19,6 +19,7 @@
 from waterworks.reservoir.ledger import Ledger
 
 MEMBER = "member"  # the kind of the items that say whose disks count
+JOINS, COUNTS = "joins", "counts"  # states of a member: writes must do with and without it; it counts
 MOST_READ = 20_000  # items of one answer to a read
 PENDING = 256  # writes, and reads, that wait for others at once; more are answered as busy
 
@@ -75,10 +76,21 @@
     # Who counts
 
     def members(self) -> View:
+        """Those whose disks count for reads."""
+        return self._view(False)
+
+    def views(self) -> list[View]:
+        """What a write must be durable under: the members, and they with those that join."""
+        return [self._view(False), self._view(True)]
+
+    def _view(self, joining: bool) -> View:
         return {
             item.name: Place(str(item.value.get("zone", "")), str(item.value.get("region", "")))
             for item in self._charter.items.values()
-            if item.kind == MEMBER and item.value is not None and item.value.get("counted", True)
+            if item.kind == MEMBER
+            and item.value is not None
+            and item.value.get("counted", True)
+            and (joining or item.value.get("state") == COUNTS)
         }
 
     def in_touch(self) -> bool:
@@ -99,7 +111,7 @@
             return NotHeld(f"{PENDING} changes wait already")
         self._count += 1
         number = self._count
-        pending = Pending(list(items), set(), [self.members()], self._loop.create_future())
+        pending = Pending(list(items), set(), self.views(), self._loop.create_future())
         self._pending[number] = pending
         try:
             for channel in list(self._channels.open):
@@ -118,15 +130,15 @@
 
     async def _keep_own(self, pending: Pending) -> None:
         await self._ledger.kept()
-        self._has(pending, self.me, self.members())
+        self._has(pending, self.me, self.views())
 
     def _ask_keep(self, channel: Channel, number: int, pending: Pending) -> None:
         if channel.extra.get("role") == "reservoir" and channel.extra.get("ip") not in pending.have:
             channel.link.send({"t": "keep", "n": number, "items": [pack(item) for item in pending.items]})
 
-    def _has(self, pending: Pending, address: str, view: View) -> None:
+    def _has(self, pending: Pending, address: str, views: list[View]) -> None:
         pending.have.add(address)
-        pending.views.append(view)
+        pending.views += [view for view in views if view not in pending.views]
         if not pending.done.done() and durable_in_views(pending.have, pending.views, self._tolerance):
             pending.done.set_result(None)
 
@@ -193,7 +205,7 @@
         elif kind == "kept":
             pending = self._pending.get(head["n"])
             if pending is not None:
-                self._has(pending, address, read_view(head["view"]))
+                self._has(pending, address, [read_view(told) for told in head["views"]])
         elif kind == "read":
             lack = self._charter.lacking(head["v"], MOST_READ)
             channel.link.send(
@@ -219,7 +231,7 @@
         if not self._merge(items, {}):
             return
         await self._ledger.kept()
-        channel.link.send({"t": "kept", "n": number, "view": write_view(self.members())})
+        channel.link.send({"t": "kept", "n": number, "views": [write_view(view) for view in self.views()]})
 
     def _merge(self, items: list[Item], vector: Mapping[str, int]) -> bool:
         changed = self._charter.merge(items, vector)
--- a/waterworks/reservoir/ledger.py
+++ b/waterworks/reservoir/ledger.py
@@ -4,8 +4,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from typing import TypeVar
 
 from waterworks.aquifer.items import Item, Key
 from waterworks.aquifer.store import Store
@@ -18,6 +19,7 @@
 SLOW_S = 0.5  # a batch that took longer is told of
 
 Rows = list[tuple[bytes, bytes]]
+T = TypeVar("T")
 
 
 class Ledger:
@@ -38,6 +40,8 @@
     def mark(self, items: Iterable[Item]) -> None:
         """These have changed and go to disk with the next batch, and the vector as it is then."""
         self._dirty.update(item.key for item in items)
+        if not self._dirty:
+            return
         self._marked += 1
         self._write()
 
@@ -49,14 +53,22 @@
         self._waiting.append((self._marked, future))
         await future
 
+    def founded(self) -> None:
+        """An empty disk of the very first start lacks nothing, and says so with its first batch."""
+        self.whole = True
+        self._mark_whole()
+
     async def become_whole(self) -> None:
         """This machine now holds all that was acknowledged; said on disk before it counts."""
+        self._mark_whole()
+        await self.kept()
+        self.whole = True
+
+    def _mark_whole(self) -> None:
         key, value = pack_whole(True)
         self._extra[key] = value
         self._marked += 1
         self._write()
-        await self.kept()
-        self.whole = True
 
     def _write(self) -> None:
         if self._writing is None:
@@ -94,5 +106,9 @@
         finally:
             self._writing = None
 
+    async def between(self, work: Callable[[Keeper], T]) -> T:
+        """Runs ``work`` on the disk's thread between two batches, which wait meanwhile."""
+        return await self._loop.run_in_executor(self._thread, work, self._keeper)
+
     def close(self) -> None:
         self._thread.shutdown(wait=False, cancel_futures=True)
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -13,16 +13,19 @@
 from waterworks.cistern.layout import held
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
+from waterworks.headworks.questions import Asker, Questions
 from waterworks.headworks.settings import Settings
 from waterworks.leat.channels import Channel, Channels
 from waterworks.penstock.desk import Desk
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import Link, listen
 from waterworks.reservoir.clerk import Clerk
-from waterworks.reservoir.council import MEMBER, Council
+from waterworks.reservoir.council import COUNTS, JOINS, MEMBER, Council, Held
 from waterworks.reservoir.ledger import Ledger
+from waterworks.reservoir.safekeeping import Safekeeping
+from waterworks.reservoir.shown import answers_of
 from waterworks.sluice.membership import NODE, RESERVOIR, Membership
-from waterworks.weir.tombs import Tombs
+from waterworks.weir.tombs import ASKS_ANEW_S, Tombs
 
 MOST_CHARTER = 20_000  # items, dropped ones included
 MOST_ROLL = 20_000
@@ -61,12 +64,16 @@
             whole=lambda: self.council.in_touch(),
             extra=lambda channel, head, _: self.council.frame(channel, head),
             opened=lambda channel: self.council.opened(channel),
+            closed=self._closed,
         )
         self.council = Council(self.me, self.charter, self.ledger, self.channels, settings.tolerance, gauge)
         self.clerk = Clerk(self.charter, self.council, gauge, lambda items: self._changed("charter", items))
         self.desk = Desk(self.clerk.handle)
+        safekeeping = Safekeeping(settings.state_dir, settings.limits.disk_mb, self.charter, self.ledger)
+        self.questions = Questions({**answers_of(self, time.time), **safekeeping.answers()})
         self.stopping = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._touched = self.loop.time()  # when there was last a link with news
         self._joining: asyncio.Task[None] | None = None
 
     def _open_disk(self) -> Ledger:
@@ -92,11 +99,19 @@
             # The machines that every process is told of at the very first start are the first members.
             founders = {host for host, _ in settings.seeds}
             taken = self.charter.take_all(
-                [(MEMBER, host, 1, {"zone": "", "region": "", "counted": True}) for host in sorted(founders)]
+                [
+                    (MEMBER, host, 1, {"zone": "", "region": "", "counted": True, "state": COUNTS})
+                    for host in sorted(founders)
+                ]
             )
             assert not isinstance(taken, Full)
+            if self.me in founders:
+                ledger.founded()
             ledger.mark(taken)
-            ledger.whole = self.me in founders
+        else:
+            claimed = self.charter.claim()
+            if claimed:
+                ledger.mark(claimed)
         return ledger
 
     # Start and end
@@ -136,6 +151,11 @@
         self.channels.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
+        if self.channels.open:
+            self._touched = now
+        elif now - self._touched > ASKS_ANEW_S:
+            self._touched = now
+            self._changed("roll", self.roll.clear())
 
     async def stop(self) -> None:
         self.stopping.set()
@@ -150,34 +170,59 @@
     # Members
 
     async def _join(self) -> None:
-        """Until this machine's disk counts, as the settings say that it does: it hears all that was
-        acknowledged, is made a member, and hears it once more, since what was acknowledged in between need
-        not have counted it."""
-        settings = self.settings
-        value = {"zone": settings.zone, "region": settings.region, "counted": settings.counted}
+        """Until this machine's disk counts, as the settings say that it does.
+
+        It becomes a member in two steps. While it joins, a write must be durable with it and without it, and
+        a read does not rely on it; so it may take its time, and be lost, without holding anybody up. Once it
+        has heard all that was acknowledged since its joining was durable, it holds whatever was acknowledged
+        before as well, says so on disk, and counts for reads too."""
         while not self.stopping.is_set():
-            standing = self.charter.items.get((MEMBER, self.me))
-            named = standing is not None and standing.value == value
-            if not named and standing is None and not settings.counted:
-                return
-            if not named and await self.council.gather(GATHER_S):
-                standing = self.charter.items.get((MEMBER, self.me))
-                version = standing.version + 1 if standing is not None else 1
-                taken = self.charter.take(MEMBER, self.me, version, value)
-                if isinstance(taken, Item):
-                    self._changed("charter", [taken])
-                item = self.charter.items[MEMBER, self.me]
-                await self.council.hold([item], JOIN_S)
-            if not self.ledger.whole and await self.council.gather(GATHER_S):
-                await self.ledger.become_whole()
-                self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
-                self.council.said_complete()
-                self.channels.hello["complete"] = True
-            elif self.ledger.whole and named:
-                await self.ledger.become_whole()
+            if await self._step():
                 return
             await asyncio.sleep(AGAIN_S)
 
+    async def _step(self) -> bool:
+        """One step of that; whether there is none left."""
+        settings, ledger = self.settings, self.ledger
+        standing = self.charter.items.get((MEMBER, self.me))
+        value = standing.value if standing is not None else None
+        if value is None and not settings.counted:
+            return True
+        if value is None:
+            if await self.council.gather(GATHER_S) and (MEMBER, self.me) not in self.charter.items:
+                await self._say_member(JOINS)
+            return False
+        if not ledger.whole:
+            # A joining that nobody else holds would not make others' writes count this machine.
+            item = self.charter.items[MEMBER, self.me]
+            if not isinstance(await self.council.hold([item], JOIN_S), Held):
+                return False
+            if not await self.council.gather(GATHER_S):
+                return False
+            await ledger.become_whole()
+            self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
+            self.council.said_complete()
+            self.channels.hello["complete"] = True
+        wanted = {"zone": settings.zone, "region": settings.region, "counted": settings.counted}
+        if value.get("state") != COUNTS or any(value.get(name) != told for name, told in wanted.items()):
+            return await self._say_member(COUNTS)
+        return True
+
+    async def _say_member(self, state: str) -> bool:
+        """Whether enough others hold it now."""
+        settings = self.settings
+        standing = self.charter.items.get((MEMBER, self.me))
+        taken = self.charter.take(
+            MEMBER,
+            self.me,
+            standing.version + 1 if standing is not None else 1,
+            {"zone": settings.zone, "region": settings.region, "counted": settings.counted, "state": state},
+        )
+        if isinstance(taken, Item):
+            self._changed("charter", [taken])
+        item = self.charter.items.get((MEMBER, self.me))
+        return item is not None and isinstance(await self.council.hold([item], JOIN_S), Held)
+
     # News
 
     def _changed(self, name: str, items: list[Item]) -> None:
@@ -190,6 +235,13 @@
                 self._know()
         self.channels.poke()
 
+    def _closed(self, channel: Channel) -> None:
+        """What a peer wrote here and may never tell as news is told from here on."""
+        claimed = self.charter.claim(channel.peer_source) if channel.peer_source else []
+        if claimed:
+            self.ledger.mark(claimed)
+            self.channels.poke()
+
     def _know(self) -> None:
         """Other control processes: those of the settings, and those that have said that they are."""
         port = self.settings.port_range[0]
@@ -201,12 +253,17 @@
     def _met(self, link: Link, head: Head, body: bytes) -> None:
         if isinstance(link.peer, Channel):
             self.channels.frame(link.peer, head, body)
+        elif isinstance(link.peer, Asker):
+            link.peer.frame(head)
+        elif head.get("t") == "hello" and head.get("for") == "operate":
+            self.questions.adopt(link)
         elif head.get("t") == "hello" and head.get("for") == "news" and "source" in head and "node" in head:
             self.channels.adopt(link, head)
         else:
             link.close("no hello")
 
     def _unmet(self, link: Link, why: str) -> None:
+        self.questions.lost(link)
         if isinstance(link.peer, Channel):
             self.channels.lost(link.peer, why)
 
--- /dev/null
+++ b/waterworks/reservoir/safekeeping.py
@@ -0,0 +1,107 @@
+"""The disk's part of operators' questions: its check, and a copy of it while the process goes on. Both run on
+the disk's thread, so writes wait for them."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from waterworks.aquifer.store import Store
+from waterworks.cistern.keeper import NAME, Keeper, Refused
+from waterworks.cistern.layout import CisternError, held
+from waterworks.headworks.questions import Handler, Refusal, Told, root
+from waterworks.penstock.frames import Head
+from waterworks.reservoir.ledger import Ledger
+
+MOST_FINDINGS = 20
+MOST_PATH = 1024  # characters
+
+
+@dataclass(frozen=True, slots=True)
+class _Disk:
+    findings: tuple[str, ...]
+    items: int
+    digest: str
+
+
+class Safekeeping:
+    def __init__(self, state_dir: str, disk_mb: float, charter: Store, ledger: Ledger) -> None:
+        self._base, self._most = state_dir, int(disk_mb * (1 << 20))
+        self._charter, self._ledger = charter, ledger
+
+    def answers(self) -> dict[str, Handler]:
+        """The questions that are answered here, by name."""
+        return {"verify": self.verify, "backup": self.backup}
+
+    async def verify(self, head: Head) -> Told:
+        """Every row read and checked, and the digest of what the disk holds beside that of what is held in
+        memory. ``moving``: the two could not be compared, since changes came meanwhile."""
+        await self._ledger.kept()
+        before = root(self._charter)
+        disk = await self._ledger.between(_survey)
+        return {
+            "findings": list(disk.findings[:MOST_FINDINGS]),
+            "items": disk.items,
+            "disk": disk.digest,
+            "memory": before,
+            "moving": before != root(self._charter),
+            "whole": self._ledger.whole,
+        }
+
+    async def backup(self, head: Head) -> Told | Refusal:
+        """A copy of the store under the state folder, in a folder that holds none yet."""
+        to = _inside(self._base, str(head["to"]))
+        if isinstance(to, Refusal):
+            return to
+        await self._ledger.kept()
+        return await self._ledger.between(lambda keeper: _copy(keeper, to, Path(self._base), self._most))
+
+
+def _survey(keeper: Keeper) -> _Disk:
+    findings = keeper.verify()
+    if findings:
+        return _Disk(findings, 0, "")
+    try:
+        kept = held(keeper.rows())
+    except CisternError as fault:
+        return _Disk((str(fault),), 0, "")
+    store = Store("disk", len(kept.items) + 1)
+    store.restore(kept.items, {})
+    return _Disk((), len(kept.items), root(store))
+
+
+def _inside(base: str, to: str) -> Path | Refusal:
+    """Where a copy may go: a folder below ``base``, links followed, which is not the store's own."""
+    if not to or len(to) > MOST_PATH or not to.isprintable():
+        return Refusal(f"to: give a path of 1 to {MOST_PATH} printable characters")
+    try:
+        inside = Path(base).resolve()
+        path = (inside / to).resolve()
+    except (OSError, RuntimeError) as fault:
+        return Refusal(f"to: {fault}; give a folder under {base}")
+    if path == inside or not path.is_relative_to(inside):
+        return Refusal(f"to: {to} lies outside {base}; give a folder under it, such as backup-1")
+    if path.is_relative_to(inside / "charter"):
+        return Refusal(f"to: {to} lies in the store's own folder; give another under {base}")
+    return path
+
+
+def _copy(keeper: Keeper, to: Path, base: Path, most: int) -> Told | Refusal:
+    try:
+        used = sum(
+            os.lstat(os.path.join(folder, name)).st_size
+            for folder, _, names in os.walk(base)
+            for name in names
+        )
+        size = (base / "charter" / NAME).stat().st_size
+    except OSError as fault:
+        return Refusal(f"disk: {fault}; look at {base}")
+    if used + size > most:
+        return Refusal(
+            f"disk: {used} of {most} bytes are used and a copy takes {size}; remove an older one under {base}"
+        )
+    outcome = keeper.backup(to)
+    if isinstance(outcome, Refused):
+        return Refusal(f"to: {outcome.reason}")
+    return {"to": str(to), "bytes": size}
--- a/waterworks/sluice/hop.py
+++ b/waterworks/sluice/hop.py
@@ -24,6 +24,7 @@
     left_ms: float
     rank: float = 0.0  # its worth for its work; the most is served first
     patience_ms: float = 0.0  # it waits so long for a place at the most
+    longer_ms: float = 0.0  # and so long where others there are of lower rank
 
     def head(self, number: int) -> Head:
         return {
@@ -37,7 +38,7 @@
             "c": self.caller,
             "l": round(self.left_ms, 1),
             "k": self.rank,
-            "q": round(self.patience_ms, 1),
+            "q": [round(self.patience_ms, 1), round(self.longer_ms, 1)],
         }
 
 
@@ -88,8 +89,9 @@
         instance=str(head["i"]),
         caller=str(head["c"]),
         left_ms=float(head["l"]),
-        rank=float(head.get("k", 0.0)),
-        patience_ms=float(head.get("q", 0.0)),
+        rank=float(head["k"]),
+        patience_ms=float(head["q"][0]),
+        longer_ms=float(head["q"][1]),
     )
 
 
--- a/waterworks/sluice/passage.py
+++ b/waterworks/sluice/passage.py
@@ -18,6 +18,8 @@
 from waterworks.valve.passing import Why
 
 AGAIN_S, AGAIN_MOST_S = 0.1, 1.0  # pauses after a link that did not come up
+HOLD_S = 0.2  # calls wait so long for a first link; a connection to a dark machine hangs
+IDLE = "idle"
 IDLE_S = 20.0  # a link that carried nothing for so long is closed
 
 
@@ -44,19 +46,33 @@
         self.coming: asyncio.Task[None] | None = None
         self.not_before, self.pause = 0.0, AGAIN_S
         self.used = 0.0
+        self.down = False  # the last link was lost, or did not come up
+        self.left = False  # the node is elsewhere now, or gone
 
     def send(self, out: Out) -> None:
-        loop = self.passage.loop
-        self.used = now = loop.time()
+        self.used = self.passage.loop.time()
         if self.link is not None and self.link.up:
             self._write(out)
-        elif self.coming is not None:
-            self.waiting.append(out)
-        elif now < self.not_before:
+        elif self.down:
             out.ended(TurnedAway(Why.DOWN))
         else:
             self.waiting.append(out)
-            self.coming = loop.create_task(self._come_up())
+            if self.coming is None:
+                self.coming = self.passage.loop.create_task(self._come_up())
+                self.passage.loop.call_later(HOLD_S, self._release)
+
+    def _release(self) -> None:
+        """Whoever still waits for the first link waits no more."""
+        waiting, self.waiting = self.waiting, []
+        if waiting:
+            self._down()
+        for out in waiting:
+            out.ended(TurnedAway(Why.DOWN))
+
+    def _down(self) -> None:
+        if not self.down:
+            self.down = True
+            self.passage.reached(self.node, False)
 
     def _write(self, out: Out) -> None:
         assert self.link is not None
@@ -74,30 +90,41 @@
     async def _come_up(self) -> None:
         link = await connect(self.address, lambda: Link(lambda _: None, self._frame, self._lost))
         self.coming = None
-        waiting, self.waiting = self.waiting, []
+        if self.left:
+            if link is not None:
+                link.close("it has another address now")
+            return
         if link is None or not link.up:
-            self.not_before = self.passage.loop.time() + self.pause
-            self.pause = min(2.0 * self.pause, AGAIN_MOST_S)
-            for out in waiting:
-                out.ended(TurnedAway(Why.DOWN))
+            self._again()
+            self._release()
             return
         self.link, self.pause = link, AGAIN_S
         link.send({"t": "hello", "node": self.passage.node, "for": "calls"})
+        waiting, self.waiting = self.waiting, []
         for out in waiting:
             if link.up:
                 self._write(out)
             else:
                 out.ended(TurnedAway(Why.DOWN))
+        if self.down:
+            self.down = False
+            self.passage.reached(self.node, True)
+
+    def _again(self) -> None:
+        """Calls go elsewhere; the link is tried again by itself, as long as the node is known."""
+        self._down()
+        self.not_before = self.passage.loop.time() + self.pause
+        self.pause = min(2.0 * self.pause, AGAIN_MOST_S)
 
     def _frame(self, link: Link, head: Head, body: bytes) -> None:
         if head.get("t") != "end":
             return
         try:
-            out = self.out.pop(head["n"], None)
-            end = read_end(head, body)
+            number, end = head["n"], read_end(head, body)
         except (KeyError, TypeError, ValueError, AttributeError) as fault:
             link.close(f"unreadable end: {fault}")
             return
+        out = self.out.pop(number, None)
         if out is not None:
             link.expects -= 1
             out.ended(end)
@@ -107,6 +134,8 @@
             return
         self.link = None
         out, self.out = self.out, {}
+        if why != IDLE and not self.left:
+            self._again()
         if out:
             self.passage.gauge.tell(events.CALLS_CUT, peer=self.node, calls=len(out), why=why)
         for item in out.values():
@@ -120,18 +149,32 @@
             self.link.expects -= 1
             self.link.send({"t": "drop", "n": out.number})
 
+    def leave(self) -> None:
+        """The node is elsewhere now, or gone. What is out may have run; what waits has not been sent."""
+        self.left = True
+        waiting, self.waiting = self.waiting, []
+        for out in waiting:
+            out.ended(TurnedAway(Why.DOWN))
+        if self.link is not None:
+            self.link.close("it has another address now")
+
     def tick(self, now: float) -> None:
         if self.link is not None:
             self.link.tick(now)
             if not self.out and now - self.used > IDLE_S and self.link is not None:
-                self.link.close("idle")
+                self.link.close(IDLE)
+        elif self.down and self.coming is None and now >= self.not_before:
+            self.coming = self.passage.loop.create_task(self._come_up())
 
 
 class Passage:
-    """All of them. ``local`` is the second hop of this process, ``node`` this one's name."""
+    """All of them. ``local`` is the second hop of this process, ``node`` this one's name. ``reached`` is told
+    when a node can no longer be reached, and when it can again."""
 
-    def __init__(self, node: str, local: Tailrace, gauge: Gauge) -> None:
-        self.node, self.local, self.gauge = node, local, gauge
+    def __init__(
+        self, node: str, local: Tailrace, gauge: Gauge, reached: Callable[[str, bool], None]
+    ) -> None:
+        self.node, self.local, self.gauge, self.reached = node, local, gauge, reached
         self.loop = asyncio.get_running_loop()
         self.count = 0
         self._links: dict[str, Outgoing] = {}
@@ -147,9 +190,12 @@
             ended(TurnedAway(Why.DOWN))
             return out
         if link is None or link.address != address:
-            if link is not None and link.link is not None:
-                link.link.close("it has another address now")
+            if link is not None:
+                link.leave()
+            known_down = link is not None and link.down
             link = self._links[node] = Outgoing(self, node, address)
+            if known_down:
+                self.reached(node, True)
         out.link = link
         link.send(out)
         return out
@@ -160,11 +206,16 @@
         elif out.link is not None:
             out.link.drop(out)
 
+    def reaches(self, node: str) -> bool:
+        """As far as is known."""
+        link = self._links.get(node)
+        return link is None or not link.down
+
     def forget(self, node: str) -> None:
         """A node that is known no more."""
         link = self._links.pop(node, None)
-        if link is not None and link.link is not None:
-            link.link.close("gone")
+        if link is not None:
+            link.leave()
 
     def tick(self, now: float) -> None:
         for link in list(self._links.values()):
@@ -203,3 +254,10 @@
         self._link.owes -= 1
         head, body = end_head(number, end)
         self._link.send(head, body)
+
+    def lost(self) -> None:
+        """The link is down: its first hop has given these up, and may have sent them elsewhere. What waits
+        does not run any more, and what runs is nobody's."""
+        running, self._running = self._running, {}
+        for item in running.values():
+            self._tailrace.drop(item)
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -13,6 +13,7 @@
 from waterworks.aquifer.store import Store
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
+from waterworks.headworks.questions import Asker, Questions
 from waterworks.headworks.settings import Settings
 from waterworks.leat.channels import Channel, Channels
 from waterworks.manifold.routes import Routes, read_route
@@ -24,11 +25,12 @@
 from waterworks.sluice.outlet import Outlets
 from waterworks.sluice.passage import Incoming, Passage
 from waterworks.sluice.registry import Registry
+from waterworks.sluice.shown import answers_of
 from waterworks.sluice.tables import Tables
 from waterworks.sluice.tailrace import Tailrace
 from waterworks.sluice.tap import Tap
 from waterworks.weir.lives import Upstream
-from waterworks.weir.tombs import Tombs
+from waterworks.weir.tombs import ASKS_ANEW_S, Tombs
 
 MOST_CHARTER = 40_000
 MOST_ROLL = 20_000
@@ -54,7 +56,7 @@
         assert settings.upstream is not None
         self.tap = Tap(settings.upstream, TAP_MOST, gauge)
         self.tailrace = Tailrace(self.upstream, self.tap, gauge, lambda told: self.registry.publish(told))
-        self.passage = Passage(settings.node, self.tailrace, gauge)
+        self.passage = Passage(settings.node, self.tailrace, gauge, self._reached)
         self.tables = Tables(
             self.passage,
             self.membership,
@@ -69,7 +71,7 @@
             settings.plant,
             settings.limits.memory_mb,
             self.routes.find,
-            self._configured,
+            self.configured,
             lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
         )
         self.registry = Registry(
@@ -92,9 +94,11 @@
             gauge,
             self._changed,
         )
+        self.questions = Questions(answers_of(self, time.time))
         self.ending = False
         self._links: set[Link] = set()  # with calls from other sidecars
         self._server: asyncio.Server | None = None
+        self._touched = self.loop.time()  # when there was last a link with news
         self._node_version = int(time.time() * 1000)
 
     # Start and end
@@ -138,13 +142,18 @@
             link.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
+        if self.channels.open:
+            self._touched = now
+        elif now - self._touched > ASKS_ANEW_S:
+            self._touched = now
+            self._changed("roll", self.roll.clear())
         self.registry.mind()
 
-    def _configured(self) -> bool:
+    def configured(self) -> bool:
         return len(self.routes) > 0 and self.channels.whole_at > 0.0
 
     async def _ready(self, message: http.Message) -> Answer:
-        return Answer(200 if self._configured() and not self.ending else 503)
+        return Answer(200 if self.configured() and not self.ending else 503)
 
     async def stop(self) -> None:
         """Readiness first, then word to the others that this upstream cannot be reached; what is in hand
@@ -179,6 +188,15 @@
             self.tables.people(self.membership.sluices(), self.membership.zones())
         self.channels.poke()
 
+    def _reached(self, node: str, up: bool) -> None:
+        """What cannot be reached from here takes no calls from here, whatever others say of it."""
+        self.gauge.tell(events.REACHED if up else events.UNREACHED, peer=node)
+        for instance in self.membership.at(node):
+            value = self.membership.instances[instance]
+            table = self.tables.by_service.get(str(value["plant"]))
+            if table is not None:
+                table.tell([(instance, value)])
+
     def _configure(self, item: Item) -> None:
         if item.kind == "route":
             if item.value is None:
@@ -216,6 +234,10 @@
                 link.close(f"unreadable {head.get('t')}: {fault!r}")
         elif isinstance(link.peer, Channel):
             self.channels.frame(link.peer, head, body)
+        elif isinstance(link.peer, Asker):
+            link.peer.frame(head)
+        elif head.get("t") == "hello" and head.get("for") == "operate":
+            self.questions.adopt(link)
         elif head.get("t") == "hello" and head.get("for") == "calls":
             link.peer = Incoming(link, self.tailrace)
             self._links.add(link)
@@ -226,5 +248,8 @@
 
     def _unmet(self, link: Link, why: str) -> None:
         self._links.discard(link)
+        self.questions.lost(link)
         if isinstance(link.peer, Channel):
             self.channels.lost(link.peer, why)
+        elif isinstance(link.peer, Incoming):
+            link.peer.lost()
--- a/waterworks/sluice/tables.py
+++ b/waterworks/sluice/tables.py
@@ -20,6 +20,7 @@
 from waterworks.penstock.link import Address
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
 from waterworks.sluice.passage import Out, Passage
+from waterworks.sluice.traces import FirstHop, Try, words
 from waterworks.valve.budget import Budget
 from waterworks.valve.passing import Why
 
@@ -28,7 +29,11 @@
 COLD_FROM = 0.5  # share of its capacity that an upstream starts with, until its own answers tell
 RETRY_AFTER_MS = 10_000.0  # the longest advice; clients take a third of their time at the most
 CLASSES = 64  # routes with a class of their own; the rest share one by what they may do
-PATIENCE = 0.25  # of its aim a request waits for a place; then it is told to come back
+# Of its aim a request waits for a place, and is then told to come back: a quarter less the ways to its
+# client.
+# What is worth more for its work than others at the service waits longer: the next places are its own.
+PATIENCE, PATIENCE_OVER = 0.18, 0.5
+PROMISES = frozenset({408, 421, 429, 503})  # by which a client knows that its request has not run
 GUARD_MS = 40.0  # after its deadline a request without a decision is answered all the same
 
 
@@ -72,6 +77,7 @@
     answer: Callable[[Final], None]
     outs: list[Out | None] = field(default_factory=list)
     sent: list[float] = field(default_factory=list)
+    tried: list[Try] = field(default_factory=list)
     arrived: int = 0  # upstreams that it reached, or may have
     unclear: bool = False  # it may have run
     last: Returned | None = None  # an upstream's answer that was no success
@@ -130,11 +136,9 @@
         if known is not None and name != route.name:
             return name
         effect = Effect.UNSAFE if route.effectful else Effect.SAFE
-        if known is None or (known.aim_ms, known.deadline_ms, known.effect) != (
-            aim,
-            route.horizon_ms,
-            effect,
-        ):
+        shape = (aim, route.horizon_ms, effect)
+        same = known is not None and (known.aim_ms, known.deadline_ms, known.effect) == shape
+        if not same or self.tables.trials[name] != route.trials:
             self._classes[name] = api.RequestClass(
                 name,
                 aim_ms=aim,
@@ -172,7 +176,7 @@
                 started = self.tables.now() - (self._cold_ms - cold)
             entry = api.ServerEntry(
                 instance,
-                ServerState.READY if value.get("state") == "settled" else ServerState.DRAINING,
+                ServerState.READY if self._takes(value) else ServerState.DRAINING,
                 zone=str(value.get("zone", "")),
                 size=float(value.get("capacity", 1)),
                 started_at=started,
@@ -183,6 +187,9 @@
         if told or whole:
             self.handle(api.ServerList(ListKind.FULL if whole else ListKind.DELTA, 0, tuple(told)))
 
+    def _takes(self, value: Mapping[str, Any]) -> bool:
+        return value.get("state") == "settled" and self.tables.passage.reaches(str(value.get("node")))
+
     # Requests
 
     def take(self, ask: Ask) -> None:
@@ -197,6 +204,7 @@
         """Its client has left."""
         if not ask.over:
             self._over(ask)
+            self.tables.traces.ended(self.tables.now(), ask, None)
             self._cut(ask)
             self.handle(api.ClientGone(ask.id))
 
@@ -221,6 +229,8 @@
     def _finish(self, ask: Ask, final: Final) -> None:
         if not ask.over:
             self._over(ask)
+            told = final.answer.status if isinstance(final, Served) else final
+            self.tables.traces.ended(self.tables.now(), ask, told)
             ask.answer(final)
 
     # The module: events in, actions out
@@ -276,7 +286,9 @@
         number = len(ask.outs)
         ask.outs.append(None)
         ask.sent.append(now)
+        ask.tried.append((instance, "out", 0.0))
         if ask.arrived and (ask.arrived >= ask.route.trials or not self.budget.spend(now, tables.sidecars)):
+            ask.tried[number] = (instance, "not sent: no budget for a further try", 0.0)
             self.handle(api.AttemptEnded(ask.id, number, Outcome.MOOT, 0.0, False))
             return
         node = tables.node_of(instance)
@@ -291,12 +303,18 @@
             ask.deadline - now,
             rank=2.0 ** -min(ask.route.priority, 8) / max(ask.route.aim_ms, 1.0),
             patience_ms=PATIENCE * ask.route.aim_ms - (now - ask.taken),
+            longer_ms=PATIENCE_OVER * ask.route.aim_ms - (now - ask.taken),
         )
         ask.arrived += 1
-        out = tables.passage.send(
-            call, node, tables.address_of(node), lambda end: self._ended(ask, number, end)
-        )
-        if not ask.over:
+        ended = False
+
+        def end_with(end: End) -> None:
+            nonlocal ended
+            ended = True
+            self._ended(ask, number, end)
+
+        out = tables.passage.send(call, node, tables.address_of(node), end_with)
+        if not ended:  # it may have been turned away at once
             ask.outs[number] = out
 
     def _ended(self, ask: Ask, number: int, end: End) -> None:
@@ -304,9 +322,12 @@
             return
         ask.outs[number] = None
         latency = self.tables.now() - ask.sent[number]
+        ask.tried[number] = (ask.tried[number][0], words(end), latency)
         closed = False
         if isinstance(end, Returned):
-            if end.status >= 500:
+            if end.status in PROMISES:  # without the mark that it did not run it is none
+                ask.unclear, outcome = True, Outcome.ERROR
+            elif end.status >= 500:
                 ask.last, ask.unclear = end, True
                 outcome = Outcome.TIMEOUT if end.status == 504 else Outcome.ERROR
             else:
@@ -350,6 +371,7 @@
         self.trials: dict[str, int] = {}
         self.sidecars, self.many_zones = 3, False
         self.by_service: dict[str, Table] = {}
+        self.traces = FirstHop()
 
     def now(self) -> float:
         return self.loop.time() * 1000.0
--- a/waterworks/sluice/tailrace.py
+++ b/waterworks/sluice/tailrace.py
@@ -10,7 +10,8 @@
 from waterworks.gauge.log import Gauge
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
 from waterworks.sluice.tap import Answered, NotSent, Outcome, Tap, TapConnection
-from waterworks.valve.line import Line
+from waterworks.sluice.traces import SecondHop
+from waterworks.valve.line import Line, Lowest
 from waterworks.valve.passing import Turned, Why, judge, places
 from waterworks.weir.lives import Publish, Upstream
 
@@ -23,10 +24,11 @@
 class Running:
     """A call that waits for a place, or has been passed on."""
 
-    __slots__ = ("call", "came", "connection", "done", "dropped", "ended", "expiry", "task")
+    __slots__ = ("began", "call", "came", "connection", "done", "dropped", "ended", "expiry", "task")
 
     def __init__(self, call: Call, ended: Callable[[End], None], came: float) -> None:
         self.call, self.ended, self.came = call, ended, came
+        self.began = 0.0  # when it was passed on
         self.done = self.dropped = False
         self.connection: TapConnection | None = None
         self.expiry: asyncio.TimerHandle | None = None
@@ -40,8 +42,10 @@
         self.upstream, self.tap, self._gauge, self._publish = upstream, tap, gauge, publish
         self._loop = asyncio.get_running_loop()
         self.running: set[Running] = set()  # at the upstream
-        self.line = Line()
+        self.line, self.lowest = Line(), Lowest()
+        self.traces = SecondHop()
         self._alarm: asyncio.TimerHandle | None = None
+        self._rings = 0.0  # when it does
         self._tasks: set[asyncio.Task[None]] = set()
         self.load: tuple[int, int, int] | None = None  # running, waiting, slots, as last told
 
@@ -53,25 +57,28 @@
         now = self.now()
         verdict = judge(now, self.upstream, call.instance, call.left_ms)
         if isinstance(verdict, Turned):
+            self.traces.ended(now, call, now, 0.0, TurnedAway(verdict.why))
             ended(TurnedAway(verdict.why))
             return None
         running = Running(call, ended, now)
         at_once, waiting = places(self.upstream)
+        patience = call.longer_ms if self.lowest.over(now, call.rank) else call.patience_ms
         if len(self.running) < at_once:
             self._start(running)
-        elif call.patience_ms <= 0.0:
+        elif patience <= 0.0:
+            self.traces.ended(now, call, now, 0.0, TurnedAway(Why.FULL))
             ended(TurnedAway(Why.FULL))
             return None
         else:
-            over = self.line.add(running, call.rank, now + call.patience_ms, waiting)
+            over = self.line.add(running, call.rank, now + patience, waiting)
             if isinstance(over, Running):
                 self._turn_away(over, Why.FULL)
             self._wake(now)
         return running
 
     def _start(self, running: Running) -> None:
-        call = running.call
-        call.left_ms -= self.now() - running.came
+        call, running.began = running.call, self.now()
+        call.left_ms -= running.began - running.came
         self.running.add(running)
         running.expiry = self._loop.call_later(call.left_ms / 1000.0 + LATE_S, self._expire, running)
         running.task = task = self._loop.create_task(self._pass(running))
@@ -80,6 +87,7 @@
 
     def _turn_away(self, running: Running, why: Why) -> None:
         running.done = True
+        self.traces.ended(self.now(), running.call, running.came, 0.0, TurnedAway(why))
         running.ended(TurnedAway(why))
 
     def _next(self) -> None:
@@ -98,8 +106,13 @@
 
     def _wake(self, now: float) -> None:
         """The alarm for the next whose patience ends."""
-        if self._alarm is None and (end := self.line.end()) is not None:
-            self._alarm = self._loop.call_later(max(end - now, 0.0) / 1000.0, self._out_of_patience)
+        end = self.line.end()
+        if end is None or self._alarm is not None and self._rings <= end:
+            return
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._rings = end
+        self._alarm = self._loop.call_later(max(end - now, 0.0) / 1000.0, self._out_of_patience)
 
     def _out_of_patience(self) -> None:
         self._alarm = None
@@ -132,11 +145,12 @@
         connection = await self.tap.ask(
             call.attempt.encode("latin-1"), payload, lambda outcome: self._end(running, outcome)
         )
-        if running.done or connection is None:
+        if connection is None:
             return
-        running.connection = connection
         if running.dropped:
             connection.drop()
+        elif not running.done:
+            running.connection = connection
 
     def _expire(self, running: Running) -> None:
         if not running.done:
@@ -155,6 +169,7 @@
     def _tell(self, running: Running, end: End) -> None:
         if not running.done:
             self._forget(running)
+            self.traces.ended(self.now(), running.call, running.came, running.began, end)
             running.ended(end)
 
     def _end(self, running: Running, outcome: Outcome) -> None:
--- /dev/null
+++ b/waterworks/sluice/traces.py
@@ -0,0 +1,98 @@
+"""The last calls of this sidecar, kept in memory for `trace`: what was decided of each, and how it ended.
+
+Calls that were served in time at the first try have a ring of their own, so that a flood of them does not
+push out the others. An entry holds names and numbers, never a request or an answer: their bodies must go when
+the call is over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from waterworks.sluice.hop import Call, End, Returned, TurnedAway
+
+if TYPE_CHECKING:
+    from waterworks.sluice.tables import Ask, Failed, Refused
+
+KEPT = 400  # calls of each ring
+MOST_TRIES = 8  # of one call, the first; the others are only counted
+MOST_NAME, MOST_WORDS = 128, 80  # characters
+
+Try = tuple[str, str, float]  # the upstream, how it ended, after so many milliseconds
+# attempt id, taken and over (ms of the loop's clock), route, its version and aim (ms), service, tries, how
+# many, and the end: the status of the upstream's answer, the sidecar's word, or None: the client left
+First = tuple[str, float, float, str, int, float, str, tuple[Try, ...], int, "int | Refused | Failed | None"]
+# attempt id, came, passed on (0: never) and over (ms of the loop's clock), upstream, calling service, the end
+Second = tuple[str, float, float, float, str, str, str]
+E = TypeVar("E")
+
+
+class Ring(Generic[E]):
+    """The last ``KEPT`` of what was added."""
+
+    __slots__ = ("_at", "_entries")
+
+    def __init__(self) -> None:
+        self._entries: list[E | None] = [None] * KEPT
+        self._at = 0
+
+    def add(self, entry: E) -> None:
+        at = self._at
+        self._entries[at] = entry
+        self._at = at + 1 if at + 1 < KEPT else 0
+
+    def __iter__(self) -> Iterator[E]:
+        """The oldest first."""
+        for entry in self._entries[self._at :] + self._entries[: self._at]:
+            if entry is not None:
+                yield entry
+
+
+def words(end: End) -> str:
+    """An end in few characters."""
+    if isinstance(end, Returned):
+        return str(end.status)
+    if isinstance(end, TurnedAway):
+        return (
+            f"turned away by the upstream: {end.why.value}"
+            if end.arrived
+            else f"turned away: {end.why.value}"
+        )
+    return f"unclear: {end.why[:MOST_WORDS]}"
+
+
+class FirstHop:
+    """Calls that clients brought here."""
+
+    def __init__(self) -> None:
+        self.plain, self.odd = Ring[First](), Ring[First]()
+
+    def ended(self, now: float, ask: Ask, told: int | Refused | Failed | None) -> None:
+        """``told``: the status passed on, or what this sidecar said itself; None: the client left."""
+        tried, route = ask.tried, ask.route
+        count = len(tried)
+        plain = count == 1 and isinstance(told, int) and told < 500 and now - ask.taken <= route.aim_ms
+        (self.plain if plain else self.odd).add(
+            (
+                *(ask.attempt, ask.taken, now, route.name, route.version, route.aim_ms, ask.service),
+                *(tuple(tried[:MOST_TRIES]), count, told),
+            )
+        )
+
+
+class SecondHop:
+    """Calls that came for the upstream beside this sidecar."""
+
+    def __init__(self) -> None:
+        self.plain, self.odd = Ring[Second](), Ring[Second]()
+
+    def ended(self, now: float, call: Call, came: float, began: float, end: End) -> None:
+        """``came`` and ``began``: when it came here, and was passed on (0: never)."""
+        plain = isinstance(end, Returned) and end.status < 500
+        (self.plain if plain else self.odd).add(
+            (
+                *(call.attempt[:MOST_NAME], came, began, now),
+                *(call.instance[:MOST_NAME], call.caller[:MOST_NAME], words(end)),
+            )
+        )
--- a/waterworks/valve/line.py
+++ b/waterworks/valve/line.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import insort
 from collections.abc import Hashable
 from heapq import heappop, heappush
@@ -15,6 +16,25 @@
 Place = tuple[float, int]  # rank, and how late it came
 
 
+RANK_KEPT_MS = 10_000.0  # the lowest rank of this time is what others are held against
+
+
+class Lowest:
+    """The lowest rank that has come of late."""
+
+    def __init__(self) -> None:
+        self._rank, self._since = math.inf, -math.inf
+        self._next = math.inf
+
+    def over(self, now: float, rank: float) -> bool:
+        """Notes a call; whether it is above the lowest."""
+        if now - self._since > RANK_KEPT_MS:
+            self._rank, self._next, self._since = min(self._next, rank), rank, now
+        self._next = min(self._next, rank)
+        self._rank = min(self._rank, rank)
+        return rank > self._rank
+
+
 class Line:
     def __init__(self) -> None:
         self._waiting: list[tuple[float, int, Hashable]] = []  # the next one last
--- a/waterworks/weir/lives.py
+++ b/waterworks/weir/lives.py
@@ -15,6 +15,7 @@
 
 STEP = 1000  # versions that one beat leaves room for
 SILENT_BEATS = 2.6  # periods without a beat, and a connection refused as well, tell of an end without a word
+ENDED = 64  # lives that are over and known to be
 GONE_VERSION = 1 << 52  # of an id that never comes back
 
 
@@ -39,6 +40,7 @@
         self.gone = False
         self.version = 0
         self._said: dict[str, Any] | None = None
+        self._ended: dict[str, None] = {}  # lives that are over here, the oldest first
 
     @property
     def instance(self) -> str:
@@ -47,6 +49,8 @@
     def take(self, now: float, beat: Beat) -> list[Publish]:
         """A beat. A late one of the same life, and any of a life that has ended here, changes nothing."""
         known = self.beat
+        if beat.instance in self._ended:
+            return []
         if known is not None and known.instance == beat.instance:
             self.heard = now
             if beat.sample_count <= known.sample_count:
@@ -98,6 +102,9 @@
     def _end(self) -> list[Publish]:
         self.gone = True
         assert self.beat is not None
+        self._ended[self.beat.instance] = None
+        while len(self._ended) > ENDED:
+            del self._ended[next(iter(self._ended))]
         return [Publish(self.beat.instance, GONE_VERSION, None)]
 
     def _publish(self) -> list[Publish]:
--- a/waterworks/weir/tombs.py
+++ b/waterworks/weir/tombs.py
@@ -1,7 +1,8 @@
 """How long a dropped item of the membership is kept. No I/O; instants in seconds of the caller's clock.
 
 An item's names never come back (an instance's id is of one life), so its tombstone may go when every copy
-that could still say otherwise has heard of it, or has been out of touch for so long that it asks anew.
+that could still say otherwise has heard of it. Who was out of touch for half of that time forgets what others
+told it and asks for all anew.
 """
 
 from __future__ import annotations
@@ -10,7 +11,8 @@
 
 from waterworks.aquifer.items import Item, Key
 
-KEPT_S = 60.0
+KEPT_S = 600.0
+ASKS_ANEW_S = 0.5 * KEPT_S  # out of touch for so long
 MOST = 4096  # beyond which the oldest go before their time
 
 
