--- a/waterworks/sluice/tables.py
+++ b/waterworks/sluice/tables.py
@@ -26,7 +26,6 @@
 
 FURTHER = 2  # attempts of a request beyond its route's trials, for those that never reached an upstream
 LATE_WORTH = 0.3  # of an answer after its aim, as no configuration tells it
-COLD_FROM = 0.5  # share of its capacity that an upstream starts with, until its own answers tell
 RETRY_AFTER_MS = 10_000.0  # the longest advice; clients take a third of their time at the most
 CLASSES = 64  # routes with a class of their own; the rest share one by what they may do
 # Of its aim a request waits for a place, and is then told to come back: a quarter less the ways to its
@@ -58,7 +57,12 @@
     late: bool
 
 
-Final = Served | Refused | Failed
+@dataclass(frozen=True, slots=True)
+class Anew:
+    """It has not run, and its route is another by now: it is to be taken anew."""
+
+
+Final = Served | Refused | Failed | Anew
 
 
 @dataclass(slots=True, eq=False)
@@ -83,6 +87,7 @@
     last: Returned | None = None  # an upstream's answer that was no success
     guard: asyncio.TimerHandle | None = None
     over: bool = False
+    anyway: bool = False  # its version was said to be old: the newest known here is what it goes by
 
 
 class Place(Protocol):
@@ -105,7 +110,6 @@
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._entries: dict[str, api.ServerEntry] = {}
-        self._cold_ms = 0.0
 
     # Settings, as the routes that have traffic give them
 
@@ -122,7 +126,9 @@
                 may_cancel=True,
                 max_retry_after_ms=RETRY_AFTER_MS,
             ),
-            rules=api.Rules(cold_from=COLD_FROM, cold_ms=getattr(self, "_cold_ms", 0.0)),
+            # A cold upstream has no lesser part by rule: the line before it keeps it from being pushed over,
+            # its own answers say how slow it is, and after a loss of all there is none but cold ones.
+            rules=api.Rules(cold_ms=0.0),
             cross_zone_price=0.01 if tables.many_zones else 0.0,
         )
 
@@ -167,19 +173,11 @@
                 told.append(api.ServerEntry(instance, ServerState.GONE))
                 continue
             known = self._entries.get(instance)
-            started = known.started_at if known is not None else None
-            cold = float(value.get("cold_ms", 0.0))
-            if known is None and cold > 0.0:
-                if cold > self._cold_ms:
-                    self._cold_ms = cold
-                    self.retune()
-                started = self.tables.now() - (self._cold_ms - cold)
             entry = api.ServerEntry(
                 instance,
                 ServerState.READY if self._takes(value) else ServerState.DRAINING,
                 zone=str(value.get("zone", "")),
                 size=float(value.get("capacity", 1)),
-                started_at=started,
             )
             if entry != known:
                 self._entries[instance] = entry
@@ -229,10 +227,18 @@
     def _finish(self, ask: Ask, final: Final) -> None:
         if not ask.over:
             self._over(ask)
+            assert not isinstance(final, Anew)
             told = final.answer.status if isinstance(final, Served) else final
             self.tables.traces.ended(self.tables.now(), ask, told)
+            self.tables.watch(ask, told)
             ask.answer(final)
 
+    def _anew(self, ask: Ask) -> None:
+        """Nothing of it has run or is out; whoever took it does so once more, by the route as it is now."""
+        self._over(ask)
+        self.handle(api.ClientGone(ask.id))
+        ask.answer(Anew())
+
     # The module: events in, actions out
 
     def handle(self, event: api.Event) -> None:
@@ -304,6 +310,10 @@
             rank=2.0 ** -min(ask.route.priority, 8) / max(ask.route.aim_ms, 1.0),
             patience_ms=PATIENCE * ask.route.aim_ms - (now - ask.taken),
             longer_ms=PATIENCE_OVER * ask.route.aim_ms - (now - ask.taken),
+            route=ask.route.name,
+            version=ask.route.version,
+            age_ms=now - ask.taken,
+            anyway=ask.anyway,
         )
         ask.arrived += 1
         ended = False
@@ -334,7 +344,13 @@
                 outcome, closed = Outcome.OK, True
         elif isinstance(end, TurnedAway):
             ask.arrived -= not end.arrived
-            if end.why in (Why.FULL, Why.LATE):
+            if end.why is Why.OLD:
+                outcome, ask.anyway = Outcome.MOOT, True
+                self.tables.renew(end.newer)
+                if not ask.arrived and not ask.unclear:
+                    self._anew(ask)
+                    return
+            elif end.why in (Why.FULL, Why.LATE):
                 # What waited in vain says nothing of the upstream's pace, which is what w is.
                 outcome = Outcome.FULL if end.arrived else Outcome.MOOT
             else:
@@ -372,6 +388,8 @@
         self.sidecars, self.many_zones = 3, False
         self.by_service: dict[str, Table] = {}
         self.traces = FirstHop()
+        self.watch: Callable[[Ask, int | Refused | Failed], None] = lambda ask, told: None  # each call's end
+        self.renew: Callable[[list[Any] | None], None] = lambda item: None  # a second hop knows a newer item
 
     def now(self) -> float:
         return self.loop.time() * 1000.0
