--- a/lab/statistics.py
+++ b/lab/statistics.py
@@ -127,5 +127,7 @@
     if found.n < FEW or precision <= 0:
         wanted = max(2 * found.n, FEW)
     else:
-        wanted = math.ceil(found.n * (found.half() / precision) ** 2)
+        # Nobody plays more than ``most``, however narrow it is asked to be.
+        wider = min(found.half() / precision, math.sqrt(most))
+        wanted = math.ceil(found.n * wider**2)
     return min(max(wanted, math.ceil(1.2 * found.n), found.n + 1), most) - found.n
--- a/tests/test_lab_experiments.py
+++ b/tests/test_lab_experiments.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 from click.testing import CliRunner
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from lab import experiment, hunt, pool, report, running, scenario, tables
@@ -244,6 +244,7 @@
 
 @settings(deadline=None, max_examples=60)
 @given(st.lists(st.floats(-1.0, 1.0), min_size=0, max_size=40), st.floats(0.0, 0.5), st.integers(1, 200))
+@example([0.0, 0.0, 0.0, 0.0, 1.0], 2.2250738585072014e-308, 6)  # no float is as wide as that asks
 def test_more_seeds_end_at_the_bound_or_where_it_is_narrow_enough(
     values: list[float], precision: float, most: int
 ) -> None:
