--- a/test.sh
+++ b/test.sh
@@ -9,4 +9,4 @@
 ruff check .
 mypy
 lint-imports
-python -m pytest -n 4
+python -m pytest -n 4 --known-red=KNOWN-RED.txt
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,8 @@
 import os
 
 from hypothesis import settings
+from known_red import pytest_addoption as pytest_addoption
+from known_red import pytest_configure as pytest_configure
 
 # The source is what is tested, whatever this checkout has compiled; what is to run compiled sets it empty.
 os.environ.setdefault("HARELOOM_PLAIN", "1")
