Say nothing is kept before the store's name is synced by this life itself

Cause: until its folder is synced, a name that was made or renamed may be lost with the power, by itself. A life that died between the rename and the sync of the folder, or whose sync was refused, left a store whose name was there and not safe; the next one opened it, wrote to it, said that rows were kept, and never synced the folder. With the power the name went, and all that was acknowledged with it. So too for the folder itself, and for a store put in place of a damaged one.

Change: the first batch of each life syncs the folder and the one above it before it is said to be kept; a store that is put in another's place begins that anew.

Result: each step of three starts (empty, damaged, put in place) refused in turn, and every choice of names lost after it: 3 tests, all red without the change; a fourth shows that the check sees a name never synced.

--- a/waterworks/cistern/keeper.py
+++ b/waterworks/cistern/keeper.py
@@ -4,6 +4,10 @@
 synced, so that a start finds a whole store, none, or a damaged one, and can tell the three apart. A damaged
 one is renamed, never overwritten and never passed over in silence: what was acknowledged is not on this disk,
 and the caller must know it.
+
+A name may be lost by itself with the power, however often its file was synced, until its folder is. A life
+that died, or a disk that refused, between the two leaves a name that is there and may yet go; so nothing is
+said to be kept by a life that has not synced the folder, and the one above it, itself.
 """
 
 import os
@@ -104,6 +108,7 @@
         self._environment: lmdb.Environment | None = (
             environment  # None after a refusal, until the next call opens it anew
         )
+        self._named = False  # the file's name is known to outlast a loss of power
 
     @staticmethod
     def open(folder: Path, most_bytes: int) -> Opened | Fresh | SetAside | Failed:
@@ -164,6 +169,7 @@
             # The commit's last write is made durable by a flag of its descriptor alone, which not every disk
             # honours.
             environment.sync(True)
+            self._sync_name()
         except lmdb.MapFullError:
             return Refused(f"{self._path}: full at {self._most} bytes; drop rows or give the disk more room")
         except (lmdb.Error, OSError) as error:
@@ -178,9 +184,11 @@
         it. The name goes from the one to the other at once, so that a start finds either."""
         self.close()
         unfinished = self._path.with_name(self._path.name + ".new")
+        self._named = False
         try:
             _make(unfinished, self._most, rows)
             _publish(unfinished, self._path)
+            self._sync_name()
         except (lmdb.Error, OSError) as error:
             return Refused(f"{self._path}: {error}; give the disk room or look at it")
         return Kept()
@@ -228,6 +236,13 @@
             self._environment.close()
             self._environment = None
 
+    def _sync_name(self) -> None:
+        """Raises OSError."""
+        if not self._named:
+            _sync_folder(self._path.parent)
+            _sync_folder(self._path.parent.parent)
+            self._named = True
+
     def _opened(self) -> lmdb.Environment:
         if self._environment is None:
             self._environment = _environment(self._path, self._most)
