Heed the operators' limits as they change, bound bodies in hand, wait at an end for all of grace_s

Cause: of the operators' limits only body_bytes up to 8 MiB and header_lag_ms were heeded. A head over 16 KiB or a body over 8 MiB was refused though they allow it; connections that rested were closed after 2 s, or at once, where half of the room was taken, though clients take them up again within four fifths of quiescent_ms; bodies had no bound together. A long body ended the link that it crossed: whatever was sent behind it found over 4 MiB unsent, and its receiver had nothing to say meanwhile and was taken for silent. After a SIGTERM clients were given up 5.75 s after the notice, however long grace_s is.

Change: manifold/limits.py reads the item; each request keeps to what holds when it begins, on connections that are open too. 431 and 413 come beyond the operators' figures alone; 503 with Retry-After, as soon as a body's length is known, where it finds no room in valve/holding.py (a share of memory_mb, a quarter of it kept from long ones; both hops count there; 16 MiB for one body, which is a frame's bound). Where the operators give quiescent_ms, no connection that has asked is closed idle sooner, but at the bound of connections itself; one that has rested for longer is. Long frames come on top of a link's backlog, and a peer that takes bytes is not silent. The frontend's end takes its time as an argument: what is in service keeps its own.

--- a/anisestair/http/codec.py
+++ b/anisestair/http/codec.py
@@ -91,7 +91,7 @@
         budget: Budget | None = None,
     ) -> None:
         self._parser = parser(self)
-        self._max_body, self._budget = max_body, budget
+        self.max_body, self.max_head, self._budget = max_body, MAX_HEAD, budget
         self.stream: Body | None = None  # the rest of the message being read goes there
         self._carried = 0  # bytes of its body so far
         self._length: int | None = None  # of the body being read, where that is told
@@ -117,7 +117,7 @@
             except (httptools.HttpParserError, httptools.HttpParserUpgrade):
                 self.partial = True
                 raise BadMessage(self._fault) from None
-            if self._spent > MAX_HEAD + FRAMING_A_BYTE * self._carried:
+            if self._spent > self.max_head + FRAMING_A_BYTE * self._carried:
                 raise BadMessage(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def take(self) -> list[Message]:
@@ -160,7 +160,7 @@
         if length is not None and b"transfer-encoding" in framing:
             self._refuse(HTTPStatus.BAD_REQUEST)  # the two may hide another message in the body
         self._length = int(length) if length is not None else None
-        if self._length is not None and self._length > self._max_body and self._budget is None:
+        if self._length is not None and self._length > self.max_body and self._budget is None:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         message.old = self._parser.get_http_version() == "1.0"
         if isinstance(self._parser, httptools.HttpRequestParser):
@@ -209,7 +209,7 @@
         self._carried += len(part)
         # One that will be too long begins with its first bytes: until then another attempt can take its
         # place.
-        if self.stream is None and (self._carried > self._max_body or (self._length or 0) > self._max_body):
+        if self.stream is None and (self._carried > self.max_body or (self._length or 0) > self.max_body):
             if self._budget is None:
                 self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             self.begin()
--- a/anisestair/http/frontend.py
+++ b/anisestair/http/frontend.py
@@ -258,10 +258,14 @@
         self.waiting.clear()
         self.transport.resume_reading()
         # Closing with unread input would reset the connection, and the answer with it.
-        self.transport.write(http.write_response(fault.status, [], b"", close=True))
+        self.transport.write(http.write_response(fault.status, self.advice(fault), b"", close=True))
         self.transport.write_eof()
         self.frontend.loop.call_later(REFUSED_LINGER_S, self.transport.abort)
 
+    def advice(self, fault: http.BadMessage) -> http.Headers:
+        """What such an answer tells besides its status."""
+        return []
+
     def begin(self, taken: float, message: http.Message) -> None:
         """A whole request, in its turn: it gets one ``answer``."""
         sidecar = cast(Sidecar, self.frontend.sidecar)
@@ -386,6 +390,9 @@
 
     connection: type[ClientConnection] = ClientConnection
     request_s = REQUEST_S
+    # Where clients are told how long a connection may rest, none is closed idle sooner, but at the very bound
+    # of connections; and each that has rested for longer is. Seconds; None: they are told nothing.
+    quiescent_s: float | None = None
 
     def __init__(self, sidecar: Host, most: int) -> None:
         self.loop = asyncio.get_running_loop()
@@ -445,6 +452,8 @@
         self._askers += 1
         while self._askers > self._crowd and self.resting and not self._patient:
             connection = next(iter(self.resting))
+            if time.monotonic() - connection.since < (self.quiescent_s or 0.0):
+                return
             del self.resting[connection]
             if connection.idle():
                 connection.close()
@@ -482,10 +491,11 @@
                 if age > self.request_s:
                     connection.refuse(http.BadMessage(HTTPStatus.REQUEST_TIMEOUT))
             elif age > IDLE_S:
-                if connection.asked:
+                if age > self.quiescent_s if self.quiescent_s is not None else not connection.asked:
+                    if connection.idle():
+                        connection.close()
+                elif self.quiescent_s is None or not connection.asked:  # not yet: opened ahead of its request
                     kept.append(connection)
-                elif connection.idle():
-                    connection.close()
         kept.sort(key=lambda item: item.since)
         over = 0 if self._patient else len(self._connections) - int(self._most * ROOMY)
         for connection in kept[: max(over, 0)]:
@@ -556,13 +566,14 @@
         if not self._connections:
             self._empty.set()
 
-    async def stop(self, accept_s: float = ACCEPT_S) -> None:
-        """End in order: nothing that a client has sent, or sends while it cannot know yet, is lost.
+    async def stop(self, accept_s: float = ACCEPT_S, exit_s: float | None = None) -> None:
+        """End in order: nothing that a client has sent, or sends while it cannot know yet, is lost. What is
+        still open ``exit_s`` seconds from now, or EXIT_S, is given up.
 
         Where the socket is shared, new connections are another's from the start, and what is open ends with
         its next answer; a connection that stands idle ends only once nothing has come on it for a while."""
         self.stopping = True
-        ends = self.loop.time() + EXIT_S
+        ends = self.loop.time() + (EXIT_S if exit_s is None else exit_s)
         if self._inherited:
             self.closing = True
             self._yield()
--- a/rigs/mesh_peers.py
+++ b/rigs/mesh_peers.py
@@ -176,6 +176,7 @@
         self.opened += 1
         self._writers.add(writer)
         messages = http.Reader(httptools.HttpRequestParser, MOST_BODY)
+        messages.max_head = MOST_BODY
         try:
             while (message := await read_message(messages, reader)) is not None:
                 self.seen.append(message)
--- a/tests/mesh/test_penstock_link.py
+++ b/tests/mesh/test_penstock_link.py
@@ -184,3 +184,29 @@
         assert await soon(connect(address, End().make)) is None
 
     play(run)
+
+
+def test_frames_behind_long_ones_do_not_end_the_link_and_a_peer_that_reads_is_not_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(module, "BACKLOG_BYTES", 200_000)
+
+    async def test(end: End, raw: Raw, writer: asyncio.StreamWriter) -> None:
+        link, long = end.link, b"x" * 8_000_000
+        link.expects = 1
+        assert link.send({"t": "x"}, long) and link.send({"t": "x"}, long)
+        assert link.unsent > 200_000 and link.send({"t": "y"})
+        for _ in range(4):  # it takes long, and nothing comes back meanwhile
+            link.tick(end.link._loop.time())
+            before = link.unsent
+            for _ in range(40):
+                await raw.reader.read(65536)
+            await until(lambda before=before: link.unsent < before)  # type: ignore[misc]
+            move(0.8 * SILENT_S)
+        assert link.up
+        move(1.1 * SILENT_S)
+        link.tick(end.link._loop.time())  # it has read in between
+        link.tick(end.link._loop.time() + 1.1 * SILENT_S)
+        assert await soon(end.lost) == "silent"
+
+    against(test)
--- /dev/null
+++ b/tests/mesh/test_sluice_limits.py
@@ -0,0 +1,285 @@
+"""What clients may send, how long they may rest, and how long they are waited for at an end: by the
+operators' item and the settings, on one whole sidecar."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from anisestair.http.frontend import EXIT_S, IDLE_S
+from rigs.mesh_peers import (
+    Client,
+    Upstream,
+    free_ports,
+    move,
+    play,
+    route,
+    soon,
+    turns,
+    until,
+    write_settings,
+)
+from waterworks.gauge.log import Gauge
+from waterworks.headworks.settings import Settings, read
+from waterworks.manifold.limits import HEAD_BESIDE, MOST_HEAD, Limits, read_limits
+from waterworks.sluice.intake import LONGEST
+from waterworks.sluice.program import EXIT_S as BEFORE_KILL_S
+from waterworks.sluice.program import NOTICE_S, Sluice
+from waterworks.valve.holding import LONG_SHARE, SHORT, Holding
+
+TOLD = {"header_bytes": 65536, "body_bytes": 12 << 20, "header_lag_ms": 3000, "quiescent_ms": 15000}
+
+
+class Beside:
+    """A sidecar that runs, the upstream beside it, and the operators' item."""
+
+    def __init__(self, folder: Path, ports: list[int], upstream: Upstream, grace_s: float) -> None:
+        file = folder / "side.toml"
+        write_settings(
+            *(file, "n1", "127.0.0.1", "auxiliary", ports, ["127.0.0.9"], upstream.address, "s"),
+            grace_s=grace_s,
+        )
+        settings = read(file.read_text())
+        assert isinstance(settings, Settings), settings
+        self.sluice, self.upstream = Sluice(settings, Gauge("t", io.StringIO())), upstream
+        self.control, self.outbound = ("127.0.0.1", ports[1]), ("127.0.0.1", ports[2])
+        self._version = 0
+
+    def take(self, kind: str, name: str, value: dict[str, Any] | None) -> None:
+        self._version += 1
+        item = self.sluice.charter.take(kind, name, self._version, value)
+        self.sluice._changed("charter", [item])  # type: ignore[list-item]
+
+    async def client(self) -> Client:
+        return await Client.to(self.outbound)
+
+    async def open(self, count: int) -> None:
+        await until(lambda: self.sluice.outlets.held() == count)
+
+
+def beside(folder: Path, test: Callable[[Beside], Awaitable[None]], grace_s: float = 6.0) -> None:
+    async def run() -> None:
+        upstream = Upstream(way=lambda message: message.target.rpartition(b"/")[2].decode())
+        await upstream.start()
+        there = Beside(folder, free_ports(["127.0.0.1"], 4), upstream, grace_s)
+        sluice = there.sluice
+        await sluice.start()
+        there.take("plant", "s", {"name": "s", "epoch": "r1"})
+        there.take("route", "read", {**route("read", "/read/", "s", horizon_ms=30_000), "host": "h.example"})
+        assert await upstream.tell(there.control) == 200
+        try:
+            await test(there)
+        finally:
+            upstream.release.set()
+            sluice.tap.close()
+            for connection in list(sluice.outlets._connections):
+                connection.close()
+            await sluice.outlets.stop(accept_s=0.0)
+            sluice.control.stop()
+            sluice.readiness.stop()
+            assert sluice._server is not None
+            sluice._server.close()
+            upstream.close()
+            await turns()
+
+    play(run)
+
+
+def test_figures_that_are_missing_have_their_defaults_and_none_is_taken_beyond_its_bound() -> None:
+    assert read_limits(None) == read_limits({"header_bytes": None}) == Limits()
+    assert read_limits(TOLD) == Limits(65536 + HEAD_BESIDE, 12 << 20, 3.25, 15.0)
+    assert read_limits({"header_bytes": 1e12}).head == MOST_HEAD + HEAD_BESIDE
+
+
+def test_a_head_may_be_as_long_as_the_operators_say_now(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        async def status(client: Client, size: int) -> int:
+            return (await client.ask("a1", "/read/ok", headers=[(b"x-own", b"x" * size)])).status
+
+        client, other = await there.client(), await there.client()
+        assert await status(other, 60_000) == 431
+        there.take("input_limits", "input_limits", TOLD)
+        assert await status(client, 60_000) == 200  # on a connection that was open before
+        there.take("input_limits", "input_limits", {**TOLD, "header_bytes": 20_000})
+        assert await status(client, 20_000) == 200
+        assert await status(client, 60_000) == 431
+        there.take("input_limits", "input_limits", None)
+        assert await status(await there.client(), 60_000) == 431
+
+    beside(tmp_path, test)
+
+
+def test_a_body_may_be_as_long_as_the_operators_say_now(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        body = b"x" * (9 << 20)
+        client = await there.client()
+        there.take("input_limits", "input_limits", TOLD)
+        answer = await client.ask("a1", "/read/ok", body=body)
+        assert answer.status == 200 and answer.body.endswith(body)
+        there.take("input_limits", "input_limits", {**TOLD, "body_bytes": 8 << 20})
+        assert (await client.ask("a2", "/read/ok", body=body)).status == 413
+        assert there.sluice.intake.bodies.held == 0
+
+    beside(tmp_path, test)
+
+
+HEAD = b"POST /read/%b HTTP/1.1\r\nhost: h.example\r\nattempt-id: %b\r\n%b\r\n"
+
+
+def test_a_body_that_memory_does_not_bear_is_503_before_it_is_read(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        bodies = there.sluice.intake.bodies = Holding(2 * 1000, 900)
+        held = await there.client()
+        held.send("a1", "/read/hold", body=b"x" * 600)
+        assert (await soon(there.upstream.comes.get())).body == b"x" * 600 and bodies.held == 600
+        for size, status in (400, 200), (401, 503), (901, 503):
+            client = await there.client()
+            client.write(HEAD % (b"ok", b"a2", b"expect: 100-continue\r\ncontent-length: %d\r\n" % size))
+            told = await soon(client._stream.readuntil(b"\r\n\r\n"))
+            if status == 200:
+                assert told.startswith(b"HTTP/1.1 100") and bodies.held == 1000
+                client.write(b"x" * size)
+                answer = await client.read()
+                assert answer is not None and answer.status == 200
+            else:
+                assert told.startswith(b"HTTP/1.1 503") and b"retry-after" in told
+            assert bodies.held == 600
+        client = await there.client()  # one that does not say its length, and finds no more room on its way
+        assert (await client.ask("a3", "/read/ok", chunks=[b"x" * 300, b"x" * 101])).status == 503
+        there.upstream.release.set()
+        answer = await held.read()
+        assert answer is not None and answer.status == 200 and bodies.held == 0
+        assert len(there.upstream.seen) == 2
+
+    beside(tmp_path, test)
+
+
+def test_what_was_held_for_a_body_is_given_back_however_it_ends(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        there.take("input_limits", "input_limits", {**TOLD, "body_bytes": 1000})
+        bodies, size = there.sluice.intake.bodies, b"content-length: 700\r\n"
+        ways = (
+            (HEAD % (b"ok", b"a1", size) + b"x" * 200, "leaves"),
+            (HEAD % (b"hold", b"a1", size) + b"x" * 700 + HEAD % (b"ok", b"a2", size), "leaves"),
+            (HEAD % (b"hold", b"a1", size) + b"x" * 700 + b"no request\r\n\r\n", "leaves"),
+            (HEAD % (b"ok", b"a 1", size) + b"x" * 700, "400"),
+            (HEAD % (b"ok", b"a1", b"transfer-encoding: chunked\r\n") + b"384\r\n" + b"x" * 900, "leaves"),
+            (HEAD % (b"ok", b"a1", b"transfer-encoding: chunked\r\n") + b"3e9\r\n" + b"x" * 1001, "413"),
+            (HEAD % (b"ok", b"a1", size + b"host: h\r\n") + b"x" * 700, "400"),
+        )
+        for sent, end in ways:
+            client = await there.client()
+            client.write(sent)
+            if end == "leaves":
+                await until(lambda: bodies.held > 0)
+                client.leave()
+            else:
+                answer = await client.read()
+                assert answer is not None and answer.status == int(end), sent
+            await until(lambda: bodies.held == 0)
+
+    beside(tmp_path, test)
+
+
+def test_long_bodies_leave_room_for_short_ones() -> None:
+    bodies = Holding(2 * 16 * SHORT, 8 * SHORT)
+    assert not bodies.take(8 * SHORT + 1) and not bodies.take(1, before=8 * SHORT)
+    assert bodies.take(8 * SHORT) and bodies.take(4 * SHORT)
+    assert bodies.held == LONG_SHARE * bodies.most and not bodies.take(SHORT + 1)
+    assert not bodies.take(1, before=SHORT)
+    assert all(bodies.take(SHORT) for _ in range(4)) and not bodies.take(1)
+    bodies.give(bodies.held)
+    assert bodies.held == 0 and LONGEST == 16 << 20
+
+
+def test_no_connection_is_closed_idle_before_the_operators_time_and_each_is_after_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test(there: Beside) -> None:
+        outlets = there.sluice.outlets
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr("anisestair.http.frontend.time", SimpleNamespace(monotonic=loop.time))
+        there.take("input_limits", "input_limits", TOLD)
+        outlets._most, outlets._crowd = 10, 5.0
+        clients = [await there.client() for _ in range(8)]
+        for at, client in enumerate(clients[:7]):  # beyond all shares of the room; one has not asked yet
+            assert (await client.ask(f"a{at}", "/read/ok")).status == 200
+        await there.open(8)
+        for _ in range(6):
+            move(0.13 * 15.0)
+            outlets._sweep()
+            await turns()
+        late = await there.client()
+        await there.open(8)  # room is short: the one that never asked has gone for it, no other has
+        for at, client in enumerate(clients[:7]):
+            assert (await client.ask(f"b{at}", "/read/ok")).status == 200
+        assert (await late.ask("c", "/read/ok")).status == 200
+        move(1.01 * 15.0)
+        outlets._sweep()
+        await there.open(0)
+
+    beside(tmp_path, test)
+
+
+def test_a_connection_that_has_not_asked_may_wait_as_long_while_there_is_room(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test(there: Beside) -> None:
+        outlets = there.sluice.outlets
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr("anisestair.http.frontend.time", SimpleNamespace(monotonic=loop.time))
+        there.take("input_limits", "input_limits", TOLD)
+        early = await there.client()
+        await there.open(1)
+        move(0.8 * 15.0)
+        outlets._sweep()
+        assert (await early.ask("a1", "/read/ok")).status == 200
+        there.take("input_limits", "input_limits", None)  # without a word of theirs it may not
+        silent = await there.client()
+        await there.open(2)
+        move(IDLE_S + 0.1)
+        outlets._sweep()
+        assert await silent.read() is None
+        assert (await early.ask("a2", "/read/ok")).status == 200
+
+    beside(tmp_path, test)
+
+
+def test_at_an_end_clients_are_waited_for_as_long_as_the_platform_does(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test(there: Beside) -> None:
+        sluice, loop = there.sluice, asyncio.get_running_loop()
+        client = await there.client()
+        client.send("a1", "/read/hold", left_ms=30_000)
+        await soon(there.upstream.comes.get())
+        given, stop = [], sluice.outlets.stop
+
+        async def noted(accept_s: float, exit_s: float) -> None:
+            given.append(exit_s)
+            await stop(accept_s, exit_s)
+            given.append(-1.0)  # no more is waited
+
+        monkeypatch.setattr(sluice.outlets, "stop", noted)
+        ends = loop.create_task(sluice.stop())
+        await turns()
+        move(NOTICE_S)
+        await until(lambda: bool(given))
+        assert 20.0 - NOTICE_S - BEFORE_KILL_S - 1.0 < given[0] <= 20.0 - NOTICE_S - BEFORE_KILL_S
+        for _ in range(4):
+            move(EXIT_S / 2.0)
+            await turns()
+        assert len(given) == 1 and not ends.done() and sluice.outlets.held() == 1
+        there.upstream.release.set()
+        answer = await client.read()
+        assert answer is not None and (answer.status, answer.get(b"connection")) == (200, "close")
+        await soon(ends)
+        monkeypatch.undo()
+
+    beside(tmp_path, test, grace_s=20.0)
--- a/tests/mesh/test_sluice_outlet.py
+++ b/tests/mesh/test_sluice_outlet.py
@@ -12,6 +12,7 @@
 from anisestair.http import codec as http
 from rigs.mesh_peers import Client, Upstream, move, play, route, soon, turns, until
 from waterworks.gauge.log import Gauge
+from waterworks.manifold.limits import Limits
 from waterworks.manifold.routes import Routes, read_route
 from waterworks.penstock.link import Address
 from waterworks.sluice.intake import OTHERS_S, Intake
@@ -270,7 +271,7 @@
 
 def test_a_body_beyond_the_bound_is_413_and_runs_nowhere() -> None:
     async def test(sidecar: Sidecar) -> None:
-        sidecar.intake.most_body = 10
+        sidecar.outlets.keep_to(Limits(body=10))
         client = await sidecar.client()
         assert (await client.ask("a1", body=b"x" * 10)).status == 200
         assert (await client.ask("a2", body=b"x" * 11)).status == 413
--- a/tests/mesh/test_sluice_passage.py
+++ b/tests/mesh/test_sluice_passage.py
@@ -19,6 +19,7 @@
 from waterworks.sluice.passage import AGAIN_S, HOLD_S, IDLE_S, Incoming, Out, Passage
 from waterworks.sluice.program import Sluice
 from waterworks.sluice.tailrace import Running, Tailrace
+from waterworks.valve.holding import Holding
 from waterworks.valve.passing import Why
 from waterworks.weir.calls import Beat, read_beat
 
@@ -36,6 +37,7 @@
         self.taken: asyncio.Queue[Running] = asyncio.Queue()
         self.dropped: list[str] = []
         self.full = False
+        self.bodies = Holding(4096, 1024)
 
     def take(self, call: Call, ended: Callable[[End], None]) -> Running | None:
         if self.full:
@@ -315,6 +317,30 @@
     over(test, real=True)
 
 
+def test_bodies_in_hand_are_bounded_together_and_counted_to_their_ends() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        assert far.second is not None
+        bodies = far.second.bodies  # 2,048 bytes, 1,024 of one body
+        first = [bench.send(f"a{at}", far.address, body=b"x" * 900) for at in range(3)]
+        assert await soon(first[2][1]) == TurnedAway(Why.FULL) and bodies.held == 1800
+        assert await soon(bench.send("b", far.address, body=b"x" * 1025)[1]) == TurnedAway(Why.FULL)
+        (await soon(far.second.taken.get())).ended(SERVED)
+        assert await soon(first[0][1]) == SERVED
+        bench.passage.drop(first[1][0])
+        await until(lambda: bodies.held == 0)
+        bench.send("c", far.address, body=b"x" * 900)
+        await until(lambda: bodies.held == 900)
+        far.second.full = True
+        assert await soon(bench.send("d", far.address, body=b"x" * 900)[1]) == TurnedAway(Why.FULL)
+        assert bodies.held == 900
+        link = bench.passage._links["there"].link
+        assert link is not None and isinstance(far.links[0].peer, Incoming)
+        far.links[0].peer.lost()
+        assert bodies.held == 0
+
+    over(test, real=True)
+
+
 def test_a_node_that_has_moved_gets_a_new_link_and_the_old_ones_calls_are_unclear() -> None:
     async def test(bench: Bench, far: Far) -> None:
         moved = Far()
--- a/waterworks/penstock/link.py
+++ b/waterworks/penstock/link.py
@@ -20,6 +20,8 @@
 SILENT_S = 0.55  # it hurts where a process stands still for so long: its calls are given up
 CONNECT_S = 0.6
 BACKLOG_BYTES = 4 * 1024 * 1024  # unsent to a peer that does not read; more ends the link
+# Long frames are no sign of that: they come on top, up to so many bytes of them at once.
+LONG_BYTES, LONG_MOST_BYTES = 64 * 1024, 64 * 1024 * 1024
 ALIVE = frame({})
 
 
@@ -41,6 +43,8 @@
         self.owes = 0  # answers that this end has still to give
         self.expects = 0  # answers that this end waits for
         self.steady = False  # both ends beat all the time
+        self._long = 0  # bytes of long frames since little was unsent
+        self._unsent = 0  # at the last tick
         self.peer: Any = None  # whose it is, as its owner has it
 
     @property
@@ -75,10 +79,16 @@
         if not self.up:
             return False
         assert self._transport is not None
-        if self.unsent > BACKLOG_BYTES:
+        unsent = self.unsent
+        if unsent <= BACKLOG_BYTES:
+            self._long = 0
+        elif unsent > BACKLOG_BYTES + self._long:
             self.close("the other end does not read")
             return False
-        self._transport.write(frame(head, body))
+        payload = frame(head, body)
+        if len(payload) > LONG_BYTES:
+            self._long = min(self._long + len(payload), LONG_MOST_BYTES)
+        self._transport.write(payload)
         self.sent_at = self._loop.time()
         return True
 
@@ -87,6 +97,10 @@
         if not self.up:
             return
         assert self._transport is not None
+        unsent, before = self.unsent, self._unsent
+        self._unsent = unsent
+        if unsent < before:  # it reads: while a long frame is on its way it has nothing to say to it
+            self.heard_at = now
         if (self.expects or self.steady) and now - self.heard_at > SILENT_S:
             self.close("silent")
         elif (self.owes or self.steady) and now - self.sent_at >= BEAT_S:
--- a/waterworks/sluice/intake.py
+++ b/waterworks/sluice/intake.py
@@ -9,11 +9,15 @@
 from anisestair.flow.budget import Budget
 from anisestair.http import codec as http
 from anisestair.http.frontend import TARGET
+from waterworks.manifold.limits import Limits
 from waterworks.manifold.routes import Route, pick
+from waterworks.penstock.frames import MOST
 from waterworks.sluice.hop import Returned
 from waterworks.sluice.tables import Anew, Ask, Failed, Final, Refused, Served, Tables
+from waterworks.valve.holding import Holding
 
-MOST_BODY = 8 * 1024 * 1024  # bytes kept whole, or less where the operator says so
+# Bytes of a body that this program can carry, whatever the operators allow: one frame between two sidecars.
+LONGEST = MOST
 UNREADY_S = 0.3  # after which a client may come back while no configuration is here
 OTHERS_S = 0.2  # and where nothing better is known
 ID = re.compile(rb"[!-~]{1,128}")
@@ -49,7 +53,8 @@
         """``known``: whether a configuration is here at all. ``fill`` tells a new table its instances."""
         self.tables, self.caller, self._find, self._known, self._fill = tables, caller, find, known, fill
         self.budget = Budget(memory_mb)
-        self.most_body = MOST_BODY
+        self.bodies = Holding(self.budget.total, LONGEST)
+        self.limits = Limits()  # a request keeps to those that hold when it begins
         self._count = 0
         self._asks: dict[str, Ask] = {}
 
--- a/waterworks/sluice/outlet.py
+++ b/waterworks/sluice/outlet.py
@@ -7,17 +7,58 @@
 from __future__ import annotations
 
 from collections import deque
+from http import HTTPStatus
 
 import httptools
 
 from anisestair.flow.budget import Body
 from anisestair.http import codec as http
 from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend
-from waterworks.sluice.intake import Intake
+from waterworks.manifold.limits import Limits
+from waterworks.sluice.intake import OTHERS_S, Intake
 
 AT_ONCE = 8  # requests of one connection that are in hand
 
 
+class Inflow(http.Reader):
+    """The requests of one connection, whole: 413 or 431 beyond the operators' limits, 503 where this
+    machine's memory does not bear a body, as soon as its length is known."""
+
+    def __init__(self, intake: Intake) -> None:
+        super().__init__(httptools.HttpRequestParser, intake.limits.body)
+        self._intake = intake
+        self.held = 0  # bytes of the body being read; a whole one's are its message's
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.max_body, self.max_head = self._intake.limits.body, self._intake.limits.head
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        if self._length:
+            self._hold(self._length)
+
+    def on_body(self, part: bytes) -> None:
+        if self._length is None:
+            self._hold(len(part))
+        super().on_body(part)
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        self.held, self._body = 0, bytearray()
+
+    def _hold(self, size: int) -> None:
+        if not self._intake.bodies.take(size, self.held):
+            self.expects_continue = False
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        self.held += size
+
+    def let_go(self) -> None:
+        """Of the body that was being read."""
+        self._intake.bodies.give(self.held)
+        self.held = 0
+
+
 class Slot:
     """One request, in its place among those of its connection."""
 
@@ -35,7 +76,7 @@
         super().__init__(frontend)
         assert isinstance(frontend, Outlets)
         self._intake = frontend.intake
-        self.reader = http.Reader(httptools.HttpRequestParser, self._intake.most_body)
+        self.reader = self._inflow = Inflow(self._intake)
         self._slots: deque[Slot] = deque()
         self._advancing = False
 
@@ -61,10 +102,10 @@
             try:
                 slot.id = self._intake.begin(taken, message, lambda *said, slot=slot: self._say(slot, *said))
             except http.BadMessage as fault:
-                self._slots.pop()
+                self._let_go_of(self._slots.pop().message)
                 self.current = self._slots[0].message if self._slots else None
                 self.fault = fault
-                self.waiting.clear()
+                self._leave_waiting()
                 break
             self._flush()
             if self.transport.is_closing():
@@ -102,6 +143,7 @@
         while self._slots and self._slots[0].payload is not None:
             slot = self._slots.popleft()
             assert slot.payload is not None
+            self._let_go_of(slot.message)
             self.transport.write(slot.payload)
             self.since = self.frontend.loop.time()
             if slot.closes:
@@ -116,9 +158,27 @@
         slots, self._slots = self._slots, deque()
         self.current = None
         for slot in slots:
+            self._let_go_of(slot.message)
             if slot.id is not None:
                 self._intake.client_gone(slot.id)
 
+    def _leave_waiting(self) -> None:
+        for _, message in self.waiting:
+            self._let_go_of(message)
+        self.waiting.clear()
+
+    def _let_go_of(self, message: http.Message) -> None:
+        self._intake.bodies.give(len(message.body))
+
+    def let_go(self) -> None:
+        self._inflow.let_go()
+        self._leave_waiting()
+
+    def advice(self, fault: http.BadMessage) -> http.Headers:
+        if fault.status is not HTTPStatus.SERVICE_UNAVAILABLE:
+            return []
+        return [(b"retry-after", b"%.3f" % OTHERS_S)]
+
     def refuse(self, fault: http.BadMessage) -> None:
         self._leave_all()
         super().refuse(fault)
@@ -140,3 +200,8 @@
     def __init__(self, intake: Intake, most: int) -> None:
         self.intake = intake
         super().__init__(intake, most)
+
+    def keep_to(self, limits: Limits) -> None:
+        """The operators' limits from now on: of bytes for what begins now, of times for all."""
+        self.intake.limits = limits
+        self.request_s, self.quiescent_s = limits.request_s, limits.quiescent_s
--- a/waterworks/sluice/passage.py
+++ b/waterworks/sluice/passage.py
@@ -256,19 +256,21 @@
             running = self._running.pop(number, None)
             if running is not None:
                 self._link.owes -= 1
-                self._tailrace.drop(running)
+                self._drop(running)
             return
         call = read_call(head, body)
         self._link.owes += 1
-        if len(self._running) >= self.MOST:
-            self._end(number, TurnedAway(Why.FULL))
+        size = len(call.body)
+        if len(self._running) >= self.MOST or not self._tailrace.bodies.take(size):
+            self._end(number, TurnedAway(Why.FULL), 0)
             return
-        running = self._tailrace.take(call, lambda end: self._end(number, end))
+        running = self._tailrace.take(call, lambda end: self._end(number, end, size))
         if running is not None and not running.done:
             self._running[number] = running
 
-    def _end(self, number: int, end: End) -> None:
+    def _end(self, number: int, end: End, size: int) -> None:
         self._running.pop(number, None)
+        self._tailrace.bodies.give(size)
         self._link.owes -= 1
         head, body = end_head(number, end)
         self._link.send(head, body)
@@ -278,4 +280,8 @@
         does not run any more, and what runs is nobody's."""
         running, self._running = self._running, {}
         for item in running.values():
-            self._tailrace.drop(item)
+            self._drop(item)
+
+    def _drop(self, running: Running) -> None:
+        self._tailrace.drop(running)
+        self._tailrace.bodies.give(len(running.call.body))
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -19,12 +19,13 @@
 from waterworks.leat.channels import Channel, Channels
 from waterworks.leat.exchange import unpack
 from waterworks.lock.report import REPORTS
-from waterworks.manifold.decode import ROUTE
+from waterworks.manifold.decode import INPUT_LIMITS, PLANT, ROUTE
+from waterworks.manifold.limits import read_limits
 from waterworks.manifold.routes import Route, Routes
 from waterworks.penstock.desk import Answer, Desk
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import Link, listen
-from waterworks.sluice.intake import MOST_BODY, Intake
+from waterworks.sluice.intake import Intake
 from waterworks.sluice.membership import NODE, SLUICE, Membership
 from waterworks.sluice.outlet import Outlets
 from waterworks.sluice.passage import Incoming, Passage
@@ -96,6 +97,7 @@
             self.configured,
             lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
         )
+        self.tailrace.bodies = self.intake.bodies
         self.registry = Registry(
             self.upstream,
             self.roll,
@@ -199,13 +201,17 @@
         self.registry.publish(self.upstream.end(self.tables.now()))
         notice = min(NOTICE_S, self.settings.bounds.grace_s * 0.4)
         await asyncio.sleep(notice)
-        ends = self.loop.create_task(self.outlets.stop(accept_s=0.1))
-        while self.loop.time() < until and (self.tailrace.running or not ends.done()):
+        ends = self.loop.create_task(self.outlets.stop(accept_s=0.1, exit_s=until - self.loop.time()))
+        while self.loop.time() < until and not (ends.done() and self._said_all()):
             await asyncio.sleep(0.02)
         self.control.stop()
         self.readiness.stop()
         self.gauge.tell(events.ENDED)
 
+    def _said_all(self) -> bool:
+        """Nothing runs here for other sidecars, and what they were answered has left."""
+        return not self.tailrace.running and not any(link.unsent for link in self._links)
+
     # News
 
     def _changed(self, name: str, items: list[Item]) -> None:
@@ -237,15 +243,11 @@
                 table.tell([(instance, value)])
 
     def _configure(self, item: Item) -> None:
-        if item.kind == "route":
+        if item.kind == ROUTE:
             self.stages.route(item)
-        elif item.kind == "input_limits" and item.value is not None:
-            body = item.value.get("body_bytes")
-            self.intake.most_body = int(min(body, MOST_BODY)) if body else MOST_BODY
-            head = item.value.get("header_lag_ms")
-            if head:
-                self.outlets.request_s = float(head) / 1000.0 + 0.25
-        elif item.kind == "plant" and item.name == self.settings.plant and item.value is not None:
+        elif item.kind == INPUT_LIMITS:
+            self.outlets.keep_to(read_limits(item.value))
+        elif item.kind == PLANT and item.name == self.settings.plant and item.value is not None:
             most = item.value.get("conn_saturation")
             self.tap.most = max(int(TAP_SHARE * most), 1) if most else TAP_MOST
 
--- a/waterworks/sluice/tailrace.py
+++ b/waterworks/sluice/tailrace.py
@@ -9,9 +9,11 @@
 from anisestair.http import codec as http
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
+from waterworks.penstock.frames import MOST
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
 from waterworks.sluice.tap import Answered, NotSent, Outcome, Tap, TapConnection
 from waterworks.sluice.traces import SecondHop
+from waterworks.valve.holding import Holding
 from waterworks.valve.line import Line, Lowest
 from waterworks.valve.passing import Turned, Why, judge, places
 from waterworks.weir.lives import Publish, Upstream
@@ -49,6 +51,7 @@
         self._rings = 0.0  # when it does
         self._tasks: set[asyncio.Task[None]] = set()
         self.load: tuple[int, int, int] | None = None  # running, waiting, slots, as last told
+        self.bodies = Holding(MOST, MOST)  # of calls from other sidecars; shared with the clients' side
         self.newer: Callable[[Call], list[Any] | None] = (
             lambda call: None
         )  # what its route should be, if not so
