--- a/tests/mesh/test_operate_traces.py
+++ b/tests/mesh/test_operate_traces.py
@@ -10,9 +10,9 @@
 
 from hareloom import interface as api
 from hareloom.records import Server
+from waterworks.sluice.calls import Failed, Refused
 from waterworks.sluice.hop import Call, Returned, TurnedAway, Unclear
 from waterworks.sluice.shown import why
-from waterworks.sluice.tables import Failed, Refused
 from waterworks.sluice.traces import KEPT, MOST_TRIES, FirstHop, Ring, SecondHop, words
 from waterworks.valve.passing import Why
 
--- a/tests/mesh/test_penstock_link.py
+++ b/tests/mesh/test_penstock_link.py
@@ -11,6 +11,7 @@
 from waterworks.penstock import link as module
 from waterworks.penstock.frames import Head, frame
 from waterworks.penstock.link import ALIVE, BEAT_S, SILENT_S, Link, connect, listen
+from waterworks.sluice.program import TICK_S
 
 
 class End:
@@ -82,21 +83,29 @@
     play(run)
 
 
+def look(link: Link, until: float) -> None:
+    """At the link as often as the programs do, up to that instant."""
+    now = link.heard_at
+    while (now := now + TICK_S) < until:
+        link.tick(now)
+    link.tick(until)
+
+
 def test_silence_ends_a_link_that_expects_and_no_idle_one() -> None:
     async def test(end: End, raw: Raw, writer: asyncio.StreamWriter) -> None:
         link = end.link
-        link.tick(link.heard_at + 100.0)  # expects nothing
+        look(link, link.heard_at + 100.0)  # expects nothing
         assert link.up
         link.expects = 1
-        link.tick(link.heard_at + SILENT_S - 1e-3)
+        look(link, link.heard_at + SILENT_S - 1e-3)
         assert link.up
         heard = link.heard_at
         move(0.5 * SILENT_S)
         writer.write(ALIVE)  # any byte is a sign of life, and no frame for its owner
         await until(lambda: link.heard_at > heard)
-        link.tick(heard + SILENT_S + 1e-6)
+        look(link, heard + SILENT_S + 1e-6)
         assert link.up and end.frames.empty()
-        link.tick(link.heard_at + 1.01 * SILENT_S)
+        look(link, link.heard_at + 1.01 * SILENT_S)
         assert not link.up
         assert await soon(end.lost) == "silent"
 
@@ -106,7 +115,37 @@
 def test_a_steady_link_is_ended_by_silence_too() -> None:
     async def test(end: End, raw: Raw, writer: asyncio.StreamWriter) -> None:
         end.link.steady = True
-        end.link.tick(end.link.heard_at + 1.01 * SILENT_S)
+        look(end.link, end.link.heard_at + 1.01 * SILENT_S)
+        assert await soon(end.lost) == "silent"
+
+    against(test)
+
+
+def test_an_end_that_stood_still_itself_takes_that_for_no_silence_once() -> None:
+    async def test(end: End, raw: Raw, writer: asyncio.StreamWriter) -> None:
+        link = end.link
+        link.expects = 1
+        thaws = link.heard_at + 5.0
+        link.tick(thaws)  # what came meanwhile is still unread
+        assert link.up
+        look(link, thaws + SILENT_S - 1e-3)
+        assert link.up
+        look(link, thaws + 1.01 * SILENT_S)
+        assert not link.up
+
+        assert await soon(end.lost) == "silent"
+
+    against(test)
+
+
+def test_an_end_that_stands_still_again_and_again_has_no_second_excuse() -> None:
+    async def test(end: End, raw: Raw, writer: asyncio.StreamWriter) -> None:
+        link = end.link
+        link.expects = 1
+        began = link.heard_at
+        for at in range(1, 4):
+            link.tick(began + 0.45 * at)
+        assert not link.up
         assert await soon(end.lost) == "silent"
 
     against(test)
--- /dev/null
+++ b/tests/mesh/test_sluice_lost.py
@@ -0,0 +1,388 @@
+"""A link is lost with effectful calls out: asked back, barred, answered late, given up in time."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import pytest
+
+from rigs.mesh_peers import move, play, soon, turns, until
+from waterworks.gauge.log import Gauge
+from waterworks.penstock.frames import Head
+from waterworks.penstock.link import SILENT_S, Address, Link, listen
+from waterworks.sluice import passage as module
+from waterworks.sluice.calls import Event, Out, State
+from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear, end_head
+from waterworks.sluice.passage import AT_ONCE, PACE_S, UNPROVED_MOST, Incoming, Passage
+from waterworks.sluice.program import TICK_S
+from waterworks.sluice.tailrace import Running, Tailrace
+from waterworks.valve.holding import Holding
+from waterworks.valve.passing import Why
+from waterworks.valve.sessions import Sessions
+
+SERVED = Returned(200, [(b"response-seal", b"s")], b"body", True)
+NOT_RUN = TurnedAway(Why.LOST)
+AIM_MS = 400.0
+
+
+def call(attempt: str, effectful: bool = True, aim_ms: float = AIM_MS) -> Call:
+    read = Call(attempt, b"POST", b"/x", [], b"", "i-1", "s", 900.0, 0.5, 20.0)
+    return replace(read, effectful=effectful, aim_ms=aim_ms)
+
+
+class Second(Tailrace):
+    """A second hop that passes on and answers when the test says so."""
+
+    def __init__(self) -> None:
+        self.taken: list[Running] = []
+        self.dropped: list[str] = []
+        self.lines = False  # calls wait
+        self.bodies = Holding(4096, 1024)
+
+    def take(self, call: Call, ended: Callable[[End], None]) -> Running | None:
+        running = Running(call, ended, 0.0)
+        running.on(Event.NO_PLACE if self.lines else Event.PLACE)
+        self.taken.append(running)
+        return running
+
+    def drop(self, running: Running, event: Event = Event.GIVEN_UP) -> None:
+        assert running.on(event)
+        self.dropped.append(running.call.attempt)
+
+    def end(self, at: int, end: End) -> None:
+        running = self.taken[at]
+        assert running.on(Event.ANSWER)
+        running.ended(end)
+
+
+class Far:
+    """The process beside another upstream. While it is ``deaf`` frames stay unread; ``old``: from before
+    there was asking back."""
+
+    def __init__(self) -> None:
+        self.second = Second()
+        self.sessions: Sessions[End] = Sessions(1000)
+        self.life, self.old, self.deaf = "s1", False, False
+        self.links: list[Link] = []
+        self.unread: list[tuple[Link, Head, bytes]] = []
+        self.heads: list[Head] = []
+
+    async def start(self) -> None:
+        self._server = await listen(
+            ("127.0.0.1", 0), lambda: Link(self.links.append, self._frame, self._lost)
+        )
+        self.address: Address = self._server.sockets[0].getsockname()[:2]
+
+    def _frame(self, link: Link, head: Head, body: bytes) -> None:
+        if self.deaf:
+            self.unread.append((link, head, body))
+            return
+        self.heads.append(head)
+        if head["t"] != "hello":
+            assert isinstance(link.peer, Incoming)
+            link.peer.frame(head, body)
+        elif self.old:
+            link.peer = Incoming(link, self.second)
+        else:
+            link.peer = Incoming(link, self.second, self.sessions, self.sessions.open(str(head["life"])))
+            link.send({"t": "life", "life": self.life})
+
+    def _lost(self, link: Link, why: str) -> None:
+        if isinstance(link.peer, Incoming):
+            link.peer.lost()
+
+    def hear(self) -> None:
+        """What has stood unread is read."""
+        self.deaf = False
+        unread, self.unread = self.unread, []
+        for one in unread:
+            self._frame(*one)
+
+    def close(self) -> None:
+        self._server.close()
+        for link in self.links:
+            link.close("over")
+
+
+class Bench:
+    def __init__(self) -> None:
+        self.log = io.StringIO()
+        self.passage = Passage("here", Second(), Gauge("t", self.log), lambda node, up: None, "f1")
+
+    def send(self, far: Far, call: Call) -> tuple[Out, asyncio.Future[End]]:
+        end: asyncio.Future[End] = asyncio.get_running_loop().create_future()  # one end, or it raises
+        return self.passage.send(call, "there", far.address, end.set_result), end
+
+    async def known(self, far: Far) -> None:
+        """There is a link, and the far end has told its life."""
+        _, end = self.send(far, call("warm", effectful=False))
+        await until(lambda: len(far.second.taken) == 1)
+        far.second.end(0, SERVED)
+        assert await soon(end) == SERVED
+        move(1.0)
+
+    async def runs(self, seconds: float, far: Far | None = None) -> None:
+        """Looks at the links as often as the programs do; of ``far`` too, where it is given."""
+        for _ in range(int(seconds / TICK_S) + 1):
+            move(TICK_S)
+            for link in far.links if far is not None else []:
+                link.tick(self.passage.loop.time())
+            await turns()
+            self.passage.tick(self.passage.loop.time())
+            await turns()
+
+
+def over(test: Callable[[Bench, Far], Awaitable[None]]) -> None:
+    async def run() -> None:
+        far, bench = Far(), Bench()
+        await far.start()
+        try:
+            await test(bench, far)
+            left = sum(len(running.call.body) for running in far.second.taken if not running.done)
+            assert far.second.bodies.held == left
+        finally:
+            far.close()
+
+    play(run)
+
+
+def test_what_had_not_come_is_barred_and_its_late_copy_does_not_run() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        far.deaf = True
+        _, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.unread) == 1)
+        bench.passage._links["there"].link.close("reset")  # type: ignore[union-attr]
+        await until(lambda: len(far.links) == 2 and len(far.unread) == 2)
+        late = far.unread.pop(0)
+        far.hear()
+        assert await soon(end) == NOT_RUN
+        far._frame(*late)
+        assert [running.call.attempt for running in far.second.taken] == ["warm"]
+
+    over(test)
+
+
+def test_what_waits_is_withdrawn_whichever_comes_first() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        far.second.lines = True
+        _, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        far.links[0].close("reset")
+        assert await soon(end) == NOT_RUN
+        assert far.second.dropped == ["a1"] and far.second.taken[1].state is State.WITHDRAWN
+
+    over(test)
+
+
+@pytest.mark.parametrize("when", ["before it is asked for", "after"])
+def test_what_was_passed_on_is_answered_over_the_next_link(when: str) -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        _, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        if when == "after":
+            far.links[0].close("reset")
+            await until(lambda: "ask" in [head["t"] for head in far.heads])
+            await bench.runs(0.8, far)  # it is known to run: no haste any more
+            assert not end.done()
+        else:
+            far.deaf = True
+            far.links[0].close("reset")
+            await until(lambda: len(far.unread) == 1)
+        far.second.end(1, SERVED)
+        far.hear()
+        assert await soon(end) == SERVED
+        assert not far.second.dropped and far.links[-1].owes == 0
+        link = bench.passage._links["there"].link
+        assert link is not None and link.expects == 0
+
+    over(test)
+
+
+def test_an_end_that_was_lost_with_its_link_is_told_again() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        out, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        bench.passage._links["there"].link.close("reset")  # type: ignore[union-attr]
+        far.second.end(1, SERVED)  # to a link that nobody reads
+        assert await soon(end) == SERVED and out.state is State.ENDED
+
+    over(test)
+
+
+def test_another_life_does_not_know() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        _, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        far.life = "s2"
+        far.links[0].close("killed")
+        assert isinstance(await soon(end), Unclear)
+        assert "ask" not in [head["t"] for head in far.heads]
+
+    over(test)
+
+
+def test_what_may_be_repeated_is_not_asked_for() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        _, end = bench.send(far, call("a1", effectful=False))
+        await until(lambda: len(far.second.taken) == 2)
+        far.links[0].close("reset")
+        assert isinstance(await soon(end), Unclear)
+        assert far.second.dropped == ["a1"]
+
+    over(test)
+
+
+@pytest.mark.parametrize(("waited_ms", "least", "most"), [(0.0, 0.4, 0.45), (390.0, 0.1, 0.15)])
+def test_no_answer_in_what_the_aim_leaves_is_unclear(waited_ms: float, least: float, most: float) -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        _, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        move(waited_ms / 1000.0)
+        far.deaf = True
+        far.links[0].close("reset")
+        await until(lambda: len(far.links) == 2)
+        began = bench.passage.loop.time()
+        while not end.done():
+            move(0.01)
+            await turns()
+        assert isinstance(end.result(), Unclear)
+        assert least - 0.05 <= bench.passage.loop.time() - began <= most
+        assert not bench.passage._links["there"].asking
+        far.hear()
+        await turns()
+
+    over(test)
+
+
+def test_a_program_that_tells_no_life_is_not_asked() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        far.old = True
+        await bench.known(far)
+        _, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        far.links[0].close("reset")
+        assert isinstance(await soon(end), Unclear) and far.second.dropped == ["a1"]
+        await bench.runs(0.2)
+        await until(lambda: bench.passage.reaches("there"))
+
+    over(test)
+
+
+def test_one_that_says_nothing_is_not_reached_and_after_some_links_taken_for_an_older_program() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        far.old = True
+        far.links[0].close("replaced")
+        await until(lambda: not bench.passage.reaches("there"))
+        await bench.runs(SILENT_S)
+        assert not bench.passage.reaches("there")
+        for _ in range(200):
+            if bench.passage.reaches("there"):
+                break
+            await bench.runs(TICK_S)
+        assert bench.passage.reaches("there") and len(far.links) == UNPROVED_MOST + 2
+
+    over(test)
+
+
+def test_a_link_that_is_lost_again_is_asked_over_the_next() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        _, end = bench.send(far, call("a1", aim_ms=5000.0))
+        await until(lambda: len(far.second.taken) == 2)
+        for _ in range(3):
+            links = len(far.links)
+            far.links[-1].close("reset")
+            await bench.runs(0.15, far)
+            await until(lambda links=links: len(far.links) > links)  # type: ignore[misc]
+        far.second.end(1, SERVED)
+        assert await soon(end) == SERVED
+
+    over(test)
+
+
+def test_a_call_that_is_given_up_while_it_is_asked_for_has_no_end() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        out, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        far.links[0].close("reset")
+        await until(lambda: out.state is State.UNCLEAR)
+        bench.passage.drop(out)
+        await bench.runs(1.0)
+        assert not end.done() and not bench.passage._links["there"].asking
+        assert out.state is State.WITHDRAWN
+
+    over(test)
+
+
+def test_second_tries_after_a_loss_of_all_links_come_in_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        ends = [bench.send(far, call(f"a{at}", effectful=False))[1] for at in range(3 * AT_ONCE)]
+        await until(lambda: len(far.second.taken) == 1 + len(ends))
+        far.links[0].close("reset")
+        await until(lambda: any(end.done() for end in ends))
+        seen = [sum(end.done() for end in ends)]
+        while seen[-1] < len(ends):
+            move(PACE_S)
+            await turns()
+            seen.append(sum(end.done() for end in ends))
+        steps = [after - before for before, after in zip([0, *seen], seen, strict=False)]
+        assert max(steps) <= AT_ONCE, seen
+        assert not bench.passage._turns
+
+    over(test)
+
+
+def test_a_second_copy_of_a_call_is_not_taken() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        _, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        incoming = far.links[0].peer
+        assert isinstance(incoming, Incoming)
+        incoming.frame(call("a1").head(2), b"")
+        assert len(far.second.taken) == 2
+        far.second.end(1, SERVED)
+        assert await soon(end) == SERVED
+
+    over(test)
+
+
+def test_two_calls_with_one_id_have_each_its_own_answer() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        ends = [bench.send(far, call("same"))[1] for _ in range(2)]
+        await until(lambda: len(far.second.taken) == 3)
+        far.links[0].close("reset")
+        await until(lambda: [head["t"] for head in far.heads].count("ask") == 2)
+        for at in (2, 1):
+            far.second.end(at, replace(SERVED, body=b"%d" % at))
+        assert [(await soon(end)) for end in ends] == [replace(SERVED, body=b"%d" % at) for at in (1, 2)]
+
+    over(test)
+
+
+def test_an_unreadable_end_leaves_its_call_to_be_asked_for() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        _, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        far.links[0].send({**end_head(2, NOT_RUN)[0], "w": "no such word"})
+        await until(lambda: "ask" in [head["t"] for head in far.heads])
+        far.second.end(1, SERVED)
+        assert await soon(end) == SERVED
+        assert module.IDLE not in bench.log.getvalue()
+
+    over(test)
--- a/tests/mesh/test_sluice_passage.py
+++ b/tests/mesh/test_sluice_passage.py
@@ -15,9 +15,10 @@
 from waterworks.headworks.settings import Settings, read
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import SILENT_S, Address, Link, listen
+from waterworks.sluice.calls import Event, Out
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear, end_head
-from waterworks.sluice.passage import AGAIN_S, HOLD_S, IDLE_S, Incoming, Out, Passage
-from waterworks.sluice.program import Sluice
+from waterworks.sluice.passage import AGAIN_S, HOLD_S, IDLE_S, Incoming, Passage
+from waterworks.sluice.program import TICK_S, Sluice
 from waterworks.sluice.tailrace import Running, Tailrace
 from waterworks.valve.holding import Holding
 from waterworks.valve.passing import Why
@@ -47,7 +48,7 @@
         self.taken.put_nowait(running)
         return running
 
-    def drop(self, running: Running) -> None:
+    def drop(self, running: Running, event: Event = Event.GIVEN_UP) -> None:
         self.dropped.append(running.call.attempt)
 
 
@@ -182,8 +183,9 @@
         bench.tick()
         await far.next()
         assert not end.done()
-        move(SILENT_S + 0.1)
-        bench.tick()
+        for _ in range(int((SILENT_S + 0.1) / TICK_S) + 1):  # as often as the program looks
+            move(TICK_S)
+            bench.tick()
         assert await soon(end) == Unclear("silent")
 
     over(test)
--- a/tests/mesh/test_sluice_tables.py
+++ b/tests/mesh/test_sluice_tables.py
@@ -15,8 +15,9 @@
 from rigs.mesh_peers import move, play, soon, turns
 from waterworks.gauge.log import Gauge
 from waterworks.manifold.routes import Route
+from waterworks.sluice.calls import Ask, Failed, Final, Refused, Served
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
-from waterworks.sluice.tables import GUARD_MS, Ask, Failed, Final, Refused, Served, Table, Tables
+from waterworks.sluice.tables import GUARD_MS, Table, Tables
 from waterworks.valve.passing import Why
 
 READ = Route("read", 1, "h", "/r/", False, 1000.0, 400.0, 3, 1, (("s", 1.0),))
--- a/tests/mesh/test_sluice_tap.py
+++ b/tests/mesh/test_sluice_tap.py
@@ -11,6 +11,7 @@
 from anisestair.http import codec as http
 from rigs.mesh_peers import Upstream, move, play, soon, until
 from waterworks.gauge.log import Gauge
+from waterworks.sluice import tap as module
 from waterworks.sluice.tap import IDLE_S, MARGIN_S, Answered, Broken, NotSent, Outcome, Tap, TapConnection
 
 
@@ -204,6 +205,40 @@
     tapped(test, ["hold"] * 3, most=3)
 
 
+def test_a_second_use_of_an_id_has_a_connection_of_its_own() -> None:
+    """A late second answer to the first use would pass for its own: it has the same id."""
+
+    async def test(bench: Bench) -> None:
+        await bench.good("a1")
+        first = bench.tap._idle[-1]
+        await bench.good("b")
+        await bench.good("a1")
+        assert bench.upstream.opened == 2 and bench.tap._idle[-1] is not first
+
+    tapped(test)
+
+
+def test_a_second_use_of_an_id_makes_itself_room_among_idle_connections() -> None:
+    async def test(bench: Bench) -> None:
+        await bench.good("a1")
+        await bench.good("a1")
+        assert bench.upstream.opened == 2 and len(bench.tap._open) == 1
+
+    tapped(test, most=1)
+
+
+def test_the_ids_that_are_kept_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "RECENT", 3)
+
+    async def test(bench: Bench) -> None:
+        for at in range(5):
+            await bench.good(f"a{at}")
+        assert bench.tap._recent == {b"a2", b"a3", b"a4"}
+        assert len(bench.tap._order) == 3 and bench.upstream.opened == 1
+
+    tapped(test)
+
+
 def test_a_call_that_is_dropped_ends_its_connection_and_has_no_outcome() -> None:
     async def test(bench: Bench) -> None:
         asked = await bench.begin("a1")
--- /dev/null
+++ b/tests/mesh/test_valve_sessions.py
@@ -0,0 +1,116 @@
+"""What a second hop keeps of a first hop's calls over the loss of their link, and its bounds."""
+
+from __future__ import annotations
+
+import pytest
+
+from waterworks.valve import sessions as module
+from waterworks.valve.sessions import HELD_S, SESSION_S, Kept, Session, Sessions, Verdict
+
+
+def opened(most_bytes: int = 100) -> tuple[Sessions[str], Session[str]]:
+    sessions: Sessions[str] = Sessions(most_bytes)
+    session = sessions.open("f1")
+    assert session is not None
+    return sessions, session
+
+
+def begun(session: Session[str], number: int, waits: bool = False) -> Kept[str]:
+    assert session.take(number)
+    kept: Kept[str] = Kept(f"a{number}", run=object(), waits=waits)
+    session.calls[number] = kept
+    return kept
+
+
+def test_a_number_is_taken_once_and_none_below_it() -> None:
+    _, session = opened()
+    assert session.take(5) and not session.take(5) and not session.take(3) and session.take(6)
+
+
+@pytest.mark.parametrize("first", ["the question", "the call"])
+def test_the_question_and_the_call_may_cross(first: str) -> None:
+    _, session = opened()
+    if first == "the question":
+        assert session.ask(7, "a7") == (Verdict.NO, None)
+        assert not session.take(7)
+    else:
+        kept = begun(session, 7)
+        assert session.ask(7, "a7") == (Verdict.PASSED, kept)
+
+
+def test_what_waits_is_barred_and_what_has_run_is_told() -> None:
+    sessions, session = opened()
+    waits, runs = begun(session, 1, waits=True), begun(session, 2)
+    assert session.ask(1, "a1") == (Verdict.NO, waits)
+    assert session.ask(1, "a1") == (Verdict.NO, None)
+    sessions.end(session, 2, "served", 6, 0.0)
+    assert session.ask(2, "a2") == (Verdict.DONE, runs) and runs.end == "served"
+    assert session.ask(2, "another") == (Verdict.UNKNOWN, None)
+
+
+def test_a_lost_link_withdraws_what_waits_alone() -> None:
+    sessions, session = opened()
+    waits, _ = begun(session, 1, waits=True), begun(session, 2)
+    begun(session, 3)
+    sessions.end(session, 3, "served", 6, 0.0)
+    assert session.lost(1) is waits
+    assert session.lost(2) is None and session.lost(3) is None and session.lost(4) is None
+    assert session.ask(1, "a1")[0] is Verdict.NO
+    assert session.ask(2, "a2")[0] is Verdict.PASSED and session.ask(3, "a3")[0] is Verdict.DONE
+
+
+def test_what_is_forgotten_is_not_taken_for_what_never_came() -> None:
+    sessions, session = opened()
+    begun(session, 4)
+    sessions.end(session, 4, "served", 6, 0.0)
+    sessions.sweep(HELD_S)
+    assert session.ask(4, "a4")[0] is Verdict.DONE
+    sessions.sweep(HELD_S + 0.1)
+    assert session.ask(4, "a4")[0] is Verdict.UNKNOWN and session.ask(2, "a2")[0] is Verdict.UNKNOWN
+    assert session.ask(5, "a5")[0] is Verdict.NO
+    assert (sessions.bytes, len(sessions)) == (0, 0)
+
+
+def test_an_end_beyond_the_bytes_is_not_held_and_still_known_to_be() -> None:
+    sessions, session = opened(most_bytes=10)
+    for number, size in ((1, 8), (2, 3), (3, 2)):
+        begun(session, number)
+        sessions.end(session, number, "served", size, float(number))
+    assert sessions.bytes == 10
+    assert [session.ask(number, f"a{number}")[0] for number in (1, 2, 3)] == [
+        Verdict.DONE,
+        Verdict.UNKNOWN,
+        Verdict.DONE,
+    ]
+
+
+def test_ends_are_bounded_in_number(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "HELD_MOST", 2)
+    sessions, session = opened()
+    for number in (1, 2, 3):
+        begun(session, number)
+        sessions.end(session, number, "served", 1, 0.0)
+    assert len(sessions) == 2 and session.ask(1, "a1")[0] is Verdict.UNKNOWN
+    assert session.ask(2, "a2")[0] is Verdict.DONE
+
+
+def test_sessions_are_bounded_and_end_long_after_their_last_link(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "SESSIONS_MOST", 2)
+    sessions, session = opened()
+    assert sessions.open("f1") is session
+    assert sessions.open("f2") is not None and sessions.open("f3") is None
+    sessions.closed(session, 10.0)
+    sessions.sweep(10.0 + 2 * SESSION_S)  # it has a link still
+    sessions.closed(session, 20.0 + SESSION_S)
+    sessions.sweep(20.0 + 2 * SESSION_S)
+    assert sessions.open("f3") is None
+    sessions.sweep(60.0 + 2 * SESSION_S)
+    assert "f1" not in sessions.by_life and sessions.open("f3") is not None
+
+
+def test_a_session_with_a_call_in_hand_stays() -> None:
+    sessions, session = opened()
+    begun(session, 1)
+    sessions.closed(session, 0.0)
+    sessions.sweep(2 * SESSION_S)
+    assert sessions.by_life["f1"] is session and session.ask(1, "a1")[0] is Verdict.PASSED
--- a/waterworks/gauge/events.py
+++ b/waterworks/gauge/events.py
@@ -92,7 +92,7 @@
 
 SHED = _event(501, Level.INFO, "calls shed", "service", "why")
 BUDGET_SPENT = _event(502, Level.WARNING, "budget for further tries spent", "service")
-CALLS_CUT = _event(503, Level.WARNING, "link lost with calls out", "peer", "calls", "why")
+CALLS_CUT = _event(503, Level.WARNING, "link lost with calls out", "peer", "calls", "asked", "why")
 WRONG_ANSWER = _event(504, Level.ERROR, "wrong answer dropped", "wanted", "got")
 UNCLEAR = _event(505, Level.WARNING, "effectful call unclear", "attempt", "why")
 
--- a/waterworks/penstock/link.py
+++ b/waterworks/penstock/link.py
@@ -19,6 +19,7 @@
 BEAT_S = 0.15
 SILENT_S = 0.55  # it hurts where a process stands still for so long: its calls are given up
 CONNECT_S = 0.6
+STOOD_S = 0.4  # between two looks: this end stood still itself, and what came meanwhile is still unread
 BACKLOG_BYTES = 4 * 1024 * 1024  # unsent to a peer that does not read; more ends the link
 # Long frames are no sign of that: they come on top, up to so many bytes of them at once.
 LONG_BYTES, LONG_MOST_BYTES = 64 * 1024, 64 * 1024 * 1024
@@ -40,6 +41,8 @@
         self._transport: asyncio.Transport | None = None
         self._why = "closed by the other end"
         self.sent_at = self.heard_at = self._loop.time()
+        self._looked = self.heard_at
+        self._excused = -1.0
         self.owes = 0  # answers that this end has still to give
         self.expects = 0  # answers that this end waits for
         self.steady = False  # both ends beat all the time
@@ -60,7 +63,7 @@
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sent_at = self.heard_at = self._loop.time()
+        self.sent_at = self.heard_at = self._looked = self._loop.time()
         self._on_up(self)
 
     def data_received(self, data: bytes) -> None:
@@ -101,6 +104,10 @@
         self._unsent = unsent
         if unsent < before:  # it reads: while a long frame is on its way it has nothing to say to it
             self.heard_at = now
+        if now - self._looked > STOOD_S and self.heard_at != self._excused:
+            # Its own standing still is no silence of the other: once, until something is heard.
+            self.heard_at = self._excused = now
+        self._looked = now
         if (self.expects or self.steady) and now - self.heard_at > SILENT_S:
             self.close("silent")
         elif (self.owes or self.steady) and now - self.sent_at >= BEAT_S:
--- /dev/null
+++ b/waterworks/sluice/calls.py
@@ -0,0 +1,295 @@
+"""A call's life over both hops as one table of states and events, and what its client may be told. No I/O.
+
+`docs/design/calls.md` shows the same rows, and a test holds the two together. The programs look each event up
+here: what the table has no row for is passed over, so what comes late, twice or crossed has no effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+from typing import Any
+
+from anisestair.http import codec as http
+from waterworks.manifold.routes import Route
+from waterworks.sluice.hop import Call, End, Returned, TurnedAway
+
+
+class State(IntEnum):
+    """Where a call is, as one hop or the upstream's connection has it."""
+
+    READ = 1  # whole, and nothing done for it
+    CHOSEN = 2  # an upstream is, and the link to it comes up
+    SENT = 3  # written to the link
+    WAITING = 4  # in the line before the upstream
+    PASSED_ON = 5  # on a connection to the upstream, or on its way to one
+    ANSWERED = 6  # by the upstream
+    UNCLEAR = 7  # its link is lost; the second hop is asked back
+    WITHDRAWN = 8  # nobody waits for it any more
+    ENDED = 9  # without an answer of the upstream, or the first hop has its end
+    IDLE = 10  # of a connection to the upstream: nobody's
+    CLOSED = 11  # of a connection to the upstream: never used again
+
+
+class Event(IntEnum):
+    """What may befall it."""
+
+    LINK_UP = 1
+    LINK_DOWN = 2  # it does not come up in time, or takes no frame
+    LINK_LOST = 3
+    ANSWER = 4  # the upstream's own, whole, alone and for its id
+    TURNED_AWAY = 5  # with the word that it has not run and never will
+    NO_ANSWER = 6  # with the word that it may have run
+    PASSED = 7  # the second hop's word that the upstream has it
+    TIME_OVER = 8
+    GIVEN_UP = 9  # the client has left, or has its answer
+    PLACE = 10  # the upstream has one for it
+    NO_PLACE = 11  # the line has
+    ASKED_BACK = 12
+    ASK = 13  # a call is written to the connection
+    STRAY = 14  # an answer to another call, or to nobody's
+    CROWDED = 15  # its own answer, with more behind it, or the connection is to close
+
+
+class Certain(Enum):
+    """What is known of a call's run."""
+
+    NOT_YET = "has not run"
+    NEVER = "has not run and never will"
+    MAY = "may have run"
+    RAN = "has run"
+    SAME = "as before"
+
+
+class Hop(Enum):
+    FIRST = "first hop"
+    SECOND = "second hop"
+    TAP = "upstream's connection"
+
+
+@dataclass(frozen=True, slots=True)
+class Edge:
+    """``told``: what the client may be told where the call ends by this edge and nothing else is out."""
+
+    hop: Hop
+    state: State
+    event: Event
+    to: State
+    certain: Certain
+    told: str
+    keeper: str
+
+
+S, E, C = State, Event, Certain
+OWN, PROMISE, NONE, OPEN = "the upstream's", "503, or sent elsewhere", "502, 504", "nothing yet"
+PASSAGE, TAILRACE, TAP = "sluice/passage.py:", "sluice/tailrace.py:", "sluice/tap.py:"
+OUT = PASSAGE + "Outgoing."
+RACE = TAILRACE + "Tailrace."
+CONNECTION = TAP + "TapConnection."
+
+EDGES: tuple[Edge, ...] = tuple(
+    Edge(hop, *row)
+    for hop, rows in (
+        (
+            Hop.FIRST,
+            (
+                (S.CHOSEN, E.LINK_UP, S.SENT, C.MAY, OPEN, OUT + "_write"),
+                (S.CHOSEN, E.LINK_DOWN, S.ENDED, C.NEVER, PROMISE, OUT + "_turn_away"),
+                (S.CHOSEN, E.GIVEN_UP, S.WITHDRAWN, C.NEVER, PROMISE, OUT + "drop"),
+                (S.SENT, E.ANSWER, S.ENDED, C.RAN, OWN, OUT + "_frame"),
+                (S.SENT, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_frame"),
+                (S.SENT, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_frame"),
+                (S.SENT, E.LINK_LOST, S.UNCLEAR, C.MAY, OPEN, OUT + "_lost"),
+                (S.SENT, E.GIVEN_UP, S.WITHDRAWN, C.MAY, NONE, OUT + "drop"),
+                (S.UNCLEAR, E.LINK_LOST, S.UNCLEAR, C.MAY, OPEN, OUT + "_lost"),
+                (S.UNCLEAR, E.PASSED, S.SENT, C.MAY, OPEN, OUT + "_frame"),
+                (S.UNCLEAR, E.ANSWER, S.ENDED, C.RAN, OWN, OUT + "_frame"),
+                (S.UNCLEAR, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_frame"),
+                (S.UNCLEAR, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_frame"),
+                (S.UNCLEAR, E.TIME_OVER, S.ENDED, C.MAY, NONE, OUT + "_unclear"),
+                (S.UNCLEAR, E.GIVEN_UP, S.WITHDRAWN, C.MAY, NONE, OUT + "drop"),
+            ),
+        ),
+        (
+            Hop.SECOND,
+            (
+                (S.READ, E.PLACE, S.PASSED_ON, C.MAY, OPEN, RACE + "_start"),
+                (S.READ, E.NO_PLACE, S.WAITING, C.NOT_YET, OPEN, RACE + "take"),
+                (S.WAITING, E.PLACE, S.PASSED_ON, C.MAY, OPEN, RACE + "_start"),
+                (S.WAITING, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, RACE + "_turn_away"),
+                (S.WAITING, E.GIVEN_UP, S.WITHDRAWN, C.NEVER, PROMISE, RACE + "drop"),
+                (S.WAITING, E.LINK_LOST, S.WITHDRAWN, C.NEVER, PROMISE, RACE + "drop"),
+                (S.WAITING, E.ASKED_BACK, S.WITHDRAWN, C.NEVER, PROMISE, RACE + "drop"),
+                (S.PASSED_ON, E.LINK_LOST, S.PASSED_ON, C.MAY, OPEN, PASSAGE + "Incoming.lost"),
+                (S.PASSED_ON, E.ASKED_BACK, S.PASSED_ON, C.MAY, OPEN, PASSAGE + "Incoming._asked"),
+                (S.PASSED_ON, E.ANSWER, S.ANSWERED, C.RAN, OWN, RACE + "_tell"),
+                (S.PASSED_ON, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, RACE + "_tell"),
+                (S.PASSED_ON, E.NO_ANSWER, S.ENDED, C.MAY, NONE, RACE + "_tell"),
+                (S.PASSED_ON, E.TIME_OVER, S.ENDED, C.MAY, NONE, RACE + "_expire"),
+                (S.PASSED_ON, E.GIVEN_UP, S.WITHDRAWN, C.MAY, NONE, RACE + "drop"),
+                (S.ANSWERED, E.ASKED_BACK, S.ANSWERED, C.RAN, OWN, "valve/sessions.py:Session.ask"),
+                (S.ENDED, E.ASKED_BACK, S.ENDED, C.SAME, "as before", "valve/sessions.py:Session.ask"),
+                (
+                    S.WITHDRAWN,
+                    E.ASKED_BACK,
+                    S.WITHDRAWN,
+                    C.SAME,
+                    "as before",
+                    "valve/sessions.py:Session.ask",
+                ),
+            ),
+        ),
+        (
+            Hop.TAP,
+            (
+                (S.IDLE, E.ASK, S.SENT, C.MAY, OPEN, CONNECTION + "ask"),
+                (S.IDLE, E.STRAY, S.CLOSED, C.SAME, "nobody", CONNECTION + "data_received"),
+                (S.IDLE, E.TIME_OVER, S.CLOSED, C.SAME, "nobody", TAP + "Tap.sweep"),
+                (S.SENT, E.STRAY, S.SENT, C.MAY, OPEN, CONNECTION + "_settle"),
+                (S.SENT, E.ANSWER, S.IDLE, C.RAN, OWN, CONNECTION + "_settle"),
+                (S.SENT, E.CROWDED, S.CLOSED, C.RAN, OWN, CONNECTION + "_settle"),
+                (S.SENT, E.NO_ANSWER, S.CLOSED, C.MAY, NONE, CONNECTION + "connection_lost"),
+                (S.SENT, E.GIVEN_UP, S.CLOSED, C.MAY, NONE, CONNECTION + "drop"),
+            ),
+        ),
+    )
+    for row in rows
+)
+
+Table = dict[tuple[State, Event], State]
+
+
+def _table(hop: Hop) -> Table:
+    return {(edge.state, edge.event): edge.to for edge in EDGES if edge.hop is hop}
+
+
+FIRST, SECOND, CONNECTIONS = _table(Hop.FIRST), _table(Hop.SECOND), _table(Hop.TAP)
+
+
+def event_of(end: End) -> Event:
+    """What the end of a call is at either hop."""
+    if isinstance(end, Returned):
+        return Event.ANSWER
+    return Event.TURNED_AWAY if isinstance(end, TurnedAway) else Event.NO_ANSWER
+
+
+# The upstream's connection
+
+
+def whose(wanted: bytes, told: Sequence[bytes | None]) -> int | None:
+    """Which of the answers that have come on a connection is for the call on it, by the ids that they tell:
+    the first that does not name another. None: all are strays."""
+    for at, one in enumerate(told):
+        if one is None or one == wanted:
+            return at
+    return None
+
+
+# The request as its client sees it
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """An upstream's own answer, to be passed on as it is."""
+
+    answer: Returned
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """It has not run and never will."""
+
+    retry_after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """It may have run; ``late``: its time is over."""
+
+    late: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Anew:
+    """It has not run, and its route is another by now: it is to be taken anew."""
+
+
+Final = Served | Refused | Failed | Anew
+Try = tuple[str, str, float]  # the upstream, how it ended, after so many milliseconds
+
+
+class Out:
+    """A call that the first hop has out."""
+
+    __slots__ = ("asking", "call", "ended", "life", "link", "number", "running", "sent", "state")
+
+    def __init__(self, call: Call, ended: Callable[[End], None]) -> None:
+        self.call, self.ended = call, ended
+        self.state = State.CHOSEN
+        self.link: Any = None  # the node's, as the passage has it
+        self.number = 0
+        self.sent = 0.0  # seconds of the loop's clock
+        self.life: str | None = None  # of the second hop, on the link that was lost
+        self.running: Any = None  # where the second hop is this process
+        self.asking: asyncio.TimerHandle | None = None  # when asking back is over
+
+    def on(self, event: Event) -> bool:
+        """Takes the event; False where it has no effect in this state."""
+        state = FIRST.get((self.state, event))
+        if state is None:
+            return False
+        self.state = state
+        return True
+
+
+ASK_LEAST = 0.25  # of its aim a call is asked back for, however late its link was lost
+
+
+def asked_for_ms(call: Call, since_ms: float) -> float:
+    """How long the end of a call whose link is lost is asked for: what its aim leaves, and a quarter of the
+    aim at the least; not beyond its deadline. ``since_ms``: since it was sent. What may be repeated is not
+    asked for: it goes elsewhere at once."""
+    if not call.effectful:
+        return 0.0
+    leaves = call.aim_ms - call.age_ms - since_ms
+    return max(min(max(leaves, ASK_LEAST * call.aim_ms), call.left_ms - since_ms), 0.0)
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """A client's request, from its whole arrival to its one answer."""
+
+    id: str
+    route: Route
+    service: str
+    message: http.Message
+    headers: http.Headers
+    attempt: str
+    caller: str
+    taken: float  # milliseconds of the loop's clock
+    deadline: float
+    answer: Callable[[Final], None]
+    outs: list[Out | None] = field(default_factory=list)
+    sent: list[float] = field(default_factory=list)
+    tried: list[Try] = field(default_factory=list)
+    arrived: int = 0  # upstreams that it reached, or may have
+    unclear: bool = False  # it may have run
+    last: Returned | None = None  # an upstream's answer that was no success
+    guard: asyncio.TimerHandle | None = None
+    over: bool = False
+    anyway: bool = False  # its version was said to be old: the newest known here is what it goes by
+
+    def may_have_run(self) -> bool:
+        return self.unclear or any(out is not None for out in self.outs)
+
+    def final(self, late: bool, retry_after_ms: float) -> Final:
+        """What its client may be told now that nothing more is done for it: a promise only where it is
+        certain that it has not run and never will."""
+        if self.last is not None:
+            return Served(self.last)
+        return Failed(late) if self.may_have_run() else Refused(retry_after_ms)
+
+
+PROMISES = frozenset({408, 421, 429, 503})  # by which a client knows that its request has not run
--- a/waterworks/sluice/hop.py
+++ b/waterworks/sluice/hop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -29,6 +30,8 @@
     version: int = 0
     age_ms: float = 0.0  # since its client had sent it whole
     anyway: bool = False  # it was turned away as of an old version once, and there is no newer one to be had
+    effectful: bool = False  # it may run once at the most
+    aim_ms: float = 0.0  # known at the first hop alone
 
     def head(self, number: int) -> Head:
         return {
@@ -43,7 +46,7 @@
             "l": round(self.left_ms, 1),
             "k": self.rank,
             "q": [round(self.patience_ms, 1), round(self.longer_ms, 1)],
-            "v": [self.route, self.version, round(self.age_ms), self.anyway],
+            "v": [self.route, self.version, round(self.age_ms), self.anyway, self.effectful],
         }
 
 
@@ -86,7 +89,7 @@
 
 def read_call(head: Head, body: bytes) -> Call:
     """Raises KeyError, TypeError or ValueError for what is no call. Fields unknown here are passed over."""
-    way = head.get("v") or ("", 0, 0.0, False)
+    way: Sequence[Any] = head.get("v") or ("", 0, 0.0, False)  # four parts before there was asking back
     return Call(
         attempt=str(head["a"]),
         method=head["m"].encode("latin-1"),
@@ -103,6 +106,7 @@
         version=int(way[1]),
         age_ms=float(way[2]),
         anyway=bool(way[3]),
+        effectful=len(way) > 4 and bool(way[4]),
     )
 
 
--- a/waterworks/sluice/intake.py
+++ b/waterworks/sluice/intake.py
@@ -12,8 +12,9 @@
 from waterworks.manifold.limits import Limits
 from waterworks.manifold.routes import Route, pick
 from waterworks.penstock.frames import MOST
+from waterworks.sluice.calls import Anew, Ask, Failed, Final, Refused, Served
 from waterworks.sluice.hop import Returned
-from waterworks.sluice.tables import Anew, Ask, Failed, Final, Refused, Served, Tables
+from waterworks.sluice.tables import Tables
 from waterworks.valve.holding import Holding
 
 # Bytes of a body that this program can carry, whatever the operators allow: one frame between two sidecars.
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -25,6 +25,7 @@
 from waterworks.penstock.desk import Answer, Desk
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import Link, listen
+from waterworks.sluice.hop import End
 from waterworks.sluice.intake import Intake
 from waterworks.sluice.membership import NODE, SLUICE, Membership
 from waterworks.sluice.outlet import Outlets
@@ -35,6 +36,7 @@
 from waterworks.sluice.tables import Tables
 from waterworks.sluice.tailrace import Tailrace
 from waterworks.sluice.tap import Tap
+from waterworks.valve.sessions import Sessions
 from waterworks.weir.calls import SETTLED
 from waterworks.weir.lives import Upstream
 from waterworks.weir.reaping import above, dropped
@@ -49,6 +51,7 @@
 TAP_SHARE = 0.9  # of what an upstream accepts, this sidecar opens; it is the only one that can
 TAP_MOST = 100  # where the operator does not say
 NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
+HELD_SHARE = 1 / 32  # of the memory, for ends that may be asked after
 EXIT_S = 0.4  # before the kill, what is left is given up
 
 
@@ -66,7 +69,8 @@
         assert settings.upstream is not None
         self.tap = Tap(settings.upstream, TAP_MOST, gauge)
         self.tailrace = Tailrace(self.upstream, self.tap, gauge, lambda told: self.registry.publish(told))
-        self.passage = Passage(settings.node, self.tailrace, gauge, self._reached)
+        self.passage = Passage(settings.node, self.tailrace, gauge, self._reached, self.life)
+        self.sessions: Sessions[End] = Sessions(int(HELD_SHARE * settings.limits.memory_mb * 1e6))
         self.tables = Tables(
             self.passage,
             self.membership,
@@ -172,6 +176,7 @@
         self.stages.tick(now)
         self.passage.tick(now)
         self.tap.sweep()
+        self.sessions.sweep(now)
         for link in list(self._links):
             link.tick(now)
         for key in self.tombs.due(now):
@@ -308,8 +313,12 @@
         elif head.get("t") == "hello" and head.get("for") == "operate":
             self.questions.adopt(link)
         elif head.get("t") == "hello" and head.get("for") == "calls":
-            link.peer = Incoming(link, self.tailrace)
+            life = head.get("life")  # none from a program that cannot ask back
+            session = self.sessions.open(str(life)) if life else None
+            link.peer = Incoming(link, self.tailrace, self.sessions, session)
             self._links.add(link)
+            if session is not None:
+                link.send({"t": "life", "life": self.life})
         elif head.get("t") == "hello" and head.get("for") == "news" and "source" in head and "node" in head:
             self.channels.adopt(link, head)
         else:
--- a/waterworks/sluice/shown.py
+++ b/waterworks/sluice/shown.py
@@ -12,8 +12,9 @@
 from waterworks.lock.chamber import Order
 from waterworks.manifold.decode import ROUTE
 from waterworks.manifold.routes import Route
+from waterworks.sluice.calls import Failed, Refused
 from waterworks.sluice.membership import SLUICE
-from waterworks.sluice.tables import Failed, Refused, Table
+from waterworks.sluice.tables import Table
 from waterworks.sluice.traces import First, Second
 
 if TYPE_CHECKING:
--- a/waterworks/sluice/stages.py
+++ b/waterworks/sluice/stages.py
@@ -24,9 +24,9 @@
 from waterworks.manifold.decode import ROUTE
 from waterworks.manifold.routes import Route, Routes, read_route
 from waterworks.penstock.frames import Head
+from waterworks.sluice.calls import Ask, Failed, Refused
 from waterworks.sluice.hop import Call
 from waterworks.sluice.membership import Membership
-from waterworks.sluice.tables import Ask, Failed, Refused
 
 SAY_S, SAY_SOON_S = 0.2, 0.02  # what changes within this is told at once; the first part's word is waited for
 
--- a/waterworks/sluice/tables.py
+++ b/waterworks/sluice/tables.py
@@ -7,10 +7,8 @@
 import random
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from anisestair.http import codec as http
 from hareloom import Balancer
 from hareloom import interface as api
 from hareloom.interface import Effect, ListKind, Outcome, ServerState
@@ -18,9 +16,10 @@
 from waterworks.gauge.log import Gauge
 from waterworks.manifold.routes import Route
 from waterworks.penstock.link import Address
+from waterworks.sluice.calls import PROMISES, Anew, Ask, Failed, Final, Refused, Served
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
-from waterworks.sluice.passage import Out, Passage
-from waterworks.sluice.traces import FirstHop, Try, words
+from waterworks.sluice.passage import Passage
+from waterworks.sluice.traces import FirstHop, words
 from waterworks.valve.budget import Budget
 from waterworks.valve.passing import Why
 
@@ -32,64 +31,9 @@
 # client.
 # What is worth more for its work than others at the service waits longer: the next places are its own.
 PATIENCE, PATIENCE_OVER = 0.18, 0.5
-PROMISES = frozenset({408, 421, 429, 503})  # by which a client knows that its request has not run
 GUARD_MS = 40.0  # after its deadline a request without a decision is answered all the same
 
 
-@dataclass(frozen=True, slots=True)
-class Served:
-    """An upstream's own answer, to be passed on as it is."""
-
-    answer: Returned
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """It has not run and never will."""
-
-    retry_after_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class Failed:
-    """It may have run; ``late``: its time is over."""
-
-    late: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Anew:
-    """It has not run, and its route is another by now: it is to be taken anew."""
-
-
-Final = Served | Refused | Failed | Anew
-
-
-@dataclass(slots=True, eq=False)
-class Ask:
-    """A client's request, from its whole arrival to its one answer."""
-
-    id: str
-    route: Route
-    service: str
-    message: http.Message
-    headers: http.Headers
-    attempt: str
-    caller: str
-    taken: float  # milliseconds of the loop's clock
-    deadline: float
-    answer: Callable[[Final], None]
-    outs: list[Out | None] = field(default_factory=list)
-    sent: list[float] = field(default_factory=list)
-    tried: list[Try] = field(default_factory=list)
-    arrived: int = 0  # upstreams that it reached, or may have
-    unclear: bool = False  # it may have run
-    last: Returned | None = None  # an upstream's answer that was no success
-    guard: asyncio.TimerHandle | None = None
-    over: bool = False
-    anyway: bool = False  # its version was said to be old: the newest known here is what it goes by
-
-
 class Place(Protocol):
     """Where an instance is, as the membership has it."""
 
@@ -208,8 +152,7 @@
 
     def _overdue(self, ask: Ask) -> None:
         if not ask.over:
-            may_run = ask.unclear or any(out is not None for out in ask.outs)
-            self._finish(ask, Failed(True) if may_run else Refused(0.0))
+            self._finish(ask, Failed(True) if ask.may_have_run() else Refused(0.0))
             self._cut(ask)
             self.handle(api.ClientGone(ask.id))
 
@@ -277,14 +220,8 @@
             ask = self.asks.get(action.request)
             if ask is None:
                 return
-            late = self.tables.now() >= ask.deadline - 2.0
-            if ask.last is not None:
-                final: Final = Served(ask.last)
-            elif ask.unclear or any(out is not None for out in ask.outs):
-                final = Failed(late)
-            else:
-                final = Refused(action.retry_after_ms if isinstance(action, api.Refuse) else 0.0)
-            self._finish(ask, final)
+            wait_ms = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
+            self._finish(ask, ask.final(self.tables.now() >= ask.deadline - 2.0, wait_ms))
             self._cut(ask)
 
     def _send(self, ask: Ask, instance: str) -> None:
@@ -314,6 +251,8 @@
             version=ask.route.version,
             age_ms=now - ask.taken,
             anyway=ask.anyway,
+            effectful=ask.route.effectful,
+            aim_ms=ask.route.aim_ms,
         )
         ask.arrived += 1
         ended = False
@@ -350,8 +289,9 @@
                 if not ask.arrived and not ask.unclear:
                     self._anew(ask)
                     return
-            elif end.why in (Why.FULL, Why.LATE):
-                # What waited in vain says nothing of the upstream's pace, which is what w is.
+            elif end.why in (Why.FULL, Why.LATE, Why.LOST):
+                # What waited in vain, or was lost on its way, says nothing of the upstream's pace, which is
+                # what w is.
                 outcome = Outcome.FULL if end.arrived else Outcome.MOOT
             else:
                 outcome = Outcome.CONNECT_FAILED
--- a/waterworks/sluice/tailrace.py
+++ b/waterworks/sluice/tailrace.py
@@ -10,33 +10,49 @@
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 from waterworks.penstock.frames import MOST
+from waterworks.sluice.calls import SECOND, Event, State, event_of
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
 from waterworks.sluice.tap import Answered, NotSent, Outcome, Tap, TapConnection
 from waterworks.sluice.traces import SecondHop
 from waterworks.valve.holding import Holding
 from waterworks.valve.line import Line, Lowest
 from waterworks.valve.passing import Turned, Why, judge, places
+from waterworks.valve.sessions import Kept
 from waterworks.weir.lives import Publish, Upstream
 
 # Written anew here, whatever was sent.
 OURS = frozenset({b"time-remaining", b"target-instance", b"calling-service", b"attempt-id"})
 TELLING = frozenset({b"plant-load", b"not-executed"})  # for this hop, not for the client
+OVER = frozenset({State.ANSWERED, State.WITHDRAWN, State.ENDED})
 LATE_S = 0.25  # an upstream that says nothing this long after its deadline is not waited for
 
 
 class Running:
     """A call that waits for a place, or has been passed on."""
 
-    __slots__ = ("began", "call", "came", "connection", "done", "dropped", "ended", "expiry", "task")
+    __slots__ = ("began", "call", "came", "connection", "ended", "expiry", "kept", "state", "task")
 
     def __init__(self, call: Call, ended: Callable[[End], None], came: float) -> None:
         self.call, self.ended, self.came = call, ended, came
         self.began = 0.0  # when it was passed on
-        self.done = self.dropped = False
+        self.state = State.READ
+        self.kept: Kept[End] | None = None  # what outlasts its link
         self.connection: TapConnection | None = None
         self.expiry: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
+    def on(self, event: Event) -> bool:
+        """Takes the event; False where it has no effect in this state."""
+        state = SECOND.get((self.state, event))
+        if state is None:
+            return False
+        self.state = state
+        return True
+
+    @property
+    def done(self) -> bool:
+        return self.state in OVER
+
 
 class Tailrace:
     def __init__(
@@ -82,6 +98,7 @@
             ended(TurnedAway(Why.FULL))
             return None
         else:
+            running.on(Event.NO_PLACE)
             over = self.line.add(running, call.rank, now + patience, waiting)
             if isinstance(over, Running):
                 self._turn_away(over, Why.FULL)
@@ -89,6 +106,9 @@
         return running
 
     def _start(self, running: Running) -> None:
+        running.on(Event.PLACE)
+        if running.kept is not None:
+            running.kept.waits = False
         call, running.began = running.call, self.now()
         call.left_ms -= running.began - running.came
         self.running.add(running)
@@ -98,9 +118,9 @@
         task.add_done_callback(self._tasks.discard)
 
     def _turn_away(self, running: Running, why: Why) -> None:
-        running.done = True
-        self.traces.ended(self.now(), running.call, running.came, 0.0, TurnedAway(why))
-        running.ended(TurnedAway(why))
+        if running.on(Event.TURNED_AWAY):
+            self.traces.ended(self.now(), running.call, running.came, 0.0, TurnedAway(why))
+            running.ended(TurnedAway(why))
 
     def _next(self) -> None:
         """Places that are free go to those that wait."""
@@ -134,11 +154,9 @@
             self._turn_away(running, Why.FULL)
         self._wake(now)
 
-    def drop(self, running: Running) -> None:
-        """The first hop waits no more."""
-        running.dropped = True
-        if self.line.drop(running):
-            running.done = True
+    def drop(self, running: Running, event: Event = Event.GIVEN_UP) -> None:
+        """The first hop waits no more, or asks back after a call that waits here."""
+        if not running.on(event) or self.line.drop(running):
             return
         self._forget(running)
         if running.connection is not None:
@@ -159,7 +177,7 @@
         )
         if connection is None:
             return
-        if running.dropped:
+        if running.state is State.WITHDRAWN:
             connection.drop()
         elif not running.done:
             running.connection = connection
@@ -168,18 +186,17 @@
         if not running.done:
             if running.connection is not None:
                 running.connection.drop()
-            self._tell(running, Unclear("no answer in its time"))
+            self._tell(running, Unclear("no answer in its time"), Event.TIME_OVER)
 
     def _forget(self, running: Running) -> None:
-        running.done = True
         self.running.discard(running)
         if running.expiry is not None:
             running.expiry.cancel()
         if len(self.line):
             self._next()
 
-    def _tell(self, running: Running, end: End) -> None:
-        if not running.done:
+    def _tell(self, running: Running, end: End, event: Event | None = None) -> None:
+        if running.on(event_of(end) if event is None else event):
             self._forget(running)
             self.traces.ended(self.now(), running.call, running.came, running.began, end)
             running.ended(end)
--- a/waterworks/sluice/tap.py
+++ b/waterworks/sluice/tap.py
@@ -1,7 +1,9 @@
 """Connections to the upstream beside this sidecar: one call at a time on each, kept while that is safe.
 
 A connection is used again only after its answer was whole, alone and for its id. An answer with another id is
-one too many for an earlier call; it is passed over, and the right one waited for.
+one too many for an earlier call; it is passed over, and the right one waited for. Ids are the clients', who
+may use one twice: a call whose id was here before has a connection of its own, on which no answer to the
+first use can still come.
 """
 
 from __future__ import annotations
@@ -9,6 +11,7 @@
 import asyncio
 import select
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
@@ -19,6 +22,7 @@
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 from waterworks.penstock.link import Address
+from waterworks.sluice.calls import CONNECTIONS, Event, State, whose
 
 CONNECT_S = 0.5
 IDLE_S = 3.0  # where an answer does not tell how long the connection is kept
@@ -26,6 +30,7 @@
 LONGEST_S = 30.0
 MOST_ANSWER = 16 * 1024 * 1024
 PASSED_OVER = 4  # answers with another id on one connection; more, and it is of no use
+RECENT = 4096  # ids of the last calls
 ID = b"attempt-id"
 
 
@@ -62,8 +67,17 @@
         self._id = b""
         self._ended: Callable[[Outcome], None] | None = None
         self._passed_over = 0
+        self.state = State.IDLE
         self.keep_until = 0.0
 
+    def on(self, event: Event) -> bool:
+        """Takes the event; False where it has no effect in this state."""
+        state = CONNECTIONS.get((self.state, event))
+        if state is None:
+            return False
+        self.state = state
+        return True
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
@@ -74,6 +88,7 @@
         """Nothing has come while it stood idle, as far as the kernel knows, and it is not too old."""
         return (
             self._transport is not None
+            and self.state is State.IDLE
             and not self._transport.is_closing()
             and now < self.keep_until
             and not self._poll.poll(0)
@@ -81,11 +96,13 @@
 
     def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> None:
         assert self._transport is not None
+        self.on(Event.ASK)
         self._id, self._ended = attempt, ended
         self._transport.write(payload)
 
     def drop(self) -> None:
         """Nobody waits for the answer any more; the upstream stops when the connection closes."""
+        self.on(Event.GIVEN_UP)
         self._ended = None
         self.close()
 
@@ -93,13 +110,18 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _break(self, why: str) -> None:
+        if self.on(Event.NO_ANSWER):
+            self._end(Broken(why))
+
     def _end(self, outcome: Outcome) -> None:
         ended, self._ended = self._ended, None
         if ended is not None:
             ended(outcome)
 
     def data_received(self, data: bytes) -> None:
-        if self._ended is None:  # nobody asked
+        if self.state is not State.SENT:  # nobody asked
+            self.on(Event.STRAY)
             self.close()
             return
         try:
@@ -107,7 +129,7 @@
         except http.BadMessage:
             self._settle(self._reader.take(), False)
             self.close()
-            self._end(Broken("what came is no answer"))
+            self._break("what came is no answer")
             return
         self._settle(self._reader.take(), True)
 
@@ -119,27 +141,36 @@
         self._settle(self._reader.take(), False)
 
     def _settle(self, answers: list[http.Message], good: bool) -> None:
-        while answers and self._ended is not None:
-            answer = answers.pop(0)
-            told = answer.get(ID)
-            if told is not None and told.encode("latin-1") != self._id:
-                self._passed_over += 1
-                self._tap.gauge.tell(events.WRONG_ANSWER, wanted=self._id.decode("latin-1"), got=told)
-                if self._passed_over > PASSED_OVER:
-                    self.close()
-                    self._end(Broken("answers to other calls"))
-                continue
-            clean = good and not answers and not self._reader.partial and answer.keep_alive
-            if clean:
-                self._tap.rest(self, answer)
-            else:
+        if not answers or self.state is not State.SENT:
+            return
+        ids = [told.encode("latin-1") if (told := one.get(ID)) is not None else None for one in answers]
+        at = whose(self._id, ids)
+        for other in ids[:at]:
+            assert other is not None
+            self.on(Event.STRAY)
+            self._passed_over += 1
+            self._tap.gauge.tell(
+                events.WRONG_ANSWER, wanted=self._id.decode("latin-1"), got=other.decode("latin-1")
+            )
+            if self._passed_over > PASSED_OVER:
                 self.close()
-            self._end(Answered(answer))
+                self._break("answers to other calls")
+                return
+        if at is None:
+            return
+        answer = answers[at]
+        alone = good and at == len(answers) - 1 and not self._reader.partial and answer.keep_alive
+        self.on(Event.ANSWER if alone else Event.CROWDED)
+        if alone:
+            self._tap.rest(self, answer)
+        else:
+            self.close()
+        self._end(Answered(answer))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._tap.lost(self)
         self._reader.close()
-        self._end(Broken("the connection ended"))
+        self._break("the connection ended")
 
 
 class Tap:
@@ -150,19 +181,24 @@
         self._loop = asyncio.get_running_loop()
         self._idle: list[TapConnection] = []
         self._open: set[TapConnection] = set()
+        self._recent: set[bytes] = set()
+        self._order: deque[bytes] = deque()  # of these, the oldest first
         self._coming = 0
 
     async def ask(
         self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]
     ) -> TapConnection | None:
         """Puts a call on a connection; ``ended`` is called once with its outcome, unless it is dropped."""
-        now = self._loop.time()
-        while self._idle:
+        now, again = self._loop.time(), attempt in self._recent
+        while self._idle and not again:
             connection = self._idle.pop()
             if connection.usable(now):
-                connection.ask(attempt, payload, ended)
-                return connection
+                return self._put(connection, attempt, payload, ended)
+            connection.close()
+        if again and self._idle and len(self._open) + self._coming >= self.most:
+            connection = self._idle.pop()  # makes room
             connection.close()
+            self._open.discard(connection)
         if len(self._open) + self._coming >= self.most:
             ended(NotSent(False))
             return None
@@ -176,6 +212,16 @@
         finally:
             self._coming -= 1
         self._open.add(connection)
+        return self._put(connection, attempt, payload, ended)
+
+    def _put(
+        self, connection: TapConnection, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]
+    ) -> TapConnection:
+        if attempt not in self._recent:
+            self._recent.add(attempt)
+            self._order.append(attempt)
+            if len(self._order) > RECENT:
+                self._recent.discard(self._order.popleft())
         connection.ask(attempt, payload, ended)
         return connection
 
--- a/waterworks/sluice/traces.py
+++ b/waterworks/sluice/traces.py
@@ -8,18 +8,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import Generic, TypeVar
 
+from waterworks.sluice.calls import Ask, Failed, Refused, Try
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway
 
-if TYPE_CHECKING:
-    from waterworks.sluice.tables import Ask, Failed, Refused
-
 KEPT = 400  # calls of each ring
 MOST_TRIES = 8  # of one call, the first; the others are only counted
 MOST_NAME, MOST_WORDS = 128, 80  # characters
 
-Try = tuple[str, str, float]  # the upstream, how it ended, after so many milliseconds
 # attempt id, taken and over (ms of the loop's clock), route, its version and aim (ms), service, tries, how
 # many, and the end: the status of the upstream's answer, the sidecar's word, or None: the client left
 First = tuple[str, float, float, str, int, float, str, tuple[Try, ...], int, "int | Refused | Failed | None"]
--- a/waterworks/valve/passing.py
+++ b/waterworks/valve/passing.py
@@ -27,6 +27,7 @@
     DOWN = "down"  # nothing is there
     LATE = "late"  # no time is left
     OLD = "old"  # by a version of its route that a newer one has followed
+    LOST = "lost"  # it had not been passed on when its lost link was asked after, and never will be
 
 
 @dataclass(frozen=True, slots=True)
