--- a/waterworks/sluice/calls.py
+++ b/waterworks/sluice/calls.py
@@ -13,8 +13,13 @@
 from typing import Any
 
 from anisestair.http import codec as http
+from hareloom.interface import Outcome
 from waterworks.manifold.routes import Route
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway
+from waterworks.valve.passing import Why
+
+# What waited in vain, or was lost on its way, says nothing of the upstream's pace, which is what w is.
+WAITED = frozenset({Why.FULL, Why.LATE, Why.LOST, Why.OLD})
 
 
 class State(IntEnum):
@@ -175,6 +180,24 @@
     return Event.TURNED_AWAY if isinstance(end, TurnedAway) else Event.NO_ANSWER
 
 
+PROMISES = frozenset({408, 421, 429, 503})  # by which a client knows that its request has not run
+
+
+def outcome_of(end: End) -> Outcome:
+    """What the decisions are told: those of `hareloom.interface.NEVER_RAN` have not run and never will."""
+    if isinstance(end, Returned):
+        if end.status in PROMISES:  # without the mark that it did not run it is none
+            return Outcome.ERROR
+        if end.status >= 500:
+            return Outcome.TIMEOUT if end.status == 504 else Outcome.ERROR
+        return Outcome.OK
+    if isinstance(end, TurnedAway):
+        if end.why in WAITED:
+            return Outcome.FULL if end.arrived else Outcome.MOOT
+        return Outcome.CONNECT_FAILED
+    return Outcome.RESET
+
+
 # The upstream's connection
 
 
@@ -290,6 +313,3 @@
         if self.last is not None:
             return Served(self.last)
         return Failed(late) if self.may_have_run() else Refused(retry_after_ms)
-
-
-PROMISES = frozenset({408, 421, 429, 503})  # by which a client knows that its request has not run
--- a/waterworks/sluice/tables.py
+++ b/waterworks/sluice/tables.py
@@ -11,13 +11,13 @@
 
 from hareloom import Balancer
 from hareloom import interface as api
-from hareloom.interface import Effect, ListKind, Outcome, ServerState
+from hareloom.interface import NEVER_RAN, Effect, ListKind, Outcome, ServerState
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 from waterworks.manifold.routes import Route
 from waterworks.penstock.link import Address
-from waterworks.sluice.calls import PROMISES, Anew, Ask, Failed, Final, Refused, Served
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
+from waterworks.sluice.calls import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
+from waterworks.sluice.hop import Call, End, Returned, TurnedAway
 from waterworks.sluice.passage import Passage
 from waterworks.sluice.traces import FirstHop, words
 from waterworks.valve.budget import Budget
@@ -272,36 +272,22 @@
         ask.outs[number] = None
         latency = self.tables.now() - ask.sent[number]
         ask.tried[number] = (ask.tried[number][0], words(end), latency)
-        closed = False
-        if isinstance(end, Returned):
-            if end.status in PROMISES:  # without the mark that it did not run it is none
-                ask.unclear, outcome = True, Outcome.ERROR
-            elif end.status >= 500:
-                ask.last, ask.unclear = end, True
-                outcome = Outcome.TIMEOUT if end.status == 504 else Outcome.ERROR
-            else:
-                outcome, closed = Outcome.OK, True
-        elif isinstance(end, TurnedAway):
+        outcome = outcome_of(end)
+        closed = outcome is Outcome.OK
+        ask.unclear = ask.unclear or outcome not in NEVER_RAN and not closed
+        if isinstance(end, TurnedAway):
             ask.arrived -= not end.arrived
             if end.why is Why.OLD:
-                outcome, ask.anyway = Outcome.MOOT, True
+                ask.anyway = True
                 self.tables.renew(end.newer)
                 if not ask.arrived and not ask.unclear:
                     self._anew(ask)
                     return
-            elif end.why in (Why.FULL, Why.LATE, Why.LOST):
-                # What waited in vain, or was lost on its way, says nothing of the upstream's pace, which is
-                # what w is.
-                outcome = Outcome.FULL if end.arrived else Outcome.MOOT
-            else:
-                outcome = Outcome.CONNECT_FAILED
-        else:
-            assert isinstance(end, Unclear)
-            ask.unclear = True
-            outcome = Outcome.RESET
-        if closed:
-            assert isinstance(end, Returned)
-            self._finish(ask, Served(end))
+        elif isinstance(end, Returned):
+            if closed:
+                self._finish(ask, Served(end))
+            elif end.status not in PROMISES:
+                ask.last = end
         self.handle(api.AttemptEnded(ask.id, number, outcome, latency, closed))
 
 
