--- a/tests/mesh/test_sluice_tap.py
+++ b/tests/mesh/test_sluice_tap.py
@@ -9,10 +9,20 @@
 import pytest
 
 from anisestair.http import codec as http
-from rigs.mesh_peers import Upstream, move, play, soon, until
+from rigs.mesh_peers import Upstream, move, play, soon, turns, until
 from waterworks.gauge.log import Gauge
 from waterworks.sluice import tap as module
-from waterworks.sluice.tap import IDLE_S, MARGIN_S, Answered, Broken, NotSent, Outcome, Tap, TapConnection
+from waterworks.sluice.tap import (
+    CONNECT_S,
+    IDLE_S,
+    MARGIN_S,
+    Answered,
+    Broken,
+    NotSent,
+    Outcome,
+    Tap,
+    TapConnection,
+)
 
 
 class Asked:
@@ -252,3 +262,31 @@
         assert not asked.outcome.done()
 
     tapped(test, ["hold"])
+
+
+def test_opening_a_connection_holds_a_call_up_for_a_part_of_a_short_drain(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A call that may still pass must not reach its upstream after drain_ms."""
+
+    async def test(bench: Bench) -> None:
+        async def hangs(*_: object) -> None:
+            await asyncio.Event().wait()
+
+        loop = asyncio.get_running_loop()
+        for drain_ms, most_s in (400.0, 0.12), (2000.0, CONNECT_S):
+            tap = Tap(bench.upstream.address, 1, Gauge("t", io.StringIO()), drain_ms)
+            with monkeypatch.context() as patch:
+                patch.setattr(loop, "create_connection", hangs)
+                outcome: asyncio.Future[Outcome] = loop.create_future()
+                task = loop.create_task(tap.ask(b"a1", b"", outcome.set_result))
+                await turns()
+                move(0.9 * most_s)
+                await turns()
+                assert not outcome.done()
+                move(0.2 * most_s)
+                await turns()
+                assert outcome.done() and outcome.result() == NotSent(False)
+                await task
+
+    tapped(test)
--- a/tests/mesh/test_sluice_limits.py
+++ b/tests/mesh/test_sluice_whole.py
@@ -6,6 +6,7 @@
 import asyncio
 import io
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -16,6 +17,7 @@
 from rigs.mesh_peers import (
     Client,
     Upstream,
+    call,
     free_ports,
     move,
     play,
@@ -28,10 +30,13 @@
 from waterworks.gauge.log import Gauge
 from waterworks.headworks.settings import Settings, read
 from waterworks.manifold.limits import HEAD_BESIDE, MOST_HEAD, Limits, read_limits
+from waterworks.penstock.frames import Frames, Head, frame
+from waterworks.sluice.hop import Call, End, Returned, TurnedAway, read_end
 from waterworks.sluice.intake import LONGEST
 from waterworks.sluice.program import EXIT_S as BEFORE_KILL_S
 from waterworks.sluice.program import NOTICE_S, Sluice
 from waterworks.valve.holding import LONG_SHARE, SHORT, Holding
+from waterworks.valve.passing import DRAIN_SHARE, Why
 
 TOLD = {"header_bytes": 65536, "body_bytes": 12 << 20, "header_lag_ms": 3000, "quiescent_ms": 15000}
 
@@ -48,7 +53,7 @@
         settings = read(file.read_text())
         assert isinstance(settings, Settings), settings
         self.sluice, self.upstream = Sluice(settings, Gauge("t", io.StringIO())), upstream
-        self.control, self.outbound = ("127.0.0.1", ports[1]), ("127.0.0.1", ports[2])
+        self.peers, self.control, self.outbound, self.readiness = (("127.0.0.1", port) for port in ports)
         self._version = 0
 
     def take(self, kind: str, name: str, value: dict[str, Any] | None) -> None:
@@ -283,3 +288,146 @@
         monkeypatch.undo()
 
     beside(tmp_path, test, grace_s=20.0)
+
+
+# Ends, and what changes under requests in hand
+
+
+class Other:
+    """Another sidecar, as far as it sends calls here; it reads when it is told to."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.frames = reader, writer, Frames()
+        writer.write(frame({"t": "hello", "node": "n2", "for": "calls"}))
+
+    @staticmethod
+    async def to(there: Beside) -> Other:
+        return Other(*await soon(asyncio.open_connection(*there.peers, limit=1024)))
+
+    def send(self, number: int, path: str, body: bytes = b"") -> None:
+        self.writer.write(frame(passing(f"b{number}", path, body).head(number), body))
+
+    async def end(self) -> End:
+        while True:
+            data = await soon(self.reader.read(1 << 20))
+            found: list[tuple[Head, bytes]] = [one for one in self.frames.feed(data) if one[0].get("t")]
+            if found:
+                return read_end(*found[0])
+
+
+def passing(attempt: str, path: str, body: bytes = b"") -> Call:
+    headers = [(b"host", b"h.example")]
+    return Call(attempt, b"POST", path.encode(), headers, body, "i-1", "other", 30_000.0, 0.5, 20.0)
+
+
+def test_at_an_end_calls_of_other_sidecars_are_waited_for_until_their_answers_have_left(
+    tmp_path: Path,
+) -> None:
+    async def test(there: Beside) -> None:
+        sluice, loop, body = there.sluice, asyncio.get_running_loop(), b"x" * 8_000_000
+        other = await Other.to(there)
+        other.send(1, "/read/hold", body)
+        await soon(there.upstream.comes.get())
+        ends = loop.create_task(sluice.stop())
+        await turns()
+        move(NOTICE_S)
+        await until(lambda: sluice.outlets._listener is None)  # its clients' side has ended
+        assert not ends.done()
+        there.upstream.release.set()
+        await until(lambda: not sluice.tailrace.running)
+        for _ in range(3):
+            move(0.05)
+            await turns()
+        assert not ends.done(), "the other has not read it yet"
+        found = await other.end()
+        assert isinstance(found, Returned) and found.body.endswith(body)
+        await soon(ends)
+        other.writer.close()
+
+    beside(tmp_path, test, grace_s=20.0)
+
+
+def test_other_settings_and_another_configuration_touch_no_request_in_hand(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        client = await there.client()
+        client.send("a1", "/read/hold")
+        await soon(there.upstream.comes.get())
+        settings = there.sluice.settings
+        there.sluice.retune(replace(settings, seeds=(("127.0.0.8", 1),), bounds=replace(settings.bounds)))
+        there.take("input_limits", "input_limits", {**TOLD, "header_bytes": 10, "body_bytes": 1})
+        there.take("route", "read", {**route("read", "/read/", "t"), "host": "h.example"})
+        there.take("plant", "s", None)
+        there.take("route", "read", None)
+        await turns()
+        there.upstream.release.set()
+        answer = await client.read()
+        assert answer is not None and (answer.status, answer.get(b"attempt-id")) == (200, "a1")
+
+    beside(tmp_path, test)
+
+
+def test_it_is_ready_once_it_has_heard_all_and_no_more_once_it_is_told_to_end(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        async def ready() -> bool:
+            return (await call(there.readiness, b"GET", b"/"))[0] == 200
+
+        assert not await ready()  # it has a route, and nobody that is whole has told it all
+        there.sluice.channels.whole_at = asyncio.get_running_loop().time()
+        assert await ready()
+        ends = asyncio.get_running_loop().create_task(there.sluice.stop())
+        await turns()
+        assert not await ready()
+        move(NOTICE_S)
+        await soon(ends)
+
+    beside(tmp_path, test)
+
+
+# What the upstream beside it is told
+
+
+def test_a_drain_and_a_leave_are_acknowledged_at_once_and_calls_pass_for_a_part_of_its_time(
+    tmp_path: Path,
+) -> None:
+    async def test(there: Beside) -> None:
+        sluice, upstream, path = there.sluice, there.upstream, b"/instances/i-1"
+
+        async def told(method: bytes, body: bytes = b"") -> int:
+            status, said = await call(there.control, method, path, body, within_s=1.0)
+            assert len(said) <= 4096
+            return status
+
+        async def passes(attempt: str) -> End:
+            ended: asyncio.Future[End] = asyncio.get_running_loop().create_future()
+            sluice.tailrace.take(passing(attempt, "/read/ok"), ended.set_result)
+            return await soon(ended)
+
+        assert await told(b"PUT", b"no beat") == 400  # and nothing of it is taken
+        assert await told(b"PUT", upstream.beat("decaying")) == 200
+        assert isinstance(await passes("b1"), Returned)
+        move(0.9 * DRAIN_SHARE * 2.0)
+        assert await told(b"PUT", upstream.beat("decaying")) == 200  # again: the time counts from the first
+        assert isinstance(await passes("b2"), Returned)
+        move(0.2 * DRAIN_SHARE * 2.0)
+        assert await passes("b3") == TurnedAway(Why.LEAVING)
+        assert await told(b"DELETE") == 200 and await told(b"DELETE") == 200
+        assert await passes("b4") == TurnedAway(Why.DOWN)
+        assert await told(b"PUT", upstream.beat()) == 200  # late: that life is over
+        assert await passes("b5") == TurnedAway(Why.DOWN)
+
+    beside(tmp_path, test)
+
+
+def test_a_drain_that_others_know_of_holds_after_a_restart_of_the_sidecar(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        sluice = there.sluice
+        value = {"plant": "s", "node": "n1", "zone": "z", "epoch": "", "capacity": 8, "state": "decaying"}
+        item = sluice.roll.take("instance", "i-9", 5000, {**value, "cold_ms": 0.0})
+        sluice.upstream.beat = None  # as it is before the first beat
+        sluice._changed("roll", [item])  # type: ignore[list-item]
+        sluice.registry.mind()
+        ended: list[End] = []
+        sluice.tailrace.take(replace(passing("b1", "/read/ok"), instance="i-9"), ended.append)
+        assert ended == [TurnedAway(Why.LEAVING)]
+
+    beside(tmp_path, test)
--- /dev/null
+++ b/tests/mesh/test_start_world.py
@@ -0,0 +1,130 @@
+"""Starts in virtual time: the first of all, in any order and with nobody listening yet, and later ones, whose
+seeds may be others, cut off or down."""
+
+import itertools
+import json
+from typing import Any
+
+import pytest
+
+from rigs.mesh_world.world import Machine, Script, World
+from waterworks.headworks.settings import Settings
+
+APART_S = 0.3  # all start within this
+ACK_S = 4.0
+
+
+def change(version: int) -> bytes:
+    rule = {
+        "name": "r1",
+        "kind": "idempotent",
+        "epoch": f"r{version}",
+        "predicate": {"prefix": "/r1/"},
+        "response": {"plant": "p", "horizon_ms": 800, "trials": 2},
+    }
+    plant = {"name": "p", "epoch": f"r{version}"}
+    apply = {"input_ports": [{"host": "h", "control_law": [rule]}], "plant_groups": [plant]}
+    return json.dumps({"apply": apply}).encode()
+
+
+def in_force(world: World, version: int) -> bool:
+    programs = [program for _, program in world.programs(core=False)]
+    routes = [program.routes.named("r1") for program in programs]
+    return all(route is not None and route.version == version for route in routes)
+
+
+ORDERS = [order for at, order in enumerate(itertools.permutations(range(5))) if at % 12 == 0]
+
+
+@pytest.mark.parametrize("order", ORDERS, ids=str)
+def test_the_first_start_goes_in_any_order_with_no_seed_listening_yet(order: tuple[int, ...]) -> None:
+    """Three founders, one more control process and one sidecar, as far apart as they may be."""
+
+    def first(world: World) -> Script:
+        world.founders = [world.add(f"c{n}", f"10.0.0.{n}") for n in range(1, 4)]
+        machines = [*world.founders, world.add("c4", "10.0.0.4"), world.add("s1", "10.0.1.1", core=False)]
+        began = world.env.now
+        for at in order:
+            world.start(machines[at], cold=True)
+            yield world.env.timeout(APART_S / (len(order) - 1))
+        answer = yield from world.commit(world.reservoirs(), change(1))
+        assert answer.status == 200 and world.env.now - began < ACK_S
+        yield from world.until(lambda: in_force(world, 1), 2.0, "the route is in force")
+        yield from world.joined(world.reservoirs())
+        programs = [program for _, program in world.programs(core=True)]
+        assert all(len(program.council.members()) == 4 for program in programs)
+        yield from world.witness.finish()
+
+    with World() as world:
+        assert world.run(first) == []
+
+
+class Reseeded(World):
+    """Whose later starts are told of other seeds."""
+
+    seeds: tuple[str, ...] = ()
+
+    def settings(self, machine: Machine, cold: bool) -> Settings:
+        told = super().settings(machine, cold)
+        if cold or not self.seeds:
+            return told
+        fields: dict[str, Any] = {name: getattr(told, name) for name in Settings.__slots__}
+        return Settings(**{**fields, "seeds": tuple((host, 8146) for host in self.seeds)})
+
+
+def test_a_later_start_goes_by_one_seed_that_can_be_had_and_others_by_what_they_know() -> None:
+    def later(world: World) -> Script:
+        assert isinstance(world, Reseeded)
+        yield from world.boot(5, sluices=2)
+        yield from world.commit(world.reservoirs(), change(1))
+        cores = world.machines
+        world.seeds = ("10.0.0.1", "10.0.9.8", "10.0.0.5")  # one goes, one never was, one joined later
+        for _, program in world.programs(core=True) + world.programs(core=False):
+            program.retune(world.settings(cores[program.settings.node], False))
+        world.power_off(cores["c1"])
+        for name in ("s1", "c3"):
+            world.kill(cores[name])
+            world.restart(cores[name])
+        yield world.env.timeout(2.0)
+        answer = yield from world.commit([cores["c3"]], change(2))
+        assert answer.status == 200
+        yield from world.until(lambda: in_force(world, 2), 3.0, "the route is in force")
+        assert cores["s1"].program.configured()
+        # Seeds that are all down are nothing to one that runs: it goes by what it knows.
+        world.seeds = ("10.0.9.7", "10.0.9.8", "10.0.9.9")
+        for _, program in world.programs(core=True) + world.programs(core=False):
+            program.retune(world.settings(cores[program.settings.node], False))
+        yield from world.commit([cores["c4"]], change(3))
+        yield from world.until(lambda: in_force(world, 3), 3.0, "the route is in force")
+        # So does a control process that starts, since the others call it.
+        world.kill(cores["c3"])
+        world.restart(cores["c3"])
+        yield world.env.timeout(3.0)
+        assert (yield from world.commit([cores["c3"]], change(4))).status == 200
+
+    with Reseeded() as world:
+        assert world.run(later) == []
+
+
+def test_a_sidecar_that_can_have_none_of_its_seeds_goes_by_what_the_others_tell_it() -> None:
+    def later(world: World) -> Script:
+        assert isinstance(world, Reseeded)
+        yield from world.boot(3, sluices=2)
+        yield from world.commit(world.reservoirs(), change(1))
+        one, two = world.machines["s1"], world.machines["s2"]
+        yield from world.until(lambda: two.program.membership.address("s1") is not None, 3.0, "it is known")
+        world.seeds = ("10.0.9.7", "10.0.9.8", "10.0.9.9")
+        world.kill(one)
+        world.restart(one)
+        yield world.env.timeout(2.0)
+        assert not one.program.channels.open
+        passage = two.program.passage
+        two.life.context.run(passage.warm, "s1", passage_address(two))  # as its calls would
+        yield from world.until(lambda: in_force(world, 1), 3.0, "the route is in force")
+
+    with Reseeded() as world:
+        assert world.run(later) == []
+
+
+def passage_address(machine: Machine) -> Any:
+    return machine.program.membership.address("s1")
--- a/tests/mesh/test_valve_passing.py
+++ b/tests/mesh/test_valve_passing.py
@@ -37,6 +37,17 @@
     assert judge(0.0, upstream(), "i-1", 100.0) == Passed()
 
 
+def test_a_drain_that_an_earlier_life_of_this_sidecar_acknowledged_is_over_at_once() -> None:
+    found = upstream()
+    found.said_decaying = frozenset({"i-1"})
+    assert judge(0.0, found, "i-1", 100.0) == Turned(Why.LEAVING)
+    assert judge(0.0, found, "i-2", 100.0) == Passed()
+    found.take(0.0, beat(state=DECAYING))
+    assert judge(0.0, found, "i-1", 100.0) == Turned(Why.LEAVING)
+    found.take(1.0, beat("i-2", state=DECAYING))  # another's begins with its own word
+    assert judge(1.0, found, "i-2", 100.0) == Passed()
+
+
 @pytest.mark.parametrize("left_ms", [0.0, -5.0])
 def test_nothing_passes_without_time(left_ms: float) -> None:
     assert judge(0.0, upstream(beat()), "i-1", left_ms) == Turned(Why.LATE)
--- a/waterworks/sluice/passage.py
+++ b/waterworks/sluice/passage.py
@@ -11,7 +11,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from waterworks.gauge import events
@@ -23,9 +23,11 @@
 from waterworks.sluice.tailrace import Running, Tailrace
 from waterworks.valve.passing import Why
 from waterworks.valve.sessions import Kept, Session, Sessions, Verdict
+from waterworks.weir.rendezvous import few
 
 AGAIN_S, AGAIN_MOST_S = 0.1, 1.0  # pauses after a link that did not come up
 HOLD_S = 0.2  # calls wait so long for a first link; a connection to a dark machine hangs
+MOST_TOLD = 8  # control processes that the other end is told of
 IDLE = "idle"
 IDLE_S = 20.0  # a link that carried nothing for so long is closed
 # Links that come up and say nothing, one after another: then it is taken for a program that tells no life.
@@ -115,7 +117,16 @@
             self._release()
             return
         self.link = link
-        link.send({"t": "hello", "node": self.passage.node, "for": "calls", "life": self.passage.life})
+        core = [f"{host}:{port}" for host, port in self.passage.core().values()]
+        link.send(
+            {
+                "t": "hello",
+                "node": self.passage.node,
+                "for": "calls",
+                "life": self.passage.life,
+                "core": few(self.node, core, MOST_TOLD),
+            }
+        )
         if self.life is None:
             self._ready()
         else:
@@ -278,6 +289,7 @@
         self.node, self.local, self.gauge, self.reached, self.life = node, local, gauge, reached, life
         self.loop = asyncio.get_running_loop()
         self.count = 0
+        self.core: Callable[[], Mapping[str, Address]] = dict  # control processes as they are known here
         self._links: dict[str, Outgoing] = {}
         self._leaving: set[str] = set()  # known no more, with calls still out
         self._turns: deque[Callable[[], None]] = deque()  # of calls of lost links, each its turn
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -24,12 +24,12 @@
 from waterworks.manifold.routes import Route, Routes
 from waterworks.penstock.desk import Answer, Desk
 from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Link, listen
+from waterworks.penstock.link import Address, Link, listen
 from waterworks.sluice.hop import End
 from waterworks.sluice.intake import Intake
 from waterworks.sluice.membership import NODE, SLUICE, Membership
 from waterworks.sluice.outlet import Outlets
-from waterworks.sluice.passage import Incoming, Passage
+from waterworks.sluice.passage import MOST_TOLD, Incoming, Passage
 from waterworks.sluice.registry import Registry
 from waterworks.sluice.shown import answers_of
 from waterworks.sluice.stages import Stages
@@ -37,7 +37,7 @@
 from waterworks.sluice.tailrace import Tailrace
 from waterworks.sluice.tap import Tap
 from waterworks.valve.sessions import Sessions
-from waterworks.weir.calls import SETTLED
+from waterworks.weir.calls import SETTLED, read_address
 from waterworks.weir.lives import Upstream
 from waterworks.weir.reaping import above, dropped
 from waterworks.weir.rendezvous import few
@@ -48,6 +48,7 @@
 TICK_S = 0.1
 SPARE_FILES = 64  # descriptors that are neither clients', links' nor the upstream's
 ASKED_BEYOND = 2  # control processes asked for news beyond those that may be lost at once
+MOST_HEARD = 64  # control processes that other sluices tell of
 TAP_SHARE = 0.9  # of what an upstream accepts, this sidecar opens; it is the only one that can
 TAP_MOST = 100  # where the operator does not say
 NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
@@ -67,9 +68,11 @@
         bounds = settings.bounds
         self.upstream = Upstream(settings.node, settings.zone, settings.beat_period_ms, bounds.drain_ms)
         assert settings.upstream is not None
-        self.tap = Tap(settings.upstream, TAP_MOST, gauge)
+        self.tap = Tap(settings.upstream, TAP_MOST, gauge, bounds.drain_ms)
         self.tailrace = Tailrace(self.upstream, self.tap, gauge, lambda told: self.registry.publish(told))
         self.passage = Passage(settings.node, self.tailrace, gauge, self._reached, self.life)
+        self.passage.core = lambda: self.membership.reservoirs()
+        self._heard_of: dict[str, Address] = {}  # control processes that other sluices told of
         self.sessions: Sessions[End] = Sessions(int(HELD_SHARE * settings.limits.memory_mb * 1e6))
         self.tables = Tables(
             self.passage,
@@ -289,9 +292,20 @@
     def _know(self) -> None:
         port = self.settings.port_range[0]
         known = {host: (host, port) for host, _ in self.settings.seeds}
-        known.update(self.membership.reservoirs())
+        reservoirs = self.membership.reservoirs()
+        known.update(reservoirs or self._heard_of)
         self.channels.know(known)
 
+    def _hear_of(self, told: Any) -> None:
+        """Another sluice says which control processes there are: of use to one that has just started, and
+        cannot have its seeds. What a reservoir says of them takes its place."""
+        if self.membership.reservoirs() or not isinstance(told, list):
+            return
+        for address in map(read_address, told[:MOST_TOLD]):
+            if address is not None and len(self._heard_of) < MOST_HEARD:
+                self._heard_of.setdefault(address[0], address)
+        self._know()
+
     def retune(self, settings: Settings) -> None:
         """The settings file has changed: other seeds."""
         self.settings = settings
@@ -319,6 +333,7 @@
             self._links.add(link)
             if session is not None:
                 link.send({"t": "life", "life": self.life})
+            self._hear_of(head.get("core"))
         elif head.get("t") == "hello" and head.get("for") == "news" and "source" in head and "node" in head:
             self.channels.adopt(link, head)
         else:
--- a/waterworks/sluice/registry.py
+++ b/waterworks/sluice/registry.py
@@ -106,6 +106,10 @@
         """What the membership says of this machine and is not so: of earlier lives, and of an upstream that
         ended while this sidecar was down."""
         mine = self._upstream.instance
+        if not mine:
+            here = self._membership.at(self._upstream.node)
+            states = {name: self._membership.instances[name].get("state") for name in here}
+            self._upstream.said_decaying = frozenset(name for name in here if states[name] == DECAYING)
         silent = self._now() - self._began > SILENT_BEATS * self._upstream.beat_ms
         told = []
         item = self._roll.items.get((INSTANCE, mine))  # dropped, it may be, and then not in the membership
--- a/waterworks/sluice/tap.py
+++ b/waterworks/sluice/tap.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 from collections import deque
@@ -25,6 +26,7 @@
 from waterworks.sluice.calls import CONNECTIONS, Event, State, whose
 
 CONNECT_S = 0.5
+DRAIN_PART = 0.3  # of drain_ms is the longest that opening a connection may hold up a call that may pass
 IDLE_S = 3.0  # where an answer does not tell how long the connection is kept
 MARGIN_S = 0.7  # given back so long before the upstream would close it
 LONGEST_S = 30.0
@@ -176,8 +178,9 @@
 class Tap:
     """All connections to one address. ``most`` bounds them."""
 
-    def __init__(self, address: Address, most: int, gauge: Gauge) -> None:
+    def __init__(self, address: Address, most: int, gauge: Gauge, drain_ms: float = math.inf) -> None:
         self.address, self.most, self.gauge = address, most, gauge
+        self.connect_s = min(CONNECT_S, DRAIN_PART * drain_ms / 1000.0)
         self._loop = asyncio.get_running_loop()
         self._idle: list[TapConnection] = []
         self._open: set[TapConnection] = set()
@@ -204,7 +207,7 @@
             return None
         self._coming += 1
         try:
-            async with asyncio.timeout(CONNECT_S):
+            async with asyncio.timeout(self.connect_s):
                 _, connection = await self._loop.create_connection(lambda: TapConnection(self), *self.address)
         except (OSError, TimeoutError) as fault:
             ended(NotSent(isinstance(fault, ConnectionRefusedError)))
--- a/waterworks/valve/passing.py
+++ b/waterworks/valve/passing.py
@@ -45,8 +45,8 @@
     beat = upstream.beat
     if left_ms <= 0.0:
         return Turned(Why.LATE)
-    if beat is None:
-        return Passed()  # a start without a beat yet: the upstream itself tells whether it is the one
+    if beat is None:  # a start without a beat yet: the upstream itself tells whether it is the one
+        return Turned(Why.LEAVING) if instance in upstream.said_decaying else Passed()
     if beat.instance != instance:
         return Turned(Why.OTHER)
     if upstream.gone:
--- a/waterworks/weir/lives.py
+++ b/waterworks/weir/lives.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -36,6 +37,9 @@
         self.beat: Beat | None = None
         self.heard = 0.0  # when the last beat came
         self.drains_since: float | None = None  # when its draining, or this sidecar's, was first acknowledged
+        self.said_decaying: frozenset[str] = (
+            frozenset()
+        )  # instances here, as others have it; until a beat comes
         self.leaving = False  # this sidecar ends: nothing new can reach its upstream
         self.gone = False
         self.version = 0
@@ -64,8 +68,8 @@
             published = self._end() if known is not None and not self.gone else []
             self.beat, self.heard, self.drains_since = beat, now, None
             self.gone, self._said, self.version = False, None, 0
-            if beat.state == DECAYING:
-                self.drains_since = now
+            if beat.state == DECAYING:  # an earlier life of this sidecar may have acknowledged that long ago
+                self.drains_since = -math.inf if beat.instance in self.said_decaying else now
             return published + self._publish()
         if beat.state == DECAYING and self.drains_since is None:
             self.drains_since = now
