--- a/tests/mesh/test_start_world.py
+++ b/tests/mesh/test_pages_world.py
@@ -1,5 +1,5 @@
-"""Starts in virtual time: the first of all, in any order and with nobody listening yet, and later ones, whose
-seeds may be others, cut off or down."""
+"""What the operators' pages say of starts and of many orders, in virtual time: the first start, in any order
+and with nobody listening yet; later ones, whose seeds may be others, cut off or down; a long day's orders."""
 
 import itertools
 import json
@@ -14,12 +14,12 @@
 ACK_S = 4.0
 
 
-def change(version: int) -> bytes:
+def change(version: int, name: str = "r1") -> bytes:
     rule = {
-        "name": "r1",
+        "name": name,
         "kind": "idempotent",
         "epoch": f"r{version}",
-        "predicate": {"prefix": "/r1/"},
+        "predicate": {"prefix": f"/{name}/"},
         "response": {"plant": "p", "horizon_ms": 800, "trials": 2},
     }
     plant = {"name": "p", "epoch": f"r{version}"}
@@ -128,3 +128,41 @@
 
 def passage_address(machine: Machine) -> Any:
     return machine.program.membership.address("s1")
+
+
+AT_ONCE, ROUNDS = 8, 40
+
+
+def test_eight_orders_at_once_and_hundreds_a_day_are_each_acknowledged_in_time() -> None:
+    """Each to any of the processes, and each sent again as it was, as where its answer was lost."""
+
+    def day(world: World) -> Script:
+        yield from world.boot(3, sluices=2)
+        cores, left, late = world.reservoirs(), [0], []
+
+        def order(version: int, name: str, first: int) -> Script:
+            began = world.env.now
+            for at in (first, first + 1):
+                answer = yield from world.commit(cores[at % 3 :] + cores[: at % 3], change(version, name))
+                assert answer.status == 200
+            if world.env.now - began >= 2 * ACK_S:
+                late.append((version, name))
+            left[0] -= 1
+
+        for number in range(1, ROUNDS + 1):
+            left[0] = AT_ONCE
+            for at in range(AT_ONCE):
+                world.env.process(order(number, f"r{at + 1}", at))
+            while left[0]:
+                yield world.env.timeout(0.05)
+        assert not late
+        yield from world.until(lambda: in_force(world, ROUNDS), 3.0, "the last of each is in force")
+        for _, program in world.programs(core=True) + world.programs(core=False):
+            held = [key for key in program.charter.items if key[0] == "route"]
+            assert len(held) == AT_ONCE and len(program.charter.vector) < 10  # versions leave nothing behind
+        for _, program in world.programs(core=True):
+            assert not program.council._pending
+        yield from world.witness.finish()
+
+    with World() as world:
+        assert world.run(day) == []
