--- a/benchmarks/day_kinds.py
+++ b/benchmarks/day_kinds.py
@@ -131,14 +131,16 @@
 def words(text: str) -> Words:
     """Raises BadKinds."""
     general, _, rest = text.partition("\n\n")
-    kinds = []
+    kinds, before, whole = [], "", ""
     for line in rest.splitlines():
         found = re.fullmatch(r"([a-z][a-z0-9_]*): (\S.*)", line.strip())
         if found:
-            kinds.append(kind(found[1], found[2]))
+            alike = before.split("_")[:-1] == found[1].split("_")[:-1] and found[2].startswith("the same")
+            before, whole = found[1], f"{whole}. {found[2]}" if alike else found[2]
+            kinds.append(kind(before, whole))
     if not kinds:
         raise BadKinds("the bench names no kinds of troubles after an empty line")
-    said = plain(general)
+    said = " ".join(plain(general).split())
 
     def named(pattern: str) -> tuple[str, ...]:
         found = re.search(pattern, said)
--- a/benchmarks/draw_days.py
+++ b/benchmarks/draw_days.py
@@ -30,7 +30,7 @@
 import tomllib
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from contextlib import contextmanager, suppress
 from dataclasses import asdict, dataclass, field, replace
 from pathlib import Path
@@ -387,20 +387,23 @@
 def play_all(bench: Bench, given: argparse.Namespace, out: Path) -> int:
     drawn, table = draw(bench, given.sites, out, given.seed, given.count), out / "days.jsonl"
     bench.build()
-    results = []
+    results: dict[Path, Result] = {}
     with pooled(bench, given.jobs) as pool:
-        for (site, path), found in zip(drawn, pool.map(lambda one: bench.play(*one), drawn), strict=True):
-            results.append(found)
+        under_way = {pool.submit(bench.play, *one): one for one in drawn}
+        for done in as_completed(under_way):
+            site, path = under_way[done]
+            results[path] = found = done.result()
             keep(table, site, read_day(path), found)
             print(line(read_day(path), found), flush=True)
     if given.reduce:
-        for (site, path), found in zip(drawn, results, strict=True):
+        for site, path in drawn:
+            found = results[path]
             if found.state == "broken":
                 less, how = taken_apart(bench, site, path, found, given.most, given.jobs)
                 keep(table, site, read_day(less), found, {"reduced": how})
                 print(f"{path.stem}: {how['from']} entries down to {how['to']}: {less}", flush=True)
-    print(json.dumps({"seed": given.seed, **summed(results), "table": str(table)}))
-    return 0 if all(found.state == "clean" for found in results) else 1
+    print(json.dumps({"seed": given.seed, **summed([*results.values()]), "table": str(table)}))
+    return 0 if all(found.state == "clean" for found in results.values()) else 1
 
 
 def reduce_one(bench: Bench, given: argparse.Namespace, out: Path) -> int:
@@ -425,8 +428,8 @@
         print(f"draw_days: --out {out}: give a folder outside {ROOT}", file=sys.stderr)
         return 2
     out.mkdir(parents=True, exist_ok=True)
-    given.sites = [site.resolve() for site in given.sites]
-    bench = Bench(given.bench.resolve(), bare=given.bare)
+    given.sites = [site.absolute() for site in given.sites]
+    bench = Bench(given.bench.absolute(), bare=given.bare)
     if given.verb != "draw":
         bench = replace(bench, no_cpu=given.no_cpu, day_cap=given.day_cap, wall_s=given.wall, why=given.why)
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
