--- a/tests/mesh/test_map.py
+++ b/tests/mesh/test_map.py
@@ -1,4 +1,5 @@
-"""The stranger's map names functions and tests that are there, and leaves no rule without a word."""
+"""The stranger's map, and the operators' page beside the code, name functions and tests that are there; the
+map leaves no rule without a word, the page no sentence."""
 
 import ast
 import re
@@ -7,6 +8,7 @@
 
 ROOT = Path(__file__).parents[2]
 MAP = (ROOT / "docs/design/map.md").read_text()
+PAGES = (ROOT / "docs/pages.md").read_text()
 REFERENCE = re.compile(r"`((?:\w+/)*\w+\.py):([A-Za-z_]\w*(?:\.\w+)*)`")
 RULES = {
     *("MIXED", "UNASKED", "TWICE", "REFUSED", "DENIED", "ROUTE", "DRAIN", "LOST", "CONFIG", "BUDGET"),
@@ -67,10 +69,25 @@
 def test_whatever_the_map_names_is_there() -> None:
     assert len(REFERENCE.findall(MAP)) > 100
     assert missing(MAP) == []
+    assert len(REFERENCE.findall(PAGES)) > 80
+    assert missing(PAGES) == []
+
+
+def test_each_sentence_of_the_page_has_its_test_or_says_why_not() -> None:
+    told = PAGES.partition("\n## On the wire")[2].partition("\n## On the bench")[0]
+    cells = [line.strip("|").split(" | ") for line in told.splitlines() if line[:1] == "|"]
+    judged = [row for row in cells if row[0].strip() != "the page" and not row[0].startswith(" ---")]
+    assert len(judged) > 40
+    for row in judged:
+        assert len(row) == 4, row
+        assert "`test_" in row[3] or "none needed" in row[3] or "**open" in row[1], row
+    numbers = {int(number) for number in re.findall(r"\*\*[Oo]pen \((\d+)\)\*\*", told)}
+    listed = PAGES.partition("\n## What is open")[2]
+    assert numbers == {int(number) for number in re.findall(r"^\| (\d+) \|", listed, re.MULTILINE)}
 
 
 def test_no_reference_is_written_in_a_way_that_would_not_be_looked_up() -> None:
-    loose = set(re.findall(r"`([^`\n]*\.py:[^`\n]*)`", MAP))
+    loose = set(re.findall(r"`([^`\n]*\.py:[^`\n]*)`", MAP + PAGES))
     assert {one for one in loose if not REFERENCE.fullmatch(f"`{one}`")} == set()
 
 
