Run a mesh at size on one machine: hollow sluices beside real processes

Hollow sluices, many in a process, speak the frames through the shipped news, links, lives and stages; reservoirs and a few sluices are real processes.

--- /dev/null
+++ b/rigs/hollow/stores.py
@@ -0,0 +1,63 @@
+"""Stores of many hollow sluices in one process: the shipped ones, whose items and names are shared.
+
+What each sluice holds, asks and answers is the shipped code's. Only the memory differs: one copy of an item
+serves all sluices of the process, and no digests are kept, which only an operator's question wants.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from sys import intern
+
+from waterworks.aquifer.digest import Digests
+from waterworks.aquifer.items import Item, Key
+from waterworks.aquifer.store import Store
+
+MOST_SHARED = 500_000  # items; then the pool is begun anew
+
+
+class Shared(Item):
+    """One copy of an item, with its key made once."""
+
+    __slots__ = ("_key",)
+
+    @property
+    def key(self) -> Key:
+        return self._key  # type: ignore[no-any-return, attr-defined]
+
+
+class Pool:
+    def __init__(self) -> None:
+        self._items: dict[tuple[str, int, str, str], Shared] = {}
+
+    def shared(self, item: Item) -> Shared:
+        if isinstance(item, Shared):
+            return item
+        at = (item.source, item.number, item.kind, item.name)
+        known = self._items.get(at)
+        if known is not None and known.version == item.version:
+            return known
+        if len(self._items) >= MOST_SHARED:
+            self._items.clear()
+        one = Shared(item.kind, item.name, item.version, item.value, intern(item.source), item.number)
+        object.__setattr__(one, "_key", (item.kind, item.name))
+        self._items[at] = one
+        return one
+
+
+class _None(Digests):
+    def note(self, old: Item | None, new: Item | None) -> None:
+        pass
+
+
+class HollowStore(Store):
+    def __init__(self, source: str, most: int, pool: Pool) -> None:
+        super().__init__(source, most)
+        self._pool = pool
+        self.digests = _None()
+
+    def _put(self, item: Item) -> bool:
+        return super()._put(self._pool.shared(item))
+
+    def _raise(self, vector: Mapping[str, int]) -> None:
+        super()._raise({intern(source): number for source, number in vector.items()})
--- a/rigs/mesh_demo.py
+++ b/rigs/mesh_demo.py
@@ -42,7 +42,7 @@
 ASK_S = 0.02  # between two requests of a client
 RESERVOIRS, SERVICES = 3, ("red", "red", "red", "red", "blue", "blue")
 
-CORE, SIDE = 11, 21  # the last part of a node's address, for the first of each
+CORE, SIDE = 11, 41  # the last part of a node's address, for the first of each
 
 
 def net() -> str:
@@ -125,6 +125,10 @@
         )
         return path
 
+    async def again(self, node: str, program: str) -> None:
+        """One that has ended, with its settings file as it is now."""
+        await self._start(node, program)
+
     async def _start(self, node: str, program: str) -> None:
         with (self.folder / f"{node}.log").open("ab") as log:
             self.processes[node] = await asyncio.create_subprocess_exec(
