Let no kind of call starve in the line before an upstream

Places went by worth for work alone: while calls of more worth fill the line, the least finds neither a place nor room to wait, in a model of a long overload under a twentieth of what all get.

Where the least has its part nothing changes.

--- a/tests/mesh/test_sluice_tailrace.py
+++ b/tests/mesh/test_sluice_tailrace.py
@@ -250,6 +250,25 @@
     behind(test, held)
 
 
+def test_a_kind_that_was_passed_on_far_less_often_than_all_goes_first_and_keeps_its_room() -> None:
+    async def test(bench: Bench) -> None:
+        await bench.fill()
+        for _ in range(20):
+            bench.tailrace.shares.came(bench.tailrace.now(), 5.0)
+            bench.tailrace.shares.passed(5.0)
+            bench.tailrace.shares.came(bench.tailrace.now(), 0.1)
+        bench.take("low", rank=0.1)
+        _, waiting = places(bench.tailrace.upstream)
+        others = [bench.take(f"b{at}", rank=5.0) for at in range(waiting)]
+        assert await soon(others[0][1]) == TurnedAway(Why.FULL)
+        bench.upstream.release.set()
+        for _ in range(places(bench.tailrace.upstream)[0]):
+            await bench.runs()
+        assert await bench.runs() == "low"
+
+    behind(test, held)
+
+
 def test_patience_ends_with_a_word_that_it_has_not_run() -> None:
     async def test(bench: Bench) -> None:
         await bench.fill()
--- a/waterworks/sluice/tailrace.py
+++ b/waterworks/sluice/tailrace.py
@@ -18,6 +18,7 @@
 from waterworks.valve.line import Line, Lowest
 from waterworks.valve.passing import Turned, Why, judge, places
 from waterworks.valve.sessions import Kept
+from waterworks.valve.shares import Shares
 from waterworks.weir.lives import Publish, Upstream
 
 # Written anew here, whatever was sent.
@@ -61,7 +62,7 @@
         self.upstream, self.tap, self._gauge, self._publish = upstream, tap, gauge, publish
         self._loop = asyncio.get_running_loop()
         self.running: set[Running] = set()  # at the upstream
-        self.line, self.lowest = Line(), Lowest()
+        self.line, self.lowest, self.shares = Line(), Lowest(), Shares()
         self.traces = SecondHop()
         self._alarm: asyncio.TimerHandle | None = None
         self._rings = 0.0  # when it does
@@ -89,6 +90,7 @@
             ended(TurnedAway(verdict.why))
             return None
         running = Running(call, ended, now)
+        self.shares.came(now, call.rank)
         at_once, waiting = places(self.upstream)
         patience = call.longer_ms if self.lowest.over(now, call.rank) else call.patience_ms
         if len(self.running) < at_once:
@@ -99,7 +101,7 @@
             return None
         else:
             running.on(Event.NO_PLACE)
-            over = self.line.add(running, call.rank, now + patience, waiting)
+            over = self.line.add(running, call.rank, now + patience, waiting, self.shares.behind())
             if isinstance(over, Running):
                 self._turn_away(over, Why.FULL)
             self._wake(now)
@@ -112,6 +114,7 @@
         call, running.began = running.call, self.now()
         call.left_ms -= running.began - running.came
         self.running.add(running)
+        self.shares.passed(call.rank)
         running.expiry = self._loop.call_later(call.left_ms / 1000.0 + LATE_S, self._expire, running)
         running.task = task = self._loop.create_task(self._pass(running))
         self._tasks.add(task)
@@ -125,7 +128,7 @@
     def _next(self) -> None:
         """Places that are free go to those that wait."""
         at_once, _ = places(self.upstream)
-        while len(self.running) < at_once and (running := self.line.next()) is not None:
+        while len(self.running) < at_once and (running := self.line.next(self.shares.behind())) is not None:
             assert isinstance(running, Running)
             call = running.call
             verdict = judge(
--- a/waterworks/valve/line.py
+++ b/waterworks/valve/line.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import math
-from bisect import insort
-from collections.abc import Hashable
+from bisect import bisect_right, insort
+from collections.abc import Collection, Hashable, Sequence
 from heapq import heappop, heappush
+from operator import itemgetter
 
 Place = tuple[float, int]  # rank, and how late it came
 
@@ -45,24 +46,32 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, call: Hashable, rank: float, until: float, most: int) -> Hashable | None:
+    def add(
+        self, call: Hashable, rank: float, until: float, most: int, spared: Collection[float] = ()
+    ) -> Hashable | None:
         """``call`` waits until that instant at the longest. Gives the one that finds no room among ``most``:
-        the least in rank, the longest there; None where all have."""
+        the least in rank, the longest there, of those whose rank is not ``spared``; None where all have."""
         self._count += 1
         insort(self._waiting, (rank, self._count, call))
         self._places[call] = (rank, self._count)
         heappush(self._ends, (until, self._count, call))
         if len(self._waiting) <= max(most, 0):
             return None
-        least = self._waiting[0][2]
+        least = next((entry[2] for entry in self._waiting if entry[0] not in spared), self._waiting[0][2])
         self.drop(least)
         return least
 
-    def next(self) -> Hashable | None:
-        """Takes the one whose turn it is out of the line."""
+    def next(self, first: Sequence[float] = ()) -> Hashable | None:
+        """Takes the one whose turn it is out of the line; those of the ranks in ``first`` go before all."""
         if not self._waiting:
             return None
-        _, _, call = self._waiting.pop()
+        at = len(self._waiting) - 1
+        for rank in first:
+            found = bisect_right(self._waiting, rank, key=itemgetter(0)) - 1
+            if found >= 0 and self._waiting[found][0] == rank:
+                at = found
+                break
+        _, _, call = self._waiting.pop(at)
         del self._places[call]
         return call
 
