--- a/benchmarks/draw_days.py
+++ b/benchmarks/draw_days.py
@@ -56,6 +56,7 @@
     rules: Mapping[str, Any] | None = None
     fault: str = ""
     short: tuple[str, ...] = ()
+    first: tuple[str, ...] = ()  # what was seen first of each broken rule
     seconds: float = 0.0
     journal: str = ""
     said: str = ""
@@ -84,6 +85,8 @@
     rules = {name: number for one in found for name, number in (one["rules"] or {}).items() if number}
     fault = next((str(one["fault"]) for one in found if one["fault"]), "")
     short = tuple(str(line) for one in found for line in one.get("short") or ())
+    seen = [one for part in found for one in part.get("first") or () if isinstance(one, dict)]
+    first = tuple(f"{one.get('rule')} at {one.get('at_s')} s: {one.get('what')}" for one in seen)
     gave_up = re.search(
         r"(?<!worth )given up|gave (?:it )?up|too busy|day.cap", f"{fault}\n{out}", re.IGNORECASE
     )
@@ -95,7 +98,7 @@
     if not signs:
         table = re.search(r"\bBROKEN: *(.*)", out)
         signs = tuple(re.findall(r"\b([A-Z]{3,}|fault)\b", table[1])) or ("unnamed",) if table else ()
-    ended = Result("unclear", signs, rules, fault, short, said=said)
+    ended = Result("unclear", signs, rules, fault, short, first, said=said)
     if signs:
         return replace(ended, state="broken", said="")
     if code is None or gave_up:
--- a/tests/mesh/test_draw_days.py
+++ b/tests/mesh/test_draw_days.py
@@ -170,7 +170,9 @@
 def test_a_report_tells_of_a_bad_end_only() -> None:
     said: dict[str, Any] = {"breaks": {}, "fault": None, "short": []}
     assert result(0, "", list(records(said))).state == "unclear"
-    assert result(0, "", list(records(said | {"breaks": {"LOST": 1}}))).signs == ("LOST", "gate")
+    first = [{"rule": "LOST", "at_s": 3.5, "what": "an answer"}]
+    lost = result(0, "", list(records(said | {"breaks": {"LOST": 1}, "first": first})))
+    assert (lost.signs, lost.first) == (("LOST", "gate"), ("LOST at 3.5 s: an answer",))
     assert result(0, "", list(records(said | {"short": ["a floor"]}))).signs == ("gate",)
 
 
