--- /dev/null
+++ b/rigs/call_model.py
@@ -0,0 +1,804 @@
+"""Effectful calls in the small, for `statecheck`: first hops, second hops and the connections to their
+upstreams; links that are lost at either end at any moment, with frames that still come after that, doubled
+frames, crashes, callers that give up. What decides is the shipped code: the tables of states, the sessions,
+whose an answer is, what may be sent again and what a client may be told. The model is its host and its
+surroundings.
+
+There is no clock: whatever waits for time may happen at any moment, so a freeze and a slow process are among
+the orders of events. A ledger beside the state has what upstreams have begun and what clients were told.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any, NamedTuple, cast
+
+from hareloom import requests
+from hareloom.interface import NEVER_RAN, Effect, Outcome
+from statecheck import Model, Violation, explore
+from statecheck.model import State as Whole
+from waterworks.sluice import calls as table
+from waterworks.sluice import hop
+from waterworks.sluice.calls import Ask, Event, Failed, Refused, State, event_of, outcome_of
+from waterworks.valve.passing import Why
+from waterworks.valve.sessions import HELD_S, Kept, Session, Sessions, Verdict
+
+NO, UNCLEAR = hop.TurnedAway(Why.LOST), hop.Unclear("lost")
+FULL = hop.TurnedAway(Why.FULL)
+TRIES = 2
+OVER = frozenset({State.ENDED, State.WITHDRAWN})
+
+
+def answer(call: int) -> hop.Returned:
+    """Of the upstream to that call; its body says whose it is."""
+    return hop.Returned(200, cast(Any, ()), b"%d" % call, True)
+
+
+class Attempt(NamedTuple):
+    number: int
+    second: int
+    state: State
+    life: int  # of the second hop, as far as it is known
+    outcome: Outcome | None = None
+
+
+class Call(NamedTuple):
+    told: str  # new, open; then what its client got
+    tries: tuple[Attempt, ...] = ()
+
+
+class Link(NamedTuple):
+    """One connection. ``near`` and ``far``: as its ends have it. Frames on their way stand in order."""
+
+    id: int
+    first: int
+    life: int  # of the first hop
+    second: int
+    near: bool
+    far: bool
+    there: tuple[Any, ...]
+    back: tuple[Any, ...]
+    met: bool  # the second has its hello
+    proved: bool  # the first has the second's life
+    doubled: tuple[Any, ...] = ()  # a frame that comes once more on a later link
+
+
+class Run(NamedTuple):
+    life: tuple[int, int]  # of whose session
+    number: int
+    call: int
+    state: State
+    link: int  # where its end is waited for; 0: nowhere
+    strays: tuple[int, ...] = ()  # calls whose second answers come before its own on its connection
+
+
+class Second(NamedTuple):
+    life: int = 1
+    sessions: tuple[Any, ...] = ()
+    runs: tuple[Run, ...] = ()
+    idle: tuple[int, ...] | None = (
+        None  # a connection that stands idle, and second answers on their way on it
+    )
+    ids: frozenset[str] = frozenset()  # that were here of late
+
+
+class Left(NamedTuple):
+    """Troubles that may still come."""
+
+    losses: int = 0
+    crashes: int = 0  # of first hops
+    falls: int = 0  # of second hops
+    doubles: int = 0  # frames that come once more on the next link
+    strays: int = 0  # answers that come twice
+    drops: int = 0  # clients that leave, or whose time is over, while something is out
+    forgets: int = 0  # of ends that were held
+    turns: int = 0  # calls that a second hop turns away though it could take them
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    homes: tuple[int, ...]  # the first hop of each call
+    seconds: int
+    left: Left
+    ids: tuple[str, ...] = ("a", "b")
+    held_bytes: int = 100
+    late: tuple[int, ...] = ()  # calls that are sent only after others have ended
+    ends: bool = True  # calls may end at any time, as their deadline says; else only when nothing is out
+
+
+@dataclass(slots=True)
+class World:
+    """One state, open for a step."""
+
+    size: Size
+    firsts: list[tuple[int, int]]  # life, last number
+    calls: list[Call]
+    links: list[Link]
+    seconds: list[Second]
+    begun: list[int]
+    left: dict[str, int]
+    broken: str = ""
+    lives: list[tuple[int, ...]] = field(default_factory=list)  # of seconds, as each first knows them
+
+    @classmethod
+    def of(cls, size: Size, state: Whole) -> World:
+        firsts, calls, links, seconds, begun, left, _, lives = state
+        return cls(
+            size,
+            list(firsts),
+            list(calls),
+            list(links),
+            list(seconds),
+            list(begun),
+            left._asdict(),
+            "",
+            list(lives),
+        )
+
+    def state(self) -> Whole:
+        return (
+            tuple(self.firsts),
+            tuple(one if one.told in ("new", "open") else Call(one.told) for one in self.calls),
+            tuple(sorted(one for one in self.links if one.near or one.far)),
+            tuple(self.seconds),
+            tuple(self.begun),
+            Left(**self.left),
+            self.broken,
+            tuple(self.lives),
+        )
+
+    def at(self, id: int) -> int:
+        """Where a link stands, -1 where it is over."""
+        return next((at for at, one in enumerate(self.links) if one.id == id), -1)
+
+    def say(self, id: int, frame: Any) -> None:
+        """From the second hop over a link, if that is up there."""
+        at = self.at(id)
+        if at >= 0 and self.links[at].far:
+            one = self.links[at]
+            if one.near:
+                self.links[at] = one._replace(back=(*one.back, frame))
+
+    # The first hop
+
+    def up(self, first: int, second: int) -> Link | None:
+        return next(
+            (one for one in self.links if one.near and (one.first, one.second) == (first, second)), None
+        )
+
+    def put(self, link: Link, frame: Any) -> None:
+        at = self.at(link.id)
+        one = self.links[at]
+        if one.far:
+            self.links[at] = one._replace(there=(*one.there, frame))
+
+    def attempt(self, call: int, at: int, **fields: Any) -> Attempt:
+        one = self.calls[call]
+        tries = list(one.tries)
+        tries[at] = tries[at]._replace(**fields)
+        self.calls[call] = one._replace(tries=tuple(tries))
+        return tries[at]
+
+    def on(self, call: int, at: int, event: Event) -> bool:
+        state = table.FIRST.get((self.calls[call].tries[at].state, event))
+        if state is not None:
+            self.attempt(call, at, state=state)
+        return state is not None
+
+    def found(self, first: int, number: int) -> tuple[int, int] | None:
+        """The call and try of a number that is out."""
+        for call, one in enumerate(self.calls):
+            if self.size.homes[call] == first:
+                for at, item in enumerate(one.tries):
+                    if item.number == number and item.state in (State.SENT, State.UNCLEAR):
+                        return call, at
+        return None
+
+    def ended(self, call: int, at: int, end: hop.End) -> None:
+        """As `sluice.tables.Table._ended`."""
+        if not self.on(call, at, event_of(end) if end is not UNCLEAR else Event.NO_ANSWER):
+            return
+        outcome = outcome_of(end)
+        self.attempt(call, at, outcome=outcome)
+        if outcome is Outcome.OK and self.calls[call].told == "open":
+            assert isinstance(end, hop.Returned)
+            self.tell(call, "served " + end.body.decode())
+
+    def tell(self, call: int, words: str) -> None:
+        """Its client has that end. What is still out has been cut, or is by whoever calls."""
+        self.calls[call] = self.calls[call]._replace(told=words)
+
+    def open_tries(self, call: int) -> list[int]:
+        tries = self.calls[call].tries
+        return [at for at, item in enumerate(tries) if item.state not in OVER]
+
+    def may_send(self, call: int) -> bool:
+        """By the shipped rule of the decisions."""
+        one = self.calls[call]
+        held = SimpleNamespace(
+            open=one.told == "open" and not self.open_tries(call),
+            streaming=False,
+            attempts=[
+                SimpleNamespace(may_have_run=item.outcome not in NEVER_RAN, sent=0.0) for item in one.tries
+            ],
+            most=TRIES,
+            klass=SimpleNamespace(effect=Effect.UNSAFE),
+        )
+        settings = SimpleNamespace(limits=None)
+        return bool(
+            requests.may_send(cast(Any, settings), 0.0, cast(Any, held), cast(Any, SimpleNamespace()))
+        )
+
+    def finish(self, call: int) -> None:
+        """Its client is answered now, whatever is out."""
+        one = self.calls[call]
+        nothing = cast(Any, None)
+        ask = Ask("", nothing, "", nothing, [], "", "", 0.0, 0.0, lambda final: None)
+        ask.outs = [cast(Any, item) if item.state not in OVER else None for item in one.tries]
+        ask.unclear = any(
+            item.outcome is not None and item.outcome not in NEVER_RAN and item.outcome is not Outcome.OK
+            for item in one.tries
+        )
+        final = ask.final(False, 0.0)
+        assert isinstance(final, Refused | Failed)
+        self.cut(call)
+        self.tell(call, "503" if isinstance(final, Refused) else "502")
+
+    def cut(self, call: int) -> None:
+        first = self.size.homes[call]
+        for at in self.open_tries(call):
+            item = self.calls[call].tries[at]
+            if self.on(call, at, Event.GIVEN_UP):
+                link = self.up(first, item.second)
+                if link is not None and item.state is State.SENT:
+                    self.put(link, ("drop", item.number))
+
+    def lose(self, link: Link) -> None:
+        """The first hop's end of it is gone: closed for silence, or reset."""
+        at = self.at(link.id)
+        self.links[at] = link._replace(near=False, back=(), proved=False)
+        life = self.lives[link.first][link.second]
+        for call, one in enumerate(self.calls):
+            if self.size.homes[call] != link.first:
+                continue
+            for turn, item in enumerate(one.tries):
+                if item.second != link.second or item.state not in (State.SENT, State.UNCLEAR):
+                    continue
+                if self.on(call, turn, Event.LINK_LOST):
+                    self.attempt(call, turn, life=item.life or life)
+                    if not life:
+                        self.unclear(call, turn)
+
+    def same(self, life: int, told: int) -> bool:
+        """Whether the second hop that had a call is the one that is there now; as `Outgoing._ask`."""
+        return life == told
+
+    def unclear(self, call: int, at: int) -> None:
+        if self.on(call, at, Event.TIME_OVER):
+            self.attempt(call, at, outcome=outcome_of(UNCLEAR))
+
+    def hear(self, link: Link) -> None:
+        """The first hop reads the next frame."""
+        at = self.at(link.id)
+        frame, *rest = link.back
+        self.links[at] = link = link._replace(back=tuple(rest))
+        if frame[0] == "life":
+            lives = list(self.lives[link.first])
+            lives[link.second] = frame[1]
+            self.lives[link.first] = tuple(lives)
+            self.links[at] = link._replace(proved=True)
+            return
+        found = self.found(link.first, frame[1])
+        if found is None:
+            return
+        if frame[0] == "passed":
+            self.on(*found, Event.PASSED)
+        else:
+            self.ended(*found, frame[2])
+
+    # The second hop
+
+    def book(self, second: int) -> Sessions[hop.End]:
+        """Its sessions, as the shipped code has them."""
+        book: Sessions[hop.End] = Sessions(self.size.held_bytes)
+        for life, highest, forgotten, entries in self.seconds[second].sessions:
+            session: Session[hop.End] = Session(life)
+            session.highest, session.forgotten = highest, forgotten
+            for number, call, waits, done, end in entries:
+                session.calls[number] = Kept(self.size.ids[call], call, waits, end, done)
+                if done:
+                    size = len(end.body) if isinstance(end, hop.Returned) else 0
+                    book._ends.append((0.0, session, number, size))
+                    book.bytes += size
+            book.by_life[life] = session
+        return book
+
+    def shelve(self, second: int, book: Sessions[hop.End], calls: dict[tuple[Any, int], int]) -> None:
+        kept = tuple(
+            (
+                life,
+                session.highest,
+                session.forgotten,
+                tuple(
+                    (number, calls[life, number], item.waits and not item.done, item.done, item.end)
+                    for number, item in sorted(session.calls.items())
+                ),
+            )
+            for life, session in sorted(book.by_life.items())
+        )
+        self.seconds[second] = self.seconds[second]._replace(sessions=kept)
+
+    def owners(self, second: int) -> dict[tuple[Any, int], int]:
+        """Which call stands behind a number of a session."""
+        return {
+            (life, number): call
+            for life, _, _, entries in self.seconds[second].sessions
+            for number, call, *_ in entries
+        }
+
+    def run(self, second: int, at: int, **fields: Any) -> Run:
+        runs = list(self.seconds[second].runs)
+        runs[at] = runs[at]._replace(**fields)
+        self.seconds[second] = self.seconds[second]._replace(runs=tuple(runs))
+        return runs[at]
+
+    def end_run(self, second: int, at: int) -> Run:
+        runs = list(self.seconds[second].runs)
+        gone = runs.pop(at)
+        self.seconds[second] = self.seconds[second]._replace(runs=tuple(runs))
+        return gone
+
+    def run_at(self, second: int, life: Any, number: int) -> int:
+        return next(
+            (
+                at
+                for at, one in enumerate(self.seconds[second].runs)
+                if (one.life, one.number) == (life, number)
+            ),
+            -1,
+        )
+
+    def key(self, link: Link) -> tuple[int, int]:
+        """Of the session of whoever opened it."""
+        return link.first, link.life
+
+    def read(self, link: Link) -> None:
+        """The second hop reads the next frame."""
+        at = self.at(link.id)
+        frame, *rest = link.there
+        self.links[at] = link = link._replace(there=tuple(rest))
+        book, calls = self.book(link.second), self.owners(link.second)
+        life = self.key(link)
+        if frame[0] == "hello":
+            book.open(cast(str, life))
+            self.links[at] = link._replace(met=True)
+            self.shelve(link.second, book, calls)
+            self.say(link.id, ("life", self.seconds[link.second].life))
+            return
+        session = book.by_life[cast(str, life)]
+        number = frame[1]
+        if frame[0] == "call":
+            if session.take(number):
+                session.calls[number] = Kept(self.size.ids[frame[2]], frame[2])
+                calls[life, number] = frame[2]
+                waiting = table.SECOND[State.READ, Event.NO_PLACE]
+                run = Run(life, number, frame[2], waiting, link.id)
+                self.seconds[link.second] = self.seconds[link.second]._replace(
+                    runs=(*self.seconds[link.second].runs, run)
+                )
+        elif frame[0] == "drop":
+            turn = self.run_at(link.second, life, number)
+            if turn >= 0 and self.seconds[link.second].runs[turn].link == link.id:
+                self.withdraw(link.second, turn, Event.GIVEN_UP)
+                book.end(session, number, None, 0, 0.0)
+        else:
+            self.asked(link, book, session, number, self.size.ids[frame[2]])
+        self.shelve(link.second, book, calls)
+
+    def asked(self, link: Link, book: Any, session: Session[hop.End], number: int, attempt: str) -> None:
+        """As `sluice.passage.Incoming._asked`."""
+        verdict, kept = session.ask(number, attempt)
+        turn = self.run_at(link.second, session.life, number)
+        if verdict is Verdict.PASSED:
+            self.run(link.second, turn, link=link.id)
+            self.say(link.id, ("passed", number))
+            return
+        if kept is not None and turn >= 0:
+            self.withdraw(link.second, turn, Event.ASKED_BACK)
+        if verdict is Verdict.NO:
+            self.say(link.id, ("end", number, NO))
+        elif verdict is Verdict.DONE and kept is not None:
+            self.say(link.id, ("end", number, kept.end))
+        else:
+            self.say(link.id, ("end", number, UNCLEAR))
+
+    def withdraw(self, second: int, at: int, event: Event) -> None:
+        run = self.seconds[second].runs[at]
+        if table.SECOND.get((run.state, event)) is State.WITHDRAWN:
+            self.end_run(second, at)
+
+    def unmet(self, link: Link) -> None:
+        """The second hop's end of it is gone. As `sluice.passage.Incoming.lost`."""
+        at = self.at(link.id)
+        self.links[at] = link._replace(far=False, there=())
+        book, calls = self.book(link.second), self.owners(link.second)
+        for run in self.seconds[link.second].runs:
+            if run.link != link.id:
+                continue
+            turn = self.run_at(link.second, run.life, run.number)
+            if book.by_life[cast(str, run.life)].lost(run.number) is not None:
+                self.withdraw(link.second, turn, Event.LINK_LOST)
+            else:
+                self.run(link.second, turn, link=0)
+        self.shelve(link.second, book, calls)
+
+    def over(self, second: int, at: int, end: hop.End) -> None:
+        """A run has its end there."""
+        run = self.seconds[second].runs[at]
+        if (run.state, event_of(end)) not in table.SECOND:
+            return
+        self.end_run(second, at)
+        book, calls = self.book(second), self.owners(second)
+        session = book.by_life[cast(str, run.life)]
+        if run.number in session.calls:
+            size = len(end.body) if isinstance(end, hop.Returned) else 0
+            book.end(session, run.number, end, size, 0.0)
+        self.shelve(second, book, calls)
+        if run.link:
+            self.say(run.link, ("end", run.number, end))
+
+    def place(self, second: int, at: int) -> None:
+        """It goes on to the upstream, on the idle connection where that may be."""
+        there = self.seconds[second]
+        run = there.runs[at]
+        state = table.SECOND.get((run.state, Event.PLACE))
+        if state is None:
+            return
+        if run.link == 0:
+            self.broken = "nobody's: a call whose first hop is gone was passed on"
+        attempt = self.size.ids[run.call]
+        strays: tuple[int, ...] = ()
+        idle = there.idle
+        if idle is not None and self.may_use(there, attempt):
+            strays, idle = idle, None
+        self.seconds[second] = there._replace(idle=idle, ids=there.ids | {attempt})
+        self.run(second, at, state=state, strays=strays)
+        book, calls = self.book(second), self.owners(second)
+        kept = book.by_life[cast(str, run.life)].calls.get(run.number)
+        if kept is not None:
+            kept.waits = False
+        self.shelve(second, book, calls)
+        self.begun[run.call] += 1
+
+    def may_use(self, there: Second, attempt: str) -> bool:
+        """An idle connection, for a call of that id; as `sluice.tap.Tap.ask`."""
+        return attempt not in there.ids
+
+    def answered(self, second: int, at: int, twice: bool, together: bool) -> None:
+        """The upstream's answers come on the run's connection, in their order."""
+        there = self.seconds[second]
+        run = there.runs[at]
+        order = [*run.strays, run.call, *([run.call] if twice and together else [])]
+        ids = [self.size.ids[one].encode() for one in order]
+        found = table.whose(self.size.ids[run.call].encode(), ids)
+        if found is None:
+            return
+        alone = found == len(order) - 1
+        state = table.CONNECTIONS[State.SENT, Event.ANSWER if alone else Event.CROWDED]
+        if state is State.IDLE and there.idle is None:
+            rest: tuple[int, ...] = (run.call,) if twice and not together else ()
+            self.seconds[second] = there._replace(idle=rest)
+        self.over(second, at, answer(order[found]))
+
+
+class Calls(Model):
+    world: type[World] = World
+
+    def __init__(self, name: str, size: Size) -> None:
+        self.name, self.size = name, size
+
+    def initial(self) -> Iterable[Whole]:
+        size = self.size
+        firsts = max(size.homes) + 1
+        yield (
+            ((1, 0),) * firsts,
+            tuple(Call("new") for _ in size.homes),
+            (),
+            (Second(),) * size.seconds,
+            (0,) * len(size.homes),
+            size.left,
+            "",
+            ((0,) * size.seconds,) * firsts,
+        )
+
+    def events(self, state: Whole) -> Sequence[Any]:
+        return list(self._events(World.of(self.size, state)))
+
+    def _events(self, world: World) -> Iterator[Any]:
+        size, left = self.size, world.left
+        for call, one in enumerate(world.calls):
+            first = size.homes[call]
+            if one.told == "new":
+                if call not in size.late or all(
+                    other.told not in ("new", "open") for at, other in enumerate(world.calls) if at != call
+                ):
+                    yield ("read", call)
+                continue
+            if one.told == "open":
+                if world.may_send(call):
+                    for second in range(size.seconds):
+                        link = world.up(first, second)
+                        if link is not None and (link.proved or not world.lives[first][second]):
+                            yield ("send", call, second)
+                out = world.open_tries(call)
+                if out and left["drops"] and size.ends:
+                    yield ("over", call)
+                if out and left["drops"]:
+                    yield ("leave", call)
+                if not out and (one.tries or not size.ends):
+                    yield ("over", call)
+            for at, item in enumerate(one.tries):
+                if item.state is State.UNCLEAR:
+                    yield ("time over", call, at)
+                    link = world.up(first, item.second)
+                    if link is not None and link.proved and not self._asked(link, item.number):
+                        yield ("ask", call, at)
+        for first in range(len(world.firsts)):
+            for second in range(size.seconds):
+                if world.up(first, second) is None and self._wanted(world, first, second):
+                    yield ("open", first, second)
+        for link in world.links:
+            if link.near and link.back:
+                yield ("hear", link.id)
+            if link.far and link.there:
+                yield ("read frame", link.id)
+            if link.near and (left["losses"] or not link.far):
+                yield ("lose", link.id)
+            if link.far and (left["losses"] or not link.near):
+                yield ("unmet", link.id)
+            if left["doubles"] and link.far and link.there and link.there[0][0] != "hello" and link.met:
+                yield ("double", link.id)
+        for second, there in enumerate(world.seconds):
+            for at, run in enumerate(there.runs):
+                if run.state is State.WAITING:
+                    yield ("place", second, at)
+                    if left["turns"]:
+                        yield ("turn away", second, at)
+                else:
+                    yield ("answer", second, at)
+                    if left["losses"]:
+                        yield ("break", second, at)
+                    if left["strays"]:
+                        yield ("answer twice", second, at, True)
+                        yield ("answer twice", second, at, False)
+            if there.idle:
+                yield ("stray seen", second)
+            if left["falls"]:
+                yield ("fall", second)
+            if left["forgets"] and any(entry[3] for one in there.sessions for entry in one[3]):
+                yield ("forget", second)
+        if left["crashes"]:
+            for first in range(len(world.firsts)):
+                yield ("crash", first)
+
+    def _wanted(self, world: World, first: int, second: int) -> bool:
+        """Whether a link is of use."""
+        for call, one in enumerate(world.calls):
+            if self.size.homes[call] == first and one.told == "open":
+                if world.may_send(call):
+                    return True
+                if any(item.state is State.UNCLEAR and item.second == second for item in one.tries):
+                    return True
+        return False
+
+    @staticmethod
+    def _asked(link: Link, number: int) -> bool:
+        return number in link.doubled
+
+    def step(self, state: Whole, event: Any) -> Whole:
+        world = self.world.of(self.size, state)
+        what, *about = event
+        getattr(self, "_" + what.replace(" ", "_"))(world, *about)
+        return world.state()
+
+    def _read(self, world: World, call: int) -> None:
+        world.tell(call, "open")
+
+    def _open(self, world: World, first: int, second: int) -> None:
+        id, life = 16 * (2 * first + second) + 1, world.firsts[first][0]
+        used = {run.link for there in world.seconds for run in there.runs} | {one.id for one in world.links}
+        while id in used:
+            id += 1
+        world.links.append(Link(id, first, life, second, True, True, (("hello", life),), (), False, False))
+
+    def _send(self, world: World, call: int, second: int) -> None:
+        first = self.size.homes[call]
+        life, count = world.firsts[first]
+        world.firsts[first] = (life, count + 1)
+        one = world.calls[call]
+        state = table.FIRST[State.CHOSEN, Event.LINK_UP]
+        tries = (*one.tries, Attempt(count + 1, second, state, 0))
+        world.calls[call] = one._replace(tries=tries)
+        link = world.up(first, second)
+        assert link is not None
+        world.put(link, ("call", count + 1, call))
+
+    def _over(self, world: World, call: int) -> None:
+        if world.open_tries(call):
+            world.left["drops"] -= 1
+        world.finish(call)
+
+    def _leave(self, world: World, call: int) -> None:
+        world.left["drops"] -= 1
+        world.cut(call)
+        world.tell(call, "left")
+
+    def _time_over(self, world: World, call: int, at: int) -> None:
+        world.unclear(call, at)
+
+    def _ask(self, world: World, call: int, at: int) -> None:
+        item = world.calls[call].tries[at]
+        link = world.up(self.size.homes[call], item.second)
+        assert link is not None
+        if not world.same(item.life, world.lives[link.first][link.second]):
+            world.unclear(call, at)
+            return
+        world.put(link, ("ask", item.number, call))
+        turn = world.at(link.id)
+        world.links[turn] = world.links[turn]._replace(doubled=(*world.links[turn].doubled, item.number))
+
+    def _hear(self, world: World, id: int) -> None:
+        world.hear(world.links[world.at(id)])
+
+    def _read_frame(self, world: World, id: int) -> None:
+        world.read(world.links[world.at(id)])
+
+    def _lose(self, world: World, id: int) -> None:
+        link = world.links[world.at(id)]
+        if link.far:
+            world.left["losses"] -= 1
+        world.lose(link)
+
+    def _unmet(self, world: World, id: int) -> None:
+        link = world.links[world.at(id)]
+        if link.near:
+            world.left["losses"] -= 1
+        world.unmet(link)
+
+    def _double(self, world: World, id: int) -> None:
+        """The next frame is read, and comes once more behind all that is on its way on that connection."""
+        world.left["doubles"] -= 1
+        link = world.links[world.at(id)]
+        frame = link.there[0]
+        world.read(link)
+        at = world.at(id)
+        one = world.links[at]
+        later = [other for other in world.links if other.id != id and other.far and other.met]
+        same = [other for other in later if (other.first, other.second) == (one.first, one.second)]
+        target = same[-1] if same else one
+        turn = world.at(target.id)
+        world.links[turn] = target._replace(there=(*target.there, frame))
+
+    def _place(self, world: World, second: int, at: int) -> None:
+        world.place(second, at)
+
+    def _turn_away(self, world: World, second: int, at: int) -> None:
+        world.left["turns"] -= 1
+        world.over(second, at, FULL)
+
+    def _answer(self, world: World, second: int, at: int) -> None:
+        world.answered(second, at, False, False)
+
+    def _answer_twice(self, world: World, second: int, at: int, together: bool) -> None:
+        world.left["strays"] -= 1
+        world.answered(second, at, True, together)
+
+    def _break(self, world: World, second: int, at: int) -> None:
+        world.left["losses"] -= 1
+        world.over(second, at, hop.Unclear("the connection ended"))
+
+    def _stray_seen(self, world: World, second: int) -> None:
+        assert table.CONNECTIONS[State.IDLE, Event.STRAY] is State.CLOSED
+        world.seconds[second] = world.seconds[second]._replace(idle=None)
+
+    def _forget(self, world: World, second: int) -> None:
+        world.left["forgets"] -= 1
+        book, calls = world.book(second), world.owners(second)
+        book.sweep(HELD_S + 1.0)
+        world.shelve(second, book, calls)
+
+    def _fall(self, world: World, second: int) -> None:
+        world.left["falls"] -= 1
+        world.seconds[second] = Second(life=world.seconds[second].life + 1)
+        for at, link in enumerate(world.links):
+            if link.second == second:
+                world.links[at] = link._replace(far=False, there=())
+
+    def _crash(self, world: World, first: int) -> None:
+        world.left["crashes"] -= 1
+        life, _ = world.firsts[first]
+        world.firsts[first] = (life + 1, 0)
+        world.lives[first] = (0,) * self.size.seconds
+        for at, link in enumerate(world.links):
+            if link.first == first:
+                world.links[at] = link._replace(near=False, back=(), proved=False)
+        for call, one in enumerate(world.calls):
+            if self.size.homes[call] == first and one.told == "open":
+                tries = tuple(item._replace(state=State.WITHDRAWN) for item in one.tries)
+                world.calls[call] = Call("closed", tries)
+
+    def violations(self, before: Whole | None, event: Any, after: Whole) -> Iterable[Violation]:
+        _, calls, links, seconds, begun, _, broken, _ = after
+        if broken:
+            yield Violation(broken.split(":")[0], broken)
+        for call, one in enumerate(calls):
+            if begun[call] > 1:
+                yield Violation("twice", f"call {call} was begun {begun[call]} times")
+            if one.told == "503" and begun[call]:
+                yield Violation("promise", f"call {call} was promised not to run, and has")
+            if one.told.startswith("served"):
+                if one.told != f"served {call}":
+                    yield Violation("another's", f"call {call} was {one.told}")
+                if not begun[call]:
+                    yield Violation("another's", f"call {call} was served and never begun")
+        for second, there in enumerate(seconds):
+            for run in there.runs:
+                if run.state is State.WAITING and run.link == 0:
+                    yield Violation("nobody's", f"a call waits at {second} and its link is lost")
+
+    def owed(self, state: Whole) -> Iterable[Any]:
+        """A call that has been read has an end."""
+        return [call for call, one in enumerate(state[1]) if one.told == "open"]
+
+    def fair(self, event: Any) -> Any:
+        """All that is no trouble, and no end by the clock: time out of patience, and the first hop's own."""
+        if event[0] in ("lose", "unmet", "time over", "over", "leave", "turn away", "break"):
+            return None
+        if event[0] in ("answer twice", "double", "fall", "crash", "forget", "stray seen"):
+            return None
+        return event
+
+
+SIZES = {
+    "one of each": Size((0, 0), 1, Left(losses=1, drops=1)),
+    "two second hops": Size((0,), 2, Left(losses=2, doubles=1, turns=1)),
+    "two first hops, one id": Size((0, 1), 1, Left(losses=1, strays=1), ("a", "a")),
+    "one id twice": Size((0, 0), 1, Left(losses=1, strays=1), ("a", "a"), late=(1,)),
+    "two ids, answers twice": Size((0, 0), 1, Left(losses=1, strays=2)),
+    "first hops crash": Size((0, 0), 1, Left(losses=1, crashes=1), ("a", "a")),
+    "second hops crash": Size((0,), 2, Left(losses=2, falls=1)),
+    "held no more": Size((0, 0), 1, Left(losses=1, forgets=1)),
+    "an answer too large to hold": Size((0,), 1, Left(losses=2, drops=1), held_bytes=0),
+    "many losses": Size((0,), 1, Left(losses=4, doubles=1, drops=1)),
+    "two of each": Size((0, 1), 2, Left(losses=1)),
+}
+
+
+def main() -> None:
+    """Explores the sizes that are named, or all, each for a minute or so many seconds: `python -m
+    rigs.call_model [SECONDS] [NAME ...]`. The last line is JSON."""
+    seconds, *wanted = sys.argv[1:] or ["60"]
+    found = []
+    for name in wanted or SIZES:
+        report = explore(Calls(name, SIZES[name]), seconds=float(seconds), memory_mb=2000.0)
+        found.append(
+            {
+                "size": name,
+                "states": report.states,
+                "complete": report.complete,
+                "broken": report.violation.words if report.violation is not None else None,
+                "seconds": round(report.seconds, 1),
+            }
+        )
+        print(found[-1], flush=True)
+        for event in report.trace:
+            print("   ", event)
+    print(json.dumps(found))
+
+
+if __name__ == "__main__":
+    main()
