Load nothing of the sidecar in service with the mesh's programs but what they share

Cause: while a sidecar starts, its upstream's beats fail. A good part of its start is loading, and the clients' side loaded the whole sidecar in service for one name.

Change: what a connection hands on is the sidecar's own attribute, its types are imported for checking alone; a contract of imports and a test hold that.

--- a/anisestair/http/frontend.py
+++ b/anisestair/http/frontend.py
@@ -14,15 +14,15 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol, cast
 
-from anisestair.endpoints import Address
 from anisestair.flow.budget import Body, Budget
 from anisestair.http import codec as http
-from anisestair.sidecar import HttpAsk, Sidecar
 from hareloom import interface as api
 from hareloom.interface import Effect
 
 if TYPE_CHECKING:
+    from anisestair.endpoints import Address
     from anisestair.recovery.inherited import Patient
+    from anisestair.sidecar import Sidecar
 
 log = logging.getLogger(__name__)
 
@@ -268,7 +268,7 @@
 
     def begin(self, taken: float, message: http.Message) -> None:
         """A whole request, in its turn: it gets one ``answer``."""
-        sidecar = cast(Sidecar, self.frontend.sidecar)
+        sidecar = cast("Sidecar", self.frontend.sidecar)
         path = message.target.partition(b"?")[0]
         if not TARGET.fullmatch(message.target):
             self.refuse(http.BadMessage(HTTPStatus.BAD_REQUEST))
@@ -286,7 +286,7 @@
                 self.refuse(http.BadMessage(HTTPStatus.BAD_REQUEST))
             else:
                 self.request = request.request
-                sidecar.take(request, HttpAsk(message, self.answer))
+                sidecar.take(request, sidecar.asks(message, self.answer))
 
     def leave(self) -> None:
         """Nobody is there for the request in hand any more."""
--- a/anisestair/sidecar.py
+++ b/anisestair/sidecar.py
@@ -138,6 +138,8 @@
 
 
 class Sidecar:
+    asks = HttpAsk  # what it takes of a client's connection; other hosts of connections load nothing of this
+
     def __init__(
         self,
         config: Config,
--- a/tests/mesh/test_headworks_deploy.py
+++ b/tests/mesh/test_headworks_deploy.py
@@ -1,5 +1,9 @@
-"""The deploy file: the page's example passes, each mistake is told by its field."""
+"""The deploy file: the page's example passes, each mistake is told by its field. What the programs load."""
 
+import ast
+import subprocess
+import sys
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -9,6 +13,8 @@
 
 from waterworks.headworks.deploy import check_deploy
 
+ROOT = Path(__file__).parents[2]
+
 
 def role(**changed: Any) -> dict[str, Any]:
     """A good role with fields changed; None takes one away."""
@@ -86,3 +92,15 @@
 )
 def test_any_text_is_told_and_never_raises(text: str) -> None:
     assert check_deploy(text)
+
+
+@pytest.mark.parametrize("program", ["sluice", "reservoir"])
+def test_a_program_of_the_mesh_loads_nothing_of_the_sidecar_in_service_but_what_they_share(
+    program: str,
+) -> None:
+    look = (
+        f"import sys, waterworks.{program}.program;"
+        "print(sorted(n for n in sys.modules if n.startswith('anisestair.') and n.count('.') == 1))"
+    )
+    found = subprocess.run([sys.executable, "-c", look], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert set(ast.literal_eval(found.stdout)) <= {"anisestair.flow", "anisestair.http"}
