Leave no client that reads slowly while it reads

Cause: a client that had not taken all of its answers within the head's time was cut off, however steadily it read: with answers of up to 16 MiB held whole, a slow reader lost the end of a long one.

Change: each look at the times counts from the last byte that it took.

--- a/tests/mesh/test_sluice_whole.py
+++ b/tests/mesh/test_sluice_whole.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import io
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
@@ -290,6 +291,42 @@
     beside(tmp_path, test, grace_s=20.0)
 
 
+@pytest.mark.parametrize("reads", [True, False])
+def test_a_client_that_reads_slowly_gets_all_of_its_answer_and_one_that_does_not_read_is_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, reads: bool
+) -> None:
+    async def test(there: Beside) -> None:
+        outlets, loop, body = there.sluice.outlets, asyncio.get_running_loop(), b"x" * (1 << 20)
+        monkeypatch.setattr("anisestair.http.frontend.time", SimpleNamespace(monotonic=loop.time))
+        small = socket.socket()
+        small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        small.connect(there.outbound)
+        stream, writer = await asyncio.open_connection(sock=small, limit=1024)
+        await there.open(1)
+        (connection,) = outlets._connections
+        await until(lambda: connection.transport is not None)
+        transport, found = connection.transport, b""
+        assert transport is not None
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16384)
+        writer.write(HEAD % (b"ok", b"a1", b"content-length: %d\r\n" % len(body)) + body)
+        await until(lambda: connection.choked)
+        for _ in range(4):  # each longer than it is waited for without a byte
+            outlets._sweep()
+            before = transport.get_write_buffer_size()
+            while reads and transport.get_write_buffer_size() == before:
+                found += (data := await soon(stream.read(65536)))
+                assert data
+            move(0.9 * outlets.request_s)
+            await turns()
+        assert outlets.held() == reads
+        while reads and not found.endswith(body):
+            found += (data := await soon(stream.read(1 << 20)))
+            assert data
+        writer.transport.abort()
+
+    beside(tmp_path, test)
+
+
 # Ends, and what changes under requests in hand
 
 
--- a/waterworks/sluice/outlet.py
+++ b/waterworks/sluice/outlet.py
@@ -79,6 +79,13 @@
         self.reader = self._inflow = Inflow(self._intake)
         self._slots: deque[Slot] = deque()
         self._advancing = False
+        self._unsent = 0  # bytes of answers that the client had not taken at the last look
+
+    def taken(self) -> bool:
+        """Whether its client has taken some of its answers since the last look."""
+        assert self.transport is not None
+        before, self._unsent = self._unsent, self.transport.get_write_buffer_size()
+        return self._unsent < before
 
     def advance(self) -> None:
         if self._advancing:  # an answer was given while a request was being taken
@@ -201,6 +208,13 @@
         self.intake = intake
         super().__init__(intake, most)
 
+    def _sweep(self) -> None:
+        """A client may read as slowly as it likes, as long as it reads: an answer may be long."""
+        for connection in self._connections:
+            if connection.choked and isinstance(connection, Outlet) and connection.taken():
+                connection.since = self.loop.time()
+        super()._sweep()
+
     def keep_to(self, limits: Limits) -> None:
         """The operators' limits from now on: of bytes for what begins now, of times for all."""
         self.intake.limits = limits
