Look the usual edges up once, not with every call

The usual edges are taken from the table when the modules are read; whose an answer is, is one question on one answer again.

--- a/rigs/call_model.py
+++ b/rigs/call_model.py
@@ -483,8 +483,9 @@
         there = self.seconds[second]
         run = there.runs[at]
         order = [*run.strays, run.call, *([run.call] if twice and together else [])]
-        ids = [self.size.ids[one].encode() for one in order]
-        found = table.whose(self.size.ids[run.call].encode(), ids)
+        wanted = self.size.ids[run.call].encode()
+        mine = (at for at, one in enumerate(order) if table.own(wanted, self.size.ids[one].encode()))
+        found = next(mine, None)
         if found is None:
             return
         alone = found == len(order) - 1
--- a/tests/mesh/test_call_model.py
+++ b/tests/mesh/test_call_model.py
@@ -106,7 +106,7 @@
 
 
 def any_answer_will_do(patch: Patch) -> None:
-    patch.setattr(table, "whose", lambda wanted, told: 0)
+    patch.setattr(table, "own", lambda wanted, told: True)
 
 
 def uses_a_connection_for_an_id_again(patch: Patch) -> None:
--- a/tests/mesh/test_calls_table.py
+++ b/tests/mesh/test_calls_table.py
@@ -22,7 +22,7 @@
     asked_for_ms,
     event_of,
     outcome_of,
-    whose,
+    own,
 )
 from waterworks.sluice.hop import Call, Returned, TurnedAway, Unclear
 from waterworks.valve.passing import Why
@@ -123,8 +123,7 @@
 
 
 def test_an_answer_is_whose_id_it_has() -> None:
-    assert whose(b"a", [b"a"]) == 0 and whose(b"a", [b"b", b"a", b"a"]) == 1
-    assert whose(b"a", [b"b", None]) == 1 and whose(b"a", [b"b"]) is None and whose(b"a", []) is None
+    assert own(b"a", b"a") and own(b"a", None) and not own(b"a", b"b") and not own(b"a", b"")
 
 
 @pytest.mark.parametrize(
--- a/waterworks/sluice/calls.py
+++ b/waterworks/sluice/calls.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from typing import Any
@@ -173,11 +173,16 @@
 FIRST, SECOND, CONNECTIONS = _table(Hop.FIRST), _table(Hop.SECOND), _table(Hop.TAP)
 
 
+# Members of an enumeration are found slowly, and these are asked for with every call.
+ANSWERED, TURNED, UNANSWERED = Event.ANSWER, Event.TURNED_AWAY, Event.NO_ANSWER
+OK = Outcome.OK
+
+
 def event_of(end: End) -> Event:
     """What the end of a call is at either hop."""
     if isinstance(end, Returned):
-        return Event.ANSWER
-    return Event.TURNED_AWAY if isinstance(end, TurnedAway) else Event.NO_ANSWER
+        return ANSWERED
+    return TURNED if isinstance(end, TurnedAway) else UNANSWERED
 
 
 PROMISES = frozenset({408, 421, 429, 503})  # by which a client knows that its request has not run
@@ -190,7 +195,7 @@
             return Outcome.ERROR
         if end.status >= 500:
             return Outcome.TIMEOUT if end.status == 504 else Outcome.ERROR
-        return Outcome.OK
+        return OK
     if isinstance(end, TurnedAway):
         if end.why in WAITED:
             return Outcome.FULL if end.arrived else Outcome.MOOT
@@ -201,13 +206,9 @@
 # The upstream's connection
 
 
-def whose(wanted: bytes, told: Sequence[bytes | None]) -> int | None:
-    """Which of the answers that have come on a connection is for the call on it, by the ids that they tell:
-    the first that does not name another. None: all are strays."""
-    for at, one in enumerate(told):
-        if one is None or one == wanted:
-            return at
-    return None
+def own(wanted: bytes, told: bytes | None) -> bool:
+    """Whether an answer that tells that id, or none, is for the call on its connection."""
+    return told is None or told == wanted
 
 
 # The request as its client sees it
@@ -243,6 +244,9 @@
 Try = tuple[str, str, float]  # the upstream, how it ended, after so many milliseconds
 
 
+CHOSEN = State.CHOSEN
+
+
 class Out:
     """A call that the first hop has out."""
 
@@ -250,7 +254,7 @@
 
     def __init__(self, call: Call, ended: Callable[[End], None]) -> None:
         self.call, self.ended = call, ended
-        self.state = State.CHOSEN
+        self.state = CHOSEN
         self.link: Any = None  # the node's, as the passage has it
         self.number = 0
         self.sent = 0.0  # seconds of the loop's clock
--- a/waterworks/sluice/incoming.py
+++ b/waterworks/sluice/incoming.py
@@ -9,7 +9,7 @@
 from waterworks.penstock.link import Link
 from waterworks.sluice.calls import Event, State
 from waterworks.sluice.hop import End, Returned, TurnedAway, Unclear, end_head, read_call
-from waterworks.sluice.tailrace import Running, Tailrace
+from waterworks.sluice.tailrace import OVER, Running, Tailrace
 from waterworks.valve.passing import Why
 from waterworks.valve.sessions import Kept, Session, Sessions, Verdict
 
@@ -54,13 +54,13 @@
             return
         if session is None or not call.effectful:
             running = self._tailrace.take(call, lambda end: self._ended(number, end, size))
-            if running is not None and not running.done:
+            if running is not None and running.state not in OVER:
                 self._running[number] = running
             return
         kept: Kept[End] = Kept(call.attempt)
         session.calls[number] = kept
         running = self._tailrace.take(call, lambda end: self._over(session, number, kept, end, size))
-        if running is not None and not running.done:
+        if running is not None and running.state not in OVER:
             self._running[number] = running
             kept.run, running.kept = (running, self), kept
             kept.waits = running.state is State.WAITING
--- a/waterworks/sluice/passage.py
+++ b/waterworks/sluice/passage.py
@@ -17,7 +17,7 @@
 from waterworks.gauge.log import Gauge
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import Address, Link, connect
-from waterworks.sluice.calls import Event, Out, asked_for_ms, event_of
+from waterworks.sluice.calls import FIRST, Event, Out, State, asked_for_ms, event_of
 from waterworks.sluice.hop import Call, End, TurnedAway, Unclear, read_end
 from waterworks.sluice.tailrace import Tailrace
 from waterworks.valve.passing import Why
@@ -32,6 +32,7 @@
 UNPROVED_MOST = 3
 LIFE_S = 0.1  # effectful calls wait so long for the life of a second hop that has told none yet
 REFUSED_S = 0.3  # a connection that fails sooner was refused, or broke as it came up
+AFTER_LINK_UP = FIRST[State.CHOSEN, Event.LINK_UP]
 # Calls of lost links that go on at once, and after each pause, over all links: second tries are no herd.
 AT_ONCE, PACE_S = 8, 0.01
 
@@ -103,7 +104,8 @@
         out.number, out.sent = self.passage.count, self.passage.loop.time()
         if not self.link.send(out.call.head(out.number), out.call.body):
             self._turn_away(out)
-        elif out.on(Event.LINK_UP):
+        else:
+            out.state = AFTER_LINK_UP
             self._expect(out)
 
     def _expect(self, out: Out) -> None:
@@ -203,7 +205,9 @@
             link.expects -= 1
             if out.asking is not None:
                 self._asked(out)
-            if out.on(event_of(end)):
+            state = FIRST.get((out.state, event_of(end)))
+            if state is not None:
+                out.state = state
                 out.ended(end)
 
     # After a loss
--- a/waterworks/sluice/tailrace.py
+++ b/waterworks/sluice/tailrace.py
@@ -25,6 +25,8 @@
 OURS = frozenset({b"time-remaining", b"target-instance", b"calling-service", b"attempt-id"})
 TELLING = frozenset({b"plant-load", b"not-executed"})  # for this hop, not for the client
 OVER = frozenset({State.ANSWERED, State.WITHDRAWN, State.ENDED})
+# Members of an enumeration are found slowly, and these are asked for with every call.
+READ, WITHDRAWN, PLACE = State.READ, State.WITHDRAWN, Event.PLACE
 LATE_S = 0.25  # an upstream that says nothing this long after its deadline is not waited for
 
 
@@ -36,7 +38,7 @@
     def __init__(self, call: Call, ended: Callable[[End], None], came: float) -> None:
         self.call, self.ended, self.came = call, ended, came
         self.began = 0.0  # when it was passed on
-        self.state = State.READ
+        self.state = READ
         self.kept: Kept[End] | None = None  # what outlasts its link
         self.connection: TapConnection | None = None
         self.expiry: asyncio.TimerHandle | None = None
@@ -108,7 +110,7 @@
         return running
 
     def _start(self, running: Running) -> None:
-        running.on(Event.PLACE)
+        running.state = SECOND[running.state, PLACE]
         if running.kept is not None:
             running.kept.waits = False
         call, running.began = running.call, self.now()
@@ -180,9 +182,9 @@
         )
         if connection is None:
             return
-        if running.state is State.WITHDRAWN:
+        if running.state is WITHDRAWN:
             connection.drop()
-        elif not running.done:
+        elif running.state not in OVER:
             running.connection = connection
 
     def _expire(self, running: Running) -> None:
@@ -199,13 +201,15 @@
             self._next()
 
     def _tell(self, running: Running, end: End, event: Event | None = None) -> None:
-        if running.on(event_of(end) if event is None else event):
+        state = SECOND.get((running.state, event_of(end) if event is None else event))
+        if state is not None:
+            running.state = state
             self._forget(running)
             self.traces.ended(self.now(), running.call, running.came, running.began, end)
             running.ended(end)
 
     def _end(self, running: Running, outcome: Outcome) -> None:
-        if running.done:
+        if running.state in OVER:
             return
         if isinstance(outcome, NotSent):
             if outcome.refused:
--- a/waterworks/sluice/tap.py
+++ b/waterworks/sluice/tap.py
@@ -23,7 +23,7 @@
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 from waterworks.penstock.link import Address
-from waterworks.sluice.calls import CONNECTIONS, Event, State, whose
+from waterworks.sluice.calls import CONNECTIONS, Event, State, own
 
 CONNECT_S = 0.5
 DRAIN_PART = 0.3  # of drain_ms is the longest that opening a connection may hold up a call that may pass
@@ -34,6 +34,10 @@
 PASSED_OVER = 4  # answers with another id on one connection; more, and it is of no use
 RECENT = 4096  # ids of the last calls
 ID = b"attempt-id"
+# Members of an enumeration are found slowly, and these are asked for with every call.
+SENT = State.SENT
+AFTER_ASK = CONNECTIONS[State.IDLE, Event.ASK]
+AFTER_ANSWER = CONNECTIONS[SENT, Event.ANSWER]
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +94,6 @@
         """Nothing has come while it stood idle, as far as the kernel knows, and it is not too old."""
         return (
             self._transport is not None
-            and self.state is State.IDLE
             and not self._transport.is_closing()
             and now < self.keep_until
             and not self._poll.poll(0)
@@ -98,7 +101,7 @@
 
     def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> None:
         assert self._transport is not None
-        self.on(Event.ASK)
+        self.state = AFTER_ASK
         self._id, self._ended = attempt, ended
         self._transport.write(payload)
 
@@ -122,7 +125,7 @@
             ended(outcome)
 
     def data_received(self, data: bytes) -> None:
-        if self.state is not State.SENT:  # nobody asked
+        if self.state is not SENT:  # nobody asked
             self.on(Event.STRAY)
             self.close()
             return
@@ -143,31 +146,24 @@
         self._settle(self._reader.take(), False)
 
     def _settle(self, answers: list[http.Message], good: bool) -> None:
-        if not answers or self.state is not State.SENT:
-            return
-        ids = [told.encode("latin-1") if (told := one.get(ID)) is not None else None for one in answers]
-        at = whose(self._id, ids)
-        for other in ids[:at]:
-            assert other is not None
-            self.on(Event.STRAY)
-            self._passed_over += 1
-            self._tap.gauge.tell(
-                events.WRONG_ANSWER, wanted=self._id.decode("latin-1"), got=other.decode("latin-1")
-            )
-            if self._passed_over > PASSED_OVER:
+        while answers and self.state is SENT:
+            answer = answers.pop(0)
+            told = answer.get(ID)
+            if not own(self._id, told.encode("latin-1") if told is not None else None):
+                self.on(Event.STRAY)
+                self._passed_over += 1
+                self._tap.gauge.tell(events.WRONG_ANSWER, wanted=self._id.decode("latin-1"), got=told)
+                if self._passed_over > PASSED_OVER:
+                    self.close()
+                    self._break("answers to other calls")
+                continue
+            if good and not answers and not self._reader.partial and answer.keep_alive:
+                self.state = AFTER_ANSWER
+                self._tap.rest(self, answer)
+            else:
+                self.on(Event.CROWDED)
                 self.close()
-                self._break("answers to other calls")
-                return
-        if at is None:
-            return
-        answer = answers[at]
-        alone = good and at == len(answers) - 1 and not self._reader.partial and answer.keep_alive
-        self.on(Event.ANSWER if alone else Event.CROWDED)
-        if alone:
-            self._tap.rest(self, answer)
-        else:
-            self.close()
-        self._end(Answered(answer))
+            self._end(Answered(answer))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._tap.lost(self)
@@ -196,7 +192,9 @@
         while self._idle and not again:
             connection = self._idle.pop()
             if connection.usable(now):
-                return self._put(connection, attempt, payload, ended)
+                self._note(attempt)
+                connection.ask(attempt, payload, ended)
+                return connection
             connection.close()
         if again and self._idle and len(self._open) + self._coming >= self.most:
             connection = self._idle.pop()  # makes room
@@ -215,19 +213,17 @@
         finally:
             self._coming -= 1
         self._open.add(connection)
-        return self._put(connection, attempt, payload, ended)
-
-    def _put(
-        self, connection: TapConnection, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]
-    ) -> TapConnection:
-        if attempt not in self._recent:
-            self._recent.add(attempt)
-            self._order.append(attempt)
-            if len(self._order) > RECENT:
-                self._recent.discard(self._order.popleft())
+        if not again:
+            self._note(attempt)
         connection.ask(attempt, payload, ended)
         return connection
 
+    def _note(self, attempt: bytes) -> None:
+        self._recent.add(attempt)
+        self._order.append(attempt)
+        if len(self._order) > RECENT:
+            self._recent.discard(self._order.popleft())
+
     def rest(self, connection: TapConnection, answer: http.Message) -> None:
         keeps = IDLE_S + MARGIN_S
         for part in (answer.get(b"keep-alive") or "").split(","):
