--- a/benchmarks/scale_plan.py
+++ b/benchmarks/scale_plan.py
@@ -16,9 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.scale_fit import ASKED, CORES, MEASURES, NEWEST, RESULTS, Fit, fits, newest
-from benchmarks.scale_fit import over as beyond
-from benchmarks.scale_fit import quiet as at_rest
+from benchmarks.scale_fit import ASKED, CORES, MEASURES, NEWEST, RESULTS, Fit, fits, newest, sound
 from benchmarks.scale_kinds import frames_table, state_table, troubles_table
 from waterworks.reservoir.program import MOST_ROLL
 from waterworks.sluice.program import TICK_S
@@ -80,8 +78,8 @@
         self.fits: dict[str, Fit] = fits(sizes)
         self.sizes = sizes
         self.shares = {
-            "quiet": self._share(cores, lambda s: at_rest(s, "reservoir_cpu_ms")),
-            "change": self._share(cores, lambda s: beyond(s, "change", "reservoir_cpu_ms", "changes")),
+            part: self._share(sound(cores, part), MEASURES[f"reservoir.{part}.cpu_ms"][2])
+            for part in ("quiet", "change", "restart", "back")
         }
 
     def _share(self, cores: Sequence[dict[str, Any]], measure: Any) -> float:
@@ -98,10 +96,14 @@
     def at(self, name: str, x: float = SLUICES) -> float:
         return max(self.fits[name].at(x), 0.0)
 
-    def reservoir(self, name: str, part: str, x: float = SLUICES) -> float:
-        """Of one of MACHINES reservoirs, where it was measured with CORES."""
+    def reservoir(self, part: str) -> float:
+        """Milliseconds of one of MACHINES reservoirs, where it was measured with CORES."""
+        return self.at(f"reservoir.{part}.cpu_ms") * self._left(part)
+
+    def _left(self, part: str) -> float:
+        """Of what one of CORES reservoirs does, what one of MACHINES does."""
         share = self.shares[part]
-        return self.at(name, x) * (share * CORES / MACHINES + 1.0 - share)
+        return share * CORES / MACHINES + 1.0 - share
 
     def rows(self) -> list[Row]:
         found = [*self._reservoir(), *self._sluice(), *self._mesh()]
@@ -109,11 +111,11 @@
 
     def _reservoir(self) -> list[Row]:
         links = ASKED * SLUICES / MACHINES
-        rest = self.reservoir("reservoir.quiet.cpu_ms", "quiet") / 1000.0
-        change = CHANGES_S * self.reservoir("reservoir.change.cpu_ms", "change") / 1000.0
-        restart = (RESTARTS_S + FAILURES_S) * self.at("reservoir.restart.cpu_ms") / 1000.0
+        rest = self.reservoir("quiet") / 1000.0
+        change = CHANGES_S * self.reservoir("change") / 1000.0
+        restart = (RESTARTS_S + FAILURES_S) * self.reservoir("restart") / 1000.0
         own = SLUICES / MACHINES
-        back = self.at("reservoir.back.cpu_ms") / 1000.0 / BACK_S
+        back = self.reservoir("back") / 1000.0 / BACK_S
         lists = 2.0 * SLUICES
         memory = self.fits["reservoir.rss_mb"].at(SLUICES, CORES / MACHINES)
         few = self.at("reservoir.change.cpu_ms", own) / 1000.0 * CHANGES_S
@@ -125,7 +127,8 @@
                 change,
                 1.0,
                 "a process has one loop",
-                f"{CHANGES_S:.3f}/s · ({self.fits['reservoir.change.cpu_ms'].text()}) ms · R",
+                f"{CHANGES_S:.3f}/s · ({self.fits['reservoir.change.cpu_ms'].text()}) ms · "
+                f"{self._left('change'):.2f}",
                 "each sidecar reports each change twice to all 3 that it asks, and each control process "
                 "tells every other each report",
                 (
@@ -147,7 +150,7 @@
                 rest,
                 1.0,
                 "a process has one loop",
-                f"({self.fits['reservoir.quiet.cpu_ms'].text()}) ms/s · R",
+                f"({self.fits['reservoir.quiet.cpu_ms'].text()}) ms/s · {self._left('quiet'):.2f}",
                 "signs of life on 3N/R links, ticks that pass over them, `Duties.tick` over all nodes",
                 (
                     Way(
@@ -164,7 +167,8 @@
                 restart,
                 1.0,
                 "a process has one loop",
-                f"{RESTARTS_S + FAILURES_S:.4f}/s · ({self.fits['reservoir.restart.cpu_ms'].text()}) ms",
+                f"{RESTARTS_S + FAILURES_S:.4f}/s · ({self.fits['reservoir.restart.cpu_ms'].text()}) ms · "
+                f"{self._left('restart'):.2f}",
                 "each item of the roll goes to every sidecar, and back to the two that it asks besides",
                 (Way("told only to those that call the service", restart * CALLED / SERVICES),),
             ),
@@ -175,7 +179,7 @@
                 back,
                 1.0,
                 "a process has one loop",
-                f"({self.fits['reservoir.back.cpu_ms'].text()}) ms / 60 s",
+                f"({self.fits['reservoir.back.cpu_ms'].text()}) ms / 60 s · {self._left('back'):.2f}",
                 "every newcomer is told the whole membership, and all are told of every newcomer",
                 (
                     Way("told only of the services it calls", back * CALLED / SERVICES),
