Keep a node reached whose link is up while a call waits for its life

Whoever waited for the second hop's life when the time for a link was over was turned away and the node marked as not reached, with its link up and so never tried again. Waiting for the life has its own bound; what waits on a link that is lost is turned away then, as it has not left. Two tests fail without it.

--- a/tests/mesh/test_sluice_lost.py
+++ b/tests/mesh/test_sluice_lost.py
@@ -327,6 +327,30 @@
     over(test)
 
 
+def test_who_waits_for_a_life_longer_than_for_a_link_leaves_the_node_reached() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        far.old = True
+        _, end = bench.send(far, call("write"))
+        await until(lambda: bench.passage._links["there"].proved)
+        bench.passage._links["there"]._release()  # the time for a link is over, that for its life is not
+        assert not end.done() and bench.passage.reaches("there")
+        move(LIFE_S)
+        await until(lambda: len(far.second.taken) == 1)
+
+    over(test)
+
+
+def test_who_waits_for_a_life_on_a_link_that_is_lost_has_not_left() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        far.deaf = True
+        _, end = bench.send(far, call("write"))
+        await until(lambda: bench.passage._links["there"].proved)
+        far.links[0].close("reset")
+        assert await soon(end) == TurnedAway(Why.DOWN)
+
+    over(test)
+
+
 def test_where_nobody_listens_any_more_nothing_is_waited_for() -> None:
     async def test(bench: Bench, far: Far) -> None:
         await bench.known(far)
--- a/waterworks/sluice/passage.py
+++ b/waterworks/sluice/passage.py
@@ -86,7 +86,7 @@
     def _release(self) -> None:
         """Whoever still waits for the first link waits no more."""
         if self.proved:
-            self._write_waiting()
+            return  # the link is up: who waits for its life goes with that, or after LIFE_S
         waiting, self.waiting = self.waiting, []
         if waiting:
             self._down()
@@ -249,6 +249,7 @@
             if self.unproved >= UNPROVED_MOST:
                 self.life = None
         self.link, self.proved = None, False
+        self._release()
         out, self.out = self.out, {}
         if why != IDLE and not self.left:
             self._again()
