--- a/tests/mesh/test_call_model.py
+++ b/tests/mesh/test_call_model.py
@@ -9,8 +9,9 @@
 
 from hareloom import requests
 from hareloom.interface import Outcome
-from rigs import call_model
-from rigs.call_model import SIZES, UNCLEAR, Calls, World
+from rigs import call_hosts
+from rigs.call_hosts import UNCLEAR, World
+from rigs.call_model import SIZES, Calls
 from rigs.mesh_world.seeds import Patch
 from statecheck import explore
 from waterworks.sluice import calls as table
@@ -91,8 +92,8 @@
 
 
 def takes_unclear_for_never_sent(patch: Patch) -> None:
-    real = call_model.outcome_of
-    patch.setattr(call_model, "outcome_of", lambda end: Outcome.MOOT if end is UNCLEAR else real(end))
+    real = call_hosts.outcome_of
+    patch.setattr(call_hosts, "outcome_of", lambda end: Outcome.MOOT if end is UNCLEAR else real(end))
 
 
 def promises_what_is_out(patch: Patch) -> None:
--- a/tests/mesh/test_duty_carried.py
+++ b/tests/mesh/test_duty_carried.py
@@ -291,7 +291,11 @@
         passage = Passage("me", none, none, none)
         left: list[str] = []
         link: Any = SimpleNamespace(
-            out={1: "call"}, address=("h", 1), leave=lambda: left.append("n"), tick=lambda now: None
+            out={1: "call"},
+            asking={2: "call"},  # to be asked after over its next link
+            address=("h", 1),
+            leave=lambda: left.append("n"),
+            tick=lambda now: None,
         )
         passage._links["n"] = link
         passage.forget("n")
@@ -299,6 +303,9 @@
         passage.tick(0.0)
         assert left == [] and "n" in passage._links
         link.out.clear()
+        passage.tick(0.05)
+        assert left == [] and "n" in passage._links
+        link.asking.clear()
         passage.tick(0.1)
         assert left == ["n"] and not passage._links and not passage._leaving
         passage._links["n"] = link
