Let a question after a lost call go before the second tries of others

Cause: a question waited in the line of second tries, eight each 10 ms, while its time (a quarter of the aim) ran from the loss; behind 120 repeatable calls of the same link an effectful call ended unclear though the second hop was back.

Change: questions have a line of their own, served first at the same pace, since each may set free a further try.

Measured: tests/mesh/test_sluice_lost.py, 0, 40 and 120 calls beside it; 120 fails without the change.

--- a/tests/mesh/test_sluice_lost.py
+++ b/tests/mesh/test_sluice_lost.py
@@ -14,7 +14,7 @@
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import SILENT_S, Address, Link, listen
 from waterworks.sluice import passage as module
-from waterworks.sluice.calls import Event, Out, State
+from waterworks.sluice.calls import ASK_LEAST, Event, Out, State
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear, end_head
 from waterworks.sluice.incoming import Incoming
 from waterworks.sluice.passage import AT_ONCE, LIFE_S, PACE_S, UNPROVED_MOST, Passage
@@ -455,3 +455,30 @@
         assert module.IDLE not in bench.log.getvalue()
 
     over(test)
+
+
+@pytest.mark.parametrize("others", [0, 40, 120])
+def test_a_question_does_not_wait_behind_second_tries(others: int) -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        far.deaf = True
+        for at in range(others):
+            bench.send(far, call(f"r{at}", effectful=False))
+        _, end = bench.send(far, call("pay", aim_ms=400.0))
+        await until(lambda: len(far.unread) == others + 1)
+        move(SILENT_S)  # its aim is over: a quarter of it is left to ask in
+        far.unread.clear()  # the calls never came to be read
+        far.deaf = False
+        bench.passage._links["there"].link.close("silent")
+        for _ in range(200):
+            await turns()
+            if any(head["t"] == "ask" for head in far.heads) or end.done():
+                break
+            bench.passage.tick(bench.passage.loop.time())
+            move(0.002)
+        for _ in range(50):
+            await turns()
+        assert isinstance(await soon(end), TurnedAway), (others, end)
+
+    assert ASK_LEAST * 400.0 == 100.0
+    over(test)
--- a/waterworks/sluice/passage.py
+++ b/waterworks/sluice/passage.py
@@ -223,7 +223,7 @@
             link.expects -= 1
             self._ready()
         for out in list(self.asking.values()):
-            self.passage.in_turn(partial(self._ask, out))
+            self.passage.in_turn(partial(self._ask, out), question=True)
 
     def _ask(self, out: Out) -> None:
         link = self.link
@@ -331,6 +331,7 @@
         self._links: dict[str, Outgoing] = {}
         self._leaving: set[str] = set()  # known no more, with calls still out
         self._turns: deque[Callable[[], None]] = deque()  # of calls of lost links, each its turn
+        self._questions: deque[Callable[[], None]] = deque()  # before those: their time to ask in is short
         self._free = AT_ONCE  # turns before the next pause
         self._pausing = False
 
@@ -362,23 +363,25 @@
         elif out.link is not None:
             out.link.drop(out)
 
-    def in_turn(self, work: Callable[[], None]) -> None:
+    def in_turn(self, work: Callable[[], None], question: bool = False) -> None:
         """Does it at once, or after those before it: when many links are lost in one moment, the further
-        tries of all their calls, each within the budget, do not come in one moment too."""
-        if self._free and not self._turns:
+        tries of all their calls, each within the budget, do not come in one moment too. A ``question`` waits
+        behind other questions alone."""
+        line = self._questions if question else self._turns
+        if self._free and not (self._questions or (line is self._turns and self._turns)):
             self._free -= 1
             work()
         else:
-            self._turns.append(work)
+            line.append(work)
         if not self._pausing:
             self._pausing = True
             self.loop.call_later(PACE_S, self._next_turns)
 
     def _next_turns(self) -> None:
         self._free = AT_ONCE
-        while self._turns and self._free:
+        while (line := self._questions or self._turns) and self._free:
             self._free -= 1
-            self._turns.popleft()()
+            line.popleft()()
         self._pausing = self._free < AT_ONCE
         if self._pausing:
             self.loop.call_later(PACE_S, self._next_turns)
