--- a/rigs/mesh_peers.py
+++ b/rigs/mesh_peers.py
@@ -179,8 +179,7 @@
         messages.max_head = MOST_BODY
         try:
             while (message := await read_message(messages, reader)) is not None:
-                self.seen.append(message)
-                self.comes.put_nowait(message)
+                self.came(message)
                 if not await self._serve(message, reader, writer):
                     break
         except (ConnectionError, http.BadMessage, asyncio.CancelledError):
@@ -189,6 +188,11 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    def came(self, message: http.Message) -> None:
+        """A whole request, before anything is done with it."""
+        self.seen.append(message)
+        self.comes.put_nowait(message)
+
     async def _released(self, reader: asyncio.StreamReader) -> bool:
         """Whether it came to that; False where the connection ended first, and the request with it."""
         ends = asyncio.ensure_future(reader.read(1))
@@ -304,9 +308,9 @@
     def write(self, data: bytes) -> None:
         self._writer.write(data)
 
-    async def read(self) -> http.Message | None:
-        """The next answer; None where the connection ends first."""
-        return await soon(read_message(self._reader, self._stream))
+    async def read(self, within_s: float = PATIENCE_S) -> http.Message | None:
+        """The next answer; None where the connection ends first. Raises TimeoutError."""
+        return await asyncio.wait_for(read_message(self._reader, self._stream), within_s)
 
     async def ask(self, attempt: str, path: str = "/read/x", **fields: Any) -> http.Message:
         self.send(attempt, path, **fields)
--- a/rigs/relay.py
+++ b/rigs/relay.py
@@ -38,12 +38,14 @@
 class Door:
     """A port that serves, refuses, or neither accepts nor refuses."""
 
-    def __init__(self, accepted: Callable[[socket.socket], None], port: int = 0) -> None:
-        self._accepted, self._open, self.port = accepted, ExitStack(), port
+    def __init__(
+        self, accepted: Callable[[socket.socket], None], port: int = 0, host: str = "127.0.0.1"
+    ) -> None:
+        self._accepted, self._open, self.port, self.host = accepted, ExitStack(), port, host
 
     def serve(self) -> None:
         self.refuse()
-        listener = self._open.enter_context(socket.create_server(("127.0.0.1", self.port), backlog=512))
+        listener = self._open.enter_context(socket.create_server((self.host, self.port), backlog=512))
         listener.setblocking(False)
         self.port = listener.getsockname()[1]
         loop = asyncio.get_running_loop()
@@ -65,17 +67,17 @@
     def hang(self) -> None:
         """More wait there than the backlog holds: a connect neither succeeds nor fails."""
         self.refuse()
-        full = self._open.enter_context(socket.create_server(("127.0.0.1", self.port), backlog=0))
+        full = self._open.enter_context(socket.create_server((self.host, self.port), backlog=0))
         for _ in range(4):
             filler = self._open.enter_context(socket.socket())
             filler.setblocking(False)
             filler.connect_ex(full.getsockname())
 
 
-class _End(asyncio.Protocol):
+class End(asyncio.Protocol):
     """One side of a relayed connection."""
 
-    def __init__(self, pair: _Pair, dialled: bool) -> None:
+    def __init__(self, pair: Pair, dialled: bool) -> None:
         self.pair, self.dialled = pair, dialled
         self.transport: asyncio.Transport | None = None
         self.queue: deque[tuple[float, bytes | None]] = deque()  # to write here, and when; None: the end
@@ -126,24 +128,24 @@
         self.pair.room(self)
 
 
-class _Pair:
+class Pair:
     """A connection through the relay: the one that was dialled, and the one to the address behind."""
 
     def __init__(self, relay: TcpRelay) -> None:
         self.relay, self.dead = relay, False
-        self.front, self.behind = _End(self, True), _End(self, False)
+        self.front, self.behind = End(self, True), End(self, False)
 
     def up(self) -> None:
         for end in (self.front, self.behind):
             if end.transport is not None:
                 end.flush()
 
-    def passes(self, end: _End) -> bool:
+    def passes(self, end: End) -> bool:
         """Whether what is to be written at this end may be."""
         faults = self.relay.faults
         return not self.dead and (faults.there if end is self.behind else faults.back)
 
-    def pass_on(self, end: _End, data: bytes | None) -> None:
+    def pass_on(self, end: End, data: bytes | None) -> None:
         if self.dead:
             return  # half open: nobody is there to take it, and nobody to say so
         faults, chance, late = self.relay.faults, self.relay.chance, 0.0
@@ -160,12 +162,12 @@
         if other.size > HELD_MOST and end.transport is not None:
             end.transport.pause_reading()
 
-    def room(self, end: _End) -> None:
+    def room(self, end: End) -> None:
         other = self.behind if end is self.front else self.front
         if other.transport is not None and not other.transport.is_closing():
             other.transport.resume_reading()
 
-    def lost(self, end: _End, exc: Exception | None) -> None:
+    def lost(self, end: End, exc: Exception | None) -> None:
         other = self.behind if end is self.front else self.front
         if other.alarm is not None:
             other.alarm.cancel()
@@ -187,14 +189,16 @@
 
 
 class TcpRelay:
-    """Connections to its port go on to an address, as its ``faults`` let them."""
+    """Connections to its port go on to an address, as its ``faults`` let them. ``at``: where it listens."""
 
-    def __init__(self, host: str, port: int, seed: int) -> None:
+    pair = Pair
+
+    def __init__(self, host: str, port: int, seed: int, at: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         self._target, self.chance = (host, port), random.Random(seed)
         self.faults = Faults()
-        self.pairs: set[_Pair] = set()
+        self.pairs: set[Pair] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._door = Door(self._accepted)
+        self._door = Door(self._accepted, at[1], at[0])
         self._door.serve()
         self.port = self._door.port
 
@@ -217,7 +221,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _connect(self, found: socket.socket) -> None:
-        loop, pair = asyncio.get_running_loop(), _Pair(self)
+        loop, pair = asyncio.get_running_loop(), self.pair(self)
         try:
             await loop.create_connection(lambda: pair.behind, *self._target)
         except OSError:  # refused behind: the one that dialled is reset
