--- a/rigs/lost_links/upstreams.py
+++ b/rigs/lost_links/upstreams.py
@@ -74,7 +74,7 @@
         body = f"{key} {self.instance} ".encode()
         body += b"%08x" % zlib.crc32(message.body) + b"x" * self.chance.choices(BODIES, BODY_WEIGHTS)[0]
         await asyncio.sleep(self.chance.uniform(*(SLOW_S if self.chance.random() < SLOW else WORK_S)))
-        run.ended, run.told = time.monotonic(), way
+        run.ended, run.told = time.monotonic(), "nobody there" if writer.is_closing() else way
         if way not in ("500", "503", "429", "unsealed", "unnamed", "reset", "garbage"):
             run.seal, run.sum = f"{self.instance}.{self._begun}", zlib.crc32(body)
         return await self._answer_as(way, run, attempt, body, writer)
--- a/rigs/relay.py
+++ b/rigs/relay.py
@@ -13,7 +13,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass
 from typing import cast
 
@@ -120,8 +120,9 @@
             if self.transport.is_closing():
                 continue
             if data is None:
-                if self.transport.can_write_eof():
-                    self.transport.write_eof()
+                with suppress(OSError):  # it was reset, and the loop has not told so yet
+                    if self.transport.can_write_eof():
+                        self.transport.write_eof()
             else:
                 self.size -= len(data)
                 self.transport.write(data)
