--- a/benchmarks/lost_links.py
+++ b/benchmarks/lost_links.py
@@ -1,7 +1,7 @@
 """Calls whose links are lost, under load, between real sidecars on loopback; judged from outside.
 
-    python -m benchmarks.lost_links [--seconds 600] [--sluices 6] [--connections 12] [--pause 0.02] [--seed 1]
-        [--without GUARD ...] [--only TROUBLE ...] [--logs FOLDER]
+    python -m benchmarks.lost_links [--seconds 600] [--sluices 6] [--connections 12] [--pause 0.02]
+        [--large 0] [--seed 1] [--without GUARD ...] [--only TROUBLE ...] [--logs FOLDER]
 
 For so long sidecars are frozen, killed, ended and started again, given to another service, and the links
 between them reset, silent one way or both, slow or held; the upstreams now and then answer as they should
@@ -16,6 +16,7 @@
 import argparse
 import asyncio
 import json
+import os
 import shutil
 import sys
 import tempfile
@@ -26,7 +27,7 @@
 
 from rigs.lost_links.hop import GUARDS
 from rigs.lost_links.ledger import Call, Ledger, place_of, share_of
-from rigs.lost_links.play import SCRIPT, TROUBLES, Play, Size, cpu_s, load_average
+from rigs.lost_links.play import SCRIPT, TROUBLES, Play, Size, cpu_s
 
 ENDS_S = 90.0  # beyond the time of the troubles: start, the last calls' ends, the stop
 EARLY_S = 0.02
@@ -81,7 +82,7 @@
         "not_carried_out": play.faulted,
         "broken": dict(faults),
         "cores": round(cpu / seconds, 2),
-        "load_average": round(load_average(), 1),
+        "load_average": round(os.getloadavg()[0], 1),
     }
 
 
@@ -94,12 +95,15 @@
     parser.add_argument("--sluices", type=int, default=usual.sluices)
     parser.add_argument("--connections", type=int, default=usual.connections)
     parser.add_argument("--pause", type=float, default=usual.pause_s, help="seconds between two batches")
+    parser.add_argument("--large", type=float, default=usual.large, help="share of bodies of 5 MiB")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--without", nargs="*", default=[], choices=sorted(GUARDS))
     parser.add_argument("--only", nargs="*", default=[], choices=sorted({*TROUBLES, "half", "none"}))
     parser.add_argument("--logs", type=Path, help="a folder for what the sidecars write")
     given = parser.parse_args()
-    size = Size(given.sluices, given.connections, given.pause, without=tuple(given.without))
+    size = Size(
+        given.sluices, given.connections, given.pause, large=given.large, without=tuple(given.without)
+    )
     began, cpu = time.monotonic(), cpu_s()
     with tempfile.TemporaryDirectory() as folder:
 
--- a/rigs/lost_links/callers.py
+++ b/rigs/lost_links/callers.py
@@ -25,6 +25,7 @@
 CHUNKED = 0.3  # of the bodies
 BODIES = (0, 200, 5_000, 60_000, 300_000)
 BODY_WEIGHTS = (60, 25, 10, 4, 1)
+LARGE = 5 * 1024 * 1024  # beyond what a link holds unsent for frames that are not long
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,8 +38,9 @@
 class Callers:
     """All clients. Each connection sends its next batch when the last has its end, after a pause."""
 
-    def __init__(self, ledger: Ledger, routes: list[Route], seed: int, pause_s: float) -> None:
-        self.ledger, self.routes, self.pause_s = ledger, routes, pause_s
+    def __init__(self, ledger: Ledger, routes: list[Route], seed: int, pause_s: float, large: float) -> None:
+        """``large``: the share of bodies that are LARGE."""
+        self.ledger, self.routes, self.pause_s, self.large = ledger, routes, pause_s, large
         self._seed = seed
         self._keys, self._doors = itertools.count(1), itertools.count(1)
         self._ids: deque[str] = deque(maxlen=16)  # of the last calls, anywhere
@@ -93,9 +95,17 @@
                 attempt = chance.choice(self._ids)
             self._ids.append(attempt)
             left_ms = chance.choice(LEFT_MS)
-            body = b"b" * chance.choices(BODIES, BODY_WEIGHTS)[0]
+            size = LARGE if chance.random() < self.large else chance.choices(BODIES, BODY_WEIGHTS)[0]
+            body = b"b" * size
             self.ledger.calls[key] = Call(
-                attempt, place, door, route.effectful, route.service, time.monotonic(), left_ms / 1000.0
+                attempt,
+                place,
+                door,
+                route.effectful,
+                route.service,
+                time.monotonic(),
+                left_ms / 1000.0,
+                asked=zlib.crc32(body),
             )
             chunks = [body[: len(body) // 2], body[len(body) // 2 :]] if chance.random() < CHUNKED else []
             client.send(
--- a/rigs/lost_links/ledger.py
+++ b/rigs/lost_links/ledger.py
@@ -28,6 +28,7 @@
     ORDER = "an answer out of its order"
     SEAL = "a success that its upstream did not give"
     END = "a call without an end"
+    BODY = "a request's body that did not arrive as it was"
     SERVICE = "a call that ran at another service"
 
 
@@ -44,6 +45,7 @@
     told: str = ""  # how it ended there
     seal: str = ""  # of the answer, unlike any other's; empty where it is not a sealed success
     sum: int = 0  # crc32 of the answer's body
+    asked: int = 0  # and of the request's
 
 
 @dataclass(slots=True)
@@ -63,6 +65,7 @@
     named: str = ""  # the key that the answer's body bears, where it is an upstream's
     seal: str = ""
     sum: int = 0
+    asked: int = 0  # crc32 of its own body
 
 
 @dataclass(slots=True)
@@ -112,6 +115,8 @@
             yield Rule.TWICE
         if any(run.service != call.service for run in runs):
             yield Rule.SERVICE
+        if any(run.asked != call.asked for run in runs):
+            yield Rule.BODY
         promised = call.status in PROMISES or (call.effectful and call.end == UNREAD)
         if promised and runs:
             yield Rule.PROMISE
--- a/rigs/lost_links/play.py
+++ b/rigs/lost_links/play.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import math
-import os
 import random
 import resource
 import signal
@@ -45,6 +44,7 @@
     pause_s: float = 0.02  # between two batches of a connection
     capacity: int = 6
     broken: float = 1.0  # answers that are none, in multiples of what upstreams.WAYS says
+    large: float = 0.0  # share of bodies, of requests and of answers, that are of 5 MiB
     every_s: tuple[float, float] = (0.2, 0.8)  # between two troubles
     without: tuple[str, ...] = ()  # guards that the sidecars lack
 
@@ -71,7 +71,7 @@
             *("-m", "rigs.lost_links.hop", program, str(self.beside), str(folder)),
             *size.without,
         )
-        self.callers = Callers(self.ledger, ROUTES, seed, size.pause_s)
+        self.callers = Callers(self.ledger, ROUTES, seed, size.pause_s, size.large)
         self.places: list[Place] = []
         self.done: Counter[str] = Counter()  # troubles
         self._tasks: set[asyncio.Task[None]] = set()
@@ -141,6 +141,7 @@
             self.chance.getrandbits(32),
             self.size.capacity,
             self.size.broken,
+            self.size.large,
         )
         await upstream.start(f"{self.mesh.net}.{SIDE + place.at}", port)
         place.upstream = upstream
@@ -311,7 +312,3 @@
     """Of this process and of those it started that have ended."""
     own, children = resource.getrusage(resource.RUSAGE_SELF), resource.getrusage(resource.RUSAGE_CHILDREN)
     return own.ru_utime + own.ru_stime + children.ru_utime + children.ru_stime
-
-
-def load_average() -> float:
-    return os.getloadavg()[0]
--- a/rigs/lost_links/upstreams.py
+++ b/rigs/lost_links/upstreams.py
@@ -8,6 +8,7 @@
 import zlib
 
 from anisestair.http import codec as http
+from rigs.lost_links.callers import LARGE
 from rigs.lost_links.ledger import Ledger, Run
 from rigs.mesh_peers import Upstream
 
@@ -38,17 +39,24 @@
     """One life of an upstream at a node. Its body begins with the call's key and its own name."""
 
     def __init__(
-        self, ledger: Ledger, node: str, instance: str, service: str, seed: int, capacity: int, broken: float
+        self,
+        ledger: Ledger,
+        node: str,
+        instance: str,
+        service: str,
+        seed: int,
+        capacity: int,
+        broken: float,
+        large: float,
     ) -> None:
-        """``broken`` is what WAYS are multiplied by."""
+        """``broken`` is what WAYS are multiplied by, ``large`` the share of bodies that are LARGE."""
         super().__init__(instance, service, capacity=capacity)
         self.ledger, self.node = ledger, node
-        self.chance = random.Random(seed)
+        self.chance, self.large = random.Random(seed), large
         self._ways = ["ok", *WAYS]
         shares = [share * broken for share in WAYS.values()]
         self._weights = [1.0 - sum(shares), *shares]
         self._begun = 0
-        self.stalled = False  # it begins calls and answers none
 
     def came(self, message: http.Message) -> None:
         """Nothing is kept: a run is long."""
@@ -70,9 +78,11 @@
             return True
         self._begun += 1
         run = Run(attempt, self.instance, self.service, self.node, time.monotonic())
+        run.asked = zlib.crc32(message.body)
         self.ledger.runs[key].append(run)
         body = f"{key} {self.instance} ".encode()
-        body += b"%08x" % zlib.crc32(message.body) + b"x" * self.chance.choices(BODIES, BODY_WEIGHTS)[0]
+        large = self.chance.random() < self.large
+        body += b"x" * (LARGE if large else self.chance.choices(BODIES, BODY_WEIGHTS)[0])
         await asyncio.sleep(self.chance.uniform(*(SLOW_S if self.chance.random() < SLOW else WORK_S)))
         run.ended, run.told = time.monotonic(), "nobody there" if writer.is_closing() else way
         if way not in ("500", "503", "429", "unsealed", "unnamed", "reset", "garbage"):
--- a/tests/mesh/test_lost_links.py
+++ b/tests/mesh/test_lost_links.py
@@ -4,12 +4,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
+from benchmarks.lost_links import result
 from rigs.lost_links import ledger as told
 from rigs.lost_links.between import Between, let_go, reset_half
 from rigs.lost_links.hop import GUARDS
@@ -92,6 +95,10 @@
     without_a_status(ledger, "")
 
 
+def garbled(ledger: Ledger) -> None:
+    ledger.runs[KEY][0].asked = 9
+
+
 def elsewhere(ledger: Ledger) -> None:
     ledger.runs[KEY][0].service = "blue"
 
@@ -110,6 +117,7 @@
         (made_up, Rule.SEAL),
         (silent, Rule.END),
         (forgotten, Rule.END),
+        (garbled, Rule.BODY),
         (elsewhere, Rule.SERVICE),
     ],
 )
@@ -242,6 +250,11 @@
     play = played(tmp_path, 4.0, ("reset", "half", "held", "silent back", "freeze", "kill"))
     assert not list(play.ledger.judge()) and not play.faulted
     assert len(play.ledger.calls) > 100 and play.ledger.lost and len(play.done) >= 4
+    told_of = result(play, 4.0, 1.0, Counter())
+    assert told_of["lost_calls"] == len({one.key for one in play.ledger.lost})
+    assert json.loads(json.dumps(told_of))["calls"] == sum(
+        sum(ends.values()) for ends in told_of["told"].values()
+    )
 
 
 def test_a_guard_that_is_missing_is_seen(tmp_path: Path) -> None:
