Tell calls whose other hop could be reached again from those where it could not

Need: a machine that is killed or silent answers no question within what an aim leaves; one whose link alone was reset does. Change: the two are counted apart.

--- a/rigs/lost_links/ledger.py
+++ b/rigs/lost_links/ledger.py
@@ -17,6 +17,8 @@
 CLOSED = "closed"  # the connection ended first: no promise
 UNREAD = "unread"  # an answer before it closed the connection: it counts as not read
 LEFT = "left"  # its client went away
+# Troubles of the other hop, after which nothing of its life answers within what an aim leaves.
+UNREACHED = frozenset({"silent", "silent there", "silent back", "freeze", "kill", "term", "replace"})
 NOTICED_S = 0.7  # a link is known to be lost so long after whatever lost it
 SILENT = "silent"  # long after its deadline nothing has come
 
@@ -155,14 +157,17 @@
             (ran if there else not_run)[self._cause(lost, call)][_outcome(call)] += 1
             if there and there[0].ended and call.status == 200:
                 added.append((call.at - there[0].ended) * 1000.0)
-        known = Counter[str]()
-        for counted in not_run.values():
-            known.update({how: count for how, count in counted.items() if how not in (CLOSED, LEFT)})
-        good = known["success"] + known["promise"]
+        shares = {"reached again": Counter[str](), "not reached": Counter[str]()}
+        for cause, counted in not_run.items():
+            known = {how: count for how, count in counted.items() if how not in (CLOSED, LEFT)}
+            shares["not reached" if cause in UNREACHED else "reached again"].update(known)
         return {
             "not_run_there": {cause: dict(counted) for cause, counted in sorted(not_run.items())},
             "run_there": {cause: dict(counted) for cause, counted in sorted(ran.items())},
-            "not_run": {"calls": known.total(), "success_or_promise": good},
+            "not_run": {
+                which: {"calls": ends.total(), "success_or_promise": ends["success"] + ends["promise"]}
+                for which, ends in shares.items()
+            },
             "added_ms": {"calls": len(added), "p50": share_of(added, 0.5), "p99": share_of(added, 0.99)},
         }
 
--- a/tests/mesh/test_lost_links.py
+++ b/tests/mesh/test_lost_links.py
@@ -154,7 +154,8 @@
     found = ledger.in_doubt()
     assert found["run_there"] == {"reset": {"success": 1}}
     assert found["not_run_there"] == {"none": {"success": 1}}
-    assert found["not_run"] == {"calls": 1, "success_or_promise": 1}
+    assert found["not_run"]["reached again"] == {"calls": 1, "success_or_promise": 1}
+    assert found["not_run"]["not reached"]["calls"] == 0
     assert found["added_ms"]["calls"] == 1 and found["added_ms"]["p50"] == pytest.approx(100.0)
 
 
