--- a/benchmarks/scale_plan.py
+++ b/benchmarks/scale_plan.py
@@ -16,15 +16,28 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.scale_fit import ASKED, CORES, MEASURES, NEWEST, RESULTS, Fit, fits, newest, played, sound
+from benchmarks.scale_fit import (
+    ASKED,
+    CORES,
+    MEASURES,
+    NEWEST,
+    RESULTS,
+    Fit,
+    count,
+    fit,
+    fits,
+    newest,
+    played,
+    sound,
+)
 from benchmarks.scale_kinds import frames_table, state_table, troubles_table
 from waterworks.reservoir.program import MOST_ROLL
-from waterworks.sluice.program import TICK_S
 from waterworks.weir.reaping import spans
 from waterworks.weir.tombs import KEPT_S
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
 CORES_SERIES = RESULTS / "scale-cores.json"  # one size with more reservoirs
+REST = RESULTS / "scale-index.json"  # sluices at rest since they find instances by an index
 REQUEST = RESULTS / "mesh-request.json"
 DAY_S = 86_400.0
 
@@ -37,8 +50,6 @@
 # Not in the plan, assumed here and said so on the page.
 CALLED = 20  # services that one sluice calls
 ROUTES = 5 * SERVICES
-# Of a tick, measured at the plan's size: looking through all instances for one node's (see the page).
-SCAN_S = 0.00119
 CORE_MB, CORE_FILES, DISK_MB = 296.0, 4096, 256.0  # a core machine's, as the sites have it today
 
 
@@ -72,10 +83,18 @@
 
 
 class Plan:
-    def __init__(self, sizes: Sequence[dict[str, Any]], cores: Sequence[dict[str, Any]]) -> None:
+    def __init__(
+        self,
+        sizes: Sequence[dict[str, Any]],
+        cores: Sequence[dict[str, Any]],
+        rest: Sequence[dict[str, Any]],
+    ) -> None:
         """``cores``: sizes with more reservoirs than CORES, to tell what goes with a reservoir's links from
-        what goes with all sluices."""
+        what goes with all sluices. ``rest``: of a later program, for sluices at rest."""
         self.fits: dict[str, Fit] = fits(sizes)
+        form, part, measure = MEASURES["sluice.quiet.cpu_ms"]
+        later = sound(rest, part)
+        self.fits["sluice.quiet.cpu_ms"] = fit(form, [count(s) for s in later], [measure(s) for s in later])
         self.sizes = sizes
         self.shares = {
             part: self._share(sound(cores, part), MEASURES[f"reservoir.{part}.cpu_ms"][2])
@@ -217,7 +236,7 @@
                     ),
                     Way(
                         "its own zones' sidecars alone, the others by digest",
-                        self.fits["reservoir.rss_mb"].at(SLUICES / 17),
+                        self.at("reservoir.rss_mb", SLUICES / 17),
                     ),
                 ),
             ),
@@ -274,14 +293,8 @@
                 f"({self.fits['sluice.quiet.cpu_ms'].text()} + {CHANGES_S:.3f}·"
                 f"({self.fits['sluice.change.cpu_ms'].text()}) + {events:.3f}·"
                 f"({self.fits['sluice.restart.cpu_ms'].text()})) ms/s",
-                "ticks over all sources, and until the index by node over all instances; every item merged",
-                (
-                    Way(f"news of the {CALLED} services that it calls", few_cpu),
-                    Way(
-                        "the index by node (mended since): 1.2 ms a tick less, the whole list stays",
-                        cpu - SCAN_S / TICK_S,
-                    ),
-                ),
+                "ticks that compare the vectors of all sources, every item of the roll merged",
+                (Way(f"news of the {CALLED} services that it calls", few_cpu),),
             ),
             Row(
                 "sluice",
@@ -405,9 +418,6 @@
         return sum(found) / len(found)
 
 
-# The tables
-
-
 def number(value: float | None) -> str:
     if value is None:
         return "not known"
@@ -464,7 +474,7 @@
 def made() -> Plan:
     """Of the newest result files."""
     cores = json.loads(CORES_SERIES.read_text())["sizes"]
-    return Plan(newest(NEWEST), [one for one in cores if one["outcome"] == "whole"])
+    return Plan(newest(NEWEST), [one for one in cores if one["outcome"] == "whole"], played(REST))
 
 
 def main() -> None:
