--- a/waterworks/reservoir/clerk.py
+++ b/waterworks/reservoir/clerk.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from anisestair.http import codec as http
+from waterworks.aquifer.contact import Proof
 from waterworks.aquifer.items import Item
 from waterworks.aquifer.store import Full, Store
 from waterworks.gauge import events
@@ -18,6 +19,7 @@
 from waterworks.manifold.decode import Change, Invalid, decode_change
 from waterworks.manifold.render import render
 from waterworks.penstock.desk import Answer
+from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.council import MEMBER, Council, Held
 from waterworks.reservoir.rollouts import Rollouts
 
@@ -65,8 +67,10 @@
         gauge: Gauge,
         taken: Callable[[list[Item]], None],
         rollouts: Rollouts,
+        probing: Probing,
     ) -> None:
         """``taken`` is told of items that were written here, before they are durable."""
+        self._probing = probing
         self._charter, self._council, self._gauge, self._taken = charter, council, gauge, taken
         self._rollouts, self._loop = rollouts, asyncio.get_running_loop()
 
@@ -74,12 +78,24 @@
         command = decode(message)
         if isinstance(command, Unknown):
             return Answer(command.status, error("path: this address takes GET and PATCH of /configuration"))
+        wanted = Proof.READS if isinstance(command, ReadAll) else Proof.ORDERS
+        if self._probing.proof() < wanted:
+            return self._without_contact()
         if isinstance(command, Invalid):
             return self._refused(command)
         if isinstance(command, ReadAll):
             return await self._read()
         return await self._change(command, HOLD_S + HOLD_BYTE_S * len(message.body))
 
+    def _without_contact(self) -> Answer:
+        """At once: who is cut off knows neither what stands nor what is refused elsewhere, so neither 200 nor
+        4xx is its to give."""
+        elsewhere = self._probing.elsewhere()
+        if elsewhere:
+            return Answer(307, location=f"http://{elsewhere}{PATH.decode()}")
+        line = "no contact with most control processes here; another one may have it"
+        return Answer(503, error(line), retry_after_s=BUSY_S)
+
     async def _read(self) -> Answer:
         if not await self._council.gather(READ_S):
             return Answer(
@@ -96,7 +112,7 @@
 
     async def _change(self, change: Change, within_s: float) -> Answer:
         invalid = check(change, self._standing)
-        if invalid is not None or not self._council.in_touch():
+        if invalid is not None:
             # What this copy does not know another may: nothing proper is refused for that.
             if not await self._council.gather(READ_S):
                 return Answer(503, error("too few control processes answer"), retry_after_s=BUSY_S)
--- a/waterworks/reservoir/contact.py
+++ b/waterworks/reservoir/contact.py
@@ -40,8 +40,8 @@
     ) -> None:
         """``me``: the address by which this machine is known as a member; ``view``: the one in force, as it
         is known here; ``whole``: this disk."""
-        self.me, self._channels, self._tolerance = me, channels, tolerance
-        self._view, self._whole, self._gauge = view, whole, gauge
+        self.me, self.view, self._whole = me, view, whole
+        self._channels, self._tolerance, self._gauge = channels, tolerance, gauge
         self._loop = channels.loop
         self._every_s = EVERY_SHARE * contact_ms / 1000.0
         self.contact = Contact(BOUND_SHARE * contact_ms / 1000.0)
@@ -61,7 +61,7 @@
     def proof(self) -> Proof:
         flowing = {address_of(channel) for channel in self._links if channel.exchange.pulled}
         own = self.me if self._whole() else None
-        return self.contact.proof(self._loop.time(), self._view(), self._tolerance, own, flowing)
+        return self.contact.proof(self._loop.time(), self.view(), self._tolerance, own, flowing)
 
     def has(self) -> bool:
         """Whether what is held here, or is being told, can miss nothing that was acknowledged."""
@@ -115,12 +115,12 @@
                 self._gauge.tell(events.CONTACT_PROVEN, without_ms=for_ms)
             else:
                 heard = len(self.contact.lately(now))
-                self._gauge.tell(events.CONTACT_LOST, heard=heard, of=len(self._view().names))
+                self._gauge.tell(events.CONTACT_LOST, heard=heard, of=len(self.view().names))
 
     def _ask(self) -> None:
         now = self._loop.time()
         self._due = now + self._every_s
-        question = {"t": "probe", "n": self.contact.ask(now), "e": self._view().epoch}
+        question = {"t": "probe", "n": self.contact.ask(now), "e": self.view().epoch}
         for channel in self._peers():
             channel.link.send(question)
 
@@ -158,7 +158,7 @@
                 {
                     "t": "probed",
                     "n": int(head["n"]),
-                    "e": self._view().epoch,
+                    "e": self.view().epoch,
                     "w": self._whole(),
                     "c": self.acts(),
                 }
--- a/waterworks/reservoir/council.py
+++ b/waterworks/reservoir/council.py
@@ -71,7 +71,6 @@
         self._pending: dict[int, Pending] = {}
         self._readings: dict[int, Reading] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._whole_peers: dict[str, bool] = {}  # by address, as they last said
 
     # Who counts
 
@@ -93,16 +92,6 @@
             and (joining or item.value.get("state") == COUNTS)
         }
 
-    def in_touch(self) -> bool:
-        """Whether what this machine holds, or is being told, can miss nothing that was acknowledged."""
-        members = self.members()
-        heard = {self.me} if self._ledger.whole else set()
-        for channel in self._channels.open:
-            address = str(channel.extra.get("ip", ""))
-            if self._whole_peers.get(address) and channel.exchange.pulled:
-                heard.add(address)
-        return bool(members) and overlaps(heard, members, self._tolerance)
-
     # Writing
 
     async def hold(self, items: Sequence[Item], within_s: float) -> Held | NotHeld:
@@ -181,7 +170,6 @@
         """A link to another control process is up: what waits is asked there as well."""
         if channel.extra.get("role") != "reservoir":
             return
-        self._whole_peers[str(channel.extra.get("ip", ""))] = bool(channel.extra.get("complete"))
         for number, pending in self._pending.items():
             self._ask_keep(channel, number, pending)
         for number, reading in self._readings.items():
@@ -219,13 +207,10 @@
             )
         elif kind == "have":
             self._merge([unpack(fields) for fields in head["items"]], head["v"])
-            self._whole_peers[address] = bool(head["complete"])
             reading = self._readings.get(head["n"])
             if reading is not None and head["complete"]:
                 reading.heard.add(address)
                 self._check(reading)
-        elif kind == "complete":
-            self._whole_peers[address] = True
 
     async def _keep(self, channel: Channel, number: int, items: list[Item]) -> None:
         if not self._merge(items, {}):
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -104,6 +104,7 @@
             gauge,
             lambda items: self._changed("charter", items),
             self.rollouts,
+            self.probing,
         )
         self.desk = Desk(self.clerk.handle)
         self.duties = Duties(
