--- a/rigs/mesh_world/disk.py
+++ b/rigs/mesh_world/disk.py
@@ -42,16 +42,18 @@
     def __init__(self, world: World, life: Any, disk: Disk) -> None:
         self._world, self._life, self._disk = world, life, disk
 
-    def keep(self, rows: Sequence[tuple[bytes, bytes]]) -> Kept | Refused:
+    def keep(self, rows: Sequence[tuple[bytes, bytes]], gone: Sequence[bytes] = ()) -> Kept | Refused:
         raise AssertionError("a sync takes time: the loop calls begin instead")
 
-    def begin(self, rows: Sequence[tuple[bytes, bytes]]) -> asyncio.Future[Kept | Refused]:
+    def begin(
+        self, rows: Sequence[tuple[bytes, bytes]], gone: Sequence[bytes] = ()
+    ) -> asyncio.Future[Kept | Refused]:
         future: asyncio.Future[Kept | Refused] = self._world.loop.create_future()
-        self._disk.env.process(self._sync(list(rows), future))
+        self._disk.env.process(self._sync(list(rows), list(gone), future))
         return future
 
     def _sync(
-        self, rows: list[tuple[bytes, bytes]], future: asyncio.Future[Kept | Refused]
+        self, rows: list[tuple[bytes, bytes]], gone: list[bytes], future: asyncio.Future[Kept | Refused]
     ) -> Generator[simpy.Event, Any, None]:
         disk, env = self._disk, self._disk.env
         self._world.point("sync", self._life)
@@ -63,6 +65,8 @@
         if env.now < disk.refuses_until:
             future.set_result(Refused("disk in trouble"))
             return
+        for key in gone:
+            disk.rows.pop(key, None)
         disk.rows.update(rows)
         self._world.point("synced", self._life)
         if self._life.alive and not future.done():
--- a/rigs/mesh_world/seeds.py
+++ b/rigs/mesh_world/seeds.py
@@ -4,17 +4,19 @@
 
 from typing import Any, Protocol
 
-from waterworks.aquifer import quorum
 from waterworks.aquifer import store as aquifer_store
+from waterworks.aquifer.ballot import Refusal
 from waterworks.aquifer.store import Store
+from waterworks.aquifer.views import View
 from waterworks.cistern.keeper import Refused
 from waterworks.leat.exchange import Exchange
 from waterworks.reservoir import clerk as clerk_module
-from waterworks.reservoir import council as council_module
 from waterworks.reservoir import ledger as ledger_module
-from waterworks.reservoir.council import Council, Held
+from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.council import Council
 from waterworks.reservoir.ledger import Ledger
 from waterworks.reservoir.program import Reservoir
+from waterworks.reservoir.voting import Voting
 
 
 class Patch(Protocol):
@@ -22,11 +24,7 @@
 
 
 def ack_after_one_disk(patch: Patch) -> None:
-    async def hold(self: Council, items: Any, within_s: float) -> Held:
-        await self._ledger.kept()
-        return Held()
-
-    patch.setattr(Council, "hold", hold)
+    patch.setattr(View, "durable", lambda self, have, tolerance: bool(have))
 
 
 def ack_without_a_disk(patch: Patch) -> None:
@@ -37,17 +35,26 @@
 
 
 def own_counts_before_sync(patch: Patch) -> None:
-    async def keep_own(self: Council, pending: Any) -> None:
-        self._has(pending, self.me, self.views())
+    real = Acceptance.accept
+
+    async def accept(self: Acceptance, epoch: int, ballot: Any, by: Any, writes: Any) -> Any:
+        if ballot.proposer != self._charter.source:
+            return await real(self, epoch, ballot, by, writes)
+        changed = self.acceptor.accept(ballot, by, writes)
+        if isinstance(changed, Refusal):
+            return changed
+        self._ledger.mark_votes(changed)
+        return None
 
-    patch.setattr(Council, "_keep_own", keep_own)
+    patch.setattr(Acceptance, "accept", accept)
 
 
 def reads_answered_without_asking(patch: Patch) -> None:
-    async def gather(self: Council, within_s: float) -> bool:
+    async def read(self: Voting, within_s: float) -> bool:
         return True
 
-    patch.setattr(Council, "gather", gather)
+    patch.setattr(Voting, "read", read)
+    patch.setattr(Council, "in_touch", lambda self: True)
 
 
 def wiped_counts_at_once(patch: Patch) -> None:
@@ -97,14 +104,16 @@
 
 
 def half_is_enough(patch: Patch) -> None:
-    patch.setattr(
-        council_module, "durable_in_views", lambda have, views, _: len(have) * 2 > len(views[0]) - 2
-    )
+    patch.setattr(View, "durable", lambda self, have, tolerance: len(set(have)) * 2 > len(self.now) - 2)
 
 
 def views_of_answerers_are_ignored(patch: Patch) -> None:
-    real = quorum.durable_in_views
-    patch.setattr(council_module, "durable_in_views", lambda have, views, t: real(have, views[:1], t))
+    """An answer under whatever view counts, and so does the proposer's own old one."""
+
+    async def stands(self: Acceptance, epoch: int) -> None:
+        return None
+
+    patch.setattr(Acceptance, "stands", stands)
 
 
 def refused_counts_as_kept(patch: Patch) -> None:
@@ -122,13 +131,13 @@
 
 
 def a_gap_is_counted(patch: Patch) -> None:
-    real = Council._merge
+    real = Acceptance.take
 
-    def merges(self: Council, items: Any, vector: Any) -> bool:
+    def take(self: Acceptance, items: Any, vector: Any) -> None:
         claimed = {item.source: item.number for item in items}
-        return real(self, items, {**claimed, **vector})
+        real(self, items, {**claimed, **vector})
 
-    patch.setattr(Council, "_merge", merges)
+    patch.setattr(Acceptance, "take", take)
 
 
 def always_something_to_say(patch: Patch) -> None:
--- a/rigs/mesh_world/witness.py
+++ b/rigs/mesh_world/witness.py
@@ -1,4 +1,9 @@
-"""What must hold, whatever befalls the machines: said as lines in ``broken`` where it does not."""
+"""What must hold, whatever befalls the machines: said as lines in ``broken`` where it does not.
+
+The witness knows all contents that were ever acknowledged, by number, and all orders that were refused for a
+rival. Each read, each change of each process's configuration, each disk and each sidecar is compared with
+them for ever after.
+"""
 
 from __future__ import annotations
 
@@ -8,16 +13,17 @@
 import msgspec
 import simpy
 
+from waterworks.aquifer.ballot import Number, Settled, Vote, digest_of
 from waterworks.aquifer.items import Item, Key, content
-from waterworks.aquifer.quorum import overlaps
 from waterworks.aquifer.store import Store
-from waterworks.manifold.decode import Change, decode_change
+from waterworks.aquifer.views import View
+from waterworks.manifold.decode import INPUT_LIMITS, PLANT, ROUTE, Change, decode_change
 from waterworks.penstock.desk import Answer
-from waterworks.reservoir.council import MEMBER
 
 if TYPE_CHECKING:
     from rigs.mesh_world.world import Life, Machine, World
 
+ORDERED = frozenset({ROUTE, PLANT, INPUT_LIMITS})  # kinds that operators send
 CONTACT_S, SETTLE_S = 3.0, 2.0
 LINKS_S = 2.0  # all links stand again by then
 QUIET_FRAMES = 6  # of a second in which nothing changes: upstreams' beats make none
@@ -30,6 +36,10 @@
         self.broken: list[str] = []
         self.sent: dict[Key, dict[int, set[bytes]]] = {}  # valid contents by version
         self.acked: dict[Key, tuple[int, float]] = {}  # the highest version acknowledged, and when
+        self.contents: dict[Number, bytes] = {}  # acknowledged
+        self.orders: dict[Number, dict[bytes, set[bytes]]] = {}  # bodies that had each content, by number
+        self.acked_orders: set[bytes] = set()
+        self.rivalled: set[bytes] = set()  # bodies that were answered 409
         self.reads = self.acks = 0
 
     def _say(self, line: str) -> None:
@@ -39,7 +49,7 @@
 
     def members(self) -> int:
         """How many count, as the fullest view has it."""
-        return max((len(p.council.members()) for _, p in self.world.programs(core=True)), default=0)
+        return max((len(p.council.view().names) for _, p in self.world.programs(core=True)), default=0)
 
     # What operators send and hear
 
@@ -48,7 +58,10 @@
         if valid and isinstance(change, Change):
             for write in change.writes:
                 told = content(Item(write.kind, write.name, write.version, write.value))
-                self.sent.setdefault((write.kind, write.name), {}).setdefault(write.version, set()).add(told)
+                key = (write.kind, write.name)
+                self.sent.setdefault(key, {}).setdefault(write.version, set()).add(told)
+                number = (*key, write.version)
+                self.orders.setdefault(number, {}).setdefault(told, set()).add(body)
 
     def answered(
         self,
@@ -68,6 +81,8 @@
         elif method == b"PATCH" and answer.status == 200:
             self.acks += 1
             self._acknowledged(machine, body)
+        elif method == b"PATCH" and 400 <= answer.status < 500:
+            self._turned(machine, body, answer.status)
 
     def _acknowledged(self, machine: Machine, body: bytes) -> None:
         change = decode_change(body)
@@ -82,9 +97,71 @@
                 self._say(f"{machine.name} acknowledged the invalid {key} r{write.version}")
             if write.version > self.acked.get(key, (-1, 0.0))[0]:
                 self.acked[key] = (write.version, now)
+            self._stands(machine, (*key, write.version), told)
+        self.acked_orders.add(body)
+        if body in self.rivalled:
+            self._say(f"{machine.name} acknowledged what was refused for a rival")
         self._meets("at an acknowledgement")
         self.world.env.process(self._settles(now))
 
+    def _stands(self, machine: Machine, number: Number, told: bytes) -> None:
+        """It is acknowledged: nobody may hold anything else under that number, now or ever."""
+        if self.contents.setdefault(number, told) != told:
+            self._say(f"{machine.name} acknowledged a second content of {number}")
+        key = number[:2]
+        for core in (True, False):
+            for other, program in self.world.programs(core):
+                item = program.charter.items.get(key)
+                if item is not None:
+                    self._compare(other.name, item)
+        for other in self.world.reservoirs():
+            for item in other.disk.holds().items:
+                if item.key == key:
+                    self._compare(f"{other.name}'s disk", item)
+
+    def _compare(self, who: str, item: Item) -> None:
+        """One item in force, as somebody has it."""
+        if item.kind not in ORDERED:
+            return
+        number, told = (item.kind, item.name, item.version), content(item)
+        if self.contents.get(number, told) != told:
+            self._say(f"{who} has another content of {number} than was acknowledged")
+        bodies = self.orders.get(number, {}).get(told)
+        if bodies and bodies <= self.rivalled:
+            self._say(f"{who} has {number} as it was refused for a rival")
+
+    def _turned(self, machine: Machine, body: bytes, status: int) -> None:
+        """A clear no: for a rival only where one is, and never to what was acknowledged."""
+        if body in self.acked_orders:
+            self._say(f"{machine.name} answers {status} to an order that was acknowledged")
+        if status != 409:
+            return
+        self.rivalled.add(body)
+        change = decode_change(body)
+        writes = change.writes if isinstance(change, Change) else ()
+        numbers = {(write.kind, write.name, write.version): write.value for write in writes}
+        if not any(self._decided_otherwise(number, value) for number, value in numbers.items()):
+            self._say(f"{machine.name} answers 409, and no number is decided otherwise")
+        for core in (True, False):
+            for other, program in self.world.programs(core):
+                for number in numbers:
+                    item = program.charter.items.get(number[:2])
+                    if item is not None and item.version == number[2]:
+                        self._compare(other.name, item)
+
+    def _decided_otherwise(self, number: Number, value: Any) -> bool:
+        """By the word of any disk or process; one that proposes knows it before them."""
+        digest = digest_of(value)
+        for _, program in self.world.programs(core=True):
+            state = program.acceptor.state(number)
+            if isinstance(state, Settled) and state.digest != digest:
+                return True
+        for machine in self.world.reservoirs():
+            for item in machine.disk.holds().items:
+                if (item.kind, item.name, item.version) == number and digest_of(item.value) != digest:
+                    return True
+        return False
+
     def _read(self, machine: Machine, body: bytes, began: float) -> None:
         change = decode_change(b'{"apply":' + body + b"}")
         if not isinstance(change, Change):
@@ -103,6 +180,7 @@
             told = content(Item(write.kind, write.name, write.version, write.value))
             if told not in self.sent.get(key, {}).get(write.version, set()):
                 self._say(f"{machine.name}: GET gives {key} r{write.version}, which nobody validly sent so")
+            self._compare(f"{machine.name}: GET", Item(*key, write.version, write.value))
 
     def _dropped(self, key: Key, least: int) -> bool:
         return any(v >= least and b"null" in told for v, told in self.sent.get(key, {}).items())
@@ -115,33 +193,47 @@
         def puts(store: Store, item: Item) -> Any:
             held = store.items.get(item.key)
             changed = put(store, item)
-            if held is not None and store.items[item.key].version < held.version:
+            now = store.items[item.key]
+            if held is not None and now.version < held.version:
                 self._say(f"{store.source}: {item.key} went back from {held.version} to {item.version}")
+            if item.kind in ORDERED and now is item:
+                if held is not None and held.version == now.version and content(held) != content(now):
+                    self._say(f"{store.source}: {item.key} r{now.version} was turned over")
+                self._compare(store.source, now)
             return changed
 
         return puts
 
     def _meets(self, when: str) -> None:
         """No set of whole disks that would do for a read may lack what was acknowledged."""
-        whole: dict[str, dict[Key, int]] = {}
-        views = []
+        whole: dict[str, tuple[dict[Key, Item], dict[Number, Vote]]] = {}
+        views: list[tuple[str, View]] = []
         for machine in self.world.reservoirs():
             program = machine.program
             if program is not None:
-                items = program.charter.items.values()
+                items, votes = program.charter.items, program.acceptor.votes
                 counts = program.ledger.whole
-                views.append((machine.name, program.council.members()))
+                views.append((machine.name, program.council.view()))
             else:
                 kept = machine.disk.holds()
-                items, counts = kept.items, kept.whole
+                items, votes = {item.key: item for item in kept.items}, kept.votes
+                counts = kept.whole
             if counts:
-                whole[machine.ip] = {item.key: item.version for item in items}
+                whole[machine.ip] = (items, votes)
         for key, (version, _) in self.acked.items():
-            lacking = [ip for ip, versions in whole.items() if versions.get(key, -1) < version]
+            number = (*key, version)
+            lacking = [ip for ip, held in whole.items() if not self._holds(number, *held)]
             for name, view in views:
-                if view and overlaps(lacking, view, self.world.tolerance):
+                if view.epoch and view.overlaps(lacking, self.world.tolerance):
                     self._say(f"{when}: {lacking} would do for a read by {name}, and lack {key} r{version}")
 
+    def _holds(self, number: Number, items: dict[Key, Item], votes: dict[Number, Vote]) -> bool:
+        """In force, overtaken, or as an open vote, which every read brings to its decision."""
+        item, vote = items.get(number[:2]), votes.get(number)
+        if item is not None and item.version >= number[2]:
+            return True
+        return vote is not None and content(Item(*number, vote.value)) == self.contents[number]
+
     def watch(self) -> Generator[simpy.Event, Any, None]:
         while True:
             yield self.world.env.timeout(0.05)
@@ -185,12 +277,15 @@
             if machine.life is None or not machine.life.alive:
                 self._say(f"{machine.name} does not run")
             for item in machine.disk.holds().items:
-                if item.kind != MEMBER and content(item) not in self.sent[item.key].get(item.version, ()):
+                self._compare(f"{machine.name}'s disk", item)
+                if item.kind in ORDERED and content(item) not in self.sent[item.key].get(item.version, ()):
                     self._say(f"{machine.name}: disk has {item.key} r{item.version}, never validly sent")
             for key, (version, _) in self.acked.items():
                 kept = {item.key: item.version for item in machine.disk.holds().items}
                 if kept.get(key, -1) < version:
                     self._say(f"{machine.name}: disk lacks {key} r{version} in the end")
+            if machine.program is not None and machine.program.acceptor.votes:
+                self._say(f"{machine.name}: votes are open in the end")
         yield world.env.timeout(LINKS_S)
         sent = 0
         for _ in range(QUIET_TRIES):
--- a/tests/mesh/test_ballot.py
+++ b/tests/mesh/test_ballot.py
@@ -113,7 +113,7 @@
     assert isinstance(one.promise(Ballot(5, "p"), [ONE]), Promised)
     after = Acceptor("a", one.ceiling)
     after.votes = dict(one.votes)
-    assert after.accept(Ballot(4, "o"), {}, {ONE: X}) == Refusal(BLOCK, "below the floor")
+    assert after.accept(Ballot(4, "o"), {}, {ONE: X}) == Refusal(BLOCK, "below the floor", False)
     assert after.top() == BLOCK
 
 
@@ -257,7 +257,7 @@
     acceptors, among = cores(3), view("a", "b", "c")
     acceptors["a"].accept(Ballot(2, "o"), {}, {ONE: X, TWO: X})
     acceptors["b"].accept(Ballot(3, "q"), {}, {ONE: Y})
-    opened = {number: vote.value for number, vote in acceptors["a"].votes.items()}
+    opened = dict.fromkeys([*acceptors["a"].votes, ("route", "c", 9)])  # of the last nobody knows anything
     assert play(Proposer("a", opened, LOSS, adopts=True), acceptors, among, 4) == Decided()
     for one in acceptors.values():
         assert one.decided == {("route", "a"): (5, Y), ("route", "b"): (1, X)} and not one.votes
@@ -283,7 +283,7 @@
     proposer = Proposer("p", {ONE: X}, LOSS)
     told = proposer.prepare(3, view("a", "b", "c"))
     assert proposer.refused("a", told.ballot, Refusal(70, "")) is None
-    assert proposer.refused("b", told.ballot, Refusal(50, "why")) == Again(70, "why")
+    assert proposer.refused("b", told.ballot, Refusal(50, "why")) == Again(70, "why", False)
 
 
 def test_half_of_an_even_view_may_prepare_and_not_accept() -> None:
--- a/tests/mesh/test_mesh_world.py
+++ b/tests/mesh/test_mesh_world.py
@@ -303,7 +303,7 @@
         for machine in joiners:
             world.start(machine)
         yield world.env.timeout(0.01)
-        while any(len(machine.program.council.views()[1]) < 5 for machine in world.reservoirs()):
+        while any(len(machine.program.council.view().names) < 5 for machine in world.reservoirs()):
             yield world.env.timeout(0.001)
         assert not any(machine.program.ledger.whole for machine in joiners)
         troubles.wiped(world, cores[2].life, None)  # type: ignore[arg-type]
--- a/waterworks/aquifer/ballot.py
+++ b/waterworks/aquifer/ballot.py
@@ -46,9 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Settled:
-    """Decided, by the digest of its content."""
+    """Decided, by the digest of its content. ``has``: and ``value`` is the content, which stands there."""
 
     digest: str
+    has: bool = False
+    value: Value = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,10 +72,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """``round``: a ballot above it may pass; 0 where it is not for its round."""
+    """``round``: a ballot above it may pass; 0 where it is not for its round. ``contended``: another proposer
+    is at work, or the next ballot fares no better at once."""
 
     round: int
     reason: str
+    contended: bool = True
 
 
 def digest_of(value: Value) -> str:
@@ -110,7 +114,7 @@
         key = (kind, name)
         standing = self.decided.get(key)
         if standing is not None and standing[0] == version:
-            return Settled(digest_of(standing[1]))
+            return Settled(digest_of(standing[1]), True, standing[1])
         past = self.past.get(key, {})
         if version in past:
             return Settled(past[version])
@@ -184,7 +188,7 @@
         if not 0 < ballot.round < MOST_ROUND:
             return Refusal(0, f"a round is 1 to {MOST_ROUND}")
         if ballot.round <= self.floor:
-            return Refusal(self.floor, "below the floor")
+            return Refusal(self.floor, "below the floor", False)
         highest = ballot
         for number in numbers:
             promised, vote = self.promises.get(number), self.votes.get(number)
@@ -218,17 +222,17 @@
         an item, unless a higher version stands here already."""
         kind, name, version = number
         key = (kind, name)
-        standing = self.decided.get(key)
-        if self.state(number) is None or isinstance(self.state(number), Vote):
-            if isinstance(state, Forgotten):
-                self.unknown[key] = max(version, self.unknown.get(key, -1))
-            elif standing is None or version > standing[0]:
+        standing, here = self.decided.get(key), self.state(number)
+        if isinstance(state, Forgotten):
+            if version <= self.unknown.get(key, -1):
                 return False
-            else:
-                self._passed(key, version, state.digest)
-            self.votes.pop(number, None)
-            return True
-        return False
+            self.unknown[key] = version
+        elif not (here is None or isinstance(here, Vote)) or standing is None or version > standing[0]:
+            return False
+        else:
+            self._passed(key, version, state.digest)
+        self.votes.pop(number, None)
+        return True
 
     def _passed(self, key: Key, version: int, digest: str) -> bool:
         past = self.past.setdefault(key, {})
@@ -278,10 +282,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Again:
-    """This ballot leads no further; a new one, of a round above ``round``, may."""
+    """This ballot leads no further; a new one, of a round above ``round``, may. ``at_once``: there is nobody
+    to make room for."""
 
     round: int
     reason: str
+    at_once: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,7 +310,8 @@
 
 
 class Proposer:
-    """One order, or (``adopts``) open votes that are to be brought to their decision, whatever it is.
+    """One order, or (``adopts``) open votes, by their numbers alone, that are to be brought to their
+    decision, whatever it is.
 
     The host sends what `prepare` and `promised` give to all members of the view, feeds what they answer, and
     begins a ballot anew where it is told `Again`, after a drawn pause; it gives up when its time is over.
@@ -313,9 +320,11 @@
     def __init__(
         self, life: str, writes: Mapping[Number, Value], tolerance: Tolerance, adopts: bool = False
     ) -> None:
-        self._life, self._tolerance, self._adopts = life, tolerance, adopts
+        self._life, self._tolerance, self.adopts = life, tolerance, adopts
         self.writes = dict(writes)
         self.settled: dict[Number, str] = {}  # numbers that are decided, by digest
+        self.contents: dict[Number, Value] = {}  # of those, as far as it was told
+        self.forgotten: set[Number] = set()  # of which nobody can know
         self.sent_own = False  # an accept of its own contents has gone out
         self.view = View(0, {})
         self.ballot = Ballot(0, "")
@@ -325,6 +334,7 @@
         self._promises: dict[str, int] = {}  # by member: its generation
         self._refused: set[str] = set()
         self._votes: dict[Number, Vote] = {}  # the highest of each, as promisers told
+        self._blank: set[Number] = set()  # of what it adopts: nobody of a quorum holds anything
         self._own_found = False  # somebody holds a content of this order
         self._accept: Accept | None = None
         self._have: set[str] = set()
@@ -335,6 +345,7 @@
         self._knew = self._rival() is not None
         self._promises, self._refused, self._votes, self._have = {}, set(), {}, set()
         self._accept = None
+        self._blank = set()
         return Prepare(self.ballot, view.epoch, tuple(self._open()))
 
     def promised(
@@ -349,22 +360,27 @@
                 continue
             if isinstance(state, Settled):
                 self.settled[number] = state.digest
+                if state.has:
+                    self.contents[number] = state.value
             elif isinstance(state, Forgotten):
-                return Unclear(f"{_named(number)} is older than what is known of it")
+                self.forgotten.add(number)
             else:
+                self._own_found |= not self.adopts and self._same(number, state.value)
                 held = self._votes.get(number)
                 if held is None or state.ballot > held.ballot:
                     self._votes[number] = state
+        if self.forgotten and not self.adopts:
+            return Unclear(f"{named(min(self.forgotten))} is older than what is known of it")
         if not self.view.overlaps(self._promises, self._tolerance):
             return None
         return self._go_on()
 
     def _go_on(self) -> Accept | Again | Decided | Rivalled | Unclear | None:
-        if self._adopts:
-            taken = {n: self._votes[n].value if n in self._votes else self.writes[n] for n in self._open()}
+        if self.adopts:
+            # Where a quorum holds nothing, nothing was chosen, and there is nothing to be brought to an end.
+            self._blank = {number for number in self._open() if number not in self._votes}
+            taken = {number: self._votes[number].value for number in self._open()}
             return self._propose(taken) if taken else Decided()
-        if any(self._same(number, vote.value) for number, vote in self._votes.items()):
-            self._own_found = True
         rival = self._rival()
         if rival is not None:
             return self._lost(rival)
@@ -379,11 +395,11 @@
         return self._propose(own)
 
     def _lost(self, rival: Number) -> Again | Rivalled | Unclear | None:
-        lost = [n for n, digest in self.settled.items() if digest != self._digests[n]]
+        lost = self._lost_numbers()
         if len(lost) == len(self.writes):
             return Rivalled(rival)
         if self.sent_own or self._own_found or len(lost) < len(self.settled):
-            return Unclear(f"another order has {_named(rival)}, and a part of this one may be in force")
+            return Unclear(f"another order has {named(rival)}, and a part of this one may be in force")
         if not self._knew:
             return Again(0, "another order has a number of this one")
         # All have promised a ballot that began when the rival was decided, and hold nothing of this order:
@@ -395,7 +411,7 @@
         return self._accept
 
     def accepted(self, who: str, epoch: int, ballot: Ballot) -> Chosen | None:
-        """One more has it on disk. After what is chosen is told, `again` says how it goes on."""
+        """One more has it on disk. Once what is chosen is told, `outcome` says whether that was all."""
         if self._accept is None or ballot != self.ballot or epoch != self.view.epoch:
             return None
         if self.view.durable(self._have, self._tolerance):
@@ -405,6 +421,7 @@
             return None
         writes = self._accept.writes
         self.settled.update((number, digest_of(value)) for number, value in writes.items())
+        self.contents.update(writes)
         return Chosen(self.ballot, writes)
 
     def refused(self, who: str, ballot: Ballot, refusal: Refusal) -> Again | None:
@@ -420,36 +437,44 @@
             able = self.view.durable(left, self._tolerance)
         else:
             able = self.view.overlaps(left, self._tolerance)
-        return None if able else Again(self._seen, refusal.reason)
+        return None if able else Again(self._seen, refusal.reason, not refusal.contended)
 
-    def outcome(self) -> Decided | None:
-        """Whether all is decided, as it was sent or (``adopts``) in whatever way."""
-        if self._open() or self._rival() is not None:
+    def outcome(self) -> Decided | Rivalled | None:
+        """Where all is decided, as it was sent, all otherwise, or (``adopts``) in whatever way."""
+        if self._open():
             return None
-        return Decided()
+        rival = self._rival()
+        if rival is None:
+            return Decided()
+        return Rivalled(rival) if len(self._lost_numbers()) == len(self.writes) else None
 
     def gave_up(self) -> Unclear:
         """Its time is over."""
         rival = self._rival()
         if rival is not None:
             return Unclear(
-                f"another order has {_named(rival)}, and not all have said that they hold none of this"
+                f"another order has {named(rival)}, and not all have said that they hold none of this"
             )
         step = "accept" if self._accept is not None else "prepare"
         told = ", ".join(sorted(self._have if self._accept is not None else self._promises)) or "none"
         return Unclear(f"{step}: answered by {told} of {len(self.view.names)}")
 
     def _open(self) -> list[Number]:
-        return [number for number in self.writes if number not in self.settled]
+        over = self.settled.keys() | self.forgotten | self._blank
+        return [number for number in self.writes if number not in over]
 
     def _same(self, number: Number, value: Value) -> bool:
         return digest_of(value) == self._digests[number]
 
     def _rival(self) -> Number | None:
-        if self._adopts:
+        if self.adopts:
             return None
-        return next((n for n, digest in self.settled.items() if digest != self._digests[n]), None)
+        return min(self._lost_numbers(), default=None)
+
+    def _lost_numbers(self) -> list[Number]:
+        return [n for n, digest in self.settled.items() if digest != self._digests[n]]
 
 
-def _named(number: Number) -> str:
+def named(number: Number) -> str:
+    """For people."""
     return f"{number[0]} {number[1][:60]!r} r{number[2]}"
--- a/waterworks/cistern/layout.py
+++ b/waterworks/cistern/layout.py
@@ -7,20 +7,24 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import Any
 
 import msgspec
 
-from waterworks.aquifer.items import Item
+from waterworks.aquifer.ballot import Ballot, Number, Vote
+from waterworks.aquifer.items import Item, Key
+from waterworks.aquifer.quorum import Place
+from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
 
-LAYOUT = 1
+LAYOUT = 2
 """The layout that this program writes."""
 
 Rows = dict[bytes, bytes]
 Move = Callable[[Rows], Rows]
 
-MOVES: dict[int, Move] = {}
+MOVES: dict[int, Move] = {1: lambda rows: _view_of_members(rows)}
 """From layout n to n + 1, under n: the caller's rows before, the caller's rows after. Pure; one transaction
 each."""
 
@@ -30,8 +34,12 @@
 
 _CHECK_BYTES = 8
 _ITEM = b"i"
+_VOTE = b"a"
+_PAST = b"p"
 _VECTOR = b"vector"
 _WHOLE = b"whole"
+_CEILING = b"ceiling"
+_GENERATIONS = b"generations"
 
 
 class CisternError(Exception):
@@ -98,21 +106,75 @@
         return f"head row: {error}"
 
 
+@dataclass(frozen=True, slots=True)
+class Past:
+    """Of one key: digests of decided versions below the one that stands, and the version up to which nobody
+    can know, or -1."""
+
+    key: Key
+    unknown: int
+    digests: dict[int, str]
+
+
 @dataclass(frozen=True, slots=True)
 class Held:
-    """What the rows of a disk say: the items, the vector (source to number), and whether the disk is
-    complete."""
+    """What the rows of a disk say: the items, all decided; the vector (source to number); whether the disk is
+    complete; and the acceptor's part: votes that are open, what is past, the ceiling of rounds, and how often
+    whose disk was lost."""
 
-    items: tuple[Item, ...]
-    vector: dict[str, int]
-    whole: bool
+    items: tuple[Item, ...] = ()
+    vector: dict[str, int] = field(default_factory=dict)
+    whole: bool = False
+    votes: dict[Number, Vote] = field(default_factory=dict)
+    past: tuple[Past, ...] = ()
+    ceiling: int = 0
+    generations: dict[str, int] = field(default_factory=dict)
 
 
 def pack_item(item: Item) -> tuple[bytes, bytes]:
     """An item's row. The key is of one length, however long kind and name are; the value holds all of the
     item."""
-    named = msgspec.json.encode([item.kind, item.name])
-    return _ITEM + blake2b(named, digest_size=16).digest(), msgspec.json.encode(item)
+    return item_key(item.key), msgspec.json.encode(item)
+
+
+def item_key(key: Key) -> bytes:
+    """Of the row of the item that stands under that key."""
+    return _ITEM + _hashed(key)
+
+
+def _hashed(parts: Iterable[str | int]) -> bytes:
+    return blake2b(msgspec.json.encode(list(parts)), digest_size=16).digest()
+
+
+def vote_key(number: Number) -> bytes:
+    """Of the row of an open vote."""
+    return _VOTE + _hashed(number)
+
+
+def pack_vote(number: Number, vote: Vote) -> tuple[bytes, bytes]:
+    """The row of an open vote: number, ballot and content."""
+    told = [*number, vote.ballot.round, vote.ballot.proposer, vote.value]
+    return vote_key(number), msgspec.json.encode(told)
+
+
+def past_key(key: Key) -> bytes:
+    """Of the row of a key's overtaken versions."""
+    return _PAST + _hashed(key)
+
+
+def pack_past(past: Past) -> tuple[bytes, bytes]:
+    """The row of a key's overtaken versions."""
+    return past_key(past.key), msgspec.json.encode([*past.key, past.unknown, past.digests])
+
+
+def pack_ceiling(ceiling: int) -> tuple[bytes, bytes]:
+    """The row of the round up to which the next life refuses all."""
+    return _CEILING, b"%d" % ceiling
+
+
+def pack_generations(generations: Mapping[str, int]) -> tuple[bytes, bytes]:
+    """The row of how often each member's disk was lost, as far as is known."""
+    return _GENERATIONS, msgspec.json.encode(dict(generations))
 
 
 def unpack_item(key: bytes, value: bytes) -> Item:
@@ -146,18 +208,61 @@
 
 
 def held(rows: Mapping[bytes, bytes]) -> Held:
-    """Items, vector and marker out of a store's rows. A disk without the marker is not complete. Raises
-    CisternError on a row that is none of these."""
+    """What a store's rows say. A disk without the marker is not complete. Raises CisternError on a row that
+    is of no kind known, or cannot be read."""
     items: list[Item] = []
-    vector: dict[str, int] = {}
-    whole = False
+    votes: dict[Number, Vote] = {}
+    past: list[Past] = []
     for key, value in rows.items():
-        if key == _VECTOR:
-            vector = unpack_vector(value)
-        elif key == _WHOLE:
-            whole = value == b"true"
-        elif key.startswith(_ITEM):
+        if key.startswith(_ITEM):
             items.append(unpack_item(key, value))
+        elif key in (_VECTOR, _WHOLE, _CEILING, _GENERATIONS):
+            continue
+        elif key.startswith(_VOTE):
+            kind, name, version, round, proposer, content = _read(key, value, _VoteRow)
+            votes[kind, name, version] = Vote(Ballot(round, proposer), content)
+        elif key.startswith(_PAST):
+            kind, name, unknown, digests = _read(key, value, _PastRow)
+            past.append(Past((kind, name), unknown, digests))
         else:
             raise CisternError(f"row {key.hex()}: of no kind known; start the program that wrote it")
-    return Held(items=tuple(items), vector=vector, whole=whole)
+    return Held(
+        items=tuple(items),
+        vector=unpack_vector(rows[_VECTOR]) if _VECTOR in rows else {},
+        whole=rows.get(_WHOLE) == b"true",
+        votes=votes,
+        past=tuple(past),
+        ceiling=_read(_CEILING, rows.get(_CEILING, b"0"), int),
+        generations=_read(_GENERATIONS, rows.get(_GENERATIONS, b"{}"), dict[str, int]),
+    )
+
+
+_VoteRow = tuple[str, str, int, int, str, dict[str, Any] | None]
+_PastRow = tuple[str, str, int, dict[int, str]]
+
+
+def _read(key: bytes, value: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CisternError(f"row {key.hex()}: {error}; start on an empty disk") from error
+
+
+def _view_of_members(rows: Rows) -> Rows:
+    """Layout 1 had an item for each member. Those whose disks count are the view of epoch 1; there was no
+    vote then, so what a disk held is taken as decided."""
+    found: Rows = {}
+    members: dict[str, Place] = {}
+    for key, value in rows.items():
+        item = unpack_item(key, value) if key.startswith(_ITEM) else None
+        if item is None or item.kind != "member":
+            found[key] = value
+        elif (
+            item.value is not None and item.value.get("state") == "counts" and item.value.get("counted", True)
+        ):
+            places = (str(item.value.get("zone", "")), str(item.value.get("region", "")))
+            members[item.name] = Place(*places)
+    if members:
+        row = pack_item(Item(VIEW, MEMBERS, 1, write_view(View(1, members))))
+        found[row[0]] = row[1]
+    return found
--- a/waterworks/gauge/events.py
+++ b/waterworks/gauge/events.py
@@ -66,7 +66,7 @@
 NODE_DROPPED = _event(212, Level.INFO, "node given up", "peer", "silent_s", "instances")
 ZONE_KEPT = _event(213, Level.WARNING, "most of a zone silent, its nodes kept", "zone")
 
-CHANGE_TAKEN = _event(301, Level.INFO, "change taken", "items", "of")
+CHANGE_TAKEN = _event(301, Level.INFO, "change decided", "items")
 CHANGE_REFUSED = _event(302, Level.WARNING, "change refused", "reason")
 NOT_ACKNOWLEDGED = _event(303, Level.WARNING, "change not acknowledged in time", "reason")
 PULLED = _event(304, Level.INFO, "configuration pulled", "peer", "items")
@@ -80,6 +80,10 @@
 ROUTE_DRY = _event(310, Level.WARNING, "route leads to no live upstream", "route", "version", "service")
 ROLLOUT_ORDERED = _event(311, Level.INFO, "rollout ordered", "order", "route", "version")
 NOT_CONFIRMED = _event(312, Level.WARNING, "change not confirmed by all", "items", "sidecars", "names")
+CHANGE_RIVALLED = _event(
+    313, Level.WARNING, "change refused, another has its number", "kind", "name", "version"
+)
+VOTES_TAKEN_UP = _event(314, Level.INFO, "open votes brought to their decision", "items")
 
 DISK_OPENED = _event(401, Level.INFO, "store opened", "items", "whole")
 DISK_FRESH = _event(402, Level.WARNING, "store begun on an empty disk", "first")
--- /dev/null
+++ b/waterworks/reservoir/acceptance.py
@@ -0,0 +1,288 @@
+"""The acceptor's host: a vote is on disk before it is said, an epoch before anything is answered under it, a
+ceiling before a round that needs it is promised. What is decided goes into the charter here."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+from waterworks.aquifer.ballot import (
+    BLOCK,
+    Acceptor,
+    Ballot,
+    Forgotten,
+    Number,
+    Promised,
+    Refusal,
+    Settled,
+    State,
+    Value,
+    Vote,
+)
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Full, Store
+from waterworks.aquifer.views import VIEW
+from waterworks.cistern.layout import pack_ceiling, pack_generations
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.leat.channels import Channel
+from waterworks.leat.exchange import unpack
+from waterworks.penstock.frames import Head
+from waterworks.reservoir.council import Council, address_of
+from waterworks.reservoir.ledger import Ledger
+
+MOST_STATES = 8 << 20  # bytes of one promise
+PAGED = 8  # orders that come in pages at once; the oldest makes room
+
+
+class Acceptance:
+    """``level``: whether this member may vote for a view that stands alone; ``viewed`` is told of a new
+    view."""
+
+    def __init__(
+        self,
+        acceptor: Acceptor,
+        charter: Store,
+        ledger: Ledger,
+        council: Council,
+        gauge: Gauge,
+        changed: Callable[[list[Item]], None],
+    ) -> None:
+        """``changed`` is told of items of the charter that changed here, and tells `took`."""
+        self._loop = asyncio.get_running_loop()
+        self.acceptor, self._charter, self._ledger = acceptor, charter, ledger
+        self._council, self._gauge, self._changed = council, gauge, changed
+        self.level: Callable[[], bool] = lambda: True
+        self.viewed: Callable[[], None] = lambda: None
+        self._epoch_kept = 0
+        self._ceiling = acceptor.ceiling  # that is on its way to the disk
+        self._pages: dict[tuple[str, Ballot], list[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # What is answered
+
+    async def stands(self, epoch: int) -> Refusal | None:
+        """Why nothing can be said under that epoch; None where it can. Waits until the epoch is on disk."""
+        while True:
+            if not self._ledger.whole:
+                return Refusal(0, "its disk does not count")
+            if self._council.view().epoch != epoch:
+                return Refusal(0, f"it has epoch {self._council.view().epoch}")
+            if self._epoch_kept == epoch:
+                return None
+            await self._ledger.kept()
+            if self._council.view().epoch == epoch:
+                self._epoch_kept = epoch
+
+    async def promise(self, epoch: int, ballot: Ballot, numbers: Sequence[Number]) -> Promised | Refusal:
+        while True:
+            refusal = await self.stands(epoch)
+            if refusal is not None:
+                return refusal
+            ceiling = self.acceptor.wants(ballot.round)
+            if not ceiling:
+                break
+            await self.raise_to(ceiling)
+        ahead = self.acceptor.wants(ballot.round + BLOCK // 2)
+        if ahead > self._ceiling:
+            self.spawn(self.raise_to(ahead))
+        return self.acceptor.promise(ballot, numbers)
+
+    async def raise_to(self, ceiling: int) -> None:
+        self._ceiling = max(self._ceiling, ceiling)
+        self._ledger.put(pack_ceiling(self._ceiling))
+        await self._ledger.kept()
+        self.acceptor.raised(ceiling)
+
+    async def accept(
+        self, epoch: int, ballot: Ballot, by: Mapping[str, int], writes: Mapping[Number, Value]
+    ) -> Refusal | None:
+        """None once it is on disk."""
+        refusal = await self.stands(epoch)
+        if refusal is not None:
+            return refusal
+        for (kind, _, _), value in writes.items():
+            if kind == VIEW and value is not None and "before" not in value and not self.level():
+                return Refusal(0, "it is not level")
+        changed = self.acceptor.accept(ballot, by, writes)
+        if isinstance(changed, Refusal):
+            return changed
+        self._ledger.mark_votes(changed)
+        await self._ledger.kept()
+        return None
+
+    async def fence(self, round: int, member: str, generation: int) -> None:
+        """Refuses from now on, and returns once the disk says so, too."""
+        self.acceptor.fence(round, member, generation)
+        self._ledger.put(pack_generations(self.acceptor.generations))
+        await self.raise_to(self.acceptor.ceiling)
+
+    # What is decided
+
+    def take(self, items: Sequence[Item], vector: Mapping[str, int]) -> None:
+        """Decided items, whoever stamped them."""
+        changed = self._charter.merge(items, vector)
+        if isinstance(changed, Full):
+            self._gauge.tell(events.STATE_FULL, reason=changed.reason)
+            return
+        self._settle(items)
+        if changed:
+            self._changed(changed)
+
+    def stamped(self, decided: Iterable[tuple[Number, Value]]) -> tuple[list[Item], dict[str, int]]:
+        """Items of this store's own stamp, in the order of their numbers, and its vector with them."""
+        source = self._charter.source
+        first = self._charter.vector.get(source, 0) + 1
+        items = [
+            Item(*number, value, source, first + place)
+            for place, (number, value) in enumerate(sorted(decided, key=lambda one: one[0]))
+        ]
+        return items, {source: first - 1 + len(items)}
+
+    def took(self, items: Sequence[Item]) -> None:
+        """Items of the charter have changed, by whatever way: all that comes there is decided."""
+        self._settle(items)
+        self._ledger.mark(items)
+        if any(item.kind == VIEW for item in items):
+            self.viewed()
+
+    def told(self, number: Number, state: Settled | Forgotten) -> None:
+        """Another acceptor knows of it; nothing more is to be had."""
+        if self.acceptor.told(number, state):
+            self._ledger.mark_settled([number])
+
+    def _settle(self, items: Iterable[Item]) -> None:
+        told = [((item.kind, item.name, item.version), item.value) for item in items]
+        self._ledger.mark_settled([number for number, value in told if self.acceptor.settle(number, value)])
+
+    # Frames
+
+    def frame(self, channel: Channel, head: Head) -> bool:
+        """Whether it was one for the acceptor. Raises KeyError, TypeError or ValueError for what cannot be
+        read."""
+        kind = head["t"]
+        if kind == "prepare":
+            numbers = [read_number(told) for told in head["k"]]
+            self.spawn(self._prepared(channel, head, read_ballot(head["b"]), numbers))
+        elif kind == "accept":
+            rows = self._page(channel, head)
+            if rows is not None:
+                writes = {read_number(row): row[3] for row in rows}
+                if any(not (value is None or isinstance(value, dict)) for value in writes.values()):
+                    raise ValueError("a content is an object, or null where the item is dropped")
+                self.spawn(self._proposed(channel, head, read_ballot(head["b"]), writes))
+        elif kind == "decided":
+            self._told_decided(head)
+        else:
+            return False
+        return True
+
+    def _page(self, channel: Channel, head: Head) -> list[Any] | None:
+        """All rows of an order, once the last of its pages has come."""
+        place, of, where = int(head["p"]), int(head["of"]), (address_of(channel), read_ballot(head["b"]))
+        if of == 1:
+            return list(head["w"])
+        held = self._pages.pop(where, []) if place else []
+        if place != len(held):
+            return None
+        self._pages[where] = [*held, head["w"]]
+        while len(self._pages) > PAGED:
+            del self._pages[next(iter(self._pages))]
+        if place + 1 < of:
+            channel.link.send({"t": "accepted", "b": head["b"], "e": head["e"], "p": place})
+            return None
+        return [row for page in self._pages.pop(where) for row in page]
+
+    def _told_decided(self, head: Head) -> None:
+        if "items" in head:
+            self.take([unpack(fields) for fields in head["items"]], {})
+            return
+        source, first = str(head["s"]), int(head["at"])
+        decided = sorted(self.acceptor.at(read_ballot(head["b"])).items(), key=lambda one: one[0])
+        if len(decided) == head["of"]:
+            items = [Item(*number, value, source, first + at) for at, (number, value) in enumerate(decided)]
+            self.take(items, {})
+        elif decided:  # some were decided otherwise meanwhile, or were so before
+            self.take(*self.stamped(decided))
+
+    async def _prepared(self, channel: Channel, head: Head, ballot: Ballot, numbers: list[Number]) -> None:
+        answer = await self.promise(int(head["e"]), ballot, numbers)
+        if isinstance(answer, Refusal):
+            self._refuse(channel, head, answer)
+            return
+        places = {number: place for place, number in enumerate(numbers)}
+        full = bool(head.get("full"))
+        rows = [[places[number], *write_state(state, full)] for number, state in answer.states.items()]
+        packed = msgspec.json.encode(rows)
+        if len(packed) > MOST_STATES:
+            self._refuse(channel, head, Refusal(0, "too much is open at once"))
+            return
+        told = {"t": "promise", "b": head["b"], "e": head["e"], "g": answer.generation}
+        channel.link.send({**told, "s": msgspec.Raw(packed)})
+
+    async def _proposed(
+        self, channel: Channel, head: Head, ballot: Ballot, writes: Mapping[Number, Value]
+    ) -> None:
+        by = {str(name): int(generation) for name, generation in head["by"].items()}
+        refusal = await self.accept(int(head["e"]), ballot, by, writes)
+        if refusal is not None:
+            self._refuse(channel, head, refusal)
+        else:
+            channel.link.send({"t": "accepted", "b": head["b"], "e": head["e"], "p": int(head["of"]) - 1})
+
+    def _refuse(self, channel: Channel, head: Head, refusal: Refusal) -> None:
+        epoch = self._council.view().epoch
+        told = {"t": "refuse", "b": head["b"], "e": epoch, "r": refusal.round, "why": refusal.reason}
+        if not refusal.contended:
+            told["now"] = True
+        if epoch > int(head["e"]):
+            told["view"] = self._council.view_item()
+        channel.link.send(told)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def write_ballot(ballot: Ballot) -> list[Any]:
+    return [ballot.round, ballot.proposer]
+
+
+def read_ballot(told: Any) -> Ballot:
+    """Raises TypeError or ValueError for what is none."""
+    round, proposer = told
+    if not isinstance(round, int) or not isinstance(proposer, str):
+        raise ValueError("a ballot is a round and its proposer's life")
+    return Ballot(round, proposer)
+
+
+def read_number(told: Any) -> Number:
+    """Of the first three fields. Raises TypeError or ValueError for what is none."""
+    kind, name, version = told[:3]
+    if not (isinstance(kind, str) and isinstance(name, str) and isinstance(version, int)):
+        raise ValueError("a number is kind, name and version")
+    return kind, name, version
+
+
+def write_state(state: State, full: bool) -> list[Any]:
+    """``full``: with the content of what stands."""
+    if isinstance(state, Vote):
+        return ["v", *write_ballot(state.ballot), state.value]
+    if isinstance(state, Settled):
+        return ["d", state.digest, state.value] if full and state.has else ["d", state.digest]
+    return ["f"]
+
+
+def read_state(told: Sequence[Any]) -> State:
+    """Raises TypeError or ValueError for what is none."""
+    if told[0] == "v":
+        return Vote(read_ballot(told[1:3]), told[3])
+    if told[0] == "d":
+        return Settled(str(told[1]), len(told) > 2, told[2] if len(told) > 2 else None)
+    if told[0] == "f":
+        return Forgotten()
+    raise ValueError(f"a state {told[0]!r}")
--- a/waterworks/reservoir/clerk.py
+++ b/waterworks/reservoir/clerk.py
@@ -1,25 +1,25 @@
-"""The operator's calls: decoded into commands here, and run here; what holds and what is durable is the
-council's."""
+"""The operator's calls: decoded into commands here, and run here; the vote decides, and says what stands."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
 
 from anisestair.http import codec as http
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Full, Store
+from waterworks.aquifer.ballot import Acceptor, Decided, Rivalled, Vote
+from waterworks.aquifer.store import Store
+from waterworks.aquifer.views import VIEW
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 from waterworks.manifold.check import check
-from waterworks.manifold.decode import Change, Invalid, decode_change
+from waterworks.manifold.decode import Change, Invalid, decode_change, label
 from waterworks.manifold.render import render
 from waterworks.penstock.desk import Answer
-from waterworks.reservoir.council import MEMBER, Council, Held
+from waterworks.reservoir.council import Council
 from waterworks.reservoir.rollouts import Rollouts
+from waterworks.reservoir.voting import Voting
 
 HOLD_S = 0.85  # a caller goes elsewhere after a second of silence
 HOLD_BYTE_S = 2e-6  # and waits longer for a large body
@@ -57,18 +57,24 @@
     return msgspec.json.encode({"error": line})
 
 
+def unclear(reason: str) -> Answer:
+    """It may be in force or come into it; the caller is to ask again."""
+    return Answer(503, error(reason), retry_after_s=BUSY_S)
+
+
 class Clerk:
     def __init__(
         self,
         charter: Store,
         council: Council,
+        voting: Voting,
+        acceptor: Acceptor,
         gauge: Gauge,
-        taken: Callable[[list[Item]], None],
         rollouts: Rollouts,
     ) -> None:
-        """``taken`` is told of items that were written here, before they are durable."""
-        self._charter, self._council, self._gauge, self._taken = charter, council, gauge, taken
-        self._rollouts, self._loop = rollouts, asyncio.get_running_loop()
+        self._charter, self._council, self._voting = charter, council, voting
+        self._acceptor, self._gauge, self._rollouts = acceptor, gauge, rollouts
+        self._loop = asyncio.get_running_loop()
 
     async def handle(self, message: http.Message) -> Answer:
         command = decode(message)
@@ -81,45 +87,53 @@
         return await self._change(command, HOLD_S + HOLD_BYTE_S * len(message.body))
 
     async def _read(self) -> Answer:
-        if not await self._council.gather(READ_S):
-            return Answer(
-                503, error("too few control processes answer to know the newest"), retry_after_s=BUSY_S
-            )
+        if not self._council.contact() or not await self._voting.read(READ_S):
+            return unclear("too few control processes answer to know the newest")
         return Answer(200, self._rendered())
 
     def _rendered(self) -> bytes:
         return render(
             (item.kind, item.name, item.version, dict(item.value))
             for item in self._charter.items.values()
-            if item.value is not None and item.kind != MEMBER
+            if item.value is not None and item.kind != VIEW
         )
 
     async def _change(self, change: Change, within_s: float) -> Answer:
+        until = self._loop.time() + within_s
+        if not self._council.contact():
+            return self._unclear("too few control processes answer")
+        writes = {(w.kind, w.name, w.version): w.value for w in change.writes}
         invalid = check(change, self._standing)
-        if invalid is not None or not self._council.in_touch():
+        if invalid is not None:
             # What this copy does not know another may: nothing proper is refused for that.
-            if not await self._council.gather(READ_S):
-                return Answer(503, error("too few control processes answer"), retry_after_s=BUSY_S)
+            if not await self._voting.read(READ_S):
+                return self._unclear("too few control processes answer")
             invalid = check(change, self._standing)
+            if invalid is not None and any(
+                isinstance(self._acceptor.state(number), Vote) for number in writes
+            ):
+                return self._unclear("a part of it is being decided")
         if invalid is not None:
             return self._refused(invalid)
+        if not writes:
+            return Answer(200, b"{}")
         hurting = self._rollouts.hurting(change.writes, self._standing)
-        until = self._loop.time() + within_s
-        taken = self._charter.take_all([(w.kind, w.name, w.version, w.value) for w in change.writes])
-        if isinstance(taken, Full):
-            return Answer(503, error(taken.reason), retry_after_s=BUSY_S)
-        if taken:
-            self._taken(taken)
-            self._gauge.tell(events.CHANGE_TAKEN, items=len(taken), of=len(change.writes))
-        keys = {(w.kind, w.name) for w in change.writes}
-        standing = [self._charter.items[key] for key in sorted(keys) if key in self._charter.items]
-        outcome = await self._council.hold(standing, within_s)
-        if isinstance(outcome, Held):
+        outcome = await self._voting.decide(writes, until - self._loop.time())
+        if isinstance(outcome, Decided):
+            self._gauge.tell(events.CHANGE_TAKEN, items=len(writes))
             if hurting:
                 await self._rollouts.first_part(hurting, until - self._loop.time())
             return Answer(200, b"{}")
-        self._gauge.tell(events.NOT_ACKNOWLEDGED, reason=outcome.reason)
-        return Answer(503, error(outcome.reason), retry_after_s=BUSY_S)
+        if isinstance(outcome, Rivalled):
+            kind, name, version = outcome.number
+            line = f"{label(kind, name)}: another order has r{version}; send it under a higher version"
+            self._gauge.tell(events.CHANGE_RIVALLED, kind=kind, name=name, version=version)
+            return Answer(409, error(line))
+        return self._unclear(outcome.reason)
+
+    def _unclear(self, reason: str) -> Answer:
+        self._gauge.tell(events.NOT_ACKNOWLEDGED, reason=reason)
+        return unclear(reason)
 
     def _refused(self, invalid: Invalid) -> Answer:
         self._gauge.tell(events.CHANGE_REFUSED, reason=invalid.line())
--- a/waterworks/reservoir/duties.py
+++ b/waterworks/reservoir/duties.py
@@ -127,14 +127,14 @@
             and channel.whole
             and now - channel.link.heard_at <= LIVELY_S
         }
-        if self._council.in_touch() and self.watch.awake_s(now) >= self.spans.suspect_s:
+        if self._council.contact() and self.watch.awake_s(now) >= self.spans.suspect_s:
             found.add(self.node)
         return found
 
     def _nodes(self) -> dict[str, reaping.Known]:
         """All that the roll names. Whose disk counts stays, whatever its silence: others must go on trying to
         reach it; so does this one."""
-        members = self._council.views()[1].keys()
+        members = self._council.view().names
         found = {}
         for name, told in self._membership.nodes.items():
             address = self._membership.address(name)
@@ -177,7 +177,7 @@
         round = self._round
         if round is None or round.waits or now - round.began > ROUND_S:
             return
-        if not reaping.enough(round.heard, self._council.members()) or not self._council.in_touch():
+        if not reaping.enough(round.heard, self._council.members()) or not self._council.contact():
             return
         if self.turn.newest != Standing(round.epoch, self.node):
             return
--- a/waterworks/reservoir/ledger.py
+++ b/waterworks/reservoir/ledger.py
@@ -1,5 +1,9 @@
-"""What was taken, on its way to the disk: one batch at a time on a thread of its own, so that a disk that
-hangs holds up nothing but what waits for it."""
+"""What was voted and decided, on its way to the disk: one batch at a time on a thread of its own, so that a
+disk that hangs holds up nothing but what waits for it.
+
+What is decided stands on disk as votes already, at so many that it is durable. So it goes into the rows of
+items with the next batch that is waited for, or after LAZY_S: an order costs one sync, not two.
+"""
 
 from __future__ import annotations
 
@@ -8,14 +12,28 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TypeVar
 
+from waterworks.aquifer.ballot import Acceptor, Number
 from waterworks.aquifer.items import Item, Key
 from waterworks.aquifer.store import Store
 from waterworks.cistern.keeper import Keeper, Kept, Refused
-from waterworks.cistern.layout import pack_item, pack_vector, pack_whole
+from waterworks.cistern.layout import (
+    Past,
+    item_key,
+    pack_ceiling,
+    pack_generations,
+    pack_item,
+    pack_past,
+    pack_vector,
+    pack_vote,
+    pack_whole,
+    past_key,
+    vote_key,
+)
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 
 AGAIN_S = 0.3  # after a disk has refused a batch
+LAZY_S = 0.25  # what is decided goes to disk so much later, where nothing that is waited for takes it along
 SLOW_S = 0.5  # a batch that took longer is told of
 
 Rows = list[tuple[bytes, bytes]]
@@ -25,30 +43,58 @@
 class Ledger:
     """The charter's disk. ``whole``: this disk holds all that this machine ever said it holds."""
 
-    def __init__(self, store: Store, keeper: Keeper, gauge: Gauge, whole: bool) -> None:
+    def __init__(self, store: Store, acceptor: Acceptor, keeper: Keeper, gauge: Gauge, whole: bool) -> None:
         self._loop = asyncio.get_running_loop()
-        self._store, self._keeper, self._gauge = store, keeper, gauge
+        self._store, self._acceptor, self._keeper, self._gauge = store, acceptor, keeper, gauge
         self._thread = ThreadPoolExecutor(1, thread_name_prefix="disk")
         self._dirty: set[Key] = set()
+        self._voted: set[Number] = set()  # votes that came or went
         self._extra: dict[bytes, bytes] = {}
         self._marked = self._done = 0  # batches are numbered by what was marked before them
         self._waiting: list[tuple[int, asyncio.Future[None]]] = []
         self._writing: asyncio.Task[None] | None = None
+        self._urgent = False  # something was marked that is waited for
+        self._later: asyncio.TimerHandle | None = None
         self.whole = whole
         self.refused = ""  # the disk's last word, where that was no
 
     def mark(self, items: Iterable[Item]) -> None:
-        """These have changed and go to disk with the next batch, and the vector as it is then."""
-        self._dirty.update(item.key for item in items)
-        if not self._dirty:
+        """These are decided and have changed; they go to disk with the next batch, and the vector as it is
+        then."""
+        self._lazily({item.key for item in items}, ())
+
+    def mark_settled(self, numbers: Iterable[Number]) -> None:
+        """These are known to be decided: their votes leave the disk with the batch that has their items, or
+        their places in the past."""
+        settled = set(numbers)
+        self._lazily({(kind, name) for kind, name, _ in settled}, settled)
+
+    def _lazily(self, keys: Iterable[Key], numbers: Iterable[Number]) -> None:
+        self._dirty.update(keys)
+        self._voted.update(numbers)
+        if not (self._dirty or self._voted):
             return
         self._marked += 1
+        if self._later is None:
+            self._later = self._loop.call_later(LAZY_S, self._write)
+
+    def mark_votes(self, numbers: Iterable[Number]) -> None:
+        """Votes that are to be on disk before they are said."""
+        self._voted.update(numbers)
+        self._marked += 1
+        self._write()
+
+    def put(self, row: tuple[bytes, bytes]) -> None:
+        """A row of its own, with the next batch."""
+        self._extra[row[0]] = row[1]
+        self._marked += 1
         self._write()
 
     async def kept(self) -> None:
         """Returns once all that was marked until now is synced; may take as long as the disk hangs."""
         if self._done >= self._marked:
             return
+        self._write()
         future: asyncio.Future[None] = self._loop.create_future()
         self._waiting.append((self._marked, future))
         await future
@@ -56,41 +102,41 @@
     def founded(self) -> None:
         """An empty disk of the very first start lacks nothing, and says so with its first batch."""
         self.whole = True
-        self._mark_whole()
+        self.put(pack_whole(True))
 
     async def become_whole(self) -> None:
         """This machine now holds all that was acknowledged; said on disk before it counts."""
-        self._mark_whole()
+        self.put(pack_whole(True))
         await self.kept()
         self.whole = True
 
-    def _mark_whole(self) -> None:
-        key, value = pack_whole(True)
-        self._extra[key] = value
-        self._marked += 1
-        self._write()
-
     def _write(self) -> None:
+        if self._later is not None:
+            self._later.cancel()
+            self._later = None
+        self._urgent = True
         if self._writing is None:
             self._writing = self._loop.create_task(self._work())
 
     async def _work(self) -> None:
         try:
-            while self._dirty or self._extra:
-                number, keys, extra = self._marked, self._dirty, self._extra
-                self._dirty, self._extra = set(), {}
-                rows: Rows = [pack_item(self._store.items[key]) for key in keys]
-                rows.append(pack_vector(self._store.vector))
+            while self._urgent:
+                self._urgent = False
+                number, keys, votes, extra = self._marked, self._dirty, self._voted, self._extra
+                self._dirty, self._voted, self._extra = set(), set(), {}
+                rows, gone = self._rows(keys, votes)
                 rows += extra.items()
                 began = self._loop.time()
-                outcome = await self._loop.run_in_executor(self._thread, self._keeper.keep, rows)
+                outcome = await self._loop.run_in_executor(self._thread, self._keeper.keep, rows, gone)
                 took = self._loop.time() - began
                 if not isinstance(outcome, Kept):
                     if self.refused != outcome.reason:
                         self._gauge.tell(events.DISK_REFUSED, reason=outcome.reason)
                     self.refused = outcome.reason
                     self._dirty |= keys
+                    self._voted |= votes
                     self._extra = {**extra, **self._extra}
+                    self._urgent = True
                     await asyncio.sleep(AGAIN_S)
                     continue
                 self.refused = ""
@@ -106,6 +152,29 @@
         finally:
             self._writing = None
 
+    def _rows(self, keys: Iterable[Key], votes: Iterable[Number]) -> tuple[Rows, list[bytes]]:
+        """What is on disk of these hereafter, and which rows leave it."""
+        rows: Rows = [pack_vector(self._store.vector)]
+        gone = []
+        for key in keys:
+            item = self._store.items.get(key)
+            if item is not None:
+                rows.append(pack_item(item))
+            else:
+                gone.append(item_key(key))
+            digests, unknown = self._acceptor.past.get(key, {}), self._acceptor.unknown.get(key, -1)
+            if digests or unknown >= 0:
+                rows.append(pack_past(Past(key, unknown, digests)))
+            else:
+                gone.append(past_key(key))
+        for number in votes:
+            vote = self._acceptor.votes.get(number)
+            if vote is not None:
+                rows.append(pack_vote(number, vote))
+            else:
+                gone.append(vote_key(number))
+        return rows, gone
+
     async def between(self, work: Callable[[Keeper], T]) -> T:
         """Runs ``work`` on the disk's thread between two batches, which wait meanwhile."""
         return await self._loop.run_in_executor(self._thread, work, self._keeper)
@@ -113,8 +182,11 @@
     async def rewrite(self) -> Kept | Refused:
         """Puts all that the store holds in place of what is on disk. The store held what the disk had when it
         was opened, and all that came since; batches that are under way are on disk before, or come after."""
-        rows = dict(pack_item(item) for item in self._store.items.values())
-        rows.update([pack_vector(self._store.vector), pack_whole(self.whole)])
+        acceptor = self._acceptor
+        told, _ = self._rows(self._store.items.keys() | acceptor.past.keys(), acceptor.votes)
+        rows = dict(told)
+        rows.update([pack_whole(self.whole), pack_generations(acceptor.generations)])
+        rows.update([pack_ceiling(max(acceptor.floor, acceptor.ceiling))])
         return await self.between(lambda keeper: keeper.rewrite(rows))
 
     def close(self) -> None:
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -8,10 +8,13 @@
 import zlib
 from pathlib import Path
 
+from waterworks.aquifer.ballot import Acceptor, Decided
 from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Full, Store
+from waterworks.aquifer.quorum import Place
+from waterworks.aquifer.store import Store
+from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
 from waterworks.cistern.keeper import Failed, Fresh, Keeper, Opened, SetAside, room
-from waterworks.cistern.layout import held
+from waterworks.cistern.layout import Held, held
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 from waterworks.headworks.questions import Asker, Questions
@@ -21,14 +24,17 @@
 from waterworks.penstock.desk import Desk
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import Link, listen
+from waterworks.reservoir.acceptance import Acceptance
 from waterworks.reservoir.clerk import Clerk
-from waterworks.reservoir.council import COUNTS, JOINS, MEMBER, Council, Held
+from waterworks.reservoir.council import Council, address_of
 from waterworks.reservoir.duties import Duties
+from waterworks.reservoir.fencing import Fencing
 from waterworks.reservoir.ledger import Ledger
 from waterworks.reservoir.repairing import CHARTER, ROLL, Repairing
 from waterworks.reservoir.rollouts import Rollouts
 from waterworks.reservoir.safekeeping import Safekeeping
 from waterworks.reservoir.shown import answers_of
+from waterworks.reservoir.voting import Voting
 from waterworks.sluice.membership import NODE, RESERVOIR, Membership
 from waterworks.weir.reaping import above, dropped, spans
 from waterworks.weir.tombs import ASKS_ANEW_S, Tombs
@@ -37,7 +43,6 @@
 MOST_ROLL = 20_000
 TICK_S = 0.1
 AGAIN_S = 0.25  # between tries to become a member whose disk counts
-GATHER_S = 0.8
 JOIN_S = 2.0
 ALL = 64  # control processes that each other one asks; beyond that, the first in its order
 
@@ -69,24 +74,29 @@
             ALL,
             gauge,
             self._changed,
-            whole=lambda: self.council.in_touch(),
+            whole=lambda: self.council.contact(),
             extra=lambda channel, head, _: self._frame(channel, head),
-            opened=lambda channel: self.council.opened(channel),
+            opened=self._opened,
             closed=self._closed,
             up=(REPORTS,),
         )
-        self.council = Council(self.me, self.charter, self.ledger, self.channels, settings.tolerance, gauge)
-        bounds = settings.bounds
-        self.rollouts = Rollouts(
-            bounds.settle_ms, bounds.ack_ms, self.charter, self.membership, self.channels, gauge
-        )
-        self.clerk = Clerk(
+        self.council = Council(self.me, self.charter, self.ledger, self.channels, settings.tolerance)
+        self.acceptance = Acceptance(
+            self.acceptor,
             self.charter,
+            self.ledger,
             self.council,
             gauge,
-            lambda items: self._changed("charter", items),
-            self.rollouts,
+            lambda items: self._changed(CHARTER, items),
         )
+        seed = zlib.crc32(life.encode())
+        self.voting = Voting(life, seed, self.charter, self.council, self.acceptance, gauge)
+        self.fencing = Fencing(self.charter, self.ledger, self.council, self.acceptance)
+        bounds = settings.bounds
+        self.rollouts = Rollouts(
+            bounds.settle_ms, bounds.ack_ms, self.charter, self.membership, self.channels, gauge
+        )
+        self.clerk = Clerk(self.charter, self.council, self.voting, self.acceptor, gauge, self.rollouts)
         self.desk = Desk(self.clerk.handle)
         self.duties = Duties(
             settings.node,
@@ -100,7 +110,7 @@
             lambda items: self._changed(ROLL, items),
         )
         self.repairing = Repairing(
-            zlib.crc32(life.encode()),
+            seed,
             {CHARTER: self.charter, ROLL: self.roll},
             self.channels,
             self.ledger,
@@ -125,7 +135,7 @@
         settings = self.settings
         folder = Path(settings.state_dir) / "charter"
         outcome = Keeper.open(folder, room(settings.limits.disk_mb))
-        whole = False
+        kept = Held()
         if isinstance(outcome, Failed):
             raise OSError(outcome.reason)
         if isinstance(outcome, SetAside):
@@ -133,25 +143,22 @@
         elif isinstance(outcome, Opened):
             kept = held(outcome.rows)
             self.charter.restore(kept.items, kept.vector)
-            whole = kept.whole
-            self.gauge.tell(events.DISK_OPENED, items=len(kept.items), whole=whole)
+            self.gauge.tell(events.DISK_OPENED, items=len(kept.items), whole=kept.whole)
         else:
             assert isinstance(outcome, Fresh)
             self.gauge.tell(events.DISK_FRESH, first=settings.cold_boot)
-        ledger = Ledger(self.charter, outcome.keeper, self.gauge, whole)
+        self.acceptor = acceptor_of(self.me, kept)
+        ledger = Ledger(self.charter, self.acceptor, outcome.keeper, self.gauge, kept.whole)
         if isinstance(outcome, Fresh) and settings.cold_boot:
-            # The machines that every process is told of at the very first start are the first members.
-            founders = {host for host, _ in settings.seeds}
-            taken = self.charter.take_all(
-                [
-                    (MEMBER, host, 1, {"zone": "", "region": "", "counted": True, "state": COUNTS})
-                    for host in sorted(founders)
-                ]
-            )
-            assert not isinstance(taken, Full)
+            # The machines that every process is told of at the very first start are the first view: the same
+            # item in all of them, decided from the start.
+            founders = {host: Place("", "") for host, _ in settings.seeds}
+            first = self.charter.take(VIEW, MEMBERS, 1, write_view(View(1, founders)))
+            assert isinstance(first, Item)
+            self.acceptor.settle((VIEW, MEMBERS, 1), first.value)
             if self.me in founders:
                 ledger.founded()
-            ledger.mark(taken)
+            ledger.mark([first])
         else:
             claimed = self.charter.claim()
             if claimed:
@@ -194,6 +201,7 @@
         now = self.loop.time()
         self.channels.tick(now)
         self.rollouts.tick(now)
+        self.voting.tick(now)
         self.duties.tick(now)
         self.repairing.tick(now)
         for key in self.tombs.due(now):
@@ -221,12 +229,7 @@
     # Members
 
     async def _join(self) -> None:
-        """Until this machine's disk counts, as the settings say that it does.
-
-        It becomes a member in two steps. While it joins, a write must be durable with it and without it, and
-        a read does not rely on it; so it may take its time, and be lost, without holding anybody up. Once it
-        has heard all that was acknowledged since its joining was durable, it holds whatever was acknowledged
-        before as well, says so on disk, and counts for reads too."""
+        """Until this machine's disk counts, as the settings say that it does."""
         while not self.stopping.is_set():
             if await self._step():
                 return
@@ -234,51 +237,34 @@
 
     async def _step(self) -> bool:
         """One step of that; whether there is none left."""
-        settings, ledger = self.settings, self.ledger
-        standing = self.charter.items.get((MEMBER, self.me))
-        value = standing.value if standing is not None else None
-        if value is None and not settings.counted:
+        view = self.council.view()
+        if not self.settings.counted and self.me not in view.names:
             return True
-        if value is None:
-            if await self.council.gather(GATHER_S) and (MEMBER, self.me) not in self.charter.items:
-                await self._say_member(JOINS)
+        if not view.epoch or not (self.ledger.whole or await self.fencing.fence_and_read(JOIN_S)):
             return False
-        if not ledger.whole:
-            # A joining that nobody else holds would not make others' writes count this machine.
-            item = self.charter.items[MEMBER, self.me]
-            if not isinstance(await self.council.hold([item], JOIN_S), Held):
-                return False
-            if not await self.council.gather(GATHER_S):
-                return False
-            await ledger.become_whole()
+        if not self.ledger.whole:
+            await self.ledger.become_whole()
             self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
             self.council.said_complete()
             self.channels.hello["complete"] = True
-        wanted = {"zone": settings.zone, "region": settings.region, "counted": settings.counted}
-        if value.get("state") != COUNTS or any(value.get(name) != told for name, told in wanted.items()):
-            return await self._say_member(COUNTS)
-        return True
+        if self.me in view.now and view.before is None:
+            return True
+        if self.me not in view.now:
+            place = Place(self.settings.zone, self.settings.region)
+            await self._say_view(View(view.epoch + 1, {**view.now, self.me: place}, view.now))
+        elif await self.fencing.fence_and_read(JOIN_S, fence=False):
+            await self._say_view(View(view.epoch + 1, view.now))
+        return False
 
-    async def _say_member(self, state: str) -> bool:
-        """Whether enough others hold it now."""
-        settings = self.settings
-        standing = self.charter.items.get((MEMBER, self.me))
-        taken = self.charter.take(
-            MEMBER,
-            self.me,
-            standing.version + 1 if standing is not None else 1,
-            {"zone": settings.zone, "region": settings.region, "counted": settings.counted, "state": state},
-        )
-        if isinstance(taken, Item):
-            self._changed("charter", [taken])
-        item = self.charter.items.get((MEMBER, self.me))
-        return item is not None and isinstance(await self.council.hold([item], JOIN_S), Held)
+    async def _say_view(self, view: View) -> bool:
+        decided = await self.voting.decide({(VIEW, MEMBERS, view.epoch): write_view(view)}, JOIN_S)
+        return isinstance(decided, Decided)
 
     # News
 
     def _changed(self, name: str, items: list[Item]) -> None:
         if name == "charter":
-            self.ledger.mark(items)
+            self.acceptance.took(items)
             self.rollouts.changed(items)
         elif name == REPORTS:
             self.rollouts.reported(items)
@@ -303,13 +289,31 @@
 
     def _frame(self, channel: Channel, head: Head) -> None:
         """Raises KeyError, TypeError or ValueError for what cannot be read."""
-        if not (self.duties.frame(channel, head) or self.repairing.frame(channel, head)):
-            self.council.frame(channel, head)
+        if self.duties.frame(channel, head) or self.repairing.frame(channel, head):
+            return
+        if channel.extra.get("role") != RESERVOIR:
+            return
+        if head["t"] == "complete":
+            self.council.whole(address_of(channel), True)
+            self._reach(address_of(channel), True)
+        elif not self.voting.frame(channel, head):
+            self.fencing.frame(channel, head)
+
+    def _opened(self, channel: Channel) -> None:
+        if channel.extra.get("role") == RESERVOIR:
+            self.council.whole(address_of(channel), bool(channel.extra.get("complete")))
+            self._reach(address_of(channel))
+
+    def _reach(self, address: str, anew: bool = False) -> None:
+        self.voting.reach(address, anew)
+        self.fencing.reach(address, anew)
 
     def _closed(self, channel: Channel) -> None:
         """What a peer wrote here and may never tell as news is told from here on."""
         self.duties.closed(channel)
         self.repairing.closed(channel)
+        if channel.extra.get("role") == RESERVOIR:
+            self._reach(address_of(channel))
         claimed = self.charter.claim(channel.peer_source) if channel.peer_source else []
         if claimed:
             self.ledger.mark(claimed)
@@ -346,3 +350,15 @@
         self.settings = settings
         self.rollouts.tune(settings.bounds.settle_ms, settings.bounds.ack_ms)
         self._know()
+
+
+def acceptor_of(me: str, kept: Held) -> Acceptor:
+    """As its disk has it: all that its last life may have promised is refused."""
+    acceptor = Acceptor(me, kept.ceiling)
+    acceptor.generations = dict(kept.generations)
+    acceptor.past = {past.key: dict(past.digests) for past in kept.past if past.digests}
+    acceptor.unknown = {past.key: past.unknown for past in kept.past if past.unknown >= 0}
+    acceptor.votes = dict(kept.votes)
+    for item in kept.items:
+        acceptor.settle((item.kind, item.name, item.version), item.value)
+    return acceptor
--- a/waterworks/reservoir/shown.py
+++ b/waterworks/reservoir/shown.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from waterworks.aquifer.views import VIEW
 from waterworks.headworks.questions import Handler, Refusal, Told, common, items
-from waterworks.reservoir.council import MEMBER
 from waterworks.reservoir.rollouts import NAMED
 from waterworks.sluice.membership import RESERVOIR
 
@@ -54,7 +54,7 @@
     """One item as it stands: who goes by it, and who has not said so. ``word``: calls and failures by the new
     way of the first part, and by its old one."""
     item = reservoir.charter.items.get((kind, name))
-    if item is None or kind == MEMBER:
+    if item is None or kind == VIEW:
         return Refusal(f"{kind} {name[:80]!r}: no such item; config get shows all")
     lack, now = reservoir.rollouts.lacking(item.key), reservoir.loop.time()
     heard = reservoir.rollouts.heard
@@ -88,7 +88,7 @@
         "counted": settings.counted,
         "whole": ledger.whole,
         "refused": ledger.refused,
-        "in_touch": reservoir.council.in_touch(),
+        "in_touch": reservoir.council.contact(),
         "duties": reservoir.duties.told(),
         "tolerates": {"machines": tolerance.machines, "zones": tolerance.zones, "regions": tolerance.regions},
         "members": {
--- /dev/null
+++ b/waterworks/reservoir/voting.py
@@ -0,0 +1,490 @@
+"""The proposer's host: orders are decided by ballots, reads hear of charter and open votes from a quorum, and
+votes that nobody brings to an end are brought to it here."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from waterworks.aquifer.ballot import (
+    Accept,
+    Again,
+    Ballot,
+    Chosen,
+    Decided,
+    Forgotten,
+    Number,
+    Prepare,
+    Promised,
+    Proposer,
+    Refusal,
+    Rivalled,
+    Settled,
+    Unclear,
+    Value,
+    digest_of,
+)
+from waterworks.aquifer.store import Store
+from waterworks.aquifer.views import View
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.leat.channels import Channel
+from waterworks.leat.exchange import pack, unpack
+from waterworks.penstock.frames import Head
+from waterworks.reservoir.acceptance import (
+    Acceptance,
+    read_ballot,
+    read_number,
+    read_state,
+    write_ballot,
+)
+from waterworks.reservoir.council import Council, address_of
+from waterworks.weir.rendezvous import order
+
+CARRY_S = 3.0  # an order is carried on for so long, whether or not its caller waits
+PAUSE_S, PAUSE_MOST_S = 0.01, 0.4  # drawn up to it between two ballots that rivals may have cut short
+OPEN_S, RANK_S = 1.0, 0.3  # an open vote is left to its proposer for so long, and a rank longer
+GRACE_S = 0.03  # a read leaves an open vote to its proposer for so long
+PENDING = 256  # orders, and reads, under way at once; more are answered as busy
+PAGE_BYTES = 1 << 20  # of contents in one accept
+MOST_READ = 20_000  # items of one answer to a read
+MOST_TAKEN_UP = 2000  # open votes, and
+TAKEN_UP_BYTES = 2 << 20  # bytes of them, brought to their decision at once
+RIVALS = 16  # rivalled numbers that are remembered for operators
+
+Outcome = Decided | Rivalled | Unclear
+Step = Decided | Rivalled | Unclear | Again
+
+
+@dataclass(eq=False, slots=True)
+class _Round:
+    """One ballot under way. ``asked``: by address, the link that bears the question."""
+
+    proposer: Proposer
+    prepare: Prepare
+    done: asyncio.Future[Step]
+    accept: Accept | None = None
+    pages: list[list[Any]] = field(default_factory=list)
+    asked: dict[str, Channel] = field(default_factory=dict)
+    shown: set[str] = field(default_factory=set)  # those that were told of a newer view
+
+    def over(self, step: Step) -> None:
+        if not self.done.done():
+            self.done.set_result(step)
+
+
+@dataclass(eq=False, slots=True)
+class _Reading:
+    view: View
+    done: asyncio.Future[bool]  # False: another view came
+    heard: set[str] = field(default_factory=set)
+    asked: dict[str, Channel] = field(default_factory=dict)
+    open: set[Number] = field(default_factory=set)
+
+
+@dataclass(eq=False, slots=True)
+class _Order:
+    proposer: Proposer
+    task: asyncio.Task[Outcome]
+
+
+class Voting:
+    def __init__(
+        self, life: str, seed: int, charter: Store, council: Council, acceptance: Acceptance, gauge: Gauge
+    ) -> None:
+        """``life``: of this process, as ballots bear it; ``seed``: of the drawn pauses."""
+        self._loop = asyncio.get_running_loop()
+        self._life, self._random = life, random.Random(seed)
+        self._charter, self._council, self._gauge = charter, council, gauge
+        self.acceptance, self._acceptor = acceptance, acceptance.acceptor
+        acceptance.viewed = self._viewed
+        self._top = self._count = 0
+        self._rounds: dict[Ballot, _Round] = {}
+        self._readings: dict[int, _Reading] = {}
+        self._orders: dict[tuple[Any, ...], _Order] = {}
+        self._since: dict[Number, float] = {}  # open votes, by when they were seen first
+        self._taking_up: asyncio.Task[None] | None = None
+        self.rivalled: deque[tuple[float, Number]] = deque(maxlen=RIVALS)
+
+    # Orders
+
+    async def decide(self, writes: Mapping[Number, Value], within_s: float) -> Outcome:
+        """One order, until it is decided or that time is over. It is carried on for CARRY_S whatever becomes
+        of the caller; the same order sent here meanwhile waits for the same ballots."""
+        proposer = Proposer(self._life, writes, self._council.tolerance)
+        name = tuple(sorted((number, digest_of(value)) for number, value in writes.items()))
+        known = self._orders.get(name)
+        if known is None:
+            refused = self._room(writes)
+            if refused:
+                return Unclear(refused)
+            task = self._loop.create_task(self._run(proposer, CARRY_S))
+            known = self._orders[name] = _Order(proposer, task)
+            task.add_done_callback(lambda _: self._orders.pop(name, None))
+        await asyncio.wait([known.task], timeout=within_s)
+        if not known.task.done():
+            return known.proposer.gave_up()
+        outcome = known.task.result()
+        if isinstance(outcome, Rivalled):
+            self.rivalled.append((self._loop.time(), outcome.number))
+        return outcome
+
+    def _room(self, writes: Collection[Number]) -> str:
+        """Why no more is taken now; "" where there is room."""
+        if len(self._orders) >= PENDING:
+            return f"{PENDING} orders wait already"
+        keys = {(kind, name) for kind, name, _ in [*writes, *self._acceptor.votes]}
+        count = len(self._charter.items) + sum(key not in self._charter.items for key in keys)
+        if count > self._charter.most and count > len(self._charter.items):
+            return f"state: {count} items with these, at most {self._charter.most}: drop some and wait"
+        return ""
+
+    async def _run(self, proposer: Proposer, within_s: float) -> Outcome:
+        """Ballots, one after the other, until one ends it or the time is over."""
+        until, pause = self._loop.time() + within_s, PAUSE_S
+        while True:
+            step = await self._ballot(proposer, until)
+            if not isinstance(step, Again):
+                return step
+            self._top = max(self._top, step.round)
+            left = until - self._loop.time()
+            if left <= 0.0:
+                return proposer.gave_up()
+            if not step.at_once:
+                await asyncio.sleep(min(self._random.uniform(0.0, pause), left))
+                pause = min(2.0 * pause, PAUSE_MOST_S)
+
+    async def _ballot(self, proposer: Proposer, until: float) -> Step:
+        self._top = max(self._top, self._acceptor.floor) + 1
+        told = proposer.prepare(self._top, self._council.view())
+        one = _Round(proposer, told, self._loop.create_future())
+        self._rounds[told.ballot] = one
+        try:
+            self._ask_all(one)
+            async with asyncio.timeout_at(until):
+                return await one.done
+        except TimeoutError:
+            return Again(0, "its time is over")
+        finally:
+            del self._rounds[told.ballot]
+
+    def _ask_all(self, one: _Round) -> None:
+        one.asked.clear()
+        for address, channel in self._council.peers().items():
+            self._ask(one, address, channel)
+        if self._council.me in one.proposer.view.names:
+            self.acceptance.spawn(self._own(one, one.accept))
+
+    def _ask(self, one: _Round, address: str, channel: Channel) -> None:
+        if address not in one.proposer.view.names or one.done.done():
+            return
+        one.asked[address] = channel
+        if one.accept is not None:
+            self._send_page(one, channel, 0)
+            return
+        told = {
+            "t": "prepare",
+            "b": write_ballot(one.prepare.ballot),
+            "e": one.prepare.epoch,
+            "k": one.prepare.numbers,
+        }
+        channel.link.send({**told, "full": True} if one.proposer.adopts else told)
+
+    def _send_page(self, one: _Round, channel: Channel, place: int) -> None:
+        assert one.accept is not None
+        channel.link.send(
+            {
+                "t": "accept",
+                "b": write_ballot(one.accept.ballot),
+                "e": one.accept.epoch,
+                "by": one.accept.by,
+                "w": one.pages[place],
+                "p": place,
+                "of": len(one.pages),
+            }
+        )
+
+    async def _own(self, one: _Round, accept: Accept | None) -> None:
+        told, me = one.prepare, self._council.me
+        if accept is None:
+            answer = await self.acceptance.promise(told.epoch, told.ballot, told.numbers)
+            if isinstance(answer, Promised):
+                self._promised(one, me, told.epoch, answer)
+                return
+        else:
+            refusal = await self.acceptance.accept(accept.epoch, accept.ballot, accept.by, accept.writes)
+            if refusal is None:
+                self._accepted(one, me, accept.epoch)
+                return
+            answer = refusal
+        self._refused(one, me, answer)
+
+    # What comes of a ballot
+
+    def _promised(self, one: _Round, who: str, epoch: int, promised: Promised) -> None:
+        if one.done.done():
+            return
+        step = one.proposer.promised(who, epoch, one.prepare.ballot, promised)
+        if isinstance(step, Accept):
+            one.accept, one.pages = step, pages_of(step.writes)
+            self._ask_all(one)
+        elif step is not None:
+            one.over(step)
+
+    def _accepted(self, one: _Round, who: str, epoch: int) -> None:
+        if one.done.done():
+            return
+        chosen = one.proposer.accepted(who, epoch, one.prepare.ballot)
+        if chosen is not None:
+            self._tell(chosen)
+            one.over(one.proposer.outcome() or Again(0, "another order had a number of this one"))
+
+    def _refused(self, one: _Round, who: str, refusal: Refusal) -> None:
+        step = one.proposer.refused(who, one.prepare.ballot, refusal)
+        if step is not None:
+            one.over(step)
+
+    def _tell(self, chosen: Chosen) -> None:
+        """It is decided: into the charter here, and the others are told. They have the contents."""
+        items, vector = self.acceptance.stamped(chosen.writes.items())
+        self.acceptance.take(items, vector)
+        told = {
+            "t": "decided",
+            "b": write_ballot(chosen.ballot),
+            "e": self._council.view().epoch,
+            "s": self._charter.source,
+            "at": items[0].number,
+            "of": len(items),
+        }
+        for channel in self._council.peers().values():
+            channel.link.send(told)
+
+    def _viewed(self) -> None:
+        """Another view is in force: what was asked under the one before counts for nothing."""
+        epoch = self._council.view().epoch
+        for one in list(self._rounds.values()):
+            if one.prepare.epoch < epoch:
+                one.over(Again(0, "another view came"))
+        for reading in list(self._readings.values()):
+            if reading.view.epoch < epoch and not reading.done.done():
+                reading.done.set_result(False)
+
+    # Reads
+
+    async def read(self, within_s: float) -> bool:
+        """Until this store has all that was acknowledged before now; False where not enough answer."""
+        if len(self._readings) >= PENDING:
+            return False
+        until = self._loop.time() + within_s
+        self._count += 1
+        number = self._count
+        try:
+            async with asyncio.timeout_at(until):
+                while True:
+                    reading = _Reading(self._council.view(), self._loop.create_future())
+                    self._readings[number] = reading
+                    for address, channel in self._council.peers().items():
+                        self._ask_read(number, reading, address, channel)
+                    self.acceptance.spawn(self._own_read(reading))
+                    if await reading.done:
+                        break
+        except TimeoutError:
+            return False
+        finally:
+            self._readings.pop(number, None)
+        return await self._settle(reading.open | self._acceptor.votes.keys(), until)
+
+    def _ask_read(self, number: int, reading: _Reading, address: str, channel: Channel) -> None:
+        reading.asked[address] = channel
+        channel.link.send({"t": "read", "n": number, "e": reading.view.epoch, "v": self._charter.vector})
+
+    async def _own_read(self, reading: _Reading) -> None:
+        if await self.acceptance.stands(reading.view.epoch) is None:
+            reading.heard.add(self._council.me)
+            self._check(reading)
+
+    def _check(self, reading: _Reading) -> None:
+        if not reading.done.done() and reading.view.overlaps(reading.heard, self._council.tolerance):
+            reading.done.set_result(True)
+
+    def _unsettled(self, numbers: Collection[Number]) -> list[Number]:
+        known = (Settled, Forgotten)
+        return [number for number in numbers if not isinstance(self._acceptor.state(number), known)]
+
+    async def _settle(self, numbers: Collection[Number], until: float) -> bool:
+        """Brings these open votes to their decision; whether that is done."""
+        left = self._unsettled(numbers)
+        if left:
+            await asyncio.sleep(GRACE_S)
+            left = self._unsettled(left)
+        if not left:
+            return True
+        return await self._take_up(left, max(until - self._loop.time(), 0.0))
+
+    async def _take_up(self, numbers: Collection[Number], within_s: float) -> bool:
+        proposer = Proposer(self._life, dict.fromkeys(numbers), self._council.tolerance, adopts=True)
+        outcome = await self._run(proposer, within_s)
+        found = []
+        for number, digest in proposer.settled.items():
+            vote = self._acceptor.votes.get(number)
+            if number in proposer.contents:
+                found.append((number, proposer.contents[number]))
+            elif vote is not None and digest_of(vote.value) == digest:
+                found.append((number, vote.value))
+            else:
+                self.acceptance.told(number, Settled(digest))
+        for number in proposer.forgotten:
+            self.acceptance.told(number, Forgotten())
+        lacking = [one for one in found if not isinstance(self._acceptor.state(one[0]), Settled)]
+        if lacking:
+            self.acceptance.take(*self.acceptance.stamped(lacking))
+        return isinstance(outcome, Decided)
+
+    # Votes that nobody brings to an end
+
+    def tick(self, now: float) -> None:
+        """Called several times a second."""
+        votes = self._acceptor.votes
+        if not votes:
+            self._since.clear()
+            return
+        self._since = {number: self._since.get(number, now) for number in votes}
+        if self._taking_up is not None or not self._council.contact():
+            return
+        names, ranks = self._council.view().names, dict[Ballot, int]()
+        due: list[Number] = []
+        room = TAKEN_UP_BYTES
+        for number, since in self._since.items():
+            if now - since < OPEN_S:
+                continue
+            ballot = votes[number].ballot
+            if ballot not in ranks:
+                wanted = order(f"{ballot.round}.{ballot.proposer}", names)
+                ranks[ballot] = wanted.index(self._council.me) if self._council.me in wanted else len(wanted)
+            if now - since >= OPEN_S + RANK_S * ranks[ballot]:
+                room -= len(msgspec.json.encode(votes[number].value))
+                if due and (room < 0 or len(due) >= MOST_TAKEN_UP):
+                    break
+                due.append(number)
+        if due:
+            self._taking_up = self._loop.create_task(self._taken_up(due))
+
+    async def _taken_up(self, due: list[Number]) -> None:
+        try:
+            self._gauge.tell(events.VOTES_TAKEN_UP, items=len(due))
+            await self._take_up(due, CARRY_S)
+            now = self._loop.time()
+            self._since.update((number, now) for number in due if number in self._since)
+        finally:
+            self._taking_up = None
+
+    # Links and frames
+
+    def reach(self, address: str, anew: bool = False) -> None:
+        """A link to another control process has come or gone, or (``anew``) its disk counts now: what waits
+        is asked there."""
+        peer = self._council.peers().get(address)
+        if peer is None:
+            return
+        for one in list(self._rounds.values()):
+            if anew or one.asked.get(address) is not peer:
+                self._ask(one, address, peer)
+        for number, reading in self._readings.items():
+            if anew or reading.asked.get(address) is not peer:
+                self._ask_read(number, reading, address, peer)
+
+    def frame(self, channel: Channel, head: Head) -> bool:
+        """Whether it was one of votes or reads. Raises KeyError, TypeError or ValueError for what cannot be
+        read."""
+        kind = head["t"]
+        if kind in ("promise", "accepted", "refuse"):
+            one = self._rounds.get(read_ballot(head["b"]))
+            if one is not None:
+                self._answered(one, channel, kind, head)
+            elif kind == "refuse" and "view" in head:
+                self.acceptance.take([unpack(fields) for fields in head["view"]], {})
+        elif kind == "read":
+            self.acceptance.spawn(self._answer_read(channel, head))
+        elif kind == "have":
+            self._have(channel, head)
+        else:
+            return self.acceptance.frame(channel, head)
+        return True
+
+    def _answered(self, one: _Round, channel: Channel, kind: str, head: Head) -> None:
+        who, epoch = address_of(channel), int(head["e"])
+        if kind == "promise":
+            numbers = one.prepare.numbers
+            states = {numbers[int(told[0])]: read_state(told[1:]) for told in head["s"]}
+            self._promised(one, who, epoch, Promised(states, int(head["g"])))
+        elif kind == "accepted":
+            if one.accept is not None and int(head["p"]) + 1 < len(one.pages):
+                self._send_page(one, channel, int(head["p"]) + 1)
+            else:
+                self._accepted(one, who, epoch)
+        elif "view" in head:
+            self.acceptance.take([unpack(fields) for fields in head["view"]], {})
+        elif epoch < one.prepare.epoch and who not in one.shown:
+            one.shown.add(who)
+            self._show_view(channel)
+            self._ask(one, who, channel)
+        else:
+            self._refused(one, who, Refusal(int(head["r"]), str(head["why"]), not head.get("now")))
+
+    def _show_view(self, channel: Channel) -> None:
+        channel.link.send(
+            {"t": "decided", "e": self._council.view().epoch, "items": self._council.view_item()}
+        )
+
+    async def _answer_read(self, channel: Channel, head: Head) -> None:
+        """Under this process's own epoch, which is on disk by then."""
+        epoch = self._council.view().epoch
+        whole = await self.acceptance.stands(epoch) is None
+        lack = self._charter.lacking(head["v"], MOST_READ)
+        channel.link.send(
+            {
+                "t": "have",
+                "n": int(head["n"]),
+                "e": epoch,
+                "items": [pack(item) for item in lack.items],
+                "v": lack.vector,
+                "open": list(self._acceptor.votes),
+                "complete": whole and not lack.more,
+            }
+        )
+
+    def _have(self, channel: Channel, head: Head) -> None:
+        who, epoch = address_of(channel), int(head["e"])
+        self.acceptance.take([unpack(fields) for fields in head["items"]], head["v"])
+        self._council.whole(who, bool(head["complete"]))
+        reading = self._readings.get(head["n"])
+        if reading is None:
+            return
+        if epoch < reading.view.epoch:
+            if reading.asked.pop(who, None) is not None:
+                self._show_view(channel)
+                self._ask_read(int(head["n"]), reading, who, channel)
+        elif head["complete"] and epoch == reading.view.epoch:
+            reading.heard.add(who)
+            reading.open.update(read_number(told) for told in head["open"])
+            self._check(reading)
+
+
+def pages_of(writes: Mapping[Number, Value]) -> list[list[Any]]:
+    """An accept's rows, each content encoded once, in pages of bounded size."""
+    pages: list[list[Any]] = [[]]
+    room = PAGE_BYTES
+    for number, value in sorted(writes.items(), key=lambda one: one[0]):
+        packed = msgspec.Raw(msgspec.json.encode(value))
+        room -= len(packed)
+        if room < 0 and pages[-1]:
+            pages.append([])
+            room = PAGE_BYTES - len(packed)
+        pages[-1].append([*number, packed])
+    return pages
