--- a/rigs/mesh_world/contact_seeds.py
+++ b/rigs/mesh_world/contact_seeds.py
@@ -9,7 +9,8 @@
 from waterworks.aquifer.contact import Contact, Proof
 from waterworks.leat.channels import Channels
 from waterworks.reservoir.clerk import Clerk
-from waterworks.reservoir.contact import Probing, address_of
+from waterworks.reservoir.contact import Probing
+from waterworks.reservoir.council import address_of
 from waterworks.sluice.program import Sluice
 
 
@@ -18,8 +19,9 @@
 
     def proof(self: Probing) -> Proof:
         heard = {address_of(channel) for channel in self._links if channel.exchange.pulled}
-        heard |= {self.me} if self._whole() else set()
-        return Proof.ORDERS if self.view().overlaps(heard, self._tolerance) else Proof.NONE
+        heard |= {self._council.me} if self._ledger.whole else set()
+        view, tolerance = self._council.view(), self._council.tolerance
+        return Proof.ORDERS if view.overlaps(heard, tolerance) else Proof.NONE
 
     patch.setattr(Probing, "proof", proof)
 
--- a/rigs/mesh_world/cuts.py
+++ b/rigs/mesh_world/cuts.py
@@ -99,7 +99,7 @@
             and other.life is not None
             and other.life.frozen_until <= now
         }
-        view = program.probing.view()
+        view = program.council.view()
         if not view.overlaps(reached, self.tolerance):
             return Proof.NONE
         return Proof.ORDERS if view.durable(reached, self.tolerance) else Proof.READS
--- a/waterworks/gauge/events.py
+++ b/waterworks/gauge/events.py
@@ -70,7 +70,7 @@
 CONTROL_LOST = _event(222, Level.WARNING, "no control process with contact in reach", "links", "behind_ms")
 CONTROL_FOUND = _event(223, Level.INFO, "control process with contact in reach again", "without_ms")
 
-CHANGE_TAKEN = _event(301, Level.INFO, "change taken", "items", "of")
+CHANGE_TAKEN = _event(301, Level.INFO, "change decided", "items")
 CHANGE_REFUSED = _event(302, Level.WARNING, "change refused", "reason")
 NOT_ACKNOWLEDGED = _event(303, Level.WARNING, "change not acknowledged in time", "reason")
 PULLED = _event(304, Level.INFO, "configuration pulled", "peer", "items")
@@ -84,6 +84,10 @@
 ROUTE_DRY = _event(310, Level.WARNING, "route leads to no live upstream", "route", "version", "service")
 ROLLOUT_ORDERED = _event(311, Level.INFO, "rollout ordered", "order", "route", "version")
 NOT_CONFIRMED = _event(312, Level.WARNING, "change not confirmed by all", "items", "sidecars", "names")
+CHANGE_RIVALLED = _event(
+    313, Level.WARNING, "change refused, another has its number", "kind", "name", "version"
+)
+VOTES_TAKEN_UP = _event(314, Level.INFO, "open votes brought to their decision", "items")
 
 DISK_OPENED = _event(401, Level.INFO, "store opened", "items", "whole")
 DISK_FRESH = _event(402, Level.WARNING, "store begun on an empty disk", "first")
--- a/waterworks/reservoir/contact.py
+++ b/waterworks/reservoir/contact.py
@@ -9,16 +9,18 @@
 
 import asyncio
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from waterworks.aquifer.contact import BOUND_SHARE, EVERY_SHARE, Contact, Proof
-from waterworks.aquifer.quorum import Tolerance
-from waterworks.aquifer.views import View
+from waterworks.aquifer.items import Item
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 from waterworks.leat.channels import Channel, Channels
+from waterworks.leat.exchange import unpack
 from waterworks.penstock.frames import Head
+from waterworks.reservoir.council import Council, address_of
+from waterworks.reservoir.ledger import Ledger
 from waterworks.sluice.membership import RESERVOIR
 
 SOON_S = 0.02  # links that come up within it are asked together
@@ -30,18 +32,16 @@
 class Probing:
     def __init__(
         self,
-        me: str,
         contact_ms: float,
         channels: Channels,
-        tolerance: Tolerance,
-        view: Callable[[], View],
-        whole: Callable[[], bool],
+        council: Council,
+        ledger: Ledger,
+        take: Callable[[list[Item], Mapping[str, int]], object],
         gauge: Gauge,
     ) -> None:
-        """``me``: the address by which this machine is known as a member; ``view``: the one in force, as it
-        is known here; ``whole``: this disk."""
-        self.me, self.view, self._whole = me, view, whole
-        self._channels, self._tolerance, self._gauge = channels, tolerance, gauge
+        """``take`` is given a newer view that an answer bears."""
+        self._channels, self._council, self._ledger = channels, council, ledger
+        self._take, self._gauge = take, gauge
         self._loop = channels.loop
         self._every_s = EVERY_SHARE * contact_ms / 1000.0
         self.contact = Contact(BOUND_SHARE * contact_ms / 1000.0)
@@ -60,8 +60,9 @@
 
     def proof(self) -> Proof:
         flowing = {address_of(channel) for channel in self._links if channel.exchange.pulled}
-        own = self.me if self._whole() else None
-        return self.contact.proof(self._loop.time(), self.view(), self._tolerance, own, flowing)
+        own = self._council.me if self._ledger.whole else None
+        view, tolerance = self._council.view(), self._council.tolerance
+        return self.contact.proof(self._loop.time(), view, tolerance, own, flowing)
 
     def has(self) -> bool:
         """Whether what is held here, or is being told, can miss nothing that was acknowledged."""
@@ -115,12 +116,12 @@
                 self._gauge.tell(events.CONTACT_PROVEN, without_ms=for_ms)
             else:
                 heard = len(self.contact.lately(now))
-                self._gauge.tell(events.CONTACT_LOST, heard=heard, of=len(self.view().names))
+                self._gauge.tell(events.CONTACT_LOST, heard=heard, of=len(self._council.view().names))
 
     def _ask(self) -> None:
         now = self._loop.time()
         self._due = now + self._every_s
-        question = {"t": "probe", "n": self.contact.ask(now), "e": self.view().epoch}
+        question = {"t": "probe", "n": self.contact.ask(now), "e": self._council.view().epoch}
         for channel in self._peers():
             channel.link.send(question)
 
@@ -132,7 +133,7 @@
         """A link is up: contact need not wait for the next question's time. Behind it may be another life
         than before, whose disk is another."""
         address = address_of(channel)
-        if channel.extra.get("role") != RESERVOIR or address == self.me:
+        if channel.extra.get("role") != RESERVOIR or address == self._council.me:
             return
         self._links[channel] = None
         if self._lives.get(address) != channel.peer_source:
@@ -154,24 +155,23 @@
         if kind not in ("probe", "probed") or channel.extra.get("role") != RESERVOIR:
             return False
         if kind == "probe":
-            channel.link.send(
-                {
-                    "t": "probed",
-                    "n": int(head["n"]),
-                    "e": self.view().epoch,
-                    "w": self._whole(),
-                    "c": self.acts(),
-                }
-            )
+            epoch = self._council.view().epoch
+            told = {
+                "t": "probed",
+                "n": int(head["n"]),
+                "e": epoch,
+                "w": self._ledger.whole,
+                "c": self.acts(),
+            }
+            if int(head["e"]) < epoch:
+                told["view"] = self._council.view_item()
+            channel.link.send(told)
             return True
+        if "view" in head:
+            self._take([unpack(fields) for fields in head["view"]], {})
         address = address_of(channel)
         if self._lives.get(address) == channel.peer_source:
             self.contact.answered(
                 address, int(head["n"]), head["w"] is True, int(head["e"]), head.get("c") is True
             )
         return True
-
-
-def address_of(channel: Channel) -> str:
-    """The peer's, as members are named; "" before it has said so."""
-    return str(channel.extra.get("ip", ""))
--- a/waterworks/reservoir/duties.py
+++ b/waterworks/reservoir/duties.py
@@ -142,7 +142,7 @@
     def _nodes(self) -> dict[str, reaping.Known]:
         """All that the roll names. Whose disk counts stays, whatever its silence: others must go on trying to
         reach it; so does this one."""
-        members = self._council.views()[1].keys()
+        members = self._council.view().names
         found = {}
         for name, told in self._membership.nodes.items():
             address = self._membership.address(name)
