--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -153,11 +153,8 @@
             if not isinstance(step, Again):
                 return step
             self._top = max(self._top, step.round)
-            left = until - self._loop.time()
-            if left <= 0.0:
-                return proposer.gave_up()
             if not step.at_once:
-                await asyncio.sleep(min(self._random.uniform(0.0, pause), left))
+                await asyncio.sleep(self._random.uniform(0.0, pause))
                 pause = min(2.0 * pause, PAUSE_MOST_S)
 
     async def _ballot(self, proposer: Proposer, until: float) -> Step:
@@ -170,7 +167,7 @@
             async with asyncio.timeout_at(until):
                 return await one.done
         except TimeoutError:
-            return Again(0, "its time is over")
+            return proposer.gave_up()
         finally:
             del self._rounds[told.ballot]
 
