--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -231,34 +231,35 @@
     async def _join(self) -> None:
         """Until this machine's disk counts, as the settings say that it does."""
         while not self.stopping.is_set():
-            if await self._step():
+            left = await self._step()
+            if left is False:
                 return
-            await asyncio.sleep(AGAIN_S)
+            if left is None:
+                await asyncio.sleep(AGAIN_S)
 
-    async def _step(self) -> bool:
-        """One step of that; whether there is none left."""
+    async def _step(self) -> bool | None:
+        """One step of that; whether there is another, None where this one is to be taken again."""
         view = self.council.view()
         if not self.settings.counted and self.me not in view.names:
-            return True
-        if not view.epoch or not (self.ledger.whole or await self.fencing.fence_and_read(JOIN_S)):
             return False
+        if not view.epoch or not (self.ledger.whole or await self.fencing.fence_and_read(JOIN_S)):
+            return None
         if not self.ledger.whole:
             await self.ledger.become_whole()
             self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
             self.council.said_complete()
             self.channels.hello["complete"] = True
         if self.me in view.now and view.before is None:
-            return True
+            return False
         if self.me not in view.now:
             place = Place(self.settings.zone, self.settings.region)
-            await self._say_view(View(view.epoch + 1, {**view.now, self.me: place}, view.now))
+            wanted = View(view.epoch + 1, {**view.now, self.me: place}, view.now)
         elif await self.fencing.fence_and_read(JOIN_S, fence=False):
-            await self._say_view(View(view.epoch + 1, view.now))
-        return False
-
-    async def _say_view(self, view: View) -> bool:
-        decided = await self.voting.decide({(VIEW, MEMBERS, view.epoch): write_view(view)}, JOIN_S)
-        return isinstance(decided, Decided)
+            wanted = View(view.epoch + 1, view.now)
+        else:
+            return None
+        writes = {(VIEW, MEMBERS, wanted.epoch): write_view(wanted)}
+        return True if isinstance(await self.voting.decide(writes, JOIN_S), Decided) else None
 
     # News
 
