--- a/tests/mesh/test_mesh_world.py
+++ b/tests/mesh/test_mesh_world.py
@@ -410,9 +410,12 @@
     """One refuses the first of two orders for a higher promise, hears the second decided, and then nothing
     more of the source, which is killed before its news go out."""
     cores = world.reservoirs()
+    yield from world.commit(cores, change(1))
+    yield world.env.timeout(0.1)
     world.cut(cores[1:2], cores[2:], both=False)
-    cores[2].program.acceptor.promise(Ballot(999, "x"), [("route", "lost", 1), ("plant", "p", 1)])
+    cores[2].program.acceptor.promise(Ballot(999, "x"), [("route", "lost", 1)])
     world.env.process(world.patch(cores[0], change(1, "lost")))
+    yield world.env.timeout(0.001)
     yield from world.patch(cores[0], change(2))
     yield world.env.timeout(0.003)
     world.kill(cores[0])
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -172,6 +172,8 @@
         self._server = await listen(self.peer_address, lambda: Link(lambda _: None, self._met, self._unmet))
         assert settings.ports.control is not None
         await self.desk.listen(settings.ports.control)
+        first = self.acceptor.wants(self.acceptor.floor + 1)
+        self.acceptance.spawn(self.acceptance.raise_to(first))  # ahead of the first order
         self._say_node()
         self._know()
         self._joining = self.loop.create_task(self._join())
