--- a/waterworks/aquifer/ballot.py
+++ b/waterworks/aquifer/ballot.py
@@ -365,16 +365,19 @@
             elif isinstance(state, Forgotten):
                 self.forgotten.add(number)
             else:
-                self._own_found |= not self.adopts and self._same(number, state.value)
-                held = self._votes.get(number)
-                if held is None or state.ballot > held.ballot:
-                    self._votes[number] = state
+                self._note(number, state)
         if self.forgotten and not self.adopts:
             return Unclear(f"{named(min(self.forgotten))} is older than what is known of it")
         if not self.view.overlaps(self._promises, self._tolerance):
             return None
         return self._go_on()
 
+    def _note(self, number: Number, vote: Vote) -> None:
+        self._own_found |= not self.adopts and self._same(number, vote.value)
+        held = self._votes.get(number)
+        if held is None or vote.ballot > held.ballot:
+            self._votes[number] = vote
+
     def _go_on(self) -> Accept | Again | Decided | Rivalled | Unclear | None:
         if self.adopts:
             # Where a quorum holds nothing, nothing was chosen, and there is nothing to be brought to an end.
