Tell sidecars that all is held only where no vote has long been open; see nine faults of contact

Need: the world of cuts found it: two of four control processes are cut off right after an acknowledgement; one of them has the vote open and can't bring it to its end, yet both said that they hold all, and a sidecar took their word for the newest.

Change: an answer says whether a vote has been open for over half of the bound; what sidecars are told goes by answers without one. The duty's question bears the view's epoch, and who has a newer view refuses it.

--- a/rigs/mesh_world/contact_seeds.py
+++ b/rigs/mesh_world/contact_seeds.py
@@ -17,7 +17,7 @@
 def open_links_are_contact(patch: Patch) -> None:
     """How it was: who has a link that stands, and has told all by it once, counts."""
 
-    def proof(self: Probing) -> Proof:
+    def proof(self: Probing, settled: bool = False) -> Proof:
         heard = {address_of(channel) for channel in self._links if channel.exchange.pulled}
         heard |= {self._council.me} if self._ledger.whole else set()
         view, tolerance = self._council.view(), self._council.tolerance
@@ -91,5 +91,9 @@
     patch.setattr(Channels, "_choose", choose)
 
 
+def open_votes_are_not_heeded(patch: Patch) -> None:
+    patch.setattr(Probing, "_open", lambda self: False)
+
+
 def duties_are_kept(patch: Patch) -> None:
     patch.setattr(Probing, "acts", lambda self: True)
--- a/rigs/mesh_world/seeds.py
+++ b/rigs/mesh_world/seeds.py
@@ -55,7 +55,7 @@
         return True
 
     patch.setattr(Voting, "read", read)
-    patch.setattr(Probing, "proof", lambda self: Proof.ORDERS)
+    patch.setattr(Probing, "proof", lambda self, settled=False: Proof.ORDERS)
 
 
 def wiped_counts_at_once(patch: Patch) -> None:
--- a/tests/mesh/test_aquifer_contact.py
+++ b/tests/mesh/test_aquifer_contact.py
@@ -128,6 +128,16 @@
     assert less.proof(0.0) is Proof.NONE
 
 
+def test_who_knows_of_a_vote_that_stays_open_proves_no_copy_whole() -> None:
+    seen = Seen(4)
+    number = seen.contact.ask(0.0)
+    seen.contact.answered("c1", number, True, 5, True, settled=False)
+    assert seen.proof(0.0) is Proof.READS  # it would be asked, and tell of the vote
+    assert seen.contact.proof(0.0, seen.view, ONE, "c0", seen.flowing, settled=True) is Proof.NONE
+    seen.answers(0.1, "c2")
+    assert seen.contact.proof(0.1, seen.view, ONE, "c0", seen.flowing, settled=True) is Proof.READS
+
+
 def test_in_a_change_of_members_both_sides_are_asked_for() -> None:
     seen = Seen()
     old = {name: seen.view.now[name] for name in ("c0", "c1", "c2")}
--- /dev/null
+++ b/tests/mesh/test_contact_world.py
@@ -0,0 +1,203 @@
+"""Control machines cut off for 20 s, in virtual time: nothing old for a life that begins, nothing confirmed and
+nothing refused by the one that is cut off; then faults are seeded, and the same checks must see them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from rigs.mesh_world import contact_seeds as seeds
+from rigs.mesh_world.cuts import BOUND_S, CUTS, NEWEST_S, Cuts, order, others, play
+from rigs.mesh_world.world import Machine, Script, World
+from waterworks.aquifer.contact import EVERY_SHARE, Proof
+from waterworks.gauge import events
+
+CORES = {"halves": 4}
+_clean: dict[tuple[str, int], list[str]] = {}
+
+
+def clean(name: str, number: int = -1) -> list[str]:
+    if (name, number) not in _clean:
+        broken, world = play(name, CORES.get(name, 3), random.Random(f"{name}/0"), number)
+        _clean[name, number] = broken
+        if name != "frozen":
+            assert world.answers and set(world.answers) <= {503, 307}
+    return _clean[name, number]
+
+
+@pytest.mark.parametrize("name", CUTS)
+def test_a_cut_after_the_last_acknowledgement_breaks_nothing(name: str) -> None:
+    assert clean(name) == []
+
+
+@pytest.mark.parametrize("number", [7, 61, 150])
+@pytest.mark.parametrize("name", ["one", "restart"])
+def test_a_cut_at_a_numbered_point_breaks_nothing(name: str, number: int) -> None:
+    assert clean(name, number) == []
+
+
+SEEDED: list[tuple[Callable[[seeds.Patch], None], str]] = [
+    (seeds.open_links_are_contact, "halves"),
+    (seeds.open_links_are_contact, "frozen"),
+    (seeds.answers_count_for_ever, "frozen"),
+    (seeds.half_takes_orders, "halves"),
+    (seeds.orders_are_taken_without_contact, "one"),
+    (seeds.ready_by_whoever_answers, "zone"),
+    (seeds.ready_without_a_word, "zone"),
+    (seeds.open_votes_are_not_heeded, "halves"),
+    (seeds.duties_are_kept, "one"),
+]
+
+
+@pytest.mark.parametrize(("seed", "name"), SEEDED, ids=[f"{seed.__name__}-{name}" for seed, name in SEEDED])
+def test_a_seeded_fault_is_seen(
+    seed: Callable[[seeds.Patch], None], name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert clean(name) == []
+    seed(monkeypatch)
+    assert play(name, CORES.get(name, 3), random.Random(f"{name}/0"))[0]
+
+
+# One rule each
+
+
+def played(script: Callable[[Cuts], Script], cores: int = 3, sluices: int = 1) -> list[str]:
+    def whole(world: World) -> Script:
+        assert isinstance(world, Cuts)
+        yield from world.boot(cores, sluices)
+        world.env.process(world.monitor())
+        yield from world.commit(world.reservoirs(), order("last", 1, 800))
+        yield world.env.timeout(1.0)
+        yield from script(world)
+
+    with Cuts() as world:
+        return world.run(whole)
+
+
+def alone(world: Cuts, *inside: Machine) -> None:
+    world.apart(list(inside))
+
+
+def told(world: Cuts, name: str, *numbers: int) -> list[int]:
+    return [event.number for _, who, event, _ in world.told if who == name and event.number in numbers]
+
+
+def test_a_sidecar_with_only_the_cut_off_one_in_reach_goes_on_says_so_once_and_takes_the_newest() -> None:
+    def script(world: Cuts) -> Script:
+        side, at = world.machines["s1"], world.reservoirs()[0]
+        alone(world, at, side)
+        yield from world.commit(others(world, at), order("last", 2, 700))
+        yield world.env.timeout(20.0)
+        program = side.program
+        assert program.configured() and program.charter.items["route", "last"].version == 1
+        shown = program.reach.told(world.env.now)
+        assert 18_000 < shown["without_ms"] < 20_100 and 0 < shown["behind_ms"] - shown["without_ms"] <= 1100
+        assert told(world, "s1", 222, 223) == [events.CONTROL_LOST.number]
+        world.heal()
+        yield from world.takes_the_newest()
+        assert 0.0 < world.worst_newest_s <= NEWEST_S
+        yield world.env.timeout(1.0)
+        assert told(world, "s1", 222, 223) == [events.CONTROL_LOST.number, events.CONTROL_FOUND.number]
+        assert program.reach.told(world.env.now)["without_ms"] is None
+
+    assert played(script) == []
+
+
+def test_a_life_that_begins_is_not_ready_by_one_without_contact_and_seeks_the_next() -> None:
+    def script(world: Cuts) -> Script:
+        at = world.reservoirs()[0]
+        alone(world, at)
+        yield world.env.timeout(BOUND_S + 0.2)
+        yield from world.commit(others(world, at), order("last", 2, 700))
+        new = world.add("n1", "10.0.2.1", core=False)
+        world.seeds_of["n1"] = [at]
+        world.cut([new], others(world, at))
+        world.start(new)
+        yield world.env.timeout(5.0)
+        assert new.program.charter.items["route", "last"].version == 1 and not new.program.configured()
+        world.wire.cut = {path for path in world.wire.cut if new.ip not in path}
+        yield from world.until(new.program.configured, NEWEST_S, "n1 is ready by another than its seed")
+        assert new.program.charter.items["route", "last"].version == 2
+
+    assert played(script) == []
+
+
+def test_who_reaches_one_with_contact_sends_callers_there() -> None:
+    def script(world: Cuts) -> Script:
+        cores = world.reservoirs()
+        at, near = cores[0], cores[1]
+        world.cut([at], cores[2:])
+        yield world.env.timeout(BOUND_S + 0.5)
+        assert at.program.probing.proof() is Proof.NONE
+        for method, body in ((b"GET", b""), (b"PATCH", order("last", 2, 700))):
+            answer = yield from world.call(at, method, body)
+            assert (answer.status, answer.location) == (307, f"http://{near.ip}:8146/configuration")
+        world.witness.sends(order("last", 2, 700), True)
+        answer = yield from world.commit([at], order("last", 2, 700))
+        assert answer.status == 200
+
+    assert played(script, cores=5) == []
+
+
+def test_one_that_was_frozen_serves_nobody_by_what_it_knew_before() -> None:
+    """Its sockets hold an order, a read and a sidecar's first question when it wakes."""
+
+    def script(world: Cuts) -> Script:
+        at = world.reservoirs()[0]
+        world.freeze(at, 20.0)
+        yield world.env.timeout(1.0)
+        yield from world.commit(others(world, at), order("last", 2, 700))
+        yield world.env.timeout(18.7)
+        new = world.add("n1", "10.0.2.1", core=False)
+        world.seeds_of["n1"] = [at]
+        world.start(new)
+        asked = [world.env.process(world.call(at, method, body)) for method, body in calls]
+        yield asked[0] & asked[1]
+        assert [process.value.status for process in asked] == [503, 503]
+        yield from world.until(new.program.configured, NEWEST_S, "n1 is ready")
+        assert new.program.charter.items["route", "last"].version == 2
+
+    calls = [(b"GET", b""), (b"PATCH", order("last", 3, 600))]
+    assert played(script) == []
+
+
+def test_a_time_of_day_that_steps_costs_one_round_of_questions() -> None:
+    def script(world: Cuts) -> Script:
+        at = world.reservoirs()[0]
+        for step_s in (3600.0, -7200.0):
+            world.steps[at.name] = world.steps.get(at.name, 0.0) + step_s
+            yield world.env.timeout(0.5)
+            assert at.program.probing.proof() is Proof.ORDERS
+            answer = yield from world.call(at, b"GET")
+            assert answer.status == 200
+
+    assert played(script) == []
+
+
+def test_questions_of_contact_are_few_and_short() -> None:
+    """Between any two control processes, four frames in each eighth of contact_ms, 40 bytes each or less."""
+
+    def script(world: Cuts) -> Script:
+        began, size = world.wire.probes, world.wire.probe_bytes
+        yield world.env.timeout(30.0)
+        most = 30.0 / (3.0 * EVERY_SHARE) * 5 * 4 * 2
+        assert 0.8 * most <= world.wire.probes - began <= most
+        assert (world.wire.probe_bytes - size) / (world.wire.probes - began) <= 50
+
+    assert played(script, cores=5) == []
+
+
+@pytest.mark.parametrize("contact", [True, False])
+def test_a_go_word_of_one_without_contact_is_passed_over(contact: bool) -> None:
+    def script(world: Cuts) -> Script:
+        stages: Any = world.machines["s1"].program.stages
+        taken: list[Any] = []
+        stages.chamber.good = lambda *args: taken.append(args)
+        stages.told({"t": "go", "items": [["route", "last", 2]]}, contact)
+        assert bool(taken) is contact
+        yield world.env.timeout(0.0)
+
+    assert played(script) == []
--- a/waterworks/aquifer/contact.py
+++ b/waterworks/aquifer/contact.py
@@ -17,6 +17,7 @@
 
 BOUND_SHARE = 1 / 3  # of contact_ms, for which an answer counts from its question on
 EVERY_SHARE = 1 / 8  # of contact_ms, between two questions: two may be lost and contact stands
+OPEN_SHARE = 1 / 2  # of the bound, after which an open vote may be one that was acknowledged elsewhere
 QUESTIONS = 8  # whose instants are kept; an answer to an older one is beyond the bound
 STEP_SHARE = 1 / 4  # of the bound, by which the two clocks may part between two looks
 
@@ -41,6 +42,7 @@
     whole: bool  # its disk
     epoch: int  # of the view that it goes by
     contact: bool  # it has contact itself
+    settled: bool = True  # it knows of no vote that has long been open
 
 
 class Contact:
@@ -76,12 +78,14 @@
             del self._asked[next(iter(self._asked))]
         return self._count
 
-    def answered(self, who: str, number: int, whole: bool, epoch: int, contact: bool) -> None:
+    def answered(
+        self, who: str, number: int, whole: bool, epoch: int, contact: bool, settled: bool = True
+    ) -> None:
         """An answer has come. One to an older question than the last that ``who`` answered changes nothing,
         nor does one to a question that was not asked, or is forgotten."""
         asked_at, known = self._asked.get(number), self._heard.get(who)
         if asked_at is not None and (known is None or number > known.number):
-            self._heard[who] = Heard(number, asked_at, whole, epoch, contact)
+            self._heard[who] = Heard(number, asked_at, whole, epoch, contact, settled)
 
     def forget(self, who: str) -> None:
         """The link to it is lost: it may come back as another life, with another disk."""
@@ -92,13 +96,23 @@
         return {who: heard for who, heard in self._heard.items() if now - heard.asked_at <= self.bound_s}
 
     def proof(
-        self, now: float, view: View, tolerance: Tolerance, own: str | None, flowing: Collection[str]
+        self,
+        now: float,
+        view: View,
+        tolerance: Tolerance,
+        own: str | None,
+        flowing: Collection[str],
+        settled: bool = False,
     ) -> Proof:
         """``own``: this member, None while its disk is not whole; ``flowing``: members from whom all that
         they held has come by the link that stands now, so that news of theirs is known here.
 
         An answer counts under the view's own epoch alone: one of an older epoch may rest on a majority that
         is none any more. Who lately heard of a newer epoch does not know who counts, and has no contact.
+
+        ``settled``: only those count who know of no vote that has long been open, so that what is held here
+        is all that was acknowledged. A vote stays open where half of an even view is heard, which can't
+        bring it to its end.
         """
         lately = self.lately(now)
         if any(heard.epoch > view.epoch for heard in lately.values()):
@@ -106,7 +120,7 @@
         counts = {
             who
             for who, heard in lately.items()
-            if heard.whole and heard.epoch == view.epoch and who in flowing
+            if heard.whole and heard.epoch == view.epoch and who in flowing and (heard.settled or not settled)
         }
         if own is not None:
             counts.add(own)
--- a/waterworks/reservoir/contact.py
+++ b/waterworks/reservoir/contact.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from waterworks.aquifer.contact import BOUND_SHARE, EVERY_SHARE, Contact, Proof
+from waterworks.aquifer.contact import BOUND_SHARE, EVERY_SHARE, OPEN_SHARE, Contact, Proof
 from waterworks.aquifer.items import Item
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
@@ -37,11 +37,13 @@
         council: Council,
         ledger: Ledger,
         take: Callable[[list[Item], Mapping[str, int]], object],
+        open_s: Callable[[], float],
         gauge: Gauge,
     ) -> None:
-        """``take`` is given a newer view that an answer bears."""
+        """``take`` is given a newer view that an answer bears; ``open_s``: for how long the oldest open vote
+        has been one here."""
         self._channels, self._council, self._ledger = channels, council, ledger
-        self._take, self._gauge = take, gauge
+        self._take, self._open_s, self._gauge = take, open_s, gauge
         self._loop = channels.loop
         self._every_s = EVERY_SHARE * contact_ms / 1000.0
         self.contact = Contact(BOUND_SHARE * contact_ms / 1000.0)
@@ -58,16 +60,24 @@
 
     # What it proves
 
-    def proof(self) -> Proof:
+    def proof(self, settled: bool = False) -> Proof:
         flowing = {address_of(channel) for channel in self._links if channel.exchange.pulled}
-        own = self._council.me if self._ledger.whole else None
+        own = self._council.me if self._ledger.whole and not (settled and self._open()) else None
         view, tolerance = self._council.view(), self._council.tolerance
-        return self.contact.proof(self._loop.time(), view, tolerance, own, flowing)
+        return self.contact.proof(self._loop.time(), view, tolerance, own, flowing, settled)
+
+    def _open(self) -> bool:
+        """Whether a vote has been open here for so long that others may have its decision."""
+        return self._open_s() > OPEN_SHARE * self.contact.bound_s
 
     def has(self) -> bool:
-        """Whether what is held here, or is being told, can miss nothing that was acknowledged."""
+        """Whether those heard, asked now, would know of all that was acknowledged."""
         return self.proof() >= Proof.READS
 
+    def holds_all(self) -> bool:
+        """Whether what is held here, or is being told, can miss nothing that was acknowledged."""
+        return self.proof(settled=True) >= Proof.READS
+
     def acts(self) -> bool:
         """Whether those heard could agree on a change by themselves: so at most one side of a cut acts."""
         return self.proof() is Proof.ORDERS
@@ -163,6 +173,8 @@
                 "w": self._ledger.whole,
                 "c": self.acts(),
             }
+            if self._open():
+                told["o"] = True
             if int(head["e"]) < epoch:
                 told["view"] = self._council.view_item()
             channel.link.send(told)
@@ -172,6 +184,11 @@
         address = address_of(channel)
         if self._lives.get(address) == channel.peer_source:
             self.contact.answered(
-                address, int(head["n"]), head["w"] is True, int(head["e"]), head.get("c") is True
+                address,
+                int(head["n"]),
+                head["w"] is True,
+                int(head["e"]),
+                head.get("c") is True,
+                head.get("o") is not True,
             )
         return True
--- a/waterworks/reservoir/duties.py
+++ b/waterworks/reservoir/duties.py
@@ -173,6 +173,7 @@
             "epoch": epoch,
             "holder": self.node,
             "nodes": asked,
+            "e": self._council.view().epoch,
         }
         for channel in list(self._channels.open):
             if channel.extra.get("role") == RESERVOIR and channel.node not in round.waits | {self.node}:
@@ -229,7 +230,10 @@
         standing, nodes = read_standing(head["epoch"], {"holder": head["holder"]}), head["nodes"]
         if head["duty"] != REAPING or not isinstance(nodes, list) or len(nodes) > reaping.MOST_ASKED:
             raise ValueError("not a question of a duty that is known here")
-        if not self.turn.note(now, standing):
+        known = self._council.view().epoch
+        # Who goes by an older view may count a majority that is none any more.
+        old_view = int(head.get("e", known)) < known
+        if not self.turn.note(now, standing) or old_view:
             newest = self.turn.newest
             self._gauge.tell(events.EPOCH_OLD, duty=REAPING, epoch=standing.epoch, newest=newest.epoch)
             channel.link.send({"t": "overtaken", "epoch": newest.epoch, "holder": newest.holder})
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -76,7 +76,7 @@
             ALL,
             gauge,
             self._changed,
-            whole=lambda: self.probing.has(),
+            whole=lambda: self.probing.holds_all(),
             extra=lambda channel, head, _: self._frame(channel, head),
             opened=self._opened,
             closed=self._closed,
@@ -96,7 +96,13 @@
         self.fencing = Fencing(self.charter, self.ledger, self.council, self.acceptance)
         bounds = settings.bounds
         self.probing = Probing(
-            bounds.contact_ms, self.channels, self.council, self.ledger, self.acceptance.take, gauge
+            bounds.contact_ms,
+            self.channels,
+            self.council,
+            self.ledger,
+            self.acceptance.take,
+            self.voting.open_s,
+            gauge,
         )
         self.council.contact = self.probing.has
         self.rollouts = Rollouts(
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -372,6 +372,11 @@
         if due:
             self._taking_up = self._loop.create_task(self._taken_up(due))
 
+    def open_s(self) -> float:
+        """For how long the oldest of the open votes has been one, as last looked at."""
+        oldest = min((self._since[n] for n in self._acceptor.votes if n in self._since), default=None)
+        return self._loop.time() - oldest if oldest is not None else 0.0
+
     async def _taken_up(self, due: list[Number]) -> None:
         try:
             self._gauge.tell(events.VOTES_TAKEN_UP, items=len(due))
