Count a vote as open from when it was first seen, however often it was taken up

Change: Voting keeps when each open vote was first seen; one from the disk has been open for ever. Doctor names sidecars that are cut from the core; reads without contact are no longer logged as changes.

--- a/rigs/mesh_world/contact_seeds.py
+++ b/rigs/mesh_world/contact_seeds.py
@@ -11,6 +11,7 @@
 from waterworks.reservoir.clerk import Clerk
 from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.council import address_of
+from waterworks.reservoir.voting import Voting
 from waterworks.sluice.program import Sluice
 
 
@@ -95,5 +96,14 @@
     patch.setattr(Probing, "_open", lambda self: False)
 
 
+def open_votes_are_counted_anew(patch: Patch) -> None:
+    """A fault that drawn plays found: who had tried to bring a vote to its end in vain held all again."""
+
+    def open_s(self: Voting) -> float:
+        return self._loop.time() - min(self._since.values(), default=self._loop.time())
+
+    patch.setattr(Voting, "open_s", open_s)
+
+
 def duties_are_kept(patch: Patch) -> None:
     patch.setattr(Probing, "acts", lambda self: True)
--- a/rigs/mesh_world/cuts.py
+++ b/rigs/mesh_world/cuts.py
@@ -373,21 +373,26 @@
         return broken, world
 
 
+def drawn(seed: int, number: int) -> tuple[str, list[str], Cuts]:
+    """A play of its own for each pair; the cut's name, and as `play`."""
+    draw = random.Random(f"{seed}/{number}")
+    name = draw.choice(sorted(CUTS))
+    cores = draw.choice((2, 4)) if name == "halves" else draw.choice((3, 3, 5))
+    return name, *play(name, cores, draw, draw.choice((-1, draw.randrange(400))))
+
+
 def main(plays: int, seed: int) -> int:
     bad = 0
     answered: dict[int, int] = {}
     worst = 0.0
     for number in range(plays):
-        draw = random.Random(f"{seed}/{number}")
-        name = draw.choice(sorted(CUTS))
-        cores = draw.choice((2, 4)) if name == "halves" else draw.choice((3, 3, 5))
-        broken, world = play(name, cores, draw, draw.choice((-1, draw.randrange(400))))
+        name, broken, world = drawn(seed, number)
         worst = max(worst, world.worst_newest_s)
         for status, count in world.answers.items():
             answered[status] = answered.get(status, 0) + count
         if broken:
             bad += 1
-            print(number, name, cores, broken[:2], flush=True)
+            print(number, name, broken[:2], flush=True)
     print(f"{plays} plays, {bad} broken; answers of the cut off {answered}; newest after {worst:.2f} s")
     return bad
 
--- a/tests/mesh/test_operate_judge.py
+++ b/tests/mesh/test_operate_judge.py
@@ -78,6 +78,7 @@
         (4, lambda p: told(p, node="side-9"), "other node there", "side-1"),
         (4, lambda p: told(p, charter={**CHARTER, "items": 8, "digest": "b" * 16}), "behind", "side-1"),
         (4, lambda p: told(p, ready=False), "not ready", "side-1"),
+        (4, lambda p: told(p, control={"without_ms": 1500, "behind_ms": 2500}), "cut from core", "side-1"),
         (4, lambda p: told(p, upstream=None), "no beats", "side-1"),
         (4, lambda p: told(p, upstream={"instance": "i", "silent_ms": 1301.0}), "no beats", "side-1"),
         (4, lambda p: told(p, upstream={"instance": "i", "gone": True}), "no beats", "side-1"),
--- a/waterworks/operate/judge.py
+++ b/waterworks/operate/judge.py
@@ -155,6 +155,16 @@
                 "has no configuration yet, or none that is known to be whole",
                 "look at the control processes; it asks them by itself",
             )
+        control = part(told, "control")
+        if told.get("ready") and control.get("without_ms") is not None:
+            without_s, behind_s = (number(control, name) / 1000.0 for name in ("without_ms", "behind_ms"))
+            yield Finding(
+                "cut from core",
+                process.node,
+                f"no control process with contact in reach for {without_s:.1f} s; "
+                f"it goes on by a configuration that may be {behind_s:.1f} s old",
+                "start the missing members or mend the network to the core; it takes the newest by itself",
+            )
         upstream, beat_ms = part(told, "upstream"), number(told, "beat_ms", 1500.0)
         silent = number(upstream, "silent_ms")
         if not upstream:
--- a/waterworks/reservoir/clerk.py
+++ b/waterworks/reservoir/clerk.py
@@ -96,7 +96,7 @@
         elsewhere = self._probing.elsewhere()
         if elsewhere:
             return Answer(307, location=f"http://{elsewhere}{PATH.decode()}")
-        return self._unclear("no contact with most control processes here; another one may have it")
+        return unclear("no contact with most control processes here; another one may have it")
 
     async def _read(self) -> Answer:
         if not await self._voting.read(READ_S):
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -108,7 +108,9 @@
         self._rounds: dict[Ballot, _Round] = {}
         self._readings: dict[int, _Reading] = {}
         self._orders: dict[tuple[Any, ...], _Order] = {}
-        self._since: dict[Number, float] = {}  # open votes, by when they were seen first
+        self._since: dict[Number, float] = {}  # open votes, by when they were seen first, or taken up last
+        # As well, but never counted anew; of those on disk nobody knows how long they have been open.
+        self._opened = dict.fromkeys(self._acceptor.votes, float("-inf"))
         self._taking_up: asyncio.Task[None] | None = None
         self.rivalled: deque[tuple[float, Number]] = deque(maxlen=RIVALS)
 
@@ -350,7 +352,9 @@
         votes = self._acceptor.votes
         if not votes:
             self._since.clear()
+            self._opened.clear()
             return
+        self._opened = {number: self._opened.get(number, now) for number in votes}
         self._since = {number: self._since.get(number, now) for number in votes}
         if self._taking_up is not None or not self._council.contact():
             return
@@ -374,7 +378,7 @@
 
     def open_s(self) -> float:
         """For how long the oldest of the open votes has been one, as last looked at."""
-        oldest = min((self._since[n] for n in self._acceptor.votes if n in self._since), default=None)
+        oldest = min((self._opened[n] for n in self._acceptor.votes if n in self._opened), default=None)
         return self._loop.time() - oldest if oldest is not None else 0.0
 
     async def _taken_up(self, due: list[Number]) -> None:
