--- a/rigs/order_model.py
+++ b/rigs/order_model.py
@@ -2,11 +2,10 @@
 sent again to another process, votes that somebody takes up. What decides is the shipped code (`Acceptor`,
 `Proposer`, `View`); the model is its host and its surroundings.
 
-Accepts and decisions arrive late, twice, in any order or never; an answer reaches its proposer or is lost
-(one that is late is one whose proposer acts late); a proposer begins a ballot anew at any time, or is not
-heard of any more. A member crashes and comes back with its disk (what was decided and not written yet is an open
-vote again), or loses the disk and comes back by the fence. Decided items also travel from one member to
-another as news.
+Accepts and decisions arrive late, twice, in any order or never. An answer reaches its proposer or is lost;
+one that is late is one whose proposer acts late. A proposer begins a ballot anew at any time, or is not heard
+of any more. A member crashes and comes back with its disk, where what was decided and not written yet is an
+open vote again, or loses the disk and comes back by the fence. Decided items also travel as news.
 """
 
 from __future__ import annotations
@@ -22,10 +21,8 @@
     Accept,
     Acceptor,
     Ballot,
-    Chosen,
     Decided,
     Number,
-    Promised,
     Proposer,
     Refusal,
     Rivalled,
@@ -33,6 +30,7 @@
     Value,
     Vote,
     digest_of,
+    fenced_by,
 )
 from waterworks.aquifer.quorum import Place, Tolerance
 from waterworks.aquifer.views import View
@@ -60,6 +58,7 @@
     wipes: int = 0
     news: bool = False
     lost: bool = True  # answers may be lost
+    begun: tuple[Any, ...] = ()  # events that all that is explored begins with
 
 
 class Side(NamedTuple):
@@ -78,6 +77,7 @@
         self.names = "wxyz"[: size.members]
         self.view = View(1, {one: Place("", "") for one in self.names})
         self.tolerance = Tolerance(1, 0, 0)
+        self._made: dict[Any, Any] = {}
         self._steps: tuple[Any, dict[Any, State]] = (None, {})
         self.quorums = [
             among
@@ -92,7 +92,11 @@
         asking = tuple(("", self._cold(order), order.rounds) for order in self.size.orders)
         # Members; proposers (outcome, state, rounds left); accepts sent; ballots chosen; orders acknowledged,
         # and refused; crashes and wipes left.
-        yield (sides, asking, (), (), frozenset(), frozenset(), (self.size.crashes, self.size.wipes))
+        left = (self.size.crashes, self.size.wipes)
+        state: State = (sides, asking, (), (), frozenset(), frozenset(), left)
+        for event in self.size.begun:
+            state = self._after(state, event)
+        yield state
 
     def _cold(self, order: Order) -> tuple[Any, ...]:
         return _freeze(self._proposer(order))
@@ -181,34 +185,27 @@
             asking[event[1]] = (outcome, _freeze(proposer), rounds[1:])
         elif what == "prepare":
             _, at, z, heard = event
-            proposer = self._warm(at, asking[at][1])
-            acceptor = self._acceptor(z, sides[z])
-            if acceptor.wants(proposer.ballot.round):
-                acceptor.raised(proposer.ballot.round)
-            answer = acceptor.promise(proposer.ballot, proposer._open())
-            sides[z] = self._kept(z, sides[z], acceptor, ("ceiling",))
-            if heard:
-                accepts, acked, refused = self._heard(
-                    at, z, proposer, answer, asking, accepts, acked, refused
-                )
+            outcome, frozen, rounds = asking[at]
+            key = (what, at, frozen, z, sides[z].memory, heard)
+            memory, frozen, sent, ended = self._once(key, self._prepare)
+            sides[z] = _kept(sides[z], memory, ("ceiling",))
+            asking[at] = (outcome or ended, frozen, rounds)
+            accepts = tuple(sorted({*accepts, *sent}))
         elif what == "accept":
             _, ballot, z, heard = event
-            _, by, rows = next(one for one in accepts if one[0] == ballot)
-            acceptor = self._acceptor(z, sides[z])
-            writes = {number: CONTENTS[letter] for number, letter in rows}
-            answer = acceptor.accept(Ballot(*ballot), dict(by), writes)
-            sides[z] = self._kept(z, sides[z], acceptor, ("votes", "all"))
-            if heard:
-                at = int(ballot[1][1:])
-                proposer = self._warm(at, asking[at][1])
-                chosen, acked, refused = self._told(
-                    at, z, proposer, Ballot(*ballot), answer, asking, chosen, acked, refused
-                )
+            at = int(ballot[1][1:])
+            outcome, frozen, rounds = asking[at]
+            sent = next(one for one in accepts if one[0] == ballot)
+            key = (what, at, frozen, z, sides[z].memory, heard, sent)
+            memory, frozen, found, ended = self._once(key, self._accept)
+            sides[z] = _kept(sides[z], memory, ("votes", "all"))
+            asking[at] = (outcome or ended, frozen, rounds)
+            chosen = tuple(sorted({*chosen, *found}))
         elif what == "decided":
             acceptor = self._acceptor(event[2], sides[event[2]])
             for number, value in acceptor.at(Ballot(*event[1])).items():
                 acceptor.settle(number, value)
-            sides[event[2]] = self._kept(event[2], sides[event[2]], acceptor, ())
+            sides[event[2]] = _kept(sides[event[2]], _frozen(acceptor), ())
         elif what == "news":
             giver, taker = (
                 self._acceptor(event[1], sides[event[1]]),
@@ -218,7 +215,7 @@
                 for (kind, name), (version, value) in giver.decided.items():
                     if version >= taker.decided.get((kind, name), (-1, None))[0]:
                         taker.settle((kind, name, version), value)
-                sides[event[2]] = self._kept(event[2], sides[event[2]], taker, ())
+                sides[event[2]] = _kept(sides[event[2]], _frozen(taker), ())
         elif what == "crash":
             left = (left[0] - 1, left[1])
             side = sides[event[1]]
@@ -226,79 +223,52 @@
         elif what == "wipe":
             left = (left[0], left[1] - 1)
             empty = (0, 0, (), (), (), (), (), ())
-            sides[event[1]] = Side(False, empty, empty, self._lost())
+            sides[event[1]] = Side(False, empty, empty, ((), (), ()))
         else:
             self._back(what, event[1], event[2], sides)
+        for at, (outcome, _, _) in enumerate(asking):
+            order = self.size.orders[at]
+            if outcome == "decided" and order.letter:
+                acked |= {(order.letter, order.numbers)}
+            elif outcome == "rivalled":
+                refused |= {(order.letter, order.numbers)}
         return (tuple(sides), tuple(asking), accepts, chosen, acked, refused, left)
 
-    def _heard(
-        self,
-        at: int,
-        z: int,
-        proposer: Proposer,
-        answer: Promised | Refusal,
-        asking: list[Any],
-        accepts: Any,
-        acked: Any,
-        refused: Any,
-    ) -> tuple[Any, Any, Any]:
-        outcome, _, rounds = asking[at]
-        if not isinstance(answer, Refusal):  # the host begins anew where it likes
-            step = proposer.promised(self.names[z], 1, proposer.ballot, answer)
-            if isinstance(step, Accept):
-                rows = tuple(sorted((n, LETTERS[digest_of(v)]) for n, v in step.writes.items()))
-                ballot = (step.ballot.round, step.ballot.proposer)
-                accepts = tuple(sorted({*accepts, (ballot, tuple(sorted(step.by.items())), rows)}))
-            else:
-                outcome, acked, refused = self._over(at, step, acked, refused)
-        asking[at] = (outcome, _freeze(proposer), rounds)
-        return accepts, acked, refused
-
-    def _told(
-        self,
-        at: int,
-        z: int,
-        proposer: Proposer,
-        ballot: Ballot,
-        answer: list[Number] | Refusal,
-        asking: list[Any],
-        chosen: Any,
-        acked: Any,
-        refused: Any,
-    ) -> tuple[Any, Any, Any]:
-        outcome, _, rounds = asking[at]
-        if not isinstance(answer, Refusal):
-            found = proposer.accepted(self.names[z], 1, ballot)
-            if isinstance(found, Chosen):
-                chosen = tuple(sorted({*chosen, (found.ballot.round, found.ballot.proposer)}))
-                if not outcome:
-                    outcome, acked, refused = self._over(at, proposer.outcome(), acked, refused)
-        asking[at] = (outcome, _freeze(proposer), rounds)
-        return chosen, acked, refused
-
-    def _over(self, at: int, step: Any, acked: Any, refused: Any) -> tuple[str, Any, Any]:
-        order = self.size.orders[at]
-        if isinstance(step, Decided):
-            return "decided", acked | ({(order.letter, order.numbers)} if order.letter else set()), refused
-        if isinstance(step, Rivalled):
-            return "rivalled", acked, refused | {(order.letter, order.numbers)}
-        return "", acked, refused
+    def _once(self, key: Any, make: Any) -> Any:
+        """``make(*key)``, which depends on nothing else."""
+        if key not in self._made:
+            self._made[key] = make(*key[1:])
+        return self._made[key]
+
+    def _prepare(self, at: int, frozen: Any, z: int, memory: Any, heard: bool) -> tuple[Any, ...]:
+        """The member's memory and the proposer after it, the accept that went out, how the order ended."""
+        proposer, acceptor = self._warm(at, frozen), _acceptor(self.names[z], memory)
+        if acceptor.wants(proposer.ballot.round):
+            acceptor.raised(proposer.ballot.round)
+        answer = acceptor.promise(proposer.ballot, proposer._open())
+        if not heard or isinstance(answer, Refusal):  # the host begins anew where it likes
+            return _frozen(acceptor), frozen, (), ""
+        step = proposer.promised(self.names[z], 1, proposer.ballot, answer)
+        if not isinstance(step, Accept):
+            return _frozen(acceptor), _freeze(proposer), (), _ended(step)
+        rows = tuple(sorted((n, LETTERS[digest_of(v)]) for n, v in step.writes.items()))
+        sent = ((step.ballot.round, step.ballot.proposer), tuple(sorted(step.by.items())), rows)
+        return _frozen(acceptor), _freeze(proposer), (sent,), ""
+
+    def _accept(self, at: int, frozen: Any, z: int, memory: Any, heard: bool, sent: Any) -> tuple[Any, ...]:
+        """As above, with the ballot that was chosen by it."""
+        ballot, by, rows = sent
+        proposer, acceptor = self._warm(at, frozen), _acceptor(self.names[z], memory)
+        answer = acceptor.accept(Ballot(*ballot), dict(by), {n: CONTENTS[letter] for n, letter in rows})
+        if not heard or isinstance(answer, Refusal):
+            return _frozen(acceptor), frozen, (), ""
+        chosen = proposer.accepted(self.names[z], 1, Ballot(*ballot))
+        found = ((chosen.ballot.round, chosen.ballot.proposer),) if chosen is not None else ()
+        return _frozen(acceptor), _freeze(proposer), found, _ended(proposer.outcome() if found else None)
 
     def _acceptor(self, z: int, side: Side) -> Acceptor:
         return _acceptor(self.names[z], side.memory)
 
-    def _kept(self, z: int, side: Side, acceptor: Acceptor, parts: Sequence[str]) -> Side:
-        """``parts``: what the host has on disk before the member says anything."""
-        memory = _frozen(acceptor)
-        disk = side.disk
-        if not disk:
-            pass  # nobody crashes any more
-        elif "all" in parts:  # a batch takes along what was decided and not written yet
-            disk = memory
-        elif "ceiling" in parts:
-            disk = (disk[0], memory[1], *disk[2:])
-        return side._replace(memory=memory, disk=disk)
-
     # A disk that was lost
 
     def _lost(self) -> tuple[Any, ...]:
@@ -310,13 +280,13 @@
         name, mine = self.names[f], self.names[z]
         if what == "top":
             tops = tuple(sorted({*tops, (name, other.top(), other.generations.get(mine, 0))}))
-            if self._enough({one for one, _, _ in tops}, z):
+            if fenced_by(self.view, {one for one, _, _ in tops}, mine, self.tolerance):
                 fence = (max(top for _, top, _ in tops), 1 + max(known for _, _, known in tops))
                 tops = ()
             sides[z] = sides[z]._replace(fence=(tops, fence, raised))
             return
         other.fence(fence[0], mine, fence[1])
-        sides[f] = self._kept(f, sides[f], other, ("ceiling", "all"))
+        sides[f] = _kept(sides[f], _frozen(other), ("ceiling", "all"))
         back = self._acceptor(z, sides[z])
         for (kind, key), (version, value) in other.decided.items():
             back.settle((kind, key, version), value)
@@ -328,61 +298,83 @@
             if held is None or (isinstance(held, Vote) and held.ballot < vote.ballot):
                 back.votes[number] = vote
         raised = tuple(sorted({*raised, name}))
-        if self._enough(set(raised), z):
+        if fenced_by(self.view, set(raised), mine, self.tolerance):
             back.fence(fence[0], mine, fence[1])
             memory = _frozen(back)
             sides[z] = Side(True, memory, memory if sides[z].disk else ())
         else:
             sides[z] = Side(False, _frozen(back), sides[z].disk, (tops, fence, raised))
 
-    def _enough(self, heard: set[str], z: int) -> bool:
-        """As `Fencing._enough` has it."""
-        others = set(self.names) - {self.names[z]}
-        if self.view.durable(others, self.tolerance):
-            return self.view.durable(heard, self.tolerance)
-        return heard >= others
-
     # What must hold
 
     def violations(self, before: State | None, event: Any, after: State) -> Iterable[Violation]:
-        sides, asking, _, _, acked, refused, _ = after
-        numbers = {number for order in self.size.orders for number in order.numbers}
-        acceptors = [self._acceptor(z, side) for z, side in enumerate(sides)]
-        for number in numbers:
+        sides, _, accepts, chosen, acked, refused, _ = after
+        for number in {number for order in self.size.orders for number in order.numbers}:
             contents = {letter for letter, among in acked if number in among}
             if len(contents) > 1:
                 yield Violation("one content", f"{number}: {sorted(contents)} are both acknowledged")
-            known = {
-                LETTERS[state.digest] for one in acceptors if isinstance(state := one.state(number), Settled)
-            }
+            states = [self._once(("state", number, side.memory), _state) for side in sides]
+            known = {letter for what, _, letter in states if what == "settled"}
+            for ballot, _, rows in accepts:
+                if ballot in chosen:
+                    known |= {letter for told, letter in rows if told == number}
             if len(known) > 1:
                 yield Violation("one decision", f"{number} is decided as {sorted(known)}")
             for letter, among in refused:
                 if number in among and letter in known | contents:
                     yield Violation("409", f"{number}: {letter} was refused for a rival and is in force")
+            open_ = {letter for what, _, letter in states if what == "voted"} if not known else set()
+            for letter, among in refused:
+                if number in among and letter in open_:
+                    yield Violation(
+                        "409", f"{number}: {letter} was refused for a rival and may come into force"
+                    )
+            if any(among == (number,) for _, among in refused) and not known:
+                yield Violation("409 too early", f"{number}: refused for a rival that is not decided")
             for letter in contents:
-                yield from self._found(number, letter, sides, acceptors)
+                for among in self.quorums:
+                    if all(sides[z].whole for z in among):
+                        met = _met([states[z] for z in among])
+                        if met != letter:
+                            words = (
+                                f"{number}: {letter} is acknowledged, a quorum of {len(among)} meets {met}"
+                            )
+                            yield Violation("found", words)
         for letter, among in acked & refused:
             yield Violation("both answers", f"order {letter} of {among} was acknowledged and refused")
 
-    def _found(
-        self, number: Number, letter: str, sides: Sequence[Side], acceptors: Sequence[Acceptor]
-    ) -> Iterable[Violation]:
-        """Whatever quorum asks next meets it, or a newer one decided, as what it must take."""
-        for among in self.quorums:
-            if not all(sides[z].whole for z in among):
-                continue
-            states = [state for z in among if (state := acceptors[z].state(number)) is not None]
-            settled = [LETTERS[state.digest] for state in states if isinstance(state, Settled)]
-            votes = [state for state in states if isinstance(state, Vote)]
-            if settled:
-                met = settled[0]
-            elif votes:
-                met = LETTERS[digest_of(max(votes, key=lambda vote: vote.ballot).value)]
-            else:
-                met = "none"
-            if met != letter:
-                yield Violation("found", f"{number}: {letter} is acknowledged, {among} meet {met}")
+
+def _state(number: Number, memory: Any) -> tuple[str, Any, str]:
+    """What a member says of that number: settled, voted or nothing; the ballot; the content's letter."""
+    state = _acceptor("", memory).state(number)
+    if isinstance(state, Settled):
+        return "settled", (), LETTERS[state.digest]
+    if isinstance(state, Vote):
+        return "voted", state.ballot, LETTERS[digest_of(state.value)]
+    return "nothing", (), ""
+
+
+def _met(states: Sequence[tuple[str, Any, str]]) -> str:
+    """What whoever asks that quorum must take: what is settled, else the highest vote."""
+    settled = [letter for what, _, letter in states if what == "settled"]
+    votes = [(ballot, letter) for what, ballot, letter in states if what == "voted"]
+    return settled[0] if settled else max(votes)[1] if votes else "nothing"
+
+
+def _ended(step: Any) -> str:
+    return {Decided: "decided", Rivalled: "rivalled"}.get(type(step), "")
+
+
+def _kept(side: Side, memory: tuple[Any, ...], parts: Sequence[str]) -> Side:
+    """``parts``: what the host has on disk before the member says anything."""
+    disk = side.disk
+    if not disk:
+        pass  # nobody crashes any more
+    elif "all" in parts:  # a batch takes along what was decided and not written yet
+        disk = memory
+    elif "ceiling" in parts:
+        disk = (disk[0], memory[1], *disk[2:])
+    return side._replace(memory=memory, disk=disk)
 
 
 # Frozen forms. An acceptor: floor, ceiling, promises, votes, decided, past, unknown, generations.
@@ -479,6 +471,28 @@
 
 
 A, B = Order("a", (ONE,), (1,)), Order("b", (ONE,), (2,))
+AGAIN = Order("a", (ONE,), (3,))
+BOTH, BOTH_AGAIN = Order("a", (ONE, TWO), (1,)), Order("a", (ONE, TWO), (3, 4))
+TAKES_UP = Order("", (ONE, TWO), (5,))
+# The order of two items is accepted by one member, and another has promised a rival.
+_GOES_OUT = (
+    ("begin", 0),
+    ("prepare", 0, 0, True),
+    ("prepare", 0, 1, True),
+    ("accept", (1, "p0"), 0, True),
+    ("begin", 1),
+    ("prepare", 1, 1, True),
+)
 SIZES = {
     "two orders": Size((A, B)),
+    "two ballots": Size((A._replace(rounds=(1, 3)), B), lost=False),
+    "three ballots": Size((A, B, Order("c", (ONE,), (3, 4))), lost=False),
+    "sent again": Size((A, B, AGAIN), lost=False),
+    "a crash": Size((A, B), crashes=1, lost=False),
+    "a lost disk": Size((A, B), wipes=1, lost=False),
+    "two items": Size((BOTH, B, BOTH_AGAIN), lost=False, begun=_GOES_OUT),
+    "taken up": Size((BOTH, B, TAKES_UP), lost=False, begun=_GOES_OUT),
+    "overtaken": Size((A, Order("c", (NEWER,), (2,)), Order("b", (ONE,), (3,))), lost=False),
+    "news": Size((A, B), news=True, lost=False),
+    "four members": Size((A, B), members=4, lost=False),
 }
--- a/tests/mesh/test_duty_carried.py
+++ b/tests/mesh/test_duty_carried.py
@@ -35,10 +35,10 @@
         self.sent: dict[str, list[Any]] = {name: [] for name in OTHERS}
         self.roll, self.membership, self.log = Store("me", 20_000), Membership(), io.StringIO()
         self.channels = SimpleNamespace(open=[self.channel(name, "reservoir") for name in OTHERS])
-        members = {f"ip-{name}": None for name in CORES}
+        members = {f"ip-{name}": Place("", "") for name in CORES}
         self.touch = True
         council: Any = SimpleNamespace(
-            in_touch=lambda: self.touch, members=lambda: members, views=lambda: [members, members]
+            contact=lambda: self.touch, members=lambda: members, view=lambda: View(1, members)
         )
         channels: Any = self.channels
         self.duties = Duties(
--- a/tests/mesh/test_repair_world.py
+++ b/tests/mesh/test_repair_world.py
@@ -266,7 +266,7 @@
         assert isinstance(opened, Fresh)
         store, log = Store("a", 100), io.StringIO()
         gauge = Gauge("a", log)
-        ledger = Ledger(store, opened.keeper, gauge, whole=True)
+        ledger = Ledger(store, Acceptor("a"), opened.keeper, gauge, whole=True)
         channels = Channels("a", {}, {}, 0, gauge, lambda name, items: None)
         repair = Repairing(1, {CHARTER: store}, channels, ledger, gauge, lambda name, items: None)
         taken = store.take_all([("route", f"r{n}", 1, {"x": f"value {n}"}) for n in range(20)])
--- a/waterworks/aquifer/ballot.py
+++ b/waterworks/aquifer/ballot.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
@@ -257,6 +257,16 @@
         self.generations[member] = max(generation, self.generations.get(member, 0))
 
 
+def fenced_by(view: View, heard: Collection[str], member: str, tolerance: Tolerance) -> bool:
+    """Whether these others of the view are enough to fence a member whose disk was lost. They are a durable
+    set, so that they meet every quorum that promised, be it half of an even view; where no set of the others
+    is durable, all of them: then every ballot needs the member itself, which knows its generation."""
+    others = view.names - {member}
+    if view.durable(others, tolerance):
+        return view.durable(others & set(heard), tolerance)
+    return bool(others) and others <= set(heard)
+
+
 @dataclass(frozen=True, slots=True)
 class Prepare:
     ballot: Ballot
--- a/waterworks/reservoir/fencing.py
+++ b/waterworks/reservoir/fencing.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from waterworks.aquifer.ballot import Forgotten, Settled, Vote
+from waterworks.aquifer.ballot import Forgotten, Settled, Vote, fenced_by
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import View
 from waterworks.leat.channels import Channel
@@ -101,9 +101,7 @@
         if asking.fence is None:
             before = view if view.before is None else View(view.epoch, view.before)
             return before.overlaps(heard, tolerance)
-        if view.durable(asking.others, tolerance):
-            return view.durable(heard, tolerance)
-        return bool(asking.others) and heard >= asking.others
+        return fenced_by(view, heard, self._council.me, tolerance)
 
     def _check(self, asking: _Asking) -> None:
         if not asking.done.done() and self._enough(asking):
