--- a/waterworks/gauge/events.py
+++ b/waterworks/gauge/events.py
@@ -65,6 +65,13 @@
 PEER_REFUSED = _event(209, Level.WARNING, "peer refused", "peer", "reason")
 NODE_DROPPED = _event(212, Level.INFO, "node given up", "peer", "silent_s", "instances")
 ZONE_KEPT = _event(213, Level.WARNING, "most of a zone silent, its nodes kept", "zone")
+MEMBERS_CHANGED = _event(224, Level.INFO, "members agreed on", "epoch", "count", "before")
+MEMBER_STAYS = _event(225, Level.WARNING, "member that is to leave stays", "member", "why")
+LOSSES_BELOW = _event(
+    226, Level.WARNING, "fewer losses borne than asked for", "machines", "zones", "regions"
+)
+LOSSES_BORNE = _event(227, Level.INFO, "losses borne as asked for", "machines", "zones", "regions")
+BEGUN_ANEW = _event(228, Level.WARNING, "first start begun anew", "founders")
 
 CHANGE_TAKEN = _event(301, Level.INFO, "change taken", "items", "of")
 CHANGE_REFUSED = _event(302, Level.WARNING, "change refused", "reason")
--- a/waterworks/operate/command.py
+++ b/waterworks/operate/command.py
@@ -14,6 +14,7 @@
 from waterworks.operate.asking import Answered, Refused, Silent, all_of, ask, look
 from waterworks.operate.config import config
 from waterworks.operate.judge import findings
+from waterworks.operate.members import members
 from waterworks.operate.options import (
     FINDINGS,
     FINE,
@@ -49,6 +50,7 @@
 app.add_typer(routes, name="routes")
 app.add_typer(config, name="config")
 app.add_typer(state, name="state")
+app.add_typer(members, name="members")
 app.add_typer(rollout, name="rollout")
 
 Where = Annotated[str, typer.Option("--from", metavar="NODE", help="The sidecar to ask; else any.")]
--- a/waterworks/operate/judge.py
+++ b/waterworks/operate/judge.py
@@ -31,6 +31,7 @@
     return [
         *_members(view),
         *_core(view),
+        *_losses(view),
         *_disks(view),
         *_silent(view),
         *_behind(view),
@@ -81,6 +82,24 @@
             )
 
 
+def _losses(view: View) -> Iterator[Finding]:
+    """What a process with contact says; one word of it is enough."""
+    for process in view.answering(RESERVOIR):
+        borne, asked = part(process.told, "borne"), part(process.told, "tolerates")
+        less = [kind for kind in asked if borne and 0 < number(asked, kind) > number(borne, kind)]
+        if less and process.told is not None and process.told.get("in_touch"):
+            told = ", ".join(
+                f"{kind} {number(borne, kind):.0f} of {number(asked, kind):.0f}" for kind in less
+            )
+            yield Finding(
+                "fewer losses borne",
+                "-",
+                f"more losses that orders would go on after: {told}",
+                "start or replace the members that are down (members show)",
+            )
+            return
+
+
 def _disks(view: View) -> Iterator[Finding]:
     for process in view.answering(RESERVOIR):
         assert process.told is not None
--- /dev/null
+++ b/waterworks/operate/members.py
@@ -0,0 +1,98 @@
+"""`members`: who counts, how many more losses are borne, and an operator's word that a machine is gone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from typing import Annotated, Any
+
+import typer
+
+from waterworks.operate.asking import Answered, Silent, ask, look
+from waterworks.operate.options import (
+    FINE,
+    NOBODY,
+    REFUSED,
+    WAIT_S,
+    AsJson,
+    At,
+    SettingsFile,
+    Wait,
+    fail,
+    found,
+    heard,
+    tell,
+)
+from waterworks.operate.text import borne, line, table, wrapped
+from waterworks.operate.view import Process, View, number, part, text
+from waterworks.sluice.membership import RESERVOIR
+
+REMOVE_WAIT_S = 10.0
+
+members = typer.Typer(rich_markup_mode=None, no_args_is_help=True, help="Whose disks count in the core.")
+
+
+@members.command("show")
+def _show(at: At = None, settings: SettingsFile = None, wait: Wait = WAIT_S, as_json: AsJson = False) -> None:
+    """Who counts, under which epoch, what each lacks, and how many more losses are borne."""
+    process = _first(heard(look(found(at, settings, as_json), wait, (RESERVOIR,)), as_json), as_json)
+    reply = asyncio.run(ask(process.address, "members", wait))
+    if isinstance(reply, Silent):
+        fail(NOBODY, f"{process.node}: {reply.why}; ask another with --at", as_json)
+    if not isinstance(reply, Answered):
+        fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
+    tell({"node": process.node, **reply.value}, shown(reply.value), as_json, FINE)
+
+
+@members.command("remove")
+def _remove(
+    node: Annotated[str, typer.Argument(metavar="NODE", help="A node, or a member's address.")],
+    at: At = None,
+    settings: SettingsFile = None,
+    wait: Wait = REMOVE_WAIT_S,
+    as_json: AsJson = False,
+) -> None:
+    """Says that a machine which counts is gone for good; refused where taking it out is not safe."""
+    view = heard(look(found(at, settings, as_json), min(wait, WAIT_S), (RESERVOIR,)), as_json)
+    process = _first(view, as_json)
+    reply = asyncio.run(ask(process.address, "members remove", wait, node=node))
+    if isinstance(reply, Silent):
+        fail(NOBODY, f"{process.node}: {reply.why}; it may be under way: look with members show", as_json)
+    if not isinstance(reply, Answered):
+        fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
+    names = ", ".join(str(one) for one in reply.value.get("members", []))
+    lines = wrapped(f"{node} counts no more, epoch {number(reply.value, 'epoch'):.0f}: {names}")
+    tell({"node": process.node, **reply.value}, lines, as_json, FINE)
+
+
+def _first(view: View, as_json: bool) -> Process:
+    """One that can act where there is one."""
+    able = view.answering(RESERVOIR)
+    if not able:
+        fail(NOBODY, "no control process answers; check --at and whether they run", as_json)
+    return min(able, key=lambda process: not (process.told or {}).get("in_touch"))
+
+
+def shown(told: Mapping[str, Any]) -> list[str]:
+    way = ", a change is under way" if told.get("joint") else ""
+    lines = [line(f"epoch {number(told, 'epoch'):.0f}{way}; {borne(part(told, 'borne'))}")]
+    rows, why = [], []
+    listed = told.get("members")
+    for row in listed if isinstance(listed, list) else []:
+        counts = "counts" if row.get("counts") else "joins" if row.get("joins") else "no"
+        if row.get("before") and not row.get("counts"):
+            counts = "goes"
+        disk = "whole" if row.get("whole") else "not whole"
+        state = "leaves" if row.get("leaves") else "heard" if row.get("heard") else "silent"
+        if state == "silent":
+            state += f" {number(row, 'silent_s'):.0f} s"
+        cells = (row.get("address"), row.get("node") or "-", row.get("zone") or "-", counts, disk)
+        rows.append((*cells, f"{number(row, 'level'):.0f}", state))
+        if text(row, "stays"):
+            why += wrapped(f"{row.get('address')} stays: {text(row, 'stays')}")
+    lines += ["", *table(("member", "node", "zone", "counts", "disk", "level", "state"), rows)]
+    if why or text(told, "waits"):
+        lines += ["", *why]
+    if text(told, "waits"):
+        lines += wrapped(f"waits: {text(told, 'waits')}")
+    return lines
--- a/waterworks/operate/shape.py
+++ b/waterworks/operate/shape.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from waterworks.operate.judge import Finding, grouped, sound
-from waterworks.operate.text import line, names, table, wrapped
+from waterworks.operate.text import borne, line, names, table, wrapped
 from waterworks.operate.view import Process, Told, View, number, part, text
 from waterworks.sluice.membership import RESERVOIR, SLUICE
 
@@ -75,7 +75,7 @@
         answer = sum(process.told is not None for process in known)
         lines.append(f"{role + 's':<12}{answer} of {len(known)} answer")
     lines.append(f"{'upstreams':<12}{len(view.instances)} of {len(view.by_service())} services")
-    lines += duties(view)
+    lines += duties(view) + members(view)
     for at, held in enumerate(versions(view)[:MOST_ROWS]):
         lead = "configuration" if at == 0 else "  other"
         told = f"{lead} {held['items']} items, {held['dropped']} dropped, digest {held['digest']}: "
@@ -103,6 +103,16 @@
     ]
 
 
+def members(view: View) -> list[str]:
+    """Under which epoch who counts, and how many more losses are borne, by a process with the newest."""
+    told = [p.told for p in view.answering(RESERVOIR) if p.told is not None and "epoch" in p.told]
+    if not told:
+        return []
+    newest = max(told, key=lambda one: (bool(one.get("in_touch")), number(one, "epoch")))
+    count = f"{len(part(newest, 'members'))} count, epoch {number(newest, 'epoch'):.0f}"
+    return [line(f"{'members':<12}{count}; {borne(part(newest, 'borne'))}")]
+
+
 def core(view: View) -> list[str]:
     reservoirs = view.answering(RESERVOIR)
     rows = []
--- a/waterworks/operate/text.py
+++ b/waterworks/operate/text.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
 
 WIDTH = 100
 GAP = "  "
@@ -54,6 +55,14 @@
     return shown
 
 
+def borne(told: Mapping[str, Any]) -> str:
+    """How many more losses are borne, in words."""
+    if told.get("machines") == -1:
+        return "orders do not go on now"
+    kinds = [f"{kind} {told.get(kind, '?')}" for kind in ("machines", "zones", "regions")]
+    return f"losses borne now: {', '.join(kinds)}"
+
+
 def _plain(cell: object) -> str:
     if cell is None:
         return "-"
--- a/waterworks/reservoir/duties.py
+++ b/waterworks/reservoir/duties.py
@@ -95,7 +95,7 @@
         for channel in self._channels.open:
             self.watch.heard(channel.link.heard_at, channel.node)
         names = {name for name, told in self._membership.nodes.items() if told.get("role") == RESERVOIR}
-        decided = self.turn.decide(now, names | {self.node}, self._live(now))
+        decided = self.turn.decide(now, names | {self.node}, self.live(now, self.spans.suspect_s))
         if isinstance(decided, Claim):
             item = self._roll.take(DUTY, REAPING, decided.epoch, value(self.node))
             if isinstance(item, Item):
@@ -117,9 +117,9 @@
         self._held, self._round = 0, None
         self._kept.clear()
 
-    def _live(self, now: float) -> set[str]:
-        """Control processes that can act, as far as this one hears: this one where it has been running and in
-        touch, others that say so of themselves over a link that is alive."""
+    def live(self, now: float, awake_s: float) -> set[str]:
+        """Control processes that can act, as far as this one hears: this one where it has been running for so
+        long and is in touch, others that say so of themselves over a link that is alive."""
         found = {
             channel.node
             for channel in self._channels.open
@@ -127,7 +127,7 @@
             and channel.whole
             and now - channel.link.heard_at <= LIVELY_S
         }
-        if self._council.in_touch() and self.watch.awake_s(now) >= self.spans.suspect_s:
+        if self._council.in_touch() and self.watch.awake_s(now) >= awake_s:
             found.add(self.node)
         return found
 
--- /dev/null
+++ b/waterworks/reservoir/joining.py
@@ -0,0 +1,262 @@
+"""This machine's own way among the members: it begins, becomes whole, is level, leaves, and says so to the other
+control processes. Who counts is agreed on (`minding`); nothing here counts anybody."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from waterworks.aquifer.changes import Known, plan
+from waterworks.aquifer.quorum import Place
+from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.headworks.settings import Settings
+from waterworks.leat.channels import Channel
+from waterworks.penstock.frames import Head
+from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.council import Council, address_of
+from waterworks.reservoir.fencing import Fencing
+from waterworks.reservoir.ledger import Ledger
+from waterworks.reservoir.voting import Voting
+
+AGAIN_S = 0.1  # between two looks at what is to be done next
+STEP_S = 2.0  # one fence, or one read
+LIVELY_S = 1.0  # a link on which nothing came for longer does not show that its peer runs
+MOST_SAID = 256  # machines of which it is known what they said last; more are passed over
+LEAVE_SHARE = 0.5  # of grace_s: so long one that is told to end stays up for its leaving
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """What a control process says of itself. ``counts``: its settings want it to count, and it has caught up;
+    ``seen``: whether it has a view at all."""
+
+    epoch: int
+    whole: bool
+    level: int
+    counts: bool
+    leaves: bool
+    place: Place
+
+    def write(self) -> Head:
+        return {
+            "t": "member",
+            "e": self.epoch,
+            "whole": self.whole,
+            "level": self.level,
+            "counts": self.counts,
+            "leaves": self.leaves,
+            "zone": self.place.zone,
+            "region": self.place.region,
+        }
+
+
+def read_said(head: Head) -> Said:
+    """Raises KeyError, TypeError or ValueError for what cannot be read."""
+    return Said(
+        int(head["e"]),
+        bool(head["whole"]),
+        int(head["level"]),
+        bool(head["counts"]),
+        bool(head["leaves"]),
+        Place(str(head["zone"]), str(head["region"])),
+    )
+
+
+class Joining:
+    def __init__(
+        self,
+        settings: Settings,
+        council: Council,
+        acceptance: Acceptance,
+        voting: Voting,
+        fencing: Fencing,
+        ledger: Ledger,
+        gauge: Gauge,
+        became_whole: Callable[[], None],
+    ) -> None:
+        """``became_whole`` is told once this disk counts."""
+        self._loop = asyncio.get_running_loop()
+        self.settings, self._council, self._acceptance = settings, council, acceptance
+        self._voting, self._fencing, self._ledger = voting, fencing, ledger
+        self._gauge, self._became_whole = gauge, became_whole
+        self.level = 0  # the epoch with which this machine is level
+        self.leaving = False
+        self._caught_up = False  # it has read what was acknowledged, in this life
+        self._began = self._loop.time()
+        self._said: Said | None = None  # as the others were told last
+        self.others: dict[str, Said] = {}  # by address, as they said last, also of those that are silent now
+        acceptance.level = self._is_level
+        self._task: asyncio.Task[None] | None = None
+
+    # What this machine is
+
+    def start(self) -> None:
+        self._task = self._loop.create_task(self._run())
+
+    def settled(self) -> bool:
+        """Whether it is what its settings say, under a view that is no change any more."""
+        view = self._council.view()
+        if view.joint or not view.epoch:
+            return False
+        me = view.now.get(self._council.me)
+        if not self.settings.counted:
+            return me is None
+        return me == self.place and self._ledger.whole
+
+    @property
+    def place(self) -> Place:
+        return Place(self.settings.zone, self.settings.region)
+
+    def _is_level(self) -> bool:
+        view = self._council.view()
+        return not view.joint or self._council.me not in view.now or self.level >= view.epoch
+
+    def state(self) -> Said:
+        view, counted = self._council.view(), self.settings.counted
+        return Said(
+            view.epoch,
+            self._ledger.whole,
+            self.level,
+            counted and self._caught_up and not self.leaving,
+            self.leaving or not counted,
+            self.place,
+        )
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except Exception as fault:  # a machine that stops joining would be lost for good
+                self._gauge.tell(events.FAULT, where="joining", what=repr(fault))
+            self.say()
+            await asyncio.sleep(AGAIN_S)
+
+    async def _step(self) -> None:
+        view, me = self._council.view(), self._council.me
+        if not view.epoch:
+            self._begin()
+        elif not self._ledger.whole:
+            if me in view.names or self.settings.counted:
+                await self._become_whole()
+        elif me in view.names:
+            self._caught_up = True
+            if view.joint and me in view.now and self.level < view.epoch:
+                if await self._fencing.fence_and_read(STEP_S, fence=False):
+                    self.level = view.epoch
+        elif self.settings.counted and not self._caught_up:
+            self._caught_up = await self._voting.read(STEP_S)
+
+    async def _become_whole(self) -> None:
+        if not await self._fencing.fence_and_read(STEP_S):
+            return
+        await self._ledger.become_whole()
+        self._caught_up = True
+        self._gauge.tell(events.DISK_WHOLE, items=self._ledger.items())
+        self._became_whole()
+
+    def _begin(self) -> None:
+        """A first start whose processes were all killed before their first batch is begun anew: each machine that
+        the settings name says that its disk is empty and that it knows no view, and nobody else that is heard for
+        `contact_ms` knows one. The first view follows from the settings alone, so it is the same in all of them."""
+        founders = {host for host, _ in self.settings.seeds}
+        me, now = self._council.me, self._loop.time()
+        if me not in founders or now - self._began < self.settings.bounds.contact_ms / 1000.0:
+            return
+        heard = self.heard()
+        if any(said.whole or said.epoch for said in self.others.values()):
+            return
+        if not founders - {me} <= heard & self.others.keys():
+            return
+        first = write_view(View(1, dict.fromkeys(founders, Place("", ""))))
+        self._gauge.tell(events.BEGUN_ANEW, founders=", ".join(sorted(founders)))
+        self._acceptance.take(*self._acceptance.stamped([((VIEW, MEMBERS, 1), first)]))
+
+    # What is said, and heard
+
+    def say(self) -> None:
+        """Tells the others where it has changed."""
+        state = self.state()
+        if state != self._said:
+            self._said = state
+            for channel in self._council.peers().values():
+                channel.link.send(state.write())
+
+    def opened(self, channel: Channel) -> None:
+        channel.link.send(self.state().write())
+
+    def frame(self, channel: Channel, head: Head) -> bool:
+        """Whether it was one of these. Raises KeyError, TypeError or ValueError for what cannot be read."""
+        if head["t"] != "member":
+            return False
+        address = address_of(channel)
+        if address in self.others or len(self.others) < MOST_SAID:
+            self.others[address] = read_said(head)
+        return True
+
+    def heard(self) -> set[str]:
+        """Other control processes that are heard over a link, by address."""
+        now = self._loop.time()
+        return {
+            address
+            for address, channel in self._council.peers().items()
+            if now - channel.link.heard_at <= LIVELY_S
+        }
+
+    def known(self, away: Mapping[str, tuple[bool, bool]], removed: str = "") -> dict[str, Known]:
+        """What a proposer knows of each machine. ``away``: whether it is silent, and gone, by address;
+        ``removed``: by an operator's word."""
+        view, heard = self._council.view(), self.heard()
+        found = {}
+        for address in view.names | self.others.keys() | {self._council.me}:
+            said = self.state() if address == self._council.me else self.others.get(address)
+            silent, gone = away.get(address, (False, False))
+            place = view.now.get(address) or (view.before or {}).get(address) or Place("", "")
+            found[address] = Known(
+                said.place if said is not None else place,
+                address == self._council.me or address in heard,
+                said is not None and said.whole,
+                said.level if said is not None else 0,
+                said is not None and said.counts,
+                said is not None and said.leaves,
+                silent,
+                gone,
+                address == removed,
+            )
+        return found
+
+    def forget(self, address: str) -> None:
+        """It counts no more, and is heard no more."""
+        self.others.pop(address, None)
+
+    # The end
+
+    async def leave(self) -> None:
+        """This machine ends: it says so, and stays up for half of its grace while a change that takes it out is
+        possible, so that what it holds is on enough others first."""
+        self.leaving = True
+        self.say()
+        until = self._loop.time() + LEAVE_SHARE * self.settings.bounds.grace_s
+        while self._awaits() and self._loop.time() < until:
+            await asyncio.sleep(0.02)
+        if self._task is not None:
+            self._task.cancel()
+
+    def _awaits(self) -> bool:
+        view, me = self._council.view(), self._council.me
+        if me not in view.names or not self._council.contact():
+            return False
+        if view.joint:
+            return True
+        known = self.known({})
+        coming = any(
+            one.heard and name not in view.now and not one.leaves for name, one in known.items() if name != me
+        )
+        return coming or me not in self._after(view, known)
+
+    def _after(self, view: View, known: Mapping[str, Known]) -> Mapping[str, Any]:
+        planned = plan(view, known, self._council.tolerance).view
+        return planned.now if planned is not None else view.now
--- /dev/null
+++ b/waterworks/reservoir/minding.py
@@ -0,0 +1,317 @@
+"""The duty `members`: which change of members comes next is worked out and proposed by its holder, and what can
+be lost is told. Decided in `waterworks.aquifer.changes`; agreed on by `voting`.
+
+Two holders at once do no harm: the epoch is a number of the charter, and has one content.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from waterworks.aquifer.ballot import Decided
+from waterworks.aquifer.changes import Borne, borne, heard_whole, plan
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Store
+from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.headworks.questions import Refusal, Told
+from waterworks.leat.channels import Channel
+from waterworks.penstock.frames import Head
+from waterworks.reservoir.council import Council, address_of
+from waterworks.reservoir.duties import ROUND_S, Duties, Round
+from waterworks.reservoir.joining import LIVELY_S, Joining
+from waterworks.reservoir.voting import Voting
+from waterworks.sluice.membership import RESERVOIR, Membership
+from waterworks.weir import reaping
+from waterworks.weir.duty import DUTY, Claim, Hold, Turn, read_standing, value
+from waterworks.weir.duty import MEMBERS as MINDING
+
+STEADY_SHARE = 1 / 8  # of contact_ms: for so long a process is the first before it claims the duty
+DECIDE_S = 2.0
+PAUSE_S = 0.25  # after a change that was not decided
+ASK_S = 0.5  # between two questions for silence
+WORD_S = 2.0  # the others' word on silence is acted on for so long
+REMOVE_S = 5.0
+
+
+class Minding:
+    def __init__(
+        self,
+        node: str,
+        spans: reaping.Spans,
+        roll: Store,
+        membership: Membership,
+        council: Council,
+        voting: Voting,
+        joining: Joining,
+        duties: Duties,
+        gauge: Gauge,
+        changed: Callable[[list[Item]], None],
+    ) -> None:
+        """``changed`` is told of items of the roll that are written here."""
+        self._loop = asyncio.get_running_loop()
+        self.node, self.spans = node, spans
+        self._early = reaping.Spans(spans.suspect_s, spans.suspect_s, spans.zone_s)
+        self._roll, self._membership, self._council = roll, membership, council
+        self._voting, self.joining, self._duties = voting, joining, duties
+        self._gauge, self._changed = gauge, changed
+        now = self._loop.time()
+        self.turn = Turn(MINDING, node, spans.suspect_s * STEADY_SHARE)
+        self.watch = reaping.Watch(now)  # of members, by address
+        self._held = 0
+        self._count = 0
+        self._round: Round | None = None
+        self._asked_at = -1e18
+        self._away: dict[str, tuple[bool, bool]] = {}
+        self._away_at = -1e18
+        self._proposing: asyncio.Task[bool] | None = None
+        self._again_at = now
+        self._epoch = council.view().epoch
+        self._stays: Mapping[str, str] = {}
+        self._below: tuple[str, ...] = ()  # kinds of which fewer losses are borne than are asked, as told
+        self._below_since: float | None = None
+
+    # Whose turn
+
+    def news(self, items: list[Item]) -> None:
+        """Items of the roll that have changed."""
+        for item in items:
+            if item.kind == DUTY and item.name == MINDING:
+                try:
+                    self.turn.note(self._loop.time(), read_standing(item.version, item.value))
+                except ValueError as fault:
+                    self._gauge.tell(events.FAULT, where=f"duty {item.name}", what=str(fault))
+
+    def tick(self, now: float) -> None:
+        view = self._council.view()
+        self.watch.look(now, view.names | {self._council.me})
+        self.watch.heard(now, self._council.me)
+        for address, channel in self._council.peers().items():
+            self.watch.heard(channel.link.heard_at, address)
+        if view.epoch != self._epoch:
+            self._epoch = view.epoch
+            counts, before = ", ".join(sorted(view.now)), ", ".join(sorted(view.before or ()))
+            self._gauge.tell(events.MEMBERS_CHANGED, epoch=view.epoch, count=counts, before=before or None)
+        self._tell_borne(now, view)
+        names = {name for name, told in self._membership.nodes.items() if told.get("role") == RESERVOIR}
+        live = self._duties.live(now, self.spans.suspect_s * STEADY_SHARE)
+        decided = self.turn.decide(now, names | {self.node}, live)
+        if isinstance(decided, Claim):
+            item = self._roll.take(DUTY, MINDING, decided.epoch, value(self.node))
+            if isinstance(item, Item):
+                self.turn.claimed(now, decided.epoch)
+                self._changed([item])
+                decided = Hold(decided.epoch)
+        if isinstance(decided, Hold):
+            if self._held != decided.epoch:
+                self._held = decided.epoch
+                self._gauge.tell(events.DUTY_TAKEN, duty=MINDING, epoch=decided.epoch)
+            self._mind(now, view)
+        elif self._held:
+            why = "another has it" if self.turn.newest.epoch != self._held else "not the first that is live"
+            self._gauge.tell(events.DUTY_LEFT, duty=MINDING, epoch=self._held, why=why)
+            self._held, self._round, self._away = 0, None, {}
+
+    def _mind(self, now: float, view: View) -> None:
+        self._ask(now, view)
+        if self._proposing is not None or now < self._again_at or not self._council.contact():
+            return
+        planned = plan(view, self.joining.known(self._word(now)), self._council.tolerance)
+        for address, why in planned.stays.items():
+            said = self.joining.others.get(address)
+            if self._stays.get(address) != why and said is not None and said.leaves:
+                self._gauge.tell(events.MEMBER_STAYS, member=address, why=why)
+        self._stays = planned.stays
+        if planned.view is not None:
+            self._proposing = self._loop.create_task(self._propose(planned.view))
+            self._proposing.add_done_callback(self._proposed)
+
+    async def _propose(self, view: View) -> bool:
+        number = (VIEW, MEMBERS, view.epoch)
+        return isinstance(await self._voting.decide({number: write_view(view)}, DECIDE_S), Decided)
+
+    def _proposed(self, task: asyncio.Task[bool]) -> None:
+        self._proposing = None
+        if task.cancelled() or task.exception() is not None or not task.result():
+            self._again_at = self._loop.time() + PAUSE_S
+
+    # Who is gone
+
+    def _word(self, now: float) -> Mapping[str, tuple[bool, bool]]:
+        return self._away if now - self._away_at <= WORD_S else {}
+
+    def _ask(self, now: float, view: View) -> None:
+        """Asks the others for how long members have been silent there, once one of them may be gone."""
+        if now - self._asked_at < ASK_S:
+            return
+        silent = [a for a in sorted(view.names) if self.watch.silent_s(now, a) >= self.spans.suspect_s]
+        self._round = None
+        if not silent:
+            self._away = {}
+            return
+        self._asked_at = now
+        self._count += 1
+        self._round = asked = Round(self._count, self._held, now, silent, set(), {self._council.me})
+        question = {"t": "silent", "n": self._count, "epoch": self._held, "holder": self.node, "ips": silent}
+        for address, channel in self._council.peers().items():
+            asked.waits.add(address)
+            channel.link.send(question)
+        self._conclude(now)
+
+    def _conclude(self, now: float) -> None:
+        asked, view = self._round, self._council.view()
+        if asked is None or asked.waits or now - asked.began > ROUND_S:
+            return
+        if not reaping.enough(asked.heard, view.names):
+            return
+        places = {**(view.before or {}), **view.now}
+        known = {address: reaping.Known(place.zone) for address, place in places.items()}
+        own = {address: self.watch.silent_s(now, address) for address in known}
+        for name, told in self._membership.nodes.items():
+            host = self._membership.address(name)
+            if host is None or host[0] not in places:  # a zone's other nodes tell whether it is cut off
+                known[name] = reaping.Known(str(told.get("zone", "")), stays=True)
+                own[name] = self._duties.watch.silent_s(now, name)
+        silences = [own, *asked.silences]
+        silent = set(reaping.judge(known, silences, self._early).gone)
+        gone = set(reaping.judge(known, silences, self.spans).gone)
+        self._away = {address: (address in silent, address in gone) for address in asked.nodes}
+        self._away_at = now
+
+    def frame(self, channel: Channel, head: Head) -> bool:
+        """Whether it was one of this duty. Raises KeyError, TypeError or ValueError for what cannot be read."""
+        now = self._loop.time()
+        if head["t"] == "silent":
+            standing, ips = read_standing(head["epoch"], {"holder": head["holder"]}), head["ips"]
+            if not isinstance(ips, list) or len(ips) > reaping.MOST_ASKED:
+                raise ValueError("not a question for silence")
+            if not self.turn.note(now, standing):
+                newest = self.turn.newest
+                self._gauge.tell(events.EPOCH_OLD, duty=MINDING, epoch=standing.epoch, newest=newest.epoch)
+                channel.link.send({"t": "outdone", "epoch": newest.epoch, "holder": newest.holder})
+                return True
+            told = [round(self.watch.silent_s(now, str(ip)), 1) for ip in ips]
+            channel.link.send({"t": "silences", "n": int(head["n"]), "silent": told})
+        elif head["t"] == "outdone":
+            self.turn.note(now, read_standing(head["epoch"], {"holder": head["holder"]}))
+        elif head["t"] == "silences":
+            self._answered(now, address_of(channel), head)
+        else:
+            return False
+        return True
+
+    def _answered(self, now: float, address: str, head: Head) -> None:
+        asked = self._round
+        if asked is None or head["n"] != asked.number or address not in asked.waits:
+            return
+        told = [float(silent_s) for silent_s in head["silent"]]
+        if len(told) != len(asked.nodes):
+            raise ValueError("not as many answers as were asked for")
+        asked.waits.discard(address)
+        asked.heard.add(address)
+        asked.silences.append(dict(zip(asked.nodes, told, strict=True)))
+        self._conclude(now)
+
+    # What can be lost
+
+    def borne(self) -> Borne:
+        view = self._council.view()
+        there = heard_whole(self.joining.known({}), view.names)
+        return borne(view, there, self._council.tolerance)
+
+    def _tell_borne(self, now: float, view: View) -> None:
+        """Every process tells it for itself, once it has lasted: links that come and go are no loss."""
+        if self._council.me not in view.names:
+            return
+        found = self.borne()
+        below = found.below(self._council.tolerance)
+        if below == self._below:
+            self._below_since = None
+        elif self._below_since is None:
+            self._below_since = now
+        elif now - self._below_since >= LIVELY_S:
+            self._below, self._below_since = below, None
+            event = events.LOSSES_BELOW if below else events.LOSSES_BORNE
+            self._gauge.tell(event, machines=found.machines, zones=found.zones, regions=found.regions)
+
+    # Operators
+
+    def show(self) -> Told:
+        """``members``: all that count, or want to, by address."""
+        now, view = self._loop.time(), self._council.view()
+        known = self.joining.known(self._word(now))
+        planned = plan(view, known, self._council.tolerance)
+        found = self.borne()
+        nodes = self._nodes()
+        rows: list[dict[str, Any]] = []
+        for address, one in sorted(known.items()):
+            if address in view.names or one.counts or one.heard:
+                rows.append(
+                    {
+                        "address": address,
+                        "node": nodes.get(address, ""),
+                        "zone": one.place.zone,
+                        "region": one.place.region,
+                        "counts": address in view.now,
+                        "before": address in (view.before or {}),
+                        "whole": one.whole,
+                        "level": one.level,
+                        "heard": one.heard,
+                        "joins": one.counts and address not in view.now,
+                        "leaves": one.leaves,
+                        "silent_s": round(self.watch.silent_s(now, address), 1),
+                        "stays": planned.stays.get(address, ""),
+                    }
+                )
+        newest = self.turn.newest
+        return {
+            "epoch": view.epoch,
+            "joint": view.joint,
+            "members": rows,
+            "borne": {"machines": found.machines, "zones": found.zones, "regions": found.regions},
+            "waits": planned.waits,
+            "holder": newest.holder,
+        }
+
+    def _nodes(self) -> dict[str, str]:
+        found = {}
+        for name, told in self._membership.nodes.items():
+            host = self._membership.address(name)
+            if host is not None and told.get("role") == RESERVOIR:
+                found[host[0]] = name
+        return found
+
+    async def remove(self, head: Head) -> Told | Refusal:
+        """An operator's word that a machine is gone for good: no silence is waited for. Safe or not is judged as
+        for any other change."""
+        name, view = str(head["node"]), self._council.view()
+        nodes = self._nodes()
+        address = next((a for a, node in nodes.items() if node == name), name)
+        if address not in view.names:
+            return Refusal(f"{name}: does not count; members show lists those that do")
+        if address in self.joining.heard() | {self._council.me}:
+            return Refusal(f"{name}: runs, and would join again: end it, or set counted = false there")
+        if not self._council.contact():
+            return Refusal(f"{self.node} has no contact with most members; ask another with --at")
+        if view.joint:
+            return Refusal(f"a change is under way (epoch {view.epoch}); try again once it is over")
+        planned = plan(
+            view, self.joining.known(self._word(self._loop.time()), address), self._council.tolerance
+        )
+        if address in planned.stays:
+            return Refusal(f"{name}: not safe now: {planned.stays[address]}")
+        if planned.view is None:
+            return Refusal(f"{name}: not safe now: {planned.waits}")
+        until = self._loop.time() + REMOVE_S
+        if not await self._propose(planned.view):
+            return Refusal(
+                f"{name}: the change was not decided in time; look with members show, and try again"
+            )
+        while (after := self._council.view()).joint and self._loop.time() < until:
+            await asyncio.sleep(0.02)
+        if address in after.names:
+            return Refusal(f"{name}: the change is under way (epoch {after.epoch}); look with members show")
+        return {"removed": address, "epoch": after.epoch, "members": sorted(after.now)}
--- a/waterworks/weir/duty.py
+++ b/waterworks/weir/duty.py
@@ -18,6 +18,7 @@
 
 DUTY = "duty"  # the kind of the items that say who has one
 REAPING = "reaping"  # dropping what is gone for good
+MEMBERS = "members"  # proposing who counts
 TENURE = 4.0  # of the steady time, a claim stands before it is outbid
 MOST_EPOCH = 1 << 52
 
