--- a/waterworks/reservoir/joining.py
+++ b/waterworks/reservoir/joining.py
@@ -1,5 +1,5 @@
-"""This machine's own way among the members: it begins, becomes whole, is level, leaves, and says so to the other
-control processes. Who counts is agreed on (`minding`); nothing here counts anybody."""
+"""This machine's own way among the members: it begins, becomes whole, is level, leaves, and says so to the
+other control processes. Who counts is agreed on (`minding`); nothing here counts anybody."""
 
 from __future__ import annotations
 
@@ -31,8 +31,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Said:
-    """What a control process says of itself. ``counts``: its settings want it to count, and it has caught up;
-    ``seen``: whether it has a view at all."""
+    """What a control process says of itself. ``epoch``: 0 where it knows no view; ``counts``: its settings
+    want it to count, and it has caught up."""
 
     epoch: int
     whole: bool
@@ -155,13 +155,13 @@
             return
         await self._ledger.become_whole()
         self._caught_up = True
-        self._gauge.tell(events.DISK_WHOLE, items=self._ledger.items())
         self._became_whole()
 
     def _begin(self) -> None:
-        """A first start whose processes were all killed before their first batch is begun anew: each machine that
-        the settings name says that its disk is empty and that it knows no view, and nobody else that is heard for
-        `contact_ms` knows one. The first view follows from the settings alone, so it is the same in all of them."""
+        """A first start whose processes were all killed before their first batch is begun anew: each machine
+        that the settings name says that its disk is empty and that it knows no view, and nobody that is heard
+        within `contact_ms` knows one. The first view follows from the settings alone, so it is the same in
+        all of them."""
         founders = {host for host, _ in self.settings.seeds}
         me, now = self._council.me, self._loop.time()
         if me not in founders or now - self._began < self.settings.bounds.contact_ms / 1000.0:
@@ -235,8 +235,8 @@
     # The end
 
     async def leave(self) -> None:
-        """This machine ends: it says so, and stays up for half of its grace while a change that takes it out is
-        possible, so that what it holds is on enough others first."""
+        """This machine ends: it says so, and stays up for half of its grace while a change that takes it out
+        is possible, so that what it holds is on enough others first."""
         self.leaving = True
         self.say()
         until = self._loop.time() + LEAVE_SHARE * self.settings.bounds.grace_s
--- a/waterworks/reservoir/minding.py
+++ b/waterworks/reservoir/minding.py
@@ -1,5 +1,5 @@
-"""The duty `members`: which change of members comes next is worked out and proposed by its holder, and what can
-be lost is told. Decided in `waterworks.aquifer.changes`; agreed on by `voting`.
+"""The duty `members`: which change of members comes next is worked out and proposed by its holder, and what
+can be lost is told. Decided in `waterworks.aquifer.changes`; agreed on by `voting`.
 
 Two holders at once do no harm: the epoch is a number of the charter, and has one content.
 """
@@ -182,7 +182,8 @@
         self._away_at = now
 
     def frame(self, channel: Channel, head: Head) -> bool:
-        """Whether it was one of this duty. Raises KeyError, TypeError or ValueError for what cannot be read."""
+        """Whether it was one of this duty. Raises KeyError, TypeError or ValueError for what cannot be
+        read."""
         now = self._loop.time()
         if head["t"] == "silent":
             standing, ips = read_standing(head["epoch"], {"holder": head["holder"]}), head["ips"]
@@ -222,12 +223,15 @@
         there = heard_whole(self.joining.known({}), view.names)
         return borne(view, there, self._council.tolerance)
 
+    def losses(self) -> Told:
+        found = self.borne()
+        return {"machines": found.machines, "zones": found.zones, "regions": found.regions}
+
     def _tell_borne(self, now: float, view: View) -> None:
         """Every process tells it for itself, once it has lasted: links that come and go are no loss."""
         if self._council.me not in view.names:
             return
-        found = self.borne()
-        below = found.below(self._council.tolerance)
+        below = self.borne().below(self._council.tolerance)
         if below == self._below:
             self._below_since = None
         elif self._below_since is None:
@@ -235,7 +239,7 @@
         elif now - self._below_since >= LIVELY_S:
             self._below, self._below_since = below, None
             event = events.LOSSES_BELOW if below else events.LOSSES_BORNE
-            self._gauge.tell(event, machines=found.machines, zones=found.zones, regions=found.regions)
+            self._gauge.tell(event, **self.losses())
 
     # Operators
 
@@ -244,7 +248,6 @@
         now, view = self._loop.time(), self._council.view()
         known = self.joining.known(self._word(now))
         planned = plan(view, known, self._council.tolerance)
-        found = self.borne()
         nodes = self._nodes()
         rows: list[dict[str, Any]] = []
         for address, one in sorted(known.items()):
@@ -266,16 +269,20 @@
                         "stays": planned.stays.get(address, ""),
                     }
                 )
-        newest = self.turn.newest
         return {
             "epoch": view.epoch,
             "joint": view.joint,
             "members": rows,
-            "borne": {"machines": found.machines, "zones": found.zones, "regions": found.regions},
+            "borne": self.losses(),
             "waits": planned.waits,
-            "holder": newest.holder,
+            "holder": self.turn.newest.holder,
         }
 
+    def told(self) -> Told:
+        """For operators: who has the duty, under which epoch."""
+        newest = self.turn.newest
+        return {MINDING: {"epoch": newest.epoch, "holder": newest.holder, "here": bool(self._held)}}
+
     def _nodes(self) -> dict[str, str]:
         found = {}
         for name, told in self._membership.nodes.items():
@@ -285,8 +292,8 @@
         return found
 
     async def remove(self, head: Head) -> Told | Refusal:
-        """An operator's word that a machine is gone for good: no silence is waited for. Safe or not is judged as
-        for any other change."""
+        """An operator's word that a machine is gone for good: no silence is waited for. Safe or not is judged
+        as for any other change."""
         name, view = str(head["node"]), self._council.view()
         nodes = self._nodes()
         address = next((a for a, node in nodes.items() if node == name), name)
