--- a/rigs/mesh_world/members.py
+++ b/rigs/mesh_world/members.py
@@ -1,5 +1,5 @@
-"""What befalls the members of a core: machines that come, are told to end, go for good and come back. Plays of them,
-by hand and drawn; what is played through ends in a core that confirms orders."""
+"""What befalls the members of a core: machines that come, are told to end, go for good and come back. Plays
+of them, by hand and drawn; what is played through ends in a core that confirms orders."""
 
 from __future__ import annotations
 
@@ -19,8 +19,16 @@
 
 
 def change(version: int) -> bytes:
-    plant = {"kind": "plant", "name": "p", "epoch": f"r{version}", "value": {}}
-    return json.dumps({"apply": [plant]}).encode()
+    rule = {
+        "name": "r1",
+        "kind": "idempotent",
+        "epoch": f"r{version}",
+        "predicate": {"prefix": "/r1/"},
+        "response": {"plant": "p", "horizon_ms": 800, "trials": 2},
+    }
+    ports = [{"host": "h", "control_law": [rule]}]
+    plants = [{"name": "p", "epoch": f"r{version}"}]
+    return json.dumps({"apply": {"input_ports": ports, "plant_groups": plants}}).encode()
 
 
 def begin(world: World, number: int) -> Machine:
@@ -63,9 +71,7 @@
 
     def holds() -> bool:
         views = [machine.program.council.view() for machine in machines if machine.program is not None]
-        return len(views) == len(wanted) and all(
-            not view.joint and set(view.now) == wanted for view in views
-        )
+        return len(views) == len(wanted) and all(not view.joint and set(view.now) == wanted for view in views)
 
     return holds
 
@@ -87,7 +93,7 @@
     """As a release of machines does it: three that run end as three others; each successor first."""
     for number, old in enumerate(list(world.reservoirs())):
         yield from confirms(world, 3 * number + 1)
-        new = begin(world, 4 + number)
+        new = begin(world, 11 + number)
         yield from world.joined([new], JOINS_S)
         yield from confirms(world, 3 * number + 2)
         yield from end(world, old)
@@ -103,7 +109,7 @@
         yield from end(world, old)
         go(world, old)
         yield from confirms(world, 2 * number + 1)
-        begin(world, 4 + number)
+        begin(world, 11 + number)
         yield from world.until(
             counts(world, world.reservoirs()), JOINS_S, f"the successor of {old.name} counts in its place"
         )
@@ -112,7 +118,7 @@
 
 def lost_replaced_and_lost(world: World) -> Script:
     """One is gone for good, its successor counts; a loss later orders go on, and so again."""
-    for number in (4, 5, 6):
+    for number in (11, 12, 13):
         go(world, world.reservoirs()[0])
         yield from confirms(world, 2 * number)
         yield world.env.timeout(1.0)
@@ -123,7 +129,7 @@
 
 
 def wiped_in_turn(world: World) -> Script:
-    """Four times right after an acknowledgement, each a little over `convergence_s` after the return of the last."""
+    """Four times right after an acknowledgement, each a little over `convergence_s` after the return."""
     for number in range(4):
         yield from confirms(world, number + 1)
         unlucky = world.reservoirs()[number % len(world.reservoirs())]
@@ -142,7 +148,7 @@
         life = unlucky.life
         assert life is not None
         troubles.wiped(world, life, None)
-        new = begin(world, 4 + number)
+        new = begin(world, 11 + number)
         yield world.env.timeout(1.0 + SETTLES_S)
         yield from world.joined([new, unlucky], 1.0)
         yield from end(world, old)
@@ -241,13 +247,13 @@
 
 
 def drawn(seed: int) -> tuple[int, Play]:
-    """A core of three to five, and what befalls it: at no time more is lost at once than is borne, and the next loss
-    comes `convergence_s` after the end of the one before."""
+    """A core of three to five, and what befalls it: never more is lost at once than is borne, and the next
+    loss comes `convergence_s` after the end of the one before."""
     dice = random.Random(seed)
     cores = dice.choice((3, 3, 4, 5))
 
     def play(world: World) -> Script:
-        version, number = 0, cores
+        version, number = 0, 10
         for _ in range(dice.randrange(3, 7)):
             version += 1
             yield from world.commit([m for m, _ in world.programs(core=True)], change(version))
--- a/waterworks/reservoir/minding.py
+++ b/waterworks/reservoir/minding.py
@@ -32,8 +32,7 @@
 STEADY_SHARE = 1 / 8  # of contact_ms: for so long a process is the first before it claims the duty
 DECIDE_S = 2.0
 PAUSE_S = 0.25  # after a change that was not decided
-ASK_S = 0.5  # between two questions for silence
-WORD_S = 2.0  # the others' word on silence is acted on for so long
+ASK_S = 0.5  # between two questions for silence; `suspect_s` where the same are silent
 REMOVE_S = 5.0
 
 
@@ -141,13 +140,16 @@
     # Who is gone
 
     def _word(self, now: float) -> Mapping[str, tuple[bool, bool]]:
-        return self._away if now - self._away_at <= WORD_S else {}
+        return self._away if now - self._away_at <= 2.0 * self.spans.suspect_s else {}
 
     def _ask(self, now: float, view: View) -> None:
         """Asks the others for how long members have been silent there, once one of them may be gone."""
         if now - self._asked_at < ASK_S:
             return
         silent = [a for a in sorted(view.names) if self.watch.silent_s(now, a) >= self.spans.suspect_s]
+        known = silent == list(self._away) and now - self._away_at < self.spans.suspect_s
+        if known and silent:
+            return
         self._round = None
         if not silent:
             self._away = {}
