--- /dev/null
+++ b/tests/mesh/test_members_world.py
@@ -0,0 +1,299 @@
+"""Members in the virtual world: replaced, lost for good, leaving and coming back, by hand and drawn, and with
+what may befall at each numbered point of a change. Faults are seeded in the programs, and the same plays see
+them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from rigs.mesh_world import members, troubles
+from rigs.mesh_world.members import Play, begin, change, confirms, counts, end, go, played
+from rigs.mesh_world.seeds import Patch
+from rigs.mesh_world.world import Script, World
+from waterworks.aquifer import changes
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.reservoir.joining import Joining
+
+PLAYS: list[tuple[Play, tuple[int, ...]]] = [
+    (members.replaced_in_turn, (3, 5)),
+    (members.replaced_end_first, (3, 4)),
+    (members.lost_replaced_and_lost, (3, 4)),
+    (members.wiped_in_turn, (3, 5)),
+    (members.wiped_while_replaced, (3,)),
+    (members.two_leave, (4, 5)),
+    (members.comes_back, (3, 4)),
+    (members.power_after_a_change, (3, 5)),
+    (members.half_removed_while_cut, (4,)),
+]
+
+
+@pytest.mark.parametrize(
+    ("play", "cores"),
+    [(play, cores) for play, sizes in PLAYS for cores in sizes],
+    ids=lambda one: one.__name__ if callable(one) else str(one),
+)
+def test_what_befalls_members_breaks_nothing_and_orders_go_on(play: Play, cores: int) -> None:
+    assert played(cores, play) == []
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_drawn_play_breaks_nothing(seed: int) -> None:
+    assert played(*members.drawn(seed)) == []
+
+
+@pytest.mark.parametrize("cores", [1, 2, 4, 5, 11])
+def test_founders_and_joiners_all_count_within_10_s_of_a_first_start(cores: int) -> None:
+    def script(world: World) -> Script:
+        world.founders = [world.add(f"c{n}", f"10.0.0.{n}") for n in range(1, min(cores, 3) + 1)]
+        all_of = [*world.founders, *(world.add(f"c{n}", f"10.0.0.{n}") for n in range(4, cores + 1))]
+        for machine in [*all_of, world.add("s1", "10.0.1.1", core=False)]:
+            world.start(machine, cold=True)
+        yield from world.until(counts(world, all_of), 10.0, f"all {cores} count")
+        yield from confirms(world, 1)
+        yield from world.witness.finish()
+
+    with World() as world:
+        assert world.run(script) == []
+
+
+def killed_at_first(spared: int) -> list[str]:
+    """A first start of which all processes are killed; so many had their first batch on disk."""
+
+    def script(world: World) -> Script:
+        world.founders = [world.add(f"c{n}", f"10.0.0.{n}") for n in range(1, 4)]
+        for machine in world.founders:
+            world.start(machine, cold=True)
+        yield world.env.timeout(0.006)
+        for number, machine in enumerate(world.founders):
+            world.kill(machine)
+            assert machine.disk.rows
+            if number >= spared:
+                machine.disk.rows = {}
+        yield world.env.timeout(0.5)
+        for machine in world.founders:
+            world.start(machine)
+        yield from world.joined(world.founders, 10.0)
+        yield from confirms(world, 1)
+        yield from world.witness.finish()
+
+    with World() as world:
+        return world.run(script)
+
+
+@pytest.mark.parametrize("spared", [0, 1, 2])
+def test_a_first_start_that_is_killed_before_its_first_batch_serves_in_the_end(
+    spared: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert killed_at_first(spared) == []
+    if not spared:
+        monkeypatch.setattr(Joining, "_begin", lambda self: None)
+        assert killed_at_first(spared)
+
+
+def test_nobody_begins_anew_while_one_is_missing() -> None:
+    def script(world: World) -> Script:
+        world.founders = [world.add(f"c{n}", f"10.0.0.{n}") for n in range(1, 4)]
+        for machine in world.founders[:2]:
+            world.start(machine)
+        yield world.env.timeout(30.0)
+        assert all(machine.program.council.view().epoch == 0 for machine in world.founders[:2])
+
+    with World() as world:
+        assert world.run(script) == []
+
+
+# Numbered points of a replacement, from the successor's start until it alone counts
+
+
+def replacement(world: World) -> Script:
+    """Whoever is struck first comes back, and `convergence_s` later the old machine ends. What is struck while
+    it leaves is the only other loss."""
+    yield from world.boot(3)
+    world.env.process(world.witness.watch())
+    old = world.reservoirs()[0]
+    world.counting = True
+    begin(world, 11)
+    yield from world.commit(world.reservoirs()[1:], change(1))
+    yield world.env.timeout(0.3)
+    if world.troubled_at > 0.0:
+        yield world.env.timeout(members.SETTLES_S + 2.5)
+    ends = world.env.process(end(world, old))
+    yield from world.commit(world.reservoirs()[1:], change(2))
+    yield ends
+    world.counting = False
+    go(world, old)
+    yield world.env.timeout(6.0)
+    yield from confirms(world, 3)
+    yield from world.witness.finish()
+
+
+_points: list[tuple[str, str]] = []
+
+
+def points() -> list[tuple[str, str]]:
+    if not _points:
+        with World() as world:
+            assert world.run(replacement) == []
+            _points.extend(world.points)
+    return _points
+
+
+MOST = 9  # points that a fault takes
+
+
+@pytest.mark.parametrize("fault", [*troubles.PROCESS, *troubles.FRAME, *troubles.DISK])
+def test_whatever_befalls_within_a_replacement_it_ends_well(fault: str) -> None:
+    fitting = [
+        (at, kind, found)
+        for at, (kind, machine) in enumerate(points())
+        if (found := troubles.fitting(kind, machine.startswith("c")).get(fault)) is not None
+    ]
+    tried, broken = 0, {}
+    for at, kind, found in fitting[:: -(-len(fitting) // MOST)]:
+        tried += 1
+        with World() as world:
+            world.at, world.fault = at, found
+            told = world.run(replacement)
+        if told:
+            broken[at, kind] = told[:2]
+            break  # one is enough; more only take time
+    assert tried and not broken
+
+
+# What operators hear
+
+
+def heard(world: World) -> list[tuple[str, dict[str, Any]]]:
+    """Events of all processes from here on."""
+    found: list[tuple[str, dict[str, Any]]] = []
+    tell = Gauge.tell
+
+    def tells(self: Gauge, event: events.Event, **values: Any) -> None:
+        found.append((event.code, values))
+        tell(self, event, **values)
+
+    world._patches.append(patch := pytest.MonkeyPatch())
+    patch.start, patch.stop = (lambda: None), patch.undo  # type: ignore[attr-defined]
+    patch.setattr(Gauge, "tell", tells)
+    return found
+
+
+def test_what_is_borne_is_told_when_it_falls_below_what_is_asked_and_when_it_is_back() -> None:
+    def loses(world: World) -> Script:
+        told = heard(world)
+        first, *_, last = world.reservoirs()
+        yield world.env.timeout(2.0)
+        assert first.program.minding.losses()["machines"] == 1
+        world.kill(last)
+        yield world.env.timeout(2.0)
+        assert first.program.minding.losses()["machines"] == 0
+        assert [values["machines"] for code, values in told if code == "W226"] == [0, 0]
+        assert not any(code == "I227" for code, _ in told)
+        world.start(last)
+        yield world.env.timeout(4.0)
+        assert [code for code, _ in told].count("I227") == 2
+
+    assert played(3, loses) == []
+
+
+def test_a_word_removes_one_that_is_gone_and_is_refused_with_a_reason_where_that_is_not_safe() -> None:
+    def asks(world: World) -> Script:
+        cores = world.reservoirs()
+        told: list[Any] = []
+
+        def remove(name: str) -> Script:
+            async def ask() -> None:
+                told.append(await cores[0].program.minding.remove({"node": name}))
+
+            cores[0].life.context.run(world.loop.create_task, ask())  # type: ignore[union-attr]
+            before = len(told)
+            yield from world.until(lambda: len(told) > before, 6.0, f"an answer on {name}")
+
+        yield from remove("c4")
+        assert "runs, and would join again" in told[-1].reason
+        yield from remove("nobody")
+        assert "does not count" in told[-1].reason
+        go(world, cores[3])
+        yield world.env.timeout(1.5)
+        yield from remove("c4")
+        assert told[-1]["members"] == ["10.0.0.1", "10.0.0.2", "10.0.0.3"], told[-1]
+        world.kill(cores[2])
+        yield world.env.timeout(1.5)
+        yield from remove("c3")
+        assert "3 are needed to bear what is asked: start a successor" in told[-1].reason
+        world.start(cores[2])
+
+    assert played(4, asks) == []
+
+
+def test_a_restart_in_turn_changes_no_members_and_a_place_that_changes_is_made_known() -> None:
+    def restarts(world: World) -> Script:
+        cores = world.reservoirs()
+        epoch = cores[0].program.council.view().epoch
+        for machine in cores:
+            began = world.env.now
+            yield from end(world, machine)
+            assert world.env.now - began < 0.5  # nothing to wait for
+            world.start(machine)
+            yield from world.joined([machine])
+        assert cores[0].program.council.view().epoch == epoch
+        world.zone = lambda machine: "y" if machine is cores[0] else "z"  # type: ignore[method-assign]
+        world.kill(cores[0])
+        world.start(cores[0])
+        yield from world.joined(cores)
+        assert cores[1].program.council.view().now[cores[0].ip].zone == "y"
+        cores[0].program.retune(world.settings(cores[0], False))
+
+    assert played(3, restarts) == []
+
+
+# Seeded faults: each must be seen by the plays above
+
+
+def never_leaves(patch: Patch) -> None:
+    patch.setattr(changes, "_leavers", lambda view, known: [])
+
+
+def never_level(patch: Patch) -> None:
+    patch.setattr(Joining, "_is_level", lambda self: False)
+
+
+def silence_takes_long(patch: Patch) -> None:
+    patch.setattr(changes, "_gains", lambda *args: False)
+
+
+def shrinks(patch: Patch) -> None:
+    """Whoever is told to end leaves, whatever is left."""
+    patch.setattr(changes, "_why_not", lambda *args: "")
+
+
+def three_end(world: World) -> Script:
+    """A restart in turn must leave a core that bears a loss at any time."""
+    for machine in world.reservoirs():
+        yield from end(world, machine)
+        counted = max(len(program.council.view().now) for _, program in world.programs(core=True))
+        if counted < 3:
+            world.witness.broken.append(f"{counted} count")
+        world.start(machine)
+        yield from world.joined([machine])
+
+
+SEEDED: list[tuple[Callable[[Patch], None], Play]] = [
+    (never_leaves, members.replaced_in_turn),
+    (never_level, members.replaced_in_turn),
+    (silence_takes_long, members.lost_replaced_and_lost),
+    (shrinks, three_end),
+]
+
+
+@pytest.mark.parametrize(("seed", "play"), SEEDED, ids=[seed.__name__ for seed, _ in SEEDED])
+def test_a_seeded_fault_is_seen(
+    seed: Callable[[Patch], None], play: Play, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert played(3, play) == []
+    seed(monkeypatch)
+    assert played(3, play)
--- a/waterworks/reservoir/minding.py
+++ b/waterworks/reservoir/minding.py
@@ -147,8 +147,8 @@
         if now - self._asked_at < ASK_S:
             return
         silent = [a for a in sorted(view.names) if self.watch.silent_s(now, a) >= self.spans.suspect_s]
-        known = silent == list(self._away) and now - self._away_at < self.spans.suspect_s
-        if known and silent:
+        sure = silent == [address for address, (is_silent, _) in self._away.items() if is_silent]
+        if sure and silent and now - self._away_at < self.spans.suspect_s:
             return
         self._round = None
         if not silent:
