--- a/rigs/mesh_world/seeds.py
+++ b/rigs/mesh_world/seeds.py
@@ -6,6 +6,7 @@
 
 from waterworks.aquifer import store as aquifer_store
 from waterworks.aquifer.ballot import Acceptor, Refusal
+from waterworks.aquifer.contact import Proof
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import View
 from waterworks.cistern.keeper import Refused
@@ -13,9 +14,9 @@
 from waterworks.reservoir import clerk as clerk_module
 from waterworks.reservoir import ledger as ledger_module
 from waterworks.reservoir.acceptance import Acceptance
-from waterworks.reservoir.council import Council
+from waterworks.reservoir.contact import Probing
+from waterworks.reservoir.joining import Joining
 from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.program import Reservoir
 from waterworks.reservoir.voting import Voting
 
 
@@ -54,7 +55,7 @@
         return True
 
     patch.setattr(Voting, "read", read)
-    patch.setattr(Council, "in_touch", lambda self: True)
+    patch.setattr(Probing, "proof", lambda self, settled=False: Proof.ORDERS)
 
 
 def wiped_counts_at_once(patch: Patch) -> None:
@@ -68,14 +69,11 @@
 
 
 def whole_before_it_heard_all(patch: Patch) -> None:
-    real = Reservoir._join
+    async def become(self: Joining) -> None:
+        await self._ledger.become_whole()
+        self._became_whole()
 
-    async def join(self: Reservoir) -> None:
-        self.ledger.whole = bool(self.charter.items)
-        await self.ledger.become_whole()
-        await real(self)
-
-    patch.setattr(Reservoir, "_join", join)
+    patch.setattr(Joining, "_become_whole", become)
 
 
 def both_are_confirmed(patch: Patch) -> None:
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -26,6 +26,7 @@
 from waterworks.penstock.link import Link, listen
 from waterworks.reservoir.acceptance import Acceptance
 from waterworks.reservoir.clerk import Clerk
+from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.council import Council, address_of
 from waterworks.reservoir.duties import Duties
 from waterworks.reservoir.fencing import Fencing
@@ -69,12 +70,13 @@
                 "role": RESERVOIR,
                 "complete": self.ledger.whole,
                 "takes": [REPORTS],
+                "control": control_address(settings),
             },
             {"charter": self.charter, "roll": self.roll, REPORTS: self.reports},
             ALL,
             gauge,
             self._changed,
-            whole=lambda: self.council.contact(),
+            whole=lambda: self.probing.holds_all(),
             extra=lambda channel, head, _: self._frame(channel, head),
             opened=self._opened,
             closed=self._closed,
@@ -93,10 +95,26 @@
         self.voting = Voting(life, seed, self.charter, self.council, self.acceptance, gauge)
         self.fencing = Fencing(self.charter, self.ledger, self.council, self.acceptance)
         bounds = settings.bounds
+        self.probing = Probing(
+            bounds.contact_ms,
+            self.channels,
+            self.council,
+            self.ledger,
+            self.acceptance.take,
+            self.voting.open_s,
+            gauge,
+        )
+        self.council.contact = self.probing.has
         self.rollouts = Rollouts(
-            bounds.settle_ms, bounds.ack_ms, self.charter, self.membership, self.channels, gauge
+            bounds.settle_ms,
+            bounds.ack_ms,
+            self.charter,
+            self.membership,
+            self.channels,
+            gauge,
+            self.probing.has,
         )
-        self.clerk = Clerk(self.charter, self.council, self.voting, self.acceptor, gauge, self.rollouts)
+        self.clerk = Clerk(self.charter, self.voting, self.acceptor, gauge, self.rollouts, self.probing)
         self.desk = Desk(self.clerk.handle)
         self.duties = Duties(
             settings.node,
@@ -106,6 +124,7 @@
             self.membership,
             self.channels,
             self.council,
+            self.probing.acts,
             gauge,
             lambda items: self._changed(ROLL, items),
         )
@@ -157,6 +176,8 @@
             self.rollouts,
             self.duties,
             self.minding,
+            self.probing,
+            control_address(settings),
             self.stopping,
             self.loop.time,
         )
@@ -236,6 +257,7 @@
             return
         self.loop.call_later(TICK_S, self._tick)  # first: signs of life go on whatever is raised below
         now = self.loop.time()
+        self.probing.tick(now, time.time())  # before what goes by it
         self.channels.tick(now)
         self.rollouts.tick(now)
         self.voting.tick(now)
@@ -300,12 +322,10 @@
 
     def _frame(self, channel: Channel, head: Head) -> None:
         """Raises KeyError, TypeError or ValueError for what cannot be read."""
-        if self.duties.frame(channel, head) or self.repairing.frame(channel, head):
-            return
-        if channel.extra.get("role") != RESERVOIR:
+        known = (self.probing.frame, self.duties.frame, self.repairing.frame)
+        if any(takes(channel, head) for takes in known) or channel.extra.get("role") != RESERVOIR:
             return
         if head["t"] == "complete":
-            self.council.whole(address_of(channel), True)
             self._reach(address_of(channel), True)
         elif not any(takes(channel, head) for takes in (self.joining.frame, self.minding.frame)):
             if not self.voting.frame(channel, head):
@@ -313,7 +333,7 @@
 
     def _opened(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
-            self.council.whole(address_of(channel), bool(channel.extra.get("complete")))
+            self.probing.opened(channel)
             self._reach(address_of(channel))
             self.joining.opened(channel)
 
@@ -323,6 +343,7 @@
 
     def _closed(self, channel: Channel) -> None:
         """What a peer wrote here and may never tell as news is told from here on."""
+        self.probing.closed(channel)
         self.duties.closed(channel)
         self.repairing.closed(channel)
         if channel.extra.get("role") == RESERVOIR:
@@ -362,9 +383,16 @@
         """The settings file has changed: other seeds, other bounds for stages."""
         self.settings = self.joining.settings = self.shown.settings = settings
         self.rollouts.tune(settings.bounds.settle_ms, settings.bounds.ack_ms)
+        self.probing.tune(settings.bounds.contact_ms)
         self._know()
 
 
+def control_address(settings: Settings) -> str:
+    """Where operators call this process: others name it to a caller whom they can't serve."""
+    control = settings.ports.control
+    return f"{control[0]}:{control[1]}" if control is not None else ""
+
+
 def acceptor_of(me: str, kept: Held) -> Acceptor:
     """As its disk has it: all that its last life may have promised is refused."""
     acceptor = Acceptor(me, kept.ceiling)
--- a/waterworks/reservoir/shown.py
+++ b/waterworks/reservoir/shown.py
@@ -11,6 +11,7 @@
 from waterworks.aquifer.views import VIEW
 from waterworks.headworks.questions import Handler, Refusal, Told, common, items
 from waterworks.headworks.settings import Settings
+from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.council import Council
 from waterworks.reservoir.duties import Duties
 from waterworks.reservoir.ledger import Ledger
@@ -34,6 +35,8 @@
     rollouts: Rollouts
     duties: Duties
     minding: Minding
+    probing: Probing
+    control: str
     stopping: asyncio.Event
     steady: Callable[[], float]
 
@@ -98,21 +101,22 @@
 
 def status(shown: Shown, clock: float) -> Told:
     """How it stands. ``members``: whose disks count, by address, with zone and region; ``refused``: the
-    disk's last word where that was no, else ""; ``control``: where it takes the operator's calls; ``duties``:
+    disk's last word where that was no, else ""; ``contact``: what is proven of it, for how long it has been
+    so, and who has answered lately; ``control``: where it takes the operator's calls; ``duties``:
     who has which, under which epoch, as known here, and whether this process acts on it; ``borne``: how many
     more losses of each kind orders would go on after, -1 where they do not now."""
     settings, ledger = shown.settings, shown.ledger
-    control = settings.ports.control
     tolerance, view = settings.tolerance, shown.council.view()
     return {
         **common(settings, shown.charter, shown.roll, clock),
         "role": RESERVOIR,
         "ending": shown.stopping.is_set(),
-        "control": f"{control[0]}:{control[1]}" if control is not None else "",
+        "control": shown.control,
         "counted": settings.counted,
         "whole": ledger.whole,
         "refused": ledger.refused,
-        "in_touch": shown.council.contact(),
+        "in_touch": shown.probing.has(),
+        "contact": shown.probing.told(),
         "duties": {**shown.duties.told(), **shown.minding.told()},
         "epoch": view.epoch,
         "joint": view.joint,
