--- a/rigs/mesh_world/wire.py
+++ b/rigs/mesh_world/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +12,7 @@
 from waterworks.penstock.link import ALIVE, CONNECT_S, Link
 
 DELAY_S = 0.002
+PROBE = re.compile(rb'\d+:\{"t":"probed?",')
 
 
 class _Sock:
@@ -18,6 +20,18 @@
         pass
 
 
+class _Listening:
+    """What a process has of an address that it listens at."""
+
+    def __init__(self, wire: Wire, host: str, life: Any) -> None:
+        self._wire, self._host, self._life = wire, host, life
+
+    def close(self) -> None:
+        known = self._wire.listening.get(self._host)
+        if known is not None and known[0] is self._life:
+            del self._wire.listening[self._host]
+
+
 class End(asyncio.Transport):
     """One end of a connection, as its link sees it."""
 
@@ -70,7 +84,8 @@
         self.cut: set[tuple[str, str]] = set()  # from host, to host
         self.off: set[str] = set()  # hosts without power
         self.ends: list[End] = []
-        self.sent = 0  # frames, signs of life aside
+        self.sent = 0  # frames, signs of life and of contact aside
+        self.probes, self.probe_bytes = 0, 0  # questions and answers of contact
         self.again: dict[tuple[Any, Any], bytes] = {}  # between two lives: doubled on their next connection
 
     # What the program calls
@@ -78,7 +93,7 @@
     async def listen(self, address: tuple[str, int], make: Callable[[], Link]) -> Any:
         life = LIFE.get()
         self.listening[address[0]] = (life, make)
-        return life
+        return _Listening(self, address[0], life)
 
     async def connect(self, address: tuple[str, int], make: Callable[[], Link]) -> Link | None:
         life, host = LIFE.get(), address[0]
@@ -115,7 +130,11 @@
     def send(self, end: End, data: bytes) -> None:
         late: float | None = 0.0
         if data != ALIVE:
-            self.sent += 1
+            if PROBE.match(data):
+                self.probes += 1
+                self.probe_bytes += len(data)
+            else:
+                self.sent += 1
             end.written = data
             late = self.point(end, data)
         if late is not None and end.life.alive:
--- a/waterworks/reservoir/clerk.py
+++ b/waterworks/reservoir/clerk.py
@@ -9,6 +9,7 @@
 
 from anisestair.http import codec as http
 from waterworks.aquifer.ballot import Acceptor, Decided, Rivalled, Vote
+from waterworks.aquifer.contact import Proof
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import VIEW
 from waterworks.gauge import events
@@ -17,7 +18,7 @@
 from waterworks.manifold.decode import Change, Invalid, decode_change, label
 from waterworks.manifold.render import render
 from waterworks.penstock.desk import Answer
-from waterworks.reservoir.council import Council
+from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.rollouts import Rollouts
 from waterworks.reservoir.voting import Voting
 
@@ -66,13 +67,13 @@
     def __init__(
         self,
         charter: Store,
-        council: Council,
         voting: Voting,
         acceptor: Acceptor,
         gauge: Gauge,
         rollouts: Rollouts,
+        probing: Probing,
     ) -> None:
-        self._charter, self._council, self._voting = charter, council, voting
+        self._charter, self._voting, self._probing = charter, voting, probing
         self._acceptor, self._gauge, self._rollouts = acceptor, gauge, rollouts
         self._loop = asyncio.get_running_loop()
 
@@ -80,14 +81,25 @@
         command = decode(message)
         if isinstance(command, Unknown):
             return Answer(command.status, error("path: this address takes GET and PATCH of /configuration"))
+        wanted = Proof.READS if isinstance(command, ReadAll) else Proof.ORDERS
+        if self._probing.proof() < wanted:
+            return self._without_contact()
         if isinstance(command, Invalid):
             return self._refused(command)
         if isinstance(command, ReadAll):
             return await self._read()
         return await self._change(command, HOLD_S + HOLD_BYTE_S * len(message.body))
 
+    def _without_contact(self) -> Answer:
+        """At once: who is cut off knows neither what stands nor what is refused elsewhere, so neither 200 nor
+        4xx is its to give."""
+        elsewhere = self._probing.elsewhere()
+        if elsewhere:
+            return Answer(307, location=f"http://{elsewhere}{PATH.decode()}")
+        return self._unclear("no contact with most control processes here; another one may have it")
+
     async def _read(self) -> Answer:
-        if not self._council.contact() or not await self._voting.read(READ_S):
+        if not await self._voting.read(READ_S):
             return unclear("too few control processes answer to know the newest")
         return Answer(200, self._rendered())
 
@@ -100,8 +112,6 @@
 
     async def _change(self, change: Change, within_s: float) -> Answer:
         until = self._loop.time() + within_s
-        if not self._council.contact():
-            return self._unclear("too few control processes answer")
         writes = {(w.kind, w.name, w.version): w.value for w in change.writes}
         invalid = check(change, self._standing)
         if invalid is not None:
--- a/waterworks/reservoir/duties.py
+++ b/waterworks/reservoir/duties.py
@@ -51,14 +51,17 @@
         membership: Membership,
         channels: Channels,
         council: Council,
+        contact: Callable[[], bool],
         gauge: Gauge,
         changed: Callable[[list[Item]], None],
     ) -> None:
-        """``address``: as the members are named; ``changed`` is told of items written here."""
+        """``address``: as the members are named; ``contact``: with enough of them to act for all;
+        ``changed`` is told of items written here."""
         self._loop = asyncio.get_running_loop()
         self.node, self._address, self.spans = node, address, spans
         self._roll, self._membership, self._channels = roll, membership, channels
         self._council, self._gauge, self._changed = council, gauge, changed
+        self._contact = contact
         now = self._loop.time()
         self.turn = Turn(REAPING, node, spans.suspect_s)
         self.watch = reaping.Watch(now)
@@ -95,7 +98,7 @@
         for channel in self._channels.open:
             self.watch.heard(channel.link.heard_at, channel.node)
         names = {name for name, told in self._membership.nodes.items() if told.get("role") == RESERVOIR}
-        decided = self.turn.decide(now, names | {self.node}, self._live(now))
+        decided = self.turn.decide(now, names | {self.node}, self.live(now, self.spans.suspect_s))
         if isinstance(decided, Claim):
             item = self._roll.take(DUTY, REAPING, decided.epoch, value(self.node))
             if isinstance(item, Item):
@@ -112,14 +115,19 @@
 
     def _leave(self) -> None:
         newest = self.turn.newest
-        why = "not the first that is live" if newest.epoch == self._held else f"{newest.holder} has it"
+        if newest.epoch != self._held:
+            why = f"{newest.holder} has it"
+        elif not self._contact():
+            why = "no contact with most members"
+        else:
+            why = "not the first that is live"
         self._gauge.tell(events.DUTY_LEFT, duty=REAPING, epoch=self._held, why=why)
         self._held, self._round = 0, None
         self._kept.clear()
 
-    def _live(self, now: float) -> set[str]:
-        """Control processes that can act, as far as this one hears: this one where it has been running and in
-        touch, others that say so of themselves over a link that is alive."""
+    def live(self, now: float, awake_s: float) -> set[str]:
+        """Control processes that can act, as far as this one hears: this one where it has been running for so
+        long and is in touch, others that say so of themselves over a link that is alive."""
         found = {
             channel.node
             for channel in self._channels.open
@@ -127,7 +135,7 @@
             and channel.whole
             and now - channel.link.heard_at <= LIVELY_S
         }
-        if self._council.contact() and self.watch.awake_s(now) >= self.spans.suspect_s:
+        if self._contact() and self.watch.awake_s(now) >= awake_s:
             found.add(self.node)
         return found
 
@@ -165,6 +173,7 @@
             "epoch": epoch,
             "holder": self.node,
             "nodes": asked,
+            "e": self._council.view().epoch,
         }
         for channel in list(self._channels.open):
             if channel.extra.get("role") == RESERVOIR and channel.node not in round.waits | {self.node}:
@@ -177,7 +186,7 @@
         round = self._round
         if round is None or round.waits or now - round.began > ROUND_S:
             return
-        if not reaping.enough(round.heard, self._council.members()) or not self._council.contact():
+        if not reaping.enough(round.heard, self._council.members()) or not self._contact():
             return
         if self.turn.newest != Standing(round.epoch, self.node):
             return
@@ -221,7 +230,10 @@
         standing, nodes = read_standing(head["epoch"], {"holder": head["holder"]}), head["nodes"]
         if head["duty"] != REAPING or not isinstance(nodes, list) or len(nodes) > reaping.MOST_ASKED:
             raise ValueError("not a question of a duty that is known here")
-        if not self.turn.note(now, standing):
+        known = self._council.view().epoch
+        # Who goes by an older view may count a majority that is none any more.
+        old_view = int(head.get("e", known)) < known
+        if not self.turn.note(now, standing) or old_view:
             newest = self.turn.newest
             self._gauge.tell(events.EPOCH_OLD, duty=REAPING, epoch=standing.epoch, newest=newest.epoch)
             channel.link.send({"t": "overtaken", "epoch": newest.epoch, "holder": newest.holder})
--- a/waterworks/reservoir/fencing.py
+++ b/waterworks/reservoir/fencing.py
@@ -33,6 +33,7 @@
     done: asyncio.Future[None]
     others: frozenset[str]
     heard: set[str] = field(default_factory=set)
+    empty: set[str] = field(default_factory=set)  # those that refuse since their disks do not count
     asked: dict[str, Channel] = field(default_factory=dict)
     told: dict[str, tuple[int, int]] = field(default_factory=dict)  # top and generation, by address
     pages: dict[str, list[Any]] = field(default_factory=dict)
@@ -61,8 +62,8 @@
                     await self._ask(view, None)
                 else:
                     told = await self._ask(view, (0, 0))
-                    round = max(top for top, _ in told.values())
-                    generation = 1 + max(known for _, known in told.values())
+                    round = max((top for top, _ in told.values()), default=0)
+                    generation = 1 + max((known for _, known in told.values()), default=0)
                     await self._ask(view, (round, generation))
                     await self._acceptance.fence(round, self._council.me, generation)
                 await self._ledger.kept()
@@ -101,6 +102,10 @@
         if asking.fence is None:
             before = view if view.before is None else View(view.epoch, view.before)
             return before.overlaps(heard, tolerance)
+        if view.epoch == 1 and heard | asking.empty >= asking.others:
+            # The first start: a founder whose disk never counted has said nothing that could be counted, and
+            # each tolerated loss since leaves a whole one, if ever anything was acknowledged.
+            return True
         return fenced_by(view, heard, self._council.me, tolerance)
 
     def _check(self, asking: _Asking) -> None:
@@ -134,6 +139,10 @@
         if await self._acceptance.stands(epoch) is not None:
             mine = self._council.view()
             told: Head = {"t": "fenced", "n": number, "e": mine.epoch, "no": True}
+            if not self._ledger.whole:
+                told["empty"] = True
+                if "r" in head and head["g"]:
+                    await self._acceptance.fence(int(head["r"]), str(head["m"]), int(head["g"]))
             channel.link.send({**told, "view": self._council.view_item()} if mine.epoch > epoch else told)
             return
         acceptor = self._acceptance.acceptor
@@ -177,7 +186,12 @@
         if "view" in head:
             self._acceptance.take([unpack(fields) for fields in head["view"]], {})
         asking = self._askings.get(number)
-        if asking is None or head["e"] != asking.view.epoch or head.get("no") or who not in asking.others:
+        if asking is None or head["e"] != asking.view.epoch or who not in asking.others:
+            return
+        if head.get("no"):
+            if head.get("empty"):
+                asking.empty.add(who)
+                self._check(asking)
             return
         asking.told[who] = (int(head["top"]), int(head["g"]))
         if head.get("at", 0) != len(asking.pages[who]):
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -8,7 +8,7 @@
 import zlib
 from pathlib import Path
 
-from waterworks.aquifer.ballot import Acceptor, Decided
+from waterworks.aquifer.ballot import Acceptor
 from waterworks.aquifer.items import Item
 from waterworks.aquifer.quorum import Place
 from waterworks.aquifer.store import Store
@@ -26,14 +26,17 @@
 from waterworks.penstock.link import Link, listen
 from waterworks.reservoir.acceptance import Acceptance
 from waterworks.reservoir.clerk import Clerk
+from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.council import Council, address_of
 from waterworks.reservoir.duties import Duties
 from waterworks.reservoir.fencing import Fencing
+from waterworks.reservoir.joining import Joining
 from waterworks.reservoir.ledger import Ledger
+from waterworks.reservoir.minding import Minding
 from waterworks.reservoir.repairing import CHARTER, ROLL, Repairing
 from waterworks.reservoir.rollouts import Rollouts
 from waterworks.reservoir.safekeeping import Safekeeping
-from waterworks.reservoir.shown import answers_of
+from waterworks.reservoir.shown import Shown, answers_of
 from waterworks.reservoir.voting import Voting
 from waterworks.sluice.membership import NODE, RESERVOIR, Membership
 from waterworks.weir.reaping import above, dropped, spans
@@ -42,8 +45,6 @@
 MOST_CHARTER = 20_000  # items, dropped ones included
 MOST_ROLL = 20_000
 TICK_S = 0.1
-AGAIN_S = 0.25  # between tries to become a member whose disk counts
-JOIN_S = 2.0
 ALL = 64  # control processes that each other one asks; beyond that, the first in its order
 
 
@@ -54,7 +55,7 @@
         self.me = settings.ip
         self.peer_address = (settings.ip, settings.port_range[0])
         life = f"{settings.node}.{os.urandom(4).hex()}"
-        self.charter, self.roll = Store(life, MOST_CHARTER), Store(life, MOST_ROLL)
+        self.charter, self.roll = Store(life, MOST_CHARTER, decided=True), Store(life, MOST_ROLL)
         self.reports = Store(life, MOST_ROLL)  # one a sidecar, which the roll has an item of as well
         self.membership = Membership()
         self.tombs = Tombs()
@@ -69,12 +70,13 @@
                 "role": RESERVOIR,
                 "complete": self.ledger.whole,
                 "takes": [REPORTS],
+                "control": control_address(settings),
             },
             {"charter": self.charter, "roll": self.roll, REPORTS: self.reports},
             ALL,
             gauge,
             self._changed,
-            whole=lambda: self.council.contact(),
+            whole=lambda: self.probing.holds_all(),
             extra=lambda channel, head, _: self._frame(channel, head),
             opened=self._opened,
             closed=self._closed,
@@ -93,10 +95,26 @@
         self.voting = Voting(life, seed, self.charter, self.council, self.acceptance, gauge)
         self.fencing = Fencing(self.charter, self.ledger, self.council, self.acceptance)
         bounds = settings.bounds
+        self.probing = Probing(
+            bounds.contact_ms,
+            self.channels,
+            self.council,
+            self.ledger,
+            self.acceptance.take,
+            self.voting.open_s,
+            gauge,
+        )
+        self.council.contact = self.probing.has
         self.rollouts = Rollouts(
-            bounds.settle_ms, bounds.ack_ms, self.charter, self.membership, self.channels, gauge
+            bounds.settle_ms,
+            bounds.ack_ms,
+            self.charter,
+            self.membership,
+            self.channels,
+            gauge,
+            self.probing.has,
         )
-        self.clerk = Clerk(self.charter, self.council, self.voting, self.acceptor, gauge, self.rollouts)
+        self.clerk = Clerk(self.charter, self.voting, self.acceptor, gauge, self.rollouts, self.probing)
         self.desk = Desk(self.clerk.handle)
         self.duties = Duties(
             settings.node,
@@ -106,6 +124,7 @@
             self.membership,
             self.channels,
             self.council,
+            self.probing.acts,
             gauge,
             lambda items: self._changed(ROLL, items),
         )
@@ -124,11 +143,48 @@
             self.ledger,
             self.repairing.check_disk,
         )
-        self.questions = Questions({**answers_of(self, time.time), **safekeeping.answers()})
+        self.joining = Joining(
+            settings,
+            self.council,
+            self.acceptance,
+            self.voting,
+            self.fencing,
+            self.ledger,
+            gauge,
+            self._became_whole,
+        )
+        self.minding = Minding(
+            settings.node,
+            spans(bounds.contact_ms, settings.beat_period_ms),
+            self.roll,
+            self.membership,
+            self.council,
+            self.voting,
+            self.joining,
+            self.duties,
+            gauge,
+            lambda items: self._changed(ROLL, items),
+        )
         self.stopping = asyncio.Event()
+        self.shown = Shown(
+            settings,
+            self.charter,
+            self.roll,
+            self.ledger,
+            self.council,
+            self.membership,
+            self.rollouts,
+            self.duties,
+            self.minding,
+            self.probing,
+            control_address(settings),
+            self.stopping,
+            self.loop.time,
+        )
+        answers = {**answers_of(self.shown, time.time), **safekeeping.answers()}
+        self.questions = Questions(answers)
         self._server: asyncio.Server | None = None
         self._touched = self.loop.time()  # when there was last a link with news
-        self._joining: asyncio.Task[None] | None = None
 
     def _open_disk(self) -> Ledger:
         """Raises OSError where the disk cannot be used at all."""
@@ -176,7 +232,7 @@
         self.acceptance.spawn(self.acceptance.raise_to(first))  # ahead of the first order
         self._say_node()
         self._know()
-        self._joining = self.loop.create_task(self._join())
+        self.joining.start()
         self.loop.call_later(TICK_S, self._tick)
         self.gauge.tell(events.STARTED, role=RESERVOIR)
 
@@ -201,10 +257,12 @@
             return
         self.loop.call_later(TICK_S, self._tick)  # first: signs of life go on whatever is raised below
         now = self.loop.time()
+        self.probing.tick(now, time.time())  # before what goes by it
         self.channels.tick(now)
         self.rollouts.tick(now)
         self.voting.tick(now)
         self.duties.tick(now)
+        self.minding.tick(now)
         self.repairing.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
@@ -219,6 +277,7 @@
             self._say_node()
 
     async def stop(self) -> None:
+        await self.joining.leave()
         self.stopping.set()
         self.desk.stop()
         until = self.loop.time() + min(self.settings.bounds.grace_s * 0.5, 2.0)
@@ -228,40 +287,10 @@
             self._server.close()
         self.gauge.tell(events.ENDED)
 
-    # Members
-
-    async def _join(self) -> None:
-        """Until this machine's disk counts, as the settings say that it does."""
-        while not self.stopping.is_set():
-            left = await self._step()
-            if left is False:
-                return
-            if left is None:
-                await asyncio.sleep(AGAIN_S)
-
-    async def _step(self) -> bool | None:
-        """One step of that; whether there is another, None where this one is to be taken again."""
-        view = self.council.view()
-        if not self.settings.counted and self.me not in view.names:
-            return False
-        if not view.epoch or not (self.ledger.whole or await self.fencing.fence_and_read(JOIN_S)):
-            return None
-        if not self.ledger.whole:
-            await self.ledger.become_whole()
-            self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
-            self.council.said_complete()
-            self.channels.hello["complete"] = True
-        if self.me in view.now and view.before is None:
-            return False
-        if self.me not in view.now:
-            place = Place(self.settings.zone, self.settings.region)
-            wanted = View(view.epoch + 1, {**view.now, self.me: place}, view.now)
-        elif await self.fencing.fence_and_read(JOIN_S, fence=False):
-            wanted = View(view.epoch + 1, view.now)
-        else:
-            return None
-        writes = {(VIEW, MEMBERS, wanted.epoch): write_view(wanted)}
-        return True if isinstance(await self.voting.decide(writes, JOIN_S), Decided) else None
+    def _became_whole(self) -> None:
+        self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
+        self.council.said_complete()
+        self.channels.hello["complete"] = True
 
     # News
 
@@ -275,6 +304,7 @@
         else:
             self.membership.take(items)
             self.duties.news(items)
+            self.minding.news(items)
             self.tombs.note(self.loop.time(), items)
             if any(item.kind == NODE for item in items):
                 self._know()
@@ -292,20 +322,20 @@
 
     def _frame(self, channel: Channel, head: Head) -> None:
         """Raises KeyError, TypeError or ValueError for what cannot be read."""
-        if self.duties.frame(channel, head) or self.repairing.frame(channel, head):
-            return
-        if channel.extra.get("role") != RESERVOIR:
+        known = (self.probing.frame, self.duties.frame, self.repairing.frame)
+        if any(takes(channel, head) for takes in known) or channel.extra.get("role") != RESERVOIR:
             return
         if head["t"] == "complete":
-            self.council.whole(address_of(channel), True)
             self._reach(address_of(channel), True)
-        elif not self.voting.frame(channel, head):
-            self.fencing.frame(channel, head)
+        elif not any(takes(channel, head) for takes in (self.joining.frame, self.minding.frame)):
+            if not self.voting.frame(channel, head):
+                self.fencing.frame(channel, head)
 
     def _opened(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
-            self.council.whole(address_of(channel), bool(channel.extra.get("complete")))
+            self.probing.opened(channel)
             self._reach(address_of(channel))
+            self.joining.opened(channel)
 
     def _reach(self, address: str, anew: bool = False) -> None:
         self.voting.reach(address, anew)
@@ -313,6 +343,7 @@
 
     def _closed(self, channel: Channel) -> None:
         """What a peer wrote here and may never tell as news is told from here on."""
+        self.probing.closed(channel)
         self.duties.closed(channel)
         self.repairing.closed(channel)
         if channel.extra.get("role") == RESERVOIR:
@@ -350,11 +381,18 @@
 
     def retune(self, settings: Settings) -> None:
         """The settings file has changed: other seeds, other bounds for stages."""
-        self.settings = settings
+        self.settings = self.joining.settings = self.shown.settings = settings
         self.rollouts.tune(settings.bounds.settle_ms, settings.bounds.ack_ms)
+        self.probing.tune(settings.bounds.contact_ms)
         self._know()
 
 
+def control_address(settings: Settings) -> str:
+    """Where operators call this process: others name it to a caller whom they can't serve."""
+    control = settings.ports.control
+    return f"{control[0]}:{control[1]}" if control is not None else ""
+
+
 def acceptor_of(me: str, kept: Held) -> Acceptor:
     """As its disk has it: all that its last life may have promised is refused."""
     acceptor = Acceptor(me, kept.ceiling)
--- a/waterworks/reservoir/shown.py
+++ b/waterworks/reservoir/shown.py
@@ -3,35 +3,61 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
+from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import VIEW
 from waterworks.headworks.questions import Handler, Refusal, Told, common, items
-from waterworks.reservoir.rollouts import NAMED
-from waterworks.sluice.membership import RESERVOIR
+from waterworks.headworks.settings import Settings
+from waterworks.reservoir.contact import Probing
+from waterworks.reservoir.council import Council
+from waterworks.reservoir.duties import Duties
+from waterworks.reservoir.ledger import Ledger
+from waterworks.reservoir.minding import Minding
+from waterworks.reservoir.rollouts import NAMED, Rollouts
+from waterworks.sluice.membership import RESERVOIR, Membership
 
 MOST_SHOWN = 20  # changes, or sidecars of a first part, of one answer
 
-if TYPE_CHECKING:
-    from waterworks.reservoir.program import Reservoir
 
+@dataclass(slots=True)
+class Shown:
+    """The parts of a control process that are shown. ``steady``: the clock of its loop, in seconds."""
 
-def answers_of(reservoir: Reservoir, clock: Callable[[], float]) -> dict[str, Handler]:
+    settings: Settings
+    charter: Store
+    roll: Store
+    ledger: Ledger
+    council: Council
+    membership: Membership
+    rollouts: Rollouts
+    duties: Duties
+    minding: Minding
+    probing: Probing
+    control: str
+    stopping: asyncio.Event
+    steady: Callable[[], float]
+
+
+def answers_of(shown: Shown, clock: Callable[[], float]) -> dict[str, Handler]:
     """The questions that a control process answers. ``clock`` gives seconds since 1970."""
-    stores = {"charter": reservoir.charter, "roll": reservoir.roll}
+    stores = {"charter": shown.charter, "roll": shown.roll}
     return {
-        "status": lambda head: status(reservoir, clock()),
+        "status": lambda head: status(shown, clock()),
         "items": lambda head: items(stores, head),
-        "rollouts": lambda head: rollouts(reservoir),
-        "rollout": lambda head: rollout(reservoir, str(head["kind"]), str(head["name"])),
+        "members": lambda head: shown.minding.show(),
+        "members remove": shown.minding.remove,
+        "rollouts": lambda head: rollouts(shown),
+        "rollout": lambda head: rollout(shown, str(head["kind"]), str(head["name"])),
     }
 
 
-def rollouts(reservoir: Reservoir) -> Told:
+def rollouts(shown: Shown) -> Told:
     """The changes of late, the newest first: how many items, how many sidecars have not confirmed all of
     them, the first of these, and what the first part said."""
-    now, known = reservoir.loop.time(), reservoir.rollouts
+    now, known = shown.steady(), shown.rollouts
     told = []
     for one in list(known.rollouts)[: -MOST_SHOWN - 1 : -1]:
         names = sorted(f"{name} r{version}" for (_, name), version in one.versions.items())
@@ -47,19 +73,19 @@
                 "sound": len(one.sound),
             }
         )
-    return {"sidecars": len(reservoir.membership.draw().nodes), "rollouts": told}
+    return {"sidecars": len(shown.membership.draw().nodes), "rollouts": told}
 
 
-def rollout(reservoir: Reservoir, kind: str, name: str) -> Told | Refusal:
+def rollout(shown: Shown, kind: str, name: str) -> Told | Refusal:
     """One item as it stands: who goes by it, and who has not said so. ``word``: calls and failures by the new
     way of the first part, and by its old one."""
-    item = reservoir.charter.items.get((kind, name))
+    item = shown.charter.items.get((kind, name))
     if item is None or kind == VIEW:
         return Refusal(f"{kind} {name[:80]!r}: no such item; config get shows all")
-    lack, now = reservoir.rollouts.lacking(item.key), reservoir.loop.time()
-    heard = reservoir.rollouts.heard
-    draw = reservoir.membership.draw()
-    new, old = reservoir.rollouts.counted(item.key)
+    lack, now = shown.rollouts.lacking(item.key), shown.steady()
+    heard = shown.rollouts.heard
+    draw = shown.membership.draw()
+    new, old = shown.rollouts.counted(item.key)
     return {
         "version": item.version,
         "dropped": item.value is None,
@@ -73,26 +99,30 @@
     }
 
 
-def status(reservoir: Reservoir, clock: float) -> Told:
+def status(shown: Shown, clock: float) -> Told:
     """How it stands. ``members``: whose disks count, by address, with zone and region; ``refused``: the
-    disk's last word where that was no, else ""; ``control``: where it takes the operator's calls; ``duties``:
-    who has which, under which epoch, as known here, and whether this process acts on it."""
-    settings, ledger = reservoir.settings, reservoir.ledger
-    control = settings.ports.control
-    tolerance = settings.tolerance
+    disk's last word where that was no, else ""; ``contact``: what is proven of it, for how long it has been
+    so, and who has answered lately; ``control``: where it takes the operator's calls; ``duties``:
+    who has which, under which epoch, as known here, and whether this process acts on it; ``borne``: how many
+    more losses of each kind orders would go on after, -1 where they do not now."""
+    settings, ledger = shown.settings, shown.ledger
+    tolerance, view = settings.tolerance, shown.council.view()
     return {
-        **common(settings, reservoir.charter, reservoir.roll, clock),
+        **common(settings, shown.charter, shown.roll, clock),
         "role": RESERVOIR,
-        "ending": reservoir.stopping.is_set(),
-        "control": f"{control[0]}:{control[1]}" if control is not None else "",
+        "ending": shown.stopping.is_set(),
+        "control": shown.control,
         "counted": settings.counted,
         "whole": ledger.whole,
         "refused": ledger.refused,
-        "in_touch": reservoir.council.contact(),
-        "duties": reservoir.duties.told(),
+        "in_touch": shown.probing.has(),
+        "contact": shown.probing.told(),
+        "duties": {**shown.duties.told(), **shown.minding.told()},
+        "epoch": view.epoch,
+        "joint": view.joint,
+        "borne": shown.minding.losses(),
         "tolerates": {"machines": tolerance.machines, "zones": tolerance.zones, "regions": tolerance.regions},
         "members": {
-            address: [place.zone, place.region]
-            for address, place in sorted(reservoir.council.members().items())
+            address: [place.zone, place.region] for address, place in sorted(shown.council.members().items())
         },
     }
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -372,6 +372,11 @@
         if due:
             self._taking_up = self._loop.create_task(self._taken_up(due))
 
+    def open_s(self) -> float:
+        """For how long the oldest of the open votes has been one, as last looked at."""
+        oldest = min((self._since[n] for n in self._acceptor.votes if n in self._since), default=None)
+        return self._loop.time() - oldest if oldest is not None else 0.0
+
     async def _taken_up(self, due: list[Number]) -> None:
         try:
             self._gauge.tell(events.VOTES_TAKEN_UP, items=len(due))
@@ -459,7 +464,6 @@
     def _have(self, channel: Channel, head: Head) -> None:
         who, epoch = address_of(channel), int(head["e"])
         self.acceptance.take([unpack(fields) for fields in head["items"]], head["v"])
-        self._council.whole(who, bool(head["complete"]))
         reading = self._readings.get(head["n"])
         if reading is None:
             return
