--- a/rigs/mesh_world/seeds.py
+++ b/rigs/mesh_world/seeds.py
@@ -15,8 +15,8 @@
 from waterworks.reservoir import ledger as ledger_module
 from waterworks.reservoir.acceptance import Acceptance
 from waterworks.reservoir.contact import Probing
+from waterworks.reservoir.joining import Joining
 from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.program import Reservoir
 from waterworks.reservoir.voting import Voting
 
 
@@ -69,14 +69,11 @@
 
 
 def whole_before_it_heard_all(patch: Patch) -> None:
-    real = Reservoir._join
+    async def become(self: Joining) -> None:
+        await self._ledger.become_whole()
+        self._became_whole()
 
-    async def join(self: Reservoir) -> None:
-        self.ledger.whole = bool(self.charter.items)
-        await self.ledger.become_whole()
-        await real(self)
-
-    patch.setattr(Reservoir, "_join", join)
+    patch.setattr(Joining, "_become_whole", become)
 
 
 def both_are_confirmed(patch: Patch) -> None:
--- a/rigs/mesh_world/world.py
+++ b/rigs/mesh_world/world.py
@@ -393,7 +393,7 @@
         def all_count() -> bool:
             for machine in machines:
                 program = machine.program
-                if program is None or program._joining is None or not program._joining.done():
+                if program is None or not program.joining.settled():
                     return False
                 if not program.probing.has():
                     return False
--- a/tests/mesh/test_cistern_keeper.py
+++ b/tests/mesh/test_cistern_keeper.py
@@ -366,8 +366,8 @@
 
 
 def moving(patch: pytest.MonkeyPatch, move: Callable[[dict[bytes, bytes]], dict[bytes, bytes]]) -> None:
-    patch.setattr(keeping, "LAYOUT", 2)
-    patch.setitem(layout.MOVES, 1, move)
+    patch.setattr(keeping, "LAYOUT", layout.LAYOUT + 1)
+    patch.setitem(layout.MOVES, layout.LAYOUT, move)
 
 
 def test_an_older_layout_is_moved_on_whole_or_not_at_all(
@@ -389,7 +389,7 @@
         found = reopened(tmp_path)
         assert isinstance(found, Opened)
         assert found.rows == renamed(FIRST)
-        assert found.notes == ("moved on from layout 1 to 2",)
+        assert found.notes == (f"moved on from layout {layout.LAYOUT} to {layout.LAYOUT + 1}",)
         found = reopened(tmp_path)
         assert isinstance(found, Opened) and found.rows == renamed(FIRST) and found.notes == ()
 
--- a/waterworks/gauge/events.py
+++ b/waterworks/gauge/events.py
@@ -69,6 +69,11 @@
 CONTACT_PROVEN = _event(221, Level.INFO, "contact with most members proven", "without_ms")
 CONTROL_LOST = _event(222, Level.WARNING, "no control process with contact in reach", "links", "behind_ms")
 CONTROL_FOUND = _event(223, Level.INFO, "control process with contact in reach again", "without_ms")
+MEMBERS_CHANGED = _event(224, Level.INFO, "members agreed on", "epoch", "count", "before")
+MEMBER_STAYS = _event(225, Level.WARNING, "member that is to leave stays", "member", "why")
+LOSSES_BELOW = _event(226, Level.WARNING, "fewer losses borne than asked for", "machines", "zones", "regions")
+LOSSES_BORNE = _event(227, Level.INFO, "losses borne as asked for", "machines", "zones", "regions")
+BEGUN_ANEW = _event(228, Level.WARNING, "first start begun anew", "founders")
 
 CHANGE_TAKEN = _event(301, Level.INFO, "change decided", "items")
 CHANGE_REFUSED = _event(302, Level.WARNING, "change refused", "reason")
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -8,7 +8,7 @@
 import zlib
 from pathlib import Path
 
-from waterworks.aquifer.ballot import Acceptor, Decided
+from waterworks.aquifer.ballot import Acceptor
 from waterworks.aquifer.items import Item
 from waterworks.aquifer.quorum import Place
 from waterworks.aquifer.store import Store
@@ -30,11 +30,13 @@
 from waterworks.reservoir.council import Council, address_of
 from waterworks.reservoir.duties import Duties
 from waterworks.reservoir.fencing import Fencing
+from waterworks.reservoir.joining import Joining
 from waterworks.reservoir.ledger import Ledger
+from waterworks.reservoir.minding import Minding
 from waterworks.reservoir.repairing import CHARTER, ROLL, Repairing
 from waterworks.reservoir.rollouts import Rollouts
 from waterworks.reservoir.safekeeping import Safekeeping
-from waterworks.reservoir.shown import answers_of
+from waterworks.reservoir.shown import Shown, answers_of
 from waterworks.reservoir.voting import Voting
 from waterworks.sluice.membership import NODE, RESERVOIR, Membership
 from waterworks.weir.reaping import above, dropped, spans
@@ -43,8 +45,6 @@
 MOST_CHARTER = 20_000  # items, dropped ones included
 MOST_ROLL = 20_000
 TICK_S = 0.1
-AGAIN_S = 0.25  # between tries to become a member whose disk counts
-JOIN_S = 2.0
 ALL = 64  # control processes that each other one asks; beyond that, the first in its order
 
 
@@ -55,7 +55,7 @@
         self.me = settings.ip
         self.peer_address = (settings.ip, settings.port_range[0])
         life = f"{settings.node}.{os.urandom(4).hex()}"
-        self.charter, self.roll = Store(life, MOST_CHARTER), Store(life, MOST_ROLL)
+        self.charter, self.roll = Store(life, MOST_CHARTER, decided=True), Store(life, MOST_ROLL)
         self.reports = Store(life, MOST_ROLL)  # one a sidecar, which the roll has an item of as well
         self.membership = Membership()
         self.tombs = Tombs()
@@ -143,11 +143,48 @@
             self.ledger,
             self.repairing.check_disk,
         )
-        self.questions = Questions({**answers_of(self, time.time), **safekeeping.answers()})
+        self.joining = Joining(
+            settings,
+            self.council,
+            self.acceptance,
+            self.voting,
+            self.fencing,
+            self.ledger,
+            gauge,
+            self._became_whole,
+        )
+        self.minding = Minding(
+            settings.node,
+            spans(bounds.contact_ms, settings.beat_period_ms),
+            self.roll,
+            self.membership,
+            self.council,
+            self.voting,
+            self.joining,
+            self.duties,
+            gauge,
+            lambda items: self._changed(ROLL, items),
+        )
         self.stopping = asyncio.Event()
+        self.shown = Shown(
+            settings,
+            self.charter,
+            self.roll,
+            self.ledger,
+            self.council,
+            self.membership,
+            self.rollouts,
+            self.duties,
+            self.minding,
+            self.probing,
+            control_address(settings),
+            self.stopping,
+            self.loop.time,
+        )
+        answers = {**answers_of(self.shown, time.time), **safekeeping.answers()}
+        self.questions = Questions(answers)
         self._server: asyncio.Server | None = None
         self._touched = self.loop.time()  # when there was last a link with news
-        self._joining: asyncio.Task[None] | None = None
 
     def _open_disk(self) -> Ledger:
         """Raises OSError where the disk cannot be used at all."""
@@ -195,7 +232,7 @@
         self.acceptance.spawn(self.acceptance.raise_to(first))  # ahead of the first order
         self._say_node()
         self._know()
-        self._joining = self.loop.create_task(self._join())
+        self.joining.start()
         self.loop.call_later(TICK_S, self._tick)
         self.gauge.tell(events.STARTED, role=RESERVOIR)
 
@@ -225,6 +262,7 @@
         self.rollouts.tick(now)
         self.voting.tick(now)
         self.duties.tick(now)
+        self.minding.tick(now)
         self.repairing.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
@@ -239,6 +277,7 @@
             self._say_node()
 
     async def stop(self) -> None:
+        await self.joining.leave()
         self.stopping.set()
         self.desk.stop()
         until = self.loop.time() + min(self.settings.bounds.grace_s * 0.5, 2.0)
@@ -248,40 +287,10 @@
             self._server.close()
         self.gauge.tell(events.ENDED)
 
-    # Members
-
-    async def _join(self) -> None:
-        """Until this machine's disk counts, as the settings say that it does."""
-        while not self.stopping.is_set():
-            left = await self._step()
-            if left is False:
-                return
-            if left is None:
-                await asyncio.sleep(AGAIN_S)
-
-    async def _step(self) -> bool | None:
-        """One step of that; whether there is another, None where this one is to be taken again."""
-        view = self.council.view()
-        if not self.settings.counted and self.me not in view.names:
-            return False
-        if not view.epoch or not (self.ledger.whole or await self.fencing.fence_and_read(JOIN_S)):
-            return None
-        if not self.ledger.whole:
-            await self.ledger.become_whole()
-            self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
-            self.council.said_complete()
-            self.channels.hello["complete"] = True
-        if self.me in view.now and view.before is None:
-            return False
-        if self.me not in view.now:
-            place = Place(self.settings.zone, self.settings.region)
-            wanted = View(view.epoch + 1, {**view.now, self.me: place}, view.now)
-        elif await self.fencing.fence_and_read(JOIN_S, fence=False):
-            wanted = View(view.epoch + 1, view.now)
-        else:
-            return None
-        writes = {(VIEW, MEMBERS, wanted.epoch): write_view(wanted)}
-        return True if isinstance(await self.voting.decide(writes, JOIN_S), Decided) else None
+    def _became_whole(self) -> None:
+        self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
+        self.council.said_complete()
+        self.channels.hello["complete"] = True
 
     # News
 
@@ -295,6 +304,7 @@
         else:
             self.membership.take(items)
             self.duties.news(items)
+            self.minding.news(items)
             self.tombs.note(self.loop.time(), items)
             if any(item.kind == NODE for item in items):
                 self._know()
@@ -317,13 +327,15 @@
             return
         if head["t"] == "complete":
             self._reach(address_of(channel), True)
-        elif not self.voting.frame(channel, head):
-            self.fencing.frame(channel, head)
+        elif not any(takes(channel, head) for takes in (self.joining.frame, self.minding.frame)):
+            if not self.voting.frame(channel, head):
+                self.fencing.frame(channel, head)
 
     def _opened(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
             self.probing.opened(channel)
             self._reach(address_of(channel))
+            self.joining.opened(channel)
 
     def _reach(self, address: str, anew: bool = False) -> None:
         self.voting.reach(address, anew)
@@ -369,7 +381,7 @@
 
     def retune(self, settings: Settings) -> None:
         """The settings file has changed: other seeds, other bounds for stages."""
-        self.settings = settings
+        self.settings = self.joining.settings = self.shown.settings = settings
         self.rollouts.tune(settings.bounds.settle_ms, settings.bounds.ack_ms)
         self.probing.tune(settings.bounds.contact_ms)
         self._know()
