--- a/tests/mesh/test_contact_probing.py
+++ b/tests/mesh/test_contact_probing.py
@@ -111,6 +111,7 @@
     assert alone.probing.proof() is Proof.ORDERS
     alone.probing.closed(new)
     assert alone.probing.proof() is Proof.NONE
+    assert not alone.probing.contact.lately(0.0)  # nothing is kept of who is gone
 
 
 def test_who_asks_under_an_older_view_is_told_the_newer_one_and_takes_it() -> None:
