Refuse a rivalled order of several items although a part stands by other orders

Most calls carry a service that stands already; with it a rivalled route had 503 for good. A vote bears the tag of the order of several items that it came with, and what was decided without the rest of its order keeps it: only that makes the order unclear for good.

--- a/rigs/mesh_world/seeds.py
+++ b/rigs/mesh_world/seeds.py
@@ -38,10 +38,10 @@
 def own_counts_before_sync(patch: Patch) -> None:
     real = Acceptance.accept
 
-    async def accept(self: Acceptance, epoch: int, ballot: Any, by: Any, writes: Any) -> Any:
+    async def accept(self: Acceptance, epoch: int, ballot: Any, by: Any, writes: Any, tags: Any) -> Any:
         if ballot.proposer != self._charter.source:
-            return await real(self, epoch, ballot, by, writes)
-        changed = self.acceptor.accept(ballot, by, writes)
+            return await real(self, epoch, ballot, by, writes, tags)
+        changed = self.acceptor.accept(ballot, by, writes, tags)
         if isinstance(changed, Refusal):
             return changed
         self._ledger.mark_votes(changed)
@@ -88,11 +88,14 @@
 
     async def decide(self: Voting, writes: Any, within_s: float) -> Any:
         items, vector = self.acceptance.stamped(writes.items())
+        self._charter._decided = False
         self.acceptance._changed(self._charter.merge(items, vector))  # type: ignore[arg-type]
         return await real(self, writes, within_s)
 
     patch.setattr(Voting, "decide", decide)
-    patch.setattr(Acceptor, "settle", lambda self, number, value: bool(self.votes.pop(number, None)))
+    patch.setattr(
+        Acceptor, "settle", lambda self, number, value, whole=False: bool(self.votes.pop(number, None))
+    )
 
 
 def lower_version_overwrites(patch: Patch) -> None:
--- a/rigs/order_model.py
+++ b/rigs/order_model.py
@@ -87,7 +87,7 @@
         ]
 
     def initial(self) -> Iterable[State]:
-        empty = (0, 0, (), (), (), (), (), ())
+        empty = (0, 0, (), (), (), (), (), (), ())
         sides = tuple(Side(True, empty, empty) for _ in self.names)
         asking = tuple(("", self._cold(order), order.rounds) for order in self.size.orders)
         # Members; proposers (outcome, state, rounds left); accepts sent; ballots chosen; orders acknowledged,
@@ -118,7 +118,7 @@
         marks = [
             (
                 tuple((name in dict(frozen[5]), name in frozen[9]) for _, frozen, _ in asking),
-                tuple(name in dict(by) for _, by, _ in accepts),
+                tuple(name in dict(by) for _, by, _, _ in accepts),
                 sides[z],
             )
             for z, name in enumerate(self.names)
@@ -132,7 +132,7 @@
             (outcome, (*frozen[:5], _names(frozen[5], new), *frozen[6:9], _name_set(frozen[9], new)), rounds)
             for outcome, frozen, rounds in asking
         )
-        accepts = tuple(sorted((ballot, _names(by, new), rows) for ballot, by, rows in accepts))
+        accepts = tuple(sorted((ballot, _names(by, new), *rest) for ballot, by, *rest in accepts))
         return (sides, asking, accepts, chosen, acked, refused, (crashes, wipes))
 
     # What can happen
@@ -146,10 +146,10 @@
                 found.append(("begin", at))
             if not outcome and frozen[0][0] and frozen[1] is None:
                 found += [("prepare", at, z, ok) for z in range(len(sides)) if sides[z].whole for ok in heard]
-        for ballot, _, _ in accepts:
+        for ballot, *_ in accepts:
             found += [("accept", ballot, z, ok) for z in range(len(sides)) if sides[z].whole for ok in heard]
-        for ballot in chosen:
-            found += [("decided", ballot, z) for z in range(len(sides)) if sides[z].whole]
+        for ballot, whole in chosen:
+            found += [("decided", ballot, z, whole) for z in range(len(sides)) if sides[z].whole]
         for z, side in enumerate(sides):
             if side.whole and crashes:
                 found.append(("crash", z))
@@ -175,8 +175,9 @@
         return steps[event] if known is state and event in steps else self._after(state, event)
 
     def _after(self, state: State, event: Any) -> State:
-        sides, asking, accepts, chosen, acked, refused, left = state
-        sides, asking = list(sides), list(asking)
+        were, asked, accepts, chosen, acked, refused, left = state
+        sides: list[Any] = list(were)
+        asking: list[Any] = list(asked)
         what = event[0]
         if what == "begin":
             outcome, frozen, rounds = asking[event[1]]
@@ -192,10 +193,10 @@
             asking[at] = (outcome or ended, frozen, rounds)
             accepts = tuple(sorted({*accepts, *sent}))
         elif what == "accept":
-            _, ballot, z, heard = event
-            at = int(ballot[1][1:])
+            _, name, z, heard = event
+            at = int(name[1][1:])
             outcome, frozen, rounds = asking[at]
-            sent = next(one for one in accepts if one[0] == ballot)
+            sent = next(one for one in accepts if one[0] == name)
             key = (what, at, frozen, z, sides[z].memory, heard, sent)
             memory, frozen, found, ended = self._once(key, self._accept)
             sides[z] = _kept(sides[z], memory, ("votes", "all"))
@@ -204,7 +205,7 @@
         elif what == "decided":
             acceptor = self._acceptor(event[2], sides[event[2]])
             for number, value in acceptor.at(Ballot(*event[1])).items():
-                acceptor.settle(number, value)
+                acceptor.settle(number, value, event[3])
             sides[event[2]] = _kept(sides[event[2]], _frozen(acceptor), ())
         elif what == "news":
             giver, taker = (
@@ -222,7 +223,7 @@
             sides[event[1]] = side._replace(memory=_restarted(side.disk))
         elif what == "wipe":
             left = (left[0], left[1] - 1)
-            empty = (0, 0, (), (), (), (), (), ())
+            empty = (0, 0, (), (), (), (), (), (), ())
             sides[event[1]] = Side(False, empty, empty, ((), (), ()))
         else:
             self._back(what, event[1], event[2], sides)
@@ -252,18 +253,20 @@
         if not isinstance(step, Accept):
             return _frozen(acceptor), _freeze(proposer), (), _ended(step)
         rows = tuple(sorted((n, LETTERS[digest_of(v)]) for n, v in step.writes.items()))
-        sent = ((step.ballot.round, step.ballot.proposer), tuple(sorted(step.by.items())), rows)
+        ballot, tags = (step.ballot.round, step.ballot.proposer), tuple(sorted(step.tags.items()))
+        sent = (ballot, tuple(sorted(step.by.items())), rows, tags)
         return _frozen(acceptor), _freeze(proposer), (sent,), ""
 
     def _accept(self, at: int, frozen: Any, z: int, memory: Any, heard: bool, sent: Any) -> tuple[Any, ...]:
         """As above, with the ballot that was chosen by it."""
-        ballot, by, rows = sent
+        ballot, by, rows, tags = sent
         proposer, acceptor = self._warm(at, frozen), _acceptor(self.names[z], memory)
-        answer = acceptor.accept(Ballot(*ballot), dict(by), {n: CONTENTS[letter] for n, letter in rows})
+        writes = {number: CONTENTS[letter] for number, letter in rows}
+        answer = acceptor.accept(Ballot(*ballot), dict(by), writes, dict(tags))
         if not heard or isinstance(answer, Refusal):
             return _frozen(acceptor), frozen, (), ""
         chosen = proposer.accepted(self.names[z], 1, Ballot(*ballot))
-        found = ((chosen.ballot.round, chosen.ballot.proposer),) if chosen is not None else ()
+        found = ((ballot, chosen.whole),) if chosen is not None else ()
         return _frozen(acceptor), _freeze(proposer), found, _ended(proposer.outcome() if found else None)
 
     def _acceptor(self, z: int, side: Side) -> Acceptor:
@@ -291,8 +294,10 @@
         for (kind, key), (version, value) in other.decided.items():
             back.settle((kind, key, version), value)
         for (kind, key), digests in other.past.items():
-            for version, digest in digests.items():
-                back.told((kind, key, version), Settled(digest))
+            for version, told in digests.items():
+                digest, _, tag = told.partition("/")
+                back.told((kind, key, version), Settled(digest, tag=tag))
+        back.tags.update(other.tags)
         for number, vote in other.votes.items():
             held = back.state(number)
             if held is None or (isinstance(held, Vote) and held.ballot < vote.ballot):
@@ -315,8 +320,8 @@
                 yield Violation("one content", f"{number}: {sorted(contents)} are both acknowledged")
             states = [self._once(("state", number, side.memory), _state) for side in sides]
             known = {letter for what, _, letter in states if what == "settled"}
-            for ballot, _, rows in accepts:
-                if ballot in chosen:
+            for ballot, _, rows, _ in accepts:
+                if ballot in dict(chosen):
                     known |= {letter for told, letter in rows if told == number}
             if len(known) > 1:
                 yield Violation("one decision", f"{number} is decided as {sorted(known)}")
@@ -392,18 +397,19 @@
         tuple(sorted((key, tuple(sorted(digests.items()))) for key, digests in one.past.items() if digests)),
         tuple(sorted(one.unknown.items())),
         tuple(sorted(one.generations.items())),
+        tuple(sorted(one.tags.items())),
     )
 
 
 def _acceptor(name: str, frozen: tuple[Any, ...]) -> Acceptor:
-    floor, ceiling, promises, votes, decided, past, unknown, generations = frozen
+    floor, ceiling, promises, votes, decided, past, unknown, generations, tags = frozen
     one = Acceptor(name)
     one.floor, one.ceiling = floor, ceiling
     one.promises = {number: Ballot(*ballot) for number, ballot in promises}
-    one.votes = {number: Vote(Ballot(*ballot), CONTENTS[letter]) for number, ballot, letter in votes}
+    one.votes = {n: Vote(Ballot(*ballot), CONTENTS[letter], tag) for n, ballot, letter, tag in votes}
     one.decided = {key: (version, CONTENTS[letter]) for key, version, letter in decided}
     one.past = {key: dict(digests) for key, digests in past}
-    one.unknown, one.generations = dict(unknown), dict(generations)
+    one.unknown, one.generations, one.tags = dict(unknown), dict(generations), dict(tags)
     return one
 
 
@@ -416,8 +422,8 @@
 
 
 def _renamed(side: Side, new: Mapping[str, str]) -> Side:
-    memory = (*side.memory[:7], _names(side.memory[7], new))
-    disk = (*side.disk[:7], _names(side.disk[7], new)) if side.disk else ()
+    memory = (*side.memory[:7], _names(side.memory[7], new), side.memory[8])
+    disk = (*side.disk[:7], _names(side.disk[7], new), side.disk[8]) if side.disk else ()
     fence: tuple[Any, ...] = ()
     if side.fence:
         tops, raised_to, raised = side.fence
@@ -439,7 +445,7 @@
         (one.ballot.round, one.ballot.proposer),
         None if accept is None else tuple(sorted((n, LETTERS[digest_of(v)]) for n, v in writes.items())),
         tuple(sorted(one.settled.items())),
-        one.sent_own,
+        tuple(sorted(one._in_force)),
         one._knew,
         tuple(sorted(one._promises.items())) if accept is None else (),  # looked at until an accept goes out
         _frozen_votes(one._votes) if accept is None else (),
@@ -452,21 +458,22 @@
 def _frozen_votes(votes: Mapping[Number, Vote]) -> tuple[Any, ...]:
     return tuple(
         sorted(
-            (n, (v.ballot.round, v.ballot.proposer), LETTERS[digest_of(v.value)]) for n, v in votes.items()
+            (n, (v.ballot.round, v.ballot.proposer), LETTERS[digest_of(v.value)], v.tag)
+            for n, v in votes.items()
         )
     )
 
 
 def _thaw(one: Proposer, frozen: tuple[Any, ...], view: View) -> Proposer:
-    ballot, accept, settled, sent, knew, promises, votes, blank, found, have = frozen
+    ballot, accept, settled, part, knew, promises, votes, blank, found, have = frozen
     one.ballot, one.view = Ballot(*ballot), view
-    one.settled, one.sent_own, one._knew = dict(settled), sent, knew
+    one.settled, one._in_force, one._knew = dict(settled), set(part), knew
     one._promises = dict(promises)
-    one._votes = {n: Vote(Ballot(*b), CONTENTS[letter]) for n, b, letter in votes}
+    one._votes = {n: Vote(Ballot(*b), CONTENTS[letter], tag) for n, b, letter, tag in votes}
     one._blank, one._own_found, one._have = set(blank), found, set(have)
     if accept is not None:
         writes: Mapping[Number, Value] = {number: CONTENTS[letter] for number, letter in accept}
-        one._accept = Accept(one.ballot, view.epoch, dict(one._promises), writes)
+        one._accept = Accept(one.ballot, view.epoch, dict(one._promises), writes, {})
     return one
 
 
--- a/tests/mesh/test_ballot.py
+++ b/tests/mesh/test_ballot.py
@@ -68,7 +68,7 @@
             have = [
                 name
                 for name, one in acceptors.items()
-                if not isinstance(one.accept(step.ballot, step.by, step.writes), Refusal)
+                if not isinstance(one.accept(step.ballot, step.by, step.writes, step.tags), Refusal)
             ]
             if any([proposer.accepted(name, step.epoch, step.ballot) for name in have]):
                 for held in acceptors.values():
@@ -221,7 +221,7 @@
     acceptors, among = cores(3), view("a", "b", "c")
     acceptors["a"].accept(Ballot(1, "o"), {}, {ONE: X})
     proposer = Proposer("p", {ONE: Y, TWO: Y}, LOSS)
-    assert play(proposer, acceptors, among, 2) == Rivalled(ONE) and not proposer.sent_own
+    assert play(proposer, acceptors, among, 2) == Rivalled(ONE)
     assert all(("route", "b") not in one.decided and not one.votes for one in acceptors.values())
 
 
@@ -234,11 +234,30 @@
     assert play(proposer, some, among) is None
     assert isinstance(proposer.gave_up(), Unclear)
     assert play(Proposer("p", {ONE: Y, TWO: Y}, LOSS), acceptors, among, 9) == Rivalled(ONE)
-    acceptors["c"].accept(Ballot(20, "o"), {}, {TWO: Y})
-    outcome = play(Proposer("p", {ONE: Y, TWO: Y}, LOSS), acceptors, among, 30)
+    tag = Proposer("o", {ONE: Y, TWO: Y}, LOSS)._tag
+    acceptors["c"].accept(Ballot(20, "o"), {}, {TWO: Y})  # with another order
+    assert play(Proposer("p", {ONE: Y, TWO: Y}, LOSS), acceptors, among, 30) == Rivalled(ONE)
+    acceptors["c"].accept(Ballot(40, "o"), {}, {TWO: Y}, {TWO: tag})
+    outcome = play(Proposer("p", {ONE: Y, TWO: Y}, LOSS), acceptors, among, 50)
     assert isinstance(outcome, Unclear) and "route 'a' r5" in outcome.reason
 
 
+def test_a_part_that_was_decided_with_an_order_stays_known_and_one_of_another_order_does_not_count() -> None:
+    acceptors, among = cores(3), view("a", "b", "c")
+    order = {ONE: Y, TWO: Y}
+    tag = Proposer("o", order, LOSS)._tag
+    acceptors["a"].accept(Ballot(1, "o"), {}, order, dict.fromkeys(order, tag))
+    for one in acceptors.values():
+        one.settle(ONE, X)
+    assert play(Proposer("a", {TWO: None}, LOSS, adopts=True), acceptors, among, 2) == Decided()
+    assert isinstance(play(Proposer("p", order, LOSS), acceptors, among, 3), Unclear)
+    for one in acceptors.values():
+        one.settle(("route", "b", 2), X)  # overtaken, and known still
+    assert isinstance(play(Proposer("p", order, LOSS), acceptors, among, 5), Unclear)
+    other = {ONE: Y, ("route", "b", 2): X}
+    assert play(Proposer("p", other, LOSS), acceptors, among, 7) == Rivalled(ONE)
+
+
 def test_an_order_that_lost_all_its_numbers_is_rivalled() -> None:
     acceptors, among = cores(3), view("a", "b", "c")
     for one in acceptors.values():
@@ -276,7 +295,7 @@
     assert proposer.accepted("a", 1, told.ballot) is None
     assert proposer.accepted("a", 1, told.ballot) is None
     assert proposer.accepted("b", 0, told.ballot) is None
-    assert proposer.accepted("c", 1, told.ballot) == Chosen(told.ballot, {ONE: X})
+    assert proposer.accepted("c", 1, told.ballot) == Chosen(told.ballot, {ONE: X}, True)
 
 
 def test_a_ballot_ends_once_too_many_refuse_and_the_next_goes_above() -> None:
@@ -290,7 +309,8 @@
     acceptors, among = cores(4), view("a", "b", "c", "d")
     half = {name: acceptors[name] for name in "ab"}
     proposer = Proposer("p", {ONE: X}, LOSS)
-    assert play(proposer, half, among) is None and proposer.sent_own
+    assert play(proposer, half, among) is None
+    assert all(one.votes for one in half.values())
     assert play(Proposer("p", {ONE: X}, LOSS), acceptors, among, 9) == Decided()
 
 
--- a/tests/mesh/test_order_model.py
+++ b/tests/mesh/test_order_model.py
@@ -47,7 +47,7 @@
     patch.setattr(Acceptor, "accept", _takes_all)
 
 
-def _takes_all(self: Acceptor, ballot: Any, by: Any, writes: Any) -> Any:
+def _takes_all(self: Acceptor, ballot: Any, by: Any, writes: Any, tags: Any) -> Any:
     for number, value in writes.items():
         self.decided[number[:2]] = (number[2], value)
     return list(writes)
@@ -56,18 +56,18 @@
 def merge_turns_equal_versions_over(patch: Patch) -> None:
     """As it was shipped: what is taken is in force at once, and equal versions are settled by their bytes."""
 
-    def accept(self: Acceptor, ballot: Any, by: Any, writes: Any) -> Any:
-        changed = ACCEPT(self, ballot, by, writes)
+    def accept(self: Acceptor, ballot: Any, by: Any, writes: Any, tags: Any) -> Any:
+        changed = ACCEPT(self, ballot, by, writes, tags)
         if not isinstance(changed, Refusal):
             for number, value in writes.items():
                 self.settle(number, value)
         return changed
 
-    def settle(self: Acceptor, number: Any, value: Any) -> bool:
+    def settle(self: Acceptor, number: Any, value: Any, whole: bool = False) -> bool:
         version, held = self.decided.get(number[:2], (-1, None))
         if version == number[2] and str(value) > str(held):
             self.decided[number[:2]] = (version, value)
-        return SETTLE(self, number, value)
+        return SETTLE(self, number, value, whole)
 
     patch.setattr(Acceptor, "accept", accept)
     patch.setattr(Acceptor, "settle", settle)
@@ -113,7 +113,9 @@
 
 
 def promises_of_a_lost_disk_count(patch: Patch) -> None:
-    patch.setattr(Acceptor, "accept", lambda self, ballot, by, writes: ACCEPT(self, ballot, {}, writes))
+    patch.setattr(
+        Acceptor, "accept", lambda self, ballot, by, writes, tags: ACCEPT(self, ballot, {}, writes, tags)
+    )
 
 
 def the_lowest_ballot_is_taken_up(patch: Patch) -> None:
@@ -157,10 +159,10 @@
 
 
 def a_part_of_an_order_is_accepted(patch: Patch) -> None:
-    def accept(self: Acceptor, ballot: Any, by: Any, writes: Any) -> Any:
+    def accept(self: Acceptor, ballot: Any, by: Any, writes: Any, tags: Any) -> Any:
         changed = []
         for number, value in writes.items():
-            one = ACCEPT(self, ballot, by, {number: value})
+            one = ACCEPT(self, ballot, by, {number: value}, tags)
             changed += [] if isinstance(one, Refusal) else one
         return changed
 
@@ -168,10 +170,10 @@
 
 
 def what_is_decided_otherwise_is_accepted(patch: Patch) -> None:
-    def accept(self: Acceptor, ballot: Any, by: Any, writes: Any) -> Any:
+    def accept(self: Acceptor, ballot: Any, by: Any, writes: Any, tags: Any) -> Any:
         for number in writes:
             self.decided.pop(number[:2], None)
-        return ACCEPT(self, ballot, by, writes)
+        return ACCEPT(self, ballot, by, writes, tags)
 
     patch.setattr(Acceptor, "accept", accept)
 
--- a/waterworks/aquifer/ballot.py
+++ b/waterworks/aquifer/ballot.py
@@ -38,19 +38,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Vote:
-    """Accepted here, not known to be decided."""
+    """Accepted here, not known to be decided. ``tag``: of the order of several items that it came with."""
 
     ballot: Ballot
     value: Value
+    tag: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Settled:
-    """Decided, by the digest of its content. ``has``: and ``value`` is the content, which stands there."""
+    """Decided, by the digest of its content. ``has``: and ``value`` is the content, which stands there.
+    ``tag``: of the order of several items that it came with, where not all of them were decided with it."""
 
     digest: str
     has: bool = False
     value: Value = None
+    tag: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +106,8 @@
         self.promises: dict[Number, Ballot] = {}
         self.votes: dict[Number, Vote] = {}
         self.decided: dict[Key, tuple[int, Value]] = {}  # the highest version decided, by key
-        self.past: dict[Key, dict[int, str]] = {}  # digests of decided versions below that
+        self.past: dict[Key, dict[int, str]] = {}  # digests of decided versions below that, with /tag if any
+        self.tags: dict[Number, str] = {}  # of what stands, see Settled
         self.unknown: dict[Key, int] = {}  # versions up to this may have been decided, and nobody can say
         self._forgotten_to = forgotten_to
 
@@ -114,10 +118,11 @@
         key = (kind, name)
         standing = self.decided.get(key)
         if standing is not None and standing[0] == version:
-            return Settled(digest_of(standing[1]), True, standing[1])
+            return Settled(digest_of(standing[1]), True, standing[1], self.tags.get(number, ""))
         past = self.past.get(key, {})
         if version in past:
-            return Settled(past[version])
+            digest, _, tag = past[version].partition("/")
+            return Settled(digest, tag=tag)
         if version <= max(self._forgotten_to(key), self.unknown.get(key, -1)):
             return Forgotten()
         if len(past) >= MOST_PAST and version < min(past):
@@ -159,10 +164,15 @@
         return Promised(states, self.generations.get(self.name, 0))
 
     def accept(
-        self, ballot: Ballot, by: Mapping[str, int], writes: Mapping[Number, Value]
+        self,
+        ballot: Ballot,
+        by: Mapping[str, int],
+        writes: Mapping[Number, Value],
+        tags: Mapping[Number, str] | None = None,
     ) -> list[Number] | Refusal:
         """The numbers whose votes are to be on disk before this is said. ``by``: the generations of those
         whose promises the proposer goes by: the promise of a disk that was lost since binds nobody."""
+        tags = tags or {}
         refusal = self._refusal(ballot, writes)
         if refusal is not None:
             return refusal
@@ -180,7 +190,7 @@
         if len(self.votes) + sum(number not in self.votes for number in changed) > MOST_VOTES:
             return Refusal(0, f"{MOST_VOTES} votes are open")
         for number in changed:
-            self.votes[number] = Vote(ballot, writes[number])
+            self.votes[number] = Vote(ballot, writes[number], tags.get(number, ""))
             self.promises.pop(number, None)  # the vote refuses what is below it
         return changed
 
@@ -204,11 +214,15 @@
         """What was accepted under that ballot and is still open."""
         return {number: vote.value for number, vote in self.votes.items() if vote.ballot == ballot}
 
-    def settle(self, number: Number, value: Value) -> bool:
-        """It is known to be decided; whether there is more to be put on disk than the item."""
+    def settle(self, number: Number, value: Value, whole: bool = False) -> bool:
+        """It is known to be decided; whether there is more to be put on disk than the item. ``whole``: all of
+        the order that it came with is."""
         kind, name, version = number
         key = (kind, name)
-        voted = self.votes.pop(number, None) is not None
+        vote = self.votes.pop(number, None)
+        voted = vote is not None
+        if vote is not None and vote.tag and not whole and digest_of(vote.value) == digest_of(value):
+            self.tags[number] = vote.tag
         self.promises.pop(number, None)
         standing = self.decided.get(key)
         if standing is None or version > standing[0]:
@@ -230,15 +244,16 @@
         elif not (here is None or isinstance(here, Vote)) or standing is None or version > standing[0]:
             return False
         else:
-            self._passed(key, version, state.digest)
+            self._passed(key, version, f"{state.digest}/{state.tag}" if state.tag else state.digest)
         self.votes.pop(number, None)
         return True
 
     def _passed(self, key: Key, version: int, digest: str) -> bool:
         past = self.past.setdefault(key, {})
+        tag = self.tags.pop((*key, version), "")
         if version in past:
             return False
-        past[version] = digest
+        past[version] = f"{digest}/{tag}" if tag else digest
         while len(past) > MOST_PAST:
             del past[min(past)]
         return True
@@ -247,6 +262,8 @@
         """Its drop is forgotten, up to ``forgotten_to``."""
         for known in (self.decided, self.past, self.unknown):
             known.pop(key, None)
+        for number in [number for number in self.tags if number[:2] == key]:
+            del self.tags[number]
 
     # A disk that was lost
 
@@ -280,14 +297,16 @@
     epoch: int
     by: Mapping[str, int]
     writes: Mapping[Number, Value]
+    tags: Mapping[Number, str]
 
 
 @dataclass(frozen=True, slots=True)
 class Chosen:
-    """Decided by this proposer, and not told yet."""
+    """Decided by this proposer, and not told yet. ``whole``: with it, all of the order is."""
 
     ballot: Ballot
     writes: Mapping[Number, Value]
+    whole: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -335,17 +354,18 @@
         self.settled: dict[Number, str] = {}  # numbers that are decided, by digest
         self.contents: dict[Number, Value] = {}  # of those, as far as it was told
         self.forgotten: set[Number] = set()  # of which nobody can know
-        self.sent_own = False  # an accept of its own contents has gone out
         self.view = View(0, {})
         self.ballot = Ballot(0, "")
         self._digests = {} if adopts else {number: digest_of(value) for number, value in writes.items()}
+        self._tag = _tag_of(self._digests) if len(self._digests) > 1 else ""
+        self._in_force: set[Number] = set()  # numbers that were decided as a part of this order
         self._seen = 0  # highest round told of
         self._knew = False  # this ballot began with a rival known to be decided
         self._promises: dict[str, int] = {}  # by member: its generation
         self._refused: set[str] = set()
         self._votes: dict[Number, Vote] = {}  # the highest of each, as promisers told
         self._blank: set[Number] = set()  # of what it adopts: nobody of a quorum holds anything
-        self._own_found = False  # somebody holds a content of this order
+        self._own_found = False  # somebody holds a vote that came with this order
         self._accept: Accept | None = None
         self._have: set[str] = set()
 
@@ -370,6 +390,8 @@
                 continue
             if isinstance(state, Settled):
                 self.settled[number] = state.digest
+                if state.tag and state.tag == self._tag:
+                    self._in_force.add(number)
                 if state.has:
                     self.contents[number] = state.value
             elif isinstance(state, Forgotten):
@@ -383,7 +405,7 @@
         return self._go_on()
 
     def _note(self, number: Number, vote: Vote) -> None:
-        self._own_found |= not self.adopts and self._same(number, vote.value)
+        self._own_found |= bool(vote.tag) and vote.tag == self._tag
         held = self._votes.get(number)
         if held is None or vote.ballot > held.ballot:
             self._votes[number] = vote
@@ -393,34 +415,37 @@
             # Where a quorum holds nothing, nothing was chosen, and there is nothing to be brought to an end.
             self._blank = {number for number in self._open() if number not in self._votes}
             taken = {number: self._votes[number].value for number in self._open()}
-            return self._propose(taken) if taken else Decided()
+            return self._propose(taken, self._told_tags(taken)) if taken else Decided()
         rival = self._rival()
         if rival is not None:
             return self._lost(rival)
         votes = {n: v.value for n, v in self._votes.items() if n not in self.settled}
         others = {n: value for n, value in votes.items() if not self._same(n, value)}
         if others:  # alone: nothing of this order may be accepted while it may lose
-            return self._propose(others)
+            return self._propose(others, self._told_tags(others))
         own = {number: self.writes[number] for number in self._open()}
         if not own:
             return Decided()
-        self.sent_own = True
-        return self._propose(own)
+        return self._propose(own, dict.fromkeys(own, self._tag) if self._tag else {})
 
     def _lost(self, rival: Number) -> Again | Rivalled | Unclear | None:
         lost = self._lost_numbers()
         if len(lost) == len(self.writes):
             return Rivalled(rival)
-        if self.sent_own or self._own_found or len(lost) < len(self.settled):
+        if self._own_found or self._in_force:
             return Unclear(f"another order has {named(rival)}, and a part of this one may be in force")
         if not self._knew:
             return Again(0, "another order has a number of this one")
-        # All have promised a ballot that began when the rival was decided, and hold nothing of this order:
-        # whoever proposes the order hereafter meets the rival before it can send an accept.
+        # All have promised a ballot that began when the rival was decided, and hold no vote of this order:
+        # whoever proposes the order hereafter meets the rival before it can send an accept. What is decided
+        # as it was sent came with other orders.
         return Rivalled(rival) if self.view.names <= self._promises.keys() else None
 
-    def _propose(self, writes: Mapping[Number, Value]) -> Accept:
-        self._accept = Accept(self.ballot, self.view.epoch, dict(self._promises), dict(writes))
+    def _told_tags(self, numbers: Iterable[Number]) -> dict[Number, str]:
+        return {number: tag for number in numbers if (tag := self._votes[number].tag)}
+
+    def _propose(self, writes: Mapping[Number, Value], tags: Mapping[Number, str]) -> Accept:
+        self._accept = Accept(self.ballot, self.view.epoch, dict(self._promises), dict(writes), tags)
         return self._accept
 
     def accepted(self, who: str, epoch: int, ballot: Ballot) -> Chosen | None:
@@ -435,7 +460,7 @@
         writes = self._accept.writes
         self.settled.update((number, digest_of(value)) for number, value in writes.items())
         self.contents.update(writes)
-        return Chosen(self.ballot, writes)
+        return Chosen(self.ballot, writes, not self.adopts and isinstance(self.outcome(), Decided))
 
     def refused(self, who: str, ballot: Ballot, refusal: Refusal) -> Again | None:
         """``Again`` once so many have refused that this ballot can't go through."""
@@ -488,6 +513,12 @@
         return [n for n, digest in self.settled.items() if digest != self._digests[n]]
 
 
+def _tag_of(digests: Mapping[Number, str]) -> str:
+    """Of an order: the same whoever is sent it."""
+    told = msgspec.json.encode(sorted(digests.items()))
+    return blake2b(told, digest_size=8).hexdigest()
+
+
 def named(number: Number) -> str:
     """For people."""
     return f"{number[0]} {number[1][:60]!r} r{number[2]}"
--- a/waterworks/cistern/layout.py
+++ b/waterworks/cistern/layout.py
@@ -108,8 +108,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Past:
-    """Of one key: digests of decided versions below the one that stands, and the version up to which nobody
-    can know, or -1."""
+    """Of one key: digests of decided versions below the one that stands, with /tag where they have one, and
+    of that one its /tag alone; and the version up to which nobody can know, or -1."""
 
     key: Key
     unknown: int
@@ -153,7 +153,7 @@
 
 def pack_vote(number: Number, vote: Vote) -> tuple[bytes, bytes]:
     """The row of an open vote: number, ballot and content."""
-    told = [*number, vote.ballot.round, vote.ballot.proposer, vote.value]
+    told = [*number, vote.ballot.round, vote.ballot.proposer, vote.value, vote.tag]
     return vote_key(number), msgspec.json.encode(told)
 
 
@@ -219,8 +219,8 @@
         elif key in (_VECTOR, _WHOLE, _CEILING, _GENERATIONS):
             continue
         elif key.startswith(_VOTE):
-            kind, name, version, round, proposer, content = _read(key, value, _VoteRow)
-            votes[kind, name, version] = Vote(Ballot(round, proposer), content)
+            kind, name, version, round, proposer, content, tag = _read(key, value, _VoteRow)
+            votes[kind, name, version] = Vote(Ballot(round, proposer), content, tag)
         elif key.startswith(_PAST):
             kind, name, unknown, digests = _read(key, value, _PastRow)
             past.append(Past((kind, name), unknown, digests))
@@ -237,7 +237,7 @@
     )
 
 
-_VoteRow = tuple[str, str, int, int, str, dict[str, Any] | None]
+_VoteRow = tuple[str, str, int, int, str, dict[str, Any] | None, str]
 _PastRow = tuple[str, str, int, dict[int, str]]
 
 
--- a/waterworks/reservoir/acceptance.py
+++ b/waterworks/reservoir/acceptance.py
@@ -98,7 +98,12 @@
         self.acceptor.raised(ceiling)
 
     async def accept(
-        self, epoch: int, ballot: Ballot, by: Mapping[str, int], writes: Mapping[Number, Value]
+        self,
+        epoch: int,
+        ballot: Ballot,
+        by: Mapping[str, int],
+        writes: Mapping[Number, Value],
+        tags: Mapping[Number, str],
     ) -> Refusal | None:
         """None once it is on disk."""
         refusal = await self.stands(epoch)
@@ -107,7 +112,7 @@
         for (kind, _, _), value in writes.items():
             if kind == VIEW and value is not None and "before" not in value and not self.level():
                 return Refusal(0, "it is not level")
-        changed = self.acceptor.accept(ballot, by, writes)
+        changed = self.acceptor.accept(ballot, by, writes, tags)
         if isinstance(changed, Refusal):
             return changed
         self._ledger.mark_votes(changed)
@@ -122,13 +127,13 @@
 
     # What is decided
 
-    def take(self, items: Sequence[Item], vector: Mapping[str, int]) -> None:
-        """Decided items, whoever stamped them."""
+    def take(self, items: Sequence[Item], vector: Mapping[str, int], whole: bool = False) -> None:
+        """Decided items, whoever stamped them. ``whole``: with all of the order that they came with."""
         changed = self._charter.merge(items, vector)
         if isinstance(changed, Full):
             self._gauge.tell(events.STATE_FULL, reason=changed.reason)
             return
-        self._settle(items)
+        self._settle(items, whole)
         if changed:
             self._changed(changed)
 
@@ -144,7 +149,7 @@
 
     def took(self, items: Sequence[Item]) -> None:
         """Items of the charter have changed, by whatever way: all that comes there is decided."""
-        self._settle(items)
+        self._settle(items, False)
         self._ledger.mark(items)
         if any(item.kind == VIEW for item in items):
             self.viewed()
@@ -154,9 +159,11 @@
         if self.acceptor.told(number, state):
             self._ledger.mark_settled([number])
 
-    def _settle(self, items: Iterable[Item]) -> None:
+    def _settle(self, items: Iterable[Item], whole: bool) -> None:
         told = [((item.kind, item.name, item.version), item.value) for item in items]
-        self._ledger.mark_settled([number for number, value in told if self.acceptor.settle(number, value)])
+        self._ledger.mark_settled(
+            [number for number, value in told if self.acceptor.settle(number, value, whole)]
+        )
 
     # Frames
 
@@ -171,9 +178,10 @@
             rows = self._page(channel, head)
             if rows is not None:
                 writes = {read_number(row): row[3] for row in rows}
+                tags = {read_number(row): str(row[4]) for row in rows if len(row) > 4}
                 if any(not (value is None or isinstance(value, dict)) for value in writes.values()):
                     raise ValueError("a content is an object, or null where the item is dropped")
-                self.spawn(self._proposed(channel, head, read_ballot(head["b"]), writes))
+                self.spawn(self._proposed(channel, head, read_ballot(head["b"]), writes, tags))
         elif kind == "decided":
             self._told_decided(head)
         else:
@@ -204,7 +212,7 @@
         decided = sorted(self.acceptor.at(read_ballot(head["b"])).items(), key=lambda one: one[0])
         if len(decided) == head["of"]:
             items = [Item(*number, value, source, first + at) for at, (number, value) in enumerate(decided)]
-            self.take(items, {})
+            self.take(items, {}, bool(head.get("whole")))
         elif decided:  # some were decided otherwise meanwhile, or were so before
             self.take(*self.stamped(decided))
 
@@ -224,10 +232,15 @@
         channel.link.send({**told, "s": msgspec.Raw(packed)})
 
     async def _proposed(
-        self, channel: Channel, head: Head, ballot: Ballot, writes: Mapping[Number, Value]
+        self,
+        channel: Channel,
+        head: Head,
+        ballot: Ballot,
+        writes: Mapping[Number, Value],
+        tags: Mapping[Number, str],
     ) -> None:
         by = {str(name): int(generation) for name, generation in head["by"].items()}
-        refusal = await self.accept(int(head["e"]), ballot, by, writes)
+        refusal = await self.accept(int(head["e"]), ballot, by, writes, tags)
         if refusal is not None:
             self._refuse(channel, head, refusal)
         else:
@@ -271,18 +284,19 @@
 def write_state(state: State, full: bool) -> list[Any]:
     """``full``: with the content of what stands."""
     if isinstance(state, Vote):
-        return ["v", *write_ballot(state.ballot), state.value]
+        return ["v", *write_ballot(state.ballot), state.value, state.tag]
     if isinstance(state, Settled):
-        return ["d", state.digest, state.value] if full and state.has else ["d", state.digest]
+        told = ["d", state.digest, state.tag]
+        return [*told, state.value] if full and state.has else told
     return ["f"]
 
 
 def read_state(told: Sequence[Any]) -> State:
     """Raises TypeError or ValueError for what is none."""
     if told[0] == "v":
-        return Vote(read_ballot(told[1:3]), told[3])
+        return Vote(read_ballot(told[1:3]), told[3], str(told[4]))
     if told[0] == "d":
-        return Settled(str(told[1]), len(told) > 2, told[2] if len(told) > 2 else None)
+        return Settled(str(told[1]), len(told) > 3, told[3] if len(told) > 3 else None, str(told[2]))
     if told[0] == "f":
         return Forgotten()
     raise ValueError(f"a state {told[0]!r}")
--- a/waterworks/reservoir/fencing.py
+++ b/waterworks/reservoir/fencing.py
@@ -156,13 +156,14 @@
         lack = self._charter.lacking(head["v"], 2 * self._charter.most)
         rows: list[Any] = [["i", *pack(item)] for item in lack.items]
         rows += [
-            ["v", *number_, *write_ballot(vote.ballot), vote.value]
+            ["v", *number_, *write_ballot(vote.ballot), vote.value, vote.tag]
             for number_, vote in acceptor.votes.items()
         ]
         rows += [
             ["p", *key, acceptor.unknown.get(key, -1), acceptor.past.get(key, {})]
             for key in acceptor.past.keys() | acceptor.unknown.keys()
         ]
+        rows += [["t", *number_, tag] for number_, tag in acceptor.tags.items()]
         where = (address_of(channel), number)
         self._given[where] = _pages(rows)
         while len(self._given) > GIVEN:
@@ -212,12 +213,14 @@
             if row[0] == "p":
                 _, kind, name, unknown, digests = row
                 for version, digest in digests.items():
-                    self._acceptance.told((kind, name, int(version)), Settled(str(digest)))
+                    digest, _, tag = str(digest).partition("/")
+                    self._acceptance.told((kind, name, int(version)), Settled(digest, tag=tag))
                 self._acceptance.told((kind, name, int(unknown)), Forgotten())
+        acceptor.tags.update((read_number(row[1:4]), str(row[4])) for row in rows if row[0] == "t")
         merged = []
         for row in rows:
             if row[0] == "v":
-                number, vote = read_number(row[1:4]), Vote(read_ballot(row[4:6]), row[6])
+                number, vote = read_number(row[1:4]), Vote(read_ballot(row[4:6]), row[6], str(row[7]))
                 held = acceptor.state(number)
                 if held is None or (isinstance(held, Vote) and held.ballot < vote.ballot):
                     acceptor.votes[number] = vote
--- a/waterworks/reservoir/ledger.py
+++ b/waterworks/reservoir/ledger.py
@@ -163,6 +163,8 @@
             else:
                 gone.append(item_key(key))
             digests, unknown = self._acceptor.past.get(key, {}), self._acceptor.unknown.get(key, -1)
+            if item is not None and (tag := self._acceptor.tags.get((*key, item.version))):
+                digests = {**digests, item.version: f"/{tag}"}
             if digests or unknown >= 0:
                 rows.append(pack_past(Past(key, unknown, digests)))
             else:
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -397,7 +397,12 @@
     """As its disk has it: all that its last life may have promised is refused."""
     acceptor = Acceptor(me, kept.ceiling)
     acceptor.generations = dict(kept.generations)
-    acceptor.past = {past.key: dict(past.digests) for past in kept.past if past.digests}
+    for past in kept.past:
+        for version, digest in past.digests.items():
+            if digest.startswith("/"):
+                acceptor.tags[(*past.key, version)] = digest[1:]
+            else:
+                acceptor.past.setdefault(past.key, {})[version] = digest
     acceptor.unknown = {past.key: past.unknown for past in kept.past if past.unknown >= 0}
     acceptor.votes = dict(kept.votes)
     for item in kept.items:
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -215,7 +215,9 @@
                 self._promised(one, me, told.epoch, answer)
                 return
         else:
-            refusal = await self.acceptance.accept(accept.epoch, accept.ballot, accept.by, accept.writes)
+            refusal = await self.acceptance.accept(
+                accept.epoch, accept.ballot, accept.by, accept.writes, accept.tags
+            )
             if refusal is None:
                 self._accepted(one, me, accept.epoch)
                 return
@@ -229,7 +231,7 @@
             return
         step = one.proposer.promised(who, epoch, one.prepare.ballot, promised)
         if isinstance(step, Accept):
-            one.accept, one.pages = step, pages_of(step.writes)
+            one.accept, one.pages = step, pages_of(step.writes, step.tags)
             self._ask_all(one)
         elif step is not None:
             one.over(step)
@@ -250,7 +252,7 @@
     def _tell(self, chosen: Chosen) -> None:
         """It is decided: into the charter here, and the others are told. They have the contents."""
         items, vector = self.acceptance.stamped(chosen.writes.items())
-        self.acceptance.take(items, vector)
+        self.acceptance.take(items, vector, chosen.whole)
         told = {
             "t": "decided",
             "b": write_ballot(chosen.ballot),
@@ -258,6 +260,7 @@
             "s": self._charter.source,
             "at": items[0].number,
             "of": len(items),
+            "whole": chosen.whole,
         }
         for channel in self._council.peers().values():
             channel.link.send(told)
@@ -477,7 +480,7 @@
             self._check(reading)
 
 
-def pages_of(writes: Mapping[Number, Value]) -> list[list[Any]]:
+def pages_of(writes: Mapping[Number, Value], tags: Mapping[Number, str]) -> list[list[Any]]:
     """An accept's rows, each content encoded once, in pages of bounded size."""
     pages: list[list[Any]] = [[]]
     room = PAGE_BYTES
@@ -487,5 +490,5 @@
         if room < 0 and pages[-1]:
             pages.append([])
             room = PAGE_BYTES - len(packed)
-        pages[-1].append([*number, packed])
+        pages[-1].append([*number, packed, tags[number]] if number in tags else [*number, packed])
     return pages
