--- a/rigs/order_model.py
+++ b/rigs/order_model.py
@@ -187,7 +187,7 @@
         elif what == "prepare":
             _, at, z, heard = event
             outcome, frozen, rounds = asking[at]
-            key = (what, at, frozen, z, sides[z].memory, heard)
+            key: tuple[Any, ...] = (what, at, frozen, z, sides[z].memory, heard)
             memory, frozen, sent, ended = self._once(key, self._prepare)
             sides[z] = _kept(sides[z], memory, ("ceiling",))
             asking[at] = (outcome or ended, frozen, rounds)
--- /dev/null
+++ b/tests/mesh/test_orders_world.py
@@ -0,0 +1,337 @@
+"""One number, one order, in virtual time: rivals, orders sent again, votes that are left half taken; and at each
+numbered point of two of these scripts something befalls a process."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from rigs.mesh_world import troubles
+from rigs.mesh_world.plays import order, play
+from rigs.mesh_world.wire import End
+from rigs.mesh_world.world import Life, Script, World
+from waterworks.aquifer.ballot import Settled
+from waterworks.reservoir import voting as voting_module
+from waterworks.reservoir.clerk import HOLD_S
+from waterworks.reservoir.voting import OPEN_S, PENDING, RANK_S
+
+Play = Callable[[World], Script]
+R1 = ("route", "r1")
+
+
+def played(then: Play, cores: int = 3) -> list[str]:
+    def script(world: World) -> Script:
+        yield from world.boot(cores, sluices=1)
+        world.env.process(world.witness.watch())
+        yield from then(world)
+        world.heal()
+        yield world.env.timeout(3.0)
+        yield from world.witness.finish()
+
+    with World() as world:
+        return world.run(script)
+
+
+def at_once(world: World, *sent: tuple[int, bytes]) -> Script:
+    """Orders to machines by place; their answers' statuses, 0 for silence."""
+    cores = world.reservoirs()
+    calls = [world.env.process(world.patch(cores[at], body)) for at, body in sent]
+    statuses = []
+    for call in calls:
+        answer = yield call
+        statuses.append(answer.status if answer is not None else 0)
+    return statuses
+
+
+def clear(world: World, at: int, body: bytes, tries: int = 20) -> Script:
+    """The first clear answer of that machine."""
+    for _ in range(tries):
+        answer = yield from world.patch(world.reservoirs()[at], body)
+        if answer is not None and answer.status < 500:
+            return answer
+        yield world.env.timeout(0.1)
+    return None
+
+
+def decided(world: World) -> set[Any]:
+    """What each process that runs has under that name: version and trials."""
+    found = set()
+    for core in (True, False):
+        for _, program in world.programs(core):
+            item = program.charter.items.get(R1)
+            found.add((item.version, item.value and item.value["response"]["trials"]) if item else None)
+    return found
+
+
+# Without faults
+
+
+@pytest.mark.parametrize("cores", [3, 4, 5])
+def test_of_three_orders_of_one_number_one_is_acknowledged_and_the_others_are_refused(cores: int) -> None:
+    def three(world: World) -> Script:
+        bodies = [order(["r1"], 1, trials) for trials in (1, 2, 3)]
+        yield from at_once(world, *enumerate(bodies))
+        statuses = []
+        for at, body in enumerate(bodies):
+            answer = yield from clear(world, at, body)
+            statuses.append(answer.status)
+            if answer.status == 409:
+                assert b"r1" in answer.body and b"another order" in answer.body and b"\n" not in answer.body
+        assert sorted(statuses) == [200, 409, 409]
+        yield world.env.timeout(0.5)
+        assert decided(world) == {(1, statuses.index(200) + 1)}
+
+    assert played(three, cores) == []
+
+
+def test_a_drop_and_a_set_of_one_version_are_rivals() -> None:
+    def drop_or_set(world: World) -> Script:
+        yield from world.commit(world.reservoirs(), order(["r1"], 1, 1))
+        bodies = [order(["r1"], 2, 2), order(["r1"], 2, 0, drop=True)]
+        yield from at_once(world, *enumerate(bodies))
+        first = yield from clear(world, 0, bodies[0])
+        second = yield from clear(world, 1, bodies[1])
+        assert sorted([first.status, second.status]) == [200, 409]
+
+    assert played(drop_or_set) == []
+
+
+def test_the_same_order_is_200_at_any_time_at_any_process_and_another_content_never() -> None:
+    def again(world: World) -> Script:
+        one, two, rival = order(["r1"], 1, 1), order(["r1"], 2, 2), order(["r1"], 1, 3)
+        for body in (one, one, two, one):  # the last one: overtaken after it stood
+            for at in range(3):
+                assert (yield from clear(world, at, body)).status == 200
+        assert (yield from clear(world, 1, rival)).status == 409
+        troubles.all_killed(world, world.reservoirs()[0].life, None)  # type: ignore[arg-type]
+        yield world.env.timeout(2.0)
+        for at in range(3):
+            assert (yield from clear(world, at, one)).status == 200
+            assert (yield from clear(world, at, rival)).status == 409
+        late = order(["r2"], 3, 1)  # nobody sent r2's first two versions before the third stood
+        assert (yield from clear(world, 0, late)).status == 200
+        assert (yield from clear(world, 1, order(["r2"], 2, 1))).status == 200
+        assert (yield from clear(world, 2, order(["r2"], 2, 2))).status == 409
+
+    assert played(again) == []
+
+
+def test_orders_that_cross_on_two_items_do_not_lock_each_other() -> None:
+    def cross(world: World) -> Script:
+        for version in range(1, 6):
+            bodies = [order(["r1", "r2"], version, 1), order(["r2", "r1"], version, 2)]
+            began = world.env.now
+            yield from at_once(world, *enumerate(bodies))
+            first = yield from clear(world, 0, bodies[0])
+            second = yield from clear(world, 1, bodies[1])
+            assert sorted([first.status, second.status]) == [200, 409]
+            assert world.env.now - began < 1.5
+
+    assert played(cross) == []
+
+
+def test_a_large_order_of_which_one_route_is_rivalled_is_refused_whole() -> None:
+    def large(world: World) -> Script:
+        yield from world.commit(world.reservoirs(), order(["r1"], 1, 1))
+        names = [f"r{n}" for n in range(1, 1501)]
+        answer = yield from clear(world, 1, order(names, 1, 2))
+        assert answer.status == 409 and b"route r1" in answer.body
+        answer = yield from clear(world, 1, order(names, 2, 2))
+        assert answer.status == 200
+        assert len(world.reservoirs()[2].program.charter.items) >= 1500
+
+    assert played(large) == []
+
+
+def test_an_order_of_several_pages_is_decided_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(voting_module, "PAGE_BYTES", 600)
+
+    def pages(world: World) -> Script:
+        names = [f"r{n}" for n in range(40)]
+        answer = yield from world.patch(world.reservoirs()[0], order(names, 1, 2))
+        assert answer.status == 200
+
+    assert played(pages) == []
+
+
+def test_eight_orders_at_once_are_all_acknowledged_in_time() -> None:
+    def eight(world: World) -> Script:
+        began = world.env.now
+        sent = [(at % 3, order([f"r{at}"], 1, 1)) for at in range(8)]
+        assert (yield from at_once(world, *sent)) == [200] * 8
+        assert world.env.now - began < HOLD_S
+
+    assert played(eight) == []
+
+
+def test_more_orders_than_may_wait_are_told_to_come_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(voting_module, "PENDING", 3)
+    assert PENDING == 256
+
+    def many(world: World) -> Script:
+        sent = [(0, order([f"r{at}"], 1, 1)) for at in range(5)]
+        assert sorted((yield from at_once(world, *sent))) == [200, 200, 200, 503, 503]
+
+    assert played(many) == []
+
+
+def test_a_stalled_disk_holds_nobody_up() -> None:
+    def stalled(world: World) -> Script:
+        cores = world.reservoirs()
+        cores[1].disk.hangs_until = world.env.now + 2.0
+        began = world.env.now
+        answer = yield from world.patch(cores[0], order(["r1"], 1, 1))
+        assert answer.status == 200 and world.env.now - began < 0.1
+        assert (yield from world.patch(cores[1], order(["r1"], 1, 1))).status == 200
+        yield world.env.timeout(2.5)
+
+    assert played(stalled) == []
+
+
+def test_what_its_proposer_left_half_voted_is_decided_within_the_stated_time() -> None:
+    def left(world: World) -> Script:
+        first, *others = world.reservoirs()
+        world.env.process(world.patch(first, order(["r1", "r2"], 1, 1)))
+        while not any(machine.program.acceptor.votes for machine in others):
+            yield world.env.timeout(0.0005)
+        world.kill(first)
+        assert decided(world) == {None}
+        yield world.env.timeout(OPEN_S + 3 * RANK_S + 0.1)
+        assert decided(world) == {(1, 1)}
+        assert not any(machine.program.acceptor.votes for machine in others)
+        assert (yield from world.patch(others[0], order(["r1"], 1, 2))).status == 409
+        world.start(first)
+        yield world.env.timeout(1.0)
+        assert (yield from clear(world, 0, order(["r1", "r2"], 1, 1))).status == 200
+
+    assert played(left) == []
+
+
+def test_a_read_brings_an_open_vote_to_its_decision_first() -> None:
+    def reads(world: World) -> Script:
+        first, *others = world.reservoirs()
+        world.env.process(world.patch(first, order(["r1"], 1, 1)))
+        while not all(machine.program.acceptor.votes for machine in others):
+            yield world.env.timeout(0.0005)
+        world.kill(first)
+        answer = yield from world.get(others[0])
+        assert answer.status == 200 and b'"r1"' in answer.body
+        world.start(first)
+
+    assert played(reads) == []
+
+
+def test_an_order_goes_on_after_its_caller_has_left() -> None:
+    def leaves(world: World) -> Script:
+        cores = world.reservoirs()
+        for machine in cores[1:]:
+            machine.disk.hangs_until = world.env.now + 1.2
+        answer = yield from world.patch(cores[0], order(["r1"], 1, 1))
+        assert answer.status == 503 and answer.retry_after_s > 0.0
+        yield world.env.timeout(0.6)
+        assert decided(world) == {(1, 1)}
+        assert (yield from world.patch(cores[2], order(["r1"], 1, 1))).status == 200
+
+    assert played(leaves) == []
+
+
+def test_a_digest_that_was_overtaken_outlives_a_lost_disk() -> None:
+    def lost(world: World) -> Script:
+        cores = world.reservoirs()
+        for version in (1, 2, 3):
+            yield from world.commit(cores, order(["r1"], version, version))
+        for machine in cores:
+            troubles.wiped(world, machine.life, None)  # type: ignore[arg-type]
+            yield world.env.timeout(3.0)
+            yield from world.joined([machine])
+        for machine in cores:
+            assert isinstance(machine.program.acceptor.state((*R1, 1)), Settled)
+        assert (yield from clear(world, 2, order(["r1"], 1, 9))).status == 409
+        assert (yield from clear(world, 2, order(["r1"], 1, 1))).status == 200
+
+    assert played(lost) == []
+
+
+# Numbered points
+
+
+def rivals(world: World) -> Script:
+    """Two rivals at once, and the first is sent again to another machine whatever became of it."""
+    yield from world.boot(3, sluices=1)
+    world.env.process(world.witness.watch())
+    world.counting = True
+    cores = world.reservoirs()
+    bodies = [order(["r1", "r2"], 1, 1), order(["r1"], 1, 2)]
+    one = world.env.process(world.commit(cores, bodies[0], 30))
+    other = world.env.process(world.commit(cores[1:], bodies[1], 30))
+    yield one & other
+    yield from world.commit(cores[2:], bodies[0], 30)
+    world.counting = False
+    yield world.env.timeout(3.0)
+    yield from world.witness.finish()
+    first = yield from clear(world, 1, bodies[0], 40)
+    second = yield from clear(world, 2, bodies[1], 40)
+    assert second is not None and second.status in (200, 409)
+    if second.status == 200:
+        assert first is None or first.status == 409
+    yield from world.witness.finish()
+
+
+def overtaking(world: World) -> Script:
+    """A version, the next one and the first again, each to another machine."""
+    yield from world.boot(3, sluices=1)
+    world.env.process(world.witness.watch())
+    world.counting = True
+    cores = world.reservoirs()
+    for at, version in ((0, 1), (1, 2), (2, 1)):
+        answer = yield from world.commit(cores[at:], order(["r1"], version, version), 30)
+        assert answer is not None and answer.status == 200
+    world.counting = False
+    yield world.env.timeout(3.0)
+    yield from world.witness.finish()
+
+
+def frozen(world: World, life: Life, end: End | None) -> float | None:
+    """The process stands still here, and goes on with an order half taken."""
+    world.freeze(life.machine, 1.3)
+    return 0.0
+
+
+SCRIPTS: dict[str, Play] = {"rivals": rivals, "overtaking": overtaking}
+FAULTS = {**troubles.PROCESS, **troubles.FRAME, **troubles.DISK, "frozen": frozen}
+MOST = 14  # points that a fault takes of a script
+
+
+def points(script: Play) -> list[tuple[str, str]]:
+    with World() as world:
+        assert world.run(script) == []
+        return world.points
+
+
+@pytest.mark.parametrize("name", SCRIPTS)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_whatever_befalls_at_a_point_one_number_has_one_order(name: str, fault: str) -> None:
+    script, broken = SCRIPTS[name], {}
+    fitting = [
+        at
+        for at, (kind, machine) in enumerate(points(script))
+        if machine.startswith("c") and (fault == "frozen" or fault in troubles.fitting(kind, True))
+    ]
+    for at in fitting[:: -(-len(fitting) // MOST)]:
+        with World() as world:
+            world.at, world.fault = at, FAULTS[fault]
+            told = world.run(script)
+        if told:
+            broken[at] = told[:2]
+            break
+    assert fitting and not broken
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_drawn_play_breaks_nothing(seed: int) -> None:
+    """More of them: python -m benchmarks.order_plays --plays 10000."""
+    broken, counts = play(seed)
+    assert broken == [] and counts["acknowledged"] > 0, json.dumps(counts)
