--- a/rigs/mesh_world/world.py
+++ b/rigs/mesh_world/world.py
@@ -356,16 +356,19 @@
             for _ in range(FOLLOWED):
                 if answer is None or answer.status != 307:
                     break
-                answer = yield from self.patch(self.named(answer.location), body)
+                other = self.named(answer.location)
+                if other is None:
+                    break
+                answer = yield from self.patch(other, body)
             if answer is not None and answer.status != 307 and answer.status < 500:
                 return answer
             yield self.env.timeout(min(0.05 * (number + 1), 0.3))
         return None
 
-    def named(self, location: str) -> Machine:
-        """Whose control address that is."""
+    def named(self, location: str) -> Machine | None:
+        """Whose control address that is; None for a machine that is gone."""
         host = location.removeprefix("http://").partition(":")[0]
-        return next(machine for machine in self.machines.values() if machine.ip == host)
+        return next((machine for machine in self.machines.values() if machine.ip == host), None)
 
     # Scripts
 
--- a/waterworks/reservoir/contact.py
+++ b/waterworks/reservoir/contact.py
@@ -139,6 +139,13 @@
         self._soon = None
         self._ask()
 
+    def viewed(self) -> None:
+        """Another view is in force, and answers under the one before prove nothing: asked at once, and again
+        once the others have heard of it, too."""
+        self._ask()
+        if self._soon is None:
+            self._soon = self._loop.call_later(SOON_S, self._ask_soon)
+
     def opened(self, channel: Channel) -> None:
         """A link is up: contact need not wait for the next question's time. Behind it may be another life
         than before, whose disk is another."""
--- a/waterworks/reservoir/joining.py
+++ b/waterworks/reservoir/joining.py
@@ -228,9 +228,10 @@
             )
         return found
 
-    def forget(self, address: str) -> None:
-        """It counts no more, and is heard no more."""
-        self.others.pop(address, None)
+    def forget(self, view: View) -> None:
+        """What those said that do not count and are heard no more."""
+        for address in self.others.keys() - view.names - self.heard():
+            del self.others[address]
 
     # The end
 
--- a/waterworks/reservoir/minding.py
+++ b/waterworks/reservoir/minding.py
@@ -90,6 +90,7 @@
         self.watch.heard(now, self._council.me)
         for address, channel in self._council.peers().items():
             self.watch.heard(channel.link.heard_at, address)
+        self.joining.forget(view)
         if view.epoch != self._epoch:
             self._epoch = view.epoch
             counts, before = ", ".join(sorted(view.now)), ", ".join(sorted(view.before or ()))
@@ -253,7 +254,7 @@
         nodes = self._nodes()
         rows: list[dict[str, Any]] = []
         for address, one in sorted(known.items()):
-            if address in view.names or one.counts or one.heard:
+            if address in view.names or one.heard:
                 rows.append(
                     {
                         "address": address,
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -297,6 +297,8 @@
     def _changed(self, name: str, items: list[Item]) -> None:
         if name == "charter":
             self.acceptance.took(items)
+            if any(item.kind == VIEW for item in items):
+                self.probing.viewed()
             self.rollouts.changed(items)
         elif name == REPORTS:
             self.rollouts.reported(items)
