--- a/waterworks/aquifer/store.py
+++ b/waterworks/aquifer/store.py
@@ -54,15 +54,16 @@
     on.
     """
 
-    def __init__(self, source: str, most: int) -> None:
+    def __init__(self, source: str, most: int, decided: bool = False) -> None:
         """``source`` names this life of this process; writes fill up to ``most`` items, with tombstones.
+        ``decided``: all that comes here was decided by vote, so what is held under a version stays.
 
         Raises ValueError for a source that is empty or looks like a page's entry.
         """
         if not source or source.startswith(PAGE):
             raise ValueError(f"source {source!r}: give a name that does not begin with {PAGE!r}")
         self.source = source
-        self.most = most
+        self.most, self._decided = most, decided
         self.items: dict[Key, Item] = {}
         self.vector: dict[str, int] = {}
         self.digests = Digests()
@@ -202,8 +203,9 @@
 
     def _put(self, item: Item) -> bool:
         held = self.items.get(item.key)
-        if held is not None and not outranks(item, held):
-            return False
+        if held is not None:
+            if self._decided and item.version <= held.version or not outranks(item, held):
+                return False
         self.items[item.key] = item
         self._arrivals += 1
         self._arrived[item.key] = self._arrivals
