Views: quorums of neighbouring epochs meet; the quorum of several views is gone

durable_in_views was the rule of the member items, which are no more; its test is replaced by one on views that holds that quorums of neighbouring epochs meet, in drawn places.

--- a/rigs/member_model.py
+++ b/rigs/member_model.py
@@ -64,6 +64,7 @@
     founders: str = "abc"
     ballots: int = 1
     wipes: int = 0
+    struck: str = ""  # whose disks may be lost; else anybody's
     gone: int = 0
     vanish: int = 0  # machines that count no more and go, their disks with them
     returns: int = 0  # removed machines that come back with their disks
@@ -148,7 +149,7 @@
         lost = sum(not (named[name].up and named[name].whole) for name in _names(newest))
         for name in sorted(_names(newest)):
             if named[name].up and named[name].whole and self._bears(lost):
-                found += [("wipe", name)] if left[0] else []
+                found += [("wipe", name)] if left[0] and name in (self.size.struck or name) else []
                 found += [("gone", name)] if left[1] else []
         for name, one in named.items():
             if one.up and name not in _names(newest) and one.epoch and left[2]:
@@ -357,6 +358,9 @@
 }
 CHAIN = Size((SWAP, Change("c", "b")))
 LARGE = {
+    "a replacement, a wipe of one that stays": Size((SWAP,), wipes=1, struck="a"),
+    "a replacement, a wipe of one that leaves": Size((SWAP,), wipes=1, struck="c"),
+    "a replacement, a wipe of one that joins": Size((SWAP,), wipes=1, struck="d"),
     "a replacement, a wipe": Size((SWAP,), wipes=1),
     "a replacement, two rivals": Size((SWAP,), ballots=2),
     "a replacement of one gone, what left goes": Size((SWAP,), gone=1, vanish=1),
--- a/waterworks/aquifer/quorum.py
+++ b/waterworks/aquifer/quorum.py
@@ -1,11 +1,11 @@
 """Which sets of machines make a write durable, and which hear of every durable write.
 
 A write is durable once more than half of the members hold it and every tolerated loss leaves a holder. The
-half makes any two durable sets of one view meet, and those of two views that differ by one member; the rest
-makes a holder outlive the loss. A loss strikes machines, or zones, or regions, not several kinds at once.
+half makes any two durable sets of one view meet; the rest makes a holder outlive the loss. A loss strikes
+machines, or zones, or regions, not several kinds at once.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 
@@ -47,14 +47,6 @@
     return not _durable(members.keys() - set(heard), members, tolerance, unknown_adds=True)
 
 
-def durable_in_views(
-    have: Collection[str], views: Iterable[Mapping[str, Place]], tolerance: Tolerance
-) -> bool:
-    """Whether ``have`` is durable under each view that any who answered holds; False without a view."""
-    judged = [durable(have, view, tolerance) for view in views]
-    return bool(judged) and all(judged)
-
-
 def _durable(
     have: Collection[str], members: Mapping[str, Place], tolerance: Tolerance, *, unknown_adds: bool
 ) -> bool:
