--- a/tests/mesh/test_members_world.py
+++ b/tests/mesh/test_members_world.py
@@ -285,6 +285,23 @@
     assert played(3, restarts) == []
 
 
+def test_settings_that_count_a_machine_no_more_or_again_are_heeded_where_that_is_safe() -> None:
+    def retunes(world: World) -> Script:
+        cores = world.reservoirs()
+        last, other = cores[3], cores[2]
+        for machine in (last, other):
+            machine.counted = False
+            machine.program.retune(world.settings(machine, False))
+            yield from world.until(counts(world, cores[:3]), 3.0, "the fourth alone counts no more")
+        other.counted = last.counted = True
+        for machine in (last, other):
+            machine.program.retune(world.settings(machine, False))
+        yield from world.until(counts(world, cores), 3.0, "all four count again")
+        yield from confirms(world, 1)
+
+    assert played(4, retunes) == []
+
+
 # Seeded faults: each must be seen by the plays above
 
 
