--- a/rigs/mesh_world/seeds.py
+++ b/rigs/mesh_world/seeds.py
@@ -4,17 +4,20 @@
 
 from typing import Any, Protocol
 
-from waterworks.aquifer import quorum
 from waterworks.aquifer import store as aquifer_store
+from waterworks.aquifer.ballot import Acceptor, Refusal
+from waterworks.aquifer.contact import Proof
 from waterworks.aquifer.store import Store
+from waterworks.aquifer.views import View
 from waterworks.cistern.keeper import Refused
 from waterworks.leat.exchange import Exchange
 from waterworks.reservoir import clerk as clerk_module
-from waterworks.reservoir import council as council_module
 from waterworks.reservoir import ledger as ledger_module
-from waterworks.reservoir.council import Council, Held
+from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.contact import Probing
+from waterworks.reservoir.joining import Joining
 from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.program import Reservoir
+from waterworks.reservoir.voting import Voting
 
 
 class Patch(Protocol):
@@ -22,11 +25,7 @@
 
 
 def ack_after_one_disk(patch: Patch) -> None:
-    async def hold(self: Council, items: Any, within_s: float) -> Held:
-        await self._ledger.kept()
-        return Held()
-
-    patch.setattr(Council, "hold", hold)
+    patch.setattr(View, "durable", lambda self, have, tolerance: bool(have))
 
 
 def ack_without_a_disk(patch: Patch) -> None:
@@ -37,17 +36,26 @@
 
 
 def own_counts_before_sync(patch: Patch) -> None:
-    async def keep_own(self: Council, pending: Any) -> None:
-        self._has(pending, self.me, self.views())
+    real = Acceptance.accept
+
+    async def accept(self: Acceptance, epoch: int, ballot: Any, by: Any, writes: Any, tags: Any) -> Any:
+        if ballot.proposer != self._charter.source:
+            return await real(self, epoch, ballot, by, writes, tags)
+        changed = self.acceptor.accept(ballot, by, writes, tags)
+        if isinstance(changed, Refusal):
+            return changed
+        self._ledger.mark_votes(changed)
+        return None
 
-    patch.setattr(Council, "_keep_own", keep_own)
+    patch.setattr(Acceptance, "accept", accept)
 
 
 def reads_answered_without_asking(patch: Patch) -> None:
-    async def gather(self: Council, within_s: float) -> bool:
+    async def read(self: Voting, within_s: float) -> bool:
         return True
 
-    patch.setattr(Council, "gather", gather)
+    patch.setattr(Voting, "read", read)
+    patch.setattr(Probing, "proof", lambda self, settled=False: Proof.ORDERS)
 
 
 def wiped_counts_at_once(patch: Patch) -> None:
@@ -61,18 +69,33 @@
 
 
 def whole_before_it_heard_all(patch: Patch) -> None:
-    real = Reservoir._join
+    async def become(self: Joining) -> None:
+        await self._ledger.become_whole()
+        self._became_whole()
+
+    patch.setattr(Joining, "_become_whole", become)
 
-    async def join(self: Reservoir) -> None:
-        self.ledger.whole = bool(self.charter.items)
-        await self.ledger.become_whole()
-        await real(self)
 
-    patch.setattr(Reservoir, "_join", join)
+def both_are_confirmed(patch: Patch) -> None:
+    """A fault that was shipped: nobody asks whether another content of the number was accepted or decided."""
+    patch.setattr(Acceptor, "state", lambda self, number: None)
 
 
-def equal_version_overwrites(patch: Patch) -> None:
-    patch.setattr(aquifer_store, "outranks", lambda a, b: a.version >= b.version and a.value != b.value)
+def in_force_before_it_is_decided(patch: Patch) -> None:
+    """A fault that was shipped: what a process is sent is in its copy at once, and repair turns equal
+    versions over by their bytes."""
+    real = Voting.decide
+
+    async def decide(self: Voting, writes: Any, within_s: float) -> Any:
+        items, vector = self.acceptance.stamped(writes.items())
+        self._charter._decided = False
+        self.acceptance._changed(self._charter.merge(items, vector))  # type: ignore[arg-type]
+        return await real(self, writes, within_s)
+
+    patch.setattr(Voting, "decide", decide)
+    patch.setattr(
+        Acceptor, "settle", lambda self, number, value, whole=False: bool(self.votes.pop(number, None))
+    )
 
 
 def lower_version_overwrites(patch: Patch) -> None:
@@ -84,27 +107,30 @@
 
 
 def tombstone_is_forgotten_at_once(patch: Patch) -> None:
-    take_all = Store.take_all
+    merge = Store.merge
 
-    def takes(self: Store, writes: Any) -> Any:
-        taken = take_all(self, writes)
+    def merges(self: Store, items: Any, vector: Any) -> Any:
+        taken = merge(self, items, vector)
         for item in list(self.items.values()):
             if item.value is None and item.kind == "route":
                 self.forget(item.key)
         return taken
 
-    patch.setattr(Store, "take_all", takes)
+    patch.setattr(Store, "merge", merges)
 
 
 def half_is_enough(patch: Patch) -> None:
-    patch.setattr(
-        council_module, "durable_in_views", lambda have, views, _: len(have) * 2 > len(views[0]) - 2
-    )
+    patch.setattr(View, "durable", lambda self, have, tolerance: len(set(have)) * 2 > len(self.now) - 2)
 
 
 def views_of_answerers_are_ignored(patch: Patch) -> None:
-    real = quorum.durable_in_views
-    patch.setattr(council_module, "durable_in_views", lambda have, views, t: real(have, views[:1], t))
+    """Anything is answered under any view, and a proposer goes on with the view that it began with."""
+
+    async def stands(self: Acceptance, epoch: int) -> None:
+        return None
+
+    patch.setattr(Acceptance, "stands", stands)
+    patch.setattr(Voting, "_viewed", lambda self: None)
 
 
 def refused_counts_as_kept(patch: Patch) -> None:
@@ -122,13 +148,13 @@
 
 
 def a_gap_is_counted(patch: Patch) -> None:
-    real = Council._merge
+    real = Acceptance.take
 
-    def merges(self: Council, items: Any, vector: Any) -> bool:
+    def take(self: Acceptance, items: Any, vector: Any) -> None:
         claimed = {item.source: item.number for item in items}
-        return real(self, items, {**claimed, **vector})
+        real(self, items, {**claimed, **vector})
 
-    patch.setattr(Council, "_merge", merges)
+    patch.setattr(Acceptance, "take", take)
 
 
 def always_something_to_say(patch: Patch) -> None:
--- a/waterworks/operate/judge.py
+++ b/waterworks/operate/judge.py
@@ -10,6 +10,7 @@
 from waterworks.sluice.membership import RESERVOIR, SLUICE
 from waterworks.weir.lives import SILENT_BEATS
 
+RIVALLED_MS = 600_000.0  # how long a refused order is told of
 CLOCK_S = 2.0  # a clock further off than this from the others' is told; retries and log lines suffer from it
 
 
@@ -31,6 +32,7 @@
     return [
         *_members(view),
         *_core(view),
+        *_losses(view),
         *_disks(view),
         *_silent(view),
         *_behind(view),
@@ -79,6 +81,34 @@
                 "hears too few others: it takes no change and may miss some",
                 "start the missing members or mend the network between them",
             )
+        rivalled = part(process.told or {}, "votes").get("rivalled", [])
+        fresh = [one for one in rivalled if number(one, "ago_ms") < RIVALLED_MS]
+        if fresh:
+            named = f"{fresh[0].get('kind')} {fresh[0].get('name')} r{fresh[0].get('version')}"
+            yield Finding(
+                "rivalled number",
+                process.node,
+                f"refused {len(fresh)} orders in ten minutes since others have their numbers, last {named}",
+                "two operators use the same versions; read back and send under higher ones",
+            )
+
+
+def _losses(view: View) -> Iterator[Finding]:
+    """What a process with contact says; one word of it is enough."""
+    for process in view.answering(RESERVOIR):
+        borne, asked = part(process.told, "borne"), part(process.told, "tolerates")
+        less = [kind for kind in asked if borne and 0 < number(asked, kind) > number(borne, kind)]
+        if less and process.told is not None and process.told.get("in_touch"):
+            told = ", ".join(
+                f"{kind} {number(borne, kind):.0f} of {number(asked, kind):.0f}" for kind in less
+            )
+            yield Finding(
+                "fewer losses borne",
+                "-",
+                f"more losses that orders would go on after: {told}",
+                "start or replace the members that are down (members show)",
+            )
+            return
 
 
 def _disks(view: View) -> Iterator[Finding]:
@@ -155,6 +185,16 @@
                 "has no configuration yet, or none that is known to be whole",
                 "look at the control processes; it asks them by itself",
             )
+        control = part(told, "control")
+        if told.get("ready") and control.get("without_ms") is not None:
+            without_s, behind_s = (number(control, name) / 1000.0 for name in ("without_ms", "behind_ms"))
+            yield Finding(
+                "cut from core",
+                process.node,
+                f"no control process with contact in reach for {without_s:.1f} s; "
+                f"it goes on by a configuration that may be {behind_s:.1f} s old",
+                "start the missing members or mend the network to the core; it takes the newest by itself",
+            )
         upstream, beat_ms = part(told, "upstream"), number(told, "beat_ms", 1500.0)
         silent = number(upstream, "silent_ms")
         if not upstream:
