Keep no row before the folder that names its file is synced

A process killed between the renaming of its store and the sync of the folder was started again, said that it kept rows, and a loss of power took the name with them. The folder is synced whenever a file is opened, before and after each renaming, and a rewriting keeps the store before under a second name until the new one has the first for good.

--- /dev/null
+++ b/tests/mesh/test_cistern_power.py
@@ -0,0 +1,205 @@
+"""Losses of power between a name's change and its folder's sync: each such name may be kept or lost by itself,
+and what was said to be kept must be there whatever becomes of them."""
+
+import itertools
+import os
+import shutil
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import lmdb
+import pytest
+
+from waterworks.cistern import keeper as keeping
+from waterworks.cistern.keeper import NAME, Fresh, Keeper, Kept, Opened
+
+MOST = 1 << 20
+ROWS = {b"a": b"1" * 100, b"b": b"2" * 5000}
+Script = Callable[["Machine"], None]
+
+
+class Killed(BaseException):
+    pass
+
+
+class Unsynced:
+    """An environment that leaves bytes to the kernel, which outlives what is played here: it is names alone
+    that are lost."""
+
+    def __init__(self, real: lmdb.Environment) -> None:
+        self._real = real
+
+    def __getattr__(self, name: str) -> Any:
+        return (lambda force: None) if name == "sync" else getattr(self._real, name)
+
+
+class Machine:
+    """A folder whose names are real and whose losses of power are played. Steps on names are numbered."""
+
+    def __init__(self, root: Path, patch: pytest.MonkeyPatch, syncs: bool = True) -> None:
+        self.root, self.state = root, root / "state"
+        self.kill_at, self.steps = -1, 0
+        self.acked: dict[bytes, bytes] = {}
+        self.keeper: Keeper | None = None
+        self._durable: dict[Path, dict[str, int]] = {}  # by folder: what its sync made durable
+        self._files = root / "files"  # every file that had a name, by its inode
+        self._files.mkdir()
+        self._open: list[lmdb.Environment] = []
+
+        def environment(path: Path, most: int) -> Any:
+            self._open.append(lmdb.open(str(path), map_size=most, subdir=False, lock=False, sync=False))
+            return Unsynced(self._open[-1])
+
+        patch.setattr(keeping, "_environment", environment)
+        patch.setattr(keeping.os, "fsync", lambda descriptor: None)
+        for call in ("rename", "link"):
+            patch.setattr(keeping.os, call, self._numbered(getattr(os, call)))
+        for call in ("mkdir", "unlink"):
+            patch.setattr(keeping.Path, call, self._numbered(getattr(Path, call)))
+        patch.setattr(keeping, "_sync_folder", self._sync if syncs else lambda folder: None)
+
+    def _numbered(self, real: Any) -> Any:
+        def step(*args: Any, **kwargs: Any) -> Any:
+            if self.state.as_posix() not in str(args[0]):
+                return real(*args, **kwargs)
+            self._step()
+            return real(*args, **kwargs)
+
+        return step
+
+    def _step(self) -> None:
+        self.steps += 1
+        if self.steps == self.kill_at:
+            self.close()
+            raise Killed
+
+    def close(self) -> None:
+        for one in self._open:
+            one.close()
+        self._open.clear()
+        self.keeper = None
+
+    def _names(self, folder: Path) -> dict[str, int]:
+        found = {}
+        for entry in os.scandir(folder) if folder.is_dir() else []:
+            if entry.is_file():
+                found[entry.name] = entry.inode()
+                if not (self._files / str(entry.inode())).exists():
+                    LINK(entry.path, self._files / str(entry.inode()))
+            elif entry.path.startswith(str(self.state)):
+                found[entry.name] = -1
+        return found
+
+    def _sync(self, folder: Path) -> None:
+        self._step()
+        self._durable[folder] = self._names(folder)
+
+    def losses(self) -> int:
+        """How many ways a loss of power may end, now."""
+        return 2 ** len(self._loose())
+
+    def _loose(self) -> list[tuple[Path, str]]:
+        found = []
+        for folder in (self.root, self.state):
+            now, before = self._names(folder), self._durable.get(folder, {})
+            found += [(folder, name) for name in sorted({*now, *before}) if now.get(name) != before.get(name)]
+        return found
+
+    def power(self, way: int) -> None:
+        """Every name of which its folder does not know for good is kept or lost, as the bits say."""
+        self.close()
+        loose = self._loose()
+        for bit, (folder, name) in enumerate(loose):
+            if way >> bit & 1 or not folder.exists():
+                continue
+            path, before = folder / name, self._durable.get(folder, {}).get(name)
+            if path.is_dir():
+                shutil.rmtree(path)
+                continue
+            if path.exists():
+                os.remove(path)
+            if before is not None and before >= 0:
+                LINK(self._files / str(before), path)
+        for folder in (self.root, self.state):
+            self._durable[folder] = self._names(folder)
+
+    # What a script does
+
+    def start(self) -> None:
+        outcome = Keeper.open(self.state, MOST)
+        assert isinstance(outcome, Opened | Fresh), outcome
+        rows = outcome.rows if isinstance(outcome, Opened) else {}
+        assert rows == self.acked or not self.acked, "what was kept is gone"
+        self.keeper = outcome.keeper
+
+    def keep(self, rows: dict[bytes, bytes]) -> None:
+        assert self.keeper is not None and self.keeper.keep(list(rows.items())) == Kept()
+        self.acked |= rows
+
+    def rewrite(self) -> None:
+        assert self.keeper is not None and self.keeper.rewrite(dict(self.acked)) == Kept()
+
+
+LINK = os.link
+
+
+def life(machine: Machine) -> None:
+    machine.start()
+    machine.keep(ROWS)
+    machine.rewrite()
+    machine.keep({b"c": b"3"})
+
+
+def restarted(machine: Machine) -> None:
+    machine.start()
+    machine.keep({b"late": b"4"})
+
+
+def played(folders: Iterator[Path], syncs: bool = True) -> int:
+    """All losses of power at all points, right then or after one more start that goes well; how many."""
+    count = 0
+    with pytest.MonkeyPatch.context() as patch:
+        machine = Machine(next(folders), patch, syncs)
+        life(machine)
+        machine.close()
+        last = machine.steps
+    for at, again in itertools.product(range(1, last + 2), (False, True)):
+        way = 0
+        while True:
+            with pytest.MonkeyPatch.context() as patch:
+                machine = Machine(next(folders), patch, syncs)
+                machine.kill_at = at
+                try:
+                    life(machine)
+                except Killed:
+                    pass
+                machine.kill_at = -1
+                machine.close()
+                if again:
+                    restarted(machine)
+                ways = machine.losses()
+                machine.power(way)
+                restarted(machine)
+                machine.close()
+            shutil.rmtree(machine.root)
+            count, way = count + 1, way + 1
+            if way >= ways:
+                break
+    return count
+
+
+def fresh(root: Path) -> Iterator[Path]:
+    for number in itertools.count():
+        folder = root / str(number)
+        folder.mkdir()
+        yield folder
+
+
+def test_whatever_names_a_loss_of_power_takes_what_was_kept_is_there(tmp_path: Path) -> None:
+    assert played(fresh(tmp_path)) > 50
+
+
+def test_the_check_sees_names_that_are_not_synced(tmp_path: Path) -> None:
+    with pytest.raises(AssertionError, match="gone"):
+        played(fresh(tmp_path), syncs=False)
--- a/waterworks/cistern/keeper.py
+++ b/waterworks/cistern/keeper.py
@@ -4,6 +4,10 @@
 synced, so that a start finds a whole store, none, or a damaged one, and can tell the three apart. A damaged
 one is renamed, never overwritten and never passed over in silence: what was acknowledged is not on this disk,
 and the caller must know it.
+
+A name that was made, changed or removed holds only once its folder is synced, and each of them may be kept or
+lost by itself. So no row is kept in a file before the folder that names it was synced after the file was last
+opened: whoever did it before may have been killed in between.
 """
 
 import os
@@ -84,6 +88,15 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Size:
+    """``file`` bytes hold ``used`` bytes of rows and of their order; more than ``most`` never come."""
+
+    file: int
+    used: int
+    most: int
+
+
 @dataclass(frozen=True, slots=True)
 class _Damaged:
     reason: str
@@ -114,10 +127,10 @@
         """
         path = folder / NAME
         try:
-            if not folder.is_dir():
-                folder.mkdir(parents=True)
-                _sync_folder(folder.parent)
+            _folder(folder)
             asides = _asides(path)
+            if not path.exists() and _before(path).exists():
+                os.rename(_before(path), path)  # a rewriting lost both names of it but this one
             if not path.exists():
                 keeper = _begin(path, most_bytes)
                 if not asides:
@@ -126,8 +139,11 @@
                 return SetAside(
                     keeper, asides[-1], "an earlier store was set aside and none begun in its place"
                 )
+            _sync_folder(folder)
             found = _read(path, most_bytes)
             if not isinstance(found, _Damaged):
+                if isinstance(found, Opened):
+                    _clear(path)
                 return found
             moved_to = _set_aside(path, most_bytes)
             return SetAside(_begin(path, most_bytes), moved_to, found.reason)
@@ -175,16 +191,30 @@
 
     def rewrite(self, rows: Rows) -> Kept | Refused:
         """Put a store of these rows, all that it is to hold, in the place of this one, whatever is damaged in
-        it. The name goes from the one to the other at once, so that a start finds either."""
+        it. A start finds either: the store before keeps a second name until the new one has the first for
+        good."""
         self.close()
-        unfinished = self._path.with_name(self._path.name + ".new")
+        unfinished, before = _unfinished(self._path), _before(self._path)
         try:
             _make(unfinished, self._most, rows)
+            before.unlink(missing_ok=True)
+            os.link(self._path, before)
             _publish(unfinished, self._path)
+            before.unlink()
         except (lmdb.Error, OSError) as error:
             return Refused(f"{self._path}: {error}; give the disk room or look at it")
         return Kept()
 
+    def size(self) -> Size:
+        """Bytes. Raises CisternError where the file cannot be looked at."""
+        try:
+            environment = self._opened()
+            stat = environment.stat()
+            pages = stat["branch_pages"] + stat["leaf_pages"] + stat["overflow_pages"]
+            return Size(os.stat(self._path).st_size, pages * stat["psize"], self._most)
+        except (lmdb.Error, OSError) as error:
+            raise CisternError(f"{self._path}: {error}; look at the disk") from error
+
     def rows(self) -> Rows:
         """All rows. Raises CisternError where one cannot be read or has another checksum."""
         try:
@@ -209,15 +239,14 @@
         """Copy the store, as it is now, to a folder that holds none yet; the copy opens like the store
         itself."""
         try:
-            to.mkdir(parents=True, exist_ok=True)
+            _folder(to)
             copy = to / NAME
             if copy.exists():
                 return Refused(f"{copy}: is there already; name another folder")
-            unfinished = copy.with_name(copy.name + ".new")
+            unfinished = _unfinished(copy)
             unfinished.unlink(missing_ok=True)
             self._opened().copy(str(unfinished))
             _publish(unfinished, copy)
-            _sync_folder(to.parent)
         except (lmdb.Error, OSError) as error:
             return Refused(f"{to}: {error}; name a folder with room")
         return Kept()
@@ -230,6 +259,7 @@
 
     def _opened(self) -> lmdb.Environment:
         if self._environment is None:
+            _sync_folder(self._path.parent)
             self._environment = _environment(self._path, self._most)
         return self._environment
 
@@ -323,7 +353,7 @@
 
 def _begin(path: Path, most_bytes: int) -> Keeper:
     """An empty store under that name, there whole or not at all. Raises OSError, lmdb.Error."""
-    unfinished = path.with_name(path.name + ".new")
+    unfinished = _unfinished(path)
     _make(unfinished, most_bytes, {})
     _publish(unfinished, path)
     return Keeper(path, most_bytes, _environment(path, most_bytes))
@@ -340,15 +370,44 @@
 
 
 def _publish(unfinished: Path, path: Path) -> None:
+    """Both names are for good before the one becomes the other, and the other after it."""
     descriptor = os.open(unfinished, os.O_RDWR)
     try:
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
+    _sync_folder(path.parent)
     os.rename(unfinished, path)
     _sync_folder(path.parent)
 
 
+def _unfinished(path: Path) -> Path:
+    return path.with_name(path.name + ".new")
+
+
+def _before(path: Path) -> Path:
+    """A second name of the store while another is put in its place. It counts only where the first is gone:
+    afterwards it is older than what was kept."""
+    return path.with_name(path.name + ".before")
+
+
+def _clear(path: Path) -> None:
+    """What a rewriting or a first start that was cut short left."""
+    for left in (_unfinished(path), _before(path)):
+        left.unlink(missing_ok=True)
+
+
+def _folder(folder: Path) -> None:
+    """Makes it where it is missing; it, and those above that were made with it, are for good then. Synced
+    also where it was there: whoever made it may have been killed before that."""
+    made = [folder]
+    while not made[-1].parent.is_dir():
+        made.append(made[-1].parent)
+    folder.mkdir(parents=True, exist_ok=True)
+    for one in reversed(made):
+        _sync_folder(one.parent)
+
+
 def _sync_folder(folder: Path) -> None:
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
@@ -370,6 +429,8 @@
 def _set_aside(path: Path, most_bytes: int) -> Path:
     """Rename a damaged store and remove the oldest ones beyond MOST_ASIDES or beyond ``most_bytes`` in all;
     the newest stays whatever its size. Raises OSError."""
+    _clear(path)  # older than what the damaged one may have been the only one to hold
+    _sync_folder(path.parent)
     asides = _asides(path)
     number = int(asides[-1].name.rpartition("-")[2]) + 1 if asides else 1
     moved_to = path.with_name(f"{path.name}.aside-{number}")
