--- /dev/null
+++ b/tests/mesh/test_aquifer_forgotten.py
@@ -0,0 +1,81 @@
+"""Drops that are forgotten: no older copy comes back, whatever way it takes; and the record is bounded."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waterworks.aquifer.forgotten import BUCKETS, LEFT, Forgotten, digest_of, read_rows
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Store
+
+KEYS = [("k", f"n{number}") for number in range(200)]
+
+
+def test_an_older_copy_is_refused_and_one_that_is_held_goes() -> None:
+    store, stale = Store("s", 10), Store("t", 10)
+    for one in (store, stale):
+        one.take("k", "x", 5, {})
+        one.take("k", "y", 1, {})
+    store.take("k", "x", 6, None)
+    forgotten = Forgotten()
+    forgotten.note(("k", "x"), 6)
+    for one in (store, stale):
+        buckets, gone = one.forget_all(forgotten.rows())
+        assert (buckets, gone) == ([digest_of(("k", "x"))[:2]], [("k", "x")])
+        assert one.forget_all(forgotten.rows()) == ([], [])
+        assert one.merge([Item("k", "x", 6, {}, "old", 1)], {"old": 1}) == []
+        assert one.mend([Item("k", "x", 5, {}, "old", 1)]) == []
+        assert set(one.items) == {("k", "y")}
+        assert len(one.merge([Item("k", "x", 7, {}, "new", 1)], {})) == 1
+        assert one.forget_all(forgotten.rows()) == ([], []) and ("k", "x") in one.items
+
+
+def test_a_record_is_bounded_and_its_watermark_tells_of_what_left_it() -> None:
+    forgotten = Forgotten()
+    for version in range(3 * BUCKETS * LEFT):
+        forgotten.note(("k", f"n{version}"), version)
+    rows = forgotten.rows()
+    assert len(rows) == BUCKETS and all(len(left) <= LEFT for _, left in rows.values())
+    assert forgotten.version(("k", "n5")) == -1 and forgotten.watermark(("k", "n5")) >= 5
+    last = 3 * BUCKETS * LEFT - 1
+    assert forgotten.version(("k", f"n{last}")) == forgotten.watermark(("k", f"n{last}")) == last
+
+
+@settings(max_examples=50, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(KEYS), st.integers(0, 50), st.integers(0, 2)), max_size=300))
+def test_records_that_told_each_other_are_equal_in_whatever_order(
+    notes: list[tuple[tuple[str, str], int, int]],
+) -> None:
+    ones = [Forgotten() for _ in range(3)]
+    for key, version, at in notes:
+        ones[at].note(key, version)
+    a, b = Forgotten(), Forgotten()
+    for one in ones:
+        a.merge(one.rows())
+    for one in (ones[2], ones[0], ones[1], ones[0]):
+        b.merge(read_rows({bucket: list(row) for bucket, row in one.rows().items()}))
+    assert a.root() == b.root() and a.rows() == b.rows()
+    assert all(a.watermark(key) >= version for key, version, _ in notes)
+
+
+@pytest.mark.parametrize(
+    "told",
+    [[], {"00": 3}, {"00": [1, {"11" * 8: 2}]}, {"0": [1, {}]}, {"00": ["1", {}]}, {"00": [1, {"00": "x"}]}],
+)
+def test_what_is_no_record_is_refused(told: object) -> None:
+    with pytest.raises(ValueError):
+        read_rows(told)
+
+
+def test_a_store_that_starts_over_holds_nothing_and_goes_on_counting() -> None:
+    store = Store("s", 10)
+    store.take("k", "x", 5, {})
+    store.merge([Item("k", "y", 1, {}, "t", 4)], {"t": 4})
+    forgotten = Forgotten()
+    forgotten.note(("k", "z"), 9)
+    store.forget_all(forgotten.rows())
+    assert sorted(store.start_over()) == [("k", "x"), ("k", "y")]
+    assert store.items == {} and store.vector == {"s": 1} and store.digests.root() == "0" * 16
+    assert store.forgotten.root() == ""
+    taken = store.take("k", "x", 1, {})
+    assert isinstance(taken, Item) and taken.number == 2
--- /dev/null
+++ b/tests/mesh/test_aquifer_snapshot.py
@@ -0,0 +1,185 @@
+"""Snapshots: whoever takes one over any giver, with links lost at any page, ends with the copy it was of; and
+a store refuses one whose items are not those of its root."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.snapshot import MOMENTS, SNAP, TAKINGS, Taking, cut
+from waterworks.aquifer.store import Mistaken, Store
+
+PAGE = 7
+
+
+def filled(source: str, count: int, size: int = 1) -> Store:
+    store = Store(source, 10_000)
+    for number in range(count):
+        store.take("k", f"{number:04}", 1, {"v": "x" * size})
+    return store
+
+
+def copied(source: str, of: Store) -> Store:
+    """The same content, by repair: another life's stamps, and a vector that claims nothing."""
+    store = Store(source, 10_000)
+    store.mend(of.items.values())
+    return store
+
+
+def asks(taker: Store, giver: Store, most: int = PAGE) -> bool:
+    """One question and its answer; whether there is more."""
+    lack = giver.lacking(taker.vector, most, snapshots=True)
+    changed = taker.hear(lack.items, lack.vector)
+    assert isinstance(changed, list)
+    return lack.more
+
+
+def snaps(store: Store) -> list[str]:
+    return [entry for entry in store.vector if entry.startswith(SNAP)]
+
+
+def test_who_lacks_most_gets_pages_by_key_and_the_vector_with_the_last() -> None:
+    giver, taker = filled("g", 40), Store("t", 100)
+    seen = []
+    while asks(taker, giver):
+        seen.append(taker.vector)
+        assert "g" not in taker.vector and snaps(taker)
+        assert [item.name for item in taker.items.values()] == sorted(i.name for i in taker.items.values())
+    assert len(seen) == 5 and taker.items == giver.items and taker.vector == {"g": 40}
+    assert not giver.has_news(taker.vector)
+
+
+def test_who_lacks_little_or_takes_none_gets_news() -> None:
+    giver, taker = filled("g", 40), Store("t", 100)
+    while asks(taker, giver):
+        pass
+    for number in range(15):
+        giver.take("k", f"{number:04}", 2, {})
+    lack = giver.lacking(taker.vector, PAGE, snapshots=True)
+    assert len(lack.items) == PAGE and not any(entry.startswith(SNAP) for entry in lack.vector)
+    assert not any(entry.startswith(SNAP) for entry in giver.lacking({}, PAGE).vector)
+
+
+def test_what_changes_meanwhile_comes_after_the_moment() -> None:
+    giver, taker = filled("g", 40), Store("t", 100)
+    number = 0
+    while asks(taker, giver):
+        number += 1
+        giver.take("k", "0000", 1 + number, {})
+        giver.take("k", f"new{number}", 1, {})
+        giver.take("k", "0039", 1 + number, None)
+        assert number < 20
+    assert taker.items == giver.items and taker.vector == giver.vector and not snaps(taker)
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.data())
+def test_any_giver_with_that_root_goes_on_whatever_is_lost_or_comes_twice(data: st.DataObject) -> None:
+    first = filled("g", data.draw(st.integers(PAGE + 1, 60)))
+    givers = [first, copied("h", first), copied("i", first)]
+    taker = Store("t", 1000)
+    late: list[tuple[list[Item], dict[str, int]]] = []
+    pages = 0
+    for _ in range(200):
+        giver = data.draw(st.sampled_from(givers))
+        what = data.draw(st.sampled_from(("well", "lost", "twice", "late", "changed")))
+        if what == "changed":
+            version = 1 + max(item.version for item in givers[0].items.values())
+            for one in givers:
+                one.merge([Item("k", "0003", version, {}, "w", version)], {"w": version})
+        lack = giver.lacking(taker.vector, PAGE, snapshots=True)
+        pages += bool(lack.items)
+        late.append((lack.items, lack.vector))
+        if what == "lost":
+            continue
+        for _ in range(1 + (what == "twice")):
+            assert isinstance(taker.hear(lack.items, lack.vector), list)
+        if what == "late":
+            assert isinstance(taker.hear(*data.draw(st.sampled_from(late))), list)
+        if taker.digests.root() == giver.digests.root() and not lack.more:
+            break
+    assert taker.digests.root() == giver.digests.root()
+    for one in givers:  # what the vector claims is held
+        told = Store("u", 1000)
+        told.merge(taker.items.values(), {})
+        lack = one.lacking(taker.vector, 1000)
+        assert isinstance(told.hear(lack.items, lack.vector), list)
+        assert told.digests.root() == one.digests.root()
+
+
+def test_a_link_lost_midway_costs_no_page_again() -> None:
+    giver, taker = filled("g", 70), Store("t", 100)
+    other = copied("h", giver)
+    for _ in range(5):
+        asks(taker, giver)
+    rest = 0
+    while True:
+        lack = other.lacking(taker.vector, PAGE, snapshots=True)
+        taker.hear(lack.items, lack.vector)
+        rest += len(lack.items)
+        if not lack.more:
+            break
+    assert rest == 35 and taker.digests.root() == giver.digests.root() and taker.vector == other.vector
+
+
+def test_a_life_that_ends_midway_begins_anew_and_a_moment_that_is_gone_too() -> None:
+    giver, taker = filled("g", 70), Store("t", 100)
+    for _ in range(4):
+        asks(taker, giver)
+    again = Store("t2", 100)
+    again.restore(taker.items.values(), taker.vector)
+    assert not snaps(again) and len(again.items) == 4 * PAGE
+    while asks(again, giver):
+        pass
+    assert again.items == giver.items
+    for number in range(MOMENTS + 1):  # that others ask for, each another
+        for name in range(PAGE + 1):
+            giver.take("k", f"{name:04}", 2 + number, {})
+        asks(Store(f"o{number}", 100), giver)
+    while asks(taker, giver):
+        pass
+    assert taker.items == giver.items and not snaps(taker)
+
+
+def test_what_does_not_have_its_root_is_told_and_its_vector_not_taken() -> None:
+    giver, taker = filled("g", 3 * PAGE), Store("t", 100)
+    asks(taker, giver)
+    asks(taker, giver)
+    last = giver.lacking(taker.vector, PAGE, snapshots=True)
+    harmed = [*last.items[:-1], Item("k", last.items[-1].name, 1, {"v": "?"}, "g", 3 * PAGE)]
+    assert isinstance(taker.hear(harmed, last.vector), Mistaken)
+    assert "g" not in taker.vector and not snaps(taker)
+    assert giver.has_news(taker.vector)
+
+
+def test_pages_are_bounded_in_bytes_and_one_item_goes_whatever_its_size() -> None:
+    giver = filled("g", 30, size=1000)
+    assert len(giver.lacking({}, 100, most_bytes=5000).items) == 4
+    assert len(giver.lacking({}, 5, most_bytes=3000, snapshots=True).items) == 2
+    assert len(cut(giver.items.values(), 1)) == 1
+    for snapshots in (False, True):
+        taker = Store("t", 100)
+        for _ in range(100):
+            lack = giver.lacking(taker.vector, 5, 3000, snapshots)
+            taker.hear(lack.items, lack.vector)
+            if not lack.more:
+                break
+        assert taker.items == giver.items and taker.vector == giver.vector
+
+
+def test_moments_and_takings_are_bounded() -> None:
+    giver = filled("g", 2 * PAGE)
+    for number in range(5):
+        for name in range(PAGE + 1):
+            giver.take("k", f"{name:04}", 2 + number, {})
+        asks(Store("t", 100), giver)
+    assert len(giver._giving.roots()) == MOMENTS
+    for _ in range(9):
+        asks(Store("t", 100), giver)  # of one moment, for all that come
+    assert len(giver._giving.roots()) == MOMENTS
+    taking, taker = Taking(), Store("t", 100)
+    items = [Item("k", "a", 1, {})]
+    for number in range(TAKINGS + 3):
+        taking.took(f"{number:016x}", 1, items)
+        taker.hear(items, {f"{SNAP}{number:016x}": 1})
+    assert not taking.begun(f"{0:016x}") and taking.begun(f"{TAKINGS + 2:016x}")
+    assert len(snaps(taker)) == TAKINGS
--- a/tests/mesh/test_cistern_power.py
+++ b/tests/mesh/test_cistern_power.py
@@ -1,6 +1,7 @@
-"""Losses of power between a name's change and its folder's sync: each such name may be kept or lost by itself,
-and what was said to be kept must be there whatever becomes of them."""
+"""Losses of power between a name's change and its folder's sync: each such name may be kept or lost by
+itself, and what was said to be kept must be there whatever becomes of them."""
 
+import contextlib
 import itertools
 import os
 import shutil
@@ -12,7 +13,7 @@
 import pytest
 
 from waterworks.cistern import keeper as keeping
-from waterworks.cistern.keeper import NAME, Fresh, Keeper, Kept, Opened
+from waterworks.cistern.keeper import Fresh, Keeper, Kept, Opened
 
 MOST = 1 << 20
 ROWS = {b"a": b"1" * 100, b"b": b"2" * 5000}
@@ -170,10 +171,8 @@
             with pytest.MonkeyPatch.context() as patch:
                 machine = Machine(next(folders), patch, syncs)
                 machine.kill_at = at
-                try:
+                with contextlib.suppress(Killed):
                     life(machine)
-                except Killed:
-                    pass
                 machine.kill_at = -1
                 machine.close()
                 if again:
--- a/tests/mesh/test_leat_exchange.py
+++ b/tests/mesh/test_leat_exchange.py
@@ -2,7 +2,7 @@
 nobody is sent what it stamped, and a mesh in which nothing changes falls silent."""
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from itertools import combinations
 from typing import Any
 
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from waterworks.aquifer.items import Item, same_content
+from waterworks.aquifer.snapshot import SNAPSHOTS
 from waterworks.aquifer.store import Lack, Store
 from waterworks.leat import exchange as leat
 from waterworks.leat.exchange import Exchange, pack, unpack
@@ -24,7 +25,8 @@
 class Mesh:
     """Nodes with two stores each, a link between each two, frames under way in order on each link."""
 
-    def __init__(self, count: int, kind: type[Store] = Store) -> None:
+    def __init__(self, count: int, kind: type[Store] = Store, takes: Collection[str] = ()) -> None:
+        self.takes = takes
         self.stores = [{name: kind(f"s{n}", 500) for name in ("charter", "roll")} for n in range(count)]
         self.ends: dict[tuple[int, int], Exchange] = {}
         self.under_way: dict[tuple[int, int], deque[Head]] = {}
@@ -34,7 +36,8 @@
 
     def reconnect(self, one: int, other: int) -> None:
         for here, there in ((one, other), (other, one)):
-            self.ends[here, there] = Exchange(self.stores[here])
+            end = self.ends[here, there] = Exchange(self.stores[here])
+            end.met(f"s{there}", self.takes)
             self.under_way[here, there] = deque()
         for here, there in ((one, other), (other, one)):
             self.send(here, there, self.ends[here, there].question())
@@ -137,6 +140,15 @@
     assert mesh.own == 0
 
 
+@given(st.integers(2, 5), OPS)
+@settings(max_examples=120)
+def test_all_converge_and_fall_silent_where_snapshots_are_taken(count: int, ops: list[Any]) -> None:
+    mesh = Mesh(count, takes=(SNAPSHOTS,))
+    play(mesh, ops)
+    assert mesh.settle(), "frames without an end"
+    assert not mesh.differ()
+
+
 def test_a_link_in_which_nothing_changes_carries_two_questions_and_no_more() -> None:
     mesh = Mesh(2)
     assert mesh.settle() and mesh.frames == 2
@@ -154,8 +166,9 @@
 
 
 @pytest.mark.parametrize("items", [PAGE, PAGE + 1, 3 * PAGE, 3 * PAGE + 1])
-def test_pages_bring_all_and_end(items: int) -> None:
-    mesh = Mesh(2)
+@pytest.mark.parametrize("takes", [(), (SNAPSHOTS,)])
+def test_pages_bring_all_and_end(items: int, takes: tuple[str, ...]) -> None:
+    mesh = Mesh(2, takes=takes)
     mesh.settle()
     before = mesh.frames
     for name in range(items):
@@ -164,14 +177,14 @@
     assert mesh.settle() and not mesh.differ()
     pages = -(-items // PAGE)
     assert mesh.frames - before == 2 * pages  # a page, a question; the last page ends the paging
-    assert not any(entry.startswith("page:") for entry in mesh.stores[1]["roll"].vector)
+    assert mesh.stores[1]["roll"].vector == {"s0": items}
     assert mesh.ends[1, 0].pulled
 
 
 class ClaimsPastGaps(Store):
     """The fault: each page raises the vector to all that the sender has."""
 
-    def lacking(self, vector: Mapping[str, int], most: int) -> Lack:
+    def lacking(self, vector: Mapping[str, int], most: int, *_: object, **__: object) -> Lack:
         lack = super().lacking(vector, most)
         return Lack(lack.items, dict(self.vector), False) if lack.more else lack
 
--- a/tests/mesh/test_operate_questions.py
+++ b/tests/mesh/test_operate_questions.py
@@ -16,7 +16,6 @@
     Questions,
     Refusal,
     items,
-    root,
 )
 from waterworks.operate.asking import Answered, Refused, Silent, ask, held
 from waterworks.penstock.frames import Head
@@ -111,12 +110,12 @@
 
 def test_the_root_tells_copies_apart_by_what_they_hold_alone() -> None:
     one, other = Store("a", 10), Store("b", 10)
-    assert root(one) == root(other) == "0" * 16
+    assert one.digests.root() == other.digests.root() == "0" * 16
     one.take_all([("k", "x", 1, {"v": 1}), ("k", "y", 2, None)])
     other.take_all([("k", "y", 2, None), ("k", "x", 1, {"v": 1})])
-    assert root(one) == root(other) != "0" * 16
+    assert one.digests.root() == other.digests.root() != "0" * 16
     other.take("k", "x", 2, {"v": 1})
-    assert root(one) != root(other)
+    assert one.digests.root() != other.digests.root()
 
 
 async def serve(questions: Questions | None) -> tuple[Address, asyncio.Server]:
--- a/tests/mesh/test_repair_copies.py
+++ b/tests/mesh/test_repair_copies.py
@@ -22,7 +22,6 @@
     under,
 )
 from waterworks.aquifer.store import Store
-from waterworks.headworks.questions import root
 from waterworks.leat.exchange import Exchange, pack
 from waterworks.penstock.frames import frame
 
@@ -42,8 +41,8 @@
 
 def repaired(one: Store, other: Store, forgets: bool, turn: int = 0) -> tuple[int, int, int]:
     """One comparison, as two processes have it: frames, their bytes, items that changed on either side."""
-    sent = [{"t": "digest", "roots": {"charter": root(one)}}]
-    if root(one) == root(other):
+    sent = [{"t": "digest", "roots": {"charter": one.digests.root()}}]
+    if one.digests.root() == other.digests.root():
         return 1, len(frame(sent[0])), 0
     told, sides = {"": other.digests.at("")}, (one, other)
     sent.append({"t": "range", "s": "charter", "at": told})
--- a/tests/mesh/test_repair_world.py
+++ b/tests/mesh/test_repair_world.py
@@ -20,7 +20,6 @@
 from waterworks.cistern.layout import held
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
-from waterworks.headworks.questions import root
 from waterworks.leat.channels import Channels
 from waterworks.reservoir import repairing
 from waterworks.reservoir.ledger import Ledger
@@ -96,7 +95,7 @@
         item = world.machines["c1"].program.charter.items[R1]
         turned(world.machines["c3"], "charter", R1, altered(item, 3))
         yield world.env.timeout(WITHIN_S)
-        assert len({root(program.charter) for _, program in world.programs(core=True)}) == 1
+        assert len({program.charter.digests.root() for _, program in world.programs(core=True)}) == 1
         told = world.events(events.COPIES_SPLIT)
         assert told and all((v["kind"], v["name"], v["version"]) == (*R1, 3) for _, _, v in told)
 
@@ -184,7 +183,7 @@
             turned(world.machines["c2"], "charter", item.key, None)
             lacks.charter._arrived.pop(item.key)
         yield world.env.timeout(EVERY_S[1] + 20.0)  # some thirteen rounds
-        assert root(lacks.charter) == root(full.charter)
+        assert lacks.charter.digests.root() == full.charter.digests.root()
 
     assert played(many) == []
 
--- a/waterworks/aquifer/digest.py
+++ b/waterworks/aquifer/digest.py
@@ -25,9 +25,9 @@
     def note(self, old: Item | None, new: Item | None) -> None:
         """``old`` (None: there was none) has been replaced by ``new`` (None: forgotten) of the same key."""
         if old is not None:
-            self._turn(_prefix(old.key), _hash(old))
+            self._turn(_prefix(old.key), hash_of(old))
         if new is not None:
-            self._turn(_prefix(new.key), _hash(new))
+            self._turn(_prefix(new.key), hash_of(new))
             self._leaves.setdefault(_prefix(new.key), set()).add(new.key)
         elif old is not None:
             leaf = self._leaves[_prefix(old.key)]
@@ -47,6 +47,13 @@
             if prefix + digit in self._sums
         }
 
+    def root(self) -> str:
+        """One digest (16 hex digits) of all; equal where two hold the same, whatever way it came."""
+        told = 0
+        for digest in self.at("").values():
+            told ^= int(digest, 16)
+        return f"{told:016x}"
+
     def keys(self, prefix: str) -> list[Key]:
         """The keys under a leaf's prefix (3 hex digits), sorted; empty where there are none."""
         return sorted(self._leaves.get(prefix, ()))
@@ -70,6 +77,7 @@
     return blake2b(msgspec.json.encode(key), digest_size=2).hexdigest()[:DEPTH]
 
 
-def _hash(item: Item) -> int:
+def hash_of(item: Item) -> int:
+    """64 bits over all of an item but its stamp."""
     told = msgspec.json.encode([item.kind, item.name, item.version, item.value], order="deterministic")
     return int.from_bytes(blake2b(told, digest_size=8).digest())
--- a/waterworks/aquifer/store.py
+++ b/waterworks/aquifer/store.py
@@ -8,12 +8,15 @@
 from typing import Any
 
 from waterworks.aquifer.digest import Digests
+from waterworks.aquifer.forgotten import Forgotten, Row, digest_of
 from waterworks.aquifer.items import Item, Key, outranks
+from waterworks.aquifer.snapshot import PART, SNAP, Giving, Moment, Taking, cut
 
 Write = tuple[str, str, int, Mapping[str, Any] | None]  # kind, name, version, value
 
 SPARE_SOURCES = 64  # entries of the vector that no item bears; each costs its bytes in every question
 PAGINGS = 16  # answers that may be under way in pages at once
+PAGE_BYTES = 1 << 20  # of one answer as JSON, about; a single item may have more
 PAGE = "page:"  # before a source's name: an entry that counts pages of that source's answer, see Store
 
 
@@ -24,6 +27,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Mistaken:
+    """A snapshot's items do not have the digest that it was told with: its vector was not taken."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Lack:
     """What a peer lacks: items in the order of their arrival here, and what its vector may rise to with them.
@@ -52,6 +62,9 @@
     the asker holds whatever the sender still holds of its first n arrivals. An item replaced meanwhile
     arrives anew, past the page. Only the sender heeds that entry, the last page ends it, and nobody passes it
     on.
+
+    Where a peer lacks most of what is held, and takes them, the pages are those of a snapshot instead
+    (`aquifer.snapshot`): its entry is heeded by whoever holds the same, and ends with the last page too.
     """
 
     def __init__(self, source: str, most: int) -> None:
@@ -59,13 +72,15 @@
 
         Raises ValueError for a source that is empty or looks like a page's entry.
         """
-        if not source or source.startswith(PAGE):
-            raise ValueError(f"source {source!r}: give a name that does not begin with {PAGE!r}")
+        if not source or _paging(source):
+            raise ValueError(f"source {source!r}: give a name that does not begin with {PAGE!r} or {SNAP!r}")
         self.source = source
         self.most = most
         self.items: dict[Key, Item] = {}
         self.vector: dict[str, int] = {}
         self.digests = Digests()
+        self.forgotten = Forgotten()  # of drops that all who count have held; empty where drops go by time
+        self._giving, self._taking = Giving(), Taking()
         self._stamped: dict[str, list[tuple[int, Key]]] = {}  # by source: its items by number
         self._arrived: dict[Key, int] = {}
         self._arrivals = 0
@@ -91,6 +106,12 @@
         return taken
 
     def merge(self, items: Iterable[Item], vector: Mapping[str, int]) -> list[Item] | Full:
+        """As `hear`, for what is no page of a snapshot."""
+        changed = self.hear(items, vector)
+        assert not isinstance(changed, Mistaken)
+        return changed
+
+    def hear(self, items: Iterable[Item], vector: Mapping[str, int]) -> list[Item] | Full | Mistaken:
         """A peer's answer, whole or a page, to a question that this store asked; the items that changed it.
 
         Items from elsewhere (repair) come with an empty vector. An item of equal content keeps the stamp it
@@ -101,9 +122,42 @@
         if (full := self._full({item.key for item in told}, 2 * self.most)) is not None:
             return full
         changed = {item.key: item for item in told if self._put(item)}
+        for entry, place in vector.items():
+            if entry.startswith(SNAP) and place:
+                return self._snapshot(entry, place, told, vector) or list(changed.values())
         self._raise(vector)
+        if any(source != self.source and not _paging(source) for source in vector):
+            self._snapped()  # a whole answer: nothing is lacking that a snapshot has
         return list(changed.values())
 
+    def _snapshot(
+        self, entry: str, place: int, told: Sequence[Item], vector: Mapping[str, int]
+    ) -> Mistaken | None:
+        """A page of one has come; the last one (its place is told below 0) has more in its vector."""
+        root = entry.removeprefix(SNAP)
+        if place > 0:
+            reached = self._taking.took(root, place, told)
+            if reached:
+                self.vector[entry] = reached
+            for old in [old for old in self.vector if old.startswith(SNAP)]:
+                if not self._taking.begun(old.removeprefix(SNAP)):
+                    del self.vector[old]
+            return None
+        ends = self._taking.ends(root, -place, told)
+        if ends is None:
+            return None
+        self.vector.pop(entry, None)
+        if not ends:
+            return Mistaken(f"snapshot {root}: what came has another digest")
+        self._raise({source: number for source, number in vector.items() if source != entry})
+        self._snapped()
+        return None
+
+    def _snapped(self) -> None:
+        for entry in [entry for entry in self.vector if entry.startswith(SNAP)]:
+            del self.vector[entry]
+        self._taking.clear()
+
     def mend(self, items: Iterable[Item]) -> list[Item] | Full:
         """Merges copies that repair found to be newer elsewhere. What changed by them is stamped anew, as
         this store's own: its stamp may be within this vector already, and it would be news to nobody."""
@@ -130,20 +184,27 @@
         process that was out of touch for so long that tombstones it never heard of may be forgotten."""
         gone = [item for item in self.items.values() if item.source != self.source]
         for item in gone:
-            del self.items[item.key]
-            del self._arrived[item.key]
-            self.digests.note(item, None)
-            self._unstamp(item)
+            self._drop(item)
         self.vector = {self.source: self.vector[self.source]} if self.source in self.vector else {}
         self._unborne.clear()
+        self._taking.clear()
         return [Item(item.kind, item.name, item.version, None) for item in gone]
 
-    def lacking(self, vector: Mapping[str, int], most: int) -> Lack:
-        """What a peer with this vector lacks: at most ``most`` (>= 1) items, then ``more``.
+    def lacking(
+        self, vector: Mapping[str, int], most: int, most_bytes: int = PAGE_BYTES, snapshots: bool = False
+    ) -> Lack:
+        """What a peer with this vector lacks: at most ``most`` (>= 1) items and so many bytes, one item at
+        least, then ``more``. ``snapshots``: it takes them.
 
-        merge(lack.items, lack.vector) is right for pages and whole answers alike, also late or doubled. The
-        cost is that of all that is lacking and of the sources, not of the store.
+        hear(lack.items, lack.vector) is right for pages and whole answers alike, also late or doubled. The
+        cost is that of all that is lacking and of the sources, not of the store, but where a snapshot is
+        begun.
         """
+        if snapshots:
+            for entry, place in vector.items():
+                moment = self._known(entry.removeprefix(SNAP)) if entry.startswith(SNAP) else None
+                if moment is not None and 0 < place < len(moment.items):
+                    return self._page(moment, place, vector, most, most_bytes)
         page = PAGE + self.source
         after = vector.get(page, 0)
         found = []
@@ -151,13 +212,42 @@
             for _, key in stamped[bisect_right(stamped, vector.get(source, 0), key=itemgetter(0)) :]:
                 if self._arrived[key] > after:
                     found.append((self._arrived[key], key))
+        if snapshots and len(found) > most and PART * len(found) > len(self.items):
+            moment = self._giving.latest(self._arrivals, most) or self._moment()
+            return self._page(moment, 0, vector, most, most_bytes)
         first = nsmallest(most, found)
-        items = [self.items[key] for _, key in first]
-        if len(found) > most:
-            return Lack(items, {page: first[-1][0]}, True)
+        items = cut((self.items[key] for _, key in first), most_bytes)
+        if len(found) > len(items):
+            return Lack(items, {page: first[len(items) - 1][0]}, True)
         risen = {source: self.vector[source] for source in self._risen(vector)}
         return Lack(items, risen | ({page: 0} if page in vector else {}), False)
 
+    def _known(self, root: str) -> Moment | None:
+        """A moment with that root: one that is kept, or now."""
+        return self._giving.find(root) or (self._moment() if root == self.digests.root() else None)
+
+    def _moment(self) -> Moment:
+        vector = {
+            source: number
+            for source, number in self.vector.items()
+            if source == self.source or source in self._stamped
+        }
+        items = tuple(self.items[key] for key in sorted(self.items))
+        moment = Moment(self.digests.root(), items, vector, self._arrivals)
+        self._giving.keep(moment)
+        return moment
+
+    def _page(
+        self, moment: Moment, place: int, vector: Mapping[str, int], most: int, most_bytes: int
+    ) -> Lack:
+        items, entry = moment.page(place, most, most_bytes), SNAP + moment.root
+        place += len(items)
+        if place < len(moment.items):
+            return Lack(items, {entry: place}, True)
+        risen = {source: number for source, number in moment.vector.items() if number > vector.get(source, 0)}
+        # What came since is asked for next.
+        return Lack(items, {entry: -place, **risen}, self.has_news({**vector, **risen}))
+
     def has_news(self, vector: Mapping[str, int]) -> bool:
         """Whether an answer to this vector would raise it, by the cost of the sources.
 
@@ -177,10 +267,33 @@
         held = self.items.get(key)
         if held is None or held.value is not None:
             return
-        del self.items[key]
-        del self._arrived[key]
-        self.digests.note(held, None)
-        self._unstamp(held)
+        self._drop(held)
+
+    def forget_all(self, rows: Mapping[str, Row]) -> tuple[list[str], list[Key]]:
+        """Drops that are forgotten (`forgotten.Forgotten`): the buckets that changed, and the keys of what
+        was held of them here, or of older copies, and is gone with this."""
+        buckets = self.forgotten.merge(rows)
+        changed = set(buckets)
+        stale = []
+        for item in self.items.values():
+            if digest_of(item.key)[:2] in changed and item.version <= self.forgotten.version(item.key):
+                stale.append(item)
+        for item in stale:
+            self._drop(item)
+        return buckets, [item.key for item in stale]
+
+    def start_over(self) -> list[Key]:
+        """Forgets all that it holds, this store's own too, and its record of drops; the keys that are gone.
+        For a process that is told that its copy counts for nothing."""
+        gone = list(self.items.values())
+        for item in gone:
+            self._drop(item)
+        own = self.vector.get(self.source)
+        self.vector = {self.source: own} if own else {}
+        self._unborne.clear()
+        self._taking.clear()
+        self.forgotten = Forgotten()
+        return [item.key for item in gone]
 
     def restore(self, items: Iterable[Item], vector: Mapping[str, int]) -> None:
         """What an earlier life of this process kept on disk, items and vector of one moment; stamps are kept.
@@ -190,7 +303,7 @@
         """
         for item in items:
             self._put(item)
-        self._raise({source: number for source, number in vector.items() if not source.startswith(PAGE)})
+        self._raise({source: number for source, number in vector.items() if not _paging(source)})
 
     def _full(self, keys: set[Key], most: int) -> Full | None:
         count = len(self.items) + sum(key not in self.items for key in keys)
@@ -200,10 +313,18 @@
             f"state: {count} items with these, at most {most}: drop some and wait till they are forgotten"
         )
 
+    def _drop(self, held: Item) -> None:
+        del self.items[held.key]
+        del self._arrived[held.key]
+        self.digests.note(held, None)
+        self._unstamp(held)
+
     def _put(self, item: Item) -> bool:
         held = self.items.get(item.key)
         if held is not None and not outranks(item, held):
             return False
+        if held is None and item.version <= self.forgotten.version(item.key):
+            return False
         self.items[item.key] = item
         self._arrivals += 1
         self._arrived[item.key] = self._arrivals
@@ -237,6 +358,8 @@
         for source, number in vector.items():
             if source.startswith(PAGE):
                 self._turn_page(source, number)
+            elif source.startswith(SNAP):
+                continue
             elif number > self.vector.get(source, 0):
                 self.vector[source] = number
                 if source not in self._stamped:
@@ -267,6 +390,11 @@
         may wait for it to be confirmed: otherwise sources long dead would go round for ever.
         """
         for source, number in self.vector.items():
-            if number > vector.get(source, 0) and not source.startswith(PAGE):
+            if number > vector.get(source, 0) and not _paging(source):
                 if source == self.source or source in self._stamped or source in vector:
                     yield source
+
+
+def _paging(entry: str) -> bool:
+    """Whether that entry of a vector counts pages, of whatever kind."""
+    return entry.startswith((PAGE, SNAP))
--- a/waterworks/headworks/questions.py
+++ b/waterworks/headworks/questions.py
@@ -98,15 +98,6 @@
         self._links.pop(link, None)
 
 
-def root(store: Store) -> str:
-    """One digest (16 hex digits) of all that a store holds, dropped items too; equal where two stores hold
-    the same, whatever way it came."""
-    told = 0
-    for digest in store.digests.at("").values():
-        told ^= int(digest, 16)
-    return f"{told:016x}"
-
-
 def common(settings: Settings, charter: Store, roll: Store, clock: float) -> Told:
     """What either program says of itself. ``clock``: seconds since 1970 by this machine."""
     return {
@@ -118,7 +109,7 @@
         "charter": {
             "items": sum(item.value is not None for item in charter.items.values()),
             "dropped": sum(item.value is None for item in charter.items.values()),
-            "digest": root(charter),
+            "digest": charter.digests.root(),
         },
         "roll": len(roll.items),
         "unknown": list(settings.unknown[:20]),
--- a/waterworks/leat/channels.py
+++ b/waterworks/leat/channels.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from waterworks.aquifer.items import Item
+from waterworks.aquifer.snapshot import SNAPSHOTS
 from waterworks.aquifer.store import Store
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
@@ -160,7 +161,8 @@
         ``up``: the stores that go only to those whose hello says under ``takes`` that they want them."""
         self.up, self.ranks = up, ranks
         self.loop = asyncio.get_running_loop()
-        self.me, self.hello, self.stores, self.most, self.gauge = me, hello, stores, most, gauge
+        self.me, self.stores, self.most, self.gauge = me, stores, most, gauge
+        self.hello = {**hello, "takes": [*hello.get("takes", ()), SNAPSHOTS]}
         self.changed, self.whole, self._extra = changed, whole, extra
         self._opened, self._closed = opened, closed
         self.open: set[Channel] = set()
--- a/waterworks/leat/exchange.py
+++ b/waterworks/leat/exchange.py
@@ -5,6 +5,9 @@
 question names only the entries that have changed since the last one on this link; whatever a peer stamped
 itself it never lacks.
 
+Where an asker lacks most of a store and says that it takes snapshots, the pages are those of one
+(`aquifer.snapshot`).
+
 A store that goes one way (``up``) is told only to a peer that says it takes it: what each sidecar says of
 itself goes to the control processes and never to all other sidecars.
 """
@@ -15,7 +18,8 @@
 from typing import Any
 
 from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Full, Store
+from waterworks.aquifer.snapshot import SNAPSHOTS
+from waterworks.aquifer.store import Full, Mistaken, Store
 from waterworks.penstock.frames import Head
 
 PAGE = 500  # items of one answer
@@ -125,7 +129,7 @@
                 continue
             asked = self._asked[name]
             if store.has_news(asked):
-                lack = store.lacking(asked, PAGE)
+                lack = store.lacking(asked, PAGE, snapshots=SNAPSHOTS in self._peer_takes)
                 told[name] = {"items": [pack(item) for item in lack.items], "v": lack.vector}
                 more = more or lack.more
         if not told:
@@ -151,8 +155,8 @@
         }
         changed: dict[str, list[Item]] = {}
         for name, (items, vector) in told.items():
-            taken = self._stores[name].merge(items, vector)
-            if isinstance(taken, Full):
+            taken = self._stores[name].hear(items, vector)
+            if isinstance(taken, Full | Mistaken):
                 self.full = taken.reason
             else:
                 changed[name] = taken
--- a/waterworks/reservoir/repairing.py
+++ b/waterworks/reservoir/repairing.py
@@ -23,7 +23,6 @@
 from waterworks.cistern.keeper import Kept
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
-from waterworks.headworks.questions import root
 from waterworks.leat.channels import Channel, Channels
 from waterworks.leat.exchange import pack, unpack
 from waterworks.penstock.frames import Head
@@ -74,7 +73,7 @@
         self._left: dict[tuple[str, str], Left] = {}
 
     def _roots(self) -> dict[str, str]:
-        return {name: root(store) for name, store in self._stores.items()}
+        return {name: store.digests.root() for name, store in self._stores.items()}
 
     def tick(self, now: float) -> None:
         """Called several times a second."""
@@ -130,7 +129,7 @@
         return True
 
     def _compare(self, channel: Channel, name: str, theirs: str) -> None:
-        mine, where = root(self._stores[name]), (channel.node, name)
+        mine, where = self._stores[name].digests.root(), (channel.node, name)
         if mine == theirs:
             self._left.pop(where, None)
             return
@@ -167,7 +166,7 @@
             self._gauge.tell(events.REPAIR_DIFFERS, peer=channel.node, buckets=len(found.odd))
         if not (found.take or found.give):
             where = (channel.node, name)
-            self._left[where] = Left((root(self._stores[name]), self._told.get(where, "")))
+            self._left[where] = Left((self._stores[name].digests.root(), self._told.get(where, "")))
 
     def _take(self, channel: Channel, name: str, items: list[Item]) -> None:
         taken = self._stores[name].mend(items)
--- a/waterworks/reservoir/safekeeping.py
+++ b/waterworks/reservoir/safekeeping.py
@@ -11,7 +11,7 @@
 from waterworks.aquifer.store import Store
 from waterworks.cistern.keeper import NAME, Keeper, Refused
 from waterworks.cistern.layout import CisternError, held
-from waterworks.headworks.questions import Handler, Refusal, Told, root
+from waterworks.headworks.questions import Handler, Refusal, Told
 from waterworks.penstock.frames import Head
 from waterworks.reservoir.ledger import Ledger
 
@@ -47,7 +47,7 @@
         """Every row read and checked, and the digest of what the disk holds beside that of what is held in
         memory. ``moving``: the two could not be compared, since changes came meanwhile."""
         await self._ledger.kept()
-        before = root(self._charter)
+        before = self._charter.digests.root()
         disk = await self._ledger.between(_survey)
         if disk.findings:
             self._damaged()
@@ -56,7 +56,7 @@
             "items": disk.items,
             "disk": disk.digest,
             "memory": before,
-            "moving": before != root(self._charter),
+            "moving": before != self._charter.digests.root(),
             "whole": self._ledger.whole,
         }
 
@@ -79,7 +79,7 @@
         return _Disk((str(fault),), 0, "")
     store = Store("disk", len(kept.items) + 1)
     store.restore(kept.items, {})
-    return _Disk((), len(kept.items), root(store))
+    return _Disk((), len(kept.items), store.digests.root())
 
 
 def _inside(base: str, to: str) -> Path | Refusal:
