--- a/tests/mesh/test_sluice_passage.py
+++ b/tests/mesh/test_sluice_passage.py
@@ -15,10 +15,12 @@
 from waterworks.headworks.settings import Settings, read
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import SILENT_S, Address, Link, listen
+from waterworks.sluice.calls import Event, Out
 from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear, end_head
-from waterworks.sluice.passage import AGAIN_S, HOLD_S, IDLE_S, Incoming, Out, Passage
-from waterworks.sluice.program import Sluice
+from waterworks.sluice.passage import AGAIN_S, HOLD_S, IDLE_S, Incoming, Passage
+from waterworks.sluice.program import TICK_S, Sluice
 from waterworks.sluice.tailrace import Running, Tailrace
+from waterworks.valve.holding import Holding
 from waterworks.valve.passing import Why
 from waterworks.weir.calls import Beat, read_beat
 
@@ -36,6 +38,7 @@
         self.taken: asyncio.Queue[Running] = asyncio.Queue()
         self.dropped: list[str] = []
         self.full = False
+        self.bodies = Holding(4096, 1024)
 
     def take(self, call: Call, ended: Callable[[End], None]) -> Running | None:
         if self.full:
@@ -45,7 +48,7 @@
         self.taken.put_nowait(running)
         return running
 
-    def drop(self, running: Running) -> None:
+    def drop(self, running: Running, event: Event = Event.GIVEN_UP) -> None:
         self.dropped.append(running.call.attempt)
 
 
@@ -180,8 +183,9 @@
         bench.tick()
         await far.next()
         assert not end.done()
-        move(SILENT_S + 0.1)
-        bench.tick()
+        for _ in range(int((SILENT_S + 0.1) / TICK_S) + 1):  # as often as the program looks
+            move(TICK_S)
+            bench.tick()
         assert await soon(end) == Unclear("silent")
 
     over(test)
@@ -315,6 +319,30 @@
     over(test, real=True)
 
 
+def test_bodies_in_hand_are_bounded_together_and_counted_to_their_ends() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        assert far.second is not None
+        bodies = far.second.bodies  # 2,048 bytes, 1,024 of one body
+        first = [bench.send(f"a{at}", far.address, body=b"x" * 900) for at in range(3)]
+        assert await soon(first[2][1]) == TurnedAway(Why.FULL) and bodies.held == 1800
+        assert await soon(bench.send("b", far.address, body=b"x" * 1025)[1]) == TurnedAway(Why.FULL)
+        (await soon(far.second.taken.get())).ended(SERVED)
+        assert await soon(first[0][1]) == SERVED
+        bench.passage.drop(first[1][0])
+        await until(lambda: bodies.held == 0)
+        bench.send("c", far.address, body=b"x" * 900)
+        await until(lambda: bodies.held == 900)
+        far.second.full = True
+        assert await soon(bench.send("d", far.address, body=b"x" * 900)[1]) == TurnedAway(Why.FULL)
+        assert bodies.held == 900
+        link = bench.passage._links["there"].link
+        assert link is not None and isinstance(far.links[0].peer, Incoming)
+        far.links[0].peer.lost()
+        assert bodies.held == 0
+
+    over(test, real=True)
+
+
 def test_a_node_that_has_moved_gets_a_new_link_and_the_old_ones_calls_are_unclear() -> None:
     async def test(bench: Bench, far: Far) -> None:
         moved = Far()
--- a/tests/mesh/test_sluice_tap.py
+++ b/tests/mesh/test_sluice_tap.py
@@ -9,9 +9,20 @@
 import pytest
 
 from anisestair.http import codec as http
-from rigs.mesh_peers import Upstream, move, play, soon, until
+from rigs.mesh_peers import Upstream, move, play, soon, turns, until
 from waterworks.gauge.log import Gauge
-from waterworks.sluice.tap import IDLE_S, MARGIN_S, Answered, Broken, NotSent, Outcome, Tap, TapConnection
+from waterworks.sluice import tap as module
+from waterworks.sluice.tap import (
+    CONNECT_S,
+    IDLE_S,
+    MARGIN_S,
+    Answered,
+    Broken,
+    NotSent,
+    Outcome,
+    Tap,
+    TapConnection,
+)
 
 
 class Asked:
@@ -204,6 +215,40 @@
     tapped(test, ["hold"] * 3, most=3)
 
 
+def test_a_second_use_of_an_id_has_a_connection_of_its_own() -> None:
+    """A late second answer to the first use would pass for its own: it has the same id."""
+
+    async def test(bench: Bench) -> None:
+        await bench.good("a1")
+        first = bench.tap._idle[-1]
+        await bench.good("b")
+        await bench.good("a1")
+        assert bench.upstream.opened == 2 and bench.tap._idle[-1] is not first
+
+    tapped(test)
+
+
+def test_a_second_use_of_an_id_makes_itself_room_among_idle_connections() -> None:
+    async def test(bench: Bench) -> None:
+        await bench.good("a1")
+        await bench.good("a1")
+        assert bench.upstream.opened == 2 and len(bench.tap._open) == 1
+
+    tapped(test, most=1)
+
+
+def test_the_ids_that_are_kept_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "RECENT", 3)
+
+    async def test(bench: Bench) -> None:
+        for at in range(5):
+            await bench.good(f"a{at}")
+        assert bench.tap._recent == {b"a2", b"a3", b"a4"}
+        assert len(bench.tap._order) == 3 and bench.upstream.opened == 1
+
+    tapped(test)
+
+
 def test_a_call_that_is_dropped_ends_its_connection_and_has_no_outcome() -> None:
     async def test(bench: Bench) -> None:
         asked = await bench.begin("a1")
@@ -217,3 +262,31 @@
         assert not asked.outcome.done()
 
     tapped(test, ["hold"])
+
+
+def test_opening_a_connection_holds_a_call_up_for_a_part_of_a_short_drain(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A call that may still pass must not reach its upstream after drain_ms."""
+
+    async def test(bench: Bench) -> None:
+        async def hangs(*_: object) -> None:
+            await asyncio.Event().wait()
+
+        loop = asyncio.get_running_loop()
+        for drain_ms, most_s in (400.0, 0.12), (2000.0, CONNECT_S):
+            tap = Tap(bench.upstream.address, 1, Gauge("t", io.StringIO()), drain_ms)
+            with monkeypatch.context() as patch:
+                patch.setattr(loop, "create_connection", hangs)
+                outcome: asyncio.Future[Outcome] = loop.create_future()
+                task = loop.create_task(tap.ask(b"a1", b"", outcome.set_result))
+                await turns()
+                move(0.9 * most_s)
+                await turns()
+                assert not outcome.done()
+                move(0.2 * most_s)
+                await turns()
+                assert outcome.done() and outcome.result() == NotSent(False)
+                await task
+
+    tapped(test)
--- a/waterworks/cistern/keeper.py
+++ b/waterworks/cistern/keeper.py
@@ -5,9 +5,9 @@
 one is renamed, never overwritten and never passed over in silence: what was acknowledged is not on this disk,
 and the caller must know it.
 
-A name that was made, changed or removed holds only once its folder is synced, and each of them may be kept or
-lost by itself. So no row is kept in a file before the folder that names it was synced after the file was last
-opened: whoever did it before may have been killed in between.
+A name may be lost by itself with the power, however often its file was synced, until its folder is. A life
+that died, or a disk that refused, between the two leaves a name that is there and may yet go; so nothing is
+said to be kept by a life that has not synced the folder, and the one above it, itself.
 """
 
 import os
@@ -117,6 +117,7 @@
         self._environment: lmdb.Environment | None = (
             environment  # None after a refusal, until the next call opens it anew
         )
+        self._named = False  # the file's name is known to outlast a loss of power
 
     @staticmethod
     def open(folder: Path, most_bytes: int) -> Opened | Fresh | SetAside | Failed:
@@ -139,7 +140,6 @@
                 return SetAside(
                     keeper, asides[-1], "an earlier store was set aside and none begun in its place"
                 )
-            _sync_folder(folder)
             found = _read(path, most_bytes)
             if not isinstance(found, _Damaged):
                 if isinstance(found, Opened):
@@ -180,6 +180,7 @@
             # The commit's last write is made durable by a flag of its descriptor alone, which not every disk
             # honours.
             environment.sync(True)
+            self._sync_name()
         except lmdb.MapFullError:
             return Refused(f"{self._path}: full at {self._most} bytes; drop rows or give the disk more room")
         except (lmdb.Error, OSError) as error:
@@ -195,11 +196,13 @@
         good."""
         self.close()
         unfinished, before = _unfinished(self._path), _before(self._path)
+        self._named = False
         try:
             _make(unfinished, self._most, rows)
             before.unlink(missing_ok=True)
             os.link(self._path, before)
             _publish(unfinished, self._path)
+            self._sync_name()
             before.unlink()
         except (lmdb.Error, OSError) as error:
             return Refused(f"{self._path}: {error}; give the disk room or look at it")
@@ -257,9 +260,15 @@
             self._environment.close()
             self._environment = None
 
+    def _sync_name(self) -> None:
+        """Raises OSError."""
+        if not self._named:
+            _sync_folder(self._path.parent)
+            _sync_folder(self._path.parent.parent)
+            self._named = True
+
     def _opened(self) -> lmdb.Environment:
         if self._environment is None:
-            _sync_folder(self._path.parent)
             self._environment = _environment(self._path, self._most)
         return self._environment
 
@@ -398,11 +407,10 @@
 
 
 def _folder(folder: Path) -> None:
-    """Makes it where it is missing; it, and those above that were made with it, are for good then. Synced
-    also where it was there: whoever made it may have been killed before that."""
-    made = [folder]
-    while not made[-1].parent.is_dir():
-        made.append(made[-1].parent)
+    """Makes it where it is missing; it, and those above that were made with it, are for good then."""
+    made: list[Path] = []
+    while not (made[-1].parent if made else folder).is_dir():
+        made.append(made[-1].parent if made else folder)
     folder.mkdir(parents=True, exist_ok=True)
     for one in reversed(made):
         _sync_folder(one.parent)
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -19,22 +19,25 @@
 from waterworks.leat.channels import Channel, Channels
 from waterworks.leat.exchange import unpack
 from waterworks.lock.report import REPORTS
-from waterworks.manifold.decode import ROUTE
+from waterworks.manifold.decode import INPUT_LIMITS, PLANT, ROUTE
+from waterworks.manifold.limits import read_limits
 from waterworks.manifold.routes import Route, Routes
 from waterworks.penstock.desk import Answer, Desk
 from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Link, listen
-from waterworks.sluice.intake import MOST_BODY, Intake
+from waterworks.penstock.link import Address, Link, listen
+from waterworks.sluice.hop import End
+from waterworks.sluice.intake import Intake
 from waterworks.sluice.membership import NODE, SLUICE, Membership
 from waterworks.sluice.outlet import Outlets
-from waterworks.sluice.passage import Incoming, Passage
+from waterworks.sluice.passage import MOST_TOLD, Incoming, Passage
 from waterworks.sluice.registry import Registry
 from waterworks.sluice.shown import answers_of
 from waterworks.sluice.stages import Stages
 from waterworks.sluice.tables import Tables
 from waterworks.sluice.tailrace import Tailrace
 from waterworks.sluice.tap import Tap
-from waterworks.weir.calls import SETTLED
+from waterworks.valve.sessions import Sessions
+from waterworks.weir.calls import SETTLED, read_address
 from waterworks.weir.lives import Upstream
 from waterworks.weir.reaping import above, dropped
 from waterworks.weir.rendezvous import few
@@ -45,9 +48,11 @@
 TICK_S = 0.1
 SPARE_FILES = 64  # descriptors that are neither clients', links' nor the upstream's
 ASKED_BEYOND = 2  # control processes asked for news beyond those that may be lost at once
+MOST_HEARD = 64  # control processes that other sluices tell of
 TAP_SHARE = 0.9  # of what an upstream accepts, this sidecar opens; it is the only one that can
 TAP_MOST = 100  # where the operator does not say
 NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
+HELD_SHARE = 1 / 32  # of the memory, for ends that may be asked after
 EXIT_S = 0.4  # before the kill, what is left is given up
 
 
@@ -63,9 +68,12 @@
         bounds = settings.bounds
         self.upstream = Upstream(settings.node, settings.zone, settings.beat_period_ms, bounds.drain_ms)
         assert settings.upstream is not None
-        self.tap = Tap(settings.upstream, TAP_MOST, gauge)
+        self.tap = Tap(settings.upstream, TAP_MOST, gauge, bounds.drain_ms)
         self.tailrace = Tailrace(self.upstream, self.tap, gauge, lambda told: self.registry.publish(told))
-        self.passage = Passage(settings.node, self.tailrace, gauge, self._reached)
+        self.passage = Passage(settings.node, self.tailrace, gauge, self._reached, self.life)
+        self.passage.core = lambda: self.membership.reservoirs()
+        self._heard_of: dict[str, Address] = {}  # control processes that other sluices told of
+        self.sessions: Sessions[End] = Sessions(int(HELD_SHARE * settings.limits.memory_mb * 1e6))
         self.tables = Tables(
             self.passage,
             self.membership,
@@ -96,6 +104,7 @@
             self.configured,
             lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
         )
+        self.tailrace.bodies = self.intake.bodies
         self.registry = Registry(
             self.upstream,
             self.roll,
@@ -170,6 +179,7 @@
         self.stages.tick(now)
         self.passage.tick(now)
         self.tap.sweep()
+        self.sessions.sweep(now)
         for link in list(self._links):
             link.tick(now)
         for key in self.tombs.due(now):
@@ -199,13 +209,17 @@
         self.registry.publish(self.upstream.end(self.tables.now()))
         notice = min(NOTICE_S, self.settings.bounds.grace_s * 0.4)
         await asyncio.sleep(notice)
-        ends = self.loop.create_task(self.outlets.stop(accept_s=0.1))
-        while self.loop.time() < until and (self.tailrace.running or not ends.done()):
+        ends = self.loop.create_task(self.outlets.stop(accept_s=0.1, exit_s=until - self.loop.time()))
+        while self.loop.time() < until and not (ends.done() and self._said_all()):
             await asyncio.sleep(0.02)
         self.control.stop()
         self.readiness.stop()
         self.gauge.tell(events.ENDED)
 
+    def _said_all(self) -> bool:
+        """Nothing runs here for other sidecars, and what they were answered has left."""
+        return not self.tailrace.running and not any(link.unsent for link in self._links)
+
     # News
 
     def _changed(self, name: str, items: list[Item]) -> None:
@@ -237,15 +251,11 @@
                 table.tell([(instance, value)])
 
     def _configure(self, item: Item) -> None:
-        if item.kind == "route":
+        if item.kind == ROUTE:
             self.stages.route(item)
-        elif item.kind == "input_limits" and item.value is not None:
-            body = item.value.get("body_bytes")
-            self.intake.most_body = int(min(body, MOST_BODY)) if body else MOST_BODY
-            head = item.value.get("header_lag_ms")
-            if head:
-                self.outlets.request_s = float(head) / 1000.0 + 0.25
-        elif item.kind == "plant" and item.name == self.settings.plant and item.value is not None:
+        elif item.kind == INPUT_LIMITS:
+            self.outlets.keep_to(read_limits(item.value))
+        elif item.kind == PLANT and item.name == self.settings.plant and item.value is not None:
             most = item.value.get("conn_saturation")
             self.tap.most = max(int(TAP_SHARE * most), 1) if most else TAP_MOST
 
@@ -282,9 +292,20 @@
     def _know(self) -> None:
         port = self.settings.port_range[0]
         known = {host: (host, port) for host, _ in self.settings.seeds}
-        known.update(self.membership.reservoirs())
+        reservoirs = self.membership.reservoirs()
+        known.update(reservoirs or self._heard_of)
         self.channels.know(known)
 
+    def _hear_of(self, told: Any) -> None:
+        """Another sluice says which control processes there are: of use to one that has just started, and
+        cannot have its seeds. What a reservoir says of them takes its place."""
+        if self.membership.reservoirs() or not isinstance(told, list):
+            return
+        for address in map(read_address, told[:MOST_TOLD]):
+            if address is not None and len(self._heard_of) < MOST_HEARD:
+                self._heard_of.setdefault(address[0], address)
+        self._know()
+
     def retune(self, settings: Settings) -> None:
         """The settings file has changed: other seeds."""
         self.settings = settings
@@ -306,8 +327,13 @@
         elif head.get("t") == "hello" and head.get("for") == "operate":
             self.questions.adopt(link)
         elif head.get("t") == "hello" and head.get("for") == "calls":
-            link.peer = Incoming(link, self.tailrace)
+            life = head.get("life")  # none from a program that cannot ask back
+            session = self.sessions.open(str(life)) if life else None
+            link.peer = Incoming(link, self.tailrace, self.sessions, session)
             self._links.add(link)
+            if session is not None:
+                link.send({"t": "life", "life": self.life})
+            self._hear_of(head.get("core"))
         elif head.get("t") == "hello" and head.get("for") == "news" and "source" in head and "node" in head:
             self.channels.adopt(link, head)
         else:
--- a/waterworks/valve/passing.py
+++ b/waterworks/valve/passing.py
@@ -27,6 +27,7 @@
     DOWN = "down"  # nothing is there
     LATE = "late"  # no time is left
     OLD = "old"  # by a version of its route that a newer one has followed
+    LOST = "lost"  # it had not been passed on when its lost link was asked after, and never will be
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,8 +45,8 @@
     beat = upstream.beat
     if left_ms <= 0.0:
         return Turned(Why.LATE)
-    if beat is None:
-        return Passed()  # a start without a beat yet: the upstream itself tells whether it is the one
+    if beat is None:  # a start without a beat yet: the upstream itself tells whether it is the one
+        return Turned(Why.LEAVING) if instance in upstream.said_decaying else Passed()
     if beat.instance != instance:
         return Turned(Why.OTHER)
     if upstream.gone:
