--- a/rigs/mesh_world/clock.py
+++ b/rigs/mesh_world/clock.py
@@ -99,7 +99,9 @@
     def run_in_executor(  # type: ignore[override]
         self, executor: Any, func: Callable[..., Any], *args: Any
     ) -> asyncio.Future[Any]:
-        """Only a disk's ``keep``, which takes virtual time and no thread."""
+        """A disk's ``keep``, which takes virtual time and no thread; other work with a disk takes as long."""
+        if getattr(func, "__name__", "") != "keep":
+            return args[0].works(func)  # type: ignore[no-any-return]
         future: asyncio.Future[Any] = func.__self__.begin(*args)  # type: ignore[attr-defined]
         return future
 
--- a/rigs/mesh_world/disk.py
+++ b/rigs/mesh_world/disk.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Generator, Sequence
+from collections.abc import Callable, Generator, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import simpy
 
 from rigs.mesh_world.clock import LIFE
-from waterworks.cistern.keeper import Fresh, Kept, Opened, Refused
+from waterworks.cistern.keeper import Fresh, Kept, Opened, Refused, Size
 from waterworks.cistern.layout import Held, held
 
 if TYPE_CHECKING:
@@ -52,6 +52,21 @@
         self._disk.env.process(self._sync(list(rows), list(gone), future))
         return future
 
+    def works(self, work: Callable[[DiskKeeper], Any]) -> asyncio.Future[Any]:
+        """Of a life that goes on: its work is done at once, and said a sync later."""
+        future: asyncio.Future[Any] = self._world.loop.create_future()
+        told = work(self)
+        self._world.loop.call_later(self._disk.takes_s, future.set_result, told)
+        return future
+
+    def rewrite(self, rows: dict[bytes, bytes]) -> Kept:
+        self._disk.rows = dict(rows)
+        return Kept()
+
+    def size(self) -> Size:
+        used = sum(len(key) + len(value) for key, value in self._disk.rows.items())
+        return Size(used, used, 64 << 20)
+
     def _sync(
         self, rows: list[tuple[bytes, bytes]], gone: list[bytes], future: asyncio.Future[Kept | Refused]
     ) -> Generator[simpy.Event, Any, None]:
--- a/waterworks/aquifer/ballot.py
+++ b/waterworks/aquifer/ballot.py
@@ -248,6 +248,11 @@
         for known in (self.decided, self.past, self.unknown):
             known.pop(key, None)
 
+    def start_over(self) -> None:
+        """What this disk held counts for nothing: all is to be read anew, under a fence, before it votes."""
+        for known in (self.promises, self.votes, self.decided, self.past, self.unknown):
+            known.clear()
+
     # A disk that was lost
 
     def fence(self, round: int, member: str, generation: int) -> None:
--- a/waterworks/aquifer/repair.py
+++ b/waterworks/aquifer/repair.py
@@ -80,7 +80,9 @@
     lone = False  # a drop that only one side still has
     for item in theirs.values():
         held = store.items.get(item.key)
-        if held is None and forgets and item.value is None:
+        if held is None and (
+            (forgets and item.value is None) or item.version <= store.forgotten.version(item.key)
+        ):
             lone = True
         elif held is None or outranks(item, held):
             take.append(item)
--- a/waterworks/aquifer/store.py
+++ b/waterworks/aquifer/store.py
@@ -84,6 +84,7 @@
         self._stamped: dict[str, list[tuple[int, Key]]] = {}  # by source: its items by number
         self._arrived: dict[Key, int] = {}
         self._arrivals = 0
+        self._doubted: set[Key] = set()  # what is to be told anew
         self._unborne: dict[str, None] = {}  # sources in the vector that no item bears, oldest first
 
     def take(self, kind: str, name: str, version: int, value: Mapping[str, Any] | None) -> Item | Full | None:
@@ -121,6 +122,7 @@
         told = list(items)
         if (full := self._full({item.key for item in told}, 2 * self.most)) is not None:
             return full
+        self._doubted.difference_update(item.key for item in told)
         changed = {item.key: item for item in told if self._put(item)}
         for entry, place in vector.items():
             if entry.startswith(SNAP) and place:
@@ -269,6 +271,33 @@
             return
         self._drop(held)
 
+    def forget_drops(self, drops: Iterable[tuple[Key, int]]) -> tuple[list[str], list[Key]]:
+        """As `forget_all`, of these keys and versions."""
+        buckets, stale = set(), []
+        for key, version in drops:
+            buckets.add(self.forgotten.note(key, version))
+            held = self.items.get(key)
+            if held is not None and held.version <= version:
+                self._drop(held)
+                stale.append(key)
+        return sorted(buckets), stale
+
+    def doubt(self) -> None:
+        """What others stamped is to be told anew, and stands until `settle`. For a process that was out of
+        touch for so long that drops it never heard of may be forgotten."""
+        self._doubted = {key for key, item in self.items.items() if item.source != self.source}
+        self.vector = {self.source: self.vector[self.source]} if self.source in self.vector else {}
+        self._unborne.clear()
+        self._taking.clear()
+
+    def settle(self) -> list[Item]:
+        """A whole answer has come since: what nobody told anew is gone with this, as drops."""
+        gone = [self.items[key] for key in sorted(self._doubted) if key in self.items]
+        self._doubted = set()
+        for item in gone:
+            self._drop(item)
+        return [Item(item.kind, item.name, item.version, None) for item in gone]
+
     def forget_all(self, rows: Mapping[str, Row]) -> tuple[list[str], list[Key]]:
         """Drops that are forgotten (`forgotten.Forgotten`): the buckets that changed, and the keys of what
         was held of them here, or of older copies, and is gone with this."""
--- a/waterworks/cistern/layout.py
+++ b/waterworks/cistern/layout.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from waterworks.aquifer.ballot import Ballot, Number, Vote
+from waterworks.aquifer.forgotten import Row
 from waterworks.aquifer.items import Item, Key
 from waterworks.aquifer.quorum import Place
 from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
@@ -40,6 +41,8 @@
 _WHOLE = b"whole"
 _CEILING = b"ceiling"
 _GENERATIONS = b"generations"
+_LIVES = b"lives"
+_FORGOTTEN = b"f"
 
 
 class CisternError(Exception):
@@ -129,6 +132,8 @@
     past: tuple[Past, ...] = ()
     ceiling: int = 0
     generations: dict[str, int] = field(default_factory=dict)
+    lives: dict[str, int] = field(default_factory=dict)
+    forgotten: dict[str, Row] = field(default_factory=dict)
 
 
 def pack_item(item: Item) -> tuple[bytes, bytes]:
@@ -177,6 +182,16 @@
     return _GENERATIONS, msgspec.json.encode(dict(generations))
 
 
+def pack_lives(lives: Mapping[str, int]) -> tuple[bytes, bytes]:
+    """The row of how often each machine has started, as far as is known."""
+    return _LIVES, msgspec.json.encode(dict(lives))
+
+
+def pack_forgotten(bucket: str, row: Row) -> tuple[bytes, bytes]:
+    """The row of what is left of forgotten drops in one bucket."""
+    return _FORGOTTEN + bucket.encode(), msgspec.json.encode(row)
+
+
 def unpack_item(key: bytes, value: bytes) -> Item:
     """The item of a row. Raises CisternError where the value is no item, or one that belongs under another
     key."""
@@ -213,11 +228,14 @@
     items: list[Item] = []
     votes: dict[Number, Vote] = {}
     past: list[Past] = []
+    forgotten: dict[str, Row] = {}
     for key, value in rows.items():
         if key.startswith(_ITEM):
             items.append(unpack_item(key, value))
-        elif key in (_VECTOR, _WHOLE, _CEILING, _GENERATIONS):
+        elif key in (_VECTOR, _WHOLE, _CEILING, _GENERATIONS, _LIVES):
             continue
+        elif key.startswith(_FORGOTTEN):
+            forgotten[key[len(_FORGOTTEN) :].decode()] = _read(key, value, _ForgottenRow)
         elif key.startswith(_VOTE):
             kind, name, version, round, proposer, content = _read(key, value, _VoteRow)
             votes[kind, name, version] = Vote(Ballot(round, proposer), content)
@@ -234,10 +252,13 @@
         past=tuple(past),
         ceiling=_read(_CEILING, rows.get(_CEILING, b"0"), int),
         generations=_read(_GENERATIONS, rows.get(_GENERATIONS, b"{}"), dict[str, int]),
+        lives=_read(_LIVES, rows.get(_LIVES, b"{}"), dict[str, int]),
+        forgotten=forgotten,
     )
 
 
 _VoteRow = tuple[str, str, int, int, str, dict[str, Any] | None]
+_ForgottenRow = tuple[int, dict[str, int]]
 _PastRow = tuple[str, str, int, dict[int, str]]
 
 
--- a/waterworks/leat/channels.py
+++ b/waterworks/leat/channels.py
@@ -84,18 +84,19 @@
 
     def answer(self, whole: bool) -> None:
         """``whole``: this process holds all that was acknowledged, as far as can be known now."""
-        if self.peer_rank and self._holds_back():
+        silent = self.channels.silent(str(self.extra.get("role", "")))
+        if self.peer_rank and self._holds_back(silent):
             return
         self._lacked_since = None
-        told = self.exchange.answer(whole)
+        told = self.exchange.answer(whole, silent)
         if told is None and self.exchange.open and whole is not self.said_whole:
             told = self.exchange.nothing(whole)
         if told is not None:
             self.said_whole = whole
             self.channels.send(self.link, told)
 
-    def _holds_back(self) -> bool:
-        if not self.exchange.lacks():
+    def _holds_back(self, silent: Collection[str]) -> bool:
+        if not self.exchange.lacks(silent):
             return False
         now = self.channels.loop.time()
         if self._lacked_since is None:
@@ -156,15 +157,18 @@
         closed: Callable[[Channel], None] | None = None,
         up: Collection[str] = (),
         ranks: bool = False,
+        greeted: Callable[[Channel], None] | None = None,
     ) -> None:
-        """``ranks``: those that are asked tell in turn, so that nobody is told all by each of them.
+        """``greeted`` is told of a peer's hello before anything is said to it, or taken of it.
+        ``ranks``: those that are asked tell in turn, so that nobody is told all by each of them.
         ``up``: the stores that go only to those whose hello says under ``takes`` that they want them."""
         self.up, self.ranks = up, ranks
         self.loop = asyncio.get_running_loop()
         self.me, self.stores, self.most, self.gauge = me, stores, most, gauge
         self.hello = {**hello, "takes": [*hello.get("takes", ()), SNAPSHOTS]}
         self.changed, self.whole, self._extra = changed, whole, extra
-        self._opened, self._closed = opened, closed
+        self._opened, self._closed, self._greeted = opened, closed, greeted
+        self.silent: Callable[[str], Collection[str]] = lambda role: ()  # stores not told to that role now
         self.open: set[Channel] = set()
         self._asked: dict[str, Asked] = {}
         self._poked: asyncio.TimerHandle | None = None
@@ -231,15 +235,18 @@
         """A link whose other end wants news. Raises KeyError where it does not say who it is."""
         channel = Channel(self, link, str(hello["node"]), False)
         self.open.add(channel)
-        self._met(channel, hello)
-        channel.begin()
+        self._met(channel, hello, begins=True)
         return channel
 
-    def _met(self, channel: Channel, hello: Head) -> None:
+    def _met(self, channel: Channel, hello: Head, begins: bool = False) -> None:
         channel.node, channel.peer_source = str(hello["node"]), str(hello["source"])
         channel.extra = hello
         takes = hello.get("takes", ())
         channel.exchange.met(channel.peer_source, takes if isinstance(takes, list) else ())
+        if self._greeted is not None:
+            self._greeted(channel)
+        if begins:
+            channel.begin()
         self.gauge.tell(events.LINK_UP, peer=channel.node)
         if self._opened is not None:
             self._opened(channel)
--- a/waterworks/leat/exchange.py
+++ b/waterworks/leat/exchange.py
@@ -93,14 +93,15 @@
         head = self.question()
         return head if head["v"] else None
 
-    def lacks(self) -> bool:
-        """Whether the peer has an open question, and lacks something that is here, as far as it has said."""
+    def lacks(self, silent: Collection[str] = ()) -> bool:
+        """Whether the peer has an open question, and lacks something that is here, as far as it has said.
+        ``silent``: stores that it is told nothing of now."""
         if not self._open or self._asked is None:
             return False
         return any(
             store.has_news(self._asked[name])
             for name, store in self._stores.items()
-            if name not in self._up or name in self._peer_takes
+            if name not in silent and (name not in self._up or name in self._peer_takes)
         )
 
     def asked(self, head: Head, peer_source: str) -> None:
@@ -117,15 +118,15 @@
                         known.pop(source, None)
         self._open = True
 
-    def answer(self, whole: bool) -> Head | None:
+    def answer(self, whole: bool, silent: Collection[str] = ()) -> Head | None:
         """The answer to an open question, if there is anything to say. ``whole``: this end holds all that was
-        acknowledged, as far as can be known now."""
+        acknowledged, as far as can be known now; ``silent``: as in `lacks`."""
         if not self._open or self._asked is None:
             return None
         told: dict[str, Any] = {}
         more = False
         for name, store in self._stores.items():
-            if name in self._up and name not in self._peer_takes:
+            if name in silent or (name in self._up and name not in self._peer_takes):
                 continue
             asked = self._asked[name]
             if store.has_news(asked):
--- a/waterworks/reservoir/acceptance.py
+++ b/waterworks/reservoir/acceptance.py
@@ -128,7 +128,7 @@
         if isinstance(changed, Full):
             self._gauge.tell(events.STATE_FULL, reason=changed.reason)
             return
-        self._settle(items)
+        self._settle([item for item in items if item.key in self._charter.items])  # not what is forgotten
         if changed:
             self._changed(changed)
 
--- /dev/null
+++ b/waterworks/reservoir/catching_up.py
@@ -0,0 +1,161 @@
+"""Whether what this process holds may count for anything: an older disk never leads.
+
+A disk may be of a machine that was taken out, of a reader that was away, or an older copy of itself (a backup
+put back). Such a one starts over: it forgets charter and votes, and reads all anew from those who count, as
+an empty one does. It learns it from the first frame of a link, before it has answered anything there: each
+hello bears the view in force, and of each member how often it has started, which a disk that went back does
+not know any more. To sidecars the charter is told only after the first contact of a life.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection, Iterable
+
+from waterworks.aquifer.ballot import Acceptor
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.store import Store
+from waterworks.aquifer.views import MEMBERS, VIEW, View, read_view
+from waterworks.cistern.keeper import Keeper, Kept, Size
+from waterworks.cistern.layout import CisternError, pack_lives
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.leat.channels import Channel, Channels
+from waterworks.leat.exchange import unpack
+from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.council import Council, address_of
+from waterworks.reservoir.ledger import Ledger
+from waterworks.sluice.membership import RESERVOIR
+
+CHARTER = "charter"
+MOST_LIVES = 128  # machines of which it is known how often they started
+AGAIN_S = 0.3  # after a disk has refused
+LOOK_S = 60.0  # between two looks at the size of the file
+SPARE, TIMES = 4 << 20, 4  # bytes that a file may be larger than so many times what it holds
+
+
+class CatchingUp:
+    """``again`` is called where this process has to come to count anew."""
+
+    def __init__(
+        self,
+        charter: Store,
+        acceptor: Acceptor,
+        ledger: Ledger,
+        council: Council,
+        channels: Channels,
+        acceptance: Acceptance,
+        gauge: Gauge,
+        again: Callable[[], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._charter, self._acceptor, self._ledger, self._council = charter, acceptor, ledger, council
+        self._channels, self._acceptance, self._gauge = channels, acceptance, gauge
+        self._again = again
+        self._settled = False  # there has been contact in this life
+        self._view = council.view()
+        self._size_at = self._loop.time() + LOOK_S
+        self._sizing: asyncio.Task[None] | None = None
+        self._lived(council.me, self._ledger.lives.get(council.me, 0) + 1)
+        if self._view.epoch and council.me not in self._view.names and charter.items:
+            self._start_over("it is not one of those who count")
+
+    # What is said of this process
+
+    def _say(self) -> None:
+        hello = self._channels.hello
+        hello["view"], hello["lives"] = self._council.view_item(), dict(self._ledger.lives)
+        hello["complete"] = self._ledger.whole
+
+    def _lived(self, who: str, starts: int) -> None:
+        """That machine has started so often. Those that count stay known the longest."""
+        self._ledger.lives.pop(who, None)
+        self._ledger.lives[who] = starts
+        lives, keep = self._ledger.lives, self._council.view().names | {self._council.me}
+        for one in [one for one in lives if one not in keep][: max(len(lives) - MOST_LIVES, 0)]:
+            del lives[one]
+        self._ledger.put(pack_lives(lives))
+        self._say()
+
+    def silent(self, role: str) -> Collection[str]:
+        """Stores of which nothing is told to a process of that role now."""
+        return () if self._settled or role == RESERVOIR else (CHARTER,)
+
+    # What others say
+
+    def met(self, channel: Channel) -> None:
+        """Another control process has said who it is; nothing that came behind that has been looked at.
+        Raises KeyError, TypeError or ValueError for what cannot be read."""
+        told, who = channel.extra, address_of(channel)
+        for fields in told.get("view", ()):
+            item = unpack(fields)
+            self._meets(read_view(item.version, item.value))
+            self._acceptance.take([item], {})
+        lives = {str(one): int(starts) for one, starts in told.get("lives", {}).items()}
+        known = lives.get(self._council.me, 0)
+        if known > self._ledger.lives[self._council.me]:
+            if self._ledger.whole:
+                self._start_over(f"{channel.node} knows of a later start than its disk")
+            self._lived(self._council.me, known + 1)
+        if lives.get(who, 0) > self._ledger.lives.get(who, 0):
+            self._lived(who, lives[who])
+
+    def _meets(self, view: View) -> None:
+        """A view that another has; who was one of those who count and is none by it starts over."""
+        before = self._view
+        if view.epoch > before.epoch:
+            self._view = view
+            if self._council.me in before.names and self._council.me not in view.names:
+                self._start_over("it was taken out")
+
+    def changed(self, items: Iterable[Item]) -> None:
+        """The charter has changed here, by whatever way."""
+        if any(item.kind == VIEW for item in items):
+            self._loop.call_soon(self._meets, self._council.view())  # what called goes on with the items
+            self._say()
+
+    # Starting over
+
+    def _start_over(self, reason: str) -> None:
+        self._gauge.tell(events.DISK_OLDER, reason=reason, items=len(self._charter.items))
+        view = self._charter.items.get((VIEW, MEMBERS))
+        self._ledger.whole, self._settled = False, False
+        self._charter.start_over()
+        self._acceptor.start_over()
+        if view is not None:
+            self._charter.merge([view], {})
+        self._acceptance.spawn(self._rewritten())
+        self._say()
+        self._again()
+
+    async def _rewritten(self) -> None:
+        while not isinstance(await self._ledger.rewrite(), Kept):
+            await asyncio.sleep(AGAIN_S)
+
+    # The file
+
+    def tick(self, now: float) -> None:
+        """Called several times a second."""
+        if not self._settled and self._council.contact():
+            self._settled = True
+            self._channels.poke()
+        if now >= self._size_at and self._sizing is None:
+            self._size_at = now + LOOK_S
+            self._sizing = self._loop.create_task(self._compact())
+
+    async def _compact(self) -> None:
+        """The file never shrinks by itself: one that is much larger than what it holds is written anew."""
+        try:
+            size = await self._ledger.between(_size)
+            if size is not None and size.file > SPARE + TIMES * size.used:
+                await self._ledger.rewrite()
+                self._gauge.tell(events.DISK_COMPACTED, before=size.file, used=size.used)
+        finally:
+            self._sizing = None
+
+
+def _size(keeper: Keeper) -> Size | None:
+    try:
+        return keeper.size()
+    except CisternError:
+        return None
--- /dev/null
+++ b/waterworks/reservoir/forgetting.py
@@ -0,0 +1,183 @@
+"""Drops of the charter are forgotten once every member of the view has them on its disk: asked under one
+epoch, answered after a sync. Then nobody who counts holds an older copy, and what is left of them
+(`aquifer.forgotten`) is told to whoever comes later.
+
+They are kept for KEPT_S before that, as those of the membership are: a sidecar that was out of touch for half
+of it asks for all anew.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from waterworks.aquifer.ballot import Acceptor
+from waterworks.aquifer.forgotten import read_rows
+from waterworks.aquifer.items import Item, Key
+from waterworks.aquifer.store import Store
+from waterworks.aquifer.views import View
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.leat.channels import Channel
+from waterworks.penstock.frames import Head
+from waterworks.reservoir.acceptance import Acceptance, read_number
+from waterworks.reservoir.council import Council, address_of
+from waterworks.reservoir.ledger import Ledger
+from waterworks.weir.tombs import Tombs
+
+EVERY_S = 10.0  # between two questions of one process, and a rank longer for each that goes before it
+WITHIN_S = 5.0  # of which the answers come
+MOST = 500  # drops of one question
+ROWS = 64  # buckets of the record in one frame
+FRAMES = frozenset({"held", "holding", "forget", "gone"})
+
+Drop = tuple[Key, int]
+
+
+@dataclass(eq=False, slots=True)
+class _Asking:
+    view: View
+    drops: Sequence[Drop]
+    until: float
+    heard: set[str] = field(default_factory=set)
+    lacking: set[int] = field(default_factory=set)  # places of drops that not all hold
+
+
+class Forgetting:
+    def __init__(
+        self,
+        charter: Store,
+        acceptor: Acceptor,
+        ledger: Ledger,
+        council: Council,
+        acceptance: Acceptance,
+        gauge: Gauge,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._charter, self._acceptor, self._ledger = charter, acceptor, ledger
+        self._council, self._acceptance, self._gauge = council, acceptance, gauge
+        self._tombs = Tombs()
+        self._tombs.note(self._loop.time(), charter.items.values())
+        self._due = self._loop.time() + EVERY_S
+        self._count = 0
+        self._asking: _Asking | None = None
+
+    def note(self, items: Iterable[Item]) -> None:
+        """These have changed in the charter."""
+        self._tombs.note(self._loop.time(), items)
+
+    # Asking
+
+    def tick(self, now: float) -> None:
+        """Called several times a second."""
+        if self._asking is not None and now >= self._asking.until:
+            self._asking = None
+        if now < self._due or self._asking is not None:
+            return
+        self._due = now + EVERY_S
+        view, me = self._council.view(), self._council.me
+        if view.joint or me not in view.now or not self._ledger.whole or not self._council.contact():
+            return
+        rank = sorted(view.now).index(me)
+        ripe = self._tombs.ripe(now - rank * EVERY_S, MOST)
+        held = [self._charter.items.get(key) for key in ripe]
+        drops = [(item.key, item.version) for item in held if item is not None and item.value is None]
+        if not drops:
+            return
+        self._count += 1
+        asking = self._asking = _Asking(view, drops, now + WITHIN_S)
+        told = {"t": "held", "n": self._count, "e": view.epoch, "k": [[*key, v] for key, v in drops]}
+        for address, channel in self._council.peers().items():
+            if address in view.now:
+                channel.link.send(told)
+        self._acceptance.spawn(self._own(asking))
+
+    async def _own(self, asking: _Asking) -> None:
+        lacking = await self._lacking(asking.view.epoch, asking.drops)
+        if lacking is not None:
+            self._heard(asking, self._council.me, lacking)
+
+    async def _lacking(self, epoch: int, drops: Sequence[Drop]) -> list[int] | None:
+        """Places of those that this disk does not hold; None where nothing can be said under that epoch."""
+        lacking = [place for place, drop in enumerate(drops) if not self._holds(*drop)]
+        await self._ledger.kept()
+        return None if await self._acceptance.stands(epoch) is not None else lacking
+
+    def _holds(self, key: Key, version: int) -> bool:
+        item = self._charter.items.get(key)
+        known = item.version if item is not None else self._charter.forgotten.version(key)
+        return known >= version
+
+    def _heard(self, asking: _Asking, who: str, lacking: Iterable[int]) -> None:
+        view = self._council.view()
+        if self._asking is not asking or view.epoch != asking.view.epoch:
+            return
+        asking.heard.add(who)
+        asking.lacking.update(lacking)
+        if not asking.heard >= view.now.keys():
+            return
+        self._asking = None
+        gone = [drop for place, drop in enumerate(asking.drops) if place not in asking.lacking]
+        if gone:
+            told = {"t": "forget", "k": [[*key, version] for key, version in gone]}
+            for channel in self._council.peers().values():
+                channel.link.send(told)
+            self._forget(gone)
+            self._gauge.tell(events.DROPS_FORGOTTEN, items=len(gone))
+
+    # Forgetting
+
+    def _forget(self, drops: Sequence[Drop]) -> None:
+        buckets, keys = self._charter.forget_drops(drops)
+        self._forgotten(buckets, keys)
+
+    def _forgotten(self, buckets: Sequence[str], keys: Sequence[Key]) -> None:
+        """In one batch on disk: what is gone, and what is left of it."""
+        for key in keys:
+            self._acceptor.forget(key)
+        self._tombs.drop(keys)
+        if buckets or keys:
+            self._ledger.forget(keys, buckets)
+
+    # Links and frames
+
+    def opened(self, channel: Channel) -> None:
+        """A link to another control process is up: what is left of drops comes before all else on it."""
+        channel.link.send({"t": "gone", "d": self._charter.forgotten.root()})
+
+    def frame(self, channel: Channel, head: Head) -> bool:
+        """Whether it was one of forgetting. Raises KeyError, TypeError or ValueError for what cannot be
+        read."""
+        kind = head["t"]
+        if kind not in FRAMES:
+            return False
+        if kind == "held":
+            drops = _read(head["k"])
+            self._acceptance.spawn(self._answer(channel, int(head["n"]), int(head["e"]), drops))
+        elif kind == "holding":
+            lacking = [int(place) for place in head["not"]]
+            if self._asking is not None and head["n"] == self._count:
+                if head["e"] == self._asking.view.epoch:
+                    self._heard(self._asking, address_of(channel), lacking)
+        elif kind == "forget":
+            self._forget(_read(head["k"]))
+        elif "f" in head:
+            self._forgotten(*self._charter.forget_all(read_rows(head["f"])))
+        elif head["d"] != self._charter.forgotten.root():
+            rows = list(self._charter.forgotten.rows().items())
+            for at in range(0, len(rows), ROWS):
+                channel.link.send({"t": "gone", "f": dict(rows[at : at + ROWS])})
+        return True
+
+    async def _answer(self, channel: Channel, number: int, epoch: int, drops: Sequence[Drop]) -> None:
+        lacking = await self._lacking(epoch, drops)
+        if lacking is not None:
+            channel.link.send({"t": "holding", "n": number, "e": epoch, "not": lacking})
+
+
+def _read(told: object) -> list[Drop]:
+    """Raises TypeError or ValueError for what are none."""
+    if not isinstance(told, list) or len(told) > MOST:
+        raise ValueError(f"at most {MOST} drops")
+    return [((kind, name), version) for kind, name, version in map(read_number, told)]
--- a/waterworks/reservoir/ledger.py
+++ b/waterworks/reservoir/ledger.py
@@ -20,8 +20,10 @@
     Past,
     item_key,
     pack_ceiling,
+    pack_forgotten,
     pack_generations,
     pack_item,
+    pack_lives,
     pack_past,
     pack_vector,
     pack_vote,
@@ -56,6 +58,7 @@
         self._urgent = False  # something was marked that is waited for
         self._later: asyncio.TimerHandle | None = None
         self.whole = whole
+        self.lives: dict[str, int] = {}  # how often each machine has started, as far as is known
         self.refused = ""  # the disk's last word, where that was no
 
     def mark(self, items: Iterable[Item]) -> None:
@@ -84,6 +87,14 @@
         self._marked += 1
         self._write()
 
+    def forget(self, keys: Iterable[Key], buckets: Iterable[str]) -> None:
+        """These keys' rows leave the disk, and with the same batch come those of what is left of them."""
+        self._dirty.update(keys)
+        for bucket in buckets:
+            self._extra.update([pack_forgotten(bucket, self._store.forgotten.row(bucket))])
+        self._marked += 1
+        self._write()
+
     def put(self, row: tuple[bytes, bytes]) -> None:
         """A row of its own, with the next batch."""
         self._extra[row[0]] = row[1]
@@ -186,7 +197,8 @@
         told, _ = self._rows(self._store.items.keys() | acceptor.past.keys(), acceptor.votes)
         rows = dict(told)
         rows.update([pack_whole(self.whole), pack_generations(acceptor.generations)])
-        rows.update([pack_ceiling(max(acceptor.floor, acceptor.ceiling))])
+        rows.update([pack_ceiling(max(acceptor.floor, acceptor.ceiling)), pack_lives(self.lives)])
+        rows.update(pack_forgotten(*told) for told in self._store.forgotten.rows().items())
         return await self.between(lambda keeper: keeper.rewrite(rows))
 
     def close(self) -> None:
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -6,10 +6,11 @@
 import os
 import time
 import zlib
+from collections.abc import Callable
 from pathlib import Path
 
 from waterworks.aquifer.ballot import Acceptor, Decided
-from waterworks.aquifer.items import Item
+from waterworks.aquifer.items import Item, Key
 from waterworks.aquifer.quorum import Place
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
@@ -25,10 +26,12 @@
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import Link, listen
 from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.catching_up import CatchingUp
 from waterworks.reservoir.clerk import Clerk
 from waterworks.reservoir.council import Council, address_of
 from waterworks.reservoir.duties import Duties
 from waterworks.reservoir.fencing import Fencing
+from waterworks.reservoir.forgetting import Forgetting
 from waterworks.reservoir.ledger import Ledger
 from waterworks.reservoir.repairing import CHARTER, ROLL, Repairing
 from waterworks.reservoir.rollouts import Rollouts
@@ -79,6 +82,7 @@
             opened=self._opened,
             closed=self._closed,
             up=(REPORTS,),
+            greeted=self._greeted,
         )
         self.council = Council(self.me, self.charter, self.ledger, self.channels, settings.tolerance)
         self.acceptance = Acceptance(
@@ -92,6 +96,21 @@
         seed = zlib.crc32(life.encode())
         self.voting = Voting(life, seed, self.charter, self.council, self.acceptance, gauge)
         self.fencing = Fencing(self.charter, self.ledger, self.council, self.acceptance)
+        self.forgetting = Forgetting(
+            self.charter, self.acceptor, self.ledger, self.council, self.acceptance, gauge
+        )
+        self._joining: asyncio.Task[None] | None = None
+        self.catching_up = CatchingUp(
+            self.charter,
+            self.acceptor,
+            self.ledger,
+            self.council,
+            self.channels,
+            self.acceptance,
+            gauge,
+            self._join_again,
+        )
+        self.channels.silent = self.catching_up.silent
         bounds = settings.bounds
         self.rollouts = Rollouts(
             bounds.settle_ms, bounds.ack_ms, self.charter, self.membership, self.channels, gauge
@@ -128,7 +147,6 @@
         self.stopping = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._touched = self.loop.time()  # when there was last a link with news
-        self._joining: asyncio.Task[None] | None = None
 
     def _open_disk(self) -> Ledger:
         """Raises OSError where the disk cannot be used at all."""
@@ -142,13 +160,15 @@
             self.gauge.tell(events.DISK_SET_ASIDE, moved_to=str(outcome.moved_to), reason=outcome.reason)
         elif isinstance(outcome, Opened):
             kept = held(outcome.rows)
+            self.charter.forgotten.merge(kept.forgotten)
             self.charter.restore(kept.items, kept.vector)
             self.gauge.tell(events.DISK_OPENED, items=len(kept.items), whole=kept.whole)
         else:
             assert isinstance(outcome, Fresh)
             self.gauge.tell(events.DISK_FRESH, first=settings.cold_boot)
-        self.acceptor = acceptor_of(self.me, kept)
+        self.acceptor = acceptor_of(self.me, kept, self._forgotten_to)
         ledger = Ledger(self.charter, self.acceptor, outcome.keeper, self.gauge, kept.whole)
+        ledger.lives = dict(kept.lives)
         if isinstance(outcome, Fresh) and settings.cold_boot:
             # The machines that every process is told of at the very first start are the first view: the same
             # item in all of them, decided from the start.
@@ -165,6 +185,11 @@
                 ledger.mark(claimed)
         return ledger
 
+    def _forgotten_to(self, key: Key) -> int:
+        """Versions of that key up to this are older than a drop that is forgotten, or may be."""
+        known = self.charter.forgotten
+        return known.version(key) if key in self.charter.items else known.watermark(key)
+
     # Start and end
 
     async def start(self) -> None:
@@ -204,6 +229,8 @@
         self.voting.tick(now)
         self.duties.tick(now)
         self.repairing.tick(now)
+        self.forgetting.tick(now)
+        self.catching_up.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
             self.reports.forget(key)
@@ -265,6 +292,8 @@
     def _changed(self, name: str, items: list[Item]) -> None:
         if name == "charter":
             self.acceptance.took(items)
+            self.forgetting.note(items)
+            self.catching_up.changed(items)
             self.rollouts.changed(items)
         elif name == REPORTS:
             self.rollouts.reported(items)
@@ -296,11 +325,21 @@
         if head["t"] == "complete":
             self.council.whole(address_of(channel), True)
             self._reach(address_of(channel), True)
-        elif not self.voting.frame(channel, head):
+        elif not (self.voting.frame(channel, head) or self.forgetting.frame(channel, head)):
             self.fencing.frame(channel, head)
 
+    def _greeted(self, channel: Channel) -> None:
+        if channel.extra.get("role") == RESERVOIR:
+            self.catching_up.met(channel)
+
+    def _join_again(self) -> None:
+        """What this disk held counts for nothing any more."""
+        if self._joining is not None and self._joining.done() and not self.stopping.is_set():
+            self._joining = self.loop.create_task(self._join())
+
     def _opened(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
+            self.forgetting.opened(channel)
             self.council.whole(address_of(channel), bool(channel.extra.get("complete")))
             self._reach(address_of(channel))
 
@@ -352,9 +391,9 @@
         self._know()
 
 
-def acceptor_of(me: str, kept: Held) -> Acceptor:
+def acceptor_of(me: str, kept: Held, forgotten_to: Callable[[Key], int]) -> Acceptor:
     """As its disk has it: all that its last life may have promised is refused."""
-    acceptor = Acceptor(me, kept.ceiling)
+    acceptor = Acceptor(me, kept.ceiling, forgotten_to)
     acceptor.generations = dict(kept.generations)
     acceptor.past = {past.key: dict(past.digests) for past in kept.past if past.digests}
     acceptor.unknown = {past.key: past.unknown for past in kept.past if past.unknown >= 0}
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -65,6 +65,7 @@
         self.charter, self.roll = Store(self.life, MOST_CHARTER), Store(self.life, MOST_ROLL)
         self.reports = Store(self.life, 1)  # what this sidecar says of itself; nobody else's comes here
         self.membership, self.routes, self.tombs = Membership(), Routes(), Tombs()
+        self._dropped = Tombs()  # of the charter
         bounds = settings.bounds
         self.upstream = Upstream(settings.node, settings.zone, settings.beat_period_ms, bounds.drain_ms)
         assert settings.upstream is not None
@@ -133,6 +134,7 @@
         self._links: set[Link] = set()  # with calls from other sidecars
         self._server: asyncio.Server | None = None
         self._touched = self.loop.time()  # when there was last a link with news
+        self._doubted_at: float | None = None  # what is held of the charter is to be told anew since then
         self._node_version = int(time.time() * 1000)
 
     # Start and end
@@ -184,6 +186,9 @@
             link.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
+        for key in self._dropped.due(now):
+            self.charter.forget(key)
+        self._doubts(now)
         if now - self._touched > ASKS_ANEW_S:  # looked at before the links: they outlast standing still
             self._touched = now
             self._changed("roll", self.roll.clear())
@@ -194,6 +199,19 @@
             self._say_again()
         self.registry.mind()
 
+    def _doubts(self, now: float) -> None:
+        """Who heard of no whole control process for long may hold what was dropped, and forgotten since. It
+        goes on with what it has, asks for all anew, and lets go what the first whole answer did not name."""
+        if self._doubted_at is not None:
+            if self.channels.whole_at > self._doubted_at:
+                self._doubted_at = None
+                self._changed("charter", self.charter.settle())
+        elif self.configured() and not self.channels.fresh(ASKS_ANEW_S):
+            self._doubted_at = now
+            self.charter.doubt()
+            for channel in list(self.channels.open):
+                channel.link.close("asks for all anew")
+
     def configured(self) -> bool:
         return len(self.charter.items) > 0 and self.channels.whole_at > 0.0
 
@@ -224,6 +242,7 @@
 
     def _changed(self, name: str, items: list[Item]) -> None:
         if name == "charter":
+            self._dropped.note(self.loop.time(), items)
             for item in items:
                 self._configure(item)
             self.stages.changed()
--- a/waterworks/weir/tombs.py
+++ b/waterworks/weir/tombs.py
@@ -27,6 +27,19 @@
             else:
                 self._since.pop(item.key, None)
 
+    def ripe(self, now: float, most: int) -> list[Key]:
+        """The first of those whose time is over; they stay until they are dropped."""
+        found: list[Key] = []
+        for key, since in self._since.items():
+            if now - since < KEPT_S or len(found) >= most:
+                break
+            found.append(key)
+        return found
+
+    def drop(self, keys: Iterable[Key]) -> None:
+        for key in keys:
+            self._since.pop(key, None)
+
     def due(self, now: float) -> list[Key]:
         """Those whose time is over, forgotten here with this."""
         found = []
