--- a/rigs/mesh_world/witness.py
+++ b/rigs/mesh_world/witness.py
@@ -193,7 +193,9 @@
         def puts(store: Store, item: Item) -> Any:
             held = store.items.get(item.key)
             changed = put(store, item)
-            now = store.items[item.key]
+            now = store.items.get(item.key)
+            if now is None:  # older than a drop that is forgotten
+                return changed
             if held is not None and now.version < held.version:
                 self._say(f"{store.source}: {item.key} went back from {held.version} to {item.version}")
             if item.kind in ORDERED and now is item:
--- a/rigs/mesh_world/world.py
+++ b/rigs/mesh_world/world.py
@@ -96,7 +96,7 @@
             mock.patch("waterworks.reservoir.program.os", SimpleNamespace(urandom=self._urandom)),
             mock.patch("waterworks.sluice.program.os", SimpleNamespace(urandom=self._urandom)),
             mock.patch.object(Channel, "__hash__", self._hashes()),  # sets of them have one order
-            mock.patch.object(Store, "merge", self._merges(Store.merge)),
+            mock.patch.object(Store, "hear", self._merges(Store.hear)),
             mock.patch.object(Store, "_put", self.witness.puts(Store._put)),
         ]
 
--- a/waterworks/aquifer/store.py
+++ b/waterworks/aquifer/store.py
@@ -72,7 +72,7 @@
 
         Raises ValueError for a source that is empty or looks like a page's entry.
         """
-        if not source or _paging(source):
+        if not source or paging(source):
             raise ValueError(f"source {source!r}: give a name that does not begin with {PAGE!r} or {SNAP!r}")
         self.source = source
         self.most = most
@@ -128,7 +128,7 @@
             if entry.startswith(SNAP) and place:
                 return self._snapshot(entry, place, told, vector) or list(changed.values())
         self._raise(vector)
-        if any(source != self.source and not _paging(source) for source in vector):
+        if any(source != self.source and not paging(source) for source in vector):
             self._snapped()  # a whole answer: nothing is lacking that a snapshot has
         return list(changed.values())
 
@@ -291,9 +291,9 @@
         self._taking.clear()
 
     def settle(self) -> list[Item]:
-        """A whole answer has come since: what nobody told anew is gone with this, as drops."""
-        gone = [self.items[key] for key in sorted(self._doubted) if key in self.items]
-        self._doubted = set()
+        """A whole answer has come since: what nobody told anew is gone with this, and given as drops."""
+        doubted, self._doubted = sorted(self._doubted), set()
+        gone = [self.items[key] for key in doubted if key in self.items]
         for item in gone:
             self._drop(item)
         return [Item(item.kind, item.name, item.version, None) for item in gone]
@@ -332,7 +332,7 @@
         """
         for item in items:
             self._put(item)
-        self._raise({source: number for source, number in vector.items() if not _paging(source)})
+        self._raise({source: number for source, number in vector.items() if not paging(source)})
 
     def _full(self, keys: set[Key], most: int) -> Full | None:
         count = len(self.items) + sum(key not in self.items for key in keys)
@@ -419,11 +419,11 @@
         may wait for it to be confirmed: otherwise sources long dead would go round for ever.
         """
         for source, number in self.vector.items():
-            if number > vector.get(source, 0) and not _paging(source):
+            if number > vector.get(source, 0) and not paging(source):
                 if source == self.source or source in self._stamped or source in vector:
                     yield source
 
 
-def _paging(entry: str) -> bool:
+def paging(entry: str) -> bool:
     """Whether that entry of a vector counts pages, of whatever kind."""
     return entry.startswith((PAGE, SNAP))
--- a/waterworks/cistern/layout.py
+++ b/waterworks/cistern/layout.py
@@ -132,7 +132,7 @@
     past: tuple[Past, ...] = ()
     ceiling: int = 0
     generations: dict[str, int] = field(default_factory=dict)
-    lives: dict[str, int] = field(default_factory=dict)
+    lives: dict[str, tuple[int, str]] = field(default_factory=dict)
     forgotten: dict[str, Row] = field(default_factory=dict)
 
 
@@ -182,8 +182,8 @@
     return _GENERATIONS, msgspec.json.encode(dict(generations))
 
 
-def pack_lives(lives: Mapping[str, int]) -> tuple[bytes, bytes]:
-    """The row of how often each machine has started, as far as is known."""
+def pack_lives(lives: Mapping[str, tuple[int, str]]) -> tuple[bytes, bytes]:
+    """The row of how often each machine has started, and the life of its last start, as far as is known."""
     return _LIVES, msgspec.json.encode(dict(lives))
 
 
@@ -252,7 +252,7 @@
         past=tuple(past),
         ceiling=_read(_CEILING, rows.get(_CEILING, b"0"), int),
         generations=_read(_GENERATIONS, rows.get(_GENERATIONS, b"{}"), dict[str, int]),
-        lives=_read(_LIVES, rows.get(_LIVES, b"{}"), dict[str, int]),
+        lives=_read(_LIVES, rows.get(_LIVES, b"{}"), dict[str, tuple[int, str]]),
         forgotten=forgotten,
     )
 
--- a/waterworks/reservoir/catching_up.py
+++ b/waterworks/reservoir/catching_up.py
@@ -29,6 +29,7 @@
 
 CHARTER = "charter"
 MOST_LIVES = 128  # machines of which it is known how often they started
+BEGIN_S = 1.0  # that a start is put off by a disk that is not well
 AGAIN_S = 0.3  # after a disk has refused
 LOOK_S = 60.0  # between two looks at the size of the file
 SPARE, TIMES = 4 << 20, 4  # bytes that a file may be larger than so many times what it holds
@@ -52,25 +53,45 @@
         self._charter, self._acceptor, self._ledger, self._council = charter, acceptor, ledger, council
         self._channels, self._acceptance, self._gauge = channels, acceptance, gauge
         self._again = again
+        self._counted = False  # this start is on disk
         self._settled = False  # there has been contact in this life
         self._view = council.view()
         self._size_at = self._loop.time() + LOOK_S
         self._sizing: asyncio.Task[None] | None = None
-        self._lived(council.me, self._ledger.lives.get(council.me, 0) + 1)
-        if self._view.epoch and council.me not in self._view.names and charter.items:
+
+    async def begin(self) -> None:
+        """Before anything is said to anybody: this start is counted, on disk where the disk is well."""
+        me = self._council.me
+        self._lived(me, self._starts() + 1, self._charter.source)
+        if self._view.epoch and me not in self._view.names and self._charter.items:
             self._start_over("it is not one of those who count")
+        try:
+            async with asyncio.timeout(BEGIN_S):
+                await self._ledger.kept()
+        except TimeoutError:
+            pass
+        else:
+            self._counted = True
+        self._say()
+
+    def _starts(self) -> int:
+        return self._ledger.lives.get(self._council.me, (0, ""))[0]
 
     # What is said of this process
 
     def _say(self) -> None:
         hello = self._channels.hello
-        hello["view"], hello["lives"] = self._council.view_item(), dict(self._ledger.lives)
+        lives = dict(self._ledger.lives)
+        if not self._counted:
+            del lives[self._council.me]  # the next life may count to the same number
+        hello["view"], hello["lives"] = self._council.view_item(), lives
         hello["complete"] = self._ledger.whole
 
-    def _lived(self, who: str, starts: int) -> None:
-        """That machine has started so often. Those that count stay known the longest."""
+    def _lived(self, who: str, starts: int, life: str) -> None:
+        """That machine has started so often; ``life``: of its last start. Those that count stay known the
+        longest."""
         self._ledger.lives.pop(who, None)
-        self._ledger.lives[who] = starts
+        self._ledger.lives[who] = (starts, life)
         lives, keep = self._ledger.lives, self._council.view().names | {self._council.me}
         for one in [one for one in lives if one not in keep][: max(len(lives) - MOST_LIVES, 0)]:
             del lives[one]
@@ -91,14 +112,15 @@
             item = unpack(fields)
             self._meets(read_view(item.version, item.value))
             self._acceptance.take([item], {})
-        lives = {str(one): int(starts) for one, starts in told.get("lives", {}).items()}
-        known = lives.get(self._council.me, 0)
-        if known > self._ledger.lives[self._council.me]:
+        lives = {str(one): (int(n), str(life)) for one, (n, life) in told.get("lives", {}).items()}
+        known, mine = lives.get(self._council.me, (0, "")), self._charter.source
+        if known[0] >= self._starts() and known[1] != mine:
             if self._ledger.whole:
                 self._start_over(f"{channel.node} knows of a later start than its disk")
-            self._lived(self._council.me, known + 1)
-        if lives.get(who, 0) > self._ledger.lives.get(who, 0):
-            self._lived(who, lives[who])
+            self._lived(self._council.me, known[0] + 1, mine)
+        theirs = lives.get(who, (0, ""))
+        if theirs[0] > self._ledger.lives.get(who, (0, ""))[0]:
+            self._lived(who, *theirs)
 
     def _meets(self, view: View) -> None:
         """A view that another has; who was one of those who count and is none by it starts over."""
--- a/waterworks/reservoir/ledger.py
+++ b/waterworks/reservoir/ledger.py
@@ -58,7 +58,7 @@
         self._urgent = False  # something was marked that is waited for
         self._later: asyncio.TimerHandle | None = None
         self.whole = whole
-        self.lives: dict[str, int] = {}  # how often each machine has started, as far as is known
+        self.lives: dict[str, tuple[int, str]] = {}  # how often each machine has started, and its last life
         self.refused = ""  # the disk's last word, where that was no
 
     def mark(self, items: Iterable[Item]) -> None:
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -194,6 +194,7 @@
 
     async def start(self) -> None:
         settings = self.settings
+        await self.catching_up.begin()
         self._server = await listen(self.peer_address, lambda: Link(lambda _: None, self._met, self._unmet))
         assert settings.ports.control is not None
         await self.desk.listen(settings.ports.control)
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -129,6 +129,7 @@
             up=(REPORTS,),
             ranks=True,
         )
+        self.channels.silent = lambda role: ("charter",)  # an old copy here brings back nothing
         self.questions = Questions(answers_of(self, time.time))
         self.ending = False
         self._links: set[Link] = set()  # with calls from other sidecars
--- a/waterworks/sluice/stages.py
+++ b/waterworks/sluice/stages.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.store import PAGE, Store
+from waterworks.aquifer.store import Store, paging
 from waterworks.gauge import events
 from waterworks.gauge.log import Gauge
 from waterworks.headworks.settings import Settings
@@ -91,10 +91,10 @@
         self._arm()
 
     def _use(self, now: float, one: Pass) -> None:
-        item = self._charter.items[one.key]
-        new, old = _read(item), self._routes.named(item.name)
-        if new is None:
-            self._routes.drop(item.name)
+        item = self._charter.items.get(one.key)
+        new, old = _read(item) if item is not None else None, self._routes.named(one.key[1])
+        if item is None or new is None:
+            self._routes.drop(one.key[1])
             return
         self._routes.put(new)
         if one.first and one.kind in STAGED:
@@ -235,7 +235,7 @@
         self._channels().poke()
 
     def _vector(self) -> dict[str, int]:
-        return {s: n for s, n in self._charter.vector.items() if not s.startswith(PAGE)}
+        return {s: n for s, n in self._charter.vector.items() if not paging(s)}
 
 
 def _read(item: Item) -> Route | None:
