Give what is read under a fence, and to a read, in pages that cost references

An emptied disk was given all of a copy packed at once, kept in memory until the last page was asked for, and a read's answer had up to 20,000 items in one frame, which is more than a frame may have.

--- a/waterworks/reservoir/fencing.py
+++ b/waterworks/reservoir/fencing.py
@@ -4,15 +4,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+import sys
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
-from waterworks.aquifer.ballot import Forgotten, Settled, Vote
+from waterworks.aquifer.ballot import Forgotten, Number, Settled, Vote
+from waterworks.aquifer.items import Item
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import View
+from waterworks.cistern.layout import Past
 from waterworks.leat.channels import Channel
 from waterworks.leat.exchange import pack, unpack
 from waterworks.penstock.frames import Head
@@ -21,6 +24,7 @@
 from waterworks.reservoir.ledger import Ledger
 
 PAGE_BYTES = 1 << 20
+Row = Item | tuple[Number, Vote] | Past
 GIVEN = 4  # answers that are given in pages at once; the oldest makes room
 
 
@@ -35,7 +39,7 @@
     heard: set[str] = field(default_factory=set)
     asked: dict[str, Channel] = field(default_factory=dict)
     told: dict[str, tuple[int, int]] = field(default_factory=dict)  # top and generation, by address
-    pages: dict[str, list[Any]] = field(default_factory=dict)
+    pages: dict[str, int] = field(default_factory=dict)  # that have come, by address
 
 
 class Fencing:
@@ -45,7 +49,7 @@
         self._acceptance = acceptance
         self._count = 0
         self._askings: dict[int, _Asking] = {}
-        self._given: dict[tuple[str, int], list[list[Any]]] = {}
+        self._given: dict[tuple[str, int], tuple[list[Row], list[int]]] = {}  # and where its pages begin
 
     async def fence_and_read(self, within_s: float, fence: bool = True) -> bool:
         """Whether this process now holds, on disk, all that could have been chosen under the view in force.
@@ -90,7 +94,7 @@
         if address not in asking.others or address in asking.heard:
             return
         asking.asked[address] = channel
-        asking.pages[address] = []
+        asking.pages[address] = 0
         told: Head = {"t": "fence", "n": number, "e": asking.view.epoch, "v": self._charter.vector}
         if asking.fence is not None:
             told.update(r=asking.fence[0], g=asking.fence[1], m=self._council.me)
@@ -146,18 +150,15 @@
             return
         if "r" in head:
             await self._acceptance.fence(int(head["r"]), str(head["m"]), int(head["g"]))
-        lack = self._charter.lacking(head["v"], 2 * self._charter.most)
-        rows: list[Any] = [["i", *pack(item)] for item in lack.items]
+        all_of_it = 2 * self._charter.most
+        rows: list[Row] = [*self._charter.lacking(head["v"], all_of_it, sys.maxsize).items]
+        rows += [(number_, vote) for number_, vote in acceptor.votes.items()]
         rows += [
-            ["v", *number_, *write_ballot(vote.ballot), vote.value]
-            for number_, vote in acceptor.votes.items()
-        ]
-        rows += [
-            ["p", *key, acceptor.unknown.get(key, -1), acceptor.past.get(key, {})]
+            Past(key, acceptor.unknown.get(key, -1), dict(acceptor.past.get(key, {})))
             for key in acceptor.past.keys() | acceptor.unknown.keys()
         ]
         where = (address_of(channel), number)
-        self._given[where] = _pages(rows)
+        self._given[where] = (rows, [0])
         while len(self._given) > GIVEN:
             del self._given[next(iter(self._given))]
         self._give(channel, number, epoch, 0)
@@ -165,11 +166,14 @@
     def _give(self, channel: Channel, number: int, epoch: int, at: int) -> None:
         """A page of what stood at the fence, which later decisions do not touch."""
         where = (address_of(channel), number)
-        pages = self._given.get(where, [])
-        if not 0 <= at < len(pages):
+        rows, begins = self._given.get(where, ([], []))
+        if not 0 <= at < len(begins):
             return
-        more = at + 1 < len(pages)
-        told: Head = {"t": "fenced", "n": number, "e": epoch, "at": at, "w": pages[at], "more": more}
+        page = _page(rows, begins[at])
+        if at + 1 == len(begins):
+            begins.append(begins[at] + len(page))
+        more = begins[at + 1] < len(rows)
+        told: Head = {"t": "fenced", "n": number, "e": epoch, "at": at, "w": page, "more": more}
         channel.link.send({**told, "top": 0, "g": 0})
         if not more:
             del self._given[where]
@@ -182,14 +186,16 @@
         if asking is None or head["e"] != asking.view.epoch or head.get("no") or who not in asking.others:
             return
         asking.told[who] = (int(head["top"]), int(head["g"]))
-        if head.get("at", 0) != len(asking.pages[who]):
+        if head.get("at", 0) != asking.pages[who]:
             return
-        asking.pages[who].append(head["w"])
+        self._take(
+            head["w"]
+        )  # what was accepted there, and is decided: it counts whatever becomes of the rest
+        asking.pages[who] += 1
         if head["more"]:
-            at = len(asking.pages[who])
-            channel.link.send({"t": "fence", "n": number, "e": asking.view.epoch, "at": at})
+            told = {"t": "fence", "n": number, "e": asking.view.epoch, "at": asking.pages[who]}
+            channel.link.send(told)
             return
-        self._take([row for page in asking.pages[who] for row in page])
         asking.heard.add(who)
         self._check(asking)
 
@@ -213,14 +219,23 @@
         self._ledger.mark_votes(merged)
 
 
-def _pages(rows: Collection[Any]) -> list[list[Any]]:
-    pages: list[list[Any]] = [[]]
+def _page(rows: Sequence[Row], begin: int) -> list[msgspec.Raw]:
+    """Of PAGE_BYTES, one row at least. Packed as they go: what waits costs its references."""
+    page: list[msgspec.Raw] = []
     room = PAGE_BYTES
-    for row in rows:
-        packed = msgspec.Raw(msgspec.json.encode(row))
+    for row in rows[begin:]:
+        packed = msgspec.Raw(msgspec.json.encode(_pack(row)))
         room -= len(packed)
-        if room < 0 and pages[-1]:
-            pages.append([])
-            room = PAGE_BYTES - len(packed)
-        pages[-1].append(packed)
-    return pages
+        if page and room < 0:
+            break
+        page.append(packed)
+    return page
+
+
+def _pack(row: Row) -> list[Any]:
+    if isinstance(row, Item):
+        return ["i", *pack(row)]
+    if isinstance(row, Past):
+        return ["p", *row.key, row.unknown, row.digests]
+    number, vote = row
+    return ["v", *number, *write_ballot(vote.ballot), vote.value]
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -53,7 +53,7 @@
 GRACE_S = 0.03  # a read leaves an open vote to its proposer for so long
 PENDING = 256  # orders, and reads, under way at once; more are answered as busy
 PAGE_BYTES = 1 << 20  # of contents in one accept
-MOST_READ = 20_000  # items of one answer to a read
+MOST_READ = 1000  # items of one page of an answer to a read
 MOST_TAKEN_UP = 2000  # open votes, and
 TAKEN_UP_BYTES = 2 << 20  # bytes of them, brought to their decision at once
 RIVALS = 16  # rivalled numbers that are remembered for operators
@@ -452,6 +452,7 @@
                 "items": [pack(item) for item in lack.items],
                 "v": lack.vector,
                 "open": list(self._acceptor.votes),
+                "whole": whole,
                 "complete": whole and not lack.more,
             }
         )
@@ -459,7 +460,7 @@
     def _have(self, channel: Channel, head: Head) -> None:
         who, epoch = address_of(channel), int(head["e"])
         self.acceptance.take([unpack(fields) for fields in head["items"]], head["v"])
-        self._council.whole(who, bool(head["complete"]))
+        self._council.whole(who, bool(head["whole"]))
         reading = self._readings.get(head["n"])
         if reading is None:
             return
@@ -471,6 +472,8 @@
             reading.heard.add(who)
             reading.open.update(read_number(told) for told in head["open"])
             self._check(reading)
+        elif head["whole"] and reading.asked.get(who) is channel:  # that was a page
+            self._ask_read(int(head["n"]), reading, who, channel)
 
 
 def pages_of(writes: Mapping[Number, Value]) -> list[list[Any]]:
