Keep room on the disk for what drops and for votes

A disk that was full refused the batch it was given for ever, and with it all that came after, drops too. What orders set may take 0.4 of the room; beyond that they are answered 503 with the reason at once, drops, votes and views go on, and what is forgotten makes room again (played to its end). The layout tests name no number any more, since the layout has moved on. File after 400 changes of 1,000 rows: under twice the first; after a rewriting under a tenth.

--- a/rigs/mesh_world/disk.py
+++ b/rigs/mesh_world/disk.py
@@ -10,7 +10,7 @@
 import simpy
 
 from rigs.mesh_world.clock import LIFE
-from waterworks.cistern.keeper import Fresh, Kept, Opened, Refused, Size
+from waterworks.cistern.keeper import SHARE, Fresh, Kept, Opened, Refused, Size
 from waterworks.cistern.layout import Held, held
 
 if TYPE_CHECKING:
@@ -27,6 +27,7 @@
         self.rows: dict[bytes, bytes] = {}
         self.begun = False
         self.takes_s = SYNC_S
+        self.most_bytes = 64 << 20
         self.hangs_until = self.refuses_until = 0.0
 
     def wipe(self) -> None:
@@ -63,9 +64,14 @@
         self._disk.rows = dict(rows)
         return Kept()
 
+    def _used(self) -> int:
+        return sum(len(key) + len(value) for key, value in self._disk.rows.items())
+
+    def fits(self, more_bytes: int) -> bool:
+        return self._used() + more_bytes <= SHARE * self._disk.most_bytes
+
     def size(self) -> Size:
-        used = sum(len(key) + len(value) for key, value in self._disk.rows.items())
-        return Size(used, used, 64 << 20)
+        return Size(self._used(), self._used(), self._disk.most_bytes)
 
     def _sync(
         self, rows: list[tuple[bytes, bytes]], gone: list[bytes], future: asyncio.Future[Kept | Refused]
--- a/tests/mesh/test_catching_up_world.py
+++ b/tests/mesh/test_catching_up_world.py
@@ -137,6 +137,31 @@
         played(names_without_end)
 
 
+def test_a_disk_that_is_nearly_full_takes_drops_and_then_again_what_is_set() -> None:
+    def script(world: World) -> Script:
+        yield from begun(world)
+        for machine in world.reservoirs():
+            machine.disk.most_bytes = 120_000
+        count = 0
+        while True:
+            answer = yield from world.patch(world.reservoirs()[0], change(1, f"n{count}"))
+            if answer is None or answer.status != 200:
+                break
+            count += 1
+        assert answer is not None and answer.status == 503 and b"disk" in answer.body and 20 < count < 200
+        for number in range(count):
+            answer = yield from world.commit(world.reservoirs()[:2], drop(2, f"n{number}"))
+            assert answer is not None and answer.status == 200
+            del world.witness.acked["route", f"n{number}"]
+        yield world.env.timeout(3 * KEPT_S)
+        for number in range(count // 2):
+            answer = yield from world.commit(world.reservoirs()[:2], change(3, f"n{number}"))
+            assert answer is not None and answer.status == 200
+        yield from world.witness.finish()
+
+    assert played(script) == []
+
+
 def test_a_drop_is_forgotten_only_once_all_members_have_it() -> None:
     def script(world: World) -> Script:
         yield from begun(world)
--- a/tests/mesh/test_cistern_keeper.py
+++ b/tests/mesh/test_cistern_keeper.py
@@ -223,6 +223,36 @@
     assert keeper.keep([(b"route", b"again")], [b"more-0"]) == Kept()
 
 
+def test_a_file_stays_bounded_under_changes_and_shrinks_when_written_anew(tmp_path: Path) -> None:
+    most = 4 << 20
+    keeper = begun(tmp_path, {b"i%04d" % n: os.urandom(200) for n in range(1000)}, most=most)
+    first = keeper.size()
+    for version in range(400):
+        rows = [(b"i%04d" % (version * 7 % 1000), os.urandom(200)), (b"vote%d" % version, os.urandom(200))]
+        assert keeper.keep(rows, [b"vote%d" % (version - 1)]) == Kept()
+    after = keeper.size()
+    assert after.used <= 1.5 * first.used and after.file <= 2 * first.file
+    assert keeper.fits(0) and not keeper.fits(most)
+    rest = {b"i%04d" % n: b"1" for n in range(20)}
+    assert keeper.keep([], [key for key in keeper.rows() if key not in rest]) == Kept()
+    assert keeper.size().file > 10 * keeper.size().used
+    assert keeper.rewrite(rest) == Kept()
+    assert keeper.size().file < first.file / 10 and keeper.rows() == rest
+    assert os.listdir(tmp_path) == [NAME]
+
+
+def test_rows_that_go_find_room_where_what_is_set_finds_none(tmp_path: Path) -> None:
+    keeper = begun(tmp_path, {}, most=1 << 20)
+    kept = []
+    while keeper.fits(300):
+        kept.append(b"k%05d" % len(kept))
+        assert keeper.keep([(kept[-1], os.urandom(250))]) == Kept()
+    assert len(kept) > 500
+    for at in range(0, len(kept), 50):
+        assert keeper.keep([(b"vector", os.urandom(3000))], kept[at : at + 50]) == Kept()
+    assert keeper.fits(300)
+
+
 def test_a_disk_that_refuses_writes_is_told_and_serves_again(tmp_path: Path) -> None:
     keeper = begun(tmp_path, FIRST)
     usual = resource.getrlimit(resource.RLIMIT_FSIZE)
@@ -366,8 +396,8 @@
 
 
 def moving(patch: pytest.MonkeyPatch, move: Callable[[dict[bytes, bytes]], dict[bytes, bytes]]) -> None:
-    patch.setattr(keeping, "LAYOUT", 2)
-    patch.setitem(layout.MOVES, 1, move)
+    patch.setattr(keeping, "LAYOUT", layout.LAYOUT + 1)
+    patch.setitem(layout.MOVES, layout.LAYOUT, move)
 
 
 def test_an_older_layout_is_moved_on_whole_or_not_at_all(
@@ -389,7 +419,7 @@
         found = reopened(tmp_path)
         assert isinstance(found, Opened)
         assert found.rows == renamed(FIRST)
-        assert found.notes == ("moved on from layout 1 to 2",)
+        assert found.notes == (f"moved on from layout {layout.LAYOUT} to {layout.LAYOUT + 1}",)
         found = reopened(tmp_path)
         assert isinstance(found, Opened) and found.rows == renamed(FIRST) and found.notes == ()
 
--- a/waterworks/cistern/keeper.py
+++ b/waterworks/cistern/keeper.py
@@ -37,6 +37,7 @@
 NAME = "store.mdb"
 MOST_ASIDES = 3
 MOST_MAP_BYTES = 64 << 20
+SHARE = 0.4  # of the most that a store may grow to, which items set by orders may take
 _ROW = b"r"
 # Errors of the machine, not of the file: the file may be well, so it stays where it is.
 _OUTSIDE = (lmdb.DiskError, lmdb.ReadonlyError, lmdb.MemoryError, lmdb.LockError, lmdb.InvalidParameterError)
@@ -117,6 +118,7 @@
         self._environment: lmdb.Environment | None = (
             environment  # None after a refusal, until the next call opens it anew
         )
+        self._used = _used(environment)
         self._named = False  # the file's name is known to outlast a loss of power
 
     @staticmethod
@@ -181,6 +183,7 @@
             # honours.
             environment.sync(True)
             self._sync_name()
+            self._used = _used(environment)
         except lmdb.MapFullError:
             return Refused(f"{self._path}: full at {self._most} bytes; drop rows or give the disk more room")
         except (lmdb.Error, OSError) as error:
@@ -208,13 +211,16 @@
             return Refused(f"{self._path}: {error}; give the disk room or look at it")
         return Kept()
 
+    def fits(self, more_bytes: int) -> bool:
+        """Whether rows of so many bytes may come, so that what goes, and what must be kept of votes and
+        views, still finds room: a change costs new pages before the old ones are free. As of the last keep;
+        from any thread."""
+        return self._used + more_bytes <= SHARE * self._most
+
     def size(self) -> Size:
         """Bytes. Raises CisternError where the file cannot be looked at."""
         try:
-            environment = self._opened()
-            stat = environment.stat()
-            pages = stat["branch_pages"] + stat["leaf_pages"] + stat["overflow_pages"]
-            return Size(os.stat(self._path).st_size, pages * stat["psize"], self._most)
+            return Size(os.stat(self._path).st_size, _used(self._opened()), self._most)
         except (lmdb.Error, OSError) as error:
             raise CisternError(f"{self._path}: {error}; look at the disk") from error
 
@@ -273,6 +279,11 @@
         return self._environment
 
 
+def _used(environment: lmdb.Environment) -> int:
+    stat = environment.stat()
+    return int((stat["branch_pages"] + stat["leaf_pages"] + stat["overflow_pages"]) * stat["psize"])
+
+
 def _environment(path: Path, most_bytes: int) -> lmdb.Environment:
     # No lock file: one process has the file, and the machines' locks do nothing. No writable map: a write
     # through it would reach the file when the kernel likes, not when it is synced.
--- a/waterworks/reservoir/acceptance.py
+++ b/waterworks/reservoir/acceptance.py
@@ -35,6 +35,8 @@
 from waterworks.reservoir.ledger import Ledger
 
 MOST_STATES = 8 << 20  # bytes of one promise
+ROW_BYTES = 200  # about, of a row beside its content
+FULL = "disk: no room for more; drop some and wait till they are forgotten"
 PAGED = 8  # orders that come in pages at once; the oldest makes room
 
 
@@ -107,6 +109,8 @@
         for (kind, _, _), value in writes.items():
             if kind == VIEW and value is not None and "before" not in value and not self.level():
                 return Refusal(0, "it is not level")
+        if not self.fits(writes):
+            return Refusal(0, FULL)
         changed = self.acceptor.accept(ballot, by, writes)
         if isinstance(changed, Refusal):
             return changed
@@ -114,6 +118,11 @@
         await self._ledger.kept()
         return None
 
+    def fits(self, writes: Mapping[Number, Value]) -> bool:
+        """Whether the disk has room for what an order sets; what drops, and views, always find some."""
+        sets = [value for (kind, _, _), value in writes.items() if value is not None and kind != VIEW]
+        return not sets or self._ledger.fits(ROW_BYTES * len(sets) + sum(map(_bytes, sets)))
+
     async def fence(self, round: int, member: str, generation: int) -> None:
         """Refuses from now on, and returns once the disk says so, too."""
         self.acceptor.fence(round, member, generation)
@@ -248,6 +257,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _bytes(value: Value) -> int:
+    return len(msgspec.json.encode(value))
+
+
 def write_ballot(ballot: Ballot) -> list[Any]:
     return [ballot.round, ballot.proposer]
 
--- a/waterworks/reservoir/ledger.py
+++ b/waterworks/reservoir/ledger.py
@@ -110,6 +110,10 @@
         self._waiting.append((self._marked, future))
         await future
 
+    def fits(self, more_bytes: int) -> bool:
+        """Whether the disk takes so much more of what orders set."""
+        return self._keeper.fits(more_bytes)
+
     def founded(self) -> None:
         """An empty disk of the very first start lacks nothing, and says so with its first batch."""
         self.whole = True
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -38,6 +38,7 @@
 from waterworks.leat.exchange import pack, unpack
 from waterworks.penstock.frames import Head
 from waterworks.reservoir.acceptance import (
+    FULL,
     Acceptance,
     read_ballot,
     read_number,
@@ -121,7 +122,7 @@
         name = tuple(sorted((number, digest_of(value)) for number, value in writes.items()))
         known = self._orders.get(name)
         if known is None:
-            refused = self._room(writes)
+            refused = self._room(writes) if self.acceptance.fits(writes) else FULL
             if refused:
                 return Unclear(refused)
             task = self._loop.create_task(self._run(proposer, CARRY_S))
