--- a/waterworks/cistern/keeper.py
+++ b/waterworks/cistern/keeper.py
@@ -321,6 +321,29 @@
     return Opened(Keeper(path, most_bytes, environment), rows, tuple(notes))
 
 
+def look(folder: Path, most_bytes: int) -> Rows | Failed:
+    """The rows of a copy, of this layout, which stays as it is; Failed where any of it is damaged."""
+    path = folder / NAME
+    try:
+        findings = _structure(path)
+        if findings:
+            return Failed(f"{path}: {findings[0]}; take another copy")
+        environment = lmdb.open(str(path), map_size=most_bytes, subdir=False, lock=False, readonly=True)
+        try:
+            rows, findings, head = _survey(environment)
+        finally:
+            environment.close()
+    except (lmdb.Error, OSError) as error:
+        return Failed(f"{path}: {error}; name the folder of a copy")
+    if head is None or findings:
+        return Failed(f"{path}: {findings[0]}; take another copy")
+    if head.layout > LAYOUT:
+        return Failed(f"{path}: layout {head.layout}, newest known {LAYOUT}; start the newer program")
+    for layout in range(head.layout, LAYOUT):
+        rows = MOVES[layout](rows)
+    return rows
+
+
 def _structure(path: Path) -> tuple[str, ...]:
     """What is wrong with the file's pages, found without lmdb. Raises OSError."""
     try:
--- a/waterworks/gauge/events.py
+++ b/waterworks/gauge/events.py
@@ -94,6 +94,7 @@
 DISK_FAILED = _event(407, Level.ERROR, "store cannot be opened", "reason")
 DISK_OLDER = _event(409, Level.WARNING, "what the disk held counts for nothing, read anew", "reason", "items")
 DISK_COMPACTED = _event(410, Level.INFO, "store written anew, smaller", "before", "used")
+STATE_RESTORED = _event(412, Level.WARNING, "begun anew by an operator's word", "epoch", "items", "lost")
 DROPS_FORGOTTEN = _event(411, Level.INFO, "drops forgotten, which all hold", "items")
 DISK_MOVED_ON = _event(408, Level.INFO, "store moved on", "note")
 
--- a/waterworks/operate/state.py
+++ b/waterworks/operate/state.py
@@ -73,6 +73,46 @@
     return said
 
 
+@state.command("restore")
+def _restore(
+    copy: Annotated[
+        str,
+        typer.Argument(metavar="[COPY]", help="A copy's folder under the state folder; else its own disk."),
+    ] = "",
+    lost: Annotated[
+        list[str] | None,
+        typer.Option("--lost", metavar="ADDRESS", help="A member that is gone for good; repeatable."),
+    ] = None,
+    where: Annotated[
+        str, typer.Option("--from", metavar="NODE", help="The control process that leads.")
+    ] = "",
+    at: At = None,
+    settings: SettingsFile = None,
+    wait: Wait = DISK_WAIT_S,
+    as_json: AsJson = False,
+) -> None:
+    """After more losses than are borne: what a control process holds, or a copy, leads on. Refused where that
+    would make older state lead."""
+    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (RESERVOIR,)), as_json)
+    able = [p for p in view.answering(RESERVOIR) if where in ("", p.node)]
+    able.sort(key=lambda p: not (p.told or {}).get("whole"))
+    if not able:
+        fail(NOBODY, "no such control process answers; check --at and whether it runs", as_json)
+    process = able[0]
+    reply = asyncio.run(ask(process.address, "restore", wait, copy=copy, lost=list(lost or ())))
+    if isinstance(reply, Silent):
+        fail(NOBODY, f"{process.node}: {reply.why}; it may be done: look at status", as_json)
+    if not isinstance(reply, Answered):
+        fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
+    told = reply.value
+    names = ", ".join(str(one) for one in told.get("members", []))
+    lines = wrapped(
+        f"{process.node}: {number(told, 'items'):.0f} items lead, epoch {number(told, 'epoch'):.0f}, counted: "
+        f"{names}; the others come to count by themselves"
+    )
+    tell({"node": process.node, **told}, lines, as_json)
+
+
 @state.command("backup")
 def _backup(
     to: Annotated[str, typer.Argument(metavar="TO", help="A folder under the process's state folder.")],
--- a/waterworks/reservoir/catching_up.py
+++ b/waterworks/reservoir/catching_up.py
@@ -102,6 +102,10 @@
         """Stores of which nothing is told to a process of that role now."""
         return () if self._settled or role == RESERVOIR else (CHARTER,)
 
+    def reached(self) -> dict[str, bool]:
+        """Other control processes that answer, by address, and whether the disk of each counts."""
+        return {who: self._council.counts(who) for who in self._council.peers()}
+
     # What others say
 
     def met(self, channel: Channel) -> None:
--- a/waterworks/reservoir/council.py
+++ b/waterworks/reservoir/council.py
@@ -69,6 +69,10 @@
         """A peer has said whether its disk counts."""
         self._whole_peers[address] = whole
 
+    def counts(self, address: str) -> bool:
+        """Whether a peer's disk does, as it last said."""
+        return self._whole_peers.get(address, False)
+
     def said_complete(self) -> None:
         """Tell the others that this disk counts now."""
         for channel in self.peers().values():
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -34,6 +34,7 @@
 from waterworks.reservoir.forgetting import Forgetting
 from waterworks.reservoir.ledger import Ledger
 from waterworks.reservoir.repairing import CHARTER, ROLL, Repairing
+from waterworks.reservoir.restoring import Restoring
 from waterworks.reservoir.rollouts import Rollouts
 from waterworks.reservoir.safekeeping import Safekeeping
 from waterworks.reservoir.shown import answers_of
@@ -143,7 +144,20 @@
             self.ledger,
             self.repairing.check_disk,
         )
-        self.questions = Questions({**answers_of(self, time.time), **safekeeping.answers()})
+        restoring = Restoring(
+            settings.state_dir,
+            settings.limits.disk_mb,
+            self.charter,
+            self.acceptor,
+            self.ledger,
+            self.council,
+            self.acceptance,
+            gauge,
+            self.catching_up.reached,
+        )
+        self.questions = Questions(
+            {**answers_of(self, time.time), **safekeeping.answers(), **restoring.answers()}
+        )
         self.stopping = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._touched = self.loop.time()  # when there was last a link with news
--- /dev/null
+++ b/waterworks/reservoir/restoring.py
@@ -0,0 +1,129 @@
+"""`state restore`: an operator's word that more was lost than is borne, and that what is here leads on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from waterworks.aquifer.ballot import Acceptor
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.restore import restored
+from waterworks.aquifer.store import Full, Store
+from waterworks.aquifer.views import MEMBERS, NOBODY, VIEW, View, read_view, write_view
+from waterworks.cistern.keeper import Failed, look, room
+from waterworks.cistern.layout import CisternError, Held, held
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.headworks.questions import Handler, Refusal, Told
+from waterworks.penstock.frames import Head
+from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.council import Council
+from waterworks.reservoir.ledger import Ledger
+from waterworks.reservoir.safekeeping import inside
+
+MOST_LOST = 64
+
+
+class Restoring:
+    """``whole``: by address, whether the disk counts of each other control process that answers."""
+
+    def __init__(
+        self,
+        state_dir: str,
+        disk_mb: float,
+        charter: Store,
+        acceptor: Acceptor,
+        ledger: Ledger,
+        council: Council,
+        acceptance: Acceptance,
+        gauge: Gauge,
+        whole: Callable[[], dict[str, bool]],
+    ) -> None:
+        self._base, self._room = state_dir, room(disk_mb)
+        self._charter, self._acceptor, self._ledger = charter, acceptor, ledger
+        self._council, self._acceptance, self._gauge, self._whole = council, acceptance, gauge, whole
+        self._busy = False
+
+    def answers(self) -> dict[str, Handler]:
+        """The question that is answered here, by name."""
+        return {"restore": self.restore}
+
+    async def restore(self, head: Head) -> Told | Refusal:
+        """Raises KeyError, TypeError or ValueError for what cannot be read."""
+        lost = [str(one) for one in head["lost"]][:MOST_LOST]
+        if self._busy:
+            return Refusal("another restore is under way")
+        if self._council.contact():
+            return Refusal(
+                "the mesh serves, and holds all that was acknowledged; to go back to an earlier configuration, "
+                "send it under higher versions"
+            )
+        self._busy = True
+        try:
+            return await self._restore(str(head["copy"]), lost)
+        finally:
+            self._busy = False
+
+    async def _restore(self, copy: str, lost: list[str]) -> Told | Refusal:
+        kept = self._copy(copy) if copy else Held()
+        if isinstance(kept, Refusal):
+            return kept
+        view = _view(kept) if copy else None
+        reached = {**self._whole(), self._council.me: self._ledger.whole}
+        tolerance = self._council.tolerance
+        begins = restored(self._council.me, self._council.view(), reached, lost, view, tolerance)
+        if isinstance(begins, str):
+            return Refusal(begins)
+        if copy:
+            told = self._take(kept)
+            if isinstance(told, Refusal):
+                return told
+        item = Item(VIEW, MEMBERS, begins.epoch, write_view(begins))
+        self._acceptance.take([item], {})
+        if not self._ledger.whole:
+            await self._ledger.become_whole()
+        await self._ledger.kept()
+        self._council.said_complete()
+        count = sum(item.value is not None for item in self._charter.items.values())
+        self._gauge.tell(events.STATE_RESTORED, epoch=begins.epoch, items=count, lost=", ".join(lost))
+        return {"epoch": begins.epoch, "members": sorted(begins.now), "items": count}
+
+    def _copy(self, copy: str) -> Held | Refusal:
+        path = inside(self._base, copy)
+        if isinstance(path, Refusal):
+            return path
+        rows = look(Path(path), self._room)
+        if isinstance(rows, Failed):
+            return Refusal(f"copy: {rows.reason}")
+        try:
+            return held(rows)
+        except CisternError as fault:
+            return Refusal(f"copy: {fault}")
+
+    def _take(self, kept: Held) -> Refusal | None:
+        """What the copy holds, where nothing newer is held; what was accepted or overtaken with it."""
+        buckets, keys = self._charter.forget_all(kept.forgotten)
+        self._ledger.forget(keys, buckets)
+        items = [item for item in kept.items if item.kind != VIEW]
+        taken = self._charter.mend(items)
+        if isinstance(taken, Full):
+            return Refusal(taken.reason)
+        self._acceptance.took(taken)
+        for past in kept.past:
+            for version, digest in past.digests.items():
+                self._acceptor.past.setdefault(past.key, {}).setdefault(version, digest)
+            if past.unknown >= 0:
+                self._acceptor.unknown[past.key] = max(past.unknown, self._acceptor.unknown.get(past.key, -1))
+        for number, vote in kept.votes.items():
+            if self._acceptor.state(number) is None:
+                self._acceptor.votes[number] = vote
+        self._ledger.mark_votes(kept.votes)
+        self._ledger.mark_settled([(*past.key, 0) for past in kept.past])
+        return None
+
+
+def _view(kept: Held) -> View:
+    for item in kept.items:
+        if item.key == (VIEW, MEMBERS):
+            return read_view(item.version, item.value)
+    return NOBODY
--- a/waterworks/reservoir/safekeeping.py
+++ b/waterworks/reservoir/safekeeping.py
@@ -62,7 +62,7 @@
 
     async def backup(self, head: Head) -> Told | Refusal:
         """A copy of the store under the state folder, in a folder that holds none yet."""
-        to = _inside(self._base, str(head["to"]))
+        to = inside(self._base, str(head["to"]))
         if isinstance(to, Refusal):
             return to
         await self._ledger.kept()
@@ -82,7 +82,7 @@
     return _Disk((), len(kept.items), store.digests.root())
 
 
-def _inside(base: str, to: str) -> Path | Refusal:
+def inside(base: str, to: str) -> Path | Refusal:
     """Where a copy may go: a folder below ``base``, links followed, which is not the store's own."""
     if not to or len(to) > MOST_PATH or not to.isprintable():
         return Refusal(f"to: give a path of 1 to {MOST_PATH} printable characters")
