--- a/rigs/mesh_world/wire.py
+++ b/rigs/mesh_world/wire.py
@@ -18,6 +18,18 @@
         pass
 
 
+class _Listening:
+    """What a process has of an address that it listens at."""
+
+    def __init__(self, wire: Wire, host: str, life: Any) -> None:
+        self._wire, self._host, self._life = wire, host, life
+
+    def close(self) -> None:
+        known = self._wire.listening.get(self._host)
+        if known is not None and known[0] is self._life:
+            del self._wire.listening[self._host]
+
+
 class End(asyncio.Transport):
     """One end of a connection, as its link sees it."""
 
@@ -78,7 +90,7 @@
     async def listen(self, address: tuple[str, int], make: Callable[[], Link]) -> Any:
         life = LIFE.get()
         self.listening[address[0]] = (life, make)
-        return life
+        return _Listening(self, address[0], life)
 
     async def connect(self, address: tuple[str, int], make: Callable[[], Link]) -> Link | None:
         life, host = LIFE.get(), address[0]
--- a/waterworks/aquifer/restore.py
+++ b/waterworks/aquifer/restore.py
@@ -1,7 +1,7 @@
 """After more losses than are borne: whose word leads when an operator has the rest begin anew. No I/O.
 
-Nothing here can bring back what only the lost ones held. What can be seen to is that no older state leads: not
-against a quorum that is there, not against a member that may yet come back, not against a disk that still
+Nothing here can bring back what only the lost ones held. What can be seen to is that no older state leads:
+not against a quorum that is there, not against a member that may yet come back, not against a disk that still
 counts.
 """
 
@@ -36,13 +36,12 @@
         if who in reached:
             return f"--lost: {who} answers; it may hold newer, so let it count again instead"
     known = view if copy is None or view.epoch >= copy.epoch else copy
-    away = sorted(
-        (view.names | (copy.names if copy is not None else frozenset())) - reached.keys() - set(lost)
-    )
+    names = view.names | (copy.names if copy is not None else frozenset())
+    away = sorted(names - reached.keys() - set(lost))
     if away:
         return (
-            f"{', '.join(away)}: counts, is not reached, and may hold newer; bring it back, or give it up for "
-            "good with --lost"
+            f"{', '.join(away)}: counts, is not reached, and may hold newer; bring it back, or give it up "
+            "for good with --lost"
         )
     if copy is not None and counting:
         return (
@@ -55,5 +54,5 @@
     if known.epoch + STEP >= MOST_EPOCH:
         return "the epoch cannot go higher"
     places = {**(known.before or {}), **known.now}
-    names = counting if copy is None else {me}
-    return View(known.epoch + STEP, {who: places.get(who, Place("", "")) for who in sorted(names)})
+    leading = counting if copy is None else {me}
+    return View(known.epoch + STEP, {who: places.get(who, Place("", "")) for who in sorted(leading)})
--- a/waterworks/operate/state.py
+++ b/waterworks/operate/state.py
@@ -77,7 +77,7 @@
 def _restore(
     copy: Annotated[
         str,
-        typer.Argument(metavar="[COPY]", help="A copy's folder under the state folder; else its own disk."),
+        typer.Argument(metavar="[COPY]", help="A copy's folder under the state folder; else its disk."),
     ] = "",
     lost: Annotated[
         list[str] | None,
--- a/waterworks/reservoir/catching_up.py
+++ b/waterworks/reservoir/catching_up.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 
 from waterworks.aquifer.ballot import Acceptor
 from waterworks.aquifer.items import Item
@@ -36,8 +36,6 @@
 
 
 class CatchingUp:
-    """``again`` is called where this process has to come to count anew."""
-
     def __init__(
         self,
         charter: Store,
@@ -47,12 +45,10 @@
         channels: Channels,
         acceptance: Acceptance,
         gauge: Gauge,
-        again: Callable[[], None],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._charter, self._acceptor, self._ledger, self._council = charter, acceptor, ledger, council
         self._channels, self._acceptance, self._gauge = channels, acceptance, gauge
-        self._again = again
         self._counted = False  # this start is on disk
         self._settled = False  # there has been contact in this life
         self._view = council.view()
@@ -152,7 +148,6 @@
             self._charter.merge([view], {})
         self._acceptance.spawn(self._rewritten())
         self._say()
-        self._again()
 
     async def _rewritten(self) -> None:
         while not isinstance(await self._ledger.rewrite(), Kept):
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from waterworks.aquifer.ballot import Acceptor, Decided
+from waterworks.aquifer.ballot import Acceptor
 from waterworks.aquifer.items import Item, Key
 from waterworks.aquifer.quorum import Place
 from waterworks.aquifer.store import Store
@@ -32,12 +32,14 @@
 from waterworks.reservoir.duties import Duties
 from waterworks.reservoir.fencing import Fencing
 from waterworks.reservoir.forgetting import Forgetting
+from waterworks.reservoir.joining import Joining
 from waterworks.reservoir.ledger import Ledger
+from waterworks.reservoir.minding import Minding
 from waterworks.reservoir.repairing import CHARTER, ROLL, Repairing
 from waterworks.reservoir.restoring import Restoring
 from waterworks.reservoir.rollouts import Rollouts
 from waterworks.reservoir.safekeeping import Safekeeping
-from waterworks.reservoir.shown import answers_of
+from waterworks.reservoir.shown import Shown, answers_of
 from waterworks.reservoir.voting import Voting
 from waterworks.sluice.membership import NODE, RESERVOIR, Membership
 from waterworks.weir.reaping import above, dropped, spans
@@ -46,8 +48,6 @@
 MOST_CHARTER = 20_000  # items, dropped ones included
 MOST_ROLL = 20_000
 TICK_S = 0.1
-AGAIN_S = 0.25  # between tries to become a member whose disk counts
-JOIN_S = 2.0
 ALL = 64  # control processes that each other one asks; beyond that, the first in its order
 
 
@@ -100,7 +100,6 @@
         self.forgetting = Forgetting(
             self.charter, self.acceptor, self.ledger, self.council, self.acceptance, gauge
         )
-        self._joining: asyncio.Task[None] | None = None
         self.catching_up = CatchingUp(
             self.charter,
             self.acceptor,
@@ -109,7 +108,6 @@
             self.channels,
             self.acceptance,
             gauge,
-            self._join_again,
         )
         self.channels.silent = self.catching_up.silent
         bounds = settings.bounds
@@ -152,13 +150,48 @@
             self.ledger,
             self.council,
             self.acceptance,
+            self.voting,
             gauge,
             self.catching_up.reached,
         )
-        self.questions = Questions(
-            {**answers_of(self, time.time), **safekeeping.answers(), **restoring.answers()}
+        self.joining = Joining(
+            settings,
+            self.council,
+            self.acceptance,
+            self.voting,
+            self.fencing,
+            self.ledger,
+            gauge,
+            self._became_whole,
+        )
+        self.minding = Minding(
+            settings.node,
+            spans(bounds.contact_ms, settings.beat_period_ms),
+            self.roll,
+            self.membership,
+            self.council,
+            self.voting,
+            self.joining,
+            self.duties,
+            gauge,
+            lambda items: self._changed(ROLL, items),
         )
         self.stopping = asyncio.Event()
+        self.shown = Shown(
+            settings,
+            self.charter,
+            self.roll,
+            self.ledger,
+            self.council,
+            self.membership,
+            self.rollouts,
+            self.duties,
+            self.minding,
+            self.stopping,
+            self.loop.time,
+        )
+        answers = {**answers_of(self.shown, time.time), **safekeeping.answers()}
+        self.questions = Questions({**answers, **restoring.answers()})
         self._server: asyncio.Server | None = None
         self._touched = self.loop.time()  # when there was last a link with news
 
@@ -216,7 +249,7 @@
         self.acceptance.spawn(self.acceptance.raise_to(first))  # ahead of the first order
         self._say_node()
         self._know()
-        self._joining = self.loop.create_task(self._join())
+        self.joining.start()
         self.loop.call_later(TICK_S, self._tick)
         self.gauge.tell(events.STARTED, role=RESERVOIR)
 
@@ -245,6 +278,7 @@
         self.rollouts.tick(now)
         self.voting.tick(now)
         self.duties.tick(now)
+        self.minding.tick(now)
         self.repairing.tick(now)
         self.forgetting.tick(now)
         self.catching_up.tick(now)
@@ -261,6 +295,7 @@
             self._say_node()
 
     async def stop(self) -> None:
+        await self.joining.leave()
         self.stopping.set()
         self.desk.stop()
         until = self.loop.time() + min(self.settings.bounds.grace_s * 0.5, 2.0)
@@ -270,40 +305,10 @@
             self._server.close()
         self.gauge.tell(events.ENDED)
 
-    # Members
-
-    async def _join(self) -> None:
-        """Until this machine's disk counts, as the settings say that it does."""
-        while not self.stopping.is_set():
-            left = await self._step()
-            if left is False:
-                return
-            if left is None:
-                await asyncio.sleep(AGAIN_S)
-
-    async def _step(self) -> bool | None:
-        """One step of that; whether there is another, None where this one is to be taken again."""
-        view = self.council.view()
-        if not self.settings.counted and self.me not in view.names:
-            return False
-        if not view.epoch or not (self.ledger.whole or await self.fencing.fence_and_read(JOIN_S)):
-            return None
-        if not self.ledger.whole:
-            await self.ledger.become_whole()
-            self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
-            self.council.said_complete()
-            self.channels.hello["complete"] = True
-        if self.me in view.now and view.before is None:
-            return False
-        if self.me not in view.now:
-            place = Place(self.settings.zone, self.settings.region)
-            wanted = View(view.epoch + 1, {**view.now, self.me: place}, view.now)
-        elif await self.fencing.fence_and_read(JOIN_S, fence=False):
-            wanted = View(view.epoch + 1, view.now)
-        else:
-            return None
-        writes = {(VIEW, MEMBERS, wanted.epoch): write_view(wanted)}
-        return True if isinstance(await self.voting.decide(writes, JOIN_S), Decided) else None
+    def _became_whole(self) -> None:
+        self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
+        self.council.said_complete()
+        self.channels.hello["complete"] = True
 
     # News
 
@@ -319,6 +324,7 @@
         else:
             self.membership.take(items)
             self.duties.news(items)
+            self.minding.news(items)
             self.tombs.note(self.loop.time(), items)
             if any(item.kind == NODE for item in items):
                 self._know()
@@ -343,23 +349,22 @@
         if head["t"] == "complete":
             self.council.whole(address_of(channel), True)
             self._reach(address_of(channel), True)
-        elif not (self.voting.frame(channel, head) or self.forgetting.frame(channel, head)):
+        elif not any(
+            takes(channel, head)
+            for takes in (self.joining.frame, self.minding.frame, self.forgetting.frame, self.voting.frame)
+        ):
             self.fencing.frame(channel, head)
 
     def _greeted(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
             self.catching_up.met(channel)
 
-    def _join_again(self) -> None:
-        """What this disk held counts for nothing any more."""
-        if self._joining is not None and self._joining.done() and not self.stopping.is_set():
-            self._joining = self.loop.create_task(self._join())
-
     def _opened(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
             self.forgetting.opened(channel)
             self.council.whole(address_of(channel), bool(channel.extra.get("complete")))
             self._reach(address_of(channel))
+            self.joining.opened(channel)
 
     def _reach(self, address: str, anew: bool = False) -> None:
         self.voting.reach(address, anew)
@@ -404,7 +409,7 @@
 
     def retune(self, settings: Settings) -> None:
         """The settings file has changed: other seeds, other bounds for stages."""
-        self.settings = settings
+        self.settings = self.joining.settings = self.shown.settings = settings
         self.rollouts.tune(settings.bounds.settle_ms, settings.bounds.ack_ms)
         self._know()
 
--- a/waterworks/reservoir/restoring.py
+++ b/waterworks/reservoir/restoring.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from waterworks.aquifer.ballot import Acceptor
+from waterworks.aquifer.ballot import Acceptor, Decided
 from waterworks.aquifer.items import Item
 from waterworks.aquifer.restore import restored
 from waterworks.aquifer.store import Full, Store
@@ -20,8 +20,10 @@
 from waterworks.reservoir.council import Council
 from waterworks.reservoir.ledger import Ledger
 from waterworks.reservoir.safekeeping import inside
+from waterworks.reservoir.voting import Voting
 
 MOST_LOST = 64
+BATCH, FILL_S = 500, 5.0  # items of one order, and its time
 
 
 class Restoring:
@@ -36,13 +38,14 @@
         ledger: Ledger,
         council: Council,
         acceptance: Acceptance,
+        voting: Voting,
         gauge: Gauge,
         whole: Callable[[], dict[str, bool]],
     ) -> None:
         self._base, self._room = state_dir, room(disk_mb)
         self._charter, self._acceptor, self._ledger = charter, acceptor, ledger
         self._council, self._acceptance, self._gauge, self._whole = council, acceptance, gauge, whole
-        self._busy = False
+        self._voting, self._busy = voting, False
 
     def answers(self) -> dict[str, Handler]:
         """The question that is answered here, by name."""
@@ -53,17 +56,31 @@
         lost = [str(one) for one in head["lost"]][:MOST_LOST]
         if self._busy:
             return Refusal("another restore is under way")
-        if self._council.contact():
-            return Refusal(
-                "the mesh serves, and holds all that was acknowledged; to go back to an earlier configuration, "
-                "send it under higher versions"
-            )
         self._busy = True
         try:
-            return await self._restore(str(head["copy"]), lost)
+            if not self._council.contact():
+                return await self._restore(str(head["copy"]), lost)
+            if head["copy"] and all(item.kind == VIEW for item in self._charter.items.values()):
+                return await self._fill(str(head["copy"]))
+            return Refusal(
+                "the mesh serves, and holds all that was acknowledged; to go back to an earlier "
+                "configuration, send it under higher versions"
+            )
         finally:
             self._busy = False
 
+    async def _fill(self, copy: str) -> Told | Refusal:
+        """The mesh began anew with nothing: what the copy holds is put into it as orders are."""
+        kept = self._copy(copy)
+        if isinstance(kept, Refusal):
+            return kept
+        writes = [((i.kind, i.name, i.version), i.value) for i in kept.items if i.kind != VIEW]
+        for at in range(0, len(writes), BATCH):
+            outcome = await self._voting.decide(dict(writes[at : at + BATCH]), FILL_S)
+            if not isinstance(outcome, Decided):
+                return Refusal(f"{at} of {len(writes)} items are in force; restore again")
+        return self._told(self._council.view())
+
     async def _restore(self, copy: str, lost: list[str]) -> Told | Refusal:
         kept = self._copy(copy) if copy else Held()
         if isinstance(kept, Refusal):
@@ -75,18 +92,23 @@
         if isinstance(begins, str):
             return Refusal(begins)
         if copy:
-            told = self._take(kept)
-            if isinstance(told, Refusal):
-                return told
+            refused = self._take(kept)
+            if refused is not None:
+                return refused
         item = Item(VIEW, MEMBERS, begins.epoch, write_view(begins))
         self._acceptance.take([item], {})
         if not self._ledger.whole:
             await self._ledger.become_whole()
         await self._ledger.kept()
         self._council.said_complete()
-        count = sum(item.value is not None for item in self._charter.items.values())
-        self._gauge.tell(events.STATE_RESTORED, epoch=begins.epoch, items=count, lost=", ".join(lost))
-        return {"epoch": begins.epoch, "members": sorted(begins.now), "items": count}
+        told = self._told(begins)
+        self._gauge.tell(events.STATE_RESTORED, epoch=begins.epoch, items=told["items"], lost=", ".join(lost))
+        return told
+
+    def _told(self, view: View) -> Told:
+        items = [item for item in self._charter.items.values() if item.value is not None]
+        count = sum(item.kind != VIEW for item in items)
+        return {"epoch": view.epoch, "members": sorted(view.now), "items": count}
 
     def _copy(self, copy: str) -> Held | Refusal:
         path = inside(self._base, copy)
