--- a/tests/mesh/test_catching_up_world.py
+++ b/tests/mesh/test_catching_up_world.py
@@ -6,12 +6,15 @@
 from unittest import mock
 
 import pytest
+import simpy
 
 from anisestair.http import codec as http
 from rigs.mesh_world import troubles
 from rigs.mesh_world.world import Life, Machine, Script, World
 from tests.mesh.test_mesh_world import change, drop
+from waterworks.aquifer.ballot import Decided, Number
 from waterworks.aquifer.items import Key
+from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
 from waterworks.gauge import events
 from waterworks.gauge.events import Event
 
@@ -81,6 +84,7 @@
 
 def begun(world: World, sluices: int = 1, spare: bool = False) -> Script:
     yield from world.boot(3, sluices)
+    world.env.process(world.witness.watch())
     if spare:
         world.start(world.add("c4", "10.0.0.4", counted=False))
     for body in (change(1), change(1, "x"), change(1, "y")):
@@ -216,6 +220,47 @@
     assert played(script) == []
 
 
+def taken_out(world: World, who: Machine) -> Script:
+    """By the two numbers of a change, as they are agreed on."""
+    program = world.reservoirs()[0].program
+    view = program.council.view()
+    rest = {ip: place for ip, place in view.now.items() if ip != who.ip}
+    for next_one in (View(view.epoch + 1, rest, view.now), View(view.epoch + 2, rest)):
+        number = (VIEW, MEMBERS, next_one.epoch)
+        done = world.env.event()
+
+        async def decide(number: Number = number, told: View = next_one, done: simpy.Event = done) -> None:
+            done.succeed(await program.voting.decide({number: write_view(told)}, 2.0))
+
+        world.reservoirs()[0].life.context.run(world.loop.create_task, decide())
+        assert isinstance((yield done), Decided)
+        yield world.env.timeout(0.3)
+
+
+def test_a_machine_that_was_taken_out_counts_only_with_all_that_the_others_hold() -> None:
+    """What was asked before it started over is answered by what it held then: it must not count as held."""
+
+    def script(world: World) -> Script:
+        yield from begun(world)
+        one = world.reservoirs()[2]
+        world.kill(one)
+        yield from taken_out(world, one)
+        world.start(one)
+        while one.program is None or (VIEW, MEMBERS) not in one.program.charter.items:
+            yield world.env.timeout(0.001)
+        while one.program.ledger.whole and not world.tellers(events.DISK_OLDER):
+            yield world.env.timeout(0.001)
+        while not one.program.ledger.whole:
+            yield world.env.timeout(0.001)
+        held = {item.key for item in one.program.charter.items.values()}
+        assert held >= world.witness.acked.keys()
+        assert world.tellers(events.DISK_OLDER) == {"c3"}
+        yield from world.joined([one])
+        yield from ends(world, gone=False)
+
+    assert played(script) == []
+
+
 @pytest.mark.parametrize("seconds", [0.7 * ANEW_S, 4 * KEPT_S])
 def test_a_sidecar_that_was_cut_off_lets_go_what_was_dropped_and_forgotten(seconds: float) -> None:
     def script(world: World) -> Script:
--- a/waterworks/operate/state.py
+++ b/waterworks/operate/state.py
@@ -91,8 +91,8 @@
     wait: Wait = DISK_WAIT_S,
     as_json: AsJson = False,
 ) -> None:
-    """After more losses than are borne: what a control process holds, or a copy, leads on. Refused where that
-    would make older state lead."""
+    """After more losses than are borne: what a control process holds, or a copy, leads on. Refused where
+    that would make older state lead."""
     view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (RESERVOIR,)), as_json)
     able = [p for p in view.answering(RESERVOIR) if where in ("", p.node)]
     able.sort(key=lambda p: not (p.told or {}).get("whole"))
@@ -107,8 +107,8 @@
     told = reply.value
     names = ", ".join(str(one) for one in told.get("members", []))
     lines = wrapped(
-        f"{process.node}: {number(told, 'items'):.0f} items lead, epoch {number(told, 'epoch'):.0f}, counted: "
-        f"{names}; the others come to count by themselves"
+        f"{process.node}: {number(told, 'items'):.0f} items lead, epoch {number(told, 'epoch'):.0f}, "
+        f"counted: {names}; the others come to count by themselves"
     )
     tell({"node": process.node, **told}, lines, as_json)
 
--- a/waterworks/reservoir/catching_up.py
+++ b/waterworks/reservoir/catching_up.py
@@ -148,6 +148,9 @@
             self._charter.merge([view], {})
         self._acceptance.spawn(self._rewritten())
         self._say()
+        # What was asked on these links says what was held: answers to it would claim what is gone.
+        for channel in list(self._channels.open):
+            channel.link.close("its disk starts over")
 
     async def _rewritten(self) -> None:
         while not isinstance(await self._ledger.rewrite(), Kept):
