--- a/tests/mesh/test_members_world.py
+++ b/tests/mesh/test_members_world.py
@@ -110,7 +110,7 @@
 
 
 def replacement(world: World) -> Script:
-    """Whoever is struck first comes back, and `convergence_s` later the old machine ends. What is struck while
+    """Whoever is struck first comes back, and `convergence_s` later the old one ends. What is struck while
     it leaves is the only other loss."""
     yield from world.boot(3)
     world.env.process(world.witness.watch())
--- a/waterworks/reservoir/council.py
+++ b/waterworks/reservoir/council.py
@@ -23,8 +23,7 @@
         self.me, self.tolerance = me, tolerance
         self._charter, self._ledger, self._channels = charter, ledger, channels
         self._view = NOBODY
-        self._whole_peers: dict[str, bool] = {}  # by address, as they last said
-        self.contact: Callable[[], bool] = self.in_touch
+        self.contact: Callable[[], bool] = lambda: False
 
     def view(self) -> View:
         """The view in force here; its epoch is 0 where none is known yet."""
@@ -56,23 +55,6 @@
                     found[address] = channel
         return found
 
-    def in_touch(self) -> bool:
-        view = self.view()
-        heard = {self.me} if self._ledger.whole else set()
-        for channel in self._channels.open:
-            address = address_of(channel)
-            if self._whole_peers.get(address) and channel.exchange.pulled:
-                heard.add(address)
-        return view.overlaps(heard, self.tolerance)
-
-    def whole(self, address: str, whole: bool) -> None:
-        """A peer has said whether its disk counts."""
-        self._whole_peers[address] = whole
-
-    def counts(self, address: str) -> bool:
-        """Whether a peer's disk does, as it last said."""
-        return self._whole_peers.get(address, False)
-
     def said_complete(self) -> None:
         """Tell the others that this disk counts now."""
         for channel in self.peers().values():
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -28,6 +28,7 @@
 from waterworks.reservoir.acceptance import Acceptance
 from waterworks.reservoir.catching_up import CatchingUp
 from waterworks.reservoir.clerk import Clerk
+from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.council import Council, address_of
 from waterworks.reservoir.duties import Duties
 from waterworks.reservoir.fencing import Fencing
@@ -73,12 +74,13 @@
                 "role": RESERVOIR,
                 "complete": self.ledger.whole,
                 "takes": [REPORTS],
+                "control": control_address(settings),
             },
             {"charter": self.charter, "roll": self.roll, REPORTS: self.reports},
             ALL,
             gauge,
             self._changed,
-            whole=lambda: self.council.contact(),
+            whole=lambda: self.probing.holds_all(),
             extra=lambda channel, head, _: self._frame(channel, head),
             opened=self._opened,
             closed=self._closed,
@@ -111,10 +113,26 @@
         )
         self.channels.silent = self.catching_up.silent
         bounds = settings.bounds
+        self.probing = Probing(
+            bounds.contact_ms,
+            self.channels,
+            self.council,
+            self.ledger,
+            self.acceptance.take,
+            self.voting.open_s,
+            gauge,
+        )
+        self.council.contact = self.probing.has
         self.rollouts = Rollouts(
-            bounds.settle_ms, bounds.ack_ms, self.charter, self.membership, self.channels, gauge
+            bounds.settle_ms,
+            bounds.ack_ms,
+            self.charter,
+            self.membership,
+            self.channels,
+            gauge,
+            self.probing.has,
         )
-        self.clerk = Clerk(self.charter, self.council, self.voting, self.acceptor, gauge, self.rollouts)
+        self.clerk = Clerk(self.charter, self.voting, self.acceptor, gauge, self.rollouts, self.probing)
         self.desk = Desk(self.clerk.handle)
         self.duties = Duties(
             settings.node,
@@ -124,6 +142,7 @@
             self.membership,
             self.channels,
             self.council,
+            self.probing.acts,
             gauge,
             lambda items: self._changed(ROLL, items),
         )
@@ -152,7 +171,7 @@
             self.acceptance,
             self.voting,
             gauge,
-            self.catching_up.reached,
+            self._reached,
         )
         self.joining = Joining(
             settings,
@@ -187,6 +206,8 @@
             self.rollouts,
             self.duties,
             self.minding,
+            self.probing,
+            control_address(settings),
             self.stopping,
             self.loop.time,
         )
@@ -274,6 +295,7 @@
             return
         self.loop.call_later(TICK_S, self._tick)  # first: signs of life go on whatever is raised below
         now = self.loop.time()
+        self.probing.tick(now, time.time())  # before what goes by it
         self.channels.tick(now)
         self.rollouts.tick(now)
         self.voting.tick(now)
@@ -317,6 +339,8 @@
             self.acceptance.took(items)
             self.forgetting.note(items)
             self.catching_up.changed(items)
+            if any(item.kind == VIEW for item in items):
+                self.probing.viewed()
             self.rollouts.changed(items)
         elif name == REPORTS:
             self.rollouts.reported(items)
@@ -342,12 +366,10 @@
 
     def _frame(self, channel: Channel, head: Head) -> None:
         """Raises KeyError, TypeError or ValueError for what cannot be read."""
-        if self.duties.frame(channel, head) or self.repairing.frame(channel, head):
-            return
-        if channel.extra.get("role") != RESERVOIR:
+        known = (self.probing.frame, self.duties.frame, self.repairing.frame)
+        if any(takes(channel, head) for takes in known) or channel.extra.get("role") != RESERVOIR:
             return
         if head["t"] == "complete":
-            self.council.whole(address_of(channel), True)
             self._reach(address_of(channel), True)
         elif not any(
             takes(channel, head)
@@ -355,6 +377,11 @@
         ):
             self.fencing.frame(channel, head)
 
+    def _reached(self) -> dict[str, bool]:
+        """Other control processes that answer, by address, and whether the disk of each counts."""
+        lately = self.probing.contact.lately(self.loop.time())
+        return {who: who in lately and lately[who].whole for who in self.council.peers()}
+
     def _greeted(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
             self.catching_up.met(channel)
@@ -362,7 +389,7 @@
     def _opened(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
             self.forgetting.opened(channel)
-            self.council.whole(address_of(channel), bool(channel.extra.get("complete")))
+            self.probing.opened(channel)
             self._reach(address_of(channel))
             self.joining.opened(channel)
 
@@ -372,6 +399,7 @@
 
     def _closed(self, channel: Channel) -> None:
         """What a peer wrote here and may never tell as news is told from here on."""
+        self.probing.closed(channel)
         self.duties.closed(channel)
         self.repairing.closed(channel)
         if channel.extra.get("role") == RESERVOIR:
@@ -411,9 +439,16 @@
         """The settings file has changed: other seeds, other bounds for stages."""
         self.settings = self.joining.settings = self.shown.settings = settings
         self.rollouts.tune(settings.bounds.settle_ms, settings.bounds.ack_ms)
+        self.probing.tune(settings.bounds.contact_ms)
         self._know()
 
 
+def control_address(settings: Settings) -> str:
+    """Where operators call this process: others name it to a caller whom they can't serve."""
+    control = settings.ports.control
+    return f"{control[0]}:{control[1]}" if control is not None else ""
+
+
 def acceptor_of(me: str, kept: Held, forgotten_to: Callable[[Key], int]) -> Acceptor:
     """As its disk has it: all that its last life may have promised is refused."""
     acceptor = Acceptor(me, kept.ceiling, forgotten_to)
