Never turn over a decided content for another of its version

Repair and news still turned equal versions over by their bytes, as before there was a vote. The seeded fault of lower versions is put where the store decides.

--- a/rigs/mesh_world/seeds.py
+++ b/rigs/mesh_world/seeds.py
@@ -4,7 +4,6 @@
 
 from typing import Any, Protocol
 
-from waterworks.aquifer import store as aquifer_store
 from waterworks.aquifer.ballot import Acceptor, Refusal
 from waterworks.aquifer.contact import Proof
 from waterworks.aquifer.store import Store
@@ -99,7 +98,7 @@
 
 
 def lower_version_overwrites(patch: Patch) -> None:
-    patch.setattr(aquifer_store, "outranks", lambda a, b: a.version != b.version)
+    patch.setattr(Store, "replaces", lambda self, item, held: item.version != held.version)
 
 
 def unknown_service_is_taken(patch: Patch) -> None:
--- a/waterworks/aquifer/repair.py
+++ b/waterworks/aquifer/repair.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from waterworks.aquifer.digest import DEPTH, HEX, Digests, differing
-from waterworks.aquifer.items import Item, content, outranks
+from waterworks.aquifer.items import Item, content
 from waterworks.aquifer.store import Store
 
 MOST_RANGES = 16  # prefixes of one level that are gone into
@@ -84,9 +84,9 @@
             (forgets and item.value is None) or item.version <= store.forgotten.version(item.key)
         ):
             lone = True
-        elif held is None or outranks(item, held):
+        elif held is None or store.replaces(item, held):
             take.append(item)
-        elif outranks(held, item):
+        elif store.replaces(held, item):
             give.append(held)
         if held is not None and held.version == item.version and content(held) != content(item):
             split.append(item)
--- a/waterworks/aquifer/store.py
+++ b/waterworks/aquifer/store.py
@@ -67,8 +67,10 @@
     (`aquifer.snapshot`): its entry is heeded by whoever holds the same, and ends with the last page too.
     """
 
-    def __init__(self, source: str, most: int) -> None:
+    def __init__(self, source: str, most: int, decided: bool = False) -> None:
         """``source`` names this life of this process; writes fill up to ``most`` items, with tombstones.
+        ``decided``: what comes has been agreed on, so of one version there is one content, and one that is
+        held is never turned over for another.
 
         Raises ValueError for a source that is empty or looks like a page's entry.
         """
@@ -76,6 +78,7 @@
             raise ValueError(f"source {source!r}: give a name that does not begin with {PAGE!r} or {SNAP!r}")
         self.source = source
         self.most = most
+        self._decided = decided
         self.items: dict[Key, Item] = {}
         self.vector: dict[str, int] = {}
         self.digests = Digests()
@@ -250,6 +253,10 @@
         # What came since is asked for next.
         return Lack(items, {entry: -place, **risen}, self.has_news({**vector, **risen}))
 
+    def replaces(self, item: Item, held: Item) -> bool:
+        """Whether the one takes the place of the other, of the same key."""
+        return item.version > held.version if self._decided else outranks(item, held)
+
     def has_news(self, vector: Mapping[str, int]) -> bool:
         """Whether an answer to this vector would raise it, by the cost of the sources.
 
@@ -350,7 +357,7 @@
 
     def _put(self, item: Item) -> bool:
         held = self.items.get(item.key)
-        if held is not None and not outranks(item, held):
+        if held is not None and not self.replaces(item, held):
             return False
         if held is None and item.version <= self.forgotten.version(item.key):
             return False
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -59,7 +59,8 @@
         self.me = settings.ip
         self.peer_address = (settings.ip, settings.port_range[0])
         life = f"{settings.node}.{os.urandom(4).hex()}"
-        self.charter, self.roll = Store(life, MOST_CHARTER), Store(life, MOST_ROLL)
+        self.charter = Store(life, MOST_CHARTER, decided=True)
+        self.roll = Store(life, MOST_ROLL)
         self.reports = Store(life, MOST_ROLL)  # one a sidecar, which the roll has an item of as well
         self.membership = Membership()
         self.tombs = Tombs()
--- a/waterworks/reservoir/safekeeping.py
+++ b/waterworks/reservoir/safekeeping.py
@@ -77,7 +77,7 @@
         kept = held(keeper.rows())
     except CisternError as fault:
         return _Disk((str(fault),), 0, "")
-    store = Store("disk", len(kept.items) + 1)
+    store = Store("disk", len(kept.items) + 1, decided=True)
     store.restore(kept.items, {})
     return _Disk((), len(kept.items), store.digests.root())
 
--- a/waterworks/sluice/program.py
+++ b/waterworks/sluice/program.py
@@ -63,7 +63,8 @@
         self.loop = asyncio.get_running_loop()
         self.peer_address = (settings.ip, settings.port_range[0])
         self.life = f"{settings.node}.{os.urandom(4).hex()}"
-        self.charter, self.roll = Store(self.life, MOST_CHARTER), Store(self.life, MOST_ROLL)
+        self.charter = Store(self.life, MOST_CHARTER, decided=True)
+        self.roll = Store(self.life, MOST_ROLL)
         self.reports = Store(self.life, 1)  # what this sidecar says of itself; nobody else's comes here
         self.membership, self.routes, self.tombs = Membership(), Routes(), Tombs()
         self._dropped = Tombs()  # of the charter
