--- a/waterworks/cistern/layout.py
+++ b/waterworks/cistern/layout.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from waterworks.aquifer.ballot import Ballot, Number, Vote
+from waterworks.aquifer.ballot import Acceptor, Ballot, Number, Vote
 from waterworks.aquifer.forgotten import Row
 from waterworks.aquifer.items import Item, Key
 from waterworks.aquifer.quorum import Place
@@ -111,8 +111,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Past:
-    """Of one key: digests of decided versions below the one that stands, and the version up to which nobody
-    can know, or -1."""
+    """Of one key: digests of decided versions below the one that stands, with /tag where they have one, and
+    of that one its /tag alone; and the version up to which nobody can know, or -1."""
 
     key: Key
     unknown: int
@@ -135,6 +135,20 @@
     lives: dict[str, tuple[int, str]] = field(default_factory=dict)
     forgotten: dict[str, Row] = field(default_factory=dict)
 
+    def tell(self, acceptor: Acceptor) -> None:
+        """What was accepted or is past, where it knows nothing of it yet."""
+        for past in self.past:
+            for version, digest in past.digests.items():
+                if digest.startswith("/"):
+                    acceptor.tags.setdefault((*past.key, version), digest[1:])
+                else:
+                    acceptor.past.setdefault(past.key, {}).setdefault(version, digest)
+            if past.unknown >= 0:
+                acceptor.unknown[past.key] = max(past.unknown, acceptor.unknown.get(past.key, -1))
+        for number, vote in self.votes.items():
+            if acceptor.state(number) is None:
+                acceptor.votes[number] = vote
+
 
 def pack_item(item: Item) -> tuple[bytes, bytes]:
     """An item's row. The key is of one length, however long kind and name are; the value holds all of the
@@ -158,7 +172,7 @@
 
 def pack_vote(number: Number, vote: Vote) -> tuple[bytes, bytes]:
     """The row of an open vote: number, ballot and content."""
-    told = [*number, vote.ballot.round, vote.ballot.proposer, vote.value]
+    told = [*number, vote.ballot.round, vote.ballot.proposer, vote.value, vote.tag]
     return vote_key(number), msgspec.json.encode(told)
 
 
@@ -237,8 +251,8 @@
         elif key.startswith(_FORGOTTEN):
             forgotten[key[len(_FORGOTTEN) :].decode()] = _read(key, value, _ForgottenRow)
         elif key.startswith(_VOTE):
-            kind, name, version, round, proposer, content = _read(key, value, _VoteRow)
-            votes[kind, name, version] = Vote(Ballot(round, proposer), content)
+            kind, name, version, round, proposer, content, tag = _read(key, value, _VoteRow)
+            votes[kind, name, version] = Vote(Ballot(round, proposer), content, tag)
         elif key.startswith(_PAST):
             kind, name, unknown, digests = _read(key, value, _PastRow)
             past.append(Past((kind, name), unknown, digests))
@@ -257,7 +271,7 @@
     )
 
 
-_VoteRow = tuple[str, str, int, int, str, dict[str, Any] | None]
+_VoteRow = tuple[str, str, int, int, str, dict[str, Any] | None, str]
 _ForgottenRow = tuple[int, dict[str, int]]
 _PastRow = tuple[str, str, int, dict[int, str]]
 
--- a/waterworks/reservoir/fencing.py
+++ b/waterworks/reservoir/fencing.py
@@ -24,7 +24,7 @@
 from waterworks.reservoir.ledger import Ledger
 
 PAGE_BYTES = 1 << 20
-Row = Item | tuple[Number, Vote] | Past
+Row = Item | tuple[Number, Vote | str] | Past
 GIVEN = 4  # answers that are given in pages at once; the oldest makes room
 
 
@@ -164,6 +164,7 @@
             Past(key, acceptor.unknown.get(key, -1), dict(acceptor.past.get(key, {})))
             for key in acceptor.past.keys() | acceptor.unknown.keys()
         ]
+        rows += acceptor.tags.items()
         where = (address_of(channel), number)
         self._given[where] = (rows, [0])
         while len(self._given) > GIVEN:
@@ -200,9 +201,8 @@
         asking.told[who] = (int(head["top"]), int(head["g"]))
         if head.get("at", 0) != asking.pages[who]:
             return
-        self._take(
-            head["w"]
-        )  # what was accepted there, and is decided: it counts whatever becomes of the rest
+        # What was accepted there, and is decided, counts whatever becomes of the rest.
+        self._take(head["w"])
         asking.pages[who] += 1
         if head["more"]:
             told = {"t": "fence", "n": number, "e": asking.view.epoch, "at": asking.pages[who]}
@@ -218,12 +218,14 @@
             if row[0] == "p":
                 _, kind, name, unknown, digests = row
                 for version, digest in digests.items():
-                    self._acceptance.told((kind, name, int(version)), Settled(str(digest)))
+                    digest, _, tag = str(digest).partition("/")
+                    self._acceptance.told((kind, name, int(version)), Settled(digest, tag=tag))
                 self._acceptance.told((kind, name, int(unknown)), Forgotten())
+        acceptor.tags.update((read_number(row[1:4]), str(row[4])) for row in rows if row[0] == "t")
         merged = []
         for row in rows:
             if row[0] == "v":
-                number, vote = read_number(row[1:4]), Vote(read_ballot(row[4:6]), row[6])
+                number, vote = read_number(row[1:4]), Vote(read_ballot(row[4:6]), row[6], str(row[7]))
                 held = acceptor.state(number)
                 if held is None or (isinstance(held, Vote) and held.ballot < vote.ballot):
                     acceptor.votes[number] = vote
@@ -249,5 +251,7 @@
         return ["i", *pack(row)]
     if isinstance(row, Past):
         return ["p", *row.key, row.unknown, row.digests]
-    number, vote = row
-    return ["v", *number, *write_ballot(vote.ballot), vote.value]
+    number, told = row
+    if isinstance(told, str):
+        return ["t", *number, told]
+    return ["v", *number, *write_ballot(told.ballot), told.value, told.tag]
--- a/waterworks/reservoir/restoring.py
+++ b/waterworks/reservoir/restoring.py
@@ -131,14 +131,7 @@
         if isinstance(taken, Full):
             return Refusal(taken.reason)
         self._acceptance.took(taken)
-        for past in kept.past:
-            for version, digest in past.digests.items():
-                self._acceptor.past.setdefault(past.key, {}).setdefault(version, digest)
-            if past.unknown >= 0:
-                self._acceptor.unknown[past.key] = max(past.unknown, self._acceptor.unknown.get(past.key, -1))
-        for number, vote in kept.votes.items():
-            if self._acceptor.state(number) is None:
-                self._acceptor.votes[number] = vote
+        kept.tell(self._acceptor)
         self._ledger.mark_votes(kept.votes)
         self._ledger.mark_settled([(*past.key, 0) for past in kept.past])
         return None
