--- a/rigs/mesh_world/disk.py
+++ b/rigs/mesh_world/disk.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Generator, Sequence
+from collections.abc import Callable, Generator, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import simpy
 
 from rigs.mesh_world.clock import LIFE
-from waterworks.cistern.keeper import Fresh, Kept, Opened, Refused
+from waterworks.cistern.keeper import SHARE, Fresh, Kept, Opened, Refused, Size
 from waterworks.cistern.layout import Held, held
 
 if TYPE_CHECKING:
@@ -27,6 +27,7 @@
         self.rows: dict[bytes, bytes] = {}
         self.begun = False
         self.takes_s = SYNC_S
+        self.most_bytes = 64 << 20
         self.hangs_until = self.refuses_until = 0.0
 
     def wipe(self) -> None:
@@ -52,6 +53,26 @@
         self._disk.env.process(self._sync(list(rows), list(gone), future))
         return future
 
+    def works(self, work: Callable[[DiskKeeper], Any]) -> asyncio.Future[Any]:
+        """Of a life that goes on: its work is done at once, and said a sync later."""
+        future: asyncio.Future[Any] = self._world.loop.create_future()
+        told = work(self)
+        self._world.loop.call_later(self._disk.takes_s, future.set_result, told)
+        return future
+
+    def rewrite(self, rows: dict[bytes, bytes]) -> Kept:
+        self._disk.rows = dict(rows)
+        return Kept()
+
+    def _used(self) -> int:
+        return sum(len(key) + len(value) for key, value in self._disk.rows.items())
+
+    def fits(self, more_bytes: int) -> bool:
+        return self._used() + more_bytes <= SHARE * self._disk.most_bytes
+
+    def size(self) -> Size:
+        return Size(self._used(), self._used(), self._disk.most_bytes)
+
     def _sync(
         self, rows: list[tuple[bytes, bytes]], gone: list[bytes], future: asyncio.Future[Kept | Refused]
     ) -> Generator[simpy.Event, Any, None]:
--- a/rigs/mesh_world/seeds.py
+++ b/rigs/mesh_world/seeds.py
@@ -4,7 +4,6 @@
 
 from typing import Any, Protocol
 
-from waterworks.aquifer import store as aquifer_store
 from waterworks.aquifer.ballot import Acceptor, Refusal
 from waterworks.aquifer.contact import Proof
 from waterworks.aquifer.store import Store
@@ -14,6 +13,7 @@
 from waterworks.reservoir import clerk as clerk_module
 from waterworks.reservoir import ledger as ledger_module
 from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.catching_up import CatchingUp
 from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.joining import Joining
 from waterworks.reservoir.ledger import Ledger
@@ -59,6 +59,8 @@
 
 
 def wiped_counts_at_once(patch: Patch) -> None:
+    """And nobody else's word that its disk is another one makes it start over."""
+    patch.setattr(CatchingUp, "_start_over", lambda self, reason: None)
     begin = Ledger.__init__
 
     def init(self: Ledger, *args: Any) -> None:
@@ -99,7 +101,7 @@
 
 
 def lower_version_overwrites(patch: Patch) -> None:
-    patch.setattr(aquifer_store, "outranks", lambda a, b: a.version != b.version)
+    patch.setattr(Store, "replaces", lambda self, item, held: item.version != held.version)
 
 
 def unknown_service_is_taken(patch: Patch) -> None:
@@ -107,16 +109,16 @@
 
 
 def tombstone_is_forgotten_at_once(patch: Patch) -> None:
-    merge = Store.merge
+    hear = Store.hear
 
-    def merges(self: Store, items: Any, vector: Any) -> Any:
-        taken = merge(self, items, vector)
+    def hears(self: Store, items: Any, vector: Any) -> Any:
+        taken = hear(self, items, vector)
         for item in list(self.items.values()):
             if item.value is None and item.kind == "route":
                 self.forget(item.key)
         return taken
 
-    patch.setattr(Store, "merge", merges)
+    patch.setattr(Store, "hear", hears)
 
 
 def half_is_enough(patch: Patch) -> None:
--- a/waterworks/aquifer/ballot.py
+++ b/waterworks/aquifer/ballot.py
@@ -265,6 +265,11 @@
         for number in [number for number in self.tags if number[:2] == key]:
             del self.tags[number]
 
+    def start_over(self) -> None:
+        """What this disk held counts for nothing: all is to be read anew, under a fence, before it votes."""
+        for known in (self.promises, self.votes, self.decided, self.past, self.unknown, self.tags):
+            known.clear()
+
     # A disk that was lost
 
     def fence(self, round: int, member: str, generation: int) -> None:
--- a/waterworks/cistern/keeper.py
+++ b/waterworks/cistern/keeper.py
@@ -37,6 +37,7 @@
 NAME = "store.mdb"
 MOST_ASIDES = 3
 MOST_MAP_BYTES = 64 << 20
+SHARE = 0.4  # of the most that a store may grow to, which items set by orders may take
 _ROW = b"r"
 # Errors of the machine, not of the file: the file may be well, so it stays where it is.
 _OUTSIDE = (lmdb.DiskError, lmdb.ReadonlyError, lmdb.MemoryError, lmdb.LockError, lmdb.InvalidParameterError)
@@ -88,6 +89,15 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Size:
+    """``file`` bytes hold ``used`` bytes of rows and of their order; more than ``most`` never come."""
+
+    file: int
+    used: int
+    most: int
+
+
 @dataclass(frozen=True, slots=True)
 class _Damaged:
     reason: str
@@ -108,6 +118,7 @@
         self._environment: lmdb.Environment | None = (
             environment  # None after a refusal, until the next call opens it anew
         )
+        self._used = _used(environment)
         self._named = False  # the file's name is known to outlast a loss of power
 
     @staticmethod
@@ -119,10 +130,10 @@
         """
         path = folder / NAME
         try:
-            if not folder.is_dir():
-                folder.mkdir(parents=True)
-                _sync_folder(folder.parent)
+            _folder(folder)
             asides = _asides(path)
+            if not path.exists() and _before(path).exists():
+                os.rename(_before(path), path)  # a rewriting lost both names of it but this one
             if not path.exists():
                 keeper = _begin(path, most_bytes)
                 if not asides:
@@ -133,6 +144,8 @@
                 )
             found = _read(path, most_bytes)
             if not isinstance(found, _Damaged):
+                if isinstance(found, Opened):
+                    _clear(path)
                 return found
             moved_to = _set_aside(path, most_bytes)
             return SetAside(_begin(path, most_bytes), moved_to, found.reason)
@@ -170,6 +183,7 @@
             # honours.
             environment.sync(True)
             self._sync_name()
+            self._used = _used(environment)
         except lmdb.MapFullError:
             return Refused(f"{self._path}: full at {self._most} bytes; drop rows or give the disk more room")
         except (lmdb.Error, OSError) as error:
@@ -181,18 +195,35 @@
 
     def rewrite(self, rows: Rows) -> Kept | Refused:
         """Put a store of these rows, all that it is to hold, in the place of this one, whatever is damaged in
-        it. The name goes from the one to the other at once, so that a start finds either."""
+        it. A start finds either: the store before keeps a second name until the new one has the first for
+        good."""
         self.close()
-        unfinished = self._path.with_name(self._path.name + ".new")
+        unfinished, before = _unfinished(self._path), _before(self._path)
         self._named = False
         try:
             _make(unfinished, self._most, rows)
+            before.unlink(missing_ok=True)
+            os.link(self._path, before)
             _publish(unfinished, self._path)
             self._sync_name()
+            before.unlink()
         except (lmdb.Error, OSError) as error:
             return Refused(f"{self._path}: {error}; give the disk room or look at it")
         return Kept()
 
+    def fits(self, more_bytes: int) -> bool:
+        """Whether rows of so many bytes may come, so that what goes, and what must be kept of votes and
+        views, still finds room: a change costs new pages before the old ones are free. As of the last keep;
+        from any thread."""
+        return self._used + more_bytes <= SHARE * self._most
+
+    def size(self) -> Size:
+        """Bytes. Raises CisternError where the file cannot be looked at."""
+        try:
+            return Size(os.stat(self._path).st_size, _used(self._opened()), self._most)
+        except (lmdb.Error, OSError) as error:
+            raise CisternError(f"{self._path}: {error}; look at the disk") from error
+
     def rows(self) -> Rows:
         """All rows. Raises CisternError where one cannot be read or has another checksum."""
         try:
@@ -217,15 +248,14 @@
         """Copy the store, as it is now, to a folder that holds none yet; the copy opens like the store
         itself."""
         try:
-            to.mkdir(parents=True, exist_ok=True)
+            _folder(to)
             copy = to / NAME
             if copy.exists():
                 return Refused(f"{copy}: is there already; name another folder")
-            unfinished = copy.with_name(copy.name + ".new")
+            unfinished = _unfinished(copy)
             unfinished.unlink(missing_ok=True)
             self._opened().copy(str(unfinished))
             _publish(unfinished, copy)
-            _sync_folder(to.parent)
         except (lmdb.Error, OSError) as error:
             return Refused(f"{to}: {error}; name a folder with room")
         return Kept()
@@ -249,6 +279,11 @@
         return self._environment
 
 
+def _used(environment: lmdb.Environment) -> int:
+    stat = environment.stat()
+    return int((stat["branch_pages"] + stat["leaf_pages"] + stat["overflow_pages"]) * stat["psize"])
+
+
 def _environment(path: Path, most_bytes: int) -> lmdb.Environment:
     # No lock file: one process has the file, and the machines' locks do nothing. No writable map: a write
     # through it would reach the file when the kernel likes, not when it is synced.
@@ -286,6 +321,29 @@
     return Opened(Keeper(path, most_bytes, environment), rows, tuple(notes))
 
 
+def look(folder: Path, most_bytes: int) -> Rows | Failed:
+    """The rows of a copy, of this layout, which stays as it is; Failed where any of it is damaged."""
+    path = folder / NAME
+    try:
+        findings = _structure(path)
+        if findings:
+            return Failed(f"{path}: {findings[0]}; take another copy")
+        environment = lmdb.open(str(path), map_size=most_bytes, subdir=False, lock=False, readonly=True)
+        try:
+            rows, findings, head = _survey(environment)
+        finally:
+            environment.close()
+    except (lmdb.Error, OSError) as error:
+        return Failed(f"{path}: {error}; name the folder of a copy")
+    if head is None or findings:
+        return Failed(f"{path}: {findings[0]}; take another copy")
+    if head.layout > LAYOUT:
+        return Failed(f"{path}: layout {head.layout}, newest known {LAYOUT}; start the newer program")
+    for layout in range(head.layout, LAYOUT):
+        rows = MOVES[layout](rows)
+    return rows
+
+
 def _structure(path: Path) -> tuple[str, ...]:
     """What is wrong with the file's pages, found without lmdb. Raises OSError."""
     try:
@@ -338,7 +396,7 @@
 
 def _begin(path: Path, most_bytes: int) -> Keeper:
     """An empty store under that name, there whole or not at all. Raises OSError, lmdb.Error."""
-    unfinished = path.with_name(path.name + ".new")
+    unfinished = _unfinished(path)
     _make(unfinished, most_bytes, {})
     _publish(unfinished, path)
     return Keeper(path, most_bytes, _environment(path, most_bytes))
@@ -355,15 +413,43 @@
 
 
 def _publish(unfinished: Path, path: Path) -> None:
+    """Both names are for good before the one becomes the other, and the other after it."""
     descriptor = os.open(unfinished, os.O_RDWR)
     try:
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
+    _sync_folder(path.parent)
     os.rename(unfinished, path)
     _sync_folder(path.parent)
 
 
+def _unfinished(path: Path) -> Path:
+    return path.with_name(path.name + ".new")
+
+
+def _before(path: Path) -> Path:
+    """A second name of the store while another is put in its place. It counts only where the first is gone:
+    afterwards it is older than what was kept."""
+    return path.with_name(path.name + ".before")
+
+
+def _clear(path: Path) -> None:
+    """What a rewriting or a first start that was cut short left."""
+    for left in (_unfinished(path), _before(path)):
+        left.unlink(missing_ok=True)
+
+
+def _folder(folder: Path) -> None:
+    """Makes it where it is missing; it, and those above that were made with it, are for good then."""
+    made: list[Path] = []
+    while not (made[-1].parent if made else folder).is_dir():
+        made.append(made[-1].parent if made else folder)
+    folder.mkdir(parents=True, exist_ok=True)
+    for one in reversed(made):
+        _sync_folder(one.parent)
+
+
 def _sync_folder(folder: Path) -> None:
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
@@ -385,6 +471,8 @@
 def _set_aside(path: Path, most_bytes: int) -> Path:
     """Rename a damaged store and remove the oldest ones beyond MOST_ASIDES or beyond ``most_bytes`` in all;
     the newest stays whatever its size. Raises OSError."""
+    _clear(path)  # older than what the damaged one may have been the only one to hold
+    _sync_folder(path.parent)
     asides = _asides(path)
     number = int(asides[-1].name.rpartition("-")[2]) + 1 if asides else 1
     moved_to = path.with_name(f"{path.name}.aside-{number}")
--- a/waterworks/reservoir/program.py
+++ b/waterworks/reservoir/program.py
@@ -6,10 +6,11 @@
 import os
 import time
 import zlib
+from collections.abc import Callable
 from pathlib import Path
 
 from waterworks.aquifer.ballot import Acceptor
-from waterworks.aquifer.items import Item
+from waterworks.aquifer.items import Item, Key
 from waterworks.aquifer.quorum import Place
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
@@ -25,15 +26,18 @@
 from waterworks.penstock.frames import Head
 from waterworks.penstock.link import Link, listen
 from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.catching_up import CatchingUp
 from waterworks.reservoir.clerk import Clerk
 from waterworks.reservoir.contact import Probing
 from waterworks.reservoir.council import Council, address_of
 from waterworks.reservoir.duties import Duties
 from waterworks.reservoir.fencing import Fencing
+from waterworks.reservoir.forgetting import Forgetting
 from waterworks.reservoir.joining import Joining
 from waterworks.reservoir.ledger import Ledger
 from waterworks.reservoir.minding import Minding
 from waterworks.reservoir.repairing import CHARTER, ROLL, Repairing
+from waterworks.reservoir.restoring import Restoring
 from waterworks.reservoir.rollouts import Rollouts
 from waterworks.reservoir.safekeeping import Safekeeping
 from waterworks.reservoir.shown import Shown, answers_of
@@ -81,6 +85,7 @@
             opened=self._opened,
             closed=self._closed,
             up=(REPORTS,),
+            greeted=self._greeted,
         )
         self.council = Council(self.me, self.charter, self.ledger, self.channels, settings.tolerance)
         self.acceptance = Acceptance(
@@ -94,6 +99,19 @@
         seed = zlib.crc32(life.encode())
         self.voting = Voting(life, seed, self.charter, self.council, self.acceptance, gauge)
         self.fencing = Fencing(self.charter, self.ledger, self.council, self.acceptance)
+        self.forgetting = Forgetting(
+            self.charter, self.acceptor, self.ledger, self.council, self.acceptance, gauge
+        )
+        self.catching_up = CatchingUp(
+            self.charter,
+            self.acceptor,
+            self.ledger,
+            self.council,
+            self.channels,
+            self.acceptance,
+            gauge,
+        )
+        self.channels.silent = self.catching_up.silent
         bounds = settings.bounds
         self.probing = Probing(
             bounds.contact_ms,
@@ -143,6 +161,18 @@
             self.ledger,
             self.repairing.check_disk,
         )
+        restoring = Restoring(
+            settings.state_dir,
+            settings.limits.disk_mb,
+            self.charter,
+            self.acceptor,
+            self.ledger,
+            self.council,
+            self.acceptance,
+            self.voting,
+            gauge,
+            self._reached,
+        )
         self.joining = Joining(
             settings,
             self.council,
@@ -183,7 +213,7 @@
             self.loop.time,
         )
         answers = {**answers_of(self.shown, time.time), **safekeeping.answers()}
-        self.questions = Questions(answers)
+        self.questions = Questions({**answers, **restoring.answers()})
         self._server: asyncio.Server | None = None
         self._touched = self.loop.time()  # when there was last a link with news
 
@@ -199,13 +229,15 @@
             self.gauge.tell(events.DISK_SET_ASIDE, moved_to=str(outcome.moved_to), reason=outcome.reason)
         elif isinstance(outcome, Opened):
             kept = held(outcome.rows)
+            self.charter.forgotten.merge(kept.forgotten)
             self.charter.restore(kept.items, kept.vector)
             self.gauge.tell(events.DISK_OPENED, items=len(kept.items), whole=kept.whole)
         else:
             assert isinstance(outcome, Fresh)
             self.gauge.tell(events.DISK_FRESH, first=settings.cold_boot)
-        self.acceptor = acceptor_of(self.me, kept)
+        self.acceptor = acceptor_of(self.me, kept, self._forgotten_to)
         ledger = Ledger(self.charter, self.acceptor, outcome.keeper, self.gauge, kept.whole)
+        ledger.lives = dict(kept.lives)
         if isinstance(outcome, Fresh) and settings.cold_boot:
             # The machines that every process is told of at the very first start are the first view: the same
             # item in all of them, decided from the start.
@@ -222,10 +254,16 @@
                 ledger.mark(claimed)
         return ledger
 
+    def _forgotten_to(self, key: Key) -> int:
+        """Versions of that key up to this are older than a drop that is forgotten, or may be."""
+        known = self.charter.forgotten
+        return known.version(key) if key in self.charter.items else known.watermark(key)
+
     # Start and end
 
     async def start(self) -> None:
         settings = self.settings
+        await self.catching_up.begin()
         self._server = await listen(self.peer_address, lambda: Link(lambda _: None, self._met, self._unmet))
         assert settings.ports.control is not None
         await self.desk.listen(settings.ports.control)
@@ -265,6 +303,8 @@
         self.duties.tick(now)
         self.minding.tick(now)
         self.repairing.tick(now)
+        self.forgetting.tick(now)
+        self.catching_up.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
             self.reports.forget(key)
@@ -298,6 +338,8 @@
     def _changed(self, name: str, items: list[Item]) -> None:
         if name == "charter":
             self.acceptance.took(items)
+            self.forgetting.note(items)
+            self.catching_up.changed(items)
             if any(item.kind == VIEW for item in items):
                 self.probing.viewed()
             self.rollouts.changed(items)
@@ -330,12 +372,24 @@
             return
         if head["t"] == "complete":
             self._reach(address_of(channel), True)
-        elif not any(takes(channel, head) for takes in (self.joining.frame, self.minding.frame)):
-            if not self.voting.frame(channel, head):
-                self.fencing.frame(channel, head)
+        elif not any(
+            takes(channel, head)
+            for takes in (self.joining.frame, self.minding.frame, self.forgetting.frame, self.voting.frame)
+        ):
+            self.fencing.frame(channel, head)
+
+    def _reached(self) -> dict[str, bool]:
+        """Other control processes that answer, by address, and whether the disk of each counts."""
+        lately = self.probing.contact.lately(self.loop.time())
+        return {who: who in lately and lately[who].whole for who in self.council.peers()}
+
+    def _greeted(self, channel: Channel) -> None:
+        if channel.extra.get("role") == RESERVOIR:
+            self.catching_up.met(channel)
 
     def _opened(self, channel: Channel) -> None:
         if channel.extra.get("role") == RESERVOIR:
+            self.forgetting.opened(channel)
             self.probing.opened(channel)
             self._reach(address_of(channel))
             self.joining.opened(channel)
@@ -396,18 +450,11 @@
     return f"{control[0]}:{control[1]}" if control is not None else ""
 
 
-def acceptor_of(me: str, kept: Held) -> Acceptor:
+def acceptor_of(me: str, kept: Held, forgotten_to: Callable[[Key], int]) -> Acceptor:
     """As its disk has it: all that its last life may have promised is refused."""
-    acceptor = Acceptor(me, kept.ceiling)
+    acceptor = Acceptor(me, kept.ceiling, forgotten_to)
     acceptor.generations = dict(kept.generations)
-    for past in kept.past:
-        for version, digest in past.digests.items():
-            if digest.startswith("/"):
-                acceptor.tags[(*past.key, version)] = digest[1:]
-            else:
-                acceptor.past.setdefault(past.key, {})[version] = digest
-    acceptor.unknown = {past.key: past.unknown for past in kept.past if past.unknown >= 0}
-    acceptor.votes = dict(kept.votes)
+    kept.fill(acceptor)
     for item in kept.items:
         acceptor.settle((item.kind, item.name, item.version), item.value)
     return acceptor
--- /dev/null
+++ b/waterworks/reservoir/restoring.py
@@ -0,0 +1,144 @@
+"""`state restore`: an operator's word that more was lost than is borne, and that what is here leads on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from waterworks.aquifer.ballot import Acceptor, Decided
+from waterworks.aquifer.items import Item
+from waterworks.aquifer.restore import restored
+from waterworks.aquifer.store import Full, Store
+from waterworks.aquifer.views import MEMBERS, NOBODY, VIEW, View, read_view, write_view
+from waterworks.cistern.keeper import Failed, look, room
+from waterworks.cistern.layout import CisternError, Held, held
+from waterworks.gauge import events
+from waterworks.gauge.log import Gauge
+from waterworks.headworks.questions import Handler, Refusal, Told
+from waterworks.penstock.frames import Head
+from waterworks.reservoir.acceptance import Acceptance
+from waterworks.reservoir.council import Council
+from waterworks.reservoir.ledger import Ledger
+from waterworks.reservoir.safekeeping import inside
+from waterworks.reservoir.voting import Voting
+
+MOST_LOST = 64
+BATCH, FILL_S = 500, 5.0  # items of one order, and its time
+
+
+class Restoring:
+    """``whole``: by address, whether the disk counts of each other control process that answers."""
+
+    def __init__(
+        self,
+        state_dir: str,
+        disk_mb: float,
+        charter: Store,
+        acceptor: Acceptor,
+        ledger: Ledger,
+        council: Council,
+        acceptance: Acceptance,
+        voting: Voting,
+        gauge: Gauge,
+        whole: Callable[[], dict[str, bool]],
+    ) -> None:
+        self._base, self._room = state_dir, room(disk_mb)
+        self._charter, self._acceptor, self._ledger = charter, acceptor, ledger
+        self._council, self._acceptance, self._gauge, self._whole = council, acceptance, gauge, whole
+        self._voting, self._busy = voting, False
+
+    def answers(self) -> dict[str, Handler]:
+        """The question that is answered here, by name."""
+        return {"restore": self.restore}
+
+    async def restore(self, head: Head) -> Told | Refusal:
+        """Raises KeyError, TypeError or ValueError for what cannot be read."""
+        lost = [str(one) for one in head["lost"]][:MOST_LOST]
+        if self._busy:
+            return Refusal("another restore is under way")
+        self._busy = True
+        try:
+            if not self._council.contact():
+                return await self._restore(str(head["copy"]), lost)
+            if head["copy"] and all(item.kind == VIEW for item in self._charter.items.values()):
+                return await self._fill(str(head["copy"]))
+            return Refusal(
+                "the mesh serves, and holds all that was acknowledged; to go back to an earlier "
+                "configuration, send it under higher versions"
+            )
+        finally:
+            self._busy = False
+
+    async def _fill(self, copy: str) -> Told | Refusal:
+        """The mesh began anew with nothing: what the copy holds is put into it as orders are."""
+        kept = self._copy(copy)
+        if isinstance(kept, Refusal):
+            return kept
+        writes = [((i.kind, i.name, i.version), i.value) for i in kept.items if i.kind != VIEW]
+        for at in range(0, len(writes), BATCH):
+            outcome = await self._voting.decide(dict(writes[at : at + BATCH]), FILL_S)
+            if not isinstance(outcome, Decided):
+                return Refusal(f"{at} of {len(writes)} items are in force; restore again")
+        return self._told(self._council.view())
+
+    async def _restore(self, copy: str, lost: list[str]) -> Told | Refusal:
+        kept = self._copy(copy) if copy else Held()
+        if isinstance(kept, Refusal):
+            return kept
+        view = _view(kept) if copy else None
+        reached = {**self._whole(), self._council.me: self._ledger.whole}
+        tolerance = self._council.tolerance
+        begins = restored(self._council.me, self._council.view(), reached, lost, view, tolerance)
+        if isinstance(begins, str):
+            return Refusal(begins)
+        if copy:
+            refused = self._take(kept)
+            if refused is not None:
+                return refused
+        item = Item(VIEW, MEMBERS, begins.epoch, write_view(begins))
+        self._acceptance.take([item], {})
+        if not self._ledger.whole:
+            await self._ledger.become_whole()
+        await self._ledger.kept()
+        self._council.said_complete()
+        told = self._told(begins)
+        self._gauge.tell(events.STATE_RESTORED, epoch=begins.epoch, items=told["items"], lost=", ".join(lost))
+        return told
+
+    def _told(self, view: View) -> Told:
+        items = [item for item in self._charter.items.values() if item.value is not None]
+        count = sum(item.kind != VIEW for item in items)
+        return {"epoch": view.epoch, "members": sorted(view.now), "items": count}
+
+    def _copy(self, copy: str) -> Held | Refusal:
+        path = inside(self._base, copy)
+        if isinstance(path, Refusal):
+            return path
+        rows = look(Path(path), self._room)
+        if isinstance(rows, Failed):
+            return Refusal(f"copy: {rows.reason}")
+        try:
+            return held(rows)
+        except CisternError as fault:
+            return Refusal(f"copy: {fault}")
+
+    def _take(self, kept: Held) -> Refusal | None:
+        """What the copy holds, where nothing newer is held; what was accepted or overtaken with it."""
+        buckets, keys = self._charter.forget_all(kept.forgotten)
+        self._ledger.forget(keys, buckets)
+        items = [item for item in kept.items if item.kind != VIEW]
+        taken = self._charter.mend(items)
+        if isinstance(taken, Full):
+            return Refusal(taken.reason)
+        self._acceptance.took(taken)
+        kept.fill(self._acceptor)
+        self._ledger.mark_votes(kept.votes)
+        self._ledger.mark_settled([(*past.key, 0) for past in kept.past])
+        return None
+
+
+def _view(kept: Held) -> View:
+    for item in kept.items:
+        if item.key == (VIEW, MEMBERS):
+            return read_view(item.version, item.value)
+    return NOBODY
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -38,6 +38,7 @@
 from waterworks.leat.exchange import pack, unpack
 from waterworks.penstock.frames import Head
 from waterworks.reservoir.acceptance import (
+    FULL,
     Acceptance,
     read_ballot,
     read_number,
@@ -53,7 +54,7 @@
 GRACE_S = 0.03  # a read leaves an open vote to its proposer for so long
 PENDING = 256  # orders, and reads, under way at once; more are answered as busy
 PAGE_BYTES = 1 << 20  # of contents in one accept
-MOST_READ = 20_000  # items of one answer to a read
+MOST_READ = 1000  # items of one page of an answer to a read
 MOST_TAKEN_UP = 2000  # open votes, and
 TAKEN_UP_BYTES = 2 << 20  # bytes of them, brought to their decision at once
 RIVALS = 16  # rivalled numbers that are remembered for operators
@@ -123,7 +124,7 @@
         name = tuple(sorted((number, digest_of(value)) for number, value in writes.items()))
         known = self._orders.get(name)
         if known is None:
-            refused = self._room(writes)
+            refused = self._room(writes) if self.acceptance.fits(writes) else FULL
             if refused:
                 return Unclear(refused)
             task = self._loop.create_task(self._run(proposer, CARRY_S))
@@ -464,6 +465,7 @@
                 "items": [pack(item) for item in lack.items],
                 "v": lack.vector,
                 "open": list(self._acceptor.votes),
+                "whole": whole,
                 "complete": whole and not lack.more,
             }
         )
@@ -482,6 +484,8 @@
             reading.heard.add(who)
             reading.open.update(read_number(told) for told in head["open"])
             self._check(reading)
+        elif head["whole"] and reading.asked.get(who) is channel:  # that was a page
+            self._ask_read(int(head["n"]), reading, who, channel)
 
 
 def pages_of(writes: Mapping[Number, Value], tags: Mapping[Number, str]) -> list[list[Any]]:
