Put a store in another's place without a link: these disks know none

Cause: Keeper.rewrite gave the store a second name by a hard link; the machines' disks have no links, so a damaged store could not be written anew there.

Change: a second copy of the new store lies beside it until it has the name for good.

Measured: tests/mesh/test_cistern*.py pass, each step of a rewriting refused in turn and every choice of names lost.

--- a/waterworks/cistern/keeper.py
+++ b/waterworks/cistern/keeper.py
@@ -195,15 +195,15 @@
 
     def rewrite(self, rows: Rows) -> Kept | Refused:
         """Put a store of these rows, all that it is to hold, in the place of this one, whatever is damaged in
-        it. A start finds either: the store before keeps a second name until the new one has the first for
-        good."""
+        it. A start finds either: a second copy of the new one lies beside it until the new one has the name
+        for good (a rename may lose both names, and these disks know no links)."""
         self.close()
         unfinished, before = _unfinished(self._path), _before(self._path)
         self._named = False
         try:
             _make(unfinished, self._most, rows)
             before.unlink(missing_ok=True)
-            os.link(self._path, before)
+            _make(before, self._most, rows)
             _publish(unfinished, self._path)
             self._sync_name()
             before.unlink()
@@ -429,7 +429,7 @@
 
 
 def _before(path: Path) -> Path:
-    """A second name of the store while another is put in its place. It counts only where the first is gone:
+    """A second copy of the store that is put in another's place. It counts only where the first is gone:
     afterwards it is older than what was kept."""
     return path.with_name(path.name + ".before")
 
