See the vote that was counted anew in two plays of halves, not in one drawn one

The play that the fault was found by takes another course since members are agreed on, and did not show the seeded fault any more (without it it breaks nothing, as before). Two plays that show it take its place; both are asked for, which is stricter.

--- a/tests/mesh/test_contact_world.py
+++ b/tests/mesh/test_contact_world.py
@@ -10,7 +10,7 @@
 import pytest
 
 from rigs.mesh_world import contact_seeds as seeds
-from rigs.mesh_world.cuts import BOUND_S, CUTS, NEWEST_S, Cuts, drawn, order, others, play
+from rigs.mesh_world.cuts import BOUND_S, CUTS, NEWEST_S, Cuts, order, others, play
 from rigs.mesh_world.world import Machine, Script, World
 from waterworks.aquifer.contact import EVERY_SHARE, Proof
 from waterworks.gauge import events
@@ -61,10 +61,13 @@
     assert play(name, CORES.get(name, 3), random.Random(f"{name}/0"))[0]
 
 
-def test_a_vote_that_was_taken_up_in_vain_still_counts_as_open(monkeypatch: pytest.MonkeyPatch) -> None:
-    assert drawn(55, 10)[:2] == ("halves", [])
+@pytest.mark.parametrize("luck", [3, 9])
+def test_a_vote_that_was_taken_up_in_vain_still_counts_as_open(
+    luck: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert play("halves", 4, random.Random(f"halves/{luck}"))[0] == []
     seeds.open_votes_are_counted_anew(monkeypatch)
-    assert drawn(55, 10)[1]
+    assert play("halves", 4, random.Random(f"halves/{luck}"))[0]
 
 
 # One rule each
