--- a/tests/mesh/test_cistern_layout.py
+++ b/tests/mesh/test_cistern_layout.py
@@ -6,7 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from waterworks.aquifer.ballot import Ballot, Vote
 from waterworks.aquifer.items import Item
+from waterworks.aquifer.quorum import Place
+from waterworks.aquifer.views import VIEW, View, read_view
 from waterworks.cistern import layout
 
 WORDS = st.text(max_size=40)
@@ -62,3 +65,34 @@
     assert layout.unseal(b"key", layout.seal(b"key", b"value")) == b"value"
     assert layout.unseal(b"keyv", layout.seal(b"key", b"value")[:8] + b"alue") is None
     assert layout.unseal(b"key", b"short") is None
+
+
+def test_what_an_acceptor_keeps_reads_back() -> None:
+    votes = {
+        ("route", "a", 7): Vote(Ballot(3, "life"), {"x": 1}, "tag"),
+        ("route", "b", 1): Vote(Ballot(4, "life"), None),
+    }
+    past = layout.Past(("route", "a"), 2, {5: "digest", 6: "digest/tag", 4: "/tag"})
+    rows = [layout.pack_vote(number, vote) for number, vote in votes.items()]
+    rows += [layout.pack_past(past), layout.pack_ceiling(1 << 40), layout.pack_generations({"10.0.0.1": 2})]
+    held = layout.held(dict(rows))
+    assert held.votes == votes and held.past == (past,)
+    assert held.ceiling == 1 << 40 and held.generations == {"10.0.0.1": 2}
+    for key, _ in rows:
+        with pytest.raises(layout.CisternError, match="row"):
+            layout.held({key: b'{"neither'})
+
+
+def test_members_of_the_first_layout_become_the_view_of_epoch_1() -> None:
+    def member(name: str, state: str, counted: bool = True) -> Item:
+        value = {"zone": "z", "region": "", "counted": counted, "state": state}
+        return Item(kind="member", name=name, version=2, value=value, source="s", number=1)
+
+    route = Item(kind="route", name="a", version=1, value={}, source="s", number=4)
+    items = [member("1", "counts"), member("2", "joins"), member("3", "counts", False), route]
+    rows = layout.MOVES[1](dict([*map(layout.pack_item, items), layout.pack_whole(True)]))
+    held = layout.held(rows)
+    assert held.whole and {item.kind for item in held.items} == {"route", VIEW}
+    view = next(item for item in held.items if item.kind == VIEW)
+    assert read_view(view.version, view.value) == View(1, {"1": Place("z", "")})
+    assert layout.MOVES[1]({}) == {}
