Start a reader over only once a view that lacks it is heard of

A machine that was just being taken in, and was killed before it had the new view on disk, took itself for a reader and started over: with one disk lost at the same time two were gone, and no order was confirmed any more. It now waits for what the others say.

--- a/waterworks/reservoir/catching_up.py
+++ b/waterworks/reservoir/catching_up.py
@@ -49,6 +49,7 @@
         self._loop = asyncio.get_running_loop()
         self._charter, self._acceptor, self._ledger, self._council = charter, acceptor, ledger, council
         self._channels, self._acceptance, self._gauge = channels, acceptance, gauge
+        self._read = False  # the disk is one of a reader; its view may be older than its own joining
         self._counted = False  # this start is on disk
         self._settled = False  # there has been contact in this life
         self._view = council.view()
@@ -59,8 +60,7 @@
         """Before anything is said to anybody: this start is counted, on disk where the disk is well."""
         me = self._council.me
         self._lived(me, self._starts() + 1, self._charter.source)
-        if self._view.epoch and me not in self._view.names and self._charter.items:
-            self._start_over("it is not one of those who count")
+        self._read = self._view.epoch > 0 and me not in self._view.names
         try:
             async with asyncio.timeout(BEGIN_S):
                 await self._ledger.kept()
@@ -120,11 +120,16 @@
 
     def _meets(self, view: View) -> None:
         """A view that another has; who was one of those who count and is none by it starts over."""
-        before = self._view
-        if view.epoch > before.epoch:
-            self._view = view
-            if self._council.me in before.names and self._council.me not in view.names:
-                self._start_over("it was taken out")
+        before, me = self._view, self._council.me
+        if view.epoch < before.epoch:
+            return
+        self._view = view
+        if me in view.names:
+            self._read = False
+        elif me in before.names:
+            self._start_over("it was taken out")
+        elif self._read:
+            self._start_over("it is not one of those who count")
 
     def changed(self, items: Iterable[Item]) -> None:
         """The charter has changed here, by whatever way."""
@@ -137,7 +142,7 @@
     def _start_over(self, reason: str) -> None:
         self._gauge.tell(events.DISK_OLDER, reason=reason, items=len(self._charter.items))
         view = self._charter.items.get((VIEW, MEMBERS))
-        self._ledger.whole, self._settled = False, False
+        self._ledger.whole, self._settled, self._read = False, False, False
         self._charter.start_over()
         self._acceptor.start_over()
         if view is not None:
