Fit the rig's guard, one world test and the drawn plays of open votes to what was joined

Cause: the table of a call's states renamed the look at an answer's id, which the rig of lost links leaves out; a world test looked at the council's waiting writes, which are the vote's now; of two drawn plays that show an open vote counted anew one shows it no more, since timing moved with the joined parts.

Change: the guard by its present name; no order, ballot, read or open vote may be left over (more than before); three drawn plays that each show the fault (2, 3, 5, 8, 10, 11 and others of 0 to 30 do) in place of two.

Measured: test_lost_links, test_pages_world, test_contact_world, test_map pass.

--- a/benchmarks/catch_up.py
+++ b/benchmarks/catch_up.py
@@ -192,7 +192,7 @@
 
     async def status(self, at: int) -> dict[str, Any]:
         reply = await ask((self.ips[at], self.ports[0]), "status", 1.0)
-        return reply.value if isinstance(reply, Answered) else {}
+        return dict(reply.value) if isinstance(reply, Answered) else {}
 
     async def level(self, at: int, within_s: float) -> float:
         """Seconds until it is; raises TimeoutError."""
--- a/rigs/lost_links/hop.py
+++ b/rigs/lost_links/hop.py
@@ -64,7 +64,7 @@
 
 def _without_ids() -> Replaced:
     """Whatever comes on a connection is the answer to the call on it."""
-    return [(tap, "whose", lambda wanted, told: 0 if told else None), *_without_seal()]
+    return [(tap, "own", lambda wanted, told: True), *_without_seal()]
 
 
 def _without_seal() -> Replaced:
--- a/rigs/member_model.py
+++ b/rigs/member_model.py
@@ -242,6 +242,7 @@
             assert planned is not None
             vote = (_key(planned), frozenset())
         elif what == "vote":
+            assert vote is not None
             vote = (vote[0], vote[1] | {event[1]})
             if self._durable(views[-1], vote[1]):
                 views, vote, done = (*views, vote[0]), None, done + (vote[0][1] is not None)
--- a/tests/mesh/test_contact_world.py
+++ b/tests/mesh/test_contact_world.py
@@ -61,7 +61,7 @@
     assert play(name, CORES.get(name, 3), random.Random(f"{name}/0"))[0]
 
 
-@pytest.mark.parametrize("luck", [3, 9])
+@pytest.mark.parametrize("luck", [3, 5, 11])
 def test_a_vote_that_was_taken_up_in_vain_still_counts_as_open(
     luck: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/mesh/test_pages_world.py
+++ b/tests/mesh/test_pages_world.py
@@ -161,7 +161,10 @@
             held = [key for key in program.charter.items if key[0] == "route"]
             assert len(held) == AT_ONCE and len(program.charter.vector) < 10  # versions leave nothing behind
         for _, program in world.programs(core=True):
-            assert not program.council._pending
+            voting = program.voting
+            assert not (
+                voting._orders or voting._rounds or voting._readings or voting.acceptance.acceptor.votes
+            )
         yield from world.witness.finish()
 
     with World() as world:
