--- a/rigs/member_model.py
+++ b/rigs/member_model.py
@@ -245,7 +245,8 @@
             assert vote is not None
             vote = (vote[0], vote[1] | {event[1]})
             if self._durable(views[-1], vote[1]):
-                views, vote, done = (*views, vote[0]), None, done + (vote[0][1] is not None)
+                decided = vote[0]
+                views, vote, done = (*views, decided), None, done + (decided[1] is not None)
         elif what in ("wipe", "vanish"):
             one = named[event[1]]
             budget[0 if what == "wipe" else 2] -= 1
