--- a/rigs/order_model.py
+++ b/rigs/order_model.py
@@ -2,11 +2,9 @@
 sent again to another process, votes that somebody takes up. What decides is the shipped code (`Acceptor`,
 `Proposer`, `View`); the model is its host and its surroundings.
 
-Accepts and decisions arrive late, twice, in any order or never. An answer reaches its proposer or is lost;
-one that is late is one whose proposer acts late. A proposer begins a ballot anew at any time, or is not heard
-of any more. A member crashes and comes back with its disk, where what was decided and not written yet is an
-open vote again, or loses the disk and comes back by the fence. Decided items also travel as news.
-"""
+Accepts and decisions arrive late, twice, in any order or never. An answer reaches its proposer or is lost. A
+proposer begins a ballot anew at any time, or is not heard of any more. A member crashes and comes back with
+its disk, or loses it and is fenced. Decided items also travel as news."""
 
 from __future__ import annotations
 
@@ -18,20 +16,17 @@
 from statecheck import Model, Violation
 from statecheck.model import State
 from waterworks.aquifer.ballot import (
-    Accept,
     Acceptor,
     Ballot,
-    Decided,
     Number,
-    Proposer,
     Refusal,
-    Rivalled,
     Settled,
     Value,
     Vote,
     digest_of,
     fenced_by,
 )
+from waterworks.aquifer.proposer import Accept, Decided, Proposer, Rivalled
 from waterworks.aquifer.quorum import Place, Tolerance
 from waterworks.aquifer.views import View
 
--- a/tests/mesh/test_ballot.py
+++ b/tests/mesh/test_ballot.py
@@ -8,24 +8,18 @@
 from waterworks.aquifer.ballot import (
     BLOCK,
     MOST_PAST,
-    Accept,
     Acceptor,
-    Again,
     Ballot,
-    Chosen,
-    Decided,
     Forgotten,
     Number,
     Promised,
-    Proposer,
     Refusal,
-    Rivalled,
     Settled,
-    Unclear,
     Value,
     Vote,
     digest_of,
 )
+from waterworks.aquifer.proposer import Accept, Again, Chosen, Decided, Proposer, Rivalled, Unclear
 from waterworks.aquifer.quorum import Place, Tolerance
 from waterworks.aquifer.views import View
 
--- a/tests/mesh/test_catching_up_world.py
+++ b/tests/mesh/test_catching_up_world.py
@@ -12,8 +12,9 @@
 from rigs.mesh_world import troubles
 from rigs.mesh_world.world import Life, Machine, Script, World
 from tests.mesh.test_mesh_world import change, drop
-from waterworks.aquifer.ballot import Decided, Number
+from waterworks.aquifer.ballot import Number
 from waterworks.aquifer.items import Key
+from waterworks.aquifer.proposer import Decided
 from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
 from waterworks.gauge import events
 from waterworks.gauge.events import Event
--- a/tests/mesh/test_order_model.py
+++ b/tests/mesh/test_order_model.py
@@ -11,14 +11,8 @@
 from rigs.mesh_world.seeds import Patch
 from rigs.order_model import SIZES, Orders, Side
 from statecheck import explore
-from waterworks.aquifer.ballot import (
-    Acceptor,
-    Chosen,
-    Promised,
-    Proposer,
-    Refusal,
-    Rivalled,
-)
+from waterworks.aquifer.ballot import Acceptor, Promised, Refusal
+from waterworks.aquifer.proposer import Chosen, Proposer, Rivalled
 from waterworks.aquifer.views import View
 
 SMALL = ["two orders", "two ballots", "a crash", "news", "four members"]
--- a/waterworks/reservoir/clerk.py
+++ b/waterworks/reservoir/clerk.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from anisestair.http import codec as http
-from waterworks.aquifer.ballot import Acceptor, Decided, Rivalled, Vote
+from waterworks.aquifer.ballot import Acceptor, Vote
 from waterworks.aquifer.contact import Proof
+from waterworks.aquifer.proposer import Decided, Rivalled
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import VIEW
 from waterworks.gauge import events
--- a/waterworks/reservoir/minding.py
+++ b/waterworks/reservoir/minding.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from waterworks.aquifer.ballot import Decided
 from waterworks.aquifer.changes import Borne, borne, heard_whole, plan
 from waterworks.aquifer.items import Item
+from waterworks.aquifer.proposer import Decided
 from waterworks.aquifer.quorum import Place
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
--- a/waterworks/reservoir/restoring.py
+++ b/waterworks/reservoir/restoring.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from waterworks.aquifer.ballot import Acceptor, Decided
+from waterworks.aquifer.ballot import Acceptor
 from waterworks.aquifer.items import Item
+from waterworks.aquifer.proposer import Decided
 from waterworks.aquifer.restore import restored
 from waterworks.aquifer.store import Full, Store
 from waterworks.aquifer.views import MEMBERS, NOBODY, VIEW, View, read_view, write_view
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -12,24 +12,8 @@
 
 import msgspec
 
-from waterworks.aquifer.ballot import (
-    Accept,
-    Again,
-    Ballot,
-    Chosen,
-    Decided,
-    Forgotten,
-    Number,
-    Prepare,
-    Promised,
-    Proposer,
-    Refusal,
-    Rivalled,
-    Settled,
-    Unclear,
-    Value,
-    digest_of,
-)
+from waterworks.aquifer.ballot import Ballot, Forgotten, Number, Promised, Refusal, Settled, Value, digest_of
+from waterworks.aquifer.proposer import Accept, Again, Chosen, Decided, Prepare, Proposer, Rivalled, Unclear
 from waterworks.aquifer.store import Store
 from waterworks.aquifer.views import View
 from waterworks.gauge import events
