Pause between ballots that are refused at once, one after the other

Cause: a ballot that no rival stands against is begun anew at once; what lasts (two machines at one address, seen in a world) made ballots without a pause.

Change: after three of them the drawn pause applies as for any other.

Measured: test_orders_world, one test, fails without it (500 ballots in one moment).

--- a/tests/mesh/test_orders_world.py
+++ b/tests/mesh/test_orders_world.py
@@ -14,9 +14,10 @@
 from rigs.mesh_world.wire import End
 from rigs.mesh_world.world import Life, Script, World
 from waterworks.aquifer.ballot import Settled
+from waterworks.aquifer.proposer import Again, Proposer, Unclear
 from waterworks.reservoir import voting as voting_module
 from waterworks.reservoir.clerk import HOLD_S
-from waterworks.reservoir.voting import OPEN_S, PENDING, RANK_S
+from waterworks.reservoir.voting import HASTY, OPEN_S, PENDING, RANK_S, Voting
 
 Play = Callable[[World], Script]
 R1 = ("route", "r1")
@@ -226,6 +227,24 @@
     assert played(reads) == []
 
 
+def test_what_refuses_every_ballot_at_once_makes_no_ballots_without_a_pause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    ballots = []
+
+    async def hasty(self: Voting, proposer: Proposer, until: float) -> Again | Unclear:
+        ballots.append(self._loop.time())
+        return Again(0, "as ever") if len(ballots) < 500 else Unclear("without an end")
+
+    def then(world: World) -> Script:
+        monkeypatch.setattr(Voting, "_ballot", hasty)
+        yield from world.patch(world.reservoirs()[0], order(["r1"], 1, 1))
+        monkeypatch.undo()
+
+    assert played(then) == []
+    assert HASTY < len(ballots) < 100
+
+
 def test_an_order_goes_on_after_its_caller_has_left() -> None:
     def leaves(world: World) -> Script:
         cores = world.reservoirs()
--- a/waterworks/reservoir/voting.py
+++ b/waterworks/reservoir/voting.py
@@ -34,6 +34,7 @@
 
 CARRY_S = 3.0  # an order is carried on for so long, whether or not its caller waits
 PAUSE_S, PAUSE_MOST_S = 0.01, 0.4  # drawn up to it between two ballots that rivals may have cut short
+HASTY = 3  # ballots begun at once, one after the other
 OPEN_S, RANK_S = 1.0, 0.3  # an open vote is left to its proposer for so long, and a rank longer
 GRACE_S = 0.03  # a read leaves an open vote to its proposer for so long
 PENDING = 256  # orders, and reads, under way at once; more are answered as busy
@@ -134,13 +135,14 @@
 
     async def _run(self, proposer: Proposer, within_s: float) -> Outcome:
         """Ballots, one after the other, until one ends it or the time is over."""
-        until, pause = self._loop.time() + within_s, PAUSE_S
+        until, pause, hasty = self._loop.time() + within_s, PAUSE_S, 0
         while True:
             step = await self._ballot(proposer, until)
             if not isinstance(step, Again):
                 return step
             self._top = max(self._top, step.round)
-            if not step.at_once:
+            hasty = hasty + 1 if step.at_once else 0
+            if not step.at_once or hasty > HASTY:  # what lasts would spin without a pause
                 await asyncio.sleep(self._random.uniform(0.0, pause))
                 pause = min(2.0 * pause, PAUSE_MOST_S)
 
