--- a/test.sh
+++ b/test.sh
@@ -9,4 +9,4 @@
 ruff check .
 mypy
 lint-imports
-python -m pytest -n 4 --known-red=KNOWN-RED.txt
+python -m pytest -n 6 --known-red=KNOWN-RED.txt
