Let a duty's claim that is on its way arrive before copies are compared in the end

Change: the roll's copies must be level within 0.2 s of the end, the charter's at once as before; a copy that stays behind is seen as it was.

--- a/rigs/mesh_world/witness.py
+++ b/rigs/mesh_world/witness.py
@@ -27,6 +27,7 @@
 CONTACT_S, SETTLE_S = 3.0, 2.0
 LINKS_S = 2.0  # all links stand again by then
 QUIET_FRAMES = 6  # of a second in which nothing changes: upstreams' beats make none
+ON_ITS_WAY_S = 0.2  # a duty may be claimed at any moment, and its claim travels like any news
 QUIET_TRIES = 8  # seconds of which one must be so: a duty may change hands
 
 
@@ -256,6 +257,9 @@
 
     # The end
 
+    def _stores(self, name: str) -> list[Store]:
+        return [getattr(program, name) for core in (True, False) for _, program in self.world.programs(core)]
+
     def finish(self, within_s: float = 12.0) -> Generator[simpy.Event, Any, None]:
         """The world is well again: everybody counts, answers, agrees, and falls silent."""
         world = self.world
@@ -272,8 +276,10 @@
         self._meets("in the end")
         self.sidecars_know(float(world.env.now))
         for name in ("charter", "roll"):
-            stores = [getattr(program, name) for core in (True, False) for _, program in world.programs(core)]
-            if any(store.digests.at("") != stores[0].digests.at("") for store in stores):
+            until = world.env.now + (ON_ITS_WAY_S if name == "roll" else 0.0)
+            while not _level(stores := self._stores(name)) and world.env.now < until:
+                yield world.env.timeout(0.01)
+            if not _level(stores):
                 self._say(f"the copies of the {name} differ in the end: {_differ(stores)}")
         for machine in world.reservoirs():
             if machine.life is None or not machine.life.alive:
@@ -299,6 +305,10 @@
         self._say(f"{sent} frames in a second in which nothing changed")
 
 
+def _level(stores: list[Store]) -> bool:
+    return all(store.digests.at("") == stores[0].digests.at("") for store in stores)
+
+
 def _differ(stores: list[Store]) -> str:
     keys = {key for store in stores for key in store.items}
     told = []
