--- a/benchmarks/catch_up.py
+++ b/benchmarks/catch_up.py
@@ -34,11 +34,11 @@
 import simpy
 
 from anisestair.http import codec as http
+from mesh.cli.client import Answered, ask
 from rigs.mesh_peers import Operator, change, free_ports, route, write_settings
-from rigs.mesh_world.wire import End
-from rigs.mesh_world.witness import Witness
-from rigs.mesh_world.world import Machine, World
-from waterworks.operate.asking import Answered, ask
+from simulation.mesh.wire import End
+from simulation.mesh.witness import Witness
+from simulation.mesh.world import Machine, World
 
 Script = Generator[simpy.Event, Any, Any]
 Figures = dict[str, float]
@@ -92,8 +92,8 @@
     found: Figures = {}
 
     def script(world: World) -> Script:
-        yield from world.boot(CORE, sluices=0)
-        taker = world.reservoirs()[-1]
+        yield from world.boot(CORE, proxies=0)
+        taker = world.controllers()[-1]
         for body in orders(0, case.items, 1):
             yield from _sent(world, body)
         yield world.env.timeout(2.0)
@@ -121,7 +121,7 @@
 def _sent(world: World, body: dict[str, Any]) -> Script:
     message = http.Message(method=b"PATCH", target=b"/configuration", body=json.dumps(body).encode())
     for _ in range(50):
-        life = world.reservoirs()[0].life
+        life = world.controllers()[0].life
         assert life is not None
         answer = yield world.ask(life, life.program.clerk.handle, message)
         if answer is not None and answer.status == 200:
@@ -131,7 +131,7 @@
 
 
 def _level(world: World, taker: Machine) -> bool:
-    program, other = taker.program, world.reservoirs()[0].program
+    program, other = taker.program, world.controllers()[0].program
     return (
         program is not None
         and program.ledger.whole
@@ -178,7 +178,7 @@
         settings.write_text(text if cold else text.replace("cold_boot = true", "cold_boot = false"))
         with (self.folder / f"core-{at}.log").open("ab") as log:
             self.processes[at] = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "waterworks.reservoir"),
+                *(sys.executable, "-m", "mesh.control_plane"),
                 env={**os.environ, "ANISESTAIR_BOOT": str(settings)},
                 stdout=asyncio.subprocess.DEVNULL,
                 stderr=log,
--- a/benchmarks/contact_cost.py
+++ b/benchmarks/contact_cost.py
@@ -13,12 +13,12 @@
 from types import SimpleNamespace
 from typing import Any
 
-from waterworks.aquifer.contact import EVERY_SHARE
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import View
-from waterworks.penstock.frames import Frames, frame
-from waterworks.reservoir.contact import Probing
-from waterworks.sluice.membership import RESERVOIR
+from mesh.control_plane.contact_probes import Probing
+from mesh.data_plane.membership import CONTROLLER
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum import Place, Tolerance
+from mesh.replication.quorum_contact import EVERY_SHARE
+from mesh.transport.frames import Frames, frame
 
 CONTACT_MS = 3000.0
 TICK_S = 0.1
@@ -43,11 +43,11 @@
     sent: list[bytes] = []
     link = SimpleNamespace(send=lambda head: sent.append(frame(head)))
     pulled = SimpleNamespace(pulled=True)
-    channels: list[Any] = [_Link(name, {"ip": name, "role": RESERVOIR}, link, pulled) for name in names[1:]]
+    channels: list[Any] = [_Link(name, {"ip": name, "role": CONTROLLER}, link, pulled) for name in names[1:]]
     owner: Any = SimpleNamespace(loop=loop, open=channels)
     ledger: Any = SimpleNamespace(whole=True)
-    gauge: Any = SimpleNamespace(tell=lambda *_, **__: None)
-    probing = Probing(CONTACT_MS, owner, council, ledger, lambda *_: None, lambda: 0.0, gauge)
+    event_log: Any = SimpleNamespace(tell=lambda *_, **__: None)
+    probing = Probing(CONTACT_MS, owner, council, ledger, lambda *_: None, lambda: 0.0, event_log)
     for one in channels:
         probing.opened(one)
     size = frames = 0
--- a/benchmarks/lost_links.py
+++ b/benchmarks/lost_links.py
@@ -1,6 +1,6 @@
 """Calls whose links are lost, under load, between real sidecars on loopback; judged from outside.
 
-    python -m benchmarks.lost_links [--seconds 600] [--sluices 6] [--connections 12] [--pause 0.02]
+    python -m benchmarks.lost_links [--seconds 600] [--proxies 6] [--connections 12] [--pause 0.02]
         [--large 0] [--seed 1] [--without GUARD ...] [--only TROUBLE ...] [--logs FOLDER]
 
 For so long sidecars are frozen, killed, ended and started again, given to another service, and the links
@@ -91,7 +91,7 @@
     )
     usual = Size()
     parser.add_argument("--seconds", type=float, default=600.0)
-    parser.add_argument("--sluices", type=int, default=usual.sluices)
+    parser.add_argument("--proxies", type=int, default=usual.proxies)
     parser.add_argument("--connections", type=int, default=usual.connections)
     parser.add_argument("--pause", type=float, default=usual.pause_s, help="seconds between two batches")
     parser.add_argument("--large", type=float, default=usual.large, help="share of bodies of 5 MiB")
@@ -101,7 +101,7 @@
     parser.add_argument("--logs", type=Path, help="a folder for what the sidecars write")
     given = parser.parse_args()
     size = Size(
-        given.sluices, given.connections, given.pause, large=given.large, without=tuple(given.without)
+        given.proxies, given.connections, given.pause, large=given.large, without=tuple(given.without)
     )
     began, cpu = time.monotonic(), cpu_s()
     with tempfile.TemporaryDirectory() as folder:
--- a/benchmarks/member_plays.py
+++ b/benchmarks/member_plays.py
@@ -13,7 +13,7 @@
 import time
 from multiprocessing import Pool
 
-from rigs.mesh_world.members import drawn, played
+from simulation.mesh.members import drawn, played
 
 
 def play(seed: int) -> tuple[int, int, list[str], float]:
--- a/benchmarks/mesh_news.py
+++ b/benchmarks/mesh_news.py
@@ -1,12 +1,12 @@
 """How news of the mesh scales, in virtual time: the shipped programs of both kinds, no sockets, no sleeping.
 
-    python -m benchmarks.mesh_news [--sluices 10 100 300] [--reservoirs 3 9] [--steady 10] [--json FILE]
+    python -m benchmarks.mesh_news [--proxies 10 100 300] [--controllers 3 9] [--steady 10] [--json FILE]
 
 For each size: a minute in which nothing happens; a change of one route, from its acknowledgement until 99% of
-the sluices have it; a join of a tenth (at most a hundred) of the sluices at once; a reservoir that is killed
-and started again. Of each the messages, bytes and CPU a sluice, both directions counted, signs of life apart.
+the proxies have it; a join of a tenth (at most a hundred) of the proxies at once; a controller that is killed
+and started again. Of each the messages, bytes and CPU a proxy, both directions counted, signs of life apart.
 The CPU is that of a process's callbacks, with the rig's wire under them (a few microseconds a message).
-``exponents``: of the sluices' number, by least squares over the sizes. The last line is JSON.
+``exponents``: of the proxies' number, by least squares over the sizes. The last line is JSON.
 """
 
 from __future__ import annotations
@@ -27,28 +27,29 @@
 
 import simpy
 
+from mesh.data_plane.membership import PROXY
+from mesh.transport.link import ALIVE
 from rigs.mesh_peers import change, route
-from rigs.mesh_world.clock import LIFE
-from rigs.mesh_world.wire import End
-from rigs.mesh_world.world import Machine, World
-from waterworks.penstock.link import ALIVE
+from simulation.mesh.clock import LIFE
+from simulation.mesh.wire import End
+from simulation.mesh.world import Machine, World
 
 Script = Generator[simpy.Event, Any, Any]
 
 ROUTES = 20  # in force before anything is measured
-GROUP = 100  # sluices that start together, and that join together at the most
+GROUP = 100  # proxies that start together, and that join together at the most
 PAUSE_S = 0.5  # between groups
 CHANGES = 9
 PHASE_S = 0.013  # beyond whole seconds, so that changes fall at other times of the programs' ticks
 SETTLE_S = 3.0
 WITHIN_S = 60.0
-RETURN_S = 5.0  # of a reservoir: what is counted of its restart
+RETURN_S = 5.0  # of a controller: what is counted of its restart
 COUNTS = ("messages", "bytes", "alive", "cpu_ms")
 
 
 @dataclass(slots=True)
 class Spent:
-    """By all sluices, or all reservoirs, up to some moment; messages of both directions."""
+    """By all proxies, or all controllers, up to some moment; messages of both directions."""
 
     messages: float = 0.0
     bytes: float = 0.0
@@ -81,7 +82,7 @@
         self._stack.close()
 
     def now(self) -> tuple[Spent, Spent]:
-        """Of the sluices, and of the reservoirs."""
+        """Of the proxies, and of the controllers."""
         copies = [Spent(*(getattr(spent, name) for name in COUNTS)) for spent in (self.side, self.core)]
         return copies[0], copies[1]
 
@@ -112,9 +113,9 @@
 class Measured:
     """One size: a script for the world, and what came of it in ``found``."""
 
-    def __init__(self, sluices: int, reservoirs: int, steady_s: float) -> None:
-        self.sluices, self.reservoirs, self.steady_s = sluices, reservoirs, steady_s
-        self.join = max(min(sluices // 10, GROUP), 1)
+    def __init__(self, proxies: int, controllers: int, steady_s: float) -> None:
+        self.proxies, self.controllers, self.steady_s = proxies, controllers, steady_s
+        self.join = max(min(proxies // 10, GROUP), 1)
         self.found: dict[str, dict[str, float]] = {}
         self.world: World
         self.meter: Meter
@@ -126,8 +127,8 @@
         with World() as self.world, Meter(self.world) as self.meter:
             self.world.run(lambda _: self.script())
         return {
-            "sluices": self.sluices,
-            "reservoirs": self.reservoirs,
+            "proxies": self.proxies,
+            "controllers": self.controllers,
             "took_cpu_s": round(time.process_time() - began, 1),
             **{
                 name: {key: round(value, 4) for key, value in one.items()} for name, one in self.found.items()
@@ -138,7 +139,7 @@
 
     def script(self) -> Script:
         world = self.world
-        cores = [world.add(f"c{n}", f"10.0.0.{n}") for n in range(1, self.reservoirs + 1)]
+        cores = [world.add(f"c{n}", f"10.0.0.{n}") for n in range(1, self.controllers + 1)]
         world.founders = cores[:3]
         for machine in world.founders:
             world.start(machine, cold=True)
@@ -150,10 +151,10 @@
         yield from world.commit(cores, body(change(*rules, services=("p",))))
         yield world.env.timeout(SETTLE_S)  # the witness looks whether all have it
         sides: list[Machine] = []
-        while len(sides) < self.sluices - self.join:
-            sides += self._start(sides, min(GROUP, self.sluices - self.join - len(sides)))
+        while len(sides) < self.proxies - self.join:
+            sides += self._start(sides, min(GROUP, self.proxies - self.join - len(sides)))
             yield world.env.timeout(PAUSE_S)
-        yield from self._until(lambda: knows(sides, sides), "the first sluices know each other")
+        yield from self._until(lambda: knows(sides, sides), "the first proxies know each other")
         yield world.env.timeout(SETTLE_S)
         yield from self._joins(sides)
         yield world.env.timeout(SETTLE_S)
@@ -229,7 +230,7 @@
         self.found["change"]["worst_after_ack_99_s"] = max(one["after_ack_99_s"] for one in rounds)
 
     def _reach(self, sides: Sequence[Machine], version: int) -> Script:
-        """When each sluice has it."""
+        """When each proxy has it."""
         times, left = [], list(sides)
         end = self._now() + WITHIN_S
         while left and self._now() < end:
@@ -238,7 +239,7 @@
             left = lacking
             yield self.world.env.timeout(0.001)
         if left:
-            raise RuntimeError(f"{len(left)} sluices lack a change after {WITHIN_S:g} s")
+            raise RuntimeError(f"{len(left)} proxies lack a change after {WITHIN_S:g} s")
         return times
 
     def _restarts(self, machine: Machine, sides: Sequence[Machine]) -> Script:
@@ -261,14 +262,14 @@
                 and len(askers(new)) >= asked
             )
 
-        yield from self._until(back, "the reservoir is back")
+        yield from self._until(back, "the controller is back")
         back_s = self._now() - began
         yield self.world.env.timeout(max(RETURN_S - back_s, 0.0))
         minutes = (self._now() - began) / 60.0
         spent = self._spent(side, core, self.meter.now(), len(sides))
         for name in spent:
             spent[name] -= self.found["minute"][name] * minutes
-        del spent["cpu_ms"], spent["reservoir_cpu_ms"]  # one of them stood still for a part of the time
+        del spent["cpu_ms"], spent["controller_cpu_ms"]  # one of them stood still for a part of the time
         self.found["restart"] = {"back_s": back_s, **spent}
 
     def _until(self, holds: Callable[[], bool], what: str) -> Script:
@@ -279,10 +280,10 @@
     def _now(self) -> float:
         return float(self.world.env.now)
 
-    def _spent(self, side: Spent, core: Spent, after: tuple[Spent, Spent], sluices: int) -> dict[str, float]:
-        found = after[0].since(side, sluices)
-        reservoirs = after[1].since(core, self.reservoirs)
-        found["reservoir_bytes"], found["reservoir_cpu_ms"] = reservoirs["bytes"], reservoirs["cpu_ms"]
+    def _spent(self, side: Spent, core: Spent, after: tuple[Spent, Spent], proxies: int) -> dict[str, float]:
+        found = after[0].since(side, proxies)
+        controllers = after[1].since(core, self.controllers)
+        found["controller_bytes"], found["controller_cpu_ms"] = controllers["bytes"], controllers["cpu_ms"]
         return found
 
 
@@ -304,10 +305,10 @@
     )
 
 
-def askers(reservoir: Any) -> set[str]:
-    """The sluices that ask it for news."""
-    channels = reservoir.channels.open
-    return {one.node for one in channels if one.link.up and one.extra.get("role") == "sluice"}
+def askers(controller: Any) -> set[str]:
+    """The proxies that ask it for news."""
+    channels = controller.channels.open
+    return {one.node for one in channels if one.link.up and one.extra.get("role") == PROXY}
 
 
 def exponent(sizes: Sequence[float], values: Sequence[float]) -> float | None:
@@ -319,23 +320,23 @@
 
 
 def exponents(rows: Sequence[dict[str, Any]]) -> dict[str, dict[str, float | None]]:
-    """Of each figure over the sluices, a number of reservoirs at a time."""
+    """Of each figure over the proxies, a number of controllers at a time."""
     found: dict[str, dict[str, float | None]] = defaultdict(dict)
-    for reservoirs in sorted({row["reservoirs"] for row in rows}):
-        these = [row for row in rows if row["reservoirs"] == reservoirs]
-        sizes = [float(row["sluices"]) for row in these]
+    for controllers in sorted({row["controllers"] for row in rows}):
+        these = [row for row in rows if row["controllers"] == controllers]
+        sizes = [float(row["proxies"]) for row in these]
         for part in ("minute", "change", "join", "restart"):
-            for name in ("messages", "bytes", "cpu_ms", "reservoir_bytes", "reservoir_cpu_ms"):
+            for name in ("messages", "bytes", "cpu_ms", "controller_bytes", "controller_cpu_ms"):
                 values = [row[part][name] for row in these if name in row[part]]
                 if len(values) == len(sizes):
-                    found[f"{reservoirs} reservoirs"][f"{part}.{name}"] = exponent(sizes, values)
+                    found[f"{controllers} controllers"][f"{part}.{name}"] = exponent(sizes, values)
     return dict(found)
 
 
 def main() -> None:
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    words.add_argument("--sluices", type=int, nargs="+", default=[10, 100, 300])
-    words.add_argument("--reservoirs", type=int, nargs="+", default=[3, 9])
+    words.add_argument("--proxies", type=int, nargs="+", default=[10, 100, 300])
+    words.add_argument("--controllers", type=int, nargs="+", default=[3, 9])
     words.add_argument("--steady", type=float, default=10.0, help="virtual seconds that stand for a minute")
     words.add_argument(
         "--json", type=Path, help="rows of earlier runs are read from it and all are kept there"
@@ -344,12 +345,12 @@
     rows: list[dict[str, Any]] = []
     if given.json is not None and given.json.exists():
         rows = json.loads(given.json.read_text())
-    done = {(row["sluices"], row["reservoirs"]) for row in rows}
-    for reservoirs in given.reservoirs:
-        for sluices in given.sluices:
-            if (sluices, reservoirs) in done:
+    done = {(row["proxies"], row["controllers"]) for row in rows}
+    for controllers in given.controllers:
+        for proxies in given.proxies:
+            if (proxies, controllers) in done:
                 continue
-            rows.append(Measured(sluices, reservoirs, given.steady).play())
+            rows.append(Measured(proxies, controllers, given.steady).play())
             print(json.dumps(rows[-1]), flush=True)
             if given.json is not None:
                 given.json.write_text(json.dumps(rows))
--- a/benchmarks/mesh_request.py
+++ b/benchmarks/mesh_request.py
@@ -2,14 +2,14 @@
 
     python -m benchmarks.mesh_request [--rounds 3] [--calls 4000] [--profile]
 
-One reservoir and two sluices run as processes; the only upstream of the service is beside the second. Asked
-through the first sluice a call crosses both (`two_hops`), through the second it stays on one machine
+One controller and two proxies run as processes; the only upstream of the service is beside the second. Asked
+through the first proxy a call crosses both (`two_hops`), through the second it stays on one machine
 (`one_hop`), and it is asked without either (`direct`). Per call the CPU of each process in milliseconds (user
 and system, in the kernel's ticks of 10 ms, so ask thousands), latency p50 and p99: with one call in flight,
 as on a machine that is seldom busy, and with eight, where one read and one wake-up serve several calls.
 Medians of the rounds; the aim is 0.8 ms for both hops together. The last line is JSON.
 
-With --profile both sluices run in one thread of this process under cProfile, on that thread's CPU clock, and
+With --profile both proxies run in one thread of this process under cProfile, on that thread's CPU clock, and
 the costliest functions of so many calls over two hops, one in flight, are printed.
 """
 
@@ -34,12 +34,12 @@
 
 import uvloop
 
+from mesh.data_plane.program import Proxy
+from mesh.event_log.log import EventLog
+from mesh.runtime.settings import Settings, read
 from rigs.fleet import TICKS, Load, head_value
 from rigs.mesh_demo import CORE, SIDE, Mesh
 from rigs.mesh_peers import Address, Operator, Upstream, change, polled, route
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.settings import Settings, read
-from waterworks.sluice.program import Sluice
 
 AIM_MS = 0.8
 START_S = 10.0
@@ -148,7 +148,7 @@
 
 
 def costs(before: dict[str, float], after: dict[str, float], calls: int) -> dict[str, float]:
-    """Milliseconds a call of each process, and of both sluices together."""
+    """Milliseconds a call of each process, and of both proxies together."""
     each = {name: (after[name] - before[name]) / calls for name in before}
     return {**each, "both": sum(each.values())}
 
@@ -158,7 +158,7 @@
 
 
 async def _take_up(mesh: Mesh, upstreams: list[Upstream]) -> None:
-    """Until both sluices route the service's calls."""
+    """Until both proxies route the service's calls."""
     await Operator([mesh.control(CORE)]).change(
         change(route("read", "/read/", SERVICE), services=(SERVICE, ELSEWHERE)), START_S
     )
@@ -189,11 +189,11 @@
     mesh = Mesh.of(folder, 1, 2)
     upstreams = await _upstreams(mesh)
     try:
-        await mesh.reservoir(0)
+        await mesh.controller(0)
         for at, upstream in enumerate(upstreams):
-            await mesh.sluice(at, upstream)
+            await mesh.proxy(at, upstream)
         await _take_up(mesh, upstreams)
-        pids = {"first": mesh.processes["sluice-0"].pid, "second": mesh.processes["sluice-1"].pid}
+        pids = {"first": mesh.processes["proxy-0"].pid, "second": mesh.processes["proxy-1"].pid}
         idle = {name: cpu_ms(pid) for name, pid in pids.items()}
         await asyncio.sleep(1.0)
         standing = costs(idle, {name: cpu_ms(pid) for name, pid in pids.items()}, 1)
@@ -225,7 +225,7 @@
 
 
 class Within:
-    """Both sluices in one thread of this process, profiled from ``mark`` on."""
+    """Both proxies in one thread of this process, profiled from ``mark`` on."""
 
     def __init__(self, settings: list[Settings]) -> None:
         self._settings = settings
@@ -243,9 +243,9 @@
     async def _serve(self) -> None:
         self._loop, self._ends = asyncio.get_running_loop(), asyncio.Event()
         with tempfile.TemporaryFile("w") as log:
-            sluices = [Sluice(settings, Gauge(settings.node, log)) for settings in self._settings]
-            for sluice in sluices:
-                await sluice.start()
+            proxies = [Proxy(settings, EventLog(settings.node, log)) for settings in self._settings]
+            for proxy in proxies:
+                await proxy.start()
             self.up.set()
             await self._ends.wait()
 
@@ -274,7 +274,7 @@
 async def _within(mesh: Mesh, upstreams: list[Upstream]) -> AsyncIterator[Within]:
     settings = []
     for at, upstream in enumerate(upstreams):
-        found = read(mesh.write_sluice(at, upstream).read_text())
+        found = read(mesh.write_proxy(at, upstream).read_text())
         assert isinstance(found, Settings), found
         settings.append(found)
     there = Within(settings)
@@ -292,7 +292,7 @@
     mesh = Mesh.of(folder, 1, 2)
     upstreams = await _upstreams(mesh)
     try:
-        await mesh.reservoir(0)
+        await mesh.controller(0)
         async with _within(mesh, upstreams) as there:
             await _take_up(mesh, upstreams)
             await closed_loop(mesh.outbound(SIDE), 1, WARM)
--- a/benchmarks/mesh_stages.py
+++ b/benchmarks/mesh_stages.py
@@ -1,6 +1,6 @@
 """Settings in stages, in virtual time: the shipped programs of both kinds, no sockets, no sleeping.
 
-    python -m benchmarks.mesh_stages [--sluices 10 100 300] [--plays 20] [--states SECONDS]
+    python -m benchmarks.mesh_stages [--proxies 10 100 300] [--plays 20] [--states SECONDS]
 
 For each size, with the hold and without it: a route moves to another service while nothing else happens; how
 long its acknowledgement took, and from there until it is in force at the sidecars (below 0: before it); the
@@ -25,13 +25,13 @@
 from unittest import mock
 
 from benchmarks.mesh_news import Meter
-from rigs.mesh_world.staged import Staged, rule
-from rigs.mesh_world.world import Machine, Script
+from mesh.rollout import bounds
+from mesh.rollout.bounds import derive
+from mesh.rollout.canary_verdict import Tally, worse
 from rigs.stage_model import LARGE, SIZES, Stages
+from simulation.mesh.staged import Staged, rule
+from simulation.mesh.world import Machine, Script
 from statecheck import explore
-from waterworks.lock import bounds
-from waterworks.lock.bounds import derive
-from waterworks.lock.word import Tally, worse
 
 CHANGES = 8
 GROUP, PAUSE_S = 100, 0.5
@@ -82,7 +82,7 @@
         found = {name: statistics.median(one[name] for one in self.rounds) for name in self.rounds[0]}
         found["worst_last_s"] = max(one["last_s"] for one in self.rounds)
         return {
-            "sluices": self.count,
+            "proxies": self.count,
             "hold_share": self.share,
             "took_cpu_s": round(time.process_time() - began, 1),
             **{name: round(value, 4) for name, value in found.items()},
@@ -164,12 +164,12 @@
 
 def main() -> None:
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    words.add_argument("--sluices", type=int, nargs="*", default=[10, 100, 300])
+    words.add_argument("--proxies", type=int, nargs="*", default=[10, 100, 300])
     words.add_argument("--plays", type=int, default=20)
     words.add_argument("--states", type=float, default=0.0, help="seconds for each size of the model")
     given = words.parse_args()
     found: dict[str, Any] = {"spread": [], "states": []}
-    for count in given.sluices:
+    for count in given.proxies:
         for share in (bounds.HOLD_SHARE, 0.0):
             row = Spread(count, share).play()
             found["spread"].append(row)
--- a/benchmarks/order_plays.py
+++ b/benchmarks/order_plays.py
@@ -16,8 +16,8 @@
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 
-from rigs.mesh_world.plays import play
 from rigs.order_model import SIZES, Orders
+from simulation.mesh.plays import play
 from statecheck import explore
 
 
--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -14,8 +14,8 @@
 import time
 from typing import Any
 
-from rigs.mesh_world.plays import order
-from rigs.mesh_world.world import Script, World
+from simulation.mesh.plays import order
+from simulation.mesh.world import Script, World
 
 CORES = (3, 5)
 
@@ -26,9 +26,9 @@
     told: dict[str, Any] = {}
 
     def script(world: World) -> Script:
-        yield from world.boot(cores, sluices=1)
+        yield from world.boot(cores, proxies=1)
         yield world.env.timeout(1.0)
-        yield from world.commit(world.reservoirs(), order(["r0"], 1, 1))
+        yield from world.commit(world.controllers(), order(["r0"], 1, 1))
         yield world.env.timeout(1.0)
         sent = [0, 0]
         carry = world.wire.send
@@ -41,7 +41,7 @@
 
         world.wire.send = send  # type: ignore[method-assign]
         world.counting = True
-        machines = world.reservoirs()
+        machines = world.controllers()
         for number in range(orders):
             began = float(world.env.now)
             answer = yield from world.patch(
@@ -70,11 +70,11 @@
     told: dict[str, Any] = {}
 
     def script(world: World) -> Script:
-        yield from world.boot(3, sluices=1)
+        yield from world.boot(3, proxies=1)
         yield world.env.timeout(1.0)
         body = order([f"r{n}" for n in range(routes)], 1, 1)
         began, cpu = float(world.env.now), time.process_time()
-        answer = yield from world.patch(world.reservoirs()[0], body)
+        answer = yield from world.patch(world.controllers()[0], body)
         told["cpu_ms"] = round((time.process_time() - cpu) * 1000.0)
         told["status"] = answer.status if answer is not None else None
         told["ack_ms"] = round((float(world.env.now) - began) * 1000.0, 1)
--- a/benchmarks/scale_fit.py
+++ b/benchmarks/scale_fit.py
@@ -1,7 +1,7 @@
-"""Slopes out of the scale run's result files: each measure over the sluices, fitted by least squares (numpy).
+"""Slopes out of the scale run's result files: each measure over the proxies, fitted by least squares (numpy).
 
 A flat fit is a mean, where the mechanism knows no size; a linear one a + b·x, a square one a + b·x² (a
-reservoir's links, times the sluices that each one's vectors name); a power is a·x^k, fitted over logarithms.
+controller's links, times the proxies that each one's vectors name); a power is a·x^k, fitted over logarithms.
 Its residual is the largest relative distance of a measured size from it, and its range the sizes it was
 fitted over; beyond them it is a guess, and the page says how far beyond.
 """
@@ -21,8 +21,8 @@
 LEAST_SIZES = 4
 LAG_S = 0.5  # a part in which a hollow process was further behind its clock measures the run, not the mesh
 LONG = frozenset({"back"})  # parts of a minute, which bear more of it
-ASKED = 3  # reservoirs that a sluice asks, of the run's settings and of the plan's
-CORES = 5  # reservoirs of the run
+ASKED = 3  # controllers that a proxy asks, of the run's settings and of the plan's
+CORES = 5  # controllers of the run
 
 Size = dict[str, Any]
 Form = Literal["flat", "linear", "square", "power"]
@@ -111,36 +111,36 @@
 
 # The form of the fit, the part that it is measured in, and the measure.
 MEASURES: dict[str, tuple[Form, str, Callable[[Size], float]]] = {
-    # reservoir
-    "reservoir.quiet.cpu_ms": ("linear", "quiet", lambda s: quiet(s, "reservoir_cpu_ms")),
-    "reservoir.change.cpu_ms": (
+    # controller
+    "controller.quiet.cpu_ms": ("linear", "quiet", lambda s: quiet(s, "controller_cpu_ms")),
+    "controller.change.cpu_ms": (
         "power",
         "change",
-        lambda s: over(s, "change", "reservoir_cpu_ms", "changes"),
+        lambda s: over(s, "change", "controller_cpu_ms", "changes"),
     ),
-    "reservoir.restart.cpu_ms": (
+    "controller.restart.cpu_ms": (
         "power",
         "restart",
-        lambda s: over(s, "restart", "reservoir_cpu_ms", "restarted"),
+        lambda s: over(s, "restart", "controller_cpu_ms", "restarted"),
     ),
-    "reservoir.back.cpu_ms": ("power", "back", told("back", "reservoir_cpu_ms")),
-    "reservoir.rss_mb": ("square", "quiet", told("quiet", "reservoir_mb")),
-    "reservoir.disk_kb": ("flat", "quiet", told("quiet", "disk_kb")),
-    # sluice
-    "sluice.quiet.cpu_ms": ("linear", "quiet", lambda s: quiet(s, "sluice_cpu_ms")),
-    "sluice.change.cpu_ms": ("flat", "change", lambda s: over(s, "change", "sluice_cpu_ms", "changes")),
-    "sluice.restart.cpu_ms": (
+    "controller.back.cpu_ms": ("power", "back", told("back", "controller_cpu_ms")),
+    "controller.rss_mb": ("square", "quiet", told("quiet", "controller_mb")),
+    "controller.disk_kb": ("flat", "quiet", told("quiet", "disk_kb")),
+    # proxy
+    "proxy.quiet.cpu_ms": ("linear", "quiet", lambda s: quiet(s, "proxy_cpu_ms")),
+    "proxy.change.cpu_ms": ("flat", "change", lambda s: over(s, "change", "proxy_cpu_ms", "changes")),
+    "proxy.restart.cpu_ms": (
         "flat",
         "restart",
-        lambda s: over(s, "restart", "sluice_cpu_ms", "restarted"),
+        lambda s: over(s, "restart", "proxy_cpu_ms", "restarted"),
     ),
-    "sluice.rss_mb": ("linear", "quiet", told("quiet", "sluice_mb")),
-    "sluice.quiet.bytes": ("flat", "quiet", lambda s: quiet(s, "bytes")),
-    "sluice.change.bytes": ("flat", "change", lambda s: over(s, "change", "bytes", "changes")),
-    "sluice.change.messages": ("flat", "change", lambda s: over(s, "change", "messages", "changes")),
-    "sluice.restart.bytes": ("flat", "restart", lambda s: over(s, "restart", "bytes", "restarted")),
-    "sluice.restart.messages": ("flat", "restart", lambda s: over(s, "restart", "messages", "restarted")),
-    "sluice.back.bytes": ("linear", "back", told("back", "bytes")),
+    "proxy.rss_mb": ("linear", "quiet", told("quiet", "proxy_mb")),
+    "proxy.quiet.bytes": ("flat", "quiet", lambda s: quiet(s, "bytes")),
+    "proxy.change.bytes": ("flat", "change", lambda s: over(s, "change", "bytes", "changes")),
+    "proxy.change.messages": ("flat", "change", lambda s: over(s, "change", "messages", "changes")),
+    "proxy.restart.bytes": ("flat", "restart", lambda s: over(s, "restart", "bytes", "restarted")),
+    "proxy.restart.messages": ("flat", "restart", lambda s: over(s, "restart", "messages", "restarted")),
+    "proxy.back.bytes": ("linear", "back", told("back", "bytes")),
     # times
     "change.ack_s": ("linear", "change", told("change", "ack_s")),
     "change.force_s": ("flat", "change", told("change", "force_s")),
@@ -152,9 +152,9 @@
 
 
 def usable(sizes: Sequence[Size]) -> list[Size]:
-    """Those of the run's own number of reservoirs, by size; of one size the last. One that failed counts with
-    the parts that were whole before: what it failed in is not among its parts."""
-    found = {one["hollow"]: one for one in sizes if one["parts"] and one["reservoirs"] == CORES}
+    """Those of the run's own number of controllers, by size; of one size the last. One that failed counts
+    with the parts that were whole before: what it failed in is not among its parts."""
+    found = {one["hollow"]: one for one in sizes if one["parts"] and one["controllers"] == CORES}
     return [found[hollow] for hollow in sorted(found)]
 
 
@@ -168,8 +168,8 @@
 
 
 def count(size: Size) -> float:
-    """Its sluices, hollow and real."""
-    return float(size["hollow"] + size["sluices"])
+    """Its proxies, hollow and real."""
+    return float(size["hollow"] + size["proxies"])
 
 
 def fits(sizes: Sequence[Size]) -> dict[str, Fit]:
@@ -185,10 +185,10 @@
 
 
 def played(path: Path = NEWEST) -> list[Size]:
-    """All of the run's own number of reservoirs, by size, whatever became of them."""
+    """All of the run's own number of controllers, by size, whatever became of them."""
     told: Mapping[str, list[Size]] = json.loads(path.read_text())
     return sorted(
-        (one for one in told["sizes"] if one["reservoirs"] == CORES and one["parts"]),
+        (one for one in told["sizes"] if one["controllers"] == CORES and one["parts"]),
         key=lambda one: int(one["hollow"]),
     )
 
--- a/benchmarks/scale_kinds.py
+++ b/benchmarks/scale_kinds.py
@@ -1,4 +1,4 @@
-"""Kinds of state and of frames at the plan's size: what a role holds, what a sluice says and hears."""
+"""Kinds of state and of frames at the plan's size: what a role holds, what a proxy says and hears."""
 
 from __future__ import annotations
 
@@ -8,11 +8,12 @@
 import msgspec
 
 from benchmarks.scale_fit import LAG_S, LONG, count, fit, sound
-from waterworks.aquifer.items import Item
-from waterworks.leat.exchange import pack
-from waterworks.lock.report import REPORT, Report
-from waterworks.lock.report import pack as pack_report
-from waterworks.manifold.decode import ROUTE
+from mesh.configuration.commands import ROUTE
+from mesh.data_plane.membership import PROXY
+from mesh.dissemination.pull_exchange import pack
+from mesh.replication.items import Item
+from mesh.rollout.report import REPORT, Report
+from mesh.rollout.report import pack as pack_report
 
 Size = dict[str, Any]
 EVENTS = (("change", "changes"), ("restart", "restarted"))  # parts, and the field that counts their events
@@ -22,14 +23,14 @@
     return len(msgspec.json.encode(told))
 
 
-def state(sluices: int, machines: int, asked: int, routes: int) -> list[tuple[str, str, int, int, int]]:
-    """Kind, where it is held, bytes of one as told, how many a sluice holds, and how many a reservoir."""
+def state(proxies: int, machines: int, asked: int, routes: int) -> list[tuple[str, str, int, int, int]]:
+    """Kind, where it is held, bytes of one as told, how many a proxy holds, and how many a controller."""
     source = "sidecar-12345.0a1b2c3d"
     node = Item(
         "node",
         "sidecar-12345",
         1_700_000_000_000,
-        {"address": "10.128.0.9:7000", "role": "sluice", "zone": "zone-11", "region": "region-4"},
+        {"address": "10.128.0.9:7000", "role": PROXY, "zone": "zone-11", "region": "region-4"},
         source,
         1,
     )
@@ -70,29 +71,29 @@
         REPORT, "sidecar-12345", 1_700_000_000_000, pack_report(Report(vector, {}, 0, ())), source, 1
     )
     entry = _bytes({source: 2}) - 1
-    links = asked * sluices // machines + machines
+    links = asked * proxies // machines + machines
     return [
-        ("node", "roll", _bytes(pack(node)), sluices + machines, sluices + machines),
-        ("instance", "roll", _bytes(pack(instance)), sluices, sluices),
+        ("node", "roll", _bytes(pack(node)), proxies + machines, proxies + machines),
+        ("instance", "roll", _bytes(pack(instance)), proxies, proxies),
         ("route", "charter", _bytes(pack(route)), routes, routes),
-        ("report", "reports", _bytes(pack(report)), 1, sluices),
-        ("entry of the roll's vector", "roll", entry, sluices + machines, sluices + machines),
+        ("report", "reports", _bytes(pack(report)), 1, proxies),
+        ("entry of the roll's vector", "roll", entry, proxies + machines, proxies + machines),
         (
             "entries told to and asked by peers",
             "links",
             entry,
-            2 * asked * (sluices + machines),
-            2 * links * (sluices + machines),
+            2 * asked * (proxies + machines),
+            2 * links * (proxies + machines),
         ),
     ]
 
 
-def state_table(sluices: int, machines: int, asked: int, routes: int) -> str:
+def state_table(proxies: int, machines: int, asked: int, routes: int) -> str:
     lines = [
-        "| kind | held in | bytes of one, as told | a sluice holds | a reservoir holds |",
+        "| kind | held in | bytes of one, as told | a proxy holds | a controller holds |",
         "| --- | --- | --- | --- | --- |",
     ]
-    for kind, where, size, side, core in state(sluices, machines, asked, routes):
+    for kind, where, size, side, core in state(proxies, machines, asked, routes):
         lines.append(f"| {kind} | {where} | {size} | {side:,} | {core:,} |")
     return "\n".join(lines)
 
--- a/benchmarks/scale_plan.py
+++ b/benchmarks/scale_plan.py
@@ -31,24 +31,24 @@
     sound,
 )
 from benchmarks.scale_kinds import frames_table, state_table, troubles_table
-from waterworks.reservoir.program import MOST_ROLL
-from waterworks.weir.reaping import spans
-from waterworks.weir.tombs import KEPT_S
+from mesh.control_plane.program import MOST_ROLL
+from mesh.membership.failure_detection import spans
+from mesh.membership.tombstones import KEPT_S
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
-CORES_SERIES = RESULTS / "scale-cores.json"  # one size with more reservoirs
-REST = RESULTS / "scale-index.json"  # sluices at rest since they find instances by an index
+CORES_SERIES = RESULTS / "scale-cores.json"  # one size with more controllers
+REST = RESULTS / "scale-index.json"  # proxies at rest since they find instances by an index
 REQUEST = RESULTS / "mesh-request.json"
 DAY_S = 86_400.0
 
 # The operators' plan.
-SLUICES, SERVICES, MACHINES = 17_000, 1_700, 20
+PROXIES, SERVICES, MACHINES = 17_000, 1_700, 20
 CALLS_S, ADDED_MS, DEEP = 790_000.0, 0.32, 18
 CHANGES_S, RESTARTS_S, FAILURES_S = 42_000 / DAY_S, 2_800 / DAY_S, 100 / DAY_S
 FORCE_S, BACK_S = 10.0, 60.0
 SIDE_CORE, SIDE_MB, SIDE_BYTES_S = 0.021, 256.0, 2048.0
 # Not in the plan, assumed here and said so on the page.
-CALLED = 20  # services that one sluice calls
+CALLED = 20  # services that one proxy calls
 ROUTES = 5 * SERVICES
 CORE_MB, CORE_FILES, DISK_MB = 296.0, 4096, 256.0  # a core machine's, as the sites have it today
 
@@ -89,64 +89,64 @@
         cores: Sequence[dict[str, Any]],
         rest: Sequence[dict[str, Any]],
     ) -> None:
-        """``cores``: sizes with more reservoirs than CORES, to tell what goes with a reservoir's links from
-        what goes with all sluices. ``rest``: of a later program, for sluices at rest."""
+        """``cores``: sizes with more controllers than CORES, to tell what goes with a controller's links from
+        what goes with all proxies. ``rest``: of a later program, for proxies at rest."""
         self.fits: dict[str, Fit] = fits(sizes)
-        form, part, measure = MEASURES["sluice.quiet.cpu_ms"]
+        form, part, measure = MEASURES["proxy.quiet.cpu_ms"]
         later = sound(rest, part)
-        self.fits["sluice.quiet.cpu_ms"] = fit(form, [count(s) for s in later], [measure(s) for s in later])
+        self.fits["proxy.quiet.cpu_ms"] = fit(form, [count(s) for s in later], [measure(s) for s in later])
         self.sizes = sizes
         self.shares = {
-            part: self._share(sound(cores, part), MEASURES[f"reservoir.{part}.cpu_ms"][2])
+            part: self._share(sound(cores, part), MEASURES[f"controller.{part}.cpu_ms"][2])
             for part in ("quiet", "change", "restart", "back")
         }
 
     def _share(self, cores: Sequence[dict[str, Any]], measure: Any) -> float:
-        """Of a reservoir's work, the part that falls as more reservoirs share the links: from one size at two
-        numbers of reservoirs, cost = links·a + rest."""
+        """Of a controller's work, the part that falls as more controllers share the links: from one size at
+        two numbers of controllers, cost = links·a + rest."""
         for more in cores:
             for few in self.sizes:
                 if few["hollow"] == more["hollow"]:
-                    fewer = CORES / more["reservoirs"]
+                    fewer = CORES / more["controllers"]
                     share = (1.0 - measure(more) / measure(few)) / (1.0 - fewer)
                     return float(min(max(share, 0.0), 1.0))
-        raise ValueError("no size that was run at two numbers of reservoirs")
+        raise ValueError("no size that was run at two numbers of controllers")
 
-    def at(self, name: str, x: float = SLUICES) -> float:
+    def at(self, name: str, x: float = PROXIES) -> float:
         return max(self.fits[name].at(x), 0.0)
 
-    def reservoir(self, part: str) -> float:
-        """Milliseconds of one of MACHINES reservoirs, where it was measured with CORES."""
-        return self.at(f"reservoir.{part}.cpu_ms") * self._left(part)
+    def controller(self, part: str) -> float:
+        """Milliseconds of one of MACHINES controllers, where it was measured with CORES."""
+        return self.at(f"controller.{part}.cpu_ms") * self._left(part)
 
     def _left(self, part: str) -> float:
-        """Of what one of CORES reservoirs does, what one of MACHINES does."""
+        """Of what one of CORES controllers does, what one of MACHINES does."""
         share = self.shares[part]
         return share * CORES / MACHINES + 1.0 - share
 
     def rows(self) -> list[Row]:
-        found = [*self._reservoir(), *self._sluice(), *self._mesh()]
+        found = [*self._controller(), *self._proxy(), *self._mesh()]
         return sorted(found, key=lambda row: -row.ratio)
 
-    def _reservoir(self) -> list[Row]:
-        links = ASKED * SLUICES / MACHINES
-        rest = self.reservoir("quiet") / 1000.0
-        change = CHANGES_S * self.reservoir("change") / 1000.0
-        restart = (RESTARTS_S + FAILURES_S) * self.reservoir("restart") / 1000.0
-        own = SLUICES / MACHINES
-        back = self.reservoir("back") / 1000.0 / BACK_S
-        lists = 2.0 * SLUICES
-        memory = self.fits["reservoir.rss_mb"].at(SLUICES, CORES / MACHINES)
-        few = self.at("reservoir.change.cpu_ms", own) / 1000.0 * CHANGES_S
+    def _controller(self) -> list[Row]:
+        links = ASKED * PROXIES / MACHINES
+        rest = self.controller("quiet") / 1000.0
+        change = CHANGES_S * self.controller("change") / 1000.0
+        restart = (RESTARTS_S + FAILURES_S) * self.controller("restart") / 1000.0
+        own = PROXIES / MACHINES
+        back = self.controller("back") / 1000.0 / BACK_S
+        lists = 2.0 * PROXIES
+        memory = self.fits["controller.rss_mb"].at(PROXIES, CORES / MACHINES)
+        few = self.at("controller.change.cpu_ms", own) / 1000.0 * CHANGES_S
         return [
             Row(
-                "reservoir",
+                "controller",
                 "processor time for changes and their reports",
                 "cores",
                 change,
                 1.0,
                 "a process has one loop",
-                f"{CHANGES_S:.3f}/s · ({self.fits['reservoir.change.cpu_ms'].text()}) ms · "
+                f"{CHANGES_S:.3f}/s · ({self.fits['controller.change.cpu_ms'].text()}) ms · "
                 f"{self._left('change'):.2f}",
                 "each sidecar reports each change twice to all 3 that it asks, and each control process "
                 "tells every other each report",
@@ -158,18 +158,18 @@
                     ),
                     Way(
                         "zones add up: one sidecar a zone and change names those that lack it",
-                        self.at("reservoir.change.cpu_ms", 17 * 2) / 1000.0 * CHANGES_S,
+                        self.at("controller.change.cpu_ms", 17 * 2) / 1000.0 * CHANGES_S,
                     ),
                 ),
             ),
             Row(
-                "reservoir",
+                "controller",
                 "processor time at rest",
                 "cores",
                 rest,
                 1.0,
                 "a process has one loop",
-                f"({self.fits['reservoir.quiet.cpu_ms'].text()}) ms/s · {self._left('quiet'):.2f}",
+                f"({self.fits['controller.quiet.cpu_ms'].text()}) ms/s · {self._left('quiet'):.2f}",
                 "signs of life on 3N/R links, ticks that pass over them, `Duties.tick` over all nodes",
                 (
                     Way(
@@ -180,25 +180,25 @@
                 ),
             ),
             Row(
-                "reservoir",
+                "controller",
                 "processor time for restarts and failures",
                 "cores",
                 restart,
                 1.0,
                 "a process has one loop",
-                f"{RESTARTS_S + FAILURES_S:.4f}/s · ({self.fits['reservoir.restart.cpu_ms'].text()}) ms · "
+                f"{RESTARTS_S + FAILURES_S:.4f}/s · ({self.fits['controller.restart.cpu_ms'].text()}) ms · "
                 f"{self._left('restart'):.2f}",
                 "each item of the roll goes to every sidecar, and back to the two that it asks besides",
                 (Way("told only to those that call the service", restart * CALLED / SERVICES),),
             ),
             Row(
-                "reservoir",
+                "controller",
                 "processor time while all come back in a minute",
                 "cores",
                 back,
                 1.0,
                 "a process has one loop",
-                f"({self.fits['reservoir.back.cpu_ms'].text()}) ms / 60 s · {self._left('back'):.2f}",
+                f"({self.fits['controller.back.cpu_ms'].text()}) ms / 60 s · {self._left('back'):.2f}",
                 "every newcomer is told the whole membership, and all are told of every newcomer",
                 (
                     Way("told only of the services it calls", back * CALLED / SERVICES),
@@ -206,7 +206,7 @@
                 ),
             ),
             Row(
-                "reservoir",
+                "controller",
                 "items of the membership",
                 "items",
                 lists + (RESTARTS_S + FAILURES_S) * KEPT_S,
@@ -216,32 +216,32 @@
                 "node and instance are an item each; past the bound a sidecar cannot say that it is there",
                 (
                     Way("a bound of 4·N that follows from the settings: half of it is held", None),
-                    Way("node and instance in one item", SLUICES),
+                    Way("node and instance in one item", PROXIES),
                     Way("a control process holds its own zones' and the others' digests", lists / 17),
                 ),
             ),
             Row(
-                "reservoir",
+                "controller",
                 "memory",
                 "MB",
                 memory,
                 CORE_MB,
                 "a core machine of today's sites",
-                f"({self.fits['reservoir.rss_mb'].text()}) MB, N² · {CORES}/R",
+                f"({self.fits['controller.rss_mb'].text()}) MB, N² · {CORES}/R",
                 "stores, vectors of every link (told and asked, an entry for each sidecar), reports",
                 (
                     Way(
-                        "vectors of a link by digest, entries only where they differ: a sluice's lists",
-                        self.at("sluice.rss_mb"),
+                        "vectors of a link by digest, entries only where they differ: a proxy's lists",
+                        self.at("proxy.rss_mb"),
                     ),
                     Way(
                         "its own zones' sidecars alone, the others by digest",
-                        self.at("reservoir.rss_mb", SLUICES / 17),
+                        self.at("controller.rss_mb", PROXIES / 17),
                     ),
                 ),
             ),
             Row(
-                "reservoir",
+                "controller",
                 "links",
                 "descriptors",
                 links + MACHINES,
@@ -251,100 +251,100 @@
                 "three links a sidecar, spread by rendezvous",
             ),
             Row(
-                "reservoir",
+                "controller",
                 "disk",
                 "MB",
-                (self.at("reservoir.disk_kb") + self._route_bytes("disk_kb") / 1024.0 * ROUTES) / 1024.0,
+                (self.at("controller.disk_kb") + self._route_bytes("disk_kb") / 1024.0 * ROUTES) / 1024.0,
                 DISK_MB,
                 "a core machine of today's sites",
-                f"{self.at('reservoir.disk_kb'):.0f} kB + {self._route_bytes('disk_kb'):.0f} B · routes",
+                f"{self.at('controller.disk_kb'):.0f} kB + {self._route_bytes('disk_kb'):.0f} B · routes",
                 "lmdb, one row an item; the membership is not on disk",
             ),
         ]
 
-    def _sluice(self) -> list[Row]:
-        rest = self.at("sluice.quiet.cpu_ms")
+    def _proxy(self) -> list[Row]:
+        rest = self.at("proxy.quiet.cpu_ms")
         events = RESTARTS_S + FAILURES_S
         cpu = (
-            rest + CHANGES_S * self.at("sluice.change.cpu_ms") + events * self.at("sluice.restart.cpu_ms")
+            rest + CHANGES_S * self.at("proxy.change.cpu_ms") + events * self.at("proxy.restart.cpu_ms")
         ) / 1000.0
         carried = (
-            self.at("sluice.quiet.bytes")
-            + CHANGES_S * self.at("sluice.change.bytes")
-            + events * self.at("sluice.restart.bytes")
+            self.at("proxy.quiet.bytes")
+            + CHANGES_S * self.at("proxy.change.bytes")
+            + events * self.at("proxy.restart.bytes")
         )
-        few_known = CALLED * SLUICES / SERVICES
+        few_known = CALLED * PROXIES / SERVICES
         few_cpu = (
-            self.at("sluice.quiet.cpu_ms", few_known)
-            + CHANGES_S * self.at("sluice.change.cpu_ms", few_known)
-            + events * CALLED / SERVICES * self.at("sluice.restart.cpu_ms", few_known)
+            self.at("proxy.quiet.cpu_ms", few_known)
+            + CHANGES_S * self.at("proxy.change.cpu_ms", few_known)
+            + events * CALLED / SERVICES * self.at("proxy.restart.cpu_ms", few_known)
         ) / 1000.0
-        few_bytes = self.at("sluice.quiet.bytes") + CHANGES_S * self.at("sluice.change.bytes") / ASKED
-        routes_mb = self._route_bytes("sluice_mb") * 1024.0 / 2**20 * ROUTES
-        change = self.fits["sluice.change.bytes"].text()
+        few_bytes = self.at("proxy.quiet.bytes") + CHANGES_S * self.at("proxy.change.bytes") / ASKED
+        routes_mb = self._route_bytes("proxy_mb") * 1024.0 / 2**20 * ROUTES
+        change = self.fits["proxy.change.bytes"].text()
         return [
             Row(
-                "sluice",
+                "proxy",
                 "processor time for control",
                 "cores",
                 cpu,
                 SIDE_CORE,
                 "operators",
-                f"({self.fits['sluice.quiet.cpu_ms'].text()} + {CHANGES_S:.3f}·"
-                f"({self.fits['sluice.change.cpu_ms'].text()}) + {events:.3f}·"
-                f"({self.fits['sluice.restart.cpu_ms'].text()})) ms/s",
+                f"({self.fits['proxy.quiet.cpu_ms'].text()} + {CHANGES_S:.3f}·"
+                f"({self.fits['proxy.change.cpu_ms'].text()}) + {events:.3f}·"
+                f"({self.fits['proxy.restart.cpu_ms'].text()})) ms/s",
                 "ticks that compare the vectors of all sources, every item of the roll merged",
                 (Way(f"news of the {CALLED} services that it calls", few_cpu),),
             ),
             Row(
-                "sluice",
+                "proxy",
                 "bytes for control",
                 "B/s",
                 carried,
                 SIDE_BYTES_S,
                 "operators",
-                f"{self.fits['sluice.quiet.bytes'].text()} + {CHANGES_S:.3f}·({change}) + {events:.3f}·"
-                f"({self.fits['sluice.restart.bytes'].text()}) B/s",
+                f"{self.fits['proxy.quiet.bytes'].text()} + {CHANGES_S:.3f}·({change}) + {events:.3f}·"
+                f"({self.fits['proxy.restart.bytes'].text()}) B/s",
                 "signs of life on three links, each change told once, two reports told three times each",
                 (
                     Way("reports to the first that it asks alone, the roll of its services alone", few_bytes),
                     Way(
                         "routes by service as well: a sidecar is told of 20 services in 1,700",
-                        self.at("sluice.quiet.bytes")
-                        + CHANGES_S * CALLED / SERVICES * self.at("sluice.change.bytes"),
+                        self.at("proxy.quiet.bytes")
+                        + CHANGES_S * CALLED / SERVICES * self.at("proxy.change.bytes"),
                     ),
                 ),
             ),
             Row(
-                "sluice",
+                "proxy",
                 "bytes in the minute in which all come back",
                 "B/s",
-                self.at("sluice.back.bytes") / BACK_S,
+                self.at("proxy.back.bytes") / BACK_S,
                 SIDE_BYTES_S,
                 "operators, of any second",
-                f"({self.fits['sluice.back.bytes'].text()}) B / 60 s",
+                f"({self.fits['proxy.back.bytes'].text()}) B / 60 s",
                 "the list of all as it comes, and every newcomer told",
                 (
                     Way(
                         "told only of the services it calls",
-                        self.at("sluice.back.bytes") * CALLED / SERVICES / BACK_S,
+                        self.at("proxy.back.bytes") * CALLED / SERVICES / BACK_S,
                     ),
                     Way("that, and names told by number instead of text", None),
                 ),
             ),
             Row(
-                "sluice",
+                "proxy",
                 "memory for control",
                 "MB",
-                self.at("sluice.rss_mb") + routes_mb,
+                self.at("proxy.rss_mb") + routes_mb,
                 SIDE_MB,
                 "operators",
-                f"({self.fits['sluice.rss_mb'].text()}) MB + {routes_mb / ROUTES * 1024:.2f} kB · routes",
+                f"({self.fits['proxy.rss_mb'].text()}) MB + {routes_mb / ROUTES * 1024:.2f} kB · routes",
                 "the whole membership: items, vector, told and asked entries of three links",
                 (
                     Way(
                         f"the {CALLED} services that it calls",
-                        self.at("sluice.rss_mb", few_known) + routes_mb,
+                        self.at("proxy.rss_mb", few_known) + routes_mb,
                     ),
                 ),
             ),
@@ -390,7 +390,7 @@
                 (
                     Way(
                         "told only of the services it calls",
-                        max(self.at("back.known_s", CALLED * SLUICES / SERVICES), BACK_S),
+                        max(self.at("back.known_s", CALLED * PROXIES / SERVICES), BACK_S),
                     ),
                 ),
             ),
@@ -432,7 +432,7 @@
         "misses": ["| role | what | at the plan's size | bound | ratio | today's mechanism | formula |"],
         "holds": ["| role | what | at the plan's size | bound | ratio | carried by | formula |"],
         "ways": ["| role | what | way | would come to | of the bound |"],
-        "slopes": ["| measure | fit over N sluices | residual, range |"],
+        "slopes": ["| measure | fit over N proxies | residual, range |"],
     }
     for name, those in (("misses", missing), ("holds", holding)):
         found[name].append("| --- | --- | --- | --- | --- | --- | --- |")
@@ -456,7 +456,7 @@
     told = {name: "\n".join(lines) for name, lines in found.items()}
     rates = {"change": CHANGES_S, "restart": RESTARTS_S + FAILURES_S}
     return told | {
-        "state": state_table(SLUICES, MACHINES, ASKED, ROUTES),
+        "state": state_table(PROXIES, MACHINES, ASKED, ROUTES),
         "frames": frames_table(plan.sizes, rates),
         "troubles": troubles_table(played()),
     }
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -1,9 +1,9 @@
-"""A mesh at size on one machine: real reservoirs and some real sluices beside hollow ones, all on loopback.
+"""A mesh at size on one machine: real controllers and some real proxies beside hollow ones, all on loopback.
 
-    python -m benchmarks.scale_run [--hollow 100 300] [--reservoirs 5] [--sluices 3] [--processes 3]
+    python -m benchmarks.scale_run [--hollow 100 300] [--controllers 5] [--proxies 3] [--processes 3]
         [--only join quiet ...] [--silent 3] [--memory-gb 6] [--label NAME] [--json FILE]
 
-For each size the parts of PARTS, in their order: messages and bytes a sluice as the hollow ones count them,
+For each size the parts of PARTS, in their order: messages and bytes a proxy as the hollow ones count them,
 by kind; CPU (all threads), memory and disk of the real processes from /proc. Each size is bounded in time,
 and ends where the run's processes pass half of the machine's memory (--memory-gb asks for less); more than
 300 processes are not begun. Links may be silent for --silent seconds, where the machine is shared and holds
@@ -28,21 +28,21 @@
 from pathlib import Path
 from typing import Any
 
+from mesh.rollout.bounds import derive
+from mesh.runtime.settings import Bounds as Envelope
 from rigs.hollow.fleet import Fleet
 from rigs.hollow.machine import PROC, Bounds, Refused, disk_bytes, total_bytes, used
 from rigs.mesh_demo import CORE, SIDE, Mesh
 from rigs.mesh_peers import Operator, Upstream, call, change, polled, route
-from waterworks.headworks.settings import Bounds as Envelope
-from waterworks.lock.bounds import derive
 
 ZONES = [(f"z{at}", f"r{at % 8}") for at in range(17)]  # the plan's 17 zones in 8 regions
 AWAY_REGION, RACK_ZONE = "r3", 5
-SERVICES_SHARE = 0.1  # services a sluice, as in the plan
+SERVICES_SHARE = 0.1  # services a proxy, as in the plan
 ROUTES, MORE_ROUTES, CHANGES = 40, 500, 8
 BEAT_S = 1.5
 TOLERATED = 1  # machines, as write_settings has it
-STEP_S = 0.3  # between groups of hollow sluices that start
-GROUP_WORK = 1500  # sluices of a group, times all sluices: no process stands still for long over a group
+STEP_S = 0.3  # between groups of hollow proxies that start
+GROUP_WORK = 1500  # proxies of a group, times all proxies: no process stands still for long over a group
 QUIET_S = 10.0
 AWAY_S = 6.0
 BACK_S = 60.0
@@ -70,8 +70,8 @@
 
     folder: Path
     hollow: int
-    reservoirs: int
-    sluices: int
+    controllers: int
+    proxies: int
     processes: int
     only: Sequence[str]
     bounds: Bounds
@@ -88,7 +88,7 @@
 
     async def play(self) -> Told:
         began = time.monotonic()
-        self.mesh = Mesh.of(self.folder, self.reservoirs, self.sluices)
+        self.mesh = Mesh.of(self.folder, self.controllers, self.proxies)
         self.mesh.command = lambda program: ("-m", "rigs.hollow.patient", program, str(self.silent_s))
         self.fleet = Fleet(self.folder, self.processes)
         work = asyncio.create_task(self._script())
@@ -110,8 +110,8 @@
                 upstream.close()
         return {
             "hollow": self.hollow,
-            "reservoirs": self.reservoirs,
-            "sluices": self.sluices,
+            "controllers": self.controllers,
+            "proxies": self.proxies,
             "processes": self.processes,
             "silent_s": self.silent_s,
             "load": round(os.getloadavg()[1], 1),  # of the whole machine, at the end
@@ -152,20 +152,20 @@
                 print(json.dumps({"hollow": self.hollow, name: self.found[name]}), flush=True)
 
     async def _starts(self) -> None:
-        for at in range(self.reservoirs):
-            await self.mesh.reservoir(at)
-        controls = [self.mesh.control(CORE + at) for at in range(self.reservoirs)]
+        for at in range(self.controllers):
+            await self.mesh.controller(at)
+        controls = [self.mesh.control(CORE + at) for at in range(self.controllers)]
         self.operator = Operator(controls)
         rules = [route(f"r{at}", f"/r{at}/", "red") for at in range(ROUTES)]
         await self.operator.change(change(*rules, services=("red", "blue")), WITHIN_S)
         for control in controls:
             await self.operator.read(control, WITHIN_S)
-        for at in range(self.sluices):
+        for at in range(self.proxies):
             service = ("red", "blue")[at % 2]
             upstream = Upstream(f"{service}-{at}", service, lambda _: "ok", capacity=8)
             await upstream.start(f"{self.mesh.net}.{SIDE + at}")
             self.upstreams.append(upstream)
-            await self.mesh.sluice(at, upstream)
+            await self.mesh.proxy(at, upstream)
         hold_s = derive(Envelope().settle_ms, Envelope().ack_ms).hold_s
         seeds = [(ip, self.mesh.ports[0]) for ip in self.mesh.seeds]
         services = max(int(SERVICES_SHARE * self.hollow), 1)
@@ -186,7 +186,7 @@
         return Meters(time.monotonic(), cpu, *await self.fleet.counts())
 
     def _spent(self, before: Meters, after: Meters) -> Told:
-        """CPU milliseconds of the real processes; messages and bytes a hollow sluice, by kind."""
+        """CPU milliseconds of the real processes; messages and bytes a hollow proxy, by kind."""
 
         def cpu(kind: str) -> list[float]:
             return [
@@ -204,12 +204,12 @@
                     "bytes": round(size / self.hollow, 1),
                 }
         words = [one for name, one in kinds.items() if not name.endswith(".alive")]
-        cores, sides = cpu("reservoir"), cpu("sluice")
+        cores, sides = cpu("controller"), cpu("proxy")
         return {
             "seconds": round(after.at - before.at, 2),
-            "reservoir_cpu_ms": round(statistics.fmean(cores), 1),
-            "reservoir_cpu_most_ms": round(max(cores), 1),
-            "sluice_cpu_ms": round(statistics.fmean(sides), 1) if sides else None,
+            "controller_cpu_ms": round(statistics.fmean(cores), 1),
+            "controller_cpu_most_ms": round(max(cores), 1),
+            "proxy_cpu_ms": round(statistics.fmean(sides), 1) if sides else None,
             "messages": round(sum(one["messages"] for one in words), 2),
             "bytes": round(sum(one["bytes"] for one in kinds.values())),
             "kinds": kinds,
@@ -224,7 +224,7 @@
             if one is not None:
                 found.setdefault(node.partition("-")[0], []).append(one.rss_mb)
         held = {f"{kind}_mb": round(statistics.fmean(sizes), 2) for kind, sizes in found.items()}
-        disks = [disk_bytes(self.folder / f"disk-{at}") for at in range(self.reservoirs)]
+        disks = [disk_bytes(self.folder / f"disk-{at}") for at in range(self.controllers)]
         self.found[name] |= held | {"disk_kb": round(statistics.fmean(disks) / 1024.0, 1)}
 
     async def _measured(self, name: str, work: Callable[[], Awaitable[Told]]) -> None:
@@ -235,7 +235,7 @@
     # Coming to rest
 
     async def _rest(self, since: float, items: int | None = None) -> float:
-        """Until no hollow sluice's membership changes any more; seconds from ``since`` to the last change.
+        """Until no hollow proxy's membership changes any more; seconds from ``since`` to the last change.
         ``items``: so many at least are to be there. Raises TimeoutError."""
         ends = time.monotonic() + WITHIN_S
         while True:
@@ -251,8 +251,8 @@
             await asyncio.sleep(0.3)
 
     def _all(self, count: int) -> int:
-        """Items of the membership with so many hollow sluices: nodes, instances."""
-        return 2 * (count + self.sluices) + self.reservoirs
+        """Items of the membership with so many hollow proxies: nodes, instances."""
+        return 2 * (count + self.proxies) + self.controllers
 
     async def _start(self, numbers: Sequence[int]) -> float:
         """In groups; seconds from the first to when all know all."""
@@ -395,9 +395,10 @@
         await self._measured("region", leaves)
 
     async def _disk(self) -> None:
-        """The last reservoir is killed, its disk lost; until it has all that was acknowledged and says so."""
-        at = self.reservoirs - 1
-        node = f"reservoir-{at}"
+        """The last controller is killed, its disk lost; until it has all that was acknowledged and says
+        so."""
+        at = self.controllers - 1
+        node = f"controller-{at}"
         log, settings = self.folder / f"{node}.log", self.folder / f"{node}.toml"
 
         async def loses() -> Told:
@@ -406,7 +407,7 @@
             (self.folder / f"disk-{at}").mkdir()
             settings.write_text(settings.read_text().replace("cold_boot = true", "cold_boot = false"))
             seen, began = log.stat().st_size, time.monotonic()
-            await self.mesh.again(node, "reservoir")
+            await self.mesh.again(node, "control_plane")
 
             async def whole() -> bool:
                 with log.open("rb") as lines:
@@ -442,9 +443,9 @@
 def main() -> int:
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     words.add_argument("--hollow", type=int, nargs="+", default=[100, 300])
-    words.add_argument("--reservoirs", type=int, default=5, choices=range(3, 21), metavar="3..20")
-    words.add_argument("--sluices", type=int, default=3, choices=range(2, 21), metavar="2..20")
-    words.add_argument("--processes", type=int, default=3, help="of hollow sluices")
+    words.add_argument("--controllers", type=int, default=5, choices=range(3, 21), metavar="3..20")
+    words.add_argument("--proxies", type=int, default=3, choices=range(2, 21), metavar="2..20")
+    words.add_argument("--processes", type=int, default=3, help="of hollow proxies")
     words.add_argument("--only", nargs="+", default=list(PARTS), choices=PARTS)
     words.add_argument("--silent", type=float, default=3.0, help="seconds that a link may be silent")
     words.add_argument("--memory-gb", type=float, help="less than half of the machine's memory")
@@ -457,8 +458,8 @@
         rows = json.loads(given.json.read_text())["sizes"]
     failed = False
     for hollow in given.hollow:
-        row: Told = {"hollow": hollow, "reservoirs": given.reservoirs, "sluices": given.sluices}
-        plan = bounds.plan(hollow, given.sluices, given.reservoirs, given.processes)
+        row: Told = {"hollow": hollow, "controllers": given.controllers, "proxies": given.proxies}
+        plan = bounds.plan(hollow, given.proxies, given.controllers, given.processes)
         if isinstance(plan, Refused):
             row |= {"processes": given.processes, "outcome": f"refused: {plan.reason}", "parts": {}}
         else:
@@ -466,8 +467,8 @@
                 size = Size(
                     Path(folder),
                     hollow,
-                    given.reservoirs,
-                    given.sluices,
+                    given.controllers,
+                    given.proxies,
                     given.processes,
                     given.only,
                     bounds,
--- a/waterworks/valve/shares.py
+++ b/mesh/admission/fair_share.py
@@ -1,7 +1,7 @@
 """How often calls of each kind are passed on here, against all of them. No I/O; instants in milliseconds.
 
-A kind is told by its rank. Places go by rank (`waterworks.valve.line`), so in a long overload the least would
-get none at all; one that falls far behind has the next place, whatever else waits.
+A kind is told by its rank. Places go by rank (`mesh.admission.wait_queue`), so in a long overload the least
+would get none at all; one that falls far behind has the next place, whatever else waits.
 """
 
 from __future__ import annotations
--- a/waterworks/valve/passing.py
+++ b/mesh/admission/final_check.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from waterworks.weir.lives import Upstream
+from mesh.membership.instance_lifecycle import Upstream
 
 DRAIN_SHARE = 0.5  # of drain_ms from the acknowledgement of a drain, calls still pass; then none does
 # Calls at the upstream beyond its slots, as a share of these: one is there when a slot gets free. The others
--- a/waterworks/operate/bearing.py
+++ b/mesh/cli/bearing.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from waterworks.aquifer.items import Item, Key, same_content
-from waterworks.manifold.check import check
-from waterworks.manifold.decode import PLANT, ROUTE, Change, Write, label
-from waterworks.manifold.routes import Route, read_route
-from waterworks.operate.view import Told, number, part
+from mesh.cli.view import Told, number, part
+from mesh.configuration.commands import PLANT, ROUTE, Change, Write, label
+from mesh.configuration.routes import Route, read_route
+from mesh.configuration.validation import check
+from mesh.replication.items import Item, Key, same_content
 
 FEW = 5  # answers; of fewer nothing is concluded
 MOST_FIELDS = 200  # of one item's differences
--- a/waterworks/operate/asking.py
+++ b/mesh/cli/client.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from waterworks.aquifer.items import Item, Key
-from waterworks.operate.view import Process, Told, View, newest, read_items, text
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Address, Link, connect
-from waterworks.sluice.membership import INSTANCE, NODE, RESERVOIR, SLUICE
-from waterworks.weir.calls import read_address
+from mesh.cli.view import Process, Told, View, newest, read_items, text
+from mesh.data_plane.membership import CONTROLLER, INSTANCE, NODE, PROXY
+from mesh.membership.instance_commands import read_address
+from mesh.replication.items import Item, Key
+from mesh.transport.frames import Head
+from mesh.transport.link import Address, Link, connect
 
 AT_ONCE = 128  # links that are open at once
 COPIES = 3  # processes whose copies of a store are read
@@ -153,7 +153,9 @@
 async def items(processes: Sequence[Process], store: str, within_s: float) -> dict[Key, Item] | Silent:
     """What COPIES of these processes hold together, the first that answer in this order: control processes
     that hear enough others first."""
-    order = sorted(processes, key=lambda p: (not (p.told or {}).get("in_touch"), p.role != RESERVOIR, p.node))
+    order = sorted(
+        processes, key=lambda p: (not (p.told or {}).get("in_touch"), p.role != CONTROLLER, p.node)
+    )
     copies: list[list[Item]] = []
     why = Silent("no process to ask")
     for process in order:
@@ -173,11 +175,11 @@
         lambda address: status(f"{address[0]}:{address[1]}", address, within_s), dict.fromkeys(addresses)
     )
     found = [process for process in asked if process.told is not None]
-    return sorted(found, key=lambda p: (not (p.told or {}).get("in_touch"), p.role != RESERVOIR))
+    return sorted(found, key=lambda p: (not (p.told or {}).get("in_touch"), p.role != CONTROLLER))
 
 
 async def look(
-    addresses: Sequence[Address], within_s: float, roles: Sequence[str] = (RESERVOIR, SLUICE)
+    addresses: Sequence[Address], within_s: float, roles: Sequence[str] = (CONTROLLER, PROXY)
 ) -> View | Silent:
     """The mesh as those at these addresses know it; each of its processes in these roles is asked as
     well, and once more where it holds another configuration than most: a change may just be on its way."""
--- a/waterworks/operate/command.py
+++ b/mesh/cli/command.py
@@ -1,4 +1,4 @@
-"""The operators' command line: `python -m waterworks.operate`. docs/operate/command_line.md has each
+"""The operators' command line: `python -m mesh.cli`. docs/operate/command_line.md has each
 command's output and what the exit codes mean."""
 
 from __future__ import annotations
@@ -10,12 +10,12 @@
 
 import typer
 
-from waterworks.operate import shape
-from waterworks.operate.asking import Answered, Refused, Silent, all_of, ask, look
-from waterworks.operate.config import config
-from waterworks.operate.judge import findings
-from waterworks.operate.members import members
-from waterworks.operate.options import (
+from mesh.cli import shape
+from mesh.cli.client import Answered, Refused, Silent, all_of, ask, look
+from mesh.cli.config import config
+from mesh.cli.judge import findings
+from mesh.cli.members import members
+from mesh.cli.options import (
     FINDINGS,
     FINE,
     NOBODY,
@@ -31,12 +31,12 @@
     heard,
     tell,
 )
-from waterworks.operate.rollout import rollout
-from waterworks.operate.state import state
-from waterworks.operate.text import names
-from waterworks.operate.view import Process, Told, View, number, text
-from waterworks.penstock.link import Address
-from waterworks.sluice.membership import SLUICE
+from mesh.cli.rollout import rollout
+from mesh.cli.state import state
+from mesh.cli.text import names
+from mesh.cli.view import Process, Told, View, number, text
+from mesh.data_plane.membership import PROXY
+from mesh.transport.link import Address
 
 app = typer.Typer(
     add_completion=False,
@@ -91,7 +91,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Upstreams counted by service, or those of one service as the sidecars see them."""
-    view = heard(look(found(at, settings, as_json), wait, (SLUICE,) if service else ()), as_json)
+    view = heard(look(found(at, settings, as_json), wait, (PROXY,) if service else ()), as_json)
     if not service:
         counted = shape.services(view)
         tell(counted, shape.all_services(counted), as_json)
@@ -121,7 +121,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Both hops of a call of late: what was decided, and how it ended."""
-    view = heard(look(found(at, settings, as_json), wait, (SLUICE,)), as_json)
+    view = heard(look(found(at, settings, as_json), wait, (PROXY,)), as_json)
     told, silent = asyncio.run(_ask_all(view, "trace", wait, attempt=attempt))
     entries: list[dict[str, Any]] = []
     for node, one in told:
@@ -150,8 +150,8 @@
 ) -> None:
     """Where a request would go, as one sidecar sees it: route, services, upstreams, and why each."""
     view = heard(look(found(at, settings, as_json), wait, ()), as_json)
-    answering = view.answering(SLUICE)
-    others = [p for p in view.processes if text(view.nodes.get(p.name), "role") == SLUICE]
+    answering = view.answering(PROXY)
+    others = [p for p in view.processes if text(view.nodes.get(p.name), "role") == PROXY]
     if where:
         answering = [p for p in view.processes if p.name == where]
         if not answering:
@@ -184,9 +184,9 @@
     view: View, question: str, wait: float, **what: Any
 ) -> tuple[list[tuple[str, Told]], list[str]]:
     """The answers of all sidecars, by node, and those that gave none."""
-    asked = view.answering(SLUICE)
+    asked = view.answering(PROXY)
     silent = [
-        p.name for p in view.processes if p.told is None and text(view.nodes.get(p.name), "role") == SLUICE
+        p.name for p in view.processes if p.told is None and text(view.nodes.get(p.name), "role") == PROXY
     ]
 
     async def one(process: Process) -> Answered | Refused | Silent:
--- a/waterworks/operate/config.py
+++ b/mesh/cli/config.py
@@ -13,12 +13,9 @@
 import msgspec
 import typer
 
-from waterworks.aquifer.items import Item, Key
-from waterworks.manifold.decode import INPUT_LIMITS, Change, Invalid, decode_change, label
-from waterworks.manifold.render import render
-from waterworks.operate import bearing, sending
-from waterworks.operate.asking import Answered, Silent, all_of, ask, items, look
-from waterworks.operate.options import (
+from mesh.cli import bearing, write_client
+from mesh.cli.client import Answered, Silent, all_of, ask, items, look
+from mesh.cli.options import (
     FINDINGS,
     FINE,
     NOBODY,
@@ -34,11 +31,14 @@
     heard,
     tell,
 )
-from waterworks.operate.text import wrapped
-from waterworks.operate.view import View, number, text
-from waterworks.penstock.link import Address
-from waterworks.sluice.membership import RESERVOIR, SLUICE
-from waterworks.weir.calls import read_address
+from mesh.cli.text import wrapped
+from mesh.cli.view import View, number, text
+from mesh.configuration.commands import INPUT_LIMITS, Change, Invalid, decode_change, label
+from mesh.configuration.read_back import render
+from mesh.data_plane.membership import CONTROLLER, PROXY
+from mesh.membership.instance_commands import read_address
+from mesh.replication.items import Item, Key
+from mesh.transport.link import Address
 
 PATH = b"/configuration"
 MOST_FILE = 64 * 1024 * 1024  # bytes
@@ -108,7 +108,7 @@
 
 def controls(view: View) -> list[Address]:
     """Where the operator's calls go, control processes that hear enough others first."""
-    order = sorted(view.answering(RESERVOIR), key=lambda p: not (p.told or {}).get("in_touch"))
+    order = sorted(view.answering(CONTROLLER), key=lambda p: not (p.told or {}).get("in_touch"))
     found = [read_address(text(process.told, "control")) for process in order]
     return [address for address in found if address is not None]
 
@@ -132,9 +132,9 @@
             (i.kind, i.name, i.version, dict(i.value)) for i in standing.values() if i.value is not None
         )
     else:
-        view = heard(look(addresses, wait, (RESERVOIR,)), as_json)
-        outcome = asyncio.run(sending.send(controls(view), b"GET", PATH, b"", wait))
-        if not isinstance(outcome, sending.Taken):
+        view = heard(look(addresses, wait, (CONTROLLER,)), as_json)
+        outcome = asyncio.run(write_client.send(controls(view), b"GET", PATH, b"", wait))
+        if not isinstance(outcome, write_client.Taken):
             _unclear(outcome, "config get --held shows what those that answer hold", as_json)
         told = outcome.body
     value = msgspec.json.decode(told)
@@ -154,8 +154,8 @@
     fail(FINDINGS, f"--item: {wanted} does not stand; give KIND/NAME such as route/r1 or plant/red", as_json)
 
 
-def _unclear(outcome: sending.Turned | sending.Unclear, mend: str, as_json: bool) -> NoReturn:
-    if isinstance(outcome, sending.Turned):
+def _unclear(outcome: write_client.Turned | write_client.Unclear, mend: str, as_json: bool) -> NoReturn:
+    if isinstance(outcome, write_client.Turned):
         fail(REFUSED, f"{outcome.status}: {outcome.reason}", as_json)
     fail(REFUSED if outcome.heard else NOBODY, f"no clear answer ({outcome.reason}); {mend}", as_json)
 
@@ -179,12 +179,12 @@
 
 
 async def _facts(view: View, wait: float) -> bearing.Facts:
-    sluices = view.answering(SLUICE)
-    replies = await all_of(lambda p: ask(p.address, "answers", wait), sluices[:MOST_SIDECARS])
+    proxies = view.answering(PROXY)
+    replies = await all_of(lambda p: ask(p.address, "answers", wait), proxies[:MOST_SIDECARS])
     return bearing.Facts(
         bearing.settled(view.instances),
         tuple(reply.value for reply in replies if isinstance(reply, Answered)),
-        tuple(number(p.told, "retry_ratio", 1.0) for p in sluices),
+        tuple(number(p.told, "retry_ratio", 1.0) for p in proxies),
     )
 
 
@@ -233,12 +233,12 @@
     """Sends a change, the same to one control process after another, until one answers clearly."""
     body = read_file(file, as_json)
     change = decoded(body, as_json)
-    view = heard(look(found(at, settings, as_json), wait, (RESERVOIR,)), as_json)
+    view = heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json)
     addresses = controls(view)
     if not addresses:
         fail(NOBODY, "no control process answers: nothing was sent; check --at and whether they run", as_json)
-    outcome = asyncio.run(sending.send(addresses, b"PATCH", PATH, body, within))
-    if not isinstance(outcome, sending.Taken):
+    outcome = asyncio.run(write_client.send(addresses, b"PATCH", PATH, body, within))
+    if not isinstance(outcome, write_client.Taken):
         _unclear(outcome, "it may be in force: send the same file again", as_json)
     else:
         names = [label(write.kind, write.name) for write in change.writes]
--- a/waterworks/operate/judge.py
+++ b/mesh/cli/judge.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from statistics import median
 
-from waterworks.operate.view import Process, View, number, part, text
-from waterworks.sluice.membership import RESERVOIR, SLUICE
-from waterworks.weir.lives import SILENT_BEATS
+from mesh.cli.view import Process, View, number, part, text
+from mesh.data_plane.membership import CONTROLLER, PROXY
+from mesh.membership.instance_lifecycle import SILENT_BEATS
 
 RIVALLED_MS = 600_000.0  # how long a refused order is told of
 CLOCK_S = 2.0  # a clock further off than this from the others' is told; retries and log lines suffer from it
@@ -37,7 +37,7 @@
         *_silent(view),
         *_behind(view),
         *_instances(view),
-        *_sluices(view),
+        *_proxies(view),
         *_clocks(view),
         *_settings(view),
     ]
@@ -46,14 +46,14 @@
 def members(view: View) -> dict[str, str]:
     """Whose disks count, by address, with their zone, as any control process that answers has it."""
     found: dict[str, str] = {}
-    for process in view.answering(RESERVOIR):
+    for process in view.answering(CONTROLLER):
         for address, place in part(process.told, "members").items():
             found[address] = str(place[0]) if isinstance(place, list) and place else ""
     return dict(sorted(found.items()))
 
 
 def _members(view: View) -> Iterator[Finding]:
-    there = {text(process.told, "ip") for process in view.answering(RESERVOIR)}
+    there = {text(process.told, "ip") for process in view.answering(CONTROLLER)}
     for address in members(view):
         if address not in there:
             yield Finding(
@@ -65,15 +65,15 @@
 
 
 def _core(view: View) -> Iterator[Finding]:
-    reservoirs = view.answering(RESERVOIR)
-    if not reservoirs:
+    controllers = view.answering(CONTROLLER)
+    if not controllers:
         yield Finding(
             "core out of reach",
             "-",
             "no control process answers: no change can be made, calls go on",
             "start the control processes, or look at the network to them",
         )
-    for process in reservoirs:
+    for process in controllers:
         if process.told is not None and not process.told.get("in_touch"):
             yield Finding(
                 "core cut",
@@ -95,7 +95,7 @@
 
 def _losses(view: View) -> Iterator[Finding]:
     """What a process with contact says; one word of it is enough."""
-    for process in view.answering(RESERVOIR):
+    for process in view.answering(CONTROLLER):
         borne, asked = part(process.told, "borne"), part(process.told, "tolerates")
         less = [kind for kind in asked if borne and 0 < number(asked, kind) > number(borne, kind)]
         if less and process.told is not None and process.told.get("in_touch"):
@@ -112,7 +112,7 @@
 
 
 def _disks(view: View) -> Iterator[Finding]:
-    for process in view.answering(RESERVOIR):
+    for process in view.answering(CONTROLLER):
         assert process.told is not None
         refused = text(process.told, "refused")
         if refused:
@@ -172,8 +172,8 @@
             )
 
 
-def _sluices(view: View) -> Iterator[Finding]:
-    for process in view.answering(SLUICE):
+def _proxies(view: View) -> Iterator[Finding]:
+    for process in view.answering(PROXY):
         told = process.told
         assert told is not None
         if told.get("ending"):
@@ -250,6 +250,6 @@
         return process.why or "no answer"
     if process.told.get("ending"):
         return "ends"
-    if process.role == RESERVOIR:
+    if process.role == CONTROLLER:
         return "in touch" if process.told.get("in_touch") else "cut"
     return "ready" if process.told.get("ready") else "not ready"
--- a/waterworks/operate/members.py
+++ b/mesh/cli/members.py
@@ -8,8 +8,8 @@
 
 import typer
 
-from waterworks.operate.asking import Answered, Silent, ask, look
-from waterworks.operate.options import (
+from mesh.cli.client import Answered, Silent, ask, look
+from mesh.cli.options import (
     FINE,
     NOBODY,
     REFUSED,
@@ -23,9 +23,9 @@
     heard,
     tell,
 )
-from waterworks.operate.text import borne, line, table, wrapped
-from waterworks.operate.view import Process, View, number, part, text
-from waterworks.sluice.membership import RESERVOIR
+from mesh.cli.text import borne, line, table, wrapped
+from mesh.cli.view import Process, View, number, part, text
+from mesh.data_plane.membership import CONTROLLER
 
 REMOVE_WAIT_S = 10.0
 
@@ -35,7 +35,7 @@
 @members.command("show")
 def _show(at: At = None, settings: SettingsFile = None, wait: Wait = WAIT_S, as_json: AsJson = False) -> None:
     """Who counts, under which epoch, what each lacks, and how many more losses are borne."""
-    process = _first(heard(look(found(at, settings, as_json), wait, (RESERVOIR,)), as_json), as_json)
+    process = _first(heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json), as_json)
     reply = asyncio.run(ask(process.address, "members", wait))
     if isinstance(reply, Silent):
         fail(NOBODY, f"{process.node}: {reply.why}; ask another with --at", as_json)
@@ -53,7 +53,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Says that a machine which counts is gone for good; refused where taking it out is not safe."""
-    view = heard(look(found(at, settings, as_json), min(wait, WAIT_S), (RESERVOIR,)), as_json)
+    view = heard(look(found(at, settings, as_json), min(wait, WAIT_S), (CONTROLLER,)), as_json)
     process = _first(view, as_json)
     reply = asyncio.run(ask(process.address, "members remove", wait, node=node))
     if isinstance(reply, Silent):
@@ -67,7 +67,7 @@
 
 def _first(view: View, as_json: bool) -> Process:
     """One that can act where there is one."""
-    able = view.answering(RESERVOIR)
+    able = view.answering(CONTROLLER)
     if not able:
         fail(NOBODY, "no control process answers; check --at and whether they run", as_json)
     return min(able, key=lambda process: not (process.told or {}).get("in_touch"))
--- a/waterworks/operate/options.py
+++ b/mesh/cli/options.py
@@ -10,11 +10,11 @@
 
 import typer
 
-from waterworks.headworks.settings import Wrong, read
-from waterworks.operate.asking import Silent
-from waterworks.operate.text import line
-from waterworks.penstock.link import Address
-from waterworks.weir.calls import read_address
+from mesh.cli.client import Silent
+from mesh.cli.text import line
+from mesh.membership.instance_commands import read_address
+from mesh.runtime.settings import Wrong, read
+from mesh.transport.link import Address
 
 FINE, FINDINGS, USAGE, NOBODY, REFUSED = 0, 1, 2, 3, 4
 WAIT_S, DISK_WAIT_S = 2.0, 30.0
--- a/waterworks/operate/rollout.py
+++ b/mesh/cli/rollout.py
@@ -7,10 +7,8 @@
 
 import typer
 
-from waterworks.lock.kinds import STAGED
-from waterworks.manifold.decode import ROUTE
-from waterworks.operate.asking import Answered, Refused, Silent, all_of, ask, look
-from waterworks.operate.options import (
+from mesh.cli.client import Answered, Refused, Silent, all_of, ask, look
+from mesh.cli.options import (
     FINDINGS,
     FINE,
     NOBODY,
@@ -25,9 +23,11 @@
     heard,
     tell,
 )
-from waterworks.operate.text import names, table, wrapped
-from waterworks.operate.view import Process, Told, View, number, part, text
-from waterworks.sluice.membership import RESERVOIR, SLUICE
+from mesh.cli.text import names, table, wrapped
+from mesh.cli.view import Process, Told, View, number, part, text
+from mesh.configuration.commands import ROUTE
+from mesh.data_plane.membership import CONTROLLER, PROXY
+from mesh.rollout.change_kinds import STAGED
 
 rollout = typer.Typer(rich_markup_mode=None, no_args_is_help=True, help="Changes as they go out in stages.")
 
@@ -40,7 +40,7 @@
 @rollout.command("show")
 def _show(at: At = None, settings: SettingsFile = None, wait: Wait = WAIT_S, as_json: AsJson = False) -> None:
     """The changes of late, and which sidecars have not confirmed them."""
-    view = heard(look(found(at, settings, as_json), wait, (RESERVOIR,)), as_json)
+    view = heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json)
     node, told = _of_core(view, wait, as_json, "rollouts")
     rows: list[Told] = [one for one in told.get("rollouts", []) if isinstance(one, dict)]
     lines = [f"at {node}: {told.get('sidecars')} sidecars", *shown(rows, int(number(told, "sidecars")))]
@@ -99,7 +99,7 @@
 def _order(
     word: str, route: str, at_next: bool, at: Any, settings: Any, wait: float, as_json: bool
 ) -> NoReturn:
-    view = heard(look(found(at, settings, as_json), wait, (SLUICE,)), as_json)
+    view = heard(look(found(at, settings, as_json), wait, (PROXY,)), as_json)
     told, silent = _of_sides(view, wait, "order", name=route, order=word, next=at_next)
     if not told:
         fail(NOBODY, "no sidecar answers; check --at and whether they run", as_json)
@@ -121,7 +121,7 @@
 
 def _of_core(view: View, wait: float, as_json: bool, question: str, **what: Any) -> tuple[str, Told]:
     """The answer of the first control process that hears enough others, else of any; ends where none has."""
-    able = sorted(view.answering(RESERVOIR), key=lambda p: (not (p.told or {}).get("in_touch"), p.node))
+    able = sorted(view.answering(CONTROLLER), key=lambda p: (not (p.told or {}).get("in_touch"), p.node))
     why = "no control process answers; check --at and whether they run"
     for process in able:
         reply = asyncio.run(ask(process.address, question, wait, **what))
@@ -135,7 +135,7 @@
 
 def _of_sides(view: View, wait: float, question: str, **what: Any) -> tuple[list[Told], list[str]]:
     """The sidecars' answers, each with its node, and those that gave none."""
-    sides = [p for p in view.processes if text(view.nodes.get(p.name), "role") == SLUICE or p.role == SLUICE]
+    sides = [p for p in view.processes if text(view.nodes.get(p.name), "role") == PROXY or p.role == PROXY]
 
     async def one(process: Process) -> Answered | Refused | Silent:
         return await ask(process.address, question, wait, **what)
--- a/waterworks/operate/shape.py
+++ b/mesh/cli/shape.py
@@ -6,10 +6,10 @@
 from statistics import median
 from typing import Any
 
-from waterworks.operate.judge import Finding, grouped, sound
-from waterworks.operate.text import borne, line, names, table, wrapped
-from waterworks.operate.view import Process, Told, View, number, part, text
-from waterworks.sluice.membership import RESERVOIR, SLUICE
+from mesh.cli.judge import Finding, grouped, sound
+from mesh.cli.text import borne, line, names, table, wrapped
+from mesh.cli.view import Process, Told, View, number, part, text
+from mesh.data_plane.membership import CONTROLLER, PROXY, ROLE_NAMES
 
 MOST_ROWS = 10  # of the core, of services and of other digests in `status`, which keeps to a screen
 MOST_ALIKE = 10  # findings of one kind that `doctor` prints; --json has all
@@ -49,7 +49,7 @@
     upstream = part(process.told, "upstream")
     return {
         "node": process.name,
-        "role": process.role or text(view.nodes.get(process.name), "role"),
+        "role": _role_name(process.role or text(view.nodes.get(process.name), "role")),
         "zone": text(process.told, "zone") or text(view.nodes.get(process.name), "zone"),
         "address": f"{process.address[0]}:{process.address[1]}",
         "state": sound(view, process),
@@ -59,6 +59,13 @@
     }
 
 
+PLURALS = {CONTROLLER: "controllers", PROXY: "proxies"}
+
+
+def _role_name(role: str) -> str:
+    return ROLE_NAMES.get(role, role)
+
+
 def status(view: View, found: Sequence[Finding]) -> list[str]:
     """At most some 50 lines, whatever the size of the mesh."""
     lines = []
@@ -70,10 +77,10 @@
     else:
         lines.append("all is as it should be")
     lines.append("")
-    for role in (RESERVOIR, SLUICE):
+    for role in (CONTROLLER, PROXY):
         known = [p for p in view.processes if (p.role or text(view.nodes.get(p.name), "role")) == role]
         answer = sum(process.told is not None for process in known)
-        lines.append(f"{role + 's':<12}{answer} of {len(known)} answer")
+        lines.append(f"{PLURALS[role]:<12}{answer} of {len(known)} answer")
     lines.append(f"{'upstreams':<12}{len(view.instances)} of {len(view.by_service())} services")
     lines += duties(view) + members(view)
     for at, held in enumerate(versions(view)[:MOST_ROWS]):
@@ -90,7 +97,7 @@
 def duties(view: View) -> list[str]:
     """Who has which duty, by the highest epoch that any control process knows."""
     found: dict[str, tuple[float, str]] = {}
-    for process in view.answering(RESERVOIR):
+    for process in view.answering(CONTROLLER):
         told = part(process.told, "duties")
         for duty in told:
             standing = part(told, duty)
@@ -105,7 +112,7 @@
 
 def members(view: View) -> list[str]:
     """Under which epoch who counts, and how many more losses are borne, by a process with the newest."""
-    told = [p.told for p in view.answering(RESERVOIR) if p.told is not None and "epoch" in p.told]
+    told = [p.told for p in view.answering(CONTROLLER) if p.told is not None and "epoch" in p.told]
     if not told:
         return []
     newest = max(told, key=lambda one: (bool(one.get("in_touch")), number(one, "epoch")))
@@ -114,9 +121,9 @@
 
 
 def core(view: View) -> list[str]:
-    reservoirs = view.answering(RESERVOIR)
+    controllers = view.answering(CONTROLLER)
     rows = []
-    for process in reservoirs[:MOST_ROWS]:
+    for process in controllers[:MOST_ROWS]:
         told = process.told or {}
         disk = "refuses" if told.get("refused") else "whole" if told.get("whole") else "not whole"
         rows.append(
@@ -126,7 +133,7 @@
             )
         )
     lines = table(("core", "role", "zone", "member", "control", "disk", "state"), rows)
-    return lines + _more(len(reservoirs), MOST_ROWS, "nodes")
+    return lines + _more(len(controllers), MOST_ROWS, "nodes")
 
 
 def _services(found: Sequence[Mapping[str, Any]]) -> list[str]:
--- a/waterworks/operate/state.py
+++ b/mesh/cli/state.py
@@ -7,8 +7,8 @@
 
 import typer
 
-from waterworks.operate.asking import Answered, Silent, all_of, ask, look
-from waterworks.operate.options import (
+from mesh.cli.client import Answered, Silent, all_of, ask, look
+from mesh.cli.options import (
     DISK_WAIT_S,
     FINDINGS,
     FINE,
@@ -24,9 +24,9 @@
     heard,
     tell,
 )
-from waterworks.operate.text import wrapped
-from waterworks.operate.view import Process, Told, number, text
-from waterworks.sluice.membership import RESERVOIR
+from mesh.cli.text import wrapped
+from mesh.cli.view import Process, Told, number, text
+from mesh.data_plane.membership import CONTROLLER
 
 LOOK_S = 2.0  # for the processes' status; the longer wait is for their disks
 
@@ -38,8 +38,8 @@
     at: At = None, settings: SettingsFile = None, wait: Wait = DISK_WAIT_S, as_json: AsJson = False
 ) -> None:
     """Every row of every control process's disk, read and checked; changes wait for it there."""
-    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (RESERVOIR,)), as_json)
-    asked = view.answering(RESERVOIR)
+    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
+    asked = view.answering(CONTROLLER)
     if not asked:
         fail(NOBODY, "no control process answers; check --at and whether they run", as_json)
 
@@ -93,8 +93,8 @@
 ) -> None:
     """After more losses than are borne: what a control process holds, or a copy, leads on. Refused where
     that would make older state lead."""
-    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (RESERVOIR,)), as_json)
-    able = [p for p in view.answering(RESERVOIR) if where in ("", p.node)]
+    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
+    able = [p for p in view.answering(CONTROLLER) if where in ("", p.node)]
     able.sort(key=lambda p: not (p.told or {}).get("whole"))
     if not able:
         fail(NOBODY, "no such control process answers; check --at and whether it runs", as_json)
@@ -123,8 +123,8 @@
     as_json: AsJson = False,
 ) -> None:
     """Has a control process copy its store, as it is now, to a new folder under its state folder."""
-    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (RESERVOIR,)), as_json)
-    able = [p for p in view.answering(RESERVOIR) if where in ("", p.node)]
+    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
+    able = [p for p in view.answering(CONTROLLER) if where in ("", p.node)]
     able.sort(key=lambda p: not ((p.told or {}).get("in_touch") and (p.told or {}).get("whole")))
     if not able and where and where not in view.nodes:
         fail(USAGE, f"--from: no node {where} is known; nodes lists them", as_json)
--- a/waterworks/operate/view.py
+++ b/mesh/cli/view.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from waterworks.aquifer.items import Item, Key, outranks
-from waterworks.penstock.link import Address
+from mesh.replication.items import Item, Key, outranks
+from mesh.transport.link import Address
 
 Told = Mapping[str, Any]
 
--- a/waterworks/operate/sending.py
+++ b/mesh/cli/write_client.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from anisestair.http import codec as http
-from waterworks.penstock.link import Address
-from waterworks.weir.calls import read_address
+from mesh.membership.instance_commands import read_address
+from mesh.transport.link import Address
 
 SILENCE_S, SILENCE_BYTE_S = 1.0, 2e-6  # how long an answer may take, and more for each byte sent
 PAUSE_S, PAUSE_MOST_S = 0.1, 1.0
--- a/waterworks/manifold/decode.py
+++ b/mesh/configuration/commands.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from waterworks.manifold.routes import fold_host
+from mesh.configuration.routes import fold_host
 
 ROUTE = "route"
 PLANT = "plant"
--- a/waterworks/manifold/render.py
+++ b/mesh/configuration/read_back.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from waterworks.manifold.decode import INPUT_LIMITS, PLANT, ROUTE
+from mesh.configuration.commands import INPUT_LIMITS, PLANT, ROUTE
 
 
 def render(items: Iterable[tuple[str, str, int, dict[str, Any]]]) -> bytes:
--- a/waterworks/manifold/check.py
+++ b/mesh/configuration/validation.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from waterworks.manifold.decode import PLANT, ROUTE, Change, Invalid, label, shown
+from mesh.configuration.commands import PLANT, ROUTE, Change, Invalid, label, shown
 
 
 def check(
--- a/waterworks/reservoir/acceptance.py
+++ b/mesh/control_plane/acceptor_host.py
@@ -9,7 +9,13 @@
 
 import msgspec
 
-from waterworks.aquifer.ballot import (
+from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.write_batches import Ledger
+from mesh.dissemination.peers import Channel
+from mesh.dissemination.pull_exchange import unpack
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.acceptor import (
     BLOCK,
     Acceptor,
     Ballot,
@@ -22,17 +28,11 @@
     Value,
     Vote,
 )
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Full, Store
-from waterworks.aquifer.views import VIEW
-from waterworks.cistern.layout import pack_ceiling, pack_generations
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel
-from waterworks.leat.exchange import unpack
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.council import Council, address_of
-from waterworks.reservoir.ledger import Ledger
+from mesh.replication.items import Item
+from mesh.replication.membership_epochs import VIEW
+from mesh.replication.store import Full, Store
+from mesh.storage.layout import pack_ceiling, pack_generations
+from mesh.transport.frames import Head
 
 MOST_STATES = 8 << 20  # bytes of one promise
 ROW_BYTES = 200  # about, of a row beside its content
@@ -50,13 +50,13 @@
         charter: Store,
         ledger: Ledger,
         council: Council,
-        gauge: Gauge,
+        event_log: EventLog,
         changed: Callable[[list[Item]], None],
     ) -> None:
         """``changed`` is told of items of the charter that changed here, and tells `took`."""
         self._loop = asyncio.get_running_loop()
         self.acceptor, self._charter, self._ledger = acceptor, charter, ledger
-        self._council, self._gauge, self._changed = council, gauge, changed
+        self._council, self._event_log, self._changed = council, event_log, changed
         self.level: Callable[[], bool] = lambda: True
         self.viewed: Callable[[], None] = lambda: None
         self._epoch_kept = 0
@@ -140,7 +140,7 @@
         """Decided items, whoever stamped them. ``whole``: with all of the order that they came with."""
         changed = self._charter.merge(items, vector)
         if isinstance(changed, Full):
-            self._gauge.tell(events.STATE_FULL, reason=changed.reason)
+            self._event_log.tell(events.STATE_FULL, reason=changed.reason)
             return
         self._settle([item for item in items if item.key in self._charter.items], whole)  # not the forgotten
         if changed:
--- a/waterworks/reservoir/repairing.py
+++ b/mesh/control_plane/anti_entropy.py
@@ -9,8 +9,13 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.repair import (
+from mesh.control_plane.write_batches import Ledger
+from mesh.data_plane.membership import CONTROLLER, PROXY
+from mesh.dissemination.peers import Channel, Channels
+from mesh.dissemination.pull_exchange import pack, unpack
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.anti_entropy import (
     MOST_ITEMS,
     Deeper,
     compare,
@@ -19,15 +24,10 @@
     read_ranges,
     under,
 )
-from waterworks.aquifer.store import Full, Store
-from waterworks.cistern.keeper import Kept
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel, Channels
-from waterworks.leat.exchange import pack, unpack
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.ledger import Ledger
-from waterworks.sluice.membership import RESERVOIR, SLUICE
+from mesh.replication.items import Item
+from mesh.replication.store import Full, Store
+from mesh.storage.lmdb_store import Kept
+from mesh.transport.frames import Head
 
 EVERY_S = (4.0, 8.0)  # between two comparisons of one process
 LOOK_S = 0.5  # copies that changed within it are compared later: news may be under way
@@ -54,14 +54,14 @@
         stores: Mapping[str, Store],
         channels: Channels,
         ledger: Ledger,
-        gauge: Gauge,
+        event_log: EventLog,
         changed: Callable[[str, list[Item]], None],
     ) -> None:
         """``stores``: those that are compared, by name; ``changed`` is told what was mended here."""
         self._loop = asyncio.get_running_loop()
         self._random = random.Random(seed)
         self._stores, self._channels, self._ledger = stores, channels, ledger
-        self._gauge, self._changed = gauge, changed
+        self._event_log, self._changed = event_log, changed
         now = self._loop.time()
         self._look_at = now
         self._due = now + self._random.uniform(*EVERY_S)
@@ -92,7 +92,7 @@
             return
         self._put_off, self._due = 0, now + self._random.uniform(*EVERY_S)
         peers = sorted(
-            (one for one in self._channels.open if one.extra.get("role") == RESERVOIR and one.link.up),
+            (one for one in self._channels.open if one.extra.get("role") == CONTROLLER and one.link.up),
             key=lambda one: (one.node, one.opened_here),
         )
         if peers:
@@ -109,7 +109,7 @@
     def frame(self, channel: Channel, head: Head) -> bool:
         """Whether it was one of repair. Raises KeyError, TypeError or ValueError for what cannot be read."""
         kind = head["t"]
-        if kind not in FRAMES or channel.extra.get("role") != RESERVOIR:
+        if kind not in FRAMES or channel.extra.get("role") != CONTROLLER:
             return False
         if kind == "digest":
             self._count += 1
@@ -146,14 +146,14 @@
         if isinstance(found, Deeper):
             channel.link.send({"t": "range", "s": name, "at": found.ranges})
         elif found is not None:
-            self._gauge.tell(events.REPAIR_BEGUN, peer=channel.node, buckets=len(found.digests))
+            self._event_log.tell(events.REPAIR_BEGUN, peer=channel.node, buckets=len(found.digests))
             items = [pack(item) for item in under(store, found.digests)]
             channel.link.send({"t": "mend", "s": name, "leaves": found.digests, "items": items[:MOST_ITEMS]})
 
     def _mend(self, channel: Channel, name: str, leaves: dict[str, str], items: list[Item]) -> None:
         found = mend(self._stores[name], leaves, items, name == ROLL)
         for item in found.split:
-            self._gauge.tell(
+            self._event_log.tell(
                 events.COPIES_SPLIT, peer=channel.node, kind=item.kind, name=item.name, version=item.version
             )
         if found.take:
@@ -163,7 +163,7 @@
                 {"t": "mended", "s": name, "items": [pack(item) for item in found.give[:MOST_ITEMS]]}
             )
         if found.odd:
-            self._gauge.tell(events.REPAIR_DIFFERS, peer=channel.node, buckets=len(found.odd))
+            self._event_log.tell(events.REPAIR_DIFFERS, peer=channel.node, buckets=len(found.odd))
         if not (found.take or found.give):
             where = (channel.node, name)
             self._left[where] = Left((self._stores[name].digests.root(), self._told.get(where, "")))
@@ -171,9 +171,9 @@
     def _take(self, channel: Channel, name: str, items: list[Item]) -> None:
         taken = self._stores[name].mend(items)
         if isinstance(taken, Full):
-            self._gauge.tell(events.STATE_FULL, reason=taken.reason)
+            self._event_log.tell(events.STATE_FULL, reason=taken.reason)
         elif taken:
-            self._gauge.tell(events.REPAIR_DONE, peer=channel.node, items=len(taken))
+            self._event_log.tell(events.REPAIR_DONE, peer=channel.node, items=len(taken))
             self._changed(name, taken)
             self._hand_on(name, taken)
             self._due = self._loop.time() + AGAIN_S
@@ -183,7 +183,7 @@
         that had it right may tell them of the new stamp first, as one of an item that they have."""
         part = {name: {"items": [pack(item) for item in items], "v": {}}}
         for channel in list(self._channels.open):
-            if channel.extra.get("role") == SLUICE and channel.said_whole is not None:
+            if channel.extra.get("role") == PROXY and channel.said_whole is not None:
                 channel.link.send({"t": "news", "n": part, "more": True, "whole": channel.said_whole})
 
     # The disk
@@ -200,9 +200,11 @@
             items = len(self._stores[CHARTER].items)
             outcome = await self._ledger.rewrite()
             if isinstance(outcome, Kept):
-                self._gauge.tell(events.DISK_MENDED, items=items, findings=len(findings), first=findings[0])
+                self._event_log.tell(
+                    events.DISK_MENDED, items=items, findings=len(findings), first=findings[0]
+                )
             else:
-                self._gauge.tell(events.DISK_REFUSED, reason=outcome.reason)
+                self._event_log.tell(events.DISK_REFUSED, reason=outcome.reason)
         finally:
             self._disk = None
 
--- a/waterworks/reservoir/safekeeping.py
+++ b/mesh/control_plane/backup.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from waterworks.aquifer.store import Store
-from waterworks.cistern.keeper import NAME, Keeper, Refused
-from waterworks.cistern.layout import CisternError, held
-from waterworks.headworks.questions import Handler, Refusal, Told
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.ledger import Ledger
+from mesh.control_plane.write_batches import Ledger
+from mesh.replication.store import Store
+from mesh.runtime.introspection_calls import Handler, Refusal, Told
+from mesh.storage.layout import StorageError, held
+from mesh.storage.lmdb_store import NAME, Keeper, Refused
+from mesh.transport.frames import Head
 
 MOST_FINDINGS = 20
 MOST_PATH = 1024  # characters
@@ -75,7 +75,7 @@
         return _Disk(findings, 0, "")
     try:
         kept = held(keeper.rows())
-    except CisternError as fault:
+    except StorageError as fault:
         return _Disk((str(fault),), 0, "")
     store = Store("disk", len(kept.items) + 1, decided=True)
     store.restore(kept.items, {})
--- a/waterworks/reservoir/catching_up.py
+++ b/mesh/control_plane/catch_up.py
@@ -12,20 +12,20 @@
 import asyncio
 from collections.abc import Collection, Iterable
 
-from waterworks.aquifer.ballot import Acceptor
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import MEMBERS, VIEW, View, read_view
-from waterworks.cistern.keeper import Keeper, Kept, Size
-from waterworks.cistern.layout import CisternError, pack_lives
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel, Channels
-from waterworks.leat.exchange import unpack
-from waterworks.reservoir.acceptance import Acceptance
-from waterworks.reservoir.council import Council, address_of
-from waterworks.reservoir.ledger import Ledger
-from waterworks.sluice.membership import RESERVOIR
+from mesh.control_plane.acceptor_host import Acceptance
+from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.write_batches import Ledger
+from mesh.data_plane.membership import CONTROLLER
+from mesh.dissemination.peers import Channel, Channels
+from mesh.dissemination.pull_exchange import unpack
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.acceptor import Acceptor
+from mesh.replication.items import Item
+from mesh.replication.membership_epochs import MEMBERS, VIEW, View, read_view
+from mesh.replication.store import Store
+from mesh.storage.layout import StorageError, pack_lives
+from mesh.storage.lmdb_store import Keeper, Kept, Size
 
 CHARTER = "charter"
 MOST_LIVES = 128  # machines of which it is known how often they started
@@ -44,11 +44,11 @@
         council: Council,
         channels: Channels,
         acceptance: Acceptance,
-        gauge: Gauge,
+        event_log: EventLog,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._charter, self._acceptor, self._ledger, self._council = charter, acceptor, ledger, council
-        self._channels, self._acceptance, self._gauge = channels, acceptance, gauge
+        self._channels, self._acceptance, self._event_log = channels, acceptance, event_log
         self._read = False  # the disk is one of a reader; its view may be older than its own joining
         self._counted = False  # this start is on disk
         self._settled = False  # there has been contact in this life
@@ -96,7 +96,7 @@
 
     def silent(self, role: str) -> Collection[str]:
         """Stores of which nothing is told to a process of that role now."""
-        return () if self._settled or role == RESERVOIR else (CHARTER,)
+        return () if self._settled or role == CONTROLLER else (CHARTER,)
 
     # What others say
 
@@ -140,7 +140,7 @@
     # Starting over
 
     def _start_over(self, reason: str) -> None:
-        self._gauge.tell(events.DISK_OLDER, reason=reason, items=len(self._charter.items))
+        self._event_log.tell(events.DISK_OLDER, reason=reason, items=len(self._charter.items))
         view = self._charter.items.get((VIEW, MEMBERS))
         self._ledger.whole, self._settled, self._read = False, False, False
         self._charter.start_over()
@@ -174,7 +174,7 @@
             size = await self._ledger.between(_size)
             if size is not None and size.file > SPARE + TIMES * size.used:
                 await self._ledger.rewrite()
-                self._gauge.tell(events.DISK_COMPACTED, before=size.file, used=size.used)
+                self._event_log.tell(events.DISK_COMPACTED, before=size.file, used=size.used)
         finally:
             self._sizing = None
 
@@ -182,5 +182,5 @@
 def _size(keeper: Keeper) -> Size | None:
     try:
         return keeper.size()
-    except CisternError:
+    except StorageError:
         return None
--- a/waterworks/reservoir/contact.py
+++ b/mesh/control_plane/contact_probes.py
@@ -1,5 +1,5 @@
 """Contact, carried out: what is asked of the other control processes, what they are answered, and what it all
-proves here. Decided in `waterworks.aquifer.contact`.
+proves here. Decided in `mesh.replication.quorum_contact`.
 
 A question and its answer go over one of the links with news that stand anyway, and in place of a sign of life
 there: some 40 bytes each, every eighth of contact_ms, to and from each other control process.
@@ -12,16 +12,16 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from waterworks.aquifer.contact import BOUND_SHARE, EVERY_SHARE, OPEN_SHARE, Contact, Proof
-from waterworks.aquifer.items import Item
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel, Channels
-from waterworks.leat.exchange import unpack
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.council import Council, address_of
-from waterworks.reservoir.ledger import Ledger
-from waterworks.sluice.membership import RESERVOIR
+from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.write_batches import Ledger
+from mesh.data_plane.membership import CONTROLLER
+from mesh.dissemination.peers import Channel, Channels
+from mesh.dissemination.pull_exchange import unpack
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.items import Item
+from mesh.replication.quorum_contact import BOUND_SHARE, EVERY_SHARE, OPEN_SHARE, Contact, Proof
+from mesh.transport.frames import Head
 
 SOON_S = 0.005  # links that come up within it are asked together
 ADDRESS = re.compile(
@@ -38,12 +38,12 @@
         ledger: Ledger,
         take: Callable[[list[Item], Mapping[str, int]], object],
         open_s: Callable[[], float],
-        gauge: Gauge,
+        event_log: EventLog,
     ) -> None:
         """``take`` is given a newer view that an answer bears; ``open_s``: for how long the oldest open vote
         has been one here."""
         self._channels, self._council, self._ledger = channels, council, ledger
-        self._take, self._open_s, self._gauge = take, open_s, gauge
+        self._take, self._open_s, self._event_log = take, open_s, event_log
         self._loop = channels.loop
         self._every_s = EVERY_SHARE * contact_ms / 1000.0
         self.contact = Contact(BOUND_SHARE * contact_ms / 1000.0)
@@ -123,10 +123,10 @@
             self._had = not self._had
             for_ms, self._since = round((now - self._since) * 1000.0), now
             if self._had:
-                self._gauge.tell(events.CONTACT_PROVEN, without_ms=for_ms)
+                self._event_log.tell(events.CONTACT_PROVEN, without_ms=for_ms)
             else:
                 heard = len(self.contact.lately(now))
-                self._gauge.tell(events.CONTACT_LOST, heard=heard, of=len(self._council.view().names))
+                self._event_log.tell(events.CONTACT_LOST, heard=heard, of=len(self._council.view().names))
 
     def _ask(self) -> None:
         now = self._loop.time()
@@ -150,7 +150,7 @@
         """A link is up: contact need not wait for the next question's time. Behind it may be another life
         than before, whose disk is another."""
         address = address_of(channel)
-        if channel.extra.get("role") != RESERVOIR or address == self._council.me:
+        if channel.extra.get("role") != CONTROLLER or address == self._council.me:
             return
         self._links[channel] = None
         if self._lives.get(address) != channel.peer_source:
@@ -169,7 +169,7 @@
     def frame(self, channel: Channel, head: Head) -> bool:
         """Whether it was one of contact. Raises KeyError, TypeError or ValueError for what cannot be read."""
         kind = head["t"]
-        if kind not in ("probe", "probed") or channel.extra.get("role") != RESERVOIR:
+        if kind not in ("probe", "probed") or channel.extra.get("role") != CONTROLLER:
             return False
         if kind == "probe":
             epoch = self._council.view().epoch
--- a/waterworks/reservoir/fencing.py
+++ b/mesh/control_plane/fencing.py
@@ -11,17 +11,17 @@
 
 import msgspec
 
-from waterworks.aquifer.ballot import Forgotten, Number, Settled, Vote, fenced_by
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import View
-from waterworks.cistern.layout import Past
-from waterworks.leat.channels import Channel
-from waterworks.leat.exchange import pack, unpack
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.acceptance import Acceptance, read_ballot, read_number, write_ballot
-from waterworks.reservoir.council import Council, address_of
-from waterworks.reservoir.ledger import Ledger
+from mesh.control_plane.acceptor_host import Acceptance, read_ballot, read_number, write_ballot
+from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.write_batches import Ledger
+from mesh.dissemination.peers import Channel
+from mesh.dissemination.pull_exchange import pack, unpack
+from mesh.replication.acceptor import Forgotten, Number, Settled, Vote, fenced_by
+from mesh.replication.items import Item
+from mesh.replication.membership_epochs import View
+from mesh.replication.store import Store
+from mesh.storage.layout import Past
+from mesh.transport.frames import Head
 
 PAGE_BYTES = 1 << 20
 Row = Item | tuple[Number, Vote | str] | Past
--- a/waterworks/reservoir/shown.py
+++ b/mesh/control_plane/introspection.py
@@ -7,18 +7,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import VIEW
-from waterworks.headworks.questions import Handler, Refusal, Told, common, items
-from waterworks.headworks.settings import Settings
-from waterworks.reservoir.contact import Probing
-from waterworks.reservoir.council import Council
-from waterworks.reservoir.duties import Duties
-from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.minding import Minding
-from waterworks.reservoir.rollouts import NAMED, Rollouts
-from waterworks.reservoir.voting import Voting
-from waterworks.sluice.membership import RESERVOIR, Membership
+from mesh.control_plane.contact_probes import Probing
+from mesh.control_plane.leases import Duties
+from mesh.control_plane.member_changes import Minding
+from mesh.control_plane.member_set import Council
+from mesh.control_plane.proposals import Voting
+from mesh.control_plane.rollouts import NAMED, Rollouts
+from mesh.control_plane.write_batches import Ledger
+from mesh.data_plane.membership import CONTROLLER, Membership
+from mesh.replication.membership_epochs import VIEW
+from mesh.replication.store import Store
+from mesh.runtime.introspection_calls import Handler, Refusal, Told, common, items
+from mesh.runtime.settings import Settings
 
 MOST_SHOWN = 20  # changes, or sidecars of a first part, of one answer
 
@@ -122,7 +122,7 @@
     tolerance, view = settings.tolerance, shown.council.view()
     return {
         **common(settings, shown.charter, shown.roll, clock),
-        "role": RESERVOIR,
+        "role": CONTROLLER,
         "ending": shown.stopping.is_set(),
         "control": shown.control,
         "counted": settings.counted,
--- a/waterworks/reservoir/joining.py
+++ b/mesh/control_plane/joining.py
@@ -8,19 +8,19 @@
 from dataclasses import dataclass
 from typing import Any
 
-from waterworks.aquifer.changes import Known, plan
-from waterworks.aquifer.quorum import Place
-from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.settings import Settings
-from waterworks.leat.channels import Channel
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.acceptance import Acceptance
-from waterworks.reservoir.council import Council, address_of
-from waterworks.reservoir.fencing import Fencing
-from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.voting import Voting
+from mesh.control_plane.acceptor_host import Acceptance
+from mesh.control_plane.fencing import Fencing
+from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.proposals import Voting
+from mesh.control_plane.write_batches import Ledger
+from mesh.dissemination.peers import Channel
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.membership_epochs import MEMBERS, VIEW, View, write_view
+from mesh.replication.quorum import Place
+from mesh.replication.reconfiguration import Known, plan
+from mesh.runtime.settings import Settings
+from mesh.transport.frames import Head
 
 AGAIN_S = 0.1  # between two looks at what is to be done next
 STEP_S = 2.0  # one fence, or one read
@@ -75,14 +75,14 @@
         voting: Voting,
         fencing: Fencing,
         ledger: Ledger,
-        gauge: Gauge,
+        event_log: EventLog,
         became_whole: Callable[[], None],
     ) -> None:
         """``became_whole`` is told once this disk counts."""
         self._loop = asyncio.get_running_loop()
         self.settings, self._council, self._acceptance = settings, council, acceptance
         self._voting, self._fencing, self._ledger = voting, fencing, ledger
-        self._gauge, self._became_whole = gauge, became_whole
+        self._event_log, self._became_whole = event_log, became_whole
         self.level = 0  # the epoch with which this machine is level
         self.leaving = False
         self._caught_up = False  # it has read what was acknowledged, in this life
@@ -131,7 +131,7 @@
             try:
                 await self._step()
             except Exception as fault:  # a machine that stops joining would be lost for good
-                self._gauge.tell(events.FAULT, where="joining", what=repr(fault))
+                self._event_log.tell(events.FAULT, where="joining", what=repr(fault))
             self.say()
             await asyncio.sleep(AGAIN_S)
 
@@ -172,7 +172,7 @@
         if not founders - {me} <= heard & self.others.keys():
             return
         first = write_view(View(1, dict.fromkeys(founders, Place("", ""))))
-        self._gauge.tell(events.BEGUN_ANEW, founders=", ".join(sorted(founders)))
+        self._event_log.tell(events.BEGUN_ANEW, founders=", ".join(sorted(founders)))
         self._acceptance.take(*self._acceptance.stamped([((VIEW, MEMBERS, 1), first)]))
 
     # What is said, and heard
--- a/waterworks/reservoir/duties.py
+++ b/mesh/control_plane/leases.py
@@ -11,16 +11,16 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Full, Store
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel, Channels
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.council import Council
-from waterworks.sluice.membership import INSTANCE, NODE, RESERVOIR, Membership
-from waterworks.weir import reaping
-from waterworks.weir.duty import DUTY, REAPING, Claim, Hold, Standing, Turn, read_standing, value
+from mesh.control_plane.member_set import Council
+from mesh.data_plane.membership import CONTROLLER, INSTANCE, NODE, Membership
+from mesh.dissemination.peers import Channel, Channels
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership import failure_detection
+from mesh.membership.lease import DUTY, REAPING, Claim, Hold, Standing, Turn, read_standing, value
+from mesh.replication.items import Item
+from mesh.replication.store import Full, Store
+from mesh.transport.frames import Head
 
 LOOK_S = 1.0
 ROUND_S = 1.0  # an answer that comes later is too old to act on
@@ -46,13 +46,13 @@
         self,
         node: str,
         address: str,
-        spans: reaping.Spans,
+        spans: failure_detection.Spans,
         roll: Store,
         membership: Membership,
         channels: Channels,
         council: Council,
         contact: Callable[[], bool],
-        gauge: Gauge,
+        event_log: EventLog,
         changed: Callable[[list[Item]], None],
     ) -> None:
         """``address``: as the members are named; ``contact``: with enough of them to act for all;
@@ -60,11 +60,11 @@
         self._loop = asyncio.get_running_loop()
         self.node, self._address, self.spans = node, address, spans
         self._roll, self._membership, self._channels = roll, membership, channels
-        self._council, self._gauge, self._changed = council, gauge, changed
+        self._council, self._event_log, self._changed = council, event_log, changed
         self._contact = contact
         now = self._loop.time()
         self.turn = Turn(REAPING, node, spans.suspect_s)
-        self.watch = reaping.Watch(now)
+        self.watch = failure_detection.Watch(now)
         self._look_at = now
         self._held = 0  # the epoch under which this process has the duty; 0: it has not
         self._count = 0
@@ -83,7 +83,7 @@
                 try:
                     self.turn.note(now, read_standing(item.version, item.value))
                 except ValueError as fault:
-                    self._gauge.tell(events.FAULT, where=f"duty {item.name}", what=str(fault))
+                    self._event_log.tell(events.FAULT, where=f"duty {item.name}", what=str(fault))
 
     def closed(self, channel: Channel) -> None:
         self.watch.heard(channel.link.heard_at, channel.node)
@@ -97,7 +97,7 @@
         self.watch.heard(now, self.node)
         for channel in self._channels.open:
             self.watch.heard(channel.link.heard_at, channel.node)
-        names = {name for name, told in self._membership.nodes.items() if told.get("role") == RESERVOIR}
+        names = {name for name, told in self._membership.nodes.items() if told.get("role") == CONTROLLER}
         decided = self.turn.decide(now, names | {self.node}, self.live(now, self.spans.suspect_s))
         if isinstance(decided, Claim):
             item = self._roll.take(DUTY, REAPING, decided.epoch, value(self.node))
@@ -108,7 +108,7 @@
         if isinstance(decided, Hold):
             if self._held != decided.epoch:
                 self._held = decided.epoch
-                self._gauge.tell(events.DUTY_TAKEN, duty=REAPING, epoch=decided.epoch)
+                self._event_log.tell(events.DUTY_TAKEN, duty=REAPING, epoch=decided.epoch)
             self._ask(now, nodes, decided.epoch)
         elif self._held:
             self._leave()
@@ -121,7 +121,7 @@
             why = "no contact with most members"
         else:
             why = "not the first that is live"
-        self._gauge.tell(events.DUTY_LEFT, duty=REAPING, epoch=self._held, why=why)
+        self._event_log.tell(events.DUTY_LEFT, duty=REAPING, epoch=self._held, why=why)
         self._held, self._round = 0, None
         self._kept.clear()
 
@@ -131,7 +131,7 @@
         found = {
             channel.node
             for channel in self._channels.open
-            if channel.extra.get("role") == RESERVOIR
+            if channel.extra.get("role") == CONTROLLER
             and channel.whole
             and now - channel.link.heard_at <= LIVELY_S
         }
@@ -139,28 +139,28 @@
             found.add(self.node)
         return found
 
-    def _nodes(self) -> dict[str, reaping.Known]:
+    def _nodes(self) -> dict[str, failure_detection.Known]:
         """All that the roll names. Whose disk counts stays, whatever its silence: others must go on trying to
         reach it; so does this one."""
         members = self._council.view().names
         found = {}
         for name, told in self._membership.nodes.items():
             address = self._membership.address(name)
-            member = told.get("role") == RESERVOIR and address is not None and address[0] in members
-            found[name] = reaping.Known(str(told.get("zone", "")), member or name == self.node)
+            member = told.get("role") == CONTROLLER and address is not None and address[0] in members
+            found[name] = failure_detection.Known(str(told.get("zone", "")), member or name == self.node)
         for told in self._membership.instances.values():
             name = str(told["node"])
             if name not in found:  # its node was dropped, and then came news of it from before
-                found[name] = reaping.Known(str(told.get("zone", "")))
+                found[name] = failure_detection.Known(str(told.get("zone", "")))
         return found
 
     # Asking, and acting on what was answered
 
-    def _ask(self, now: float, nodes: dict[str, reaping.Known], epoch: int) -> None:
+    def _ask(self, now: float, nodes: dict[str, failure_detection.Known], epoch: int) -> None:
         if self._round is not None and now - self._round.began < self.spans.suspect_s:
             return
         doubts = {name: self.watch.doubt_s(now, name) for name in nodes}
-        asked = reaping.asks(nodes, doubts, self.spans)
+        asked = failure_detection.asks(nodes, doubts, self.spans)
         self._round = None
         if not asked:
             return
@@ -176,7 +176,7 @@
             "e": self._council.view().epoch,
         }
         for channel in list(self._channels.open):
-            if channel.extra.get("role") == RESERVOIR and channel.node not in round.waits | {self.node}:
+            if channel.extra.get("role") == CONTROLLER and channel.node not in round.waits | {self.node}:
                 round.waits.add(channel.node)
                 channel.link.send(question)
         self._conclude(now)
@@ -186,15 +186,15 @@
         round = self._round
         if round is None or round.waits or now - round.began > ROUND_S:
             return
-        if not reaping.enough(round.heard, self._council.members()) or not self._contact():
+        if not failure_detection.enough(round.heard, self._council.members()) or not self._contact():
             return
         if self.turn.newest != Standing(round.epoch, self.node):
             return
         nodes = self._nodes()
         own = {name: self.watch.silent_s(now, name) for name in nodes}
-        verdict = reaping.judge(nodes, [own, *round.silences], self.spans)
+        verdict = failure_detection.judge(nodes, [own, *round.silences], self.spans)
         for zone in set(verdict.zones) - self._kept:
-            self._gauge.tell(events.ZONE_KEPT, zone=zone)
+            self._event_log.tell(events.ZONE_KEPT, zone=zone)
         self._kept = set(verdict.zones)
         for name in verdict.gone[:MOST_DROPPED]:
             self._drop(name, own[name])
@@ -203,11 +203,13 @@
         instances = self._membership.at(name)
         keys = [(NODE, name), *((INSTANCE, instance) for instance in instances)]
         held = [self._roll.items[key] for key in keys if key in self._roll.items]
-        taken = self._roll.take_all(reaping.drops(held))
+        taken = self._roll.take_all(failure_detection.drops(held))
         if isinstance(taken, Full):
-            self._gauge.tell(events.STATE_FULL, reason=taken.reason)
+            self._event_log.tell(events.STATE_FULL, reason=taken.reason)
             return
-        self._gauge.tell(events.NODE_DROPPED, peer=name, silent_s=round(silent_s), instances=len(instances))
+        self._event_log.tell(
+            events.NODE_DROPPED, peer=name, silent_s=round(silent_s), instances=len(instances)
+        )
         self._changed(taken)
 
     # Frames
@@ -215,7 +217,7 @@
     def frame(self, channel: Channel, head: Head) -> bool:
         """Whether it was one of duties. Raises KeyError, TypeError or ValueError for what cannot be read."""
         kind = head["t"]
-        if kind not in ("heard", "hears", "overtaken") or channel.extra.get("role") != RESERVOIR:
+        if kind not in ("heard", "hears", "overtaken") or channel.extra.get("role") != CONTROLLER:
             return False
         now = self._loop.time()
         if kind == "heard":
@@ -228,14 +230,18 @@
 
     def _answer(self, now: float, channel: Channel, head: Head) -> None:
         standing, nodes = read_standing(head["epoch"], {"holder": head["holder"]}), head["nodes"]
-        if head["duty"] != REAPING or not isinstance(nodes, list) or len(nodes) > reaping.MOST_ASKED:
+        if (
+            head["duty"] != REAPING
+            or not isinstance(nodes, list)
+            or len(nodes) > failure_detection.MOST_ASKED
+        ):
             raise ValueError("not a question of a duty that is known here")
         known = self._council.view().epoch
         # Who goes by an older view may count a majority that is none any more.
         old_view = int(head.get("e", known)) < known
         if not self.turn.note(now, standing) or old_view:
             newest = self.turn.newest
-            self._gauge.tell(events.EPOCH_OLD, duty=REAPING, epoch=standing.epoch, newest=newest.epoch)
+            self._event_log.tell(events.EPOCH_OLD, duty=REAPING, epoch=standing.epoch, newest=newest.epoch)
             channel.link.send({"t": "overtaken", "epoch": newest.epoch, "holder": newest.holder})
             return
         told = [round(self.watch.silent_s(now, str(name)), 1) for name in nodes]
--- a/waterworks/reservoir/minding.py
+++ b/mesh/control_plane/member_changes.py
@@ -1,5 +1,5 @@
 """The duty `members`: which change of members comes next is worked out and proposed by its holder, and what
-can be lost is told. Decided in `waterworks.aquifer.changes`; agreed on by `voting`.
+can be lost is told. Decided in `mesh.replication.reconfiguration`; agreed on by `voting`.
 
 Two holders at once do no harm: the epoch is a number of the charter, and has one content.
 """
@@ -10,25 +10,25 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from waterworks.aquifer.changes import Borne, borne, heard_whole, plan
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.proposer import Decided
-from waterworks.aquifer.quorum import Place
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.questions import Refusal, Told
-from waterworks.leat.channels import Channel
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.council import Council, address_of
-from waterworks.reservoir.duties import ROUND_S, Duties, Round
-from waterworks.reservoir.joining import LIVELY_S, Joining
-from waterworks.reservoir.voting import Voting
-from waterworks.sluice.membership import RESERVOIR, Membership
-from waterworks.weir import reaping
-from waterworks.weir.duty import DUTY, Claim, Hold, Standing, Turn, read_standing, value
-from waterworks.weir.duty import MEMBERS as MINDING
+from mesh.control_plane.joining import LIVELY_S, Joining
+from mesh.control_plane.leases import ROUND_S, Duties, Round
+from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.proposals import Voting
+from mesh.data_plane.membership import CONTROLLER, Membership
+from mesh.dissemination.peers import Channel
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership import failure_detection
+from mesh.membership.lease import DUTY, Claim, Hold, Standing, Turn, read_standing, value
+from mesh.membership.lease import MEMBERS as MINDING
+from mesh.replication.items import Item
+from mesh.replication.membership_epochs import MEMBERS, VIEW, View, write_view
+from mesh.replication.proposer import Decided
+from mesh.replication.quorum import Place
+from mesh.replication.reconfiguration import Borne, borne, heard_whole, plan
+from mesh.replication.store import Store
+from mesh.runtime.introspection_calls import Refusal, Told
+from mesh.transport.frames import Head
 
 STEADY_SHARE = 1 / 8  # of contact_ms: for so long a process is the first before it claims the duty
 DECIDE_S = 2.0
@@ -41,26 +41,26 @@
     def __init__(
         self,
         node: str,
-        spans: reaping.Spans,
+        spans: failure_detection.Spans,
         roll: Store,
         membership: Membership,
         council: Council,
         voting: Voting,
         joining: Joining,
         duties: Duties,
-        gauge: Gauge,
+        event_log: EventLog,
         changed: Callable[[list[Item]], None],
     ) -> None:
         """``changed`` is told of items of the roll that are written here."""
         self._loop = asyncio.get_running_loop()
         self.node, self.spans = node, spans
-        self._early = reaping.Spans(spans.suspect_s, spans.suspect_s, spans.zone_s)
+        self._early = failure_detection.Spans(spans.suspect_s, spans.suspect_s, spans.zone_s)
         self._roll, self._membership, self._council = roll, membership, council
         self._voting, self.joining, self._duties = voting, joining, duties
-        self._gauge, self._changed = gauge, changed
+        self._event_log, self._changed = event_log, changed
         now = self._loop.time()
         self.turn = Turn(MINDING, node, spans.suspect_s * STEADY_SHARE)
-        self.watch = reaping.Watch(now)  # of members, by address
+        self.watch = failure_detection.Watch(now)  # of members, by address
         self._held = 0
         self._live_at = now  # when it could last act
         self._count = 0
@@ -84,7 +84,7 @@
                 try:
                     self.turn.note(self._loop.time(), read_standing(item.version, item.value))
                 except ValueError as fault:
-                    self._gauge.tell(events.FAULT, where=f"duty {item.name}", what=str(fault))
+                    self._event_log.tell(events.FAULT, where=f"duty {item.name}", what=str(fault))
 
     def tick(self, now: float) -> None:
         view = self._council.view()
@@ -96,7 +96,9 @@
         if view.epoch != self._epoch:
             self._epoch = view.epoch
             counts, before = ", ".join(sorted(view.now)), ", ".join(sorted(view.before or ()))
-            self._gauge.tell(events.MEMBERS_CHANGED, epoch=view.epoch, count=counts, before=before or None)
+            self._event_log.tell(
+                events.MEMBERS_CHANGED, epoch=view.epoch, count=counts, before=before or None
+            )
         self._tell_borne(now, view)
         live = self._duties.live(now, self.spans.suspect_s * STEADY_SHARE)
         decided = self.turn.decide(now, self._candidates(view), live)
@@ -108,7 +110,7 @@
                 decided = Hold(decided.epoch)
         if isinstance(decided, Hold) and self._held != decided.epoch:
             self._held = decided.epoch
-            self._gauge.tell(events.DUTY_TAKEN, duty=MINDING, epoch=decided.epoch)
+            self._event_log.tell(events.DUTY_TAKEN, duty=MINDING, epoch=decided.epoch)
         if self.node in live:
             self._live_at = now
         if not self._held:
@@ -127,7 +129,7 @@
         return {node for address, node in self._nodes().items() if address in view.now}
 
     def _leave(self, why: str) -> None:
-        self._gauge.tell(events.DUTY_LEFT, duty=MINDING, epoch=self._held, why=why)
+        self._event_log.tell(events.DUTY_LEFT, duty=MINDING, epoch=self._held, why=why)
         self._held, self._round, self._away = 0, None, {}
 
     def _mind(self, now: float, view: View) -> None:
@@ -138,7 +140,7 @@
         for address, why in planned.stays.items():
             said = self.joining.others.get(address)
             if self._stays.get(address) != why and said is not None and said.leaves:
-                self._gauge.tell(events.MEMBER_STAYS, member=address, why=why)
+                self._event_log.tell(events.MEMBER_STAYS, member=address, why=why)
         self._stays = planned.stays
         if planned.view is not None:
             self._proposing = self._loop.create_task(self._propose(planned.view))
@@ -179,7 +181,7 @@
             for name, zone in self._beside(view).items()
             if zone in zones and self._duties.watch.silent_s(now, name) >= self.spans.suspect_s
         ]
-        names = [*silent, *beside][: reaping.MOST_ASKED]
+        names = [*silent, *beside][: failure_detection.MOST_ASKED]
         self._round = asked = Round(self._count, self._held, now, names, set(), {self._council.me})
         question = {"t": "silent", "n": self._count, "epoch": self._held, "holder": self.node, "of": names}
         for address, channel in self._council.peers().items():
@@ -195,7 +197,7 @@
         found = {}
         for name, told in self._membership.nodes.items():
             host = self._membership.address(name)
-            if host is None or told.get("role") != RESERVOIR or host[0] not in view.names:
+            if host is None or told.get("role") != CONTROLLER or host[0] not in view.names:
                 found[name] = str(told.get("zone", ""))
         return found
 
@@ -209,14 +211,16 @@
         asked, view = self._round, self._council.view()
         if asked is None or asked.waits or now - asked.began > ROUND_S:
             return
-        if not reaping.enough(asked.heard, view.names):
+        if not failure_detection.enough(asked.heard, view.names):
             return
-        known = {address: reaping.Known(self._place(view, address).zone) for address in view.names}
-        known |= {name: reaping.Known(zone, stays=True) for name, zone in self._beside(view).items()}
+        known = {address: failure_detection.Known(self._place(view, address).zone) for address in view.names}
+        known |= {
+            name: failure_detection.Known(zone, stays=True) for name, zone in self._beside(view).items()
+        }
         own = {name: self._silent_s(now, name) for name in known}
         silences = [own, *asked.silences]
-        silent = set(reaping.judge(known, silences, self._early).gone)
-        gone = set(reaping.judge(known, silences, self.spans).gone)
+        silent = set(failure_detection.judge(known, silences, self._early).gone)
+        gone = set(failure_detection.judge(known, silences, self.spans).gone)
         members = [name for name in asked.nodes if name in view.names]
         self._away = {address: (address in silent, address in gone) for address in members}
         self._away_at = now
@@ -227,11 +231,13 @@
         now = self._loop.time()
         if head["t"] == "silent":
             standing, names = read_standing(head["epoch"], {"holder": head["holder"]}), head["of"]
-            if not isinstance(names, list) or len(names) > reaping.MOST_ASKED:
+            if not isinstance(names, list) or len(names) > failure_detection.MOST_ASKED:
                 raise ValueError("not a question for silence")
             if not self.turn.note(now, standing):
                 newest = self.turn.newest
-                self._gauge.tell(events.EPOCH_OLD, duty=MINDING, epoch=standing.epoch, newest=newest.epoch)
+                self._event_log.tell(
+                    events.EPOCH_OLD, duty=MINDING, epoch=standing.epoch, newest=newest.epoch
+                )
                 channel.link.send({"t": "outdone", "epoch": newest.epoch, "holder": newest.holder})
                 return True
             told = [round(self._silent_s(now, str(name)), 1) for name in names]
@@ -279,7 +285,7 @@
         elif now - self._below_since >= LIVELY_S:
             self._below, self._below_since = below, None
             event = events.LOSSES_BELOW if below else events.LOSSES_BORNE
-            self._gauge.tell(event, **self.losses())
+            self._event_log.tell(event, **self.losses())
 
     # Operators
 
@@ -327,7 +333,7 @@
         found = {}
         for name, told in self._membership.nodes.items():
             host = self._membership.address(name)
-            if host is not None and told.get("role") == RESERVOIR:
+            if host is not None and told.get("role") == CONTROLLER:
                 found[host[0]] = name
         return found
 
--- a/waterworks/reservoir/council.py
+++ b/mesh/control_plane/member_set.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable, Mapping
 
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import MEMBERS, NOBODY, VIEW, View, read_view
-from waterworks.leat.channels import Channel, Channels
-from waterworks.leat.exchange import pack
-from waterworks.reservoir.ledger import Ledger
-from waterworks.sluice.membership import RESERVOIR
+from mesh.control_plane.write_batches import Ledger
+from mesh.data_plane.membership import CONTROLLER
+from mesh.dissemination.peers import Channel, Channels
+from mesh.dissemination.pull_exchange import pack
+from mesh.replication.membership_epochs import MEMBERS, NOBODY, VIEW, View, read_view
+from mesh.replication.quorum import Place, Tolerance
+from mesh.replication.store import Store
 
 
 class Council:
@@ -47,7 +47,7 @@
         found: dict[str, Channel] = {}
         for channel in self._channels.open:
             address = address_of(channel)
-            if channel.extra.get("role") == RESERVOIR and channel.link.up and address != self.me:
+            if channel.extra.get("role") == CONTROLLER and channel.link.up and address != self.me:
                 if address not in found or (channel.opened_here, channel.node) > (
                     found[address].opened_here,
                     found[address].node,
--- a/waterworks/reservoir/clerk.py
+++ b/mesh/control_plane/operator_api.py
@@ -8,20 +8,20 @@
 import msgspec
 
 from anisestair.http import codec as http
-from waterworks.aquifer.ballot import Acceptor, Vote
-from waterworks.aquifer.contact import Proof
-from waterworks.aquifer.proposer import Decided, Rivalled
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import VIEW
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.manifold.check import check
-from waterworks.manifold.decode import Change, Invalid, decode_change, label
-from waterworks.manifold.render import render
-from waterworks.penstock.desk import Answer
-from waterworks.reservoir.contact import Probing
-from waterworks.reservoir.rollouts import Rollouts
-from waterworks.reservoir.voting import Voting
+from mesh.configuration.commands import Change, Invalid, decode_change, label
+from mesh.configuration.read_back import render
+from mesh.configuration.validation import check
+from mesh.control_plane.contact_probes import Probing
+from mesh.control_plane.proposals import Voting
+from mesh.control_plane.rollouts import Rollouts
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.acceptor import Acceptor, Vote
+from mesh.replication.membership_epochs import VIEW
+from mesh.replication.proposer import Decided, Rivalled
+from mesh.replication.quorum_contact import Proof
+from mesh.replication.store import Store
+from mesh.transport.http_calls import Answer
 
 HOLD_S = 0.85  # a caller goes elsewhere after a second of silence
 HOLD_BYTE_S = 2e-6  # and waits longer for a large body
@@ -70,12 +70,12 @@
         charter: Store,
         voting: Voting,
         acceptor: Acceptor,
-        gauge: Gauge,
+        event_log: EventLog,
         rollouts: Rollouts,
         probing: Probing,
     ) -> None:
         self._charter, self._voting, self._probing = charter, voting, probing
-        self._acceptor, self._gauge, self._rollouts = acceptor, gauge, rollouts
+        self._acceptor, self._event_log, self._rollouts = acceptor, event_log, rollouts
         self._loop = asyncio.get_running_loop()
 
     async def handle(self, message: http.Message) -> Answer:
@@ -131,23 +131,23 @@
         hurting = self._rollouts.hurting(change.writes, self._standing)
         outcome = await self._voting.decide(writes, until - self._loop.time())
         if isinstance(outcome, Decided):
-            self._gauge.tell(events.CHANGE_TAKEN, items=len(writes))
+            self._event_log.tell(events.CHANGE_TAKEN, items=len(writes))
             if hurting:
                 await self._rollouts.first_part(hurting, until - self._loop.time())
             return Answer(200, b"{}")
         if isinstance(outcome, Rivalled):
             kind, name, version = outcome.number
             line = f"{label(kind, name)}: another order has r{version}; send it under a higher version"
-            self._gauge.tell(events.CHANGE_RIVALLED, kind=kind, name=name, version=version)
+            self._event_log.tell(events.CHANGE_RIVALLED, kind=kind, name=name, version=version)
             return Answer(409, error(line))
         return self._unclear(outcome.reason)
 
     def _unclear(self, reason: str) -> Answer:
-        self._gauge.tell(events.NOT_ACKNOWLEDGED, reason=reason)
+        self._event_log.tell(events.NOT_ACKNOWLEDGED, reason=reason)
         return unclear(reason)
 
     def _refused(self, invalid: Invalid) -> Answer:
-        self._gauge.tell(events.CHANGE_REFUSED, reason=invalid.line())
+        self._event_log.tell(events.CHANGE_REFUSED, reason=invalid.line())
         return Answer(400, error(invalid.line()))
 
     def _standing(self, kind: str, name: str) -> tuple[int, dict[str, object] | None] | None:
--- a/waterworks/reservoir/program.py
+++ b/mesh/control_plane/program.py
@@ -9,42 +9,42 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from waterworks.aquifer.ballot import Acceptor
-from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.quorum import Place
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
-from waterworks.cistern.keeper import Failed, Fresh, Keeper, Opened, SetAside, room
-from waterworks.cistern.layout import Held, held
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.questions import Asker, Questions
-from waterworks.headworks.settings import Settings
-from waterworks.leat.channels import Channel, Channels
-from waterworks.lock.report import REPORT, REPORTS
-from waterworks.penstock.desk import Desk
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Link, listen
-from waterworks.reservoir.acceptance import Acceptance
-from waterworks.reservoir.catching_up import CatchingUp
-from waterworks.reservoir.clerk import Clerk
-from waterworks.reservoir.contact import Probing
-from waterworks.reservoir.council import Council, address_of
-from waterworks.reservoir.duties import Duties
-from waterworks.reservoir.fencing import Fencing
-from waterworks.reservoir.forgetting import Forgetting
-from waterworks.reservoir.joining import Joining
-from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.minding import Minding
-from waterworks.reservoir.repairing import CHARTER, ROLL, Repairing
-from waterworks.reservoir.restoring import Restoring
-from waterworks.reservoir.rollouts import Rollouts
-from waterworks.reservoir.safekeeping import Safekeeping
-from waterworks.reservoir.shown import Shown, answers_of
-from waterworks.reservoir.voting import Voting
-from waterworks.sluice.membership import NODE, RESERVOIR, Membership
-from waterworks.weir.reaping import above, dropped, spans
-from waterworks.weir.tombs import ASKS_ANEW_S, Tombs
+from mesh.control_plane.acceptor_host import Acceptance
+from mesh.control_plane.anti_entropy import CHARTER, ROLL, Repairing
+from mesh.control_plane.backup import Safekeeping
+from mesh.control_plane.catch_up import CatchingUp
+from mesh.control_plane.contact_probes import Probing
+from mesh.control_plane.fencing import Fencing
+from mesh.control_plane.introspection import Shown, answers_of
+from mesh.control_plane.joining import Joining
+from mesh.control_plane.leases import Duties
+from mesh.control_plane.member_changes import Minding
+from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.operator_api import Clerk
+from mesh.control_plane.proposals import Voting
+from mesh.control_plane.restore import Restoring
+from mesh.control_plane.rollouts import Rollouts
+from mesh.control_plane.tombstone_collection import Forgetting
+from mesh.control_plane.write_batches import Ledger
+from mesh.data_plane.membership import CONTROLLER, NODE, ROLE_NAMES, Membership
+from mesh.dissemination.peers import Channel, Channels
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.failure_detection import above, dropped, spans
+from mesh.membership.tombstones import ASKS_ANEW_S, Tombs
+from mesh.replication.acceptor import Acceptor
+from mesh.replication.items import Item, Key
+from mesh.replication.membership_epochs import MEMBERS, VIEW, View, write_view
+from mesh.replication.quorum import Place
+from mesh.replication.store import Store
+from mesh.rollout.report import REPORT, REPORTS
+from mesh.runtime.introspection_calls import Asker, Questions
+from mesh.runtime.settings import Settings
+from mesh.storage.layout import Held, held
+from mesh.storage.lmdb_store import Failed, Fresh, Keeper, Opened, SetAside, room
+from mesh.transport.frames import Head
+from mesh.transport.http_calls import Desk
+from mesh.transport.link import Link, listen
 
 MOST_CHARTER = 20_000  # items, dropped ones included
 MOST_ROLL = 20_000
@@ -52,9 +52,9 @@
 ALL = 64  # control processes that each other one asks; beyond that, the first in its order
 
 
-class Reservoir:
-    def __init__(self, settings: Settings, gauge: Gauge) -> None:
-        self.settings, self.gauge = settings, gauge
+class Controller:
+    def __init__(self, settings: Settings, event_log: EventLog) -> None:
+        self.settings, self.event_log = settings, event_log
         self.loop = asyncio.get_running_loop()
         self.me = settings.ip
         self.peer_address = (settings.ip, settings.port_range[0])
@@ -71,14 +71,14 @@
                 "node": settings.node,
                 "source": life,
                 "ip": self.me,
-                "role": RESERVOIR,
+                "role": CONTROLLER,
                 "complete": self.ledger.whole,
                 "takes": [REPORTS],
                 "control": control_address(settings),
             },
             {"charter": self.charter, "roll": self.roll, REPORTS: self.reports},
             ALL,
-            gauge,
+            event_log,
             self._changed,
             whole=lambda: self.probing.holds_all(),
             extra=lambda channel, head, _: self._frame(channel, head),
@@ -93,14 +93,14 @@
             self.charter,
             self.ledger,
             self.council,
-            gauge,
+            event_log,
             lambda items: self._changed(CHARTER, items),
         )
         seed = zlib.crc32(life.encode())
-        self.voting = Voting(life, seed, self.charter, self.council, self.acceptance, gauge)
+        self.voting = Voting(life, seed, self.charter, self.council, self.acceptance, event_log)
         self.fencing = Fencing(self.charter, self.ledger, self.council, self.acceptance)
         self.forgetting = Forgetting(
-            self.charter, self.acceptor, self.ledger, self.council, self.acceptance, gauge
+            self.charter, self.acceptor, self.ledger, self.council, self.acceptance, event_log
         )
         self.catching_up = CatchingUp(
             self.charter,
@@ -109,7 +109,7 @@
             self.council,
             self.channels,
             self.acceptance,
-            gauge,
+            event_log,
         )
         self.channels.silent = self.catching_up.silent
         bounds = settings.bounds
@@ -120,7 +120,7 @@
             self.ledger,
             self.acceptance.take,
             self.voting.open_s,
-            gauge,
+            event_log,
         )
         self.council.contact = self.probing.has
         self.rollouts = Rollouts(
@@ -129,10 +129,10 @@
             self.charter,
             self.membership,
             self.channels,
-            gauge,
+            event_log,
             self.probing.has,
         )
-        self.clerk = Clerk(self.charter, self.voting, self.acceptor, gauge, self.rollouts, self.probing)
+        self.clerk = Clerk(self.charter, self.voting, self.acceptor, event_log, self.rollouts, self.probing)
         self.desk = Desk(self.clerk.handle)
         self.duties = Duties(
             settings.node,
@@ -143,7 +143,7 @@
             self.channels,
             self.council,
             self.probing.acts,
-            gauge,
+            event_log,
             lambda items: self._changed(ROLL, items),
         )
         self.repairing = Repairing(
@@ -151,7 +151,7 @@
             {CHARTER: self.charter, ROLL: self.roll},
             self.channels,
             self.ledger,
-            gauge,
+            event_log,
             self._changed,
         )
         safekeeping = Safekeeping(
@@ -170,7 +170,7 @@
             self.council,
             self.acceptance,
             self.voting,
-            gauge,
+            event_log,
             self._reached,
         )
         self.joining = Joining(
@@ -180,7 +180,7 @@
             self.voting,
             self.fencing,
             self.ledger,
-            gauge,
+            event_log,
             self._became_whole,
         )
         self.minding = Minding(
@@ -192,7 +192,7 @@
             self.voting,
             self.joining,
             self.duties,
-            gauge,
+            event_log,
             lambda items: self._changed(ROLL, items),
         )
         self.stopping = asyncio.Event()
@@ -226,17 +226,17 @@
         if isinstance(outcome, Failed):
             raise OSError(outcome.reason)
         if isinstance(outcome, SetAside):
-            self.gauge.tell(events.DISK_SET_ASIDE, moved_to=str(outcome.moved_to), reason=outcome.reason)
+            self.event_log.tell(events.DISK_SET_ASIDE, moved_to=str(outcome.moved_to), reason=outcome.reason)
         elif isinstance(outcome, Opened):
             kept = held(outcome.rows)
             self.charter.forgotten.merge(kept.forgotten)
             self.charter.restore(kept.items, kept.vector)
-            self.gauge.tell(events.DISK_OPENED, items=len(kept.items), whole=kept.whole)
+            self.event_log.tell(events.DISK_OPENED, items=len(kept.items), whole=kept.whole)
         else:
             assert isinstance(outcome, Fresh)
-            self.gauge.tell(events.DISK_FRESH, first=settings.cold_boot)
+            self.event_log.tell(events.DISK_FRESH, first=settings.cold_boot)
         self.acceptor = acceptor_of(self.me, kept, self._forgotten_to)
-        ledger = Ledger(self.charter, self.acceptor, outcome.keeper, self.gauge, kept.whole)
+        ledger = Ledger(self.charter, self.acceptor, outcome.keeper, self.event_log, kept.whole)
         ledger.lives = dict(kept.lives)
         if isinstance(outcome, Fresh) and settings.cold_boot:
             # The machines that every process is told of at the very first start are the first view: the same
@@ -273,7 +273,7 @@
         self._know()
         self.joining.start()
         self.loop.call_later(TICK_S, self._tick)
-        self.gauge.tell(events.STARTED, role=RESERVOIR)
+        self.event_log.tell(events.STARTED, role=ROLE_NAMES[CONTROLLER])
 
     def _say_node(self) -> None:
         settings = self.settings
@@ -283,7 +283,7 @@
             above(self.roll.items.get((NODE, settings.node)), int(time.time() * 1000)),
             {
                 "address": f"{self.peer_address[0]}:{self.peer_address[1]}",
-                "role": RESERVOIR,
+                "role": CONTROLLER,
                 "zone": settings.zone,
                 "region": settings.region,
             },
@@ -326,10 +326,10 @@
             await asyncio.sleep(0.02)
         if self._server is not None:
             self._server.close()
-        self.gauge.tell(events.ENDED)
+        self.event_log.tell(events.ENDED)
 
     def _became_whole(self) -> None:
-        self.gauge.tell(events.DISK_WHOLE, items=len(self.charter.items))
+        self.event_log.tell(events.DISK_WHOLE, items=len(self.charter.items))
         self.council.said_complete()
         self.channels.hello["complete"] = True
 
@@ -368,7 +368,7 @@
     def _frame(self, channel: Channel, head: Head) -> None:
         """Raises KeyError, TypeError or ValueError for what cannot be read."""
         known = (self.probing.frame, self.duties.frame, self.repairing.frame)
-        if any(takes(channel, head) for takes in known) or channel.extra.get("role") != RESERVOIR:
+        if any(takes(channel, head) for takes in known) or channel.extra.get("role") != CONTROLLER:
             return
         if head["t"] == "complete":
             self._reach(address_of(channel), True)
@@ -384,11 +384,11 @@
         return {who: who in lately and lately[who].whole for who in self.council.peers()}
 
     def _greeted(self, channel: Channel) -> None:
-        if channel.extra.get("role") == RESERVOIR:
+        if channel.extra.get("role") == CONTROLLER:
             self.catching_up.met(channel)
 
     def _opened(self, channel: Channel) -> None:
-        if channel.extra.get("role") == RESERVOIR:
+        if channel.extra.get("role") == CONTROLLER:
             self.forgetting.opened(channel)
             self.probing.opened(channel)
             self._reach(address_of(channel))
@@ -403,7 +403,7 @@
         self.probing.closed(channel)
         self.duties.closed(channel)
         self.repairing.closed(channel)
-        if channel.extra.get("role") == RESERVOIR:
+        if channel.extra.get("role") == CONTROLLER:
             self._reach(address_of(channel))
         claimed = self.charter.claim(channel.peer_source) if channel.peer_source else []
         if claimed:
@@ -415,7 +415,7 @@
         """Other control processes: those of the settings, and those that have said that they are."""
         port = self.settings.port_range[0]
         known = {host: (host, port) for host, _ in self.settings.seeds}
-        known.update(self.membership.reservoirs())
+        known.update(self.membership.controllers())
         known.pop(self.me, None)
         self.channels.know(known)
 
--- a/waterworks/reservoir/voting.py
+++ b/mesh/control_plane/proposals.py
@@ -12,16 +12,7 @@
 
 import msgspec
 
-from waterworks.aquifer.ballot import Ballot, Forgotten, Number, Promised, Refusal, Settled, Value, digest_of
-from waterworks.aquifer.proposer import Accept, Again, Chosen, Decided, Prepare, Proposer, Rivalled, Unclear
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import View
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel
-from waterworks.leat.exchange import pack, unpack
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.acceptance import (
+from mesh.control_plane.acceptor_host import (
     FULL,
     Acceptance,
     read_ballot,
@@ -29,8 +20,17 @@
     read_state,
     write_ballot,
 )
-from waterworks.reservoir.council import Council, address_of
-from waterworks.weir.rendezvous import order
+from mesh.control_plane.member_set import Council, address_of
+from mesh.dissemination.peers import Channel
+from mesh.dissemination.pull_exchange import pack, unpack
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.rendezvous import order
+from mesh.replication.acceptor import Ballot, Forgotten, Number, Promised, Refusal, Settled, Value, digest_of
+from mesh.replication.membership_epochs import View
+from mesh.replication.proposer import Accept, Again, Chosen, Decided, Prepare, Proposer, Rivalled, Unclear
+from mesh.replication.store import Store
+from mesh.transport.frames import Head
 
 CARRY_S = 3.0  # an order is carried on for so long, whether or not its caller waits
 PAUSE_S, PAUSE_MOST_S = 0.01, 0.4  # drawn up to it between two ballots that rivals may have cut short
@@ -82,12 +82,18 @@
 
 class Voting:
     def __init__(
-        self, life: str, seed: int, charter: Store, council: Council, acceptance: Acceptance, gauge: Gauge
+        self,
+        life: str,
+        seed: int,
+        charter: Store,
+        council: Council,
+        acceptance: Acceptance,
+        event_log: EventLog,
     ) -> None:
         """``life``: of this process, as ballots bear it; ``seed``: of the drawn pauses."""
         self._loop = asyncio.get_running_loop()
         self._life, self._random = life, random.Random(seed)
-        self._charter, self._council, self._gauge = charter, council, gauge
+        self._charter, self._council, self._event_log = charter, council, event_log
         self.acceptance, self._acceptor = acceptance, acceptance.acceptor
         acceptance.viewed = self._viewed
         self._top = self._count = 0
@@ -373,7 +379,7 @@
 
     async def _taken_up(self, due: list[Number]) -> None:
         try:
-            self._gauge.tell(events.VOTES_TAKEN_UP, items=len(due))
+            self._event_log.tell(events.VOTES_TAKEN_UP, items=len(due))
             await self._take_up(due, CARRY_S)
             now = self._loop.time()
             self._since.update((number, now) for number in due if number in self._since)
--- a/waterworks/reservoir/restoring.py
+++ b/mesh/control_plane/restore.py
@@ -5,23 +5,23 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from waterworks.aquifer.ballot import Acceptor
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.proposer import Decided
-from waterworks.aquifer.restore import restored
-from waterworks.aquifer.store import Full, Store
-from waterworks.aquifer.views import MEMBERS, NOBODY, VIEW, View, read_view, write_view
-from waterworks.cistern.keeper import Failed, look, room
-from waterworks.cistern.layout import CisternError, Held, held
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.questions import Handler, Refusal, Told
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.acceptance import Acceptance
-from waterworks.reservoir.council import Council
-from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.safekeeping import inside
-from waterworks.reservoir.voting import Voting
+from mesh.control_plane.acceptor_host import Acceptance
+from mesh.control_plane.backup import inside
+from mesh.control_plane.member_set import Council
+from mesh.control_plane.proposals import Voting
+from mesh.control_plane.write_batches import Ledger
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.acceptor import Acceptor
+from mesh.replication.items import Item
+from mesh.replication.membership_epochs import MEMBERS, NOBODY, VIEW, View, read_view, write_view
+from mesh.replication.proposer import Decided
+from mesh.replication.restore import restored
+from mesh.replication.store import Full, Store
+from mesh.runtime.introspection_calls import Handler, Refusal, Told
+from mesh.storage.layout import Held, StorageError, held
+from mesh.storage.lmdb_store import Failed, look, room
+from mesh.transport.frames import Head
 
 MOST_LOST = 64
 BATCH, FILL_S = 500, 5.0  # items of one order, and its time
@@ -40,12 +40,12 @@
         council: Council,
         acceptance: Acceptance,
         voting: Voting,
-        gauge: Gauge,
+        event_log: EventLog,
         whole: Callable[[], dict[str, bool]],
     ) -> None:
         self._base, self._room = state_dir, room(disk_mb)
         self._charter, self._acceptor, self._ledger = charter, acceptor, ledger
-        self._council, self._acceptance, self._gauge, self._whole = council, acceptance, gauge, whole
+        self._council, self._acceptance, self._event_log, self._whole = council, acceptance, event_log, whole
         self._voting, self._busy = voting, False
 
     def answers(self) -> dict[str, Handler]:
@@ -103,7 +103,9 @@
         await self._ledger.kept()
         self._council.said_complete()
         told = self._told(begins)
-        self._gauge.tell(events.STATE_RESTORED, epoch=begins.epoch, items=told["items"], lost=", ".join(lost))
+        self._event_log.tell(
+            events.STATE_RESTORED, epoch=begins.epoch, items=told["items"], lost=", ".join(lost)
+        )
         return told
 
     def _told(self, view: View) -> Told:
@@ -120,7 +122,7 @@
             return Refusal(f"copy: {rows.reason}")
         try:
             return held(rows)
-        except CisternError as fault:
+        except StorageError as fault:
             return Refusal(f"copy: {fault}")
 
     def _take(self, kept: Held) -> Refusal | None:
--- a/waterworks/reservoir/rollouts.py
+++ b/mesh/control_plane/rollouts.py
@@ -12,18 +12,18 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.store import Store
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channels
-from waterworks.lock.bounds import derive
-from waterworks.lock.kinds import STAGED, kind_of
-from waterworks.lock.report import Count, Report, read
-from waterworks.lock.word import Tally, sound, worse
-from waterworks.manifold.decode import ROUTE, Write
-from waterworks.manifold.routes import read_route
-from waterworks.sluice.membership import Membership
+from mesh.configuration.commands import ROUTE, Write
+from mesh.configuration.routes import read_route
+from mesh.data_plane.membership import PROXY, Membership
+from mesh.dissemination.peers import Channels
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.items import Item, Key
+from mesh.replication.store import Store
+from mesh.rollout.bounds import derive
+from mesh.rollout.canary_verdict import Tally, sound, worse
+from mesh.rollout.change_kinds import STAGED, kind_of
+from mesh.rollout.report import Count, Report, read
 
 KEPT = 64  # changes, each the items that came at once
 OPEN_S = 60.0  # a change that nobody confirms is looked after for so long
@@ -61,7 +61,7 @@
         charter: Store,
         membership: Membership,
         channels: Channels,
-        gauge: Gauge,
+        event_log: EventLog,
         contact: Callable[[], bool],
     ) -> None:
         """``contact``: with most members; who has none gives no word."""
@@ -69,7 +69,12 @@
         self._loop = asyncio.get_running_loop()
         self._settle_s = settle_ms / 1000.0
         self.wait_s = derive(settle_ms, ack_ms).ack_wait_s
-        self._charter, self._membership, self._channels, self._gauge = charter, membership, channels, gauge
+        self._charter, self._membership, self._channels, self._event_log = (
+            charter,
+            membership,
+            channels,
+            event_log,
+        )
         self.reports: dict[str, Report] = {}  # by node
         self.heard: dict[str, float] = {}  # and when it last came
         self.rollouts: deque[Rollout] = deque(maxlen=KEPT)
@@ -138,7 +143,7 @@
         if worse(new, old):
             if count.key not in rollout.worse:
                 rollout.worse.add(count.key)
-                self._gauge.tell(
+                self._event_log.tell(
                     events.ROUTE_WORSE,
                     route=count.key[1],
                     version=count.version,
@@ -150,7 +155,7 @@
         elif sound(new, old) and count.key not in rollout.sound and count.key not in rollout.worse:
             rollout.sound.add(count.key)
             for channel in list(self._channels.open):
-                if channel.extra.get("role") == "sluice":
+                if channel.extra.get("role") == PROXY:
                     channel.link.send({"t": "go", "items": [[*count.key, count.version]]})
 
     def tick(self, now: float) -> None:
@@ -160,7 +165,7 @@
                 one.told = True
                 if one.missing:
                     names = ",".join(sorted(one.missing)[:NAMED])
-                    self._gauge.tell(
+                    self._event_log.tell(
                         events.NOT_CONFIRMED, items=len(one.versions), sidecars=len(one.missing), names=names
                     )
 
--- a/waterworks/reservoir/forgetting.py
+++ b/mesh/control_plane/tombstone_collection.py
@@ -1,6 +1,6 @@
 """Drops of the charter are forgotten once every member of the view has them on its disk: asked under one
 epoch, answered after a sync. Then nobody who counts holds an older copy, and what is left of them
-(`aquifer.forgotten`) is told to whoever comes later.
+(`replication.tombstones`) is told to whoever comes later.
 
 They are kept for KEPT_S before that, as those of the membership are: a sidecar that was out of touch for half
 of it asks for all anew.
@@ -12,19 +12,19 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from waterworks.aquifer.ballot import Acceptor
-from waterworks.aquifer.forgotten import read_rows
-from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import View
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel
-from waterworks.penstock.frames import Head
-from waterworks.reservoir.acceptance import Acceptance, read_number
-from waterworks.reservoir.council import Council, address_of
-from waterworks.reservoir.ledger import Ledger
-from waterworks.weir.tombs import Tombs
+from mesh.control_plane.acceptor_host import Acceptance, read_number
+from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.write_batches import Ledger
+from mesh.dissemination.peers import Channel
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.tombstones import Tombs
+from mesh.replication.acceptor import Acceptor
+from mesh.replication.items import Item, Key
+from mesh.replication.membership_epochs import View
+from mesh.replication.store import Store
+from mesh.replication.tombstones import read_rows
+from mesh.transport.frames import Head
 
 EVERY_S = 10.0  # between two questions of one process, and a rank longer for each that goes before it
 WITHIN_S = 5.0  # of which the answers come
@@ -52,11 +52,11 @@
         ledger: Ledger,
         council: Council,
         acceptance: Acceptance,
-        gauge: Gauge,
+        event_log: EventLog,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._charter, self._acceptor, self._ledger = charter, acceptor, ledger
-        self._council, self._acceptance, self._gauge = council, acceptance, gauge
+        self._council, self._acceptance, self._event_log = council, acceptance, event_log
         self._tombs = Tombs()
         self._tombs.note(self._loop.time(), charter.items.values())
         self._due = self._loop.time() + EVERY_S
@@ -124,7 +124,7 @@
             for channel in self._council.peers().values():
                 channel.link.send(told)
             self._forget(gone)
-            self._gauge.tell(events.DROPS_FORGOTTEN, items=len(gone))
+            self._event_log.tell(events.DROPS_FORGOTTEN, items=len(gone))
 
     # Forgetting
 
--- a/waterworks/reservoir/ledger.py
+++ b/mesh/control_plane/write_batches.py
@@ -12,11 +12,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TypeVar
 
-from waterworks.aquifer.ballot import Acceptor, Number
-from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.store import Store
-from waterworks.cistern.keeper import Keeper, Kept, Refused
-from waterworks.cistern.layout import (
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.acceptor import Acceptor, Number
+from mesh.replication.items import Item, Key
+from mesh.replication.store import Store
+from mesh.storage.layout import (
     Past,
     item_key,
     pack_ceiling,
@@ -31,8 +32,7 @@
     past_key,
     vote_key,
 )
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
+from mesh.storage.lmdb_store import Keeper, Kept, Refused
 
 AGAIN_S = 0.3  # after a disk has refused a batch
 LAZY_S = 0.25  # what is decided goes to disk so much later, where nothing that is waited for takes it along
@@ -45,9 +45,11 @@
 class Ledger:
     """The charter's disk. ``whole``: this disk holds all that this machine ever said it holds."""
 
-    def __init__(self, store: Store, acceptor: Acceptor, keeper: Keeper, gauge: Gauge, whole: bool) -> None:
+    def __init__(
+        self, store: Store, acceptor: Acceptor, keeper: Keeper, event_log: EventLog, whole: bool
+    ) -> None:
         self._loop = asyncio.get_running_loop()
-        self._store, self._acceptor, self._keeper, self._gauge = store, acceptor, keeper, gauge
+        self._store, self._acceptor, self._keeper, self._event_log = store, acceptor, keeper, event_log
         self._thread = ThreadPoolExecutor(1, thread_name_prefix="disk")
         self._dirty: set[Key] = set()
         self._voted: set[Number] = set()  # votes that came or went
@@ -146,7 +148,7 @@
                 took = self._loop.time() - began
                 if not isinstance(outcome, Kept):
                     if self.refused != outcome.reason:
-                        self._gauge.tell(events.DISK_REFUSED, reason=outcome.reason)
+                        self._event_log.tell(events.DISK_REFUSED, reason=outcome.reason)
                     self.refused = outcome.reason
                     self._dirty |= keys
                     self._voted |= votes
@@ -156,7 +158,7 @@
                     continue
                 self.refused = ""
                 if took > SLOW_S:
-                    self._gauge.tell(events.DISK_SLOW, took_ms=int(took * 1000), rows=len(rows))
+                    self._event_log.tell(events.DISK_SLOW, took_ms=int(took * 1000), rows=len(rows))
                 self._done = number
                 waiting, self._waiting = self._waiting, []
                 for wanted, future in waiting:
--- a/waterworks/sluice/hop.py
+++ b/mesh/data_plane/call_messages.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from anisestair.http import codec as http
-from waterworks.penstock.frames import Head
-from waterworks.valve.passing import Why
+from mesh.admission.final_check import Why
+from mesh.transport.frames import Head
 
 
 @dataclass(slots=True)
--- a/waterworks/sluice/calls.py
+++ b/mesh/data_plane/call_state.py
@@ -14,9 +14,9 @@
 
 from anisestair.http import codec as http
 from hareloom.interface import Outcome
-from waterworks.manifold.routes import Route
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway
-from waterworks.valve.passing import Why
+from mesh.admission.final_check import Why
+from mesh.configuration.routes import Route
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
 
 # What waited in vain, or was lost on its way, says nothing of the upstream's pace, which is what w is.
 WAITED = frozenset({Why.FULL, Why.LATE, Why.LOST, Why.OLD})
@@ -89,9 +89,13 @@
 
 S, E, C = State, Event, Certain
 OWN, PROMISE, NONE, OPEN = "the upstream's", "503, or sent elsewhere", "502, 504", "nothing yet"
-PASSAGE, TAILRACE, TAP = "sluice/passage.py:", "sluice/tailrace.py:", "sluice/tap.py:"
+PASSAGE, UPSTREAM_DISPATCH, TAP = (
+    "data_plane/peer_calls.py:",
+    "data_plane/upstream_dispatch.py:",
+    "data_plane/upstream_connections.py:",
+)
 OUT = PASSAGE + "Outgoing."
-RACE = TAILRACE + "Tailrace."
+RACE = UPSTREAM_DISPATCH + "UpstreamDispatch."
 CONNECTION = TAP + "TapConnection."
 
 EDGES: tuple[Edge, ...] = tuple(
@@ -127,22 +131,43 @@
                 (S.WAITING, E.GIVEN_UP, S.WITHDRAWN, C.NEVER, PROMISE, RACE + "drop"),
                 (S.WAITING, E.LINK_LOST, S.WITHDRAWN, C.NEVER, PROMISE, RACE + "drop"),
                 (S.WAITING, E.ASKED_BACK, S.WITHDRAWN, C.NEVER, PROMISE, RACE + "drop"),
-                (S.PASSED_ON, E.LINK_LOST, S.PASSED_ON, C.MAY, OPEN, "sluice/incoming.py:Incoming.lost"),
-                (S.PASSED_ON, E.ASKED_BACK, S.PASSED_ON, C.MAY, OPEN, "sluice/incoming.py:Incoming._asked"),
+                (
+                    S.PASSED_ON,
+                    E.LINK_LOST,
+                    S.PASSED_ON,
+                    C.MAY,
+                    OPEN,
+                    "data_plane/incoming_calls.py:Incoming.lost",
+                ),
+                (
+                    S.PASSED_ON,
+                    E.ASKED_BACK,
+                    S.PASSED_ON,
+                    C.MAY,
+                    OPEN,
+                    "data_plane/incoming_calls.py:Incoming._asked",
+                ),
                 (S.PASSED_ON, E.ANSWER, S.ANSWERED, C.RAN, OWN, RACE + "_tell"),
                 (S.PASSED_ON, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, RACE + "_tell"),
                 (S.PASSED_ON, E.NO_ANSWER, S.ENDED, C.MAY, NONE, RACE + "_tell"),
                 (S.PASSED_ON, E.TIME_OVER, S.ENDED, C.MAY, NONE, RACE + "_expire"),
                 (S.PASSED_ON, E.GIVEN_UP, S.WITHDRAWN, C.MAY, NONE, RACE + "drop"),
-                (S.ANSWERED, E.ASKED_BACK, S.ANSWERED, C.RAN, OWN, "valve/sessions.py:Session.ask"),
-                (S.ENDED, E.ASKED_BACK, S.ENDED, C.SAME, "as before", "valve/sessions.py:Session.ask"),
+                (S.ANSWERED, E.ASKED_BACK, S.ANSWERED, C.RAN, OWN, "admission/call_sessions.py:Session.ask"),
+                (
+                    S.ENDED,
+                    E.ASKED_BACK,
+                    S.ENDED,
+                    C.SAME,
+                    "as before",
+                    "admission/call_sessions.py:Session.ask",
+                ),
                 (
                     S.WITHDRAWN,
                     E.ASKED_BACK,
                     S.WITHDRAWN,
                     C.SAME,
                     "as before",
-                    "valve/sessions.py:Session.ask",
+                    "admission/call_sessions.py:Session.ask",
                 ),
             ),
         ),
--- a/waterworks/sluice/outlet.py
+++ b/mesh/data_plane/client_connection.py
@@ -14,8 +14,8 @@
 from anisestair.flow.budget import Body
 from anisestair.http import codec as http
 from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend
-from waterworks.manifold.limits import Limits
-from waterworks.sluice.intake import OTHERS_S, Intake
+from mesh.configuration.limits import Limits
+from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 
 AT_ONCE = 8  # requests of one connection that are in hand
 
--- a/waterworks/sluice/reach.py
+++ b/mesh/data_plane/control_contact.py
@@ -10,15 +10,15 @@
 
 from typing import Any
 
-from waterworks.aquifer.contact import BOUND_SHARE
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channels
+from mesh.dissemination.peers import Channels
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.quorum_contact import BOUND_SHARE
 
 
 class Reach:
-    def __init__(self, contact_ms: float, channels: Channels, gauge: Gauge) -> None:
-        self._channels, self._gauge = channels, gauge
+    def __init__(self, contact_ms: float, channels: Channels, event_log: EventLog) -> None:
+        self._channels, self._event_log = channels, event_log
         self._bound_s = BOUND_SHARE * contact_ms / 1000.0
         self._began = channels.loop.time()
         self._without: float | None = None  # since then; as told in the log
@@ -44,12 +44,12 @@
         since = last if last is not None else self._began
         if now - since <= self._bound_s:
             if self._without is not None:
-                self._gauge.tell(events.CONTROL_FOUND, without_ms=round((since - self._without) * 1000.0))
+                self._event_log.tell(events.CONTROL_FOUND, without_ms=round((since - self._without) * 1000.0))
                 self._without = None
         elif self._without is None:
             self._without = since
             behind_s = self.behind_s(now)
-            self._gauge.tell(
+            self._event_log.tell(
                 events.CONTROL_LOST,
                 links=sum(one.opened_here and one.link.up for one in self._channels.open),
                 behind_ms=round(behind_s * 1000.0) if behind_s is not None else None,
--- a/waterworks/sluice/incoming.py
+++ b/mesh/data_plane/incoming_calls.py
@@ -5,13 +5,13 @@
 
 import asyncio
 
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Link
-from waterworks.sluice.calls import Event, State
-from waterworks.sluice.hop import End, Returned, TurnedAway, Unclear, end_head, read_call
-from waterworks.sluice.tailrace import OVER, Running, Tailrace
-from waterworks.valve.passing import Why
-from waterworks.valve.sessions import Kept, Session, Sessions, Verdict
+from mesh.admission.call_sessions import Kept, Session, Sessions, Verdict
+from mesh.admission.final_check import Why
+from mesh.data_plane.call_messages import End, Returned, TurnedAway, Unclear, end_head, read_call
+from mesh.data_plane.call_state import Event, State
+from mesh.data_plane.upstream_dispatch import OVER, Running, UpstreamDispatch
+from mesh.transport.frames import Head
+from mesh.transport.link import Link
 
 
 class Incoming:
@@ -23,11 +23,11 @@
     def __init__(
         self,
         link: Link,
-        tailrace: Tailrace,
+        upstream_dispatch: UpstreamDispatch,
         sessions: Sessions[End] | None = None,
         session: Session[End] | None = None,
     ) -> None:
-        self._link, self._tailrace = link, tailrace
+        self._link, self._upstream_dispatch = link, upstream_dispatch
         self._sessions, self._session = sessions, session
         self._running: dict[int, Running] = {}
         self._loop = asyncio.get_running_loop()
@@ -49,17 +49,17 @@
             return  # a second copy, or barred: whoever sent it waits for no answer over this link
         self._link.owes += 1
         size = len(call.body)
-        if len(self._running) >= self.MOST or not self._tailrace.bodies.take(size):
+        if len(self._running) >= self.MOST or not self._upstream_dispatch.bodies.take(size):
             self._end(number, TurnedAway(Why.FULL))
             return
         if session is None or not call.effectful:
-            running = self._tailrace.take(call, lambda end: self._ended(number, end, size))
+            running = self._upstream_dispatch.take(call, lambda end: self._ended(number, end, size))
             if running is not None and running.state not in OVER:
                 self._running[number] = running
             return
         kept: Kept[End] = Kept(call.attempt)
         session.calls[number] = kept
-        running = self._tailrace.take(call, lambda end: self._over(session, number, kept, end, size))
+        running = self._upstream_dispatch.take(call, lambda end: self._over(session, number, kept, end, size))
         if running is not None and running.state not in OVER:
             self._running[number] = running
             kept.run, running.kept = (running, self), kept
@@ -67,13 +67,13 @@
 
     def _ended(self, number: int, end: End, held: int) -> None:
         """A call with a body of ``held`` bytes has its end."""
-        self._tailrace.bodies.give(held)
+        self._upstream_dispatch.bodies.give(held)
         self._end(number, end)
 
     def _over(self, session: Session[End], number: int, kept: Kept[End], end: End, held: int) -> None:
         """So has one that can be asked for: to the link on which it is waited for, if there is one, and held
         besides."""
-        self._tailrace.bodies.give(held)
+        self._upstream_dispatch.bodies.give(held)
         here: Incoming | None = self if kept.run is None else kept.run[1]
         if self._sessions is not None:
             size = len(end.body) if isinstance(end, Returned) else 0
@@ -143,6 +143,6 @@
 
     def _drop(self, running: Running, event: Event = Event.GIVEN_UP) -> None:
         done = running.done
-        self._tailrace.drop(running, event)
+        self._upstream_dispatch.drop(running, event)
         if not done:  # else its end has given its body's room back
-            self._tailrace.bodies.give(len(running.call.body))
+            self._upstream_dispatch.bodies.give(len(running.call.body))
