--- a/waterworks/sluice/shown.py
+++ b/mesh/data_plane/introspection.py
@@ -8,55 +8,55 @@
 from typing import TYPE_CHECKING, Any
 
 from hareloom.records import Server
-from waterworks.headworks.questions import Handler, Refusal, Told, common, items
-from waterworks.lock.chamber import Order
-from waterworks.manifold.decode import ROUTE
-from waterworks.manifold.routes import Route
-from waterworks.sluice.calls import Failed, Refused
-from waterworks.sluice.membership import SLUICE
-from waterworks.sluice.tables import Table
-from waterworks.sluice.traces import First, Second
+from mesh.configuration.commands import ROUTE
+from mesh.configuration.routes import Route
+from mesh.data_plane.call_state import Failed, Refused
+from mesh.data_plane.membership import PROXY
+from mesh.data_plane.service_balancers import Table
+from mesh.data_plane.traces import First, Second
+from mesh.rollout.staged_activation import Order
+from mesh.runtime.introspection_calls import Handler, Refusal, Told, common, items
 
 if TYPE_CHECKING:
-    from waterworks.sluice.program import Sluice
+    from mesh.data_plane.program import Proxy
 
 MOST_SHOWN = 2000  # upstreams, services or routes of one answer
 
 
-def answers_of(sluice: Sluice, clock: Callable[[], float]) -> dict[str, Handler]:
+def answers_of(proxy: Proxy, clock: Callable[[], float]) -> dict[str, Handler]:
     """The questions that a sidecar answers. ``clock`` gives seconds since 1970."""
-    stores = {"charter": sluice.charter, "roll": sluice.roll}
+    stores = {"charter": proxy.charter, "roll": proxy.roll}
     return {
-        "status": lambda head: status(sluice, clock()),
+        "status": lambda head: status(proxy, clock()),
         "items": lambda head: items(stores, head),
-        "route": lambda head: route(sluice, str(head["host"]), str(head["path"])),
-        "upstreams": lambda head: upstreams(sluice, str(head["service"])),
-        "trace": lambda head: trace(sluice, str(head["attempt"])),
-        "answers": lambda head: answers(sluice),
-        "rollout": lambda head: rollout(sluice, str(head["name"])),
-        "order": lambda head: order(sluice, str(head["name"]), str(head["order"]), head.get("next") is True),
+        "route": lambda head: route(proxy, str(head["host"]), str(head["path"])),
+        "upstreams": lambda head: upstreams(proxy, str(head["service"])),
+        "trace": lambda head: trace(proxy, str(head["attempt"])),
+        "answers": lambda head: answers(proxy),
+        "rollout": lambda head: rollout(proxy, str(head["name"])),
+        "order": lambda head: order(proxy, str(head["name"]), str(head["order"]), head.get("next") is True),
     }
 
 
-def status(sluice: Sluice, clock: float) -> Told:
+def status(proxy: Proxy, clock: float) -> Told:
     """How it stands. Times in milliseconds; ``whole_ms``: since one that holds all that was acknowledged was
     last heard, null where none has been; ``control``: as `Reach.told`."""
-    settings, now = sluice.settings, sluice.loop.time()
-    tables = list(sluice.tables.by_service.items())[:MOST_SHOWN]
-    sluice.channels.fresh(0.0)  # brings whole_at up to now
-    whole_at = sluice.channels.whole_at
+    settings, now = proxy.settings, proxy.loop.time()
+    tables = list(proxy.tables.by_service.items())[:MOST_SHOWN]
+    proxy.channels.fresh(0.0)  # brings whole_at up to now
+    whole_at = proxy.channels.whole_at
     return {
-        **common(settings, sluice.charter, sluice.roll, clock),
-        "role": SLUICE,
-        "ready": sluice.configured() and not sluice.ending,
-        "ending": sluice.ending,
+        **common(settings, proxy.charter, proxy.roll, clock),
+        "role": PROXY,
+        "ready": proxy.configured() and not proxy.ending,
+        "ending": proxy.ending,
         "whole_ms": round((now - whole_at) * 1000.0) if whole_at > 0.0 else None,
-        "control": sluice.reach.told(now),
-        "routes": len(sluice.routes),
-        "in_hand": sluice.intake.in_hand,
+        "control": proxy.reach.told(now),
+        "routes": len(proxy.routes),
+        "in_hand": proxy.intake.in_hand,
         "retry_ratio": settings.bounds.retry_ratio,
         "beat_ms": settings.beat_period_ms,
-        "upstream": _upstream(sluice),
+        "upstream": _upstream(proxy),
         "services": {
             service: {"open": len(table.asks), "further": table.budget.spent, "denied": table.budget.denied}
             for service, table in tables
@@ -64,9 +64,9 @@
     }
 
 
-def _upstream(sluice: Sluice) -> Told | None:
+def _upstream(proxy: Proxy) -> Told | None:
     """The upstream beside it; None before its first beat."""
-    upstream, beat = sluice.upstream, sluice.upstream.beat
+    upstream, beat = proxy.upstream, proxy.upstream.beat
     if beat is None:
         return None
     return {
@@ -75,25 +75,25 @@
         "state": beat.state,
         "capacity": beat.capacity,
         "gone": upstream.gone,
-        "silent_ms": round(sluice.tables.now() - upstream.heard),
-        "running": len(sluice.tailrace.running),
-        "waiting": len(sluice.tailrace.line),
+        "silent_ms": round(proxy.tables.now() - upstream.heard),
+        "running": len(proxy.upstream_dispatch.running),
+        "waiting": len(proxy.upstream_dispatch.line),
     }
 
 
 # Upstreams, as this sidecar picks among them
 
 
-def upstreams(sluice: Sluice, service: str) -> Told | Refusal:
+def upstreams(proxy: Proxy, service: str) -> Told | Refusal:
     """All of one service that it knows, and how each stands in its own picks."""
-    table = sluice.tables.by_service.get(service)
-    known = dict(sluice.membership.of(service)[:MOST_SHOWN])
+    table = proxy.tables.by_service.get(service)
+    known = dict(proxy.membership.of(service)[:MOST_SHOWN])
     if table is None and not known:
         return Refusal(f"service {service[:80]!r}: no upstream of it is known, and none was asked for here")
-    return {"service": service, "used": table is not None, "upstreams": _standings(sluice, table, known)}
+    return {"service": service, "used": table is not None, "upstreams": _standings(proxy, table, known)}
 
 
-def _standings(sluice: Sluice, table: Table | None, known: dict[str, Any]) -> list[Told]:
+def _standings(proxy: Proxy, table: Table | None, known: dict[str, Any]) -> list[Told]:
     servers = table.balancer.servers if table is not None else {}
     told = []
     for instance in sorted({*known, *list(servers)[:MOST_SHOWN]}):
@@ -105,8 +105,8 @@
             "state": value.get("state", "gone"),
         }
         if table is not None and server is not None:
-            one |= _standing(sluice, table, server)
-            if value and not sluice.passage.reaches(str(value.get("node"))):
+            one |= _standing(proxy, table, server)
+            if value and not proxy.passage.reaches(str(value.get("node"))):
                 one["why"] = "its node cannot be reached from here"
         else:
             one["why"] = "nothing was sent to this service from here yet"
@@ -114,14 +114,14 @@
     return told
 
 
-def _standing(sluice: Sluice, table: Table, server: Server) -> Told:
+def _standing(proxy: Proxy, table: Table, server: Server) -> Told:
     return {
         "w": None if server.w is None else round(server.w, 3),
         "deficit": round(server.deficit, 3),
         "active": server.active,
         "held": server.held,
         "samples": server.samples,
-        "why": why(sluice.tables.now(), server, server in table.balancer.working.set),
+        "why": why(proxy.tables.now(), server, server in table.balancer.working.set),
     }
 
 
@@ -146,17 +146,17 @@
     return f"{cause}: next trial " + (f"in {wait:.0f} ms" if 0.0 < wait < math.inf else "is due")
 
 
-def route(sluice: Sluice, host: str, path: str) -> Told:
+def route(proxy: Proxy, host: str, path: str) -> Told:
     """Where a request would go. ``route`` is null where it would be answered 404."""
-    found = sluice.routes.find(host, path.partition("?")[0])
+    found = proxy.routes.find(host, path.partition("?")[0])
     if found is None:
-        return {"route": None, "configured": sluice.configured(), "services": []}
+        return {"route": None, "configured": proxy.configured(), "services": []}
     services = []
     for service, share in found.split[:MOST_SHOWN]:
-        told = upstreams(sluice, service)
+        told = upstreams(proxy, service)
         known = [] if isinstance(told, Refusal) else told["upstreams"]
         services.append({"service": service, "share": round(share, 6), "upstreams": known})
-    return {"route": _route(found), "configured": sluice.configured(), "services": services}
+    return {"route": _route(found), "configured": proxy.configured(), "services": services}
 
 
 def _route(route: Route) -> Told:
@@ -176,13 +176,13 @@
 # Calls of late
 
 
-def trace(sluice: Sluice, attempt: str) -> Told:
+def trace(proxy: Proxy, attempt: str) -> Told:
     """What is kept of calls with that id, on either hop; ``ago_ms`` tells when each began, from now."""
-    now = sluice.tables.now()
-    first, second = sluice.tables.traces, sluice.tailrace.traces
+    now = proxy.tables.now()
+    first, second = proxy.tables.traces, proxy.upstream_dispatch.traces
     told = [_first(now, one) for ring in (first.plain, first.odd) for one in ring if one[0] == attempt]
     told += [_second(now, one) for ring in (second.plain, second.odd) for one in ring if one[0] == attempt]
-    return {"node": sluice.settings.node, "entries": told}
+    return {"node": proxy.settings.node, "entries": told}
 
 
 def _first(now: float, entry: First) -> Told:
@@ -228,12 +228,12 @@
 # Stages
 
 
-def rollout(sluice: Sluice, name: str) -> Told:
+def rollout(proxy: Proxy, name: str) -> Told:
     """How the versions of a route of late went here, the oldest first; ``after_ms``: from the news until it
     was in force or overtaken, null while it is held back; ``word``: what its first calls came to, if this
     sidecar is of its first part."""
-    now, stages = sluice.loop.time(), sluice.stages
-    standing, watched = sluice.routes.named(name), stages.watch.watched.get(name)
+    now, stages = proxy.loop.time(), proxy.stages
+    standing, watched = proxy.routes.named(name), stages.watch.watched.get(name)
     told = []
     for one in stages.chamber.passes:
         if one.key != (ROUTE, name):
@@ -252,7 +252,7 @@
             entry["word"] = [watched.new.n, watched.new.bad, watched.old.n, watched.old.bad]
         told.append(entry)
     return {
-        "node": sluice.settings.node,
+        "node": proxy.settings.node,
         "in_force": standing.version if standing is not None else None,
         "behind": stages.contact.behind(now),
         "dry": stages.dry.get(name, ""),
@@ -260,21 +260,21 @@
     }
 
 
-def order(sluice: Sluice, name: str, word: str, at_next: bool) -> Told:
+def order(proxy: Proxy, name: str, word: str, at_next: bool) -> Told:
     """An operator's hold or go. ``obeyed``: that version was held back here; null where nothing was."""
-    one = sluice.stages.order(name, Order(word), at_next)
-    standing = sluice.routes.named(name)
+    one = proxy.stages.order(name, Order(word), at_next)
+    standing = proxy.routes.named(name)
     return {
-        "node": sluice.settings.node,
+        "node": proxy.settings.node,
         "obeyed": one.version if one is not None else None,
         "in_force": standing.version if standing is not None else None,
     }
 
 
-def answers(sluice: Sluice) -> Told:
+def answers(proxy: Proxy) -> Told:
     """How long upstreams' own answers below 500 took of late, in milliseconds from the request's arrival, by
     route and by service: how many are kept, the least and the median."""
-    rings = sluice.tables.traces
+    rings = proxy.tables.traces
     kept = [e for ring in (rings.plain, rings.odd) for e in ring if isinstance(e[9], int) and e[9] < 500]
     return {
         "by_route": _times((e[3], e[2] - e[1]) for e in kept),
--- a/waterworks/sluice/membership.py
+++ b/mesh/data_plane/membership.py
@@ -5,13 +5,16 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from waterworks.aquifer.items import Item
-from waterworks.lock.draw import Draw
-from waterworks.penstock.link import Address
-from waterworks.weir.calls import read_address
+from mesh.membership.instance_commands import read_address
+from mesh.replication.items import Item
+from mesh.rollout.canary_selection import Draw
+from mesh.transport.link import Address
 
 NODE, INSTANCE = "node", "instance"
-SLUICE, RESERVOIR = "sluice", "reservoir"
+# As protocol version 1 writes the roles, in the greeting and in items: earlier releases compare these
+# strings.
+PROXY, CONTROLLER = "sluice", "reservoir"
+ROLE_NAMES = {PROXY: "proxy", CONTROLLER: "controller"}  # as people read them
 
 
 class Membership:
@@ -77,12 +80,12 @@
         """The instances that are said to be there. Asked at every tick: never a search of all."""
         return list(self._of_node.get(node, ()))
 
-    def reservoirs(self) -> dict[str, Address]:
+    def controllers(self) -> dict[str, Address]:
         """Control processes by the host of their address."""
         found = {}
         for name, value in self.nodes.items():
             address = self._addresses.get(name)
-            if value.get("role") == RESERVOIR and address is not None:
+            if value.get("role") == CONTROLLER and address is not None:
                 found[address[0]] = address
         return found
 
@@ -94,8 +97,8 @@
             self._draw = Draw({node: str(self.nodes.get(node, {}).get("zone", "")) for node in nodes})
         return self._draw
 
-    def sluices(self) -> int:
-        return sum(value.get("role") == SLUICE for value in self.nodes.values())
+    def proxies(self) -> int:
+        return sum(value.get("role") == PROXY for value in self.nodes.values())
 
     def zones(self) -> int:
         return len({value.get("zone") for value in self.instances.values()})
--- a/waterworks/sluice/passage.py
+++ b/mesh/data_plane/peer_calls.py
@@ -13,15 +13,15 @@
 from collections.abc import Callable, Mapping
 from functools import partial
 
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Address, Link, connect
-from waterworks.sluice.calls import FIRST, Event, Out, State, asked_for_ms, event_of
-from waterworks.sluice.hop import Call, End, TurnedAway, Unclear, read_end
-from waterworks.sluice.tailrace import Tailrace
-from waterworks.valve.passing import Why
-from waterworks.weir.rendezvous import few
+from mesh.admission.final_check import Why
+from mesh.data_plane.call_messages import Call, End, TurnedAway, Unclear, read_end
+from mesh.data_plane.call_state import FIRST, Event, Out, State, asked_for_ms, event_of
+from mesh.data_plane.upstream_dispatch import UpstreamDispatch
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.rendezvous import few
+from mesh.transport.frames import Head
+from mesh.transport.link import Address, Link, connect
 
 AGAIN_S, AGAIN_MOST_S = 0.1, 1.0  # pauses after a link that did not come up
 HOLD_S = 0.2  # calls wait so long for a first link; a connection to a dark machine hangs
@@ -257,7 +257,7 @@
             if item.on(Event.LINK_LOST):
                 self._ask_back(item, why)
         if out:
-            self.passage.gauge.tell(
+            self.passage.event_log.tell(
                 events.CALLS_CUT, peer=self.node, calls=len(out), asked=len(self.asking), why=why
             )
         if self.asking and self.coming is None and self.passage.loop.time() - self.opened > AGAIN_S:
@@ -322,9 +322,14 @@
     other's: the calls of a life are numbered upwards, and no number is ever used again."""
 
     def __init__(
-        self, node: str, local: Tailrace, gauge: Gauge, reached: Callable[[str, bool], None], life: str = ""
+        self,
+        node: str,
+        local: UpstreamDispatch,
+        event_log: EventLog,
+        reached: Callable[[str, bool], None],
+        life: str = "",
     ) -> None:
-        self.node, self.local, self.gauge, self.reached, self.life = node, local, gauge, reached, life
+        self.node, self.local, self.event_log, self.reached, self.life = node, local, event_log, reached, life
         self.loop = asyncio.get_running_loop()
         self.count = 0
         self.core: Callable[[], Mapping[str, Address]] = dict  # control processes as they are known here
--- a/waterworks/sluice/program.py
+++ b/mesh/data_plane/program.py
@@ -10,47 +10,47 @@
 from typing import Any
 
 from anisestair.http import codec as http
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Full, Store
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.questions import Asker, Questions
-from waterworks.headworks.settings import Settings
-from waterworks.leat.channels import Channel, Channels
-from waterworks.leat.exchange import unpack
-from waterworks.lock.report import REPORTS
-from waterworks.manifold.decode import INPUT_LIMITS, PLANT, ROUTE
-from waterworks.manifold.limits import read_limits
-from waterworks.manifold.routes import Route, Routes
-from waterworks.penstock.desk import Answer, Desk
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Address, Link, listen
-from waterworks.sluice.hop import End
-from waterworks.sluice.incoming import Incoming
-from waterworks.sluice.intake import Intake
-from waterworks.sluice.membership import NODE, SLUICE, Membership
-from waterworks.sluice.outlet import Outlets
-from waterworks.sluice.passage import MOST_TOLD, Passage
-from waterworks.sluice.reach import Reach
-from waterworks.sluice.registry import Registry
-from waterworks.sluice.shown import answers_of
-from waterworks.sluice.stages import Stages
-from waterworks.sluice.tables import Tables
-from waterworks.sluice.tailrace import Tailrace
-from waterworks.sluice.tap import Tap
-from waterworks.valve.sessions import Sessions
-from waterworks.weir.calls import SETTLED, read_address
-from waterworks.weir.lives import Upstream
-from waterworks.weir.reaping import above, dropped
-from waterworks.weir.rendezvous import few
-from waterworks.weir.tombs import ASKS_ANEW_S, Tombs
+from mesh.admission.call_sessions import Sessions
+from mesh.configuration.commands import INPUT_LIMITS, PLANT, ROUTE
+from mesh.configuration.limits import read_limits
+from mesh.configuration.routes import Route, Routes
+from mesh.data_plane.call_messages import End
+from mesh.data_plane.client_connection import Outlets
+from mesh.data_plane.control_contact import Reach
+from mesh.data_plane.incoming_calls import Incoming
+from mesh.data_plane.introspection import answers_of
+from mesh.data_plane.membership import NODE, PROXY, ROLE_NAMES, Membership
+from mesh.data_plane.peer_calls import MOST_TOLD, Passage
+from mesh.data_plane.request_dispatch import Intake
+from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.staged_routes import Stages
+from mesh.data_plane.upstream_connections import Tap
+from mesh.data_plane.upstream_dispatch import UpstreamDispatch
+from mesh.data_plane.upstream_registration import Registry
+from mesh.dissemination.peers import Channel, Channels
+from mesh.dissemination.pull_exchange import unpack
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.failure_detection import above, dropped
+from mesh.membership.instance_commands import SETTLED, read_address
+from mesh.membership.instance_lifecycle import Upstream
+from mesh.membership.rendezvous import few
+from mesh.membership.tombstones import ASKS_ANEW_S, Tombs
+from mesh.replication.items import Item
+from mesh.replication.store import Full, Store
+from mesh.rollout.report import REPORTS
+from mesh.runtime.introspection_calls import Asker, Questions
+from mesh.runtime.settings import Settings
+from mesh.transport.frames import Head
+from mesh.transport.http_calls import Answer, Desk
+from mesh.transport.link import Address, Link, listen
 
 MOST_CHARTER = 40_000
 MOST_ROLL = 20_000
 TICK_S = 0.1
 SPARE_FILES = 64  # descriptors that are neither clients', links' nor the upstream's
 ASKED_BEYOND = 2  # control processes asked for news beyond those that may be lost at once
-MOST_HEARD = 64  # control processes that other sluices tell of
+MOST_HEARD = 64  # control processes that other proxies tell of
 TAP_SHARE = 0.9  # of what an upstream accepts, this sidecar opens; it is the only one that can
 TAP_MOST = 100  # where the operator does not say
 NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
@@ -58,9 +58,9 @@
 EXIT_S = 0.4  # before the kill, what is left is given up
 
 
-class Sluice:
-    def __init__(self, settings: Settings, gauge: Gauge) -> None:
-        self.settings, self.gauge = settings, gauge
+class Proxy:
+    def __init__(self, settings: Settings, event_log: EventLog) -> None:
+        self.settings, self.event_log = settings, event_log
         self.loop = asyncio.get_running_loop()
         self.peer_address = (settings.ip, settings.port_range[0])
         self.life = f"{settings.node}.{os.urandom(4).hex()}"
@@ -71,11 +71,13 @@
         bounds = settings.bounds
         self.upstream = Upstream(settings.node, settings.zone, settings.beat_period_ms, bounds.drain_ms)
         assert settings.upstream is not None
-        self.tap = Tap(settings.upstream, TAP_MOST, gauge, bounds.drain_ms)
-        self.tailrace = Tailrace(self.upstream, self.tap, gauge, lambda told: self.registry.publish(told))
-        self.passage = Passage(settings.node, self.tailrace, gauge, self._reached, self.life)
-        self.passage.core = lambda: self.membership.reservoirs()
-        self._heard_of: dict[str, Address] = {}  # control processes that other sluices told of
+        self.tap = Tap(settings.upstream, TAP_MOST, event_log, bounds.drain_ms)
+        self.upstream_dispatch = UpstreamDispatch(
+            self.upstream, self.tap, event_log, lambda told: self.registry.publish(told)
+        )
+        self.passage = Passage(settings.node, self.upstream_dispatch, event_log, self._reached, self.life)
+        self.passage.core = lambda: self.membership.controllers()
+        self._heard_of: dict[str, Address] = {}  # control processes that other proxies told of
         self.sessions: Sessions[End] = Sessions(int(HELD_SHARE * settings.limits.memory_mb * 1e6))
         self.tables = Tables(
             self.passage,
@@ -84,7 +86,7 @@
             settings.zone,
             (bounds.retry_ratio, bounds.retry_window_s * 1000.0, bounds.retry_slack),
             zlib.crc32(self.life.encode()),
-            gauge,
+            event_log,
         )
         self.stages = Stages(
             settings,
@@ -95,10 +97,10 @@
             self._prepare,
             lambda: self.channels,
             int(time.time() * 1000),
-            gauge,
+            event_log,
         )
         self.tables.watch, self.tables.renew = self.stages.ended, self._renew
-        self.tailrace.newer = self.stages.newer
+        self.upstream_dispatch.newer = self.stages.newer
         self.intake = Intake(
             self.tables,
             settings.plant,
@@ -107,12 +109,12 @@
             self.configured,
             lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
         )
-        self.tailrace.bodies = self.intake.bodies
+        self.upstream_dispatch.bodies = self.intake.bodies
         self.registry = Registry(
             self.upstream,
             self.roll,
             self.membership,
-            gauge,
+            event_log,
             self.tables.now,
             lambda items: self._changed("roll", items),
         )
@@ -122,17 +124,17 @@
         self.readiness = Desk(self._ready)
         self.channels = Channels(
             settings.node,
-            {"t": "hello", "node": settings.node, "source": self.life, "ip": settings.ip, "role": SLUICE},
+            {"t": "hello", "node": settings.node, "source": self.life, "ip": settings.ip, "role": PROXY},
             {"charter": self.charter, "roll": self.roll, REPORTS: self.reports},
             settings.tolerance.machines + ASKED_BEYOND,
-            gauge,
+            event_log,
             self._changed,
             extra=lambda channel, head, _: self.stages.told(head, channel.whole),
             up=(REPORTS,),
             ranks=True,
         )
         self.channels.silent = lambda role: ("charter",)  # an old copy here brings back nothing
-        self.reach = Reach(bounds.contact_ms, self.channels, gauge)
+        self.reach = Reach(bounds.contact_ms, self.channels, event_log)
         self.questions = Questions(answers_of(self, time.time))
         self.ending = False
         self._links: set[Link] = set()  # with calls from other sidecars
@@ -153,7 +155,7 @@
         self._say_node()
         self._know()
         self.loop.call_later(TICK_S, self._tick)
-        self.gauge.tell(events.STARTED, role=SLUICE)
+        self.event_log.tell(events.STARTED, role=ROLE_NAMES[PROXY])
 
     def _say_node(self) -> None:
         settings = self.settings
@@ -164,7 +166,7 @@
             self._node_version,
             {
                 "address": f"{self.peer_address[0]}:{self.peer_address[1]}",
-                "role": SLUICE,
+                "role": PROXY,
                 "zone": settings.zone,
                 "region": settings.region,
             },
@@ -237,11 +239,11 @@
             await asyncio.sleep(0.02)
         self.control.stop()
         self.readiness.stop()
-        self.gauge.tell(events.ENDED)
+        self.event_log.tell(events.ENDED)
 
     def _said_all(self) -> bool:
         """Nothing runs here for other sidecars, and what they were answered has left."""
-        return not self.tailrace.running and not any(link.unsent for link in self._links)
+        return not self.upstream_dispatch.running and not any(link.unsent for link in self._links)
 
     # News
 
@@ -262,12 +264,12 @@
                 for item in items:
                     if item.kind == NODE and item.value is None:
                         self.passage.forget(item.name)
-            self.tables.people(self.membership.sluices(), self.membership.zones())
+            self.tables.people(self.membership.proxies(), self.membership.zones())
         self.channels.poke()
 
     def _reached(self, node: str, up: bool) -> None:
         """What cannot be reached from here takes no calls from here, whatever others say of it."""
-        self.gauge.tell(events.REACHED if up else events.UNREACHED, peer=node)
+        self.event_log.tell(events.REACHED if up else events.UNREACHED, peer=node)
         for instance in self.membership.at(node):
             value = self.membership.instances[instance]
             table = self.tables.by_service.get(str(value["plant"]))
@@ -316,14 +318,14 @@
     def _know(self) -> None:
         port = self.settings.port_range[0]
         known = {host: (host, port) for host, _ in self.settings.seeds}
-        reservoirs = self.membership.reservoirs()
-        known.update(reservoirs or self._heard_of)
+        controllers = self.membership.controllers()
+        known.update(controllers or self._heard_of)
         self.channels.know(known)
 
     def _hear_of(self, told: Any) -> None:
-        """Another sluice says which control processes there are: of use to one that has just started, and
-        cannot have its seeds. What a reservoir says of them takes its place."""
-        if self.membership.reservoirs() or not isinstance(told, list):
+        """Another proxy says which control processes there are: of use to one that has just started, and
+        cannot have its seeds. What a controller says of them takes its place."""
+        if self.membership.controllers() or not isinstance(told, list):
             return
         for address in map(read_address, told[:MOST_TOLD]):
             if address is not None and len(self._heard_of) < MOST_HEARD:
@@ -354,7 +356,7 @@
         elif head.get("t") == "hello" and head.get("for") == "calls":
             life = head.get("life")  # none from a program that cannot ask back
             session = self.sessions.open(str(life)) if life else None
-            link.peer = Incoming(link, self.tailrace, self.sessions, session)
+            link.peer = Incoming(link, self.upstream_dispatch, self.sessions, session)
             self._links.add(link)
             if session is not None:
                 link.send({"t": "life", "life": self.life})
--- a/waterworks/sluice/intake.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -9,13 +9,13 @@
 from anisestair.flow.budget import Budget
 from anisestair.http import codec as http
 from anisestair.http.frontend import TARGET
-from waterworks.manifold.limits import Limits
-from waterworks.manifold.routes import Route, pick
-from waterworks.penstock.frames import MOST
-from waterworks.sluice.calls import Anew, Ask, Failed, Final, Refused, Served
-from waterworks.sluice.hop import Returned
-from waterworks.sluice.tables import Tables
-from waterworks.valve.holding import Holding
+from mesh.admission.buffer_budget import Holding
+from mesh.configuration.limits import Limits
+from mesh.configuration.routes import Route, pick
+from mesh.data_plane.call_messages import Returned
+from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served
+from mesh.data_plane.service_balancers import Tables
+from mesh.transport.frames import MOST
 
 # Bytes of a body that this program can carry, whatever the operators allow: one frame between two sidecars.
 LONGEST = MOST
--- a/waterworks/sluice/tables.py
+++ b/mesh/data_plane/service_balancers.py
@@ -12,16 +12,16 @@
 from hareloom import Balancer
 from hareloom import interface as api
 from hareloom.interface import NEVER_RAN, Effect, ListKind, Outcome, ServerState
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.manifold.routes import Route
-from waterworks.penstock.link import Address
-from waterworks.sluice.calls import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway
-from waterworks.sluice.passage import Passage
-from waterworks.sluice.traces import FirstHop, words
-from waterworks.valve.budget import Budget
-from waterworks.valve.passing import Why
+from mesh.admission.final_check import Why
+from mesh.admission.retry_budget import Budget
+from mesh.configuration.routes import Route
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
+from mesh.data_plane.call_state import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
+from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.traces import FirstHop, words
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.transport.link import Address
 
 FURTHER = 2  # attempts of a request beyond its route's trials, for those that never reached an upstream
 LATE_WORTH = 0.3  # of an answer after its aim, as no configuration tells it
@@ -198,7 +198,7 @@
                         self._act(action)
                 except Exception as fault:
                     # A fault in the decisions costs the request at hand its answer, not all others.
-                    self.tables.gauge.tell(events.FAULT, where=self.service, what=repr(fault))
+                    self.tables.event_log.tell(events.FAULT, where=self.service, what=repr(fault))
                     ask = self.asks.get(getattr(event, "request", ""))
                     if ask is not None:
                         self._finish(ask, Failed(False))
@@ -302,12 +302,12 @@
         zone: str,
         bounds: tuple[float, float, float],
         seed: int,
-        gauge: Gauge,
+        event_log: EventLog,
     ) -> None:
         """``bounds``: ratio, window in milliseconds and slack of the budget of further tries."""
         self.loop = asyncio.get_running_loop()
         self.passage, self.node_of, self.address_of = passage, node_of, place.address
-        self.zone, self.gauge = zone, gauge
+        self.zone, self.event_log = zone, event_log
         self.ratio, self.window_ms, self.slack = bounds
         self._random = random.Random(seed)
         self.trials: dict[str, int] = {}
--- a/waterworks/sluice/stages.py
+++ b/mesh/data_plane/staged_routes.py
@@ -1,5 +1,5 @@
 """A sidecar's part in stages: when a changed route is in force here, what its first calls say of it, and the
-word of both to the control processes. The decisions are `waterworks.lock`'s."""
+word of both to the control processes. The decisions are `mesh.rollout`'s."""
 
 from __future__ import annotations
 
@@ -7,26 +7,26 @@
 from collections.abc import Callable
 from typing import Any
 
-from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.store import Store, paging
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.settings import Settings
-from waterworks.leat.channels import Channels
-from waterworks.leat.exchange import pack as pack_item
-from waterworks.lock.bounds import derive
-from waterworks.lock.chamber import Chamber, Order, Pass, State
-from waterworks.lock.contact import GAP_S, Contact
-from waterworks.lock.kinds import STAGED, Kind, kind_of
-from waterworks.lock.newer import Newer
-from waterworks.lock.report import MOST_NAMED, REPORT, REPORTS, Count, Report, pack
-from waterworks.lock.word import Watch, worse
-from waterworks.manifold.decode import ROUTE
-from waterworks.manifold.routes import Route, Routes, read_route
-from waterworks.penstock.frames import Head
-from waterworks.sluice.calls import Ask, Failed, Refused
-from waterworks.sluice.hop import Call
-from waterworks.sluice.membership import Membership
+from mesh.configuration.commands import ROUTE
+from mesh.configuration.routes import Route, Routes, read_route
+from mesh.data_plane.call_messages import Call
+from mesh.data_plane.call_state import Ask, Failed, Refused
+from mesh.data_plane.membership import Membership
+from mesh.dissemination.peers import Channels
+from mesh.dissemination.pull_exchange import pack as pack_item
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.items import Item, Key
+from mesh.replication.store import Store, paging
+from mesh.rollout.bounds import derive
+from mesh.rollout.canary_verdict import Watch, worse
+from mesh.rollout.change_kinds import STAGED, Kind, kind_of
+from mesh.rollout.contact import GAP_S, Contact
+from mesh.rollout.report import MOST_NAMED, REPORT, REPORTS, Count, Report, pack
+from mesh.rollout.staged_activation import Chamber, Order, Pass, State
+from mesh.rollout.version_check import Newer
+from mesh.runtime.settings import Settings
+from mesh.transport.frames import Head
 
 SAY_S, SAY_SOON_S = 0.2, 0.02  # what changes within this is told at once; the first part's word is waited for
 
@@ -42,14 +42,14 @@
         prepare: Callable[[Route], list[str]],
         channels: Callable[[], Channels],
         version: int,
-        gauge: Gauge,
+        event_log: EventLog,
     ) -> None:
         """``prepare`` makes ready for a route and gives its services without a live upstream; ``version``:
         above those of all reports of earlier lives."""
         self._loop = asyncio.get_running_loop()
         self._node, self._charter, self._reports = settings.node, charter, reports
         self._routes, self._membership, self._prepare = routes, membership, prepare
-        self._channels, self._version, self._gauge = channels, version, gauge
+        self._channels, self._version, self._event_log = channels, version, event_log
         times = derive(settings.bounds.settle_ms, settings.bounds.ack_ms)
         self.chamber, self.contact = Chamber(times.hold_s), Contact(times.news_s)
         self._newer, self.watch = Newer(times.newer_s), Watch()
@@ -85,7 +85,7 @@
             self.chamber.prepared(one)
             for service in dry:
                 self.dry[item.name] = service
-                self._gauge.tell(events.ROUTE_DRY, route=item.name, version=item.version, service=service)
+                self._event_log.tell(events.ROUTE_DRY, route=item.name, version=item.version, service=service)
         if one.state is State.IN_FORCE:
             self._use(now, one)
         self._arm()
@@ -138,7 +138,7 @@
             return None
         one = self.chamber.order(now, key, order)
         if one is not None:
-            self._gauge.tell(events.ROLLOUT_ORDERED, order=order.value, route=name, version=one.version)
+            self._event_log.tell(events.ROLLOUT_ORDERED, order=order.value, route=name, version=one.version)
             if one.state is State.IN_FORCE:
                 self._use(now, one)
                 self._arm()
@@ -158,7 +158,7 @@
         new, old = watched.new, watched.old
         if not watched.told_worse and worse(new, old):
             watched.told_worse = True
-            self._gauge.tell(
+            self._event_log.tell(
                 events.ROUTE_WORSE,
                 route=route.name,
                 version=route.version,
--- a/waterworks/sluice/traces.py
+++ b/mesh/data_plane/traces.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterator
 from typing import Generic, TypeVar
 
-from waterworks.sluice.calls import Ask, Failed, Refused, Try
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
+from mesh.data_plane.call_state import Ask, Failed, Refused, Try
 
 KEPT = 400  # calls of each ring
 MOST_TRIES = 8  # of one call, the first; the others are only counted
--- a/waterworks/sluice/tap.py
+++ b/mesh/data_plane/upstream_connections.py
@@ -20,10 +20,10 @@
 import httptools
 
 from anisestair.http import codec as http
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.penstock.link import Address
-from waterworks.sluice.calls import CONNECTIONS, Event, State, own
+from mesh.data_plane.call_state import CONNECTIONS, Event, State, own
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.transport.link import Address
 
 CONNECT_S = 0.5
 DRAIN_PART = 0.3  # of drain_ms is the longest that opening a connection may hold up a call that may pass
@@ -152,7 +152,7 @@
             if not own(self._id, told.encode("latin-1") if told is not None else None):
                 self.on(Event.STRAY)
                 self._passed_over += 1
-                self._tap.gauge.tell(events.WRONG_ANSWER, wanted=self._id.decode("latin-1"), got=told)
+                self._tap.event_log.tell(events.WRONG_ANSWER, wanted=self._id.decode("latin-1"), got=told)
                 if self._passed_over > PASSED_OVER:
                     self.close()
                     self._break("answers to other calls")
@@ -174,8 +174,8 @@
 class Tap:
     """All connections to one address. ``most`` bounds them."""
 
-    def __init__(self, address: Address, most: int, gauge: Gauge, drain_ms: float = math.inf) -> None:
-        self.address, self.most, self.gauge = address, most, gauge
+    def __init__(self, address: Address, most: int, event_log: EventLog, drain_ms: float = math.inf) -> None:
+        self.address, self.most, self.event_log = address, most, event_log
         self.connect_s = min(CONNECT_S, DRAIN_PART * drain_ms / 1000.0)
         self._loop = asyncio.get_running_loop()
         self._idle: list[TapConnection] = []
--- a/waterworks/sluice/tailrace.py
+++ b/mesh/data_plane/upstream_dispatch.py
@@ -7,19 +7,19 @@
 from typing import Any
 
 from anisestair.http import codec as http
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.penstock.frames import MOST
-from waterworks.sluice.calls import SECOND, Event, State, event_of
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
-from waterworks.sluice.tap import Answered, NotSent, Outcome, Tap, TapConnection
-from waterworks.sluice.traces import SecondHop
-from waterworks.valve.holding import Holding
-from waterworks.valve.line import Line, Lowest
-from waterworks.valve.passing import Turned, Why, judge, places
-from waterworks.valve.sessions import Kept
-from waterworks.valve.shares import Shares
-from waterworks.weir.lives import Publish, Upstream
+from mesh.admission.buffer_budget import Holding
+from mesh.admission.call_sessions import Kept
+from mesh.admission.fair_share import Shares
+from mesh.admission.final_check import Turned, Why, judge, places
+from mesh.admission.wait_queue import Line, Lowest
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
+from mesh.data_plane.call_state import SECOND, Event, State, event_of
+from mesh.data_plane.traces import SecondHop
+from mesh.data_plane.upstream_connections import Answered, NotSent, Outcome, Tap, TapConnection
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.instance_lifecycle import Publish, Upstream
+from mesh.transport.frames import MOST
 
 # Written anew here, whatever was sent.
 OURS = frozenset({b"time-remaining", b"target-instance", b"calling-service", b"attempt-id"})
@@ -57,11 +57,11 @@
         return self.state in OVER
 
 
-class Tailrace:
+class UpstreamDispatch:
     def __init__(
-        self, upstream: Upstream, tap: Tap, gauge: Gauge, publish: Callable[[list[Publish]], None]
+        self, upstream: Upstream, tap: Tap, event_log: EventLog, publish: Callable[[list[Publish]], None]
     ) -> None:
-        self.upstream, self.tap, self._gauge, self._publish = upstream, tap, gauge, publish
+        self.upstream, self.tap, self._event_log, self._publish = upstream, tap, event_log, publish
         self._loop = asyncio.get_running_loop()
         self.running: set[Running] = set()  # at the upstream
         self.line, self.lowest, self.shares = Line(), Lowest(), Shares()
@@ -217,7 +217,7 @@
             self._tell(running, TurnedAway(Why.DOWN if outcome.refused else Why.FULL))
             return
         if not isinstance(outcome, Answered):
-            self._gauge.tell(events.UNCLEAR, attempt=running.call.attempt, why=outcome.why)
+            self._event_log.tell(events.UNCLEAR, attempt=running.call.attempt, why=outcome.why)
             self._tell(running, Unclear(outcome.why))
             return
         message = outcome.message
--- a/waterworks/sluice/registry.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -9,14 +9,14 @@
 import msgspec
 
 from anisestair.http import codec as http
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Store
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.penstock.desk import Answer
-from waterworks.sluice.membership import INSTANCE, Membership
-from waterworks.weir.calls import DECAYING, Beat, Leave, Unreadable, read_beat
-from waterworks.weir.lives import GONE_VERSION, SILENT_BEATS, Publish, Upstream
+from mesh.data_plane.membership import INSTANCE, Membership
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.instance_commands import DECAYING, Beat, Leave, Unreadable, read_beat
+from mesh.membership.instance_lifecycle import GONE_VERSION, SILENT_BEATS, Publish, Upstream
+from mesh.replication.items import Item
+from mesh.replication.store import Store
+from mesh.transport.http_calls import Answer
 
 PATH = b"/instances/"
 
@@ -52,13 +52,13 @@
         upstream: Upstream,
         roll: Store,
         membership: Membership,
-        gauge: Gauge,
+        event_log: EventLog,
         now: Callable[[], float],
         changed: Callable[[list[Item]], None],
     ) -> None:
         """``now`` gives milliseconds; ``changed`` is told of items written here."""
         self._upstream, self._roll, self._membership = upstream, roll, membership
-        self._gauge, self._now, self._changed = gauge, now, changed
+        self._event_log, self._now, self._changed = event_log, now, changed
         self._began = now()
 
     async def handle(self, message: http.Message) -> Answer:
@@ -68,7 +68,7 @@
         if isinstance(command, Unreadable):
             return Answer(400, msgspec.json.encode({"error": command.line()}))
         if isinstance(command, Leave):
-            self._gauge.tell(
+            self._event_log.tell(
                 events.INSTANCE_GONE,
                 service=self._upstream.beat.plant if self._upstream.beat is not None else "",
                 instance=command.instance,
@@ -78,14 +78,14 @@
             return Answer(200, b"{}")
         known = self._upstream.beat
         if known is None or known.instance != command.instance:
-            self._gauge.tell(
+            self._event_log.tell(
                 events.INSTANCE_NEW,
                 service=command.plant,
                 instance=command.instance,
                 address=f"{command.address[0]}:{command.address[1]}",
             )
         elif known.state != command.state:
-            self._gauge.tell(
+            self._event_log.tell(
                 events.INSTANCE_DECAYING if command.state == DECAYING else events.INSTANCE_SETTLED,
                 service=command.plant,
                 instance=command.instance,
--- a/waterworks/leat/channels.py
+++ b/mesh/dissemination/peers.py
@@ -14,15 +14,15 @@
 
 import msgspec
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.snapshot import SNAPSHOTS
-from waterworks.aquifer.store import Store
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.exchange import Exchange
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Address, Link, connect
-from waterworks.weir.rendezvous import order
+from mesh.dissemination.pull_exchange import Exchange
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.rendezvous import order
+from mesh.replication.items import Item
+from mesh.replication.snapshot import SNAPSHOTS
+from mesh.replication.store import Store
+from mesh.transport.frames import Head
+from mesh.transport.link import Address, Link, connect
 
 AGAIN_S, AGAIN_MOST_S = 0.15, 1.5
 BATCH_S = 0.01  # what changes within this goes out together
@@ -73,7 +73,7 @@
                 if items:
                     self.channels.changed(name, items)
             if self.exchange.full:
-                self.channels.gauge.tell(events.STATE_FULL, reason=self.exchange.full)
+                self.channels.event_log.tell(events.STATE_FULL, reason=self.exchange.full)
                 self.link.close(self.exchange.full)
                 return True
             self.link.send(self.exchange.question())
@@ -160,7 +160,7 @@
         hello: Head,
         stores: Mapping[str, Store],
         most: int,
-        gauge: Gauge,
+        event_log: EventLog,
         changed: Changed,
         whole: Callable[[], bool] = lambda: False,
         extra: Callable[[Channel, Head, bytes], None] | None = None,
@@ -175,7 +175,7 @@
         ``up``: the stores that go only to those whose hello says under ``takes`` that they want them."""
         self.up, self.ranks = up, ranks
         self.loop = asyncio.get_running_loop()
-        self.me, self.stores, self.most, self.gauge = me, stores, most, gauge
+        self.me, self.stores, self.most, self.event_log = me, stores, most, event_log
         self.hello = {**hello, "takes": [*hello.get("takes", ()), SNAPSHOTS]}
         self.changed, self.whole, self._extra = changed, whole, extra
         self._opened, self._closed, self._greeted = opened, closed, greeted
@@ -264,7 +264,7 @@
             self._greeted(channel)
         if begins:
             channel.begin()
-        self.gauge.tell(events.LINK_UP, peer=channel.node)
+        self.event_log.tell(events.LINK_UP, peer=channel.node)
         if self._opened is not None:
             self._opened(channel)
 
@@ -290,7 +290,7 @@
 
     def lost(self, channel: Channel, why: str) -> None:
         self.open.discard(channel)
-        self.gauge.tell(events.LINK_LOST, peer=channel.node or channel.name, why=why)
+        self.event_log.tell(events.LINK_LOST, peer=channel.node or channel.name, why=why)
         if self._closed is not None:
             self._closed(channel)
         asked = self._asked.get(channel.name)
@@ -323,7 +323,7 @@
 
     def _risen(self) -> list[str]:
         """The stores whose vectors have changed since the last call. Compared whole, once for all links: to
-        look at every source for each link would cost the square of the sluices."""
+        look at every source for each link would cost the square of the proxies."""
         found = [name for name, store in self.stores.items() if store.vector != self._seen[name]]
         for name in found:
             self._seen[name] = dict(self.stores[name].vector)
--- a/waterworks/leat/exchange.py
+++ b/mesh/dissemination/pull_exchange.py
@@ -6,7 +6,7 @@
 itself it never lacks.
 
 Where an asker lacks most of a store and says that it takes snapshots, the pages are those of one
-(`aquifer.snapshot`).
+(`replication.snapshot`).
 
 A store that goes one way (``up``) is told only to a peer that says it takes it: what each sidecar says of
 itself goes to the control processes and never to all other sidecars.
@@ -17,10 +17,10 @@
 from collections.abc import Collection, Mapping
 from typing import Any
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.snapshot import SNAPSHOTS
-from waterworks.aquifer.store import Full, Mistaken, Store
-from waterworks.penstock.frames import Head
+from mesh.replication.items import Item
+from mesh.replication.snapshot import SNAPSHOTS
+from mesh.replication.store import Full, Mistaken, Store
+from mesh.transport.frames import Head
 
 PAGE = 500  # items of one answer
 NEVER = 1 << 62  # more than any source can count to
--- a/waterworks/gauge/log.py
+++ b/mesh/event_log/log.py
@@ -7,7 +7,7 @@
 
 import logbook
 
-from waterworks.gauge.events import CATALOGUE, Event, Level
+from mesh.event_log.events import CATALOGUE, Event, Level
 
 MOST_A_SECOND = 20
 """Lines of one event in one second; the suppressed are counted and told with the event's next line."""
@@ -35,7 +35,7 @@
         pass
 
 
-class Gauge:
+class EventLog:
     """The log of one process. ``clock`` gives seconds since 1970, UTC; lines have the time of day by it."""
 
     def __init__(
--- a/waterworks/weir/reaping.py
+++ b/mesh/membership/failure_detection.py
@@ -13,7 +13,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from waterworks.aquifer.items import Item
+from mesh.replication.items import Item
 
 LEAST_S = 20.0  # the shortest silence after which a node may be gone
 CONTACTS, BEATS = 5.0, 4.0  # and so many times contact_ms and the upstreams' period of beats
--- a/waterworks/weir/calls.py
+++ b/mesh/membership/instance_commands.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from waterworks.penstock.link import Address
+from mesh.transport.link import Address
 
 NAME = 128  # characters of an instance's id at the most
 SETTLED, DECAYING = "settled", "decaying"
--- a/waterworks/weir/lives.py
+++ b/mesh/membership/instance_lifecycle.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from waterworks.weir.calls import DECAYING, SETTLED, Beat
+from mesh.membership.instance_commands import DECAYING, SETTLED, Beat
 
 STEP = 1000  # versions that one beat leaves room for
 SILENT_BEATS = 2.6  # periods without a beat, and a connection refused as well, tell of an end without a word
--- a/waterworks/weir/duty.py
+++ b/mesh/membership/lease.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from waterworks.aquifer.items import Item, outranks
-from waterworks.weir.rendezvous import order
+from mesh.membership.rendezvous import order
+from mesh.replication.items import Item, outranks
 
 DUTY = "duty"  # the kind of the items that say who has one
 REAPING = "reaping"  # dropping what is gone for good
--- a/waterworks/weir/tombs.py
+++ b/mesh/membership/tombstones.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable
 
-from waterworks.aquifer.items import Item, Key
+from mesh.replication.items import Item, Key
 
 KEPT_S = 600.0
 ASKS_ANEW_S = 0.5 * KEPT_S  # out of touch for so long
--- a/waterworks/aquifer/ballot.py
+++ b/mesh/replication/acceptor.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from waterworks.aquifer.items import Key
-from waterworks.aquifer.quorum import Tolerance
-from waterworks.aquifer.views import View
+from mesh.replication.items import Key
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum import Tolerance
 
 Number = tuple[str, str, int]  # kind, name, version
 Value = Mapping[str, Any] | None  # None: the item is dropped
--- a/waterworks/aquifer/repair.py
+++ b/mesh/replication/anti_entropy.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from waterworks.aquifer.digest import DEPTH, HEX, Digests, differing
-from waterworks.aquifer.items import Item, content
-from waterworks.aquifer.store import Store
+from mesh.replication.digest import DEPTH, HEX, Digests, differing
+from mesh.replication.items import Item, content
+from mesh.replication.store import Store
 
 MOST_RANGES = 16  # prefixes of one level that are gone into
 MOST_LEAVES = 64
--- a/waterworks/aquifer/digest.py
+++ b/mesh/replication/digest.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from waterworks.aquifer.items import Item, Key
+from mesh.replication.items import Item, Key
 
 DEPTH = 3  # hex digits of a leaf's prefix: 4,096 leaves, the bound of the tree
 HEX = "0123456789abcdef"
--- a/waterworks/aquifer/views.py
+++ b/mesh/replication/membership_epochs.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from waterworks.aquifer.quorum import Place, Tolerance, durable, overlaps
+from mesh.replication.quorum import Place, Tolerance, durable, overlaps
 
 VIEW, MEMBERS = "view", "members"  # kind and name of the one item that holds it
 MOST_EPOCH = 1 << 52
--- a/waterworks/aquifer/proposer.py
+++ b/mesh/replication/proposer.py
@@ -1,6 +1,6 @@
 """The proposer of one order: what it asks, what it takes up, and when it is decided. No I/O.
 
-The other half of `aquifer/ballot.py`, which has the vote's terms and the acceptor.
+The other half of `replication/acceptor.py`, which has the vote's terms and the acceptor.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from waterworks.aquifer.ballot import (
+from mesh.replication.acceptor import (
     Ballot,
     Forgotten,
     Number,
@@ -22,8 +22,8 @@
     Vote,
     digest_of,
 )
-from waterworks.aquifer.quorum import Tolerance
-from waterworks.aquifer.views import View
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum import Tolerance
 
 
 @dataclass(frozen=True, slots=True)
--- a/waterworks/aquifer/contact.py
+++ b/mesh/replication/quorum_contact.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from waterworks.aquifer.quorum import Tolerance
-from waterworks.aquifer.views import View
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum import Tolerance
 
 BOUND_SHARE = 1 / 3  # of contact_ms, for which an answer counts from its question on
 EVERY_SHARE = 1 / 8  # of contact_ms, between two questions: two may be lost and contact stands
--- a/waterworks/aquifer/changes.py
+++ b/mesh/replication/reconfiguration.py
@@ -11,8 +11,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import MOST_MEMBERS, View
+from mesh.replication.membership_epochs import MOST_MEMBERS, View
+from mesh.replication.quorum import Place, Tolerance
 
 
 @dataclass(frozen=True, slots=True)
--- a/waterworks/aquifer/restore.py
+++ b/mesh/replication/restore.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Collection, Mapping
 
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import MOST_EPOCH, View
+from mesh.replication.membership_epochs import MOST_EPOCH, View
+from mesh.replication.quorum import Place, Tolerance
 
 STEP = 16  # epochs above the newest known: changes that only the lost ones had come to know lie below
 
--- a/waterworks/aquifer/snapshot.py
+++ b/mesh/replication/snapshot.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from waterworks.aquifer.digest import hash_of
-from waterworks.aquifer.items import Item
+from mesh.replication.digest import hash_of
+from mesh.replication.items import Item
 
 SNAP = "snap:"  # before a root: an entry of a vector that counts items of that moment, in the order of keys
 SNAPSHOTS = "snapshots"  # what a process says that takes them
--- a/waterworks/aquifer/store.py
+++ b/mesh/replication/store.py
@@ -7,10 +7,10 @@
 from operator import itemgetter
 from typing import Any
 
-from waterworks.aquifer.digest import Digests
-from waterworks.aquifer.forgotten import Forgotten, Row, digest_of
-from waterworks.aquifer.items import Item, Key, outranks
-from waterworks.aquifer.snapshot import PART, SNAP, Giving, Moment, Taking, cut
+from mesh.replication.digest import Digests
+from mesh.replication.items import Item, Key, outranks
+from mesh.replication.snapshot import PART, SNAP, Giving, Moment, Taking, cut
+from mesh.replication.tombstones import Forgotten, Row, digest_of
 
 Write = tuple[str, str, int, Mapping[str, Any] | None]  # kind, name, version, value
 
@@ -64,7 +64,7 @@
     on.
 
     Where a peer lacks most of what is held, and takes them, the pages are those of a snapshot instead
-    (`aquifer.snapshot`): its entry is heeded by whoever holds the same, and ends with the last page too.
+    (`replication.snapshot`): its entry is heeded by whoever holds the same, and ends with the last page too.
     """
 
     def __init__(self, source: str, most: int, decided: bool = False) -> None:
--- a/waterworks/aquifer/forgotten.py
+++ b/mesh/replication/tombstones.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from waterworks.aquifer.items import Key
+from mesh.replication.items import Key
 
 BUCKETS = 256
 LEFT = 32
--- a/waterworks/lock/draw.py
+++ b/mesh/rollout/canary_selection.py
@@ -11,7 +11,7 @@
 from bisect import bisect_left
 from collections.abc import Mapping
 
-from waterworks.weir.rendezvous import order, weight
+from mesh.membership.rendezvous import order, weight
 
 FIRST_SHARE = (
     0.1  # of the sidecars, rounded down, one at least: what a broken change may reach before the rest
--- a/waterworks/lock/kinds.py
+++ b/mesh/rollout/change_kinds.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from waterworks.manifold.routes import Route
+from mesh.configuration.routes import Route
 
 
 class Kind(str, Enum):
--- a/waterworks/lock/report.py
+++ b/mesh/rollout/report.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from waterworks.aquifer.items import Item, Key
+from mesh.replication.items import Item, Key
 
 REPORTS, REPORT = "reports", "report"  # the store, and the kind of its items
 MOST_NAMED = 8  # items held back, and items under watch, that a report names
--- a/waterworks/lock/chamber.py
+++ b/mesh/rollout/staged_activation.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from waterworks.aquifer.items import Key
-from waterworks.lock.kinds import STAGED, Kind
+from mesh.replication.items import Key
+from mesh.rollout.change_kinds import STAGED, Kind
 
 MOST_HELD = 1024  # items held back at once; one more is taken at once
 KEPT = 256  # passes kept to be explained
--- a/waterworks/headworks/questions.py
+++ b/mesh/runtime/introspection_calls.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
-from waterworks.aquifer.items import Key
-from waterworks.aquifer.store import Store
-from waterworks.headworks.settings import Settings
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Link
+from mesh.replication.items import Key
+from mesh.replication.store import Store
+from mesh.runtime.settings import Settings
+from mesh.transport.frames import Head
+from mesh.transport.link import Link
 
 MOST_ASKERS = 16  # links; the oldest makes room for one more
 MOST_IN_HAND = 4  # questions of one link that wait for their answer
--- a/waterworks/headworks/settings.py
+++ b/mesh/runtime/settings.py
@@ -11,7 +11,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from waterworks.aquifer.quorum import Tolerance
+from mesh.replication.quorum import Tolerance
 
 Address = tuple[str, int]
 
--- a/waterworks/headworks/starting.py
+++ b/mesh/runtime/startup.py
@@ -12,9 +12,9 @@
 
 import uvloop
 
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.settings import Settings, Wrong, read
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.runtime.settings import Settings, Wrong, read
 
 VARIABLE = "ANISESTAIR_BOOT"
 LOOK_S = 1.0  # between two looks at the file, which may change without a signal
@@ -45,8 +45,8 @@
 class Following:
     """The settings file as it changes, by signal or silently. What cannot be used is told and left alone."""
 
-    def __init__(self, settings: Settings, gauge: Gauge, program: Program) -> None:
-        self._settings, self._gauge, self._program = settings, gauge, program
+    def __init__(self, settings: Settings, event_log: EventLog, program: Program) -> None:
+        self._settings, self._event_log, self._program = settings, event_log, program
         self._loop = asyncio.get_running_loop()
         self._seen = self._stamp()
         self._loop.add_signal_handler(signal.SIGHUP, self._read)
@@ -68,26 +68,28 @@
         self._seen = self._stamp()
         settings = load(os.environ)
         if isinstance(settings, Wrong):
-            self._gauge.tell(events.SETTINGS_REFUSED, findings="; ".join(settings.findings))
+            self._event_log.tell(events.SETTINGS_REFUSED, findings="; ".join(settings.findings))
         elif settings != self._settings:
             self._settings = settings
-            self._gauge.tell(events.SETTINGS_TAKEN)
+            self._event_log.tell(events.SETTINGS_TAKEN)
             self._program.retune(settings)
 
 
-async def _serve(settings: Settings, gauge: Gauge, make: Callable[[Settings, Gauge], Program]) -> None:
+async def _serve(
+    settings: Settings, event_log: EventLog, make: Callable[[Settings, EventLog], Program]
+) -> None:
     loop, ends = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ends.set)
-    program = make(settings, gauge)
+    program = make(settings, event_log)
     await program.start()
-    following = Following(settings, gauge, program)
+    following = Following(settings, event_log, program)
     await ends.wait()
     await program.stop()
     del following
 
 
-def run(make: Callable[[Settings, Gauge], Program]) -> int:
+def run(make: Callable[[Settings, EventLog], Program]) -> int:
     """The exit status: 2 for settings that cannot be used, 1 for an address or a disk that cannot."""
     settings = load(os.environ)
     if isinstance(settings, Wrong):
@@ -96,7 +98,7 @@
         return 2
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(settings, Gauge(settings.node, sys.stderr), make))
+            runner.run(_serve(settings, EventLog(settings.node, sys.stderr), make))
     except OSError as fault:
         print(f"{settings.node}: {fault}", file=sys.stderr)
         return 1
--- a/waterworks/cistern/layout.py
+++ b/mesh/storage/layout.py
@@ -13,11 +13,11 @@
 
 import msgspec
 
-from waterworks.aquifer.ballot import Acceptor, Ballot, Number, Vote
-from waterworks.aquifer.forgotten import Row
-from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.quorum import Place
-from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
+from mesh.replication.acceptor import Acceptor, Ballot, Number, Vote
+from mesh.replication.items import Item, Key
+from mesh.replication.membership_epochs import MEMBERS, VIEW, View, write_view
+from mesh.replication.quorum import Place
+from mesh.replication.tombstones import Row
 
 LAYOUT = 2
 """The layout that this program writes."""
@@ -45,7 +45,7 @@
 _FORGOTTEN = b"f"
 
 
-class CisternError(Exception):
+class StorageError(Exception):
     """A row that was kept cannot be read back, or is none of this layout's; the store is not to be used
     further."""
 
@@ -207,14 +207,14 @@
 
 
 def unpack_item(key: bytes, value: bytes) -> Item:
-    """The item of a row. Raises CisternError where the value is no item, or one that belongs under another
+    """The item of a row. Raises StorageError where the value is no item, or one that belongs under another
     key."""
     try:
         item: Item = msgspec.json.decode(value, type=Item)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CisternError(f"item row {key.hex()}: {error}; start on an empty disk") from error
+        raise StorageError(f"item row {key.hex()}: {error}; start on an empty disk") from error
     if pack_item(item)[0] != key:
-        raise CisternError(f"item row {key.hex()}: holds {item.kind} {item.name!r}; start on an empty disk")
+        raise StorageError(f"item row {key.hex()}: holds {item.kind} {item.name!r}; start on an empty disk")
     return item
 
 
@@ -224,11 +224,11 @@
 
 
 def unpack_vector(value: bytes) -> dict[str, int]:
-    """The vector of its row's value. Raises CisternError where the value is none."""
+    """The vector of its row's value. Raises StorageError where the value is none."""
     try:
         return msgspec.json.decode(value, type=dict[str, int])
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CisternError(f"vector row: {error}; start on an empty disk") from error
+        raise StorageError(f"vector row: {error}; start on an empty disk") from error
 
 
 def pack_whole(whole: bool) -> tuple[bytes, bytes]:
@@ -237,7 +237,7 @@
 
 
 def held(rows: Mapping[bytes, bytes]) -> Held:
-    """What a store's rows say. A disk without the marker is not complete. Raises CisternError on a row that
+    """What a store's rows say. A disk without the marker is not complete. Raises StorageError on a row that
     is of no kind known, or cannot be read."""
     items: list[Item] = []
     votes: dict[Number, Vote] = {}
@@ -257,7 +257,7 @@
             kind, name, unknown, digests = _read(key, value, _PastRow)
             past.append(Past((kind, name), unknown, digests))
         else:
-            raise CisternError(f"row {key.hex()}: of no kind known; start the program that wrote it")
+            raise StorageError(f"row {key.hex()}: of no kind known; start the program that wrote it")
     return Held(
         items=tuple(items),
         vector=unpack_vector(rows[_VECTOR]) if _VECTOR in rows else {},
@@ -280,7 +280,7 @@
     try:
         return msgspec.json.decode(value, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CisternError(f"row {key.hex()}: {error}; start on an empty disk") from error
+        raise StorageError(f"row {key.hex()}: {error}; start on an empty disk") from error
 
 
 def _view_of_members(rows: Rows) -> Rows:
--- a/waterworks/cistern/keeper.py
+++ b/mesh/storage/lmdb_store.py
@@ -19,14 +19,14 @@
 from lmdb.verify import VerifyError
 from lmdb.verify import verify as walk
 
-from waterworks.cistern.layout import (
+from mesh.storage.layout import (
     HEAD,
     LAYOUT,
     MOST_KEY_BYTES,
     MOVES,
-    CisternError,
     Head,
     Rows,
+    StorageError,
     pack_head,
     seal,
     unpack_head,
@@ -218,20 +218,20 @@
         return self._used + more_bytes <= SHARE * self._most
 
     def size(self) -> Size:
-        """Bytes. Raises CisternError where the file cannot be looked at."""
+        """Bytes. Raises StorageError where the file cannot be looked at."""
         try:
             return Size(os.stat(self._path).st_size, _used(self._opened()), self._most)
         except (lmdb.Error, OSError) as error:
-            raise CisternError(f"{self._path}: {error}; look at the disk") from error
+            raise StorageError(f"{self._path}: {error}; look at the disk") from error
 
     def rows(self) -> Rows:
-        """All rows. Raises CisternError where one cannot be read or has another checksum."""
+        """All rows. Raises StorageError where one cannot be read or has another checksum."""
         try:
             rows, findings, _ = _survey(self._opened())
         except (lmdb.Error, OSError) as error:
-            raise CisternError(f"{self._path}: {error}; start again") from error
+            raise StorageError(f"{self._path}: {error}; start again") from error
         if findings:
-            raise CisternError(f"{self._path}: {findings[0]}; start again")
+            raise StorageError(f"{self._path}: {findings[0]}; start again")
         return rows
 
     def verify(self) -> tuple[str, ...]:
--- a/waterworks/penstock/desk.py
+++ b/mesh/transport/http_calls.py
@@ -11,7 +11,7 @@
 import httptools
 
 from anisestair.http import codec as http
-from waterworks.penstock.link import Address
+from mesh.transport.link import Address
 
 MOST_BODY = 16 * 1024 * 1024
 WAITING = 16  # calls read ahead on one connection; more, and it is closed
--- a/waterworks/penstock/link.py
+++ b/mesh/transport/link.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from waterworks.penstock.frames import BadFrame, Frames, Head, frame
+from mesh.transport.frames import BadFrame, Frames, Head, frame
 
 Address = tuple[str, int]
 
--- a/rigs/call_hosts.py
+++ b/rigs/call_hosts.py
@@ -8,22 +8,22 @@
 
 from hareloom import requests
 from hareloom.interface import NEVER_RAN, Effect, Outcome
+from mesh.admission.call_sessions import Kept, Session, Sessions, Verdict
+from mesh.admission.final_check import Why
+from mesh.data_plane import call_messages
+from mesh.data_plane import call_state as table
+from mesh.data_plane.call_state import Ask, Event, Failed, Refused, State, event_of, outcome_of
 from statecheck.model import State as Whole
-from waterworks.sluice import calls as table
-from waterworks.sluice import hop
-from waterworks.sluice.calls import Ask, Event, Failed, Refused, State, event_of, outcome_of
-from waterworks.valve.passing import Why
-from waterworks.valve.sessions import Kept, Session, Sessions, Verdict
-
-NO, UNCLEAR = hop.TurnedAway(Why.LOST), hop.Unclear("lost")
-FULL = hop.TurnedAway(Why.FULL)
+
+NO, UNCLEAR = call_messages.TurnedAway(Why.LOST), call_messages.Unclear("lost")
+FULL = call_messages.TurnedAway(Why.FULL)
 TRIES = 2
 OVER = frozenset({State.ENDED, State.WITHDRAWN})
 
 
-def answer(call: int) -> hop.Returned:
+def answer(call: int) -> call_messages.Returned:
     """Of the upstream to that call; its body says whose it is."""
-    return hop.Returned(200, cast(Any, ()), b"%d" % call, True)
+    return call_messages.Returned(200, cast(Any, ()), b"%d" % call, True)
 
 
 class Attempt(NamedTuple):
@@ -186,14 +186,14 @@
                         return call, at
         return None
 
-    def ended(self, call: int, at: int, end: hop.End) -> None:
-        """As `sluice.tables.Table._ended`."""
+    def ended(self, call: int, at: int, end: call_messages.End) -> None:
+        """As `proxy.tables.Table._ended`."""
         if not self.on(call, at, event_of(end) if end is not UNCLEAR else Event.NO_ANSWER):
             return
         outcome = outcome_of(end)
         self.attempt(call, at, outcome=outcome)
         if outcome is Outcome.OK and self.calls[call].told == "open":
-            assert isinstance(end, hop.Returned)
+            assert isinstance(end, call_messages.Returned)
             self.tell(call, "served " + end.body.decode())
 
     def tell(self, call: int, words: str) -> None:
@@ -290,22 +290,24 @@
 
     # The second hop
 
-    def book(self, second: int) -> Sessions[hop.End]:
+    def book(self, second: int) -> Sessions[call_messages.End]:
         """Its sessions, as the shipped code has them."""
-        book: Sessions[hop.End] = Sessions(self.size.held_bytes)
+        book: Sessions[call_messages.End] = Sessions(self.size.held_bytes)
         for life, highest, forgotten, entries in self.seconds[second].sessions:
-            session: Session[hop.End] = Session(life)
+            session: Session[call_messages.End] = Session(life)
             session.highest, session.forgotten = highest, forgotten
             for number, call, waits, done, end in entries:
                 session.calls[number] = Kept(self.size.ids[call], call, waits, end, done)
                 if done:
-                    size = len(end.body) if isinstance(end, hop.Returned) else 0
+                    size = len(end.body) if isinstance(end, call_messages.Returned) else 0
                     book._ends.append((0.0, session, number, size))
                     book.bytes += size
             book.by_life[life] = session
         return book
 
-    def shelve(self, second: int, book: Sessions[hop.End], calls: dict[tuple[Any, int], int]) -> None:
+    def shelve(
+        self, second: int, book: Sessions[call_messages.End], calls: dict[tuple[Any, int], int]
+    ) -> None:
         kept = tuple(
             (
                 life,
@@ -387,8 +389,10 @@
             self.asked(link, book, session, number, self.size.ids[frame[2]])
         self.shelve(link.second, book, calls)
 
-    def asked(self, link: Link, book: Any, session: Session[hop.End], number: int, attempt: str) -> None:
-        """As `sluice.incoming.Incoming._asked`."""
+    def asked(
+        self, link: Link, book: Any, session: Session[call_messages.End], number: int, attempt: str
+    ) -> None:
+        """As `proxy.incoming.Incoming._asked`."""
         verdict, kept = session.ask(number, attempt)
         turn = self.run_at(link.second, session.life, number)
         if verdict is Verdict.PASSED:
@@ -410,7 +414,7 @@
             self.end_run(second, at)
 
     def unmet(self, link: Link) -> None:
-        """The second hop's end of it is gone. As `sluice.incoming.Incoming.lost`."""
+        """The second hop's end of it is gone. As `proxy.incoming.Incoming.lost`."""
         at = self.at(link.id)
         self.links[at] = link._replace(far=False, there=())
         book, calls = self.book(link.second), self.owners(link.second)
@@ -424,7 +428,7 @@
                 self.run(link.second, turn, link=0)
         self.shelve(link.second, book, calls)
 
-    def over(self, second: int, at: int, end: hop.End) -> None:
+    def over(self, second: int, at: int, end: call_messages.End) -> None:
         """A run has its end there."""
         run = self.seconds[second].runs[at]
         if (run.state, event_of(end)) not in table.SECOND:
@@ -433,7 +437,7 @@
         book, calls = self.book(second), self.owners(second)
         session = book.by_life[cast(str, run.life)]
         if run.number in session.calls:
-            size = len(end.body) if isinstance(end, hop.Returned) else 0
+            size = len(end.body) if isinstance(end, call_messages.Returned) else 0
             book.end(session, run.number, end, size, 0.0)
         self.shelve(second, book, calls)
         if run.link:
@@ -463,7 +467,7 @@
         self.begun[run.call] += 1
 
     def may_use(self, there: Second, attempt: str) -> bool:
-        """An idle connection, for a call of that id; as `sluice.tap.Tap.ask`."""
+        """An idle connection, for a call of that id; as `proxy.tap.Tap.ask`."""
         return attempt not in there.ids
 
     def answered(self, second: int, at: int, twice: bool, together: bool) -> None:
--- a/rigs/call_model.py
+++ b/rigs/call_model.py
@@ -15,13 +15,13 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import Any
 
+from mesh.admission.call_sessions import HELD_S
+from mesh.data_plane import call_messages
+from mesh.data_plane import call_state as table
+from mesh.data_plane.call_state import Event, State
 from rigs.call_hosts import FULL, Attempt, Call, Left, Link, Second, Size, World
 from statecheck import Model, Violation, explore
 from statecheck.model import State as Whole
-from waterworks.sluice import calls as table
-from waterworks.sluice import hop
-from waterworks.sluice.calls import Event, State
-from waterworks.valve.sessions import HELD_S
 
 
 class Calls(Model):
@@ -228,7 +228,7 @@
 
     def _break(self, world: World, second: int, at: int) -> None:
         world.left["losses"] -= 1
-        world.over(second, at, hop.Unclear("the connection ended"))
+        world.over(second, at, call_messages.Unclear("the connection ended"))
 
     def _stray_seen(self, world: World, second: int) -> None:
         assert table.CONNECTIONS[State.IDLE, Event.STRAY] is State.CLOSED
--- a/rigs/call_world.py
+++ b/rigs/call_world.py
@@ -20,12 +20,12 @@
 from unittest import mock
 
 from anisestair.http import codec as http
-from rigs.mesh_world.wire import DELAY_S, End
-from rigs.mesh_world.world import Life, Machine, Script, World
-from waterworks.manifold.routes import Route
-from waterworks.penstock.link import Link
-from waterworks.sluice.passage import Outgoing
-from waterworks.sluice.tap import Answered, Broken, NotSent, Outcome
+from mesh.configuration.routes import Route
+from mesh.data_plane.peer_calls import Outgoing
+from mesh.data_plane.upstream_connections import Answered, Broken, NotSent, Outcome
+from mesh.transport.link import Link
+from simulation.mesh.wire import DELAY_S, End
+from simulation.mesh.world import Life, Machine, Script, World
 
 SERVICE, HOST = "p", "h.example"
 AIM_MS, HORIZON_MS = 400.0, 1500.0
@@ -56,7 +56,7 @@
 
 
 class _Work:
-    """A request at an upstream, as `Tailrace` sees its connection."""
+    """A request at an upstream, as `UpstreamDispatch` sees its connection."""
 
     def __init__(self, ended: Callable[[Outcome], None]) -> None:
         self.ended: Callable[[Outcome], None] | None = ended
@@ -120,7 +120,7 @@
 
     def dress(self, life: Life) -> None:
         program = life.program
-        program.tap = program.tailrace.tap = _Tap(self, life.machine)
+        program.tap = program.upstream_dispatch.tap = _Tap(self, life.machine)
         if not self.asks_back:
             program.passage.life = ""
         program.routes.put(WRITE)
@@ -283,7 +283,7 @@
 def left_over(name: str, program: Any) -> list[str]:
     """What a sidecar still has in hand when all is quiet."""
     found = []
-    if program.tailrace.running or len(program.tailrace.line):
+    if program.upstream_dispatch.running or len(program.upstream_dispatch.line):
         found.append(f"{name}: calls at the upstream or in the line")
     if program.intake.in_hand or program.passage._turns:
         found.append(f"{name}: requests in hand")
--- a/rigs/hollow/__main__.py
+++ b/rigs/hollow/__main__.py
@@ -1,11 +1,11 @@
-"""A process of hollow sluices: `python -m rigs.hollow`, with commands as lines of JSON on its standard input
+"""A process of hollow proxies: `python -m rigs.hollow`, with commands as lines of JSON on its standard input
 and one line of JSON in answer to each. It ends with its input.
 
 The first line says who they are with: seeds, zones, services, beat_s, hold_s, tolerated, silent_s. Then
 ``do``: start, restart, crash, apart (``numbers``, ``over_s``: spread over so long; apart: ``seconds``),
 state, counts, reach (``name``, ``version``).
 
-The garbage collector is off: its rounds over the items of so many sluices would hold them all up at once, for
+The garbage collector is off: its rounds over the items of so many proxies would hold them all up at once, for
 longer than a link may be silent.
 """
 
@@ -20,10 +20,10 @@
 
 import uvloop
 
-from rigs.hollow.sluice import Hollow, Host
-from waterworks.gauge.events import Level
-from waterworks.gauge.log import Gauge
-from waterworks.penstock import link
+from mesh.event_log.events import Level
+from mesh.event_log.log import EventLog
+from mesh.transport import link
+from rigs.hollow.proxy import Hollow, Host
 
 Told = dict[str, Any]
 LOOK_S = 0.05
@@ -134,7 +134,7 @@
         float(first["beat_s"]),
         float(first["hold_s"]),
         int(first["tolerated"]),
-        Gauge("hollow", sys.stderr, Level.ERROR),
+        EventLog("hollow", sys.stderr, Level.ERROR),
     )
     link.SILENT_S = float(first["silent_s"])
     process = Process(host)
--- a/rigs/hollow/counting.py
+++ b/rigs/hollow/counting.py
@@ -1,4 +1,4 @@
-"""What hollow sluices send and get, by kind of frame: counted where the shipped link writes and reads."""
+"""What hollow proxies send and get, by kind of frame: counted where the shipped link writes and reads."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from waterworks.penstock import link
-from waterworks.penstock.frames import Frames, Head, frame
+from mesh.transport import link
+from mesh.transport.frames import Frames, Head, frame
 
 ALIVE = "alive"  # a sign of life, the frame without a word
 NEWS = "news"  # the only kind whose bytes are not measured singly: what is left of all bytes
@@ -79,7 +79,7 @@
         patches: list[Any] = [
             mock.patch.object(link, "frame", self._write),
             mock.patch.object(link, "Frames", Counted),
-            mock.patch("waterworks.leat.channels.Link", Steady),
+            mock.patch("mesh.dissemination.peers.Link", Steady),
         ]
         for patch in patches:
             patch.start()
--- a/rigs/hollow/fleet.py
+++ b/rigs/hollow/fleet.py
@@ -1,4 +1,4 @@
-"""Processes of hollow sluices, started and asked from outside; each takes its part of the numbers."""
+"""Processes of hollow proxies, started and asked from outside; each takes its part of the numbers."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 from pathlib import Path
 from typing import Any
 
+from mesh.transport.link import Address
 from rigs.fleet import end_with_parent
-from waterworks.penstock.link import Address
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 MOST_LINE = 1 << 24  # bytes of an answer
@@ -20,7 +20,7 @@
 
 
 class Fleet:
-    """``ask`` reaches all of them; hollow sluice n is in process n modulo their number."""
+    """``ask`` reaches all of them; hollow proxy n is in process n modulo their number."""
 
     def __init__(self, folder: Path, count: int) -> None:
         self._folder, self._count = folder, count
@@ -66,7 +66,7 @@
         process.stdin.write(json.dumps(told).encode() + b"\n")
         line = await process.stdout.readline()
         if not line:
-            raise RuntimeError("a process of hollow sluices has ended")
+            raise RuntimeError("a process of hollow proxies has ended")
         answer: Told = json.loads(line)
         return answer
 
--- a/rigs/hollow/machine.py
+++ b/rigs/hollow/machine.py
@@ -11,10 +11,10 @@
 MB = 1024 * 1024
 MOST_PROCESSES = 300
 MOST_SHARE = 0.5  # of the machine's memory
-HOLLOW_BYTES = 2100.0  # measured at 600, of one hollow sluice for each that it knows of
+HOLLOW_BYTES = 2100.0  # measured at 600, of one hollow proxy for each that it knows of
 HOLLOW_OWN_BYTES = 250_000.0  # and of itself
 REAL_BYTES = 90 * MB  # of a real process before it knows anybody
-REAL_EACH_BYTES = 12_000.0  # and for each sluice that it knows of
+REAL_EACH_BYTES = 12_000.0  # and for each proxy that it knows of
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,15 +74,15 @@
         half = int(MOST_SHARE * total)
         return Bounds(half if wanted_gb is None else min(half, int(wanted_gb * 1024 * MB)))
 
-    def plan(self, hollow: int, sluices: int, reservoirs: int, processes: int) -> Refused | None:
+    def plan(self, hollow: int, proxies: int, controllers: int, processes: int) -> Refused | None:
         """Before anything is started: whether a run of that size would pass them."""
-        if sluices + reservoirs + processes > self.processes:
-            return Refused(f"{sluices + reservoirs + processes} processes, at most {self.processes}")
-        real = (sluices + reservoirs) * (REAL_BYTES + REAL_EACH_BYTES * hollow)
+        if proxies + controllers + processes > self.processes:
+            return Refused(f"{proxies + controllers + processes} processes, at most {self.processes}")
+        real = (proxies + controllers) * (REAL_BYTES + REAL_EACH_BYTES * hollow)
         wanted = hollow * (HOLLOW_OWN_BYTES + HOLLOW_BYTES * hollow) + real
         if wanted > self.memory_bytes:
             return Refused(
-                f"{hollow} hollow sluices want about {wanted / MB / 1024:.1f} GB, "
+                f"{hollow} hollow proxies want about {wanted / MB / 1024:.1f} GB, "
                 f"at most {self.memory_bytes / MB / 1024:.1f} GB"
             )
         return None
--- a/rigs/hollow/patient.py
+++ b/rigs/hollow/patient.py
@@ -1,6 +1,6 @@
 """One of the mesh's programs whose links may be silent for longer: `python -m rigs.hollow.patient PROGRAM S`.
 
-A machine that many share holds processes up for longer than `penstock.link.SILENT_S` allows, and links that
+A machine that many share holds processes up for longer than `transport.link.SILENT_S` allows, and links that
 are lost by it would be measured instead of the mesh.
 """
 
@@ -9,9 +9,9 @@
 import runpy
 import sys
 
-from waterworks.penstock import link
+from mesh.transport import link
 
-PROGRAMS = ("reservoir", "sluice")
+PROGRAMS = ("control_plane", "data_plane")
 
 
 def main(program: str, silent_s: float) -> None:
@@ -19,7 +19,7 @@
     if program not in PROGRAMS or silent_s < link.SILENT_S:
         raise ValueError(f"give one of {PROGRAMS} and at least {link.SILENT_S} s")
     link.SILENT_S = silent_s
-    runpy.run_module(f"waterworks.{program}", run_name="__main__", alter_sys=True)
+    runpy.run_module(f"mesh.{program}", run_name="__main__", alter_sys=True)
 
 
 if __name__ == "__main__":
--- a/rigs/hollow/sluice.py
+++ b/rigs/hollow/proxy.py
@@ -1,5 +1,5 @@
-"""One hollow sluice: it says who it is and that its upstream beats, asks for news, holds the whole
-membership, waits for first parts and reports what is in force, as a sluice does. It takes no calls."""
+"""One hollow proxy: it says who it is and that its upstream beats, asks for news, holds the whole
+membership, waits for first parts and reports what is in force, as a proxy does. It takes no calls."""
 
 from __future__ import annotations
 
@@ -10,25 +10,25 @@
 from sys import intern
 from typing import Any
 
+from mesh.configuration.commands import ROUTE
+from mesh.data_plane.membership import CONTROLLER, INSTANCE, NODE, PROXY, Membership
+from mesh.data_plane.program import ASKED_BEYOND, MOST_CHARTER, MOST_ROLL, TICK_S
+from mesh.data_plane.staged_routes import SAY_S, SAY_SOON_S
+from mesh.dissemination.peers import Channel, Channels
+from mesh.event_log.log import EventLog
+from mesh.membership.failure_detection import above, dropped
+from mesh.membership.instance_commands import SETTLED, Beat
+from mesh.membership.instance_lifecycle import Publish, Upstream
+from mesh.membership.tombstones import Tombs
+from mesh.replication.items import Item, Key
+from mesh.replication.store import PAGE
+from mesh.rollout.change_kinds import Kind
+from mesh.rollout.report import MOST_NAMED, REPORT, REPORTS, Report, pack
+from mesh.rollout.staged_activation import Chamber, Pass, State
+from mesh.transport.frames import Head
+from mesh.transport.link import Address
 from rigs.hollow.counting import Counts
 from rigs.hollow.stores import HollowStore, Pool
-from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.store import PAGE
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel, Channels
-from waterworks.lock.chamber import Chamber, Pass, State
-from waterworks.lock.kinds import Kind
-from waterworks.lock.report import MOST_NAMED, REPORT, REPORTS, Report, pack
-from waterworks.manifold.decode import ROUTE
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Address
-from waterworks.sluice.membership import INSTANCE, NODE, RESERVOIR, SLUICE, Membership
-from waterworks.sluice.program import ASKED_BEYOND, MOST_CHARTER, MOST_ROLL, TICK_S
-from waterworks.sluice.stages import SAY_S, SAY_SOON_S
-from waterworks.weir.calls import SETTLED, Beat
-from waterworks.weir.lives import Publish, Upstream
-from waterworks.weir.reaping import above, dropped
-from waterworks.weir.tombs import Tombs
 
 DRAIN_S = 0.3  # from the word that it leaves to its end
 MOST_TIMED = 200_000  # instants kept of one kind; a run that would pass it is too long
@@ -36,7 +36,7 @@
 
 @dataclass
 class Host:
-    """What all hollow sluices of a process share."""
+    """What all hollow proxies of a process share."""
 
     seeds: dict[str, Address]
     zones: list[tuple[str, str]]  # zone and region, in turn by number
@@ -44,7 +44,7 @@
     beat_s: float
     hold_s: float
     tolerated: int
-    gauge: Gauge
+    event_log: EventLog
     counts: Counts = field(default_factory=Counts)
     pool: Pool = field(default_factory=Pool)
     membership: Membership = field(default_factory=Membership)  # as the first of them knows it
@@ -104,7 +104,7 @@
         self.reports = HollowStore(self.life, 1, host.pool)
         self.upstream = Upstream(self.node, self.zone, host.beat_s * 1000.0, 2000.0)
         self.chamber, self.tombs = Chamber(host.hold_s), Tombs()
-        self._reservoirs: dict[str, Address] = {}
+        self._controllers: dict[str, Address] = {}
         self._routes: set[Key] = set()
         self._beats, self._beat_at = 0, 0.0
         self._due: asyncio.TimerHandle | None = None
@@ -112,13 +112,13 @@
         self._said: dict[str, Any] | None = None
         self._said_vector: dict[str, int] = {}
         self._report_version = int(time.time() * 1000)
-        hello = {"t": "hello", "node": self.node, "source": self.life, "ip": self.ip, "role": SLUICE}
+        hello = {"t": "hello", "node": self.node, "source": self.life, "ip": self.ip, "role": PROXY}
         self.channels = HollowChannels(
             self.node,
             hello,
             {"charter": self.charter, "roll": self.roll, REPORTS: self.reports},
             host.tolerated + ASKED_BEYOND,
-            host.gauge,
+            host.event_log,
             self._changed,
             up=(REPORTS,),
             ranks=True,
@@ -190,7 +190,7 @@
             NODE,
             self.node,
             version,
-            {"address": f"{self.ip}:7000", "role": SLUICE, "zone": self.zone, "region": self.region},
+            {"address": f"{self.ip}:7000", "role": PROXY, "zone": self.zone, "region": self.region},
         )
         if isinstance(told, Item):
             self._changed("roll", [told])
@@ -205,7 +205,7 @@
             self._changed("roll", items)
 
     def _know(self) -> None:
-        self.channels.know({**self.host.seeds, **self._reservoirs})
+        self.channels.know({**self.host.seeds, **self._controllers})
 
     def _changed(self, name: str, items: list[Item]) -> None:
         now = self.loop.time()
@@ -221,9 +221,9 @@
             told = [one for one in items if one.kind == NODE and one.value is not None]
             for item in told:
                 assert item.value is not None
-                if item.value.get("role") == RESERVOIR:
+                if item.value.get("role") == CONTROLLER:
                     ip, _, port = str(item.value["address"]).rpartition(":")
-                    self._reservoirs[ip] = (ip, int(port))
+                    self._controllers[ip] = (ip, int(port))
                     self._know()
         self.channels.poke()
 
--- a/rigs/hollow/stores.py
+++ b/rigs/hollow/stores.py
@@ -1,7 +1,7 @@
-"""Stores of many hollow sluices in one process: the shipped ones, whose items and names are shared.
+"""Stores of many hollow proxies in one process: the shipped ones, whose items and names are shared.
 
-What each sluice holds, asks and answers is the shipped code's. Only the memory differs: one copy of an item
-serves all sluices of the process, and no digests are kept, which only an operator's question wants.
+What each proxy holds, asks and answers is the shipped code's. Only the memory differs: one copy of an item
+serves all proxies of the process, and no digests are kept, which only an operator's question wants.
 """
 
 from __future__ import annotations
@@ -9,9 +9,9 @@
 from collections.abc import Mapping
 from sys import intern
 
-from waterworks.aquifer.digest import Digests
-from waterworks.aquifer.items import Item, Key
-from waterworks.aquifer.store import Store
+from mesh.replication.digest import Digests
+from mesh.replication.items import Item, Key
+from mesh.replication.store import Store
 
 MOST_SHARED = 500_000  # items; then the pool is begun anew
 
--- a/rigs/lost_links/hop.py
+++ b/rigs/lost_links/hop.py
@@ -16,14 +16,14 @@
 from pathlib import Path
 from typing import Any
 
-from waterworks.headworks.starting import run
-from waterworks.penstock import link
-from waterworks.reservoir.program import Reservoir
-from waterworks.sluice import outlet, passage, program, tailrace, tap
-from waterworks.sluice.hop import TurnedAway
-from waterworks.sluice.program import Sluice
-from waterworks.valve.passing import Why
-from waterworks.valve.sessions import Session
+from mesh.admission.call_sessions import Session
+from mesh.admission.final_check import Why
+from mesh.control_plane.program import Controller
+from mesh.data_plane import client_connection, peer_calls, program, upstream_connections, upstream_dispatch
+from mesh.data_plane.call_messages import TurnedAway
+from mesh.data_plane.program import Proxy
+from mesh.runtime.startup import run
+from mesh.transport import link
 
 Replaced = list[tuple[Any, str, Any]]  # whose, its name, what stands there instead
 
@@ -46,15 +46,15 @@
 
 def tell_lost(folder: Path) -> None:
     """Writes the key, the other hop, the time, whether it is asked after, and why the link was lost."""
-    ask_back = passage.Outgoing._ask_back
+    ask_back = peer_calls.Outgoing._ask_back
     file = (folder / f"lost-{os.getpid()}.txt").open("w", buffering=1)
 
-    def told(self: passage.Outgoing, out: Any, why: str) -> None:
+    def told(self: peer_calls.Outgoing, out: Any, why: str) -> None:
         ask_back(self, out, why)
         key = out.call.target.rpartition(b"/")[2].decode()
         file.write(f"{key} {self.node} {time.monotonic()} {int(out.number in self.asking)} {why}\n")
 
-    replace(passage.Outgoing, "_ask_back", told)
+    replace(peer_calls.Outgoing, "_ask_back", told)
 
 
 def _without_bar() -> Replaced:
@@ -64,45 +64,45 @@
 
 def _without_ids() -> Replaced:
     """Whatever comes on a connection is the answer to the call on it."""
-    return [(tap, "own", lambda wanted, told: True), *_without_seal()]
+    return [(upstream_connections, "own", lambda wanted, told: True), *_without_seal()]
 
 
 def _without_seal() -> Replaced:
-    return [(tailrace.Tailrace, "_sealed", lambda self, running, message: True)]
+    return [(upstream_dispatch.UpstreamDispatch, "_sealed", lambda self, running, message: True)]
 
 
 def _without_unclear() -> Replaced:
     """A lost call counts as one that never left."""
-    return [(passage, "Unclear", lambda why: TurnedAway(Why.LOST)), *_without_ask_back()]
+    return [(peer_calls, "Unclear", lambda why: TurnedAway(Why.LOST)), *_without_ask_back()]
 
 
 def _without_ask_back() -> Replaced:
-    return [(passage, "asked_for_ms", lambda call, since_ms: 0.0)]
+    return [(peer_calls, "asked_for_ms", lambda call, since_ms: 0.0)]
 
 
 def _without_order() -> Replaced:
     """Answers go out as they come."""
-    flush = outlet.Outlet._flush
+    flush = client_connection.Outlet._flush
 
-    def as_they_come(self: outlet.Outlet) -> None:
+    def as_they_come(self: client_connection.Outlet) -> None:
         self._slots = type(self._slots)(sorted(self._slots, key=lambda slot: slot.payload is None))
         flush(self)
 
-    return [(outlet.Outlet, "_flush", as_they_come)]
+    return [(client_connection.Outlet, "_flush", as_they_come)]
 
 
 def _without_ends() -> Replaced:
     """Now and then an answer is not given."""
-    say = outlet.Outlet._say
+    say = client_connection.Outlet._say
     count = 0
 
-    def seldom_not(self: outlet.Outlet, *said: Any) -> None:
+    def seldom_not(self: client_connection.Outlet, *said: Any) -> None:
         nonlocal count
         count += 1
         if count % 50:
             say(self, *said)
 
-    return [(outlet.Outlet, "_say", seldom_not)]
+    return [(client_connection.Outlet, "_say", seldom_not)]
 
 
 GUARDS: dict[str, Callable[[], Replaced]] = {
@@ -118,14 +118,14 @@
 
 def main(arguments: list[str]) -> int:
     name, port, folder, *without = arguments
-    if name == "reservoir":
-        return run(Reservoir)
+    if name == "control_plane":
+        return run(Controller)
     behind(int(port))
     tell_lost(Path(folder))
     for guard in without:
         for replaced in GUARDS[guard]():
             replace(*replaced)
-    return run(Sluice)
+    return run(Proxy)
 
 
 if __name__ == "__main__":
--- a/rigs/lost_links/play.py
+++ b/rigs/lost_links/play.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Size:
-    sluices: int = 6
+    proxies: int = 6
     connections: int = 12  # of clients, at each sidecar
     pause_s: float = 0.02  # between two batches of a connection
     capacity: int = 6
@@ -55,7 +55,7 @@
 
     def __init__(self, at: int, service: str, relay: Between) -> None:
         self.at, self.service, self.relay = at, service, relay
-        self.node = f"sluice-{at}"
+        self.node = f"proxy-{at}"
         self.lives = 0  # of its upstream
         self.upstream: Witness | None = None
         self.busy = False  # something is being done to its processes
@@ -66,8 +66,8 @@
         self.folder, self.size = folder, size
         self.chance = random.Random(seed)
         self.ledger = Ledger()
-        self.mesh = Mesh.of(folder, 1, size.sluices)
-        (self.beside,) = free_ports([f"{self.mesh.net}.{SIDE + at}" for at in range(size.sluices)], 1)
+        self.mesh = Mesh.of(folder, 1, size.proxies)
+        (self.beside,) = free_ports([f"{self.mesh.net}.{SIDE + at}" for at in range(size.proxies)], 1)
         self.mesh.command = lambda program: (
             *("-m", "rigs.lost_links.hop", program, str(self.beside), str(folder)),
             *size.without,
@@ -101,15 +101,15 @@
 
     async def _start(self) -> None:
         size, net = self.size, self.mesh.net
-        await self.mesh.reservoir(0)
-        for at in range(size.sluices):
+        await self.mesh.controller(0)
+        for at in range(size.proxies):
             ip = f"{net}.{SIDE + at}"
             relay = Between(ip, self.beside, self.chance.getrandbits(32), at=(ip, self.mesh.ports[0]))
             place = Place(at, ("red", "blue")[at % 2], relay)
             self.places.append(place)
             await self._new_upstream(place)
             assert place.upstream is not None
-            await self.mesh.sluice(at, place.upstream)
+            await self.mesh.proxy(at, place.upstream)
         operator = Operator([self.mesh.control(CORE)])
         rules = [
             route(
@@ -285,18 +285,18 @@
             await asyncio.sleep(self.chance.uniform(0.0, 0.5))
         await self.mesh.kill(place.node)
         place.service = "blue" if place.service == "red" else "red"
-        place.node = f"sluice-{place.at}-{place.lives + 1}"
+        place.node = f"proxy-{place.at}-{place.lives + 1}"
         await self._new_upstream(place)
-        self.mesh.write_sluice(place.at, place.upstream)
-        written = (self.folder / f"sluice-{place.at}.toml").read_text()
+        self.mesh.write_proxy(place.at, place.upstream)
+        written = (self.folder / f"proxy-{place.at}.toml").read_text()
         (self.folder / f"{place.node}.toml").write_text(
-            written.replace(f'"sluice-{place.at}"', f'"{place.node}"')
+            written.replace(f'"proxy-{place.at}"', f'"{place.node}"')
         )
         await self._again(place)
 
     async def _again(self, place: Place) -> None:
         """Its sidecar starts; the upstream beside it is the same, or a new one."""
-        await self.mesh.again(place.node, "sluice")
+        await self.mesh.again(place.node, "data_plane")
         self._beats(place)
         await polled(lambda: self.mesh.ready(SIDE + place.at), RESTART_S)
 
--- a/rigs/member_model.py
+++ b/rigs/member_model.py
@@ -4,7 +4,8 @@
 
 Two contents rival for the one number, X and Y; a ballot begins with a prepare quorum, takes the highest vote
 that it meets there, and is accepted machine by machine. That a ballot refuses lower ones, and that a fence
-refuses all that were under way, is taken from `aquifer/ballot.py`, whose own model is `rigs/order_model.py`.
+refuses all that were under way, is taken from `replication/acceptor.py`, whose own model is
+`rigs/order_model.py`.
 Epochs, level, wholeness, joint quorums and the order of a change are explored here, one machine's step at a
 time.
 
@@ -20,11 +21,11 @@
 from itertools import combinations
 from typing import Any, NamedTuple
 
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum import Place, Tolerance
+from mesh.replication.reconfiguration import Known, plan
 from statecheck import Model, Violation
 from statecheck.model import State
-from waterworks.aquifer.changes import Known, plan
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import View
 
 ONE = Tolerance(1, 0, 0)
 AT = Place("z", "r")
--- a/rigs/mesh_demo.py
+++ b/rigs/mesh_demo.py
@@ -2,8 +2,8 @@
 
     python -m rigs.mesh_demo
 
-Three reservoirs and six sluices with stand-in upstreams. Under load a route is given to another service, then
-a reservoir is killed, then a sluice; what the clients of each machine saw is printed. It ends by itself.
+Three controllers and six proxies with stand-in upstreams. Under load a route is given to another service,
+then a controller is killed, then a proxy; what the clients of each machine saw is printed. It ends by itself.
 """
 
 from __future__ import annotations
@@ -40,7 +40,7 @@
 SPREAD_S = 4.0  # a change is in force everywhere by then
 BEAT_S = 0.4  # between two beats of an upstream
 ASK_S = 0.02  # between two requests of a client
-RESERVOIRS, SERVICES = 3, ("red", "red", "red", "red", "blue", "blue")
+CONTROLLERS, SERVICES = 3, ("red", "red", "red", "red", "blue", "blue")
 
 CORE, SIDE = 11, 41  # the last part of a node's address, for the first of each
 
@@ -61,15 +61,15 @@
     seeds: Sequence[str]
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     beating: set[asyncio.Task[None]] = field(default_factory=set)
-    command: Callable[[str], Sequence[str]] = lambda program: ("-m", f"waterworks.{program}")
+    command: Callable[[str], Sequence[str]] = lambda program: ("-m", f"mesh.{program}")
 
     @staticmethod
-    def of(folder: Path, reservoirs: int, sluices: int) -> Mesh:
+    def of(folder: Path, controllers: int, proxies: int) -> Mesh:
         here = net()
-        ips = [f"{here}.{CORE + at}" for at in range(reservoirs)] + [
-            f"{here}.{SIDE + at}" for at in range(sluices)
+        ips = [f"{here}.{CORE + at}" for at in range(controllers)] + [
+            f"{here}.{SIDE + at}" for at in range(proxies)
         ]
-        return Mesh(folder, here, free_ports(ips, 4), ips[: min(reservoirs, 3)])
+        return Mesh(folder, here, free_ports(ips, 4), ips[: min(controllers, 3)])
 
     def at(self, machine: int, port: int) -> Address:
         return f"{self.net}.{machine}", self.ports[port]
@@ -80,23 +80,23 @@
     def outbound(self, machine: int) -> Address:
         return self.at(machine, 2)
 
-    async def reservoir(self, at: int) -> None:
-        node = f"reservoir-{at}"
+    async def controller(self, at: int) -> None:
+        node = f"controller-{at}"
         disk = self.folder / f"disk-{at}"
         disk.mkdir()
         self._write(node, CORE + at, "supervisor", state_dir=str(disk))
-        await self._start(node, "reservoir")
+        await self._start(node, "control_plane")
 
-    async def sluice(self, at: int, upstream: Upstream) -> None:
+    async def proxy(self, at: int, upstream: Upstream) -> None:
         """One beside this upstream, which has begun to listen; it tells the sidecar that it is there."""
-        self.write_sluice(at, upstream)
-        await self._start(f"sluice-{at}", "sluice")
+        self.write_proxy(at, upstream)
+        await self._start(f"proxy-{at}", "data_plane")
         self.beats(at, upstream)
 
-    def write_sluice(self, at: int, upstream: Upstream) -> Path:
+    def write_proxy(self, at: int, upstream: Upstream) -> Path:
         """Its settings file."""
         return self._write(
-            f"sluice-{at}", SIDE + at, "auxiliary", upstream=upstream.address, service=upstream.service
+            f"proxy-{at}", SIDE + at, "auxiliary", upstream=upstream.address, service=upstream.service
         )
 
     def beats(self, at: int, upstream: Upstream) -> None:
@@ -248,22 +248,22 @@
     def say(text: str) -> None:
         print(f"{time.perf_counter() - began:5.1f} s  {text}", flush=True)
 
-    mesh = Mesh.of(folder, RESERVOIRS, len(SERVICES))
+    mesh = Mesh.of(folder, CONTROLLERS, len(SERVICES))
     upstreams = []
     try:
-        for at in range(RESERVOIRS):
-            await mesh.reservoir(at)
+        for at in range(CONTROLLERS):
+            await mesh.controller(at)
         for at, service in enumerate(SERVICES):
             upstream = Upstream(f"{service}-{at}", service, lambda _: "ok", capacity=8)
             await upstream.start(f"{mesh.net}.{SIDE + at}")
             upstreams.append(upstream)
-            await mesh.sluice(at, upstream)
-        say(f"{RESERVOIRS} reservoirs and {len(SERVICES)} sluices on {mesh.net}.*")
-        operator = Operator([mesh.control(CORE + at) for at in range(RESERVOIRS)])
+            await mesh.proxy(at, upstream)
+        say(f"{CONTROLLERS} controllers and {len(SERVICES)} proxies on {mesh.net}.*")
+        operator = Operator([mesh.control(CORE + at) for at in range(CONTROLLERS)])
         await operator.change(change(route("read", "/read/", "red"), services=("red", "blue")), START_S)
         for at in range(len(SERVICES)):
             await polled(lambda at=at: mesh.ready(SIDE + at), START_S)  # type: ignore[misc]
-        say("configuration acknowledged, all sluices ready")
+        say("configuration acknowledged, all proxies ready")
         load = Load(mesh, len(SERVICES))
         try:
             await _troubles(mesh, load, operator, say)
@@ -281,7 +281,7 @@
     for name, machines in load.seen.items():
         print(name)
         for at, seen in enumerate(machines):
-            print(f"    clients at sluice-{at} (beside {SERVICES[at]}): {seen.line()}")
+            print(f"    clients at proxy-{at} (beside {SERVICES[at]}): {seen.line()}")
 
 
 async def _troubles(mesh: Mesh, load: Load, operator: Operator, say: Callable[[str], None]) -> None:
@@ -293,16 +293,16 @@
     say(f"acknowledged; within {await load.until_all('blue') * 1000:.0f} ms all answers are of blue")
     await asyncio.sleep(0.5)
 
-    load.phase("reservoir-0 is killed, then the route is given back to red")
-    say(f"kill -9 {mesh.processes['reservoir-0'].pid}: reservoir-0")
-    await mesh.kill("reservoir-0")
+    load.phase("controller-0 is killed, then the route is given back to red")
+    say(f"kill -9 {mesh.processes['controller-0'].pid}: controller-0")
+    await mesh.kill("controller-0")
     await operator.change(change(route("read", "/read/", "red", 3)))
     say(f"acknowledged by two; within {await load.until_all('red') * 1000:.0f} ms all answers are of red")
     await asyncio.sleep(0.5)
 
-    load.phase("sluice-0 is killed")
-    say(f"kill -9 {mesh.processes['sluice-0'].pid}: sluice-0")
-    await mesh.kill("sluice-0")
+    load.phase("proxy-0 is killed")
+    say(f"kill -9 {mesh.processes['proxy-0'].pid}: proxy-0")
+    await mesh.kill("proxy-0")
     await asyncio.sleep(2.0)
     await load.until_all("red", besides=0)
 
--- a/rigs/order_model.py
+++ b/rigs/order_model.py
@@ -13,9 +13,7 @@
 from itertools import combinations
 from typing import Any, NamedTuple
 
-from statecheck import Model, Violation
-from statecheck.model import State
-from waterworks.aquifer.ballot import (
+from mesh.replication.acceptor import (
     Acceptor,
     Ballot,
     Number,
@@ -26,9 +24,11 @@
     digest_of,
     fenced_by,
 )
-from waterworks.aquifer.proposer import Accept, Decided, Proposer, Rivalled
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import View
+from mesh.replication.membership_epochs import View
+from mesh.replication.proposer import Accept, Decided, Proposer, Rivalled
+from mesh.replication.quorum import Place, Tolerance
+from statecheck import Model, Violation
+from statecheck.model import State
 
 CONTENTS: dict[str, Value] = {letter: {"by": letter} for letter in "abc"}
 LETTERS = {digest_of(value): letter for letter, value in CONTENTS.items()}
--- a/rigs/stage_model.py
+++ b/rigs/stage_model.py
@@ -13,14 +13,14 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
+from mesh.replication.items import Item
+from mesh.rollout.change_kinds import STAGED, Kind
+from mesh.rollout.contact import Contact
+from mesh.rollout.report import Report
+from mesh.rollout.staged_activation import Chamber, Pass
+from mesh.rollout.version_check import Newer
 from statecheck import Model, Violation
 from statecheck.model import State
-from waterworks.aquifer.items import Item
-from waterworks.lock.chamber import Chamber, Pass
-from waterworks.lock.contact import Contact
-from waterworks.lock.kinds import STAGED, Kind
-from waterworks.lock.newer import Newer
-from waterworks.lock.report import Report
 
 HOLD, NEWS, ACK, CONTACT, GAP = 1, 2, 1, 3, 1.5  # ticks
 SETTLE = HOLD + NEWS
@@ -218,7 +218,7 @@
         return side._replace(status=status, touched=now)
 
     def _know(self, now: int, at: int, side: Side, item: int, version: int) -> Side:
-        """As `sluice.stages.Stages.route` does it."""
+        """As `proxy.stages.Stages.route` does it."""
         kind = next(c.kind for c in self.size.changes if (c.item, c.version) == (item, version))
         chamber, first = _chamber(side), at == self._first(item, version)
         behind = _contact(side).behind(float(now))
--- /dev/null
+++ b/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic simulations of the project's programs in virtual time."""
--- a/rigs/mesh_world/contact_seeds.py
+++ b/simulation/mesh/contact_seeds.py
@@ -4,15 +4,15 @@
 
 from typing import Any
 
-from rigs.mesh_world.seeds import Patch
-from waterworks.aquifer import contact as contact_module
-from waterworks.aquifer.contact import Contact, Proof
-from waterworks.leat.channels import Channels
-from waterworks.reservoir.clerk import Clerk
-from waterworks.reservoir.contact import Probing
-from waterworks.reservoir.council import address_of
-from waterworks.reservoir.voting import Voting
-from waterworks.sluice.program import Sluice
+from mesh.control_plane.contact_probes import Probing
+from mesh.control_plane.member_set import address_of
+from mesh.control_plane.operator_api import Clerk
+from mesh.control_plane.proposals import Voting
+from mesh.data_plane.program import Proxy
+from mesh.dissemination.peers import Channels
+from mesh.replication import quorum_contact as contact_module
+from mesh.replication.quorum_contact import Contact, Proof
+from simulation.mesh.seeds import Patch
 
 
 def open_links_are_contact(patch: Patch) -> None:
@@ -77,7 +77,7 @@
 
 
 def ready_without_a_word(patch: Patch) -> None:
-    patch.setattr(Sluice, "configured", lambda self: len(self.charter.items) > 0)
+    patch.setattr(Proxy, "configured", lambda self: len(self.charter.items) > 0)
 
 
 def the_next_is_not_asked(patch: Patch) -> None:
--- a/rigs/mesh_world/cuts.py
+++ b/simulation/mesh/cuts.py
@@ -1,7 +1,7 @@
 """Control machines that are cut off for 20 s, in virtual time, with orders and rivalled orders on both sides,
 lives that begin, and what contact must never allow.
 
-``python -m rigs.mesh_world.cuts PLAYS SEED`` plays so many drawn ones and tells how many broke something.
+``python -m simulation.mesh.cuts PLAYS SEED`` plays so many drawn ones and tells how many broke something.
 """
 
 from __future__ import annotations
@@ -14,15 +14,15 @@
 
 import simpy
 
-from rigs.mesh_world.clock import LIFE
-from rigs.mesh_world.wire import End
-from rigs.mesh_world.world import Life, Machine, Script, World
-from waterworks.aquifer.contact import BOUND_SHARE, OPEN_SHARE, Proof
-from waterworks.aquifer.items import Key
-from waterworks.gauge.events import Event
-from waterworks.headworks.settings import Settings
-from waterworks.manifold.decode import Change, decode_change
-from waterworks.penstock.desk import Answer
+from mesh.configuration.commands import Change, decode_change
+from mesh.event_log.events import Event
+from mesh.replication.items import Key
+from mesh.replication.quorum_contact import BOUND_SHARE, OPEN_SHARE, Proof
+from mesh.runtime.settings import Settings
+from mesh.transport.http_calls import Answer
+from simulation.mesh.clock import LIFE
+from simulation.mesh.wire import End
+from simulation.mesh.world import Life, Machine, Script, World
 
 BOUND_S = 3.0 * BOUND_SHARE  # of contact
 CUT_S = 20.0
@@ -79,7 +79,7 @@
         def tell(event: Event, /, **values: Any) -> None:
             self.told.append((float(self.env.now), life.machine.name, event, values))
 
-        life.program.gauge.tell = tell
+        life.program.event_log.tell = tell
 
     def say(self, line: str) -> None:
         self.witness.broken.append(f"{self.env.now:.3f} {line}")
@@ -260,7 +260,7 @@
 
 
 def others(world: Cuts, *ones: Machine) -> list[Machine]:
-    return [machine for machine in world.reservoirs() if machine not in ones]
+    return [machine for machine in world.controllers() if machine not in ones]
 
 
 def one(world: Cuts, at: Machine) -> Script:
@@ -291,7 +291,7 @@
 
 
 def turns(world: Cuts, at: Machine) -> Script:
-    cores = world.reservoirs()
+    cores = world.controllers()
     for machine in (at, cores[(cores.index(at) + 1) % len(cores)]):
         world.cut([machine], others(world, machine))
         yield world.env.timeout(CUT_S / 2)
@@ -306,7 +306,7 @@
         yield world.env.timeout(4.0)
         world.kill(machine)
         world.restart(machine)
-    yield world.env.timeout(CUT_S - 4.0 * len(world.reservoirs()))
+    yield world.env.timeout(CUT_S - 4.0 * len(world.controllers()))
     world.heal()
 
 
@@ -326,7 +326,7 @@
 
 
 def halves(world: Cuts, at: Machine) -> Script:
-    cores = world.reservoirs()
+    cores = world.controllers()
     other_half = others(world, at)[: len(cores) // 2]
     sides = [machine for machine in world.machines.values() if not machine.core]
     world.apart([*[machine for machine in cores if machine not in other_half], *sides[::2]])
@@ -347,7 +347,7 @@
         yield from world.boot(cores, 2)
         world.env.process(world.witness.watch())
         world.env.process(world.monitor())
-        at = draw.choice(world.reservoirs())
+        at = draw.choice(world.controllers())
         yield from world.commit([at], order("last", 1, 800))
         across = draw.choice(others(world, at))
         struck = world.env.event()
--- a/rigs/mesh_world/disk.py
+++ b/simulation/mesh/disk.py
@@ -9,12 +9,12 @@
 
 import simpy
 
-from rigs.mesh_world.clock import LIFE
-from waterworks.cistern.keeper import SHARE, Fresh, Kept, Opened, Refused, Size
-from waterworks.cistern.layout import Held, held
+from mesh.storage.layout import Held, held
+from mesh.storage.lmdb_store import SHARE, Fresh, Kept, Opened, Refused, Size
+from simulation.mesh.clock import LIFE
 
 if TYPE_CHECKING:
-    from rigs.mesh_world.world import World
+    from simulation.mesh.world import World
 
 SYNC_S = 0.005
 
--- a/rigs/mesh_world/drops.py
+++ b/simulation/mesh/drops.py
@@ -7,12 +7,12 @@
 
 import simpy
 
-from rigs.mesh_world.world import Life, Machine, World
-from waterworks.aquifer.items import Key
-from waterworks.gauge import events
-from waterworks.gauge.events import Event
-from waterworks.sluice.membership import INSTANCE, NODE
-from waterworks.weir.duty import DUTY, REAPING
+from mesh.data_plane.membership import INSTANCE, NODE
+from mesh.event_log import events
+from mesh.event_log.events import Event
+from mesh.membership.lease import DUTY, REAPING
+from mesh.replication.items import Key
+from simulation.mesh.world import Life, Machine, World
 
 HEARD_S = 5.0  # a node heard within it by one whom the dropping process reaches is not gone
 TOGETHER_S = 60.0  # drops of one zone within it count as one
@@ -39,7 +39,7 @@
                 self.dropped.append((now, life.machine.name, values["peer"]))
                 self._judge(life.machine, values["peer"])
 
-        life.program.gauge.tell = tell
+        life.program.event_log.tell = tell
 
     def events(self, event: Event) -> list[tuple[float, str, dict[str, Any]]]:
         return [(at, name, values) for at, name, known, values in self.told if known is event]
--- a/rigs/mesh_world/members.py
+++ b/simulation/mesh/members.py
@@ -7,9 +7,9 @@
 import random
 from collections.abc import Callable, Iterable
 
-from rigs.mesh_world import troubles
-from rigs.mesh_world.world import Machine, Script, World
-from waterworks.headworks.settings import Bounds
+from mesh.runtime.settings import Bounds
+from simulation.mesh import troubles
+from simulation.mesh.world import Machine, Script, World
 
 Play = Callable[[World], Script]
 BOUNDS = Bounds()
@@ -35,7 +35,7 @@
     """A new machine, told of three that run as its seeds."""
     machine = world.add(f"c{number}", f"10.0.0.{number}")
     running = [one for one, _ in world.programs(core=True)]
-    world.founders = (running or world.reservoirs())[-3:]
+    world.founders = (running or world.controllers())[-3:]
     world.start(machine)
     return machine
 
@@ -91,7 +91,7 @@
 
 def replaced_in_turn(world: World) -> Script:
     """As a release of machines does it: three that run end as three others; each successor first."""
-    for number, old in enumerate(list(world.reservoirs())):
+    for number, old in enumerate(list(world.controllers())):
         yield from confirms(world, 3 * number + 1)
         new = begin(world, 11 + number)
         yield from world.joined([new], JOINS_S)
@@ -99,19 +99,19 @@
         yield from end(world, old)
         go(world, old)
         yield from confirms(world, 3 * number + 3)
-    yield from world.until(counts(world, world.reservoirs()), SETTLES_S, "three new machines count")
+    yield from world.until(counts(world, world.controllers()), SETTLES_S, "three new machines count")
     yield from confirms(world, 20)
 
 
 def replaced_end_first(world: World) -> Script:
     """The machine is taken away, and its successor begins after it."""
-    for number, old in enumerate(list(world.reservoirs())):
+    for number, old in enumerate(list(world.controllers())):
         yield from end(world, old)
         go(world, old)
         yield from confirms(world, 2 * number + 1)
         begin(world, 11 + number)
         yield from world.until(
-            counts(world, world.reservoirs()), JOINS_S, f"the successor of {old.name} counts in its place"
+            counts(world, world.controllers()), JOINS_S, f"the successor of {old.name} counts in its place"
         )
         yield from confirms(world, 2 * number + 2)
 
@@ -119,7 +119,7 @@
 def lost_replaced_and_lost(world: World) -> Script:
     """One is gone for good, its successor counts; a loss later orders go on, and so again."""
     for number in (11, 12, 13):
-        go(world, world.reservoirs()[0])
+        go(world, world.controllers()[0])
         yield from confirms(world, 2 * number)
         yield world.env.timeout(1.0)
         new = begin(world, number)
@@ -132,7 +132,7 @@
     """Four times right after an acknowledgement, each a little over `convergence_s` after the return."""
     for number in range(4):
         yield from confirms(world, number + 1)
-        unlucky = world.reservoirs()[number % len(world.reservoirs())]
+        unlucky = world.controllers()[number % len(world.controllers())]
         life = unlucky.life
         assert life is not None
         troubles.wiped(world, life, None)
@@ -142,9 +142,9 @@
 
 def wiped_while_replaced(world: World) -> Script:
     """The same while the core is replaced machine by machine."""
-    for number, old in enumerate(list(world.reservoirs())):
+    for number, old in enumerate(list(world.controllers())):
         yield from confirms(world, number + 1)
-        unlucky = world.reservoirs()[1]
+        unlucky = world.controllers()[1]
         life = unlucky.life
         assert life is not None
         troubles.wiped(world, life, None)
@@ -159,13 +159,13 @@
 
 def two_leave(world: World) -> Script:
     """Two at once, the one that acknowledged last among them."""
-    first, second = world.reservoirs()[:2]
+    first, second = world.controllers()[:2]
     yield from world.commit([first], change(1))
     one, other = world.env.process(end(world, first)), world.env.process(end(world, second))
     yield one & other
     for machine in (first, second):
         go(world, machine)
-    left = world.reservoirs()
+    left = world.controllers()
     if len(left) >= 3:
         yield from world.until(counts(world, left), SETTLES_S, "those that stay count alone")
         yield from confirms(world, 2)
@@ -173,7 +173,7 @@
 
 def comes_back(world: World) -> Script:
     """A machine that was taken out comes back with its disk, after changes that it never heard of."""
-    old = world.reservoirs()[0]
+    old = world.controllers()[0]
     yield from confirms(world, 1)
     new = begin(world, 9)
     yield from world.joined([new], JOINS_S)
@@ -193,7 +193,7 @@
 def power_after_a_change(world: World) -> Script:
     """All lose power right after a change of members, and one its disk."""
     new = begin(world, 9)
-    first = world.reservoirs()[0]
+    first = world.controllers()[0]
     epoch = first.program.council.view().epoch
     yield from world.until(
         lambda: first.program.council.view().epoch > epoch, JOINS_S, "a change of members begins"
@@ -207,7 +207,7 @@
 
 def half_removed_while_cut(world: World) -> Script:
     """Neither half takes the other out, by silence or by a word."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     half = cores[: len(cores) // 2]
     world.cut(half, [machine for machine in world.machines.values() if machine not in half])
     yield world.env.timeout(40.0)
@@ -258,7 +258,7 @@
             version += 1
             yield from world.commit([m for m, _ in world.programs(core=True)], change(version))
             what = dice.choice(("wipe", "crash", "power", "replace", "lose", "end", "back", "all", "cut"))
-            one = dice.choice(world.reservoirs())
+            one = dice.choice(world.controllers())
             life = one.life
             assert life is not None
             if what in ("wipe", "crash", "power"):
@@ -299,17 +299,17 @@
             version += 1
             yield from world.commit([m for m, _ in world.programs(core=True)], change(version))
             yield world.env.timeout(SETTLES_S + dice.uniform(0.0, 1.0))
-            yield from world.joined([m for m in world.reservoirs()], JOINS_S)
+            yield from world.joined([m for m in world.controllers()], JOINS_S)
             yield from confirms(world, version := version + 1)
 
     return cores, play
 
 
-def played(cores: int, play: Play, sluices: int = 1) -> list[str]:
+def played(cores: int, play: Play, proxies: int = 1) -> list[str]:
     """One play in a world of its own; what was broken, a line each."""
 
     def script(world: World) -> Script:
-        yield from world.boot(cores, sluices)
+        yield from world.boot(cores, proxies)
         world.env.process(world.witness.watch())
         yield from play(world)
         world.heal()
--- a/rigs/mesh_world/plays.py
+++ b/simulation/mesh/plays.py
@@ -12,9 +12,9 @@
 
 import simpy
 
-from rigs.mesh_world import troubles
-from rigs.mesh_world.world import Machine, Script, World
-from waterworks.penstock.desk import Answer
+from mesh.transport.http_calls import Answer
+from simulation.mesh import troubles
+from simulation.mesh.world import Machine, Script, World
 
 NAMES = ("r1", "r2", "r3")
 OPERATORS = 3
@@ -111,7 +111,7 @@
 
 
 def _script(world: World, draw: random.Random, counts: Counter[str]) -> Script:
-    yield from world.boot(draw.choice((3, 3, 3, 4, 5)), sluices=1)
+    yield from world.boot(draw.choice((3, 3, 3, 4, 5)), proxies=1)
     world.env.process(world.witness.watch())
     sent: dict[bytes, Answer | None] = {}
     working = [world.env.process(_operator(world, at, draw, sent, counts)) for at in range(OPERATORS)]
@@ -134,14 +134,14 @@
         else:
             several = draw.sample(NAMES, draw.choice((1, 1, 1, 2, 3)))
             body = order(sorted(several), version, draw.choice((1, 2, 2 + at)), draw.random() < 0.15)
-        machines = world.reservoirs()
+        machines = world.controllers()
         draw.shuffle(machines)
         answer = yield from world.commit(machines, body, TRIES)
         counts["orders"] += 1
         if answer is not None or body not in sent:
             sent[body] = answer
         if draw.random() < 0.3:
-            yield from world.get(draw.choice(world.reservoirs()))
+            yield from world.get(draw.choice(world.controllers()))
         yield world.env.timeout(draw.uniform(0.0, 0.4))
 
 
@@ -150,9 +150,9 @@
         yield world.env.timeout(draw.uniform(0.0, 0.8))
         strikes = draw.choice(TROUBLES)
         counts[strikes.__name__] += 1
-        strikes(world, draw.choice(world.reservoirs()))
+        strikes(world, draw.choice(world.controllers()))
         yield world.env.timeout(CALM_S)
-        yield from world.joined([machine for machine in world.reservoirs() if machine.counted])
+        yield from world.joined([machine for machine in world.controllers() if machine.counted])
 
 
 def _again(
@@ -161,7 +161,7 @@
     """Any order, sent once more to anybody: clear by now, and no other than it was."""
     until, answer = world.env.now + CLEAR_S, None
     while world.env.now < until and (answer is None or answer.status >= 500):
-        answer = yield from world.patch(draw.choice(world.reservoirs()), body)
+        answer = yield from world.patch(draw.choice(world.controllers()), body)
         yield world.env.timeout(0.05)
     status = answer.status if answer is not None else 0
     counts[f"in the end {status}"] += 1
--- a/rigs/mesh_world/seeds.py
+++ b/simulation/mesh/seeds.py
@@ -4,20 +4,20 @@
 
 from typing import Any, Protocol
 
-from waterworks.aquifer.ballot import Acceptor, Refusal
-from waterworks.aquifer.contact import Proof
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import View
-from waterworks.cistern.keeper import Refused
-from waterworks.leat.exchange import Exchange
-from waterworks.reservoir import clerk as clerk_module
-from waterworks.reservoir import ledger as ledger_module
-from waterworks.reservoir.acceptance import Acceptance
-from waterworks.reservoir.catching_up import CatchingUp
-from waterworks.reservoir.contact import Probing
-from waterworks.reservoir.joining import Joining
-from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.voting import Voting
+from mesh.control_plane import operator_api as clerk_module
+from mesh.control_plane import write_batches as ledger_module
+from mesh.control_plane.acceptor_host import Acceptance
+from mesh.control_plane.catch_up import CatchingUp
+from mesh.control_plane.contact_probes import Probing
+from mesh.control_plane.joining import Joining
+from mesh.control_plane.proposals import Voting
+from mesh.control_plane.write_batches import Ledger
+from mesh.dissemination.pull_exchange import Exchange
+from mesh.replication.acceptor import Acceptor, Refusal
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum_contact import Proof
+from mesh.replication.store import Store
+from mesh.storage.lmdb_store import Refused
 
 
 class Patch(Protocol):
--- a/rigs/mesh_world/stage_seeds.py
+++ b/simulation/mesh/stage_seeds.py
@@ -5,19 +5,19 @@
 from collections.abc import Callable
 from typing import Any
 
-from rigs.mesh_world.seeds import Patch
-from waterworks.lock import bounds as lock_bounds
-from waterworks.lock.chamber import Chamber, Pass
-from waterworks.lock.contact import Contact
-from waterworks.lock.draw import Draw
-from waterworks.lock.kinds import Kind
-from waterworks.lock.newer import Newer
-from waterworks.lock.report import Report
-from waterworks.manifold.routes import read_route
-from waterworks.sluice.hop import Call, End, TurnedAway
-from waterworks.sluice.stages import Stages
-from waterworks.sluice.tailrace import Running, Tailrace
-from waterworks.valve.passing import Why
+from mesh.admission.final_check import Why
+from mesh.configuration.routes import read_route
+from mesh.data_plane.call_messages import Call, End, TurnedAway
+from mesh.data_plane.staged_routes import Stages
+from mesh.data_plane.upstream_dispatch import Running, UpstreamDispatch
+from mesh.rollout import bounds as lock_bounds
+from mesh.rollout.canary_selection import Draw
+from mesh.rollout.change_kinds import Kind
+from mesh.rollout.contact import Contact
+from mesh.rollout.report import Report
+from mesh.rollout.staged_activation import Chamber, Pass
+from mesh.rollout.version_check import Newer
+from simulation.mesh.seeds import Patch
 
 
 def hold_beyond_the_bound(patch: Patch) -> None:
@@ -89,14 +89,14 @@
 
 
 def turned_away_after_it_ran(patch: Patch) -> None:
-    real = Tailrace.take
+    real = UpstreamDispatch.take
 
-    def take(self: Tailrace, call: Call, ended: Callable[[End], None]) -> Running | None:
+    def take(self: UpstreamDispatch, call: Call, ended: Callable[[End], None]) -> Running | None:
         if call.anyway:
             return real(self, call, ended)
         return real(self, call, lambda end: ended(TurnedAway(Why.OLD)))
 
-    patch.setattr(Tailrace, "take", take)
+    patch.setattr(UpstreamDispatch, "take", take)
 
 
 def drops_are_held_back(patch: Patch) -> None:
--- a/rigs/mesh_world/staged.py
+++ b/simulation/mesh/staged.py
@@ -16,11 +16,11 @@
 import simpy
 
 from anisestair.http import codec as http
+from mesh.configuration.routes import Route
+from mesh.data_plane.upstream_connections import Answered
+from mesh.rollout.report import REPORT, read
 from rigs.mesh_peers import change, route
-from rigs.mesh_world.world import Life, Machine, Script, World
-from waterworks.lock.report import REPORT, read
-from waterworks.manifold.routes import Route
-from waterworks.sluice.tap import Answered
+from simulation.mesh.world import Life, Machine, Script, World
 
 TAKES_S = 0.03
 LONGEST_S = 4.0  # a call has three seconds
@@ -90,7 +90,7 @@
         if life.machine.core:
             return
         program = life.program
-        program.tap = program.tailrace.tap = FakeTap(self, life)
+        program.tap = program.upstream_dispatch.tap = FakeTap(self, life)
         put, drop, routes = program.routes.put, program.routes.drop, program.routes
 
         def puts(route: Route) -> None:
@@ -127,7 +127,7 @@
 
     def in_touch(self, machine: Machine, since: float) -> bool:
         """Whether nothing befell that machine, or the core, from the contact time before ``since`` on."""
-        cut = any(self.wire.parted(machine.ip, core.ip) for core in self.reservoirs())
+        cut = any(self.wire.parted(machine.ip, core.ip) for core in self.controllers())
         return not cut and max(self.touched.get(n, -1e9) for n in ("core", machine.name)) < since - CONTACT_S
 
     def start(self, machine: Machine, cold: bool = False) -> None:
@@ -153,7 +153,7 @@
         super().heal()
 
     def _cut(self) -> list[Machine]:
-        cores = self.reservoirs()
+        cores = self.controllers()
         return [m for m in self.machines.values() if any(self.wire.parted(m.ip, c.ip) for c in cores)]
 
     # Calls
@@ -195,7 +195,7 @@
     def commits(self, version: int, *rules: dict[str, Any], services: Sequence[str] = ()) -> Script:
         """One operator's change; its acknowledgement is kept."""
         body = json.dumps(change(*rules, services=services)).encode()
-        answer = yield from self.commit(self.reservoirs(), body)
+        answer = yield from self.commit(self.controllers(), body)
         if answer is not None and answer.status == 200:
             for rule in rules:
                 self.noted(rule["name"], version)
@@ -223,8 +223,8 @@
         program = life.program
         item = program.reports.items[REPORT, life.machine.name]
         report = read(item.value)
-        for _, reservoir in self.programs(core=True):
-            for one in reservoir.charter.items.values():
+        for _, controller in self.programs(core=True):
+            for one in controller.charter.items.values():
                 if one.kind == "route" and one.value is not None and report.has(one):
                     standing = program.routes.named(one.name)
                     if standing is None or standing.version < one.version:
--- a/rigs/mesh_world/troubles.py
+++ b/simulation/mesh/troubles.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from rigs.mesh_world.wire import End
-from rigs.mesh_world.world import POWER_S, RESTART_S, Fault, Life, Machine, World
+from simulation.mesh.wire import End
+from simulation.mesh.world import POWER_S, RESTART_S, Fault, Life, Machine, World
 
 LATE_S = 0.7
 CUT_S = 2.5
@@ -34,7 +34,7 @@
 
 def all_killed(world: World, life: Life, end: End | None) -> float | None:
     """Every process of the core is killed; their disks stay."""
-    for number, machine in enumerate(world.reservoirs()):
+    for number, machine in enumerate(world.controllers()):
         world.kill(machine)
         world.restart(machine, RESTART_S + 0.05 * number)
     return None
@@ -42,7 +42,7 @@
 
 def all_power_one_wiped(world: World, life: Life, end: End | None) -> float | None:
     """All machines lose power, and one its disk: the one here, or the first where it has none."""
-    unlucky = life.machine if life.machine.core else world.reservoirs()[0]
+    unlucky = life.machine if life.machine.core else world.controllers()[0]
     for machine in world.machines.values():
         world.power_off(machine)
         world.restart(machine, POWER_S)
@@ -52,7 +52,7 @@
 
 def other_wiped(world: World, life: Life, end: End | None) -> float | None:
     """As above, and the disk that is lost is the next machine's."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     at = cores.index(life.machine) + 1 if life.machine in cores else 0
     unlucky = cores[at % len(cores)]
     for machine in world.machines.values():
--- a/rigs/mesh_world/wire.py
+++ b/simulation/mesh/wire.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from rigs.mesh_world.clock import LIFE
-from waterworks.penstock.link import ALIVE, CONNECT_S, Link
+from mesh.transport.link import ALIVE, CONNECT_S, Link
+from simulation.mesh.clock import LIFE
 
 DELAY_S = 0.002
 PROBE = re.compile(rb'\d+:\{"t":"probed?",')
--- a/rigs/mesh_world/witness.py
+++ b/simulation/mesh/witness.py
@@ -13,15 +13,15 @@
 import msgspec
 import simpy
 
-from waterworks.aquifer.ballot import Number, Settled, Vote, digest_of
-from waterworks.aquifer.items import Item, Key, content
-from waterworks.aquifer.store import Store
-from waterworks.aquifer.views import View
-from waterworks.manifold.decode import INPUT_LIMITS, PLANT, ROUTE, Change, decode_change
-from waterworks.penstock.desk import Answer
+from mesh.configuration.commands import INPUT_LIMITS, PLANT, ROUTE, Change, decode_change
+from mesh.replication.acceptor import Number, Settled, Vote, digest_of
+from mesh.replication.items import Item, Key, content
+from mesh.replication.membership_epochs import View
+from mesh.replication.store import Store
+from mesh.transport.http_calls import Answer
 
 if TYPE_CHECKING:
-    from rigs.mesh_world.world import Life, Machine, World
+    from simulation.mesh.world import Life, Machine, World
 
 ORDERED = frozenset({ROUTE, PLANT, INPUT_LIMITS})  # kinds that operators send
 CONTACT_S, SETTLE_S = 3.0, 2.0
@@ -115,7 +115,7 @@
                 item = program.charter.items.get(key)
                 if item is not None:
                     self._compare(other.name, item)
-        for other in self.world.reservoirs():
+        for other in self.world.controllers():
             for item in other.disk.holds().items:
                 if item.key == key:
                     self._compare(f"{other.name}'s disk", item)
@@ -157,7 +157,7 @@
             state = program.acceptor.state(number)
             if isinstance(state, Settled) and state.digest != digest:
                 return True
-        for machine in self.world.reservoirs():
+        for machine in self.world.controllers():
             for item in machine.disk.holds().items:
                 if (item.kind, item.name, item.version) == number and digest_of(item.value) != digest:
                     return True
@@ -211,7 +211,7 @@
         """No set of whole disks that would do for a read may lack what was acknowledged."""
         whole: dict[str, tuple[dict[Key, Item], dict[Number, Vote]]] = {}
         views: list[tuple[str, View]] = []
-        for machine in self.world.reservoirs():
+        for machine in self.world.controllers():
             program = machine.program
             if program is not None:
                 items, votes = program.charter.items, program.acceptor.votes
@@ -263,8 +263,8 @@
     def finish(self, within_s: float = 12.0) -> Generator[simpy.Event, Any, None]:
         """The world is well again: everybody counts, answers, agrees, and falls silent."""
         world = self.world
-        yield from world.joined([m for m in world.reservoirs() if m.counted], within_s)
-        for machine in world.reservoirs():
+        yield from world.joined([m for m in world.controllers() if m.counted], within_s)
+        for machine in world.controllers():
             for _ in range(20):
                 answer = yield from world.get(machine)
                 if answer is not None and answer.status == 200:
@@ -281,7 +281,7 @@
                 yield world.env.timeout(0.01)
             if not _level(stores):
                 self._say(f"the copies of the {name} differ in the end: {_differ(stores)}")
-        for machine in world.reservoirs():
+        for machine in world.controllers():
             if machine.life is None or not machine.life.alive:
                 self._say(f"{machine.name} does not run")
             for item in machine.disk.holds().items:
--- a/rigs/mesh_world/world.py
+++ b/simulation/mesh/world.py
@@ -17,19 +17,19 @@
 import simpy
 
 from anisestair.http import codec as http
-from rigs.mesh_world.clock import LIFE, VirtualLoop, close_all, forget
-from rigs.mesh_world.disk import Disk, Opens
-from rigs.mesh_world.wire import End, Wire
-from rigs.mesh_world.witness import Witness
-from waterworks.aquifer.quorum import Tolerance
-from waterworks.aquifer.store import Store
-from waterworks.gauge.events import Level
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.settings import Bounds, MachineLimits, Ports, Settings
-from waterworks.leat.channels import Channel
-from waterworks.penstock.desk import Answer
-from waterworks.reservoir.program import Reservoir
-from waterworks.sluice.program import Sluice
+from mesh.control_plane.program import Controller
+from mesh.data_plane.program import Proxy
+from mesh.dissemination.peers import Channel
+from mesh.event_log.events import Level
+from mesh.event_log.log import EventLog
+from mesh.replication.quorum import Tolerance
+from mesh.replication.store import Store
+from mesh.runtime.settings import Bounds, MachineLimits, Ports, Settings
+from mesh.transport.http_calls import Answer
+from simulation.mesh.clock import LIFE, VirtualLoop, close_all, forget
+from simulation.mesh.disk import Disk, Opens
+from simulation.mesh.wire import End, Wire
+from simulation.mesh.witness import Witness
 
 Script = Generator[simpy.Event, Any, Any]
 Fault = Callable[["World", "Life", End | None], float | None]
@@ -86,16 +86,16 @@
         self.troubled_at = -1e9
         self._lives = 0
         self._patches: list[Any] = [
-            mock.patch("waterworks.leat.channels.connect", self.wire.connect),
-            mock.patch("waterworks.sluice.passage.connect", self.wire.connect),
-            mock.patch("waterworks.reservoir.program.listen", self.wire.listen),
-            mock.patch("waterworks.sluice.program.listen", self.wire.listen),
-            mock.patch("waterworks.reservoir.program.Keeper", Opens(self)),
-            mock.patch("waterworks.penstock.desk.Desk.listen", _listens),
-            mock.patch("waterworks.reservoir.program.time", SimpleNamespace(time=self._time)),
-            mock.patch("waterworks.sluice.program.time", SimpleNamespace(time=self._time)),
-            mock.patch("waterworks.reservoir.program.os", SimpleNamespace(urandom=self._urandom)),
-            mock.patch("waterworks.sluice.program.os", SimpleNamespace(urandom=self._urandom)),
+            mock.patch("mesh.dissemination.peers.connect", self.wire.connect),
+            mock.patch("mesh.data_plane.peer_calls.connect", self.wire.connect),
+            mock.patch("mesh.control_plane.program.listen", self.wire.listen),
+            mock.patch("mesh.data_plane.program.listen", self.wire.listen),
+            mock.patch("mesh.control_plane.program.Keeper", Opens(self)),
+            mock.patch("mesh.transport.http_calls.Desk.listen", _listens),
+            mock.patch("mesh.control_plane.program.time", SimpleNamespace(time=self._time)),
+            mock.patch("mesh.data_plane.program.time", SimpleNamespace(time=self._time)),
+            mock.patch("mesh.control_plane.program.os", SimpleNamespace(urandom=self._urandom)),
+            mock.patch("mesh.data_plane.program.os", SimpleNamespace(urandom=self._urandom)),
             mock.patch.object(Channel, "__hash__", self._hashes()),  # sets of them have one order
             mock.patch.object(Store, "hear", self._merges(Store.hear)),
             mock.patch.object(Store, "_put", self.witness.puts(Store._put)),
@@ -202,11 +202,11 @@
     async def _begin(self, life: Life, cold: bool) -> None:
         machine = life.machine
         settings = self.settings(machine, cold)
-        gauge = Gauge(machine.name, io.StringIO(), Level.ERROR, self._time)
+        event_log = EventLog(machine.name, io.StringIO(), Level.ERROR, self._time)
         if machine.core:
-            life.program = Reservoir(settings, gauge)
+            life.program = Controller(settings, event_log)
         else:
-            life.program = Sluice(settings, gauge)
+            life.program = Proxy(settings, event_log)
             life.program.outlets.listen = lambda address: None
             self.env.process(self._upstream(life))
         self.dress(life)
@@ -241,7 +241,7 @@
             yield self.ask(life, life.program.registry.handle, message)
             yield self.env.timeout(BEAT_S)
 
-    def reservoirs(self) -> list[Machine]:
+    def controllers(self) -> list[Machine]:
         return [machine for machine in self.machines.values() if machine.core]
 
     def programs(self, core: bool) -> list[tuple[Machine, Any]]:
@@ -380,10 +380,10 @@
                 return
             yield self.env.timeout(0.02)
 
-    def boot(self, cores: int, sluices: int = 1) -> Script:
+    def boot(self, cores: int, proxies: int = 1) -> Script:
         """The first start of all: the founders, up to three, are whole at its end, later ones join."""
         self.founders = [self.add(f"c{n}", f"10.0.0.{n}") for n in range(1, min(cores, 3) + 1)]
-        sides = [self.add(f"s{n}", f"10.0.1.{n}", core=False) for n in range(1, sluices + 1)]
+        sides = [self.add(f"s{n}", f"10.0.1.{n}", core=False) for n in range(1, proxies + 1)]
         for machine in self.founders + sides:
             self.start(machine, cold=True)
         yield from self.joined(self.founders)
--- a/tests/mesh/test_valve_sessions.py
+++ b/tests/mesh/test_admission_call_sessions.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from waterworks.valve import sessions as module
-from waterworks.valve.sessions import HELD_S, SESSION_S, Kept, Session, Sessions, Verdict
+from mesh.admission import call_sessions as module
+from mesh.admission.call_sessions import HELD_S, SESSION_S, Kept, Session, Sessions, Verdict
 
 
 def opened(most_bytes: int = 100) -> tuple[Sessions[str], Session[str]]:
--- a/tests/mesh/test_valve_shares.py
+++ b/tests/mesh/test_admission_fair_share.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from waterworks.valve.line import Line
-from waterworks.valve.shares import FEW, HALVED_MS, KINDS, LEAST, Shares
+from mesh.admission.fair_share import FEW, HALVED_MS, KINDS, LEAST, Shares
+from mesh.admission.wait_queue import Line
 
 HIGH, MID, LOW = 2.0, 1.0, 0.25
 
--- a/tests/mesh/test_valve_passing.py
+++ b/tests/mesh/test_admission_final_check.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from waterworks.valve.passing import (
+from mesh.admission.final_check import (
     AHEAD_LEAST,
     DRAIN_SHARE,
     LINE_SHARE,
@@ -15,8 +15,8 @@
     judge,
     places,
 )
-from waterworks.weir.calls import DECAYING, SETTLED, Beat
-from waterworks.weir.lives import Upstream
+from mesh.membership.instance_commands import DECAYING, SETTLED, Beat
+from mesh.membership.instance_lifecycle import Upstream
 
 BEAT_MS, DRAIN_MS = 1500.0, 2000.0
 
--- a/tests/mesh/test_valve_budget.py
+++ b/tests/mesh/test_admission_retry_budget.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.valve.budget import KEPT, SLOTS, Budget
+from mesh.admission.retry_budget import KEPT, SLOTS, Budget
 
 WINDOW_MS = 1000.0
 RATIO, SLACK = 0.3, 12.0
--- a/tests/mesh/test_valve_line.py
+++ b/tests/mesh/test_admission_wait_queue.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.valve.line import Line
+from mesh.admission.wait_queue import Line
 
 OPS = st.lists(
     st.one_of(
--- a/tests/mesh/test_ballot.py
+++ b/tests/mesh/test_ballot.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from waterworks.aquifer import ballot as ballot_module
-from waterworks.aquifer.ballot import (
+from mesh.replication import acceptor as ballot_module
+from mesh.replication.acceptor import (
     BLOCK,
     MOST_PAST,
     Acceptor,
@@ -19,9 +19,9 @@
     Vote,
     digest_of,
 )
-from waterworks.aquifer.proposer import Accept, Again, Chosen, Decided, Proposer, Rivalled, Unclear
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import View
+from mesh.replication.membership_epochs import View
+from mesh.replication.proposer import Accept, Again, Chosen, Decided, Proposer, Rivalled, Unclear
+from mesh.replication.quorum import Place, Tolerance
 
 ONE: Number = ("route", "a", 5)
 TWO: Number = ("route", "b", 1)
--- a/tests/mesh/test_benchmarks_mesh.py
+++ b/tests/mesh/test_benchmarks_mesh.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from benchmarks import draw_deployments, mesh_news, mesh_request
-from rigs.mesh_world.seeds import questions_are_not_asked_again
+from simulation.mesh.seeds import questions_are_not_asked_again
 
 
 def like() -> dict[str, Any]:
@@ -126,14 +126,14 @@
         assert (file.parent / tomllib.loads(file.read_text())["wire"]).read_text() == "{}"
 
 
-def test_a_quiet_mesh_says_nothing_and_a_change_costs_a_sluice_the_same_in_a_larger_one() -> None:
+def test_a_quiet_mesh_says_nothing_and_a_change_costs_a_proxy_the_same_in_a_larger_one() -> None:
     rows = [mesh_news.Measured(count, 3, 2.0).play() for count in (6, 24)]
     for row in rows:
         assert row["minute"]["messages"] == 0.0 and row["minute"]["alive"] > 0.0
         assert 0.0 <= row["change"]["worst_after_ack_99_s"] < 0.2
         assert 0.0 < row["change"]["messages"] < 20.0  # three links, a few messages on each
         assert row["join"]["known_s"] < 2.0 and 0.3 < row["restart"]["back_s"] < 3.0
-    fitted = mesh_news.exponents(rows)["3 reservoirs"]
+    fitted = mesh_news.exponents(rows)["3 controllers"]
     assert fitted["change.messages"] == pytest.approx(0.0, abs=0.1)
     assert fitted["join.bytes"] is not None and fitted["join.bytes"] > 0.1  # all are told of all that join
 
--- a/tests/mesh/test_call_model.py
+++ b/tests/mesh/test_call_model.py
@@ -9,14 +9,14 @@
 
 from hareloom import requests
 from hareloom.interface import Outcome
+from mesh.admission.call_sessions import Kept, Session, Verdict
+from mesh.data_plane import call_state as table
+from mesh.data_plane.call_state import Ask, Event, State
 from rigs import call_hosts
 from rigs.call_hosts import UNCLEAR, World
 from rigs.call_model import SIZES, Calls
-from rigs.mesh_world.seeds import Patch
+from simulation.mesh.seeds import Patch
 from statecheck import explore
-from waterworks.sluice import calls as table
-from waterworks.sluice.calls import Ask, Event, State
-from waterworks.valve.sessions import Kept, Session, Verdict
 
 ASK, TAKE = Session.ask, Session.take
 
--- a/tests/mesh/test_call_world.py
+++ b/tests/mesh/test_call_world.py
@@ -8,14 +8,14 @@
 import pytest
 
 from hareloom.interface import Outcome
+from mesh.admission.call_sessions import Session, Verdict
+from mesh.admission.final_check import Why
+from mesh.data_plane import service_balancers
+from mesh.data_plane.call_messages import TurnedAway, Unclear
+from mesh.data_plane.call_state import Ask, outcome_of
+from mesh.data_plane.peer_calls import Outgoing
 from rigs.call_world import TROUBLES, CallWorld
-from rigs.mesh_world.seeds import Patch
-from waterworks.sluice import tables
-from waterworks.sluice.calls import Ask, outcome_of
-from waterworks.sluice.hop import TurnedAway, Unclear
-from waterworks.sluice.passage import Outgoing
-from waterworks.valve.passing import Why
-from waterworks.valve.sessions import Session, Verdict
+from simulation.mesh.seeds import Patch
 
 PLAYS = 60
 ASK = Session.ask
@@ -117,7 +117,7 @@
     def outcome(end: Any) -> Outcome:
         return Outcome.MOOT if isinstance(end, Unclear) else outcome_of(end)
 
-    patch.setattr(tables, "outcome_of", outcome)
+    patch.setattr(service_balancers, "outcome_of", outcome)
 
 
 def a_lost_link_has_sent_nothing(patch: Patch) -> None:
--- a/tests/mesh/test_calls_table.py
+++ b/tests/mesh/test_calls_table.py
@@ -8,7 +8,9 @@
 from test_map import names
 
 from hareloom.interface import NEVER_RAN
-from waterworks.sluice.calls import (
+from mesh.admission.final_check import Why
+from mesh.data_plane.call_messages import Call, Returned, TurnedAway, Unclear
+from mesh.data_plane.call_state import (
     EDGES,
     FIRST,
     OPEN,
@@ -24,8 +26,6 @@
     outcome_of,
     own,
 )
-from waterworks.sluice.hop import Call, Returned, TurnedAway, Unclear
-from waterworks.valve.passing import Why
 
 ROOT = Path(__file__).parents[2]
 OVER = {State.ENDED, State.WITHDRAWN, State.ANSWERED, State.CLOSED, State.IDLE}
@@ -52,7 +52,7 @@
 def test_each_edge_has_a_keeper_that_is_there() -> None:
     for edge in EDGES:
         path, _, name = edge.keeper.partition(":")
-        assert name in names(ROOT / "waterworks" / path), edge.keeper
+        assert name in names(ROOT / "mesh" / path), edge.keeper
 
 
 def test_no_event_has_two_edges_in_one_state() -> None:
--- a/tests/mesh/test_catching_up_world.py
+++ b/tests/mesh/test_catching_up_world.py
@@ -9,15 +9,15 @@
 import simpy
 
 from anisestair.http import codec as http
-from rigs.mesh_world import troubles
-from rigs.mesh_world.world import Life, Machine, Script, World
-from tests.mesh.test_mesh_world import change, drop
-from waterworks.aquifer.ballot import Number
-from waterworks.aquifer.items import Key
-from waterworks.aquifer.proposer import Decided
-from waterworks.aquifer.views import MEMBERS, VIEW, View, write_view
-from waterworks.gauge import events
-from waterworks.gauge.events import Event
+from mesh.event_log import events
+from mesh.event_log.events import Event
+from mesh.replication.acceptor import Number
+from mesh.replication.items import Key
+from mesh.replication.membership_epochs import MEMBERS, VIEW, View, write_view
+from mesh.replication.proposer import Decided
+from simulation.mesh import troubles
+from simulation.mesh.world import Life, Machine, Script, World
+from tests.mesh.test_simulated_mesh import change, drop
 
 KEPT_S, ANEW_S = 12.0, 6.0
 MANY = 600
@@ -32,7 +32,7 @@
         self.told: list[tuple[str, Event]] = []
 
     def dress(self, life: Life) -> None:
-        life.program.gauge.tell = lambda event, /, **_: self.told.append((life.machine.name, event))
+        life.program.event_log.tell = lambda event, /, **_: self.told.append((life.machine.name, event))
 
     def tellers(self, event: Event) -> set[str]:
         return {name for name, known in self.told if known is event}
@@ -42,9 +42,9 @@
 def short() -> Iterator[None]:
     """Drops are kept for seconds here, and all that goes by it is as much shorter."""
     with (
-        mock.patch("waterworks.weir.tombs.KEPT_S", KEPT_S),
-        mock.patch("waterworks.sluice.program.ASKS_ANEW_S", ANEW_S),
-        mock.patch("waterworks.reservoir.forgetting.EVERY_S", 0.5),
+        mock.patch("mesh.membership.tombstones.KEPT_S", KEPT_S),
+        mock.patch("mesh.data_plane.program.ASKS_ANEW_S", ANEW_S),
+        mock.patch("mesh.control_plane.tombstone_collection.EVERY_S", 0.5),
     ):
         yield
 
@@ -57,7 +57,7 @@
             item = program.charter.items.get(key)
             if item is not None and item.value is not None:
                 found.append(machine.name)
-    for machine in world.reservoirs():
+    for machine in world.controllers():
         if any(item.key == key and item.value is not None for item in machine.disk.holds().items):
             found.append(f"{machine.name}'s disk")
     return found
@@ -71,7 +71,7 @@
 
 def dropped(world: World) -> Script:
     """X is set, and dropped; its version 2 is acknowledged. It may be forgotten from here on."""
-    answer = yield from world.commit(world.reservoirs()[:2], drop(2, "x"))
+    answer = yield from world.commit(world.controllers()[:2], drop(2, "x"))
     assert answer is not None and answer.status == 200
     del world.witness.acked[X]
 
@@ -83,13 +83,13 @@
     yield from world.until(all_forgot, within_s, "the drop is forgotten")
 
 
-def begun(world: World, sluices: int = 1, spare: bool = False) -> Script:
-    yield from world.boot(3, sluices)
+def begun(world: World, proxies: int = 1, spare: bool = False) -> Script:
+    yield from world.boot(3, proxies)
     world.env.process(world.witness.watch())
     if spare:
         world.start(world.add("c4", "10.0.0.4", counted=False))
     for body in (change(1), change(1, "x"), change(1, "y")):
-        answer = yield from world.commit(world.reservoirs()[:3], body)
+        answer = yield from world.commit(world.controllers()[:3], body)
         assert answer is not None and answer.status == 200
     yield world.env.timeout(1.0)
 
@@ -114,7 +114,7 @@
     yield from begun(world)
     for number in range(120):
         for body in (change(1, f"n{number}"), drop(2, f"n{number}")):
-            answer = yield from world.commit(world.reservoirs()[:2], body, tries=200)
+            answer = yield from world.commit(world.controllers()[:2], body, tries=200)
             assert answer is not None and answer.status == 200, (number, answer)
             del world.witness.acked["route", f"n{number}"]
         yield world.env.timeout(0.5)
@@ -127,16 +127,16 @@
 
 def test_names_that_come_and_go_are_taken_without_end() -> None:
     with (
-        mock.patch("waterworks.reservoir.program.MOST_CHARTER", 60),
-        mock.patch("waterworks.sluice.program.MOST_CHARTER", 60),
+        mock.patch("mesh.control_plane.program.MOST_CHARTER", 60),
+        mock.patch("mesh.data_plane.program.MOST_CHARTER", 60),
     ):
         assert played(names_without_end) == []
 
 
 def test_without_forgetting_the_store_is_full_for_good() -> None:
     with (
-        mock.patch("waterworks.reservoir.program.MOST_CHARTER", 60),
-        mock.patch("waterworks.reservoir.forgetting.Forgetting.tick"),
+        mock.patch("mesh.control_plane.program.MOST_CHARTER", 60),
+        mock.patch("mesh.control_plane.tombstone_collection.Forgetting.tick"),
         pytest.raises(AssertionError, match=r", None\)"),
     ):
         played(names_without_end)
@@ -145,22 +145,22 @@
 def test_a_disk_that_is_nearly_full_takes_drops_and_then_again_what_is_set() -> None:
     def script(world: World) -> Script:
         yield from begun(world)
-        for machine in world.reservoirs():
+        for machine in world.controllers():
             machine.disk.most_bytes = 120_000
         count = 0
         while True:
-            answer = yield from world.patch(world.reservoirs()[0], change(1, f"n{count}"))
+            answer = yield from world.patch(world.controllers()[0], change(1, f"n{count}"))
             if answer is None or answer.status != 200:
                 break
             count += 1
         assert answer is not None and answer.status == 503 and b"disk" in answer.body and 20 < count < 200
         for number in range(count):
-            answer = yield from world.commit(world.reservoirs()[:2], drop(2, f"n{number}"))
+            answer = yield from world.commit(world.controllers()[:2], drop(2, f"n{number}"))
             assert answer is not None and answer.status == 200
             del world.witness.acked["route", f"n{number}"]
         yield world.env.timeout(3 * KEPT_S)
         for number in range(count // 2):
-            answer = yield from world.commit(world.reservoirs()[:2], change(3, f"n{number}"))
+            answer = yield from world.commit(world.controllers()[:2], change(3, f"n{number}"))
             assert answer is not None and answer.status == 200
         yield from world.witness.finish()
 
@@ -170,7 +170,7 @@
 def test_a_drop_is_forgotten_only_once_all_members_have_it() -> None:
     def script(world: World) -> Script:
         yield from begun(world)
-        away = world.reservoirs()[2]
+        away = world.controllers()[2]
         world.kill(away)
         yield from dropped(world)
         yield world.env.timeout(3 * KEPT_S)
@@ -186,7 +186,7 @@
 def test_a_member_whose_disk_is_an_older_copy_starts_over() -> None:
     def script(world: World) -> Script:
         yield from begun(world)
-        one = world.reservoirs()[2]
+        one = world.controllers()[2]
         old = copy(one)
         world.kill(one)
         world.start(one)
@@ -207,7 +207,7 @@
 def test_a_reader_that_comes_back_with_its_disk_starts_over() -> None:
     def script(world: World) -> Script:
         yield from begun(world, spare=True)
-        spare = world.reservoirs()[3]
+        spare = world.controllers()[3]
         assert X in spare.program.charter.items
         world.kill(spare)
         yield from dropped(world)
@@ -215,7 +215,7 @@
         world.start(spare)
         yield world.env.timeout(3.0)
         assert world.tellers(events.DISK_OLDER) == {"c4"}
-        assert spare.program.charter.digests.root() == world.reservoirs()[0].program.charter.digests.root()
+        assert spare.program.charter.digests.root() == world.controllers()[0].program.charter.digests.root()
         yield from ends(world)
 
     assert played(script) == []
@@ -223,7 +223,7 @@
 
 def taken_out(world: World, who: Machine) -> Script:
     """By the two numbers of a change, as they are agreed on."""
-    program = world.reservoirs()[0].program
+    program = world.controllers()[0].program
     view = program.council.view()
     rest = {ip: place for ip, place in view.now.items() if ip != who.ip}
     for next_one in (View(view.epoch + 1, rest, view.now), View(view.epoch + 2, rest)):
@@ -233,7 +233,7 @@
         async def decide(number: Number = number, told: View = next_one, done: simpy.Event = done) -> None:
             done.succeed(await program.voting.decide({number: write_view(told)}, 2.0))
 
-        world.reservoirs()[0].life.context.run(world.loop.create_task, decide())
+        world.controllers()[0].life.context.run(world.loop.create_task, decide())
         assert isinstance((yield done), Decided)
         yield world.env.timeout(0.3)
 
@@ -243,7 +243,7 @@
 
     def script(world: World) -> Script:
         yield from begun(world)
-        one = world.reservoirs()[2]
+        one = world.controllers()[2]
         world.kill(one)
         yield from taken_out(world, one)
         world.start(one)
@@ -265,7 +265,7 @@
 @pytest.mark.parametrize("seconds", [0.7 * ANEW_S, 4 * KEPT_S])
 def test_a_sidecar_that_was_cut_off_lets_go_what_was_dropped_and_forgotten(seconds: float) -> None:
     def script(world: World) -> Script:
-        yield from begun(world, sluices=2)
+        yield from begun(world, proxies=2)
         side = next(machine for machine, _ in world.programs(core=False))
         world.cut([side], [one for one in world.machines.values() if one is not side])
         yield world.env.timeout(2.0)
@@ -286,14 +286,14 @@
 def test_the_checks_see_what_comes_back(fault: str) -> None:
     if fault == "doubts":
         with (
-            mock.patch("waterworks.sluice.program.Sluice._doubts"),
+            mock.patch("mesh.data_plane.program.Proxy._doubts"),
             pytest.raises(AssertionError, match="'x'"),
         ):
             test_a_sidecar_that_was_cut_off_lets_go_what_was_dropped_and_forgotten(4 * KEPT_S)
         return
     with (
-        mock.patch("waterworks.reservoir.catching_up.CatchingUp._start_over"),
-        mock.patch("waterworks.aquifer.forgotten.Forgotten.version", lambda *_: -1),
+        mock.patch("mesh.control_plane.catch_up.CatchingUp._start_over"),
+        mock.patch("mesh.replication.tombstones.Forgotten.version", lambda *_: -1),
         pytest.raises(AssertionError),
     ):
         test_a_reader_that_comes_back_with_its_disk_starts_over()
@@ -302,7 +302,7 @@
 def unwatched(world: World, body: bytes) -> Script:
     """An order that the witness does not look at in detail, which costs the square of its items."""
     world.witness.sends(body, True)
-    life = world.reservoirs()[0].life
+    life = world.controllers()[0].life
     message = http.Message(method=b"PATCH", target=b"/configuration", body=body)
     answer = yield world.ask(life, life.program.clerk.handle, message)
     assert answer.status == 200
@@ -321,7 +321,7 @@
     def script(world: World) -> Script:
         yield from begun(world)
         yield from unwatched(world, large(MANY, 2))
-        giver, _, taker = world.reservoirs()
+        giver, _, taker = world.controllers()
         world.kill(taker)
         taker.disk.wipe()
         world.start(taker)
@@ -340,7 +340,7 @@
         yield from world.joined([taker])
         yield from ends(world, gone=False)
 
-    with mock.patch("waterworks.leat.exchange.PAGE", 50):
+    with mock.patch("mesh.dissemination.pull_exchange.PAGE", 50):
         assert played(script) == []
 
 
@@ -350,7 +350,7 @@
 
     def script(world: World) -> Script:
         yield from begun(world)
-        taker = world.reservoirs()[2]
+        taker = world.controllers()[2]
         world.kill(taker)
         taker.disk.wipe()
         world.counting, world.at, world.fault = True, at, troubles.crash
@@ -358,7 +358,7 @@
         yield world.env.timeout(1.5)
         assert len(world.points) > at
         world.counting = False
-        yield from world.joined(world.reservoirs())
+        yield from world.joined(world.controllers())
         yield from ends(world, gone=False)
 
     assert played(script) == []
--- a/tests/mesh/test_operate_bearing.py
+++ b/tests/mesh/test_cli_bearing.py
@@ -9,11 +9,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mesh.cli.bearing import FEW, Facts, after, differences, judged
+from mesh.cli.config import as_call
+from mesh.configuration.commands import Change, decode_change
+from mesh.replication.items import Item, Key
 from rigs.mesh_peers import change, route
-from waterworks.aquifer.items import Item, Key
-from waterworks.manifold.decode import Change, decode_change
-from waterworks.operate.bearing import FEW, Facts, after, differences, judged
-from waterworks.operate.config import as_call
 
 FACTS = Facts({"red": 2, "blue": 1}, ratios=(0.2,))
 
--- a/tests/mesh/test_operate_judge.py
+++ b/tests/mesh/test_cli_judge.py
@@ -8,16 +8,17 @@
 
 import pytest
 
-from waterworks.operate import shape, text
-from waterworks.operate.judge import CLOCK_S, findings
-from waterworks.operate.view import Process, View, newest, read_items
+from mesh.cli import shape, text
+from mesh.cli.judge import CLOCK_S, findings
+from mesh.cli.view import Process, View, newest, read_items
+from mesh.data_plane.membership import CONTROLLER, PROXY
 
 CHARTER = {"items": 9, "dropped": 1, "digest": "a" * 16}
 
 
 def core(at: int, **fields: Any) -> Process:
     told = {
-        **{"node": f"core-{at}", "role": "reservoir", "ip": f"10.0.0.{at}", "zone": "z", "charter": CHARTER},
+        **{"node": f"core-{at}", "role": CONTROLLER, "ip": f"10.0.0.{at}", "zone": "z", "charter": CHARTER},
         **{"counted": True, "whole": True, "refused": "", "in_touch": True, "control": f"10.0.0.{at}:9"},
         "members": {f"10.0.0.{member}": ["z", "r"] for member in range(3)},
     }
@@ -27,7 +28,7 @@
 def side(at: int, **fields: Any) -> Process:
     upstream = {"instance": f"i-{at}", "silent_ms": 300.0, "gone": False}
     told = {
-        **{"node": f"side-{at}", "role": "sluice", "ready": True, "charter": CHARTER, "beat_ms": 500.0},
+        **{"node": f"side-{at}", "role": PROXY, "ready": True, "charter": CHARTER, "beat_ms": 500.0},
         "upstream": upstream,
     }
     return Process(f"side-{at}", (f"10.1.{at // 250}.{at % 250}", 7), {**told, **fields})
@@ -35,8 +36,7 @@
 
 def view(*processes: Process) -> View:
     nodes = {
-        p.name: {"role": "reservoir" if p.name.startswith("core") else "sluice", "zone": "z"}
-        for p in processes
+        p.name: {"role": CONTROLLER if p.name.startswith("core") else PROXY, "zone": "z"} for p in processes
     }
     sides = [p for p in processes if p.name.startswith("side")]
     instances = {
@@ -132,7 +132,7 @@
     assert len(lines) <= 50 and max(map(len, lines)) <= 100
     assert lines[0].startswith("NOT AS IT SHOULD BE") and lines[1].split()[:3] == ["member", "missing", "1"]
     assert any(line.split()[:3] == ["no", "answer", "500"] and "more" in line for line in lines)
-    assert "sluices     500 of 1000 answer" in lines
+    assert "proxies     500 of 1000 answer" in lines
     told_all = shape.doctor(findings(there))
     assert len(told_all) <= 120 and max(map(len, told_all)) <= 100
     assert max(map(len, shape.nodes([shape.process_row(there, p) for p in there.processes]))) <= 100
@@ -150,8 +150,8 @@
 def test_answers_of_another_version_are_read_as_far_as_they_go() -> None:
     odd = [
         Process("a", ("h", 1), {}),
-        Process("b", ("h", 2), {"role": "reservoir", "members": 3, "charter": [], "unknown": 4}),
-        Process("c", ("h", 3), {"role": "sluice", "upstream": 3, "beat_ms": "x", "node": 7}),
+        Process("b", ("h", 2), {"role": CONTROLLER, "members": 3, "charter": [], "unknown": 4}),
+        Process("c", ("h", 3), {"role": PROXY, "upstream": 3, "beat_ms": "x", "node": 7}),
     ]
     there = View(tuple(odd), {"a": {}, "b": {"role": 3}}, {"i": {"plant": None}})
     assert findings(there) and shape.status(there, findings(there))
--- a/tests/mesh/test_operate_mesh.py
+++ b/tests/mesh/test_cli_mesh.py
@@ -15,17 +15,17 @@
 from typer.testing import CliRunner, Result
 
 from anisestair.http import codec as http
+from mesh.cli import config as config_commands
+from mesh.cli import state as state_commands
+from mesh.cli.command import app
+from mesh.control_plane.backup import _copy
+from mesh.control_plane.program import Controller
+from mesh.data_plane.program import Proxy
+from mesh.event_log.log import EventLog
+from mesh.runtime.introspection_calls import Refusal
+from mesh.runtime.settings import Settings, read
+from mesh.storage.lmdb_store import Fresh, Keeper
 from rigs.mesh_peers import Client, Upstream, change, free_ports, polled, route, write_settings
-from waterworks.cistern.keeper import Fresh, Keeper
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.questions import Refusal
-from waterworks.headworks.settings import Settings, read
-from waterworks.operate import config as config_commands
-from waterworks.operate import state as state_commands
-from waterworks.operate.command import app
-from waterworks.reservoir.program import Reservoir
-from waterworks.reservoir.safekeeping import _copy
-from waterworks.sluice.program import Sluice
 
 T = TypeVar("T")
 NET = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
@@ -49,8 +49,8 @@
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
         self.thread.start()
-        self.cores: list[Reservoir] = []
-        self.sides: list[Sluice] = []
+        self.cores: list[Controller] = []
+        self.sides: list[Proxy] = []
         self.upstreams: list[Upstream] = []
         self.asked = 0
         self.do(self._start())
@@ -77,7 +77,7 @@
             where = self.folder / f"{name}.toml"
             # A core of two bears no loss, and status says so where one is asked for.
             write_settings(where, name, ip, "supervisor", self.ports, CORES, state_dir=str(disk), machines=0)
-            self.cores.append(Reservoir(self._settings(name), Gauge(name, io.StringIO())))
+            self.cores.append(Controller(self._settings(name), EventLog(name, io.StringIO())))
             await self.cores[-1].start()
         for at, ip in enumerate(SIDES):
             upstream = Upstream(f"i-{at}", "red", way, capacity=8)
@@ -90,7 +90,7 @@
                 upstream=upstream.address,
                 service="red",
             )
-            self.sides.append(Sluice(self._settings(name), Gauge(name, io.StringIO())))
+            self.sides.append(Proxy(self._settings(name), EventLog(name, io.StringIO())))
             await self.sides[-1].start()
 
     async def _beat(self) -> None:
@@ -172,7 +172,7 @@
         assert result.exit_code == 0, result.output
         lines = narrow(result)
         assert lines[0] == "all is as it should be"
-        assert "reservoirs  2 of 2 answer" in lines and "sluices     2 of 2 answer" in lines
+        assert "controllers 2 of 2 answer" in lines and "proxies     2 of 2 answer" in lines
         assert any(
             line.startswith("configuration 4 items, 0 dropped") and "4 processes" in line for line in lines
         )
--- a/tests/mesh/test_operate_questions.py
+++ b/tests/mesh/test_cli_questions.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import Any
 
-from rigs.mesh_peers import play, turns
-from waterworks.aquifer.store import Store
-from waterworks.headworks import questions as questions_module
-from waterworks.headworks.questions import (
+from mesh.cli.client import Answered, Refused, Silent, ask, held
+from mesh.replication.store import Store
+from mesh.runtime import introspection_calls as questions_module
+from mesh.runtime.introspection_calls import (
     MOST_ASKERS,
     MOST_IN_HAND,
     PAGE,
@@ -17,9 +17,9 @@
     Refusal,
     items,
 )
-from waterworks.operate.asking import Answered, Refused, Silent, ask, held
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import Address, Link, listen
+from mesh.transport.frames import Head
+from mesh.transport.link import Address, Link, listen
+from rigs.mesh_peers import play, turns
 
 
 class Wire:
--- a/tests/mesh/test_operate_rollout.py
+++ b/tests/mesh/test_cli_rollout.py
@@ -7,11 +7,11 @@
 from pathlib import Path
 
 import pytest
-from test_operate_mesh import Mesh, narrow, run, told, write
+from test_cli_mesh import Mesh, narrow, run, told, write
 
+from mesh.cli.rollout import explained, shown
+from mesh.rollout.staged_activation import ORDER_S
 from rigs.mesh_peers import change, route
-from waterworks.lock.chamber import ORDER_S
-from waterworks.operate.rollout import explained, shown
 
 
 @pytest.fixture(scope="module")
--- a/tests/mesh/test_operate_traces.py
+++ b/tests/mesh/test_cli_traces.py
@@ -10,11 +10,11 @@
 
 from hareloom import interface as api
 from hareloom.records import Server
-from waterworks.sluice.calls import Failed, Refused
-from waterworks.sluice.hop import Call, Returned, TurnedAway, Unclear
-from waterworks.sluice.shown import why
-from waterworks.sluice.traces import KEPT, MOST_TRIES, FirstHop, Ring, SecondHop, words
-from waterworks.valve.passing import Why
+from mesh.admission.final_check import Why
+from mesh.data_plane.call_messages import Call, Returned, TurnedAway, Unclear
+from mesh.data_plane.call_state import Failed, Refused
+from mesh.data_plane.introspection import why
+from mesh.data_plane.traces import KEPT, MOST_TRIES, FirstHop, Ring, SecondHop, words
 
 MOST_BYTES = 6000  # of the largest entry, with all that it alone holds
 
--- a/tests/mesh/test_operate_sending.py
+++ b/tests/mesh/test_cli_write_client.py
@@ -8,9 +8,9 @@
 import pytest
 
 from anisestair.http import codec as http
-from waterworks.operate import sending
-from waterworks.operate.sending import PAUSE_S, Outcome, Taken, Turned, Unclear, send
-from waterworks.penstock.desk import Answer, Desk
+from mesh.cli import write_client
+from mesh.cli.write_client import PAUSE_S, Outcome, Taken, Turned, Unclear, send
+from mesh.transport.http_calls import Answer, Desk
 
 BODY = b'{"apply": {}}'
 
@@ -92,7 +92,7 @@
 def test_silence_is_left_behind_and_nobody_at_all_is_told_apart_from_no_clear_answer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(sending, "SILENCE_S", 0.05)
+    monkeypatch.setattr(write_client, "SILENCE_S", 0.05)
     outcome, core = play([None], [Answer(200)])
     assert isinstance(outcome, Taken) and [at for at, _ in core.calls] == [0, 1]
     outcome, _ = play([None], within_s=0.1)
--- a/tests/mesh/test_manifold_decode.py
+++ b/tests/mesh/test_configuration_commands.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.manifold.decode import DEPTH_MOST, ITEMS_MOST, Change, Invalid, Write, decode_change
+from mesh.configuration.commands import DEPTH_MOST, ITEMS_MOST, Change, Invalid, Write, decode_change
 
 CALL: dict[str, Any] = {
     "apply": {
--- a/tests/mesh/test_manifold_render.py
+++ b/tests/mesh/test_configuration_read_back.py
@@ -9,10 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.manifold.check import check
-from waterworks.manifold.decode import Change, Write, decode_change
-from waterworks.manifold.render import render
-from waterworks.manifold.routes import Routes, read_route
+from mesh.configuration.commands import Change, Write, decode_change
+from mesh.configuration.read_back import render
+from mesh.configuration.routes import Routes, read_route
+from mesh.configuration.validation import check
 
 NAMES = st.text(min_size=1, max_size=6)
 EPOCHS = st.integers(0, 10**18 - 1).map(lambda version: f"r{version}")
--- a/tests/mesh/test_manifold_routes.py
+++ b/tests/mesh/test_configuration_routes.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.manifold.routes import Route, Routes, RoutesFull, fold_host, pick, read_route
+from mesh.configuration.routes import Route, Routes, RoutesFull, fold_host, pick, read_route
 
 
 def route(name: str, prefix: str, version: int = 1, host: str = "a.example") -> Route:
--- a/tests/mesh/test_manifold_check.py
+++ b/tests/mesh/test_configuration_validation.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from waterworks.manifold.check import check
-from waterworks.manifold.decode import Change, Invalid, Write
+from mesh.configuration.commands import Change, Invalid, Write
+from mesh.configuration.validation import check
 
 Standing = dict[tuple[str, str], tuple[int, dict[str, Any] | None]]
 
--- a/tests/mesh/test_contact_probing.py
+++ b/tests/mesh/test_contact_probing.py
@@ -9,11 +9,12 @@
 
 import pytest
 
-from waterworks.aquifer.contact import Proof
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import View
-from waterworks.gauge.log import Gauge
-from waterworks.reservoir.contact import SOON_S, Probing
+from mesh.control_plane.contact_probes import SOON_S, Probing
+from mesh.data_plane.membership import CONTROLLER, PROXY
+from mesh.event_log.log import EventLog
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum import Place, Tolerance
+from mesh.replication.quorum_contact import Proof
 
 
 @dataclass(eq=False)
@@ -23,7 +24,7 @@
     ip: str
     peer_source: str
     control: str = "10.0.0.9:8146"
-    role: str = "reservoir"
+    role: str = CONTROLLER
     sent: list[Any] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -59,7 +60,7 @@
             ledger,
             lambda items, _: self.taken.extend(items),
             lambda: self.open,
-            Gauge("c0", self.log),
+            EventLog("c0", self.log),
         )
 
     def of(self, epoch: int) -> View:
@@ -88,7 +89,7 @@
 
 def test_sidecars_and_the_process_itself_are_neither_asked_nor_heard() -> None:
     alone = Alone()
-    side, me = alone.opens(Peer("10.9", "s", role="sluice")), alone.opens(Peer("c0", "c0.b"))
+    side, me = alone.opens(Peer("10.9", "s", role=PROXY)), alone.opens(Peer("c0", "c0.b"))
     assert not alone.soon
     alone.asks()
     assert not side.sent and not me.sent
--- a/tests/mesh/test_contact_world.py
+++ b/tests/mesh/test_contact_world.py
@@ -9,11 +9,11 @@
 
 import pytest
 
-from rigs.mesh_world import contact_seeds as seeds
-from rigs.mesh_world.cuts import BOUND_S, CUTS, NEWEST_S, Cuts, order, others, play
-from rigs.mesh_world.world import Machine, Script, World
-from waterworks.aquifer.contact import EVERY_SHARE, Proof
-from waterworks.gauge import events
+from mesh.event_log import events
+from mesh.replication.quorum_contact import EVERY_SHARE, Proof
+from simulation.mesh import contact_seeds as seeds
+from simulation.mesh.cuts import BOUND_S, CUTS, NEWEST_S, Cuts, order, others, play
+from simulation.mesh.world import Machine, Script, World
 
 CORES = {"halves": 4}
 _clean: dict[tuple[str, int], list[str]] = {}
@@ -73,12 +73,12 @@
 # One rule each
 
 
-def played(script: Callable[[Cuts], Script], cores: int = 3, sluices: int = 1) -> list[str]:
+def played(script: Callable[[Cuts], Script], cores: int = 3, proxies: int = 1) -> list[str]:
     def whole(world: World) -> Script:
         assert isinstance(world, Cuts)
-        yield from world.boot(cores, sluices)
+        yield from world.boot(cores, proxies)
         world.env.process(world.monitor())
-        yield from world.commit(world.reservoirs(), order("last", 1, 800))
+        yield from world.commit(world.controllers(), order("last", 1, 800))
         yield world.env.timeout(1.0)
         yield from script(world)
 
@@ -96,7 +96,7 @@
 
 def test_a_sidecar_with_only_the_cut_off_one_in_reach_goes_on_says_so_once_and_takes_the_newest() -> None:
     def script(world: Cuts) -> Script:
-        side, at = world.machines["s1"], world.reservoirs()[0]
+        side, at = world.machines["s1"], world.controllers()[0]
         alone(world, at, side)
         yield from world.commit(others(world, at), order("last", 2, 700))
         yield world.env.timeout(20.0)
@@ -117,7 +117,7 @@
 
 def test_a_life_that_begins_is_not_ready_by_one_without_contact_and_seeks_the_next() -> None:
     def script(world: Cuts) -> Script:
-        at = world.reservoirs()[0]
+        at = world.controllers()[0]
         alone(world, at)
         yield world.env.timeout(BOUND_S + 0.2)
         yield from world.commit(others(world, at), order("last", 2, 700))
@@ -136,7 +136,7 @@
 
 def test_who_reaches_one_with_contact_sends_callers_there() -> None:
     def script(world: Cuts) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         at, near = cores[0], cores[1]
         world.cut([at], cores[2:])
         yield world.env.timeout(BOUND_S + 0.5)
@@ -155,7 +155,7 @@
     """Its sockets hold an order, a read and a sidecar's first question when it wakes."""
 
     def script(world: Cuts) -> Script:
-        at = world.reservoirs()[0]
+        at = world.controllers()[0]
         world.freeze(at, 20.0)
         yield world.env.timeout(1.0)
         yield from world.commit(others(world, at), order("last", 2, 700))
@@ -175,7 +175,7 @@
 
 def test_a_time_of_day_that_steps_costs_one_round_of_questions() -> None:
     def script(world: Cuts) -> Script:
-        at = world.reservoirs()[0]
+        at = world.controllers()[0]
         for step_s in (3600.0, -7200.0):
             world.steps[at.name] = world.steps.get(at.name, 0.0) + step_s
             yield world.env.timeout(0.5)
--- a/tests/mesh/test_sluice_outlet.py
+++ b/tests/mesh/test_data_plane_client_connection.py
@@ -10,19 +10,19 @@
 import pytest
 
 from anisestair.http import codec as http
+from mesh.configuration.limits import Limits
+from mesh.configuration.routes import Routes, read_route
+from mesh.data_plane.client_connection import AT_ONCE, Outlets
+from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.request_dispatch import OTHERS_S, Intake
+from mesh.data_plane.service_balancers import GUARD_MS, Tables
+from mesh.data_plane.upstream_connections import Tap
+from mesh.data_plane.upstream_dispatch import UpstreamDispatch
+from mesh.event_log.log import EventLog
+from mesh.membership.instance_commands import Beat, read_beat
+from mesh.membership.instance_lifecycle import Upstream as Life
+from mesh.transport.link import Address
 from rigs.mesh_peers import Client, Upstream, move, play, route, soon, turns, until
-from waterworks.gauge.log import Gauge
-from waterworks.manifold.limits import Limits
-from waterworks.manifold.routes import Routes, read_route
-from waterworks.penstock.link import Address
-from waterworks.sluice.intake import OTHERS_S, Intake
-from waterworks.sluice.outlet import AT_ONCE, Outlets
-from waterworks.sluice.passage import Passage
-from waterworks.sluice.tables import GUARD_MS, Tables
-from waterworks.sluice.tailrace import Tailrace
-from waterworks.sluice.tap import Tap
-from waterworks.weir.calls import Beat, read_beat
-from waterworks.weir.lives import Upstream as Life
 
 INSTANCE = {"plant": "s", "zone": "z", "capacity": 32, "state": "settled", "cold_ms": 0.0}
 READ = route("read", "/read/", "s")
@@ -38,16 +38,16 @@
     """Of the service "me", beside an upstream of the service "s"."""
 
     def __init__(self, upstream: Upstream, rules: tuple[dict[str, Any], ...]) -> None:
-        gauge = Gauge("t", io.StringIO())
+        event_log = EventLog("t", io.StringIO())
         life = Life("n1", "z", 500.0, 2000.0)
         beat = read_beat(upstream.instance, upstream.beat())
         assert isinstance(beat, Beat)
         life.take(0.0, beat)
         self.upstream, self.routes, self.known = upstream, Routes(), True
-        self.tap = Tap(upstream.address, 40, gauge)
-        self.tailrace = Tailrace(life, self.tap, gauge, lambda _: None)
-        passage = Passage("n1", self.tailrace, gauge, lambda node, up: None)
-        self.tables = Tables(passage, Place(), lambda _: "n1", "z", (0.2, 10_000.0, 100.0), 7, gauge)
+        self.tap = Tap(upstream.address, 40, event_log)
+        self.upstream_dispatch = UpstreamDispatch(life, self.tap, event_log, lambda _: None)
+        passage = Passage("n1", self.upstream_dispatch, event_log, lambda node, up: None)
+        self.tables = Tables(passage, Place(), lambda _: "n1", "z", (0.2, 10_000.0, 100.0), 7, event_log)
         self.intake = Intake(
             self.tables, "me", 200.0, self.routes.find, lambda: self.known, lambda service: self.fill(service)
         )
@@ -183,7 +183,7 @@
         client = await sidecar.client()
         client.send("a1", path)
         await sidecar.came()
-        await until(lambda: not sidecar.tailrace.running)
+        await until(lambda: not sidecar.upstream_dispatch.running)
         move(6.0)  # where it may be tried again, it waits for somebody that has room
         answer = await client.read()
         assert answer and answer.status == status, answer
@@ -292,7 +292,9 @@
         for attempt in ("a2", "a3", "a4"):
             client.send(attempt, "/read/ok")
         assert {await sidecar.came() for _ in range(4)} == {"a1", "a2", "a3", "a4"}
-        await until(lambda: len(sidecar.tailrace.running) == 1)  # the others have been answered to us
+        await until(
+            lambda: len(sidecar.upstream_dispatch.running) == 1
+        )  # the others have been answered to us
         (connection,) = sidecar.outlets._connections
         assert len(connection._slots) == 4  # type: ignore[attr-defined]
         sidecar.upstream.release.set()
--- a/tests/mesh/test_sluice_lost.py
+++ b/tests/mesh/test_data_plane_lost.py
@@ -9,20 +9,20 @@
 
 import pytest
 
+from mesh.admission.buffer_budget import Holding
+from mesh.admission.call_sessions import Sessions
+from mesh.admission.final_check import Why
+from mesh.data_plane import peer_calls as module
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear, end_head
+from mesh.data_plane.call_state import ASK_LEAST, Event, Out, State
+from mesh.data_plane.incoming_calls import Incoming
+from mesh.data_plane.peer_calls import AT_ONCE, LIFE_S, PACE_S, UNPROVED_MOST, Passage
+from mesh.data_plane.program import TICK_S
+from mesh.data_plane.upstream_dispatch import Running, UpstreamDispatch
+from mesh.event_log.log import EventLog
+from mesh.transport.frames import Head
+from mesh.transport.link import SILENT_S, Address, Link, listen
 from rigs.mesh_peers import move, play, soon, turns, until
-from waterworks.gauge.log import Gauge
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import SILENT_S, Address, Link, listen
-from waterworks.sluice import passage as module
-from waterworks.sluice.calls import ASK_LEAST, Event, Out, State
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear, end_head
-from waterworks.sluice.incoming import Incoming
-from waterworks.sluice.passage import AT_ONCE, LIFE_S, PACE_S, UNPROVED_MOST, Passage
-from waterworks.sluice.program import TICK_S
-from waterworks.sluice.tailrace import Running, Tailrace
-from waterworks.valve.holding import Holding
-from waterworks.valve.passing import Why
-from waterworks.valve.sessions import Sessions
 
 SERVED = Returned(200, [(b"response-seal", b"s")], b"body", True)
 NOT_RUN = TurnedAway(Why.LOST)
@@ -34,7 +34,7 @@
     return replace(read, effectful=effectful, aim_ms=aim_ms)
 
 
-class Second(Tailrace):
+class Second(UpstreamDispatch):
     """A second hop that passes on and answers when the test says so."""
 
     def __init__(self) -> None:
@@ -111,7 +111,7 @@
 class Bench:
     def __init__(self) -> None:
         self.log = io.StringIO()
-        self.passage = Passage("here", Second(), Gauge("t", self.log), lambda node, up: None, "f1")
+        self.passage = Passage("here", Second(), EventLog("t", self.log), lambda node, up: None, "f1")
 
     def send(self, far: Far, call: Call) -> tuple[Out, asyncio.Future[End]]:
         end: asyncio.Future[End] = asyncio.get_running_loop().create_future()  # one end, or it raises
--- a/tests/mesh/test_sluice_membership.py
+++ b/tests/mesh/test_data_plane_membership.py
@@ -5,8 +5,8 @@
 import random
 from typing import Any
 
-from waterworks.aquifer.items import Item
-from waterworks.sluice.membership import INSTANCE, NODE, SLUICE, Membership
+from mesh.data_plane.membership import INSTANCE, NODE, PROXY, Membership
+from mesh.replication.items import Item
 
 
 def at(name: str, version: int, node: str, service: str = "red") -> Item:
@@ -51,8 +51,8 @@
 
 def test_addresses_are_those_of_nodes_that_stand() -> None:
     known = Membership()
-    value: dict[str, Any] = {"address": "10.0.0.1:7000", "role": SLUICE, "zone": "z", "region": "r"}
+    value: dict[str, Any] = {"address": "10.0.0.1:7000", "role": PROXY, "zone": "z", "region": "r"}
     known.take([Item(NODE, "n1", 1, value)])
-    assert known.address("n1") == ("10.0.0.1", 7000) and known.sluices() == 1
+    assert known.address("n1") == ("10.0.0.1", 7000) and known.proxies() == 1
     known.take([Item(NODE, "n1", 2, None)])
-    assert known.address("n1") is None and known.sluices() == 0
+    assert known.address("n1") is None and known.proxies() == 0
--- a/tests/mesh/test_sluice_passage.py
+++ b/tests/mesh/test_data_plane_peer_calls.py
@@ -10,20 +10,20 @@
 
 import pytest
 
+from mesh.admission.buffer_budget import Holding
+from mesh.admission.final_check import Why
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear, end_head
+from mesh.data_plane.call_state import Event, Out
+from mesh.data_plane.incoming_calls import Incoming
+from mesh.data_plane.peer_calls import AGAIN_S, HOLD_S, IDLE_S, Passage
+from mesh.data_plane.program import TICK_S, Proxy
+from mesh.data_plane.upstream_dispatch import Running, UpstreamDispatch
+from mesh.event_log.log import EventLog
+from mesh.membership.instance_commands import Beat, read_beat
+from mesh.runtime.settings import Settings, read
+from mesh.transport.frames import Head
+from mesh.transport.link import SILENT_S, Address, Link, listen
 from rigs.mesh_peers import Upstream, free_ports, move, play, soon, turns, until, write_settings
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.settings import Settings, read
-from waterworks.penstock.frames import Head
-from waterworks.penstock.link import SILENT_S, Address, Link, listen
-from waterworks.sluice.calls import Event, Out
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear, end_head
-from waterworks.sluice.incoming import Incoming
-from waterworks.sluice.passage import AGAIN_S, HOLD_S, IDLE_S, Passage
-from waterworks.sluice.program import TICK_S, Sluice
-from waterworks.sluice.tailrace import Running, Tailrace
-from waterworks.valve.holding import Holding
-from waterworks.valve.passing import Why
-from waterworks.weir.calls import Beat, read_beat
 
 SERVED = Returned(200, [(b"response-seal", b"s")], b"body\x00", True)
 
@@ -32,7 +32,7 @@
     return Call(attempt, b"POST", b"/x?q=\xe9", [(b"x-own", b"\xff")], body, "i-1", "s", 700.0, 0.5, 20.0)
 
 
-class Second(Tailrace):
+class Second(UpstreamDispatch):
     """A second hop that answers when the test says so."""
 
     def __init__(self) -> None:
@@ -95,7 +95,7 @@
         self.local = Second()
         self.reached: list[tuple[str, bool]] = []  # as it was told
         self.passage = Passage(
-            "here", self.local, Gauge("t", io.StringIO()), lambda node, up: self.reached.append((node, up))
+            "here", self.local, EventLog("t", io.StringIO()), lambda node, up: self.reached.append((node, up))
         )
 
     def tick(self) -> None:
@@ -438,22 +438,22 @@
         )
         told = read(file.read_text())
         assert isinstance(told, Settings), told
-        sluice = Sluice(told, Gauge("t", io.StringIO()))  # not started: no port is taken
+        proxy = Proxy(told, EventLog("t", io.StringIO()))  # not started: no port is taken
         beat = read_beat(upstream.instance, upstream.beat())
         assert isinstance(beat, Beat)
-        sluice.upstream.take(sluice.tables.now(), beat)
-        link = Link(lambda _: None, sluice._met, sluice._unmet)
-        sluice._met(link, {"t": "hello", "node": "n2", "for": "calls"}, b"")
+        proxy.upstream.take(proxy.tables.now(), beat)
+        link = Link(lambda _: None, proxy._met, proxy._unmet)
+        proxy._met(link, {"t": "hello", "node": "n2", "for": "calls"}, b"")
         for number in range(3):
             head = replace(call(f"a{number}"), target=b"/x", patience_ms=500.0).head(number)
-            sluice._met(link, head, b"")
+            proxy._met(link, head, b"")
         await until(lambda: len(upstream.seen) == 2)
-        sluice._unmet(link, "cut")
+        proxy._unmet(link, "cut")
         try:
-            assert not sluice.tailrace.running and not len(sluice.tailrace.line)
+            assert not proxy.upstream_dispatch.running and not len(proxy.upstream_dispatch.line)
         finally:
             upstream.close()
-            sluice.tap.close()
+            proxy.tap.close()
             await turns()
 
     over(test)
--- a/tests/mesh/test_sluice_tables.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -12,13 +12,13 @@
 
 from anisestair.http import codec as http
 from hareloom import interface as api
+from mesh.admission.final_check import Why
+from mesh.configuration.routes import Route
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
+from mesh.data_plane.call_state import Ask, Failed, Final, Refused, Served
+from mesh.data_plane.service_balancers import GUARD_MS, Table, Tables
+from mesh.event_log.log import EventLog
 from rigs.mesh_peers import move, play, soon, turns
-from waterworks.gauge.log import Gauge
-from waterworks.manifold.routes import Route
-from waterworks.sluice.calls import Ask, Failed, Final, Refused, Served
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
-from waterworks.sluice.tables import GUARD_MS, Table, Tables
-from waterworks.valve.passing import Why
 
 READ = Route("read", 1, "h", "/r/", False, 1000.0, 400.0, 3, 1, (("s", 1.0),))
 PAY = replace(READ, name="pay", prefix="/p/", effectful=True)
@@ -74,7 +74,7 @@
             "z",
             (ratio, 10_000.0, slack),
             7,
-            Gauge("t", self.log),
+            EventLog("t", self.log),
         )
         self.tables.people(1, 1)
         self.upstreams = upstreams
@@ -385,7 +385,7 @@
 def test_classes_are_bounded_and_what_a_route_may_do_is_kept_beyond_the_bound(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("waterworks.sluice.tables.CLASSES", 3)
+    monkeypatch.setattr("mesh.data_plane.service_balancers.CLASSES", 3)
 
     async def test(bench: Bench) -> None:
         for at in range(8):
--- a/tests/mesh/test_sluice_tap.py
+++ b/tests/mesh/test_data_plane_upstream_connections.py
@@ -9,10 +9,8 @@
 import pytest
 
 from anisestair.http import codec as http
-from rigs.mesh_peers import Upstream, move, play, soon, turns, until
-from waterworks.gauge.log import Gauge
-from waterworks.sluice import tap as module
-from waterworks.sluice.tap import (
+from mesh.data_plane import upstream_connections as module
+from mesh.data_plane.upstream_connections import (
     CONNECT_S,
     IDLE_S,
     MARGIN_S,
@@ -23,6 +21,8 @@
     Tap,
     TapConnection,
 )
+from mesh.event_log.log import EventLog
+from rigs.mesh_peers import Upstream, move, play, soon, turns, until
 
 
 class Asked:
@@ -65,7 +65,7 @@
     async def run() -> None:
         upstream = Upstream(way=lambda _: left.pop(0) if left else "ok", keep_alive=keep_alive)
         await upstream.start()
-        tap = Tap(upstream.address, most, Gauge("t", io.StringIO()))
+        tap = Tap(upstream.address, most, EventLog("t", io.StringIO()))
         try:
             await test(Bench(upstream, tap))
         finally:
@@ -275,7 +275,7 @@
 
         loop = asyncio.get_running_loop()
         for drain_ms, most_s in (400.0, 0.12), (2000.0, CONNECT_S):
-            tap = Tap(bench.upstream.address, 1, Gauge("t", io.StringIO()), drain_ms)
+            tap = Tap(bench.upstream.address, 1, EventLog("t", io.StringIO()), drain_ms)
             with monkeypatch.context() as patch:
                 patch.setattr(loop, "create_connection", hangs)
                 outcome: asyncio.Future[Outcome] = loop.create_future()
