--- a/tests/mesh/test_sluice_tailrace.py
+++ b/tests/mesh/test_data_plane_upstream_dispatch.py
@@ -11,28 +11,28 @@
 from hypothesis import strategies as st
 
 from anisestair.http import codec as http
+from mesh.admission.final_check import DRAIN_SHARE, Why, places
+from mesh.admission.wait_queue import Line
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
+from mesh.data_plane.upstream_connections import Tap
+from mesh.data_plane.upstream_dispatch import LATE_S, Running, UpstreamDispatch
+from mesh.event_log.log import EventLog
+from mesh.membership.instance_commands import Beat, read_beat
+from mesh.membership.instance_lifecycle import SILENT_BEATS, Publish
+from mesh.membership.instance_lifecycle import Upstream as Life
 from rigs.mesh_peers import Upstream, move, play, soon, turns, until
-from waterworks.gauge.log import Gauge
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway, Unclear
-from waterworks.sluice.tailrace import LATE_S, Running, Tailrace
-from waterworks.sluice.tap import Tap
-from waterworks.valve.line import Line
-from waterworks.valve.passing import DRAIN_SHARE, Why, places
-from waterworks.weir.calls import Beat, read_beat
-from waterworks.weir.lives import SILENT_BEATS, Publish
-from waterworks.weir.lives import Upstream as Life
 
 DRAIN_MS = 2000.0
 
 
 class Bench:
-    def __init__(self, upstream: Upstream, tailrace: Tailrace, told: list[Publish]) -> None:
-        self.upstream, self.tailrace, self.told = upstream, tailrace, told
+    def __init__(self, upstream: Upstream, upstream_dispatch: UpstreamDispatch, told: list[Publish]) -> None:
+        self.upstream, self.upstream_dispatch, self.told = upstream, upstream_dispatch, told
 
     def beat(self, state: str = "settled") -> None:
         beat = read_beat(self.upstream.instance, self.upstream.beat(state))
         assert isinstance(beat, Beat)
-        self.tailrace.upstream.take(self.tailrace.now(), beat)
+        self.upstream_dispatch.upstream.take(self.upstream_dispatch.now(), beat)
 
     def take(self, attempt: str, **fields: object) -> tuple[Running | None, asyncio.Future[End]]:
         end: asyncio.Future[End] = asyncio.get_running_loop().create_future()
@@ -49,11 +49,11 @@
             **fields,
         }
         values.setdefault("longer_ms", values["patience_ms"])
-        return self.tailrace.take(Call(**values), end.set_result), end  # type: ignore[arg-type]
+        return self.upstream_dispatch.take(Call(**values), end.set_result), end  # type: ignore[arg-type]
 
     async def fill(self) -> list[tuple[Running | None, asyncio.Future[End]]]:
         """Every place at the upstream is taken, by calls that it holds."""
-        at_once, _ = places(self.tailrace.upstream)
+        at_once, _ = places(self.upstream_dispatch.upstream)
         held = [self.take(f"held-{at}") for at in range(at_once)]
         await until(lambda: len(self.upstream.seen) == at_once)
         return held
@@ -72,9 +72,9 @@
     async def run() -> None:
         upstream, told = Upstream(way=way, capacity=capacity), list[Publish]()
         await upstream.start()
-        gauge = Gauge("t", io.StringIO())
-        life, tap = Life("n1", "z", 1000.0, DRAIN_MS), Tap(upstream.address, most, gauge)
-        bench = Bench(upstream, Tailrace(life, tap, gauge, told.extend), told)
+        event_log = EventLog("t", io.StringIO())
+        life, tap = Life("n1", "z", 1000.0, DRAIN_MS), Tap(upstream.address, most, event_log)
+        bench = Bench(upstream, UpstreamDispatch(life, tap, event_log, told.extend), told)
         bench.beat()
         try:
             await test(bench)
@@ -117,7 +117,7 @@
         assert 0 < int(told[b"time-remaining"]) <= 700
         assert {name for name, _ in answer.headers} == {b"attempt-id", b"response-seal"}
         assert answer.body == bench.upstream.body(seen)
-        assert bench.tailrace.load == (1, 0, 1)
+        assert bench.upstream_dispatch.load == (1, 0, 1)
 
     behind(test)
 
@@ -126,7 +126,7 @@
 def test_a_success_without_its_seal_or_id_is_unclear(way: str) -> None:
     async def test(bench: Bench) -> None:
         assert isinstance(await soon(bench.take("a1")[1]), Unclear)
-        assert not bench.tailrace.running
+        assert not bench.upstream_dispatch.running
 
     behind(test, lambda _: way)
 
@@ -135,7 +135,7 @@
 def test_a_call_that_broke_off_is_unclear(way: str) -> None:
     async def test(bench: Bench) -> None:
         assert isinstance(await soon(bench.take("a1")[1]), Unclear)
-        assert not bench.tailrace.running
+        assert not bench.upstream_dispatch.running
 
     behind(test, lambda _: way)
 
@@ -205,7 +205,7 @@
         move(LATE_S)
         assert isinstance(await soon(end), Unclear)
         await until(lambda: not bench.upstream.open)
-        assert not bench.tailrace.running
+        assert not bench.upstream_dispatch.running
 
     behind(test, held)
 
@@ -215,10 +215,10 @@
 
 def test_so_many_are_at_the_upstream_and_no_more_wait_than_there_is_room_for() -> None:
     async def test(bench: Bench) -> None:
-        at_once, waiting = places(bench.tailrace.upstream)
+        at_once, waiting = places(bench.upstream_dispatch.upstream)
         taken = await bench.fill()
         line = [bench.take(f"w{at}") for at in range(waiting)]
-        assert len(bench.tailrace.line) == waiting
+        assert len(bench.upstream_dispatch.line) == waiting
         assert not any(end.done() for _, end in line)
         _, more = bench.take("more")
         assert line[0][1].result() == TurnedAway(Why.FULL)  # the longest there, and none is lower in rank
@@ -230,7 +230,7 @@
             assert isinstance(await soon(end), Returned)
         assert isinstance(await soon(more), Returned)
         assert len(bench.upstream.seen) == at_once + waiting
-        assert not bench.tailrace.running and not len(bench.tailrace.line)
+        assert not bench.upstream_dispatch.running and not len(bench.upstream_dispatch.line)
 
     behind(test, held, capacity=2)
 
@@ -244,7 +244,7 @@
             await bench.runs()
         running, _ = taken[0]
         assert running is not None
-        bench.tailrace.drop(running)  # one place: they go one after another
+        bench.upstream_dispatch.drop(running)  # one place: they go one after another
         assert [await bench.runs() for _ in range(4)] == ["high", "second", "first", "low"]
 
     behind(test, held)
@@ -254,15 +254,15 @@
     async def test(bench: Bench) -> None:
         await bench.fill()
         for _ in range(20):
-            bench.tailrace.shares.came(bench.tailrace.now(), 5.0)
-            bench.tailrace.shares.passed(5.0)
-            bench.tailrace.shares.came(bench.tailrace.now(), 0.1)
+            bench.upstream_dispatch.shares.came(bench.upstream_dispatch.now(), 5.0)
+            bench.upstream_dispatch.shares.passed(5.0)
+            bench.upstream_dispatch.shares.came(bench.upstream_dispatch.now(), 0.1)
         bench.take("low", rank=0.1)
-        _, waiting = places(bench.tailrace.upstream)
+        _, waiting = places(bench.upstream_dispatch.upstream)
         others = [bench.take(f"b{at}", rank=5.0) for at in range(waiting)]
         assert await soon(others[0][1]) == TurnedAway(Why.FULL)
         bench.upstream.release.set()
-        for _ in range(places(bench.tailrace.upstream)[0]):
+        for _ in range(places(bench.upstream_dispatch.upstream)[0]):
             await bench.runs()
         assert await bench.runs() == "low"
 
@@ -279,7 +279,7 @@
         assert not short.done()
         move(0.15)
         assert await soon(short) == TurnedAway(Why.FULL)
-        assert not long.done() and len(bench.tailrace.line) == 1
+        assert not long.done() and len(bench.upstream_dispatch.line) == 1
         move(2.5)
         assert await soon(long) == TurnedAway(Why.FULL)
         assert not bench.upstream.runs.keys() & {"short", "long"}
@@ -342,10 +342,10 @@
         await bench.fill()
         running, end = bench.take("w")
         assert running is not None
-        bench.tailrace.drop(running)
-        assert not len(bench.tailrace.line)
+        bench.upstream_dispatch.drop(running)
+        assert not len(bench.upstream_dispatch.line)
         bench.upstream.release.set()
-        await until(lambda: not bench.tailrace.running)
+        await until(lambda: not bench.upstream_dispatch.running)
         move(2.0)
         _, after = bench.take("after")
         await soon(after)
@@ -360,7 +360,7 @@
         _, waits = bench.take("w")
         running, end = taken[0]
         assert running is not None
-        bench.tailrace.drop(running)
+        bench.upstream_dispatch.drop(running)
         assert isinstance(await soon(waits), Returned)
         await until(lambda: bench.upstream.open == len(taken))  # less the dropped one's, with that of "w"
         assert not end.done()
@@ -372,11 +372,11 @@
     async def test(bench: Bench) -> None:
         running, _ = bench.take("held-1")
         assert running is not None
-        await until(lambda: bench.tailrace.tap._coming == 1)
-        bench.tailrace.drop(running)
-        await until(lambda: bench.tailrace.tap._coming == 0)
+        await until(lambda: bench.upstream_dispatch.tap._coming == 1)
+        bench.upstream_dispatch.drop(running)
+        await until(lambda: bench.upstream_dispatch.tap._coming == 0)
         await turns()
-        assert not bench.tailrace.tap._open
+        assert not bench.upstream_dispatch.tap._open
 
     behind(test, held)
 
--- a/tests/mesh/test_sluice_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -15,6 +15,16 @@
 import pytest
 
 from anisestair.http.frontend import EXIT_S, IDLE_S
+from mesh.admission.buffer_budget import LONG_SHARE, SHORT, Holding
+from mesh.admission.final_check import DRAIN_SHARE, Why
+from mesh.configuration.limits import HEAD_BESIDE, MOST_HEAD, Limits, read_limits
+from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, read_end
+from mesh.data_plane.program import EXIT_S as BEFORE_KILL_S
+from mesh.data_plane.program import NOTICE_S, Proxy
+from mesh.data_plane.request_dispatch import LONGEST
+from mesh.event_log.log import EventLog
+from mesh.runtime.settings import Settings, read
+from mesh.transport.frames import Frames, Head, frame
 from rigs.mesh_peers import (
     Client,
     Upstream,
@@ -28,16 +38,6 @@
     until,
     write_settings,
 )
-from waterworks.gauge.log import Gauge
-from waterworks.headworks.settings import Settings, read
-from waterworks.manifold.limits import HEAD_BESIDE, MOST_HEAD, Limits, read_limits
-from waterworks.penstock.frames import Frames, Head, frame
-from waterworks.sluice.hop import Call, End, Returned, TurnedAway, read_end
-from waterworks.sluice.intake import LONGEST
-from waterworks.sluice.program import EXIT_S as BEFORE_KILL_S
-from waterworks.sluice.program import NOTICE_S, Sluice
-from waterworks.valve.holding import LONG_SHARE, SHORT, Holding
-from waterworks.valve.passing import DRAIN_SHARE, Why
 
 TOLD = {"header_bytes": 65536, "body_bytes": 12 << 20, "header_lag_ms": 3000, "quiescent_ms": 15000}
 
@@ -53,20 +53,20 @@
         )
         settings = read(file.read_text())
         assert isinstance(settings, Settings), settings
-        self.sluice, self.upstream = Sluice(settings, Gauge("t", io.StringIO())), upstream
+        self.proxy, self.upstream = Proxy(settings, EventLog("t", io.StringIO())), upstream
         self.peers, self.control, self.outbound, self.readiness = (("127.0.0.1", port) for port in ports)
         self._version = 0
 
     def take(self, kind: str, name: str, value: dict[str, Any] | None) -> None:
         self._version += 1
-        item = self.sluice.charter.take(kind, name, self._version, value)
-        self.sluice._changed("charter", [item])  # type: ignore[list-item]
+        item = self.proxy.charter.take(kind, name, self._version, value)
+        self.proxy._changed("charter", [item])  # type: ignore[list-item]
 
     async def client(self) -> Client:
         return await Client.to(self.outbound)
 
     async def open(self, count: int) -> None:
-        await until(lambda: self.sluice.outlets.held() == count)
+        await until(lambda: self.proxy.outlets.held() == count)
 
 
 def beside(folder: Path, test: Callable[[Beside], Awaitable[None]], grace_s: float = 6.0) -> None:
@@ -74,8 +74,8 @@
         upstream = Upstream(way=lambda message: message.target.rpartition(b"/")[2].decode())
         await upstream.start()
         there = Beside(folder, free_ports(["127.0.0.1"], 4), upstream, grace_s)
-        sluice = there.sluice
-        await sluice.start()
+        proxy = there.proxy
+        await proxy.start()
         there.take("plant", "s", {"name": "s", "epoch": "r1"})
         there.take("route", "read", {**route("read", "/read/", "s", horizon_ms=30_000), "host": "h.example"})
         assert await upstream.tell(there.control) == 200
@@ -83,14 +83,14 @@
             await test(there)
         finally:
             upstream.release.set()
-            sluice.tap.close()
-            for connection in list(sluice.outlets._connections):
+            proxy.tap.close()
+            for connection in list(proxy.outlets._connections):
                 connection.close()
-            await sluice.outlets.stop(accept_s=0.0)
-            sluice.control.stop()
-            sluice.readiness.stop()
-            assert sluice._server is not None
-            sluice._server.close()
+            await proxy.outlets.stop(accept_s=0.0)
+            proxy.control.stop()
+            proxy.readiness.stop()
+            assert proxy._server is not None
+            proxy._server.close()
             upstream.close()
             await turns()
 
@@ -130,7 +130,7 @@
         assert answer.status == 200 and answer.body.endswith(body)
         there.take("input_limits", "input_limits", {**TOLD, "body_bytes": 8 << 20})
         assert (await client.ask("a2", "/read/ok", body=body)).status == 413
-        assert there.sluice.intake.bodies.held == 0
+        assert there.proxy.intake.bodies.held == 0
 
     beside(tmp_path, test)
 
@@ -140,7 +140,7 @@
 
 def test_a_body_that_memory_does_not_bear_is_503_before_it_is_read(tmp_path: Path) -> None:
     async def test(there: Beside) -> None:
-        bodies = there.sluice.intake.bodies = Holding(2 * 1000, 900)
+        bodies = there.proxy.intake.bodies = Holding(2 * 1000, 900)
         held = await there.client()
         held.send("a1", "/read/hold", body=b"x" * 600)
         assert (await soon(there.upstream.comes.get())).body == b"x" * 600 and bodies.held == 600
@@ -169,7 +169,7 @@
 def test_what_was_held_for_a_body_is_given_back_however_it_ends(tmp_path: Path) -> None:
     async def test(there: Beside) -> None:
         there.take("input_limits", "input_limits", {**TOLD, "body_bytes": 1000})
-        bodies, size = there.sluice.intake.bodies, b"content-length: 700\r\n"
+        bodies, size = there.proxy.intake.bodies, b"content-length: 700\r\n"
         ways = (
             (HEAD % (b"ok", b"a1", size) + b"x" * 200, "leaves"),
             (HEAD % (b"hold", b"a1", size) + b"x" * 700 + HEAD % (b"ok", b"a2", size), "leaves"),
@@ -208,7 +208,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def test(there: Beside) -> None:
-        outlets = there.sluice.outlets
+        outlets = there.proxy.outlets
         loop = asyncio.get_running_loop()
         monkeypatch.setattr("anisestair.http.frontend.time", SimpleNamespace(monotonic=loop.time))
         there.take("input_limits", "input_limits", TOLD)
@@ -237,7 +237,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def test(there: Beside) -> None:
-        outlets = there.sluice.outlets
+        outlets = there.proxy.outlets
         loop = asyncio.get_running_loop()
         monkeypatch.setattr("anisestair.http.frontend.time", SimpleNamespace(monotonic=loop.time))
         there.take("input_limits", "input_limits", TOLD)
@@ -261,19 +261,19 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def test(there: Beside) -> None:
-        sluice, loop = there.sluice, asyncio.get_running_loop()
+        proxy, loop = there.proxy, asyncio.get_running_loop()
         client = await there.client()
         client.send("a1", "/read/hold", left_ms=30_000)
         await soon(there.upstream.comes.get())
-        given, stop = [], sluice.outlets.stop
+        given, stop = [], proxy.outlets.stop
 
         async def noted(accept_s: float, exit_s: float) -> None:
             given.append(exit_s)
             await stop(accept_s, exit_s)
             given.append(-1.0)  # no more is waited
 
-        monkeypatch.setattr(sluice.outlets, "stop", noted)
-        ends = loop.create_task(sluice.stop())
+        monkeypatch.setattr(proxy.outlets, "stop", noted)
+        ends = loop.create_task(proxy.stop())
         await turns()
         move(NOTICE_S)
         await until(lambda: bool(given))
@@ -281,7 +281,7 @@
         for _ in range(4):
             move(EXIT_S / 2.0)
             await turns()
-        assert len(given) == 1 and not ends.done() and sluice.outlets.held() == 1
+        assert len(given) == 1 and not ends.done() and proxy.outlets.held() == 1
         there.upstream.release.set()
         answer = await client.read()
         assert answer is not None and (answer.status, answer.get(b"connection")) == (200, "close")
@@ -296,7 +296,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, reads: bool
 ) -> None:
     async def test(there: Beside) -> None:
-        outlets, loop, body = there.sluice.outlets, asyncio.get_running_loop(), b"x" * (1 << 20)
+        outlets, loop, body = there.proxy.outlets, asyncio.get_running_loop(), b"x" * (1 << 20)
         monkeypatch.setattr("anisestair.http.frontend.time", SimpleNamespace(monotonic=loop.time))
         small = socket.socket()
         small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
@@ -361,17 +361,17 @@
     tmp_path: Path,
 ) -> None:
     async def test(there: Beside) -> None:
-        sluice, loop, body = there.sluice, asyncio.get_running_loop(), b"x" * 8_000_000
+        proxy, loop, body = there.proxy, asyncio.get_running_loop(), b"x" * 8_000_000
         other = await Other.to(there)
         other.send(1, "/read/hold", body)
         await soon(there.upstream.comes.get())
-        ends = loop.create_task(sluice.stop())
+        ends = loop.create_task(proxy.stop())
         await turns()
         move(NOTICE_S)
-        await until(lambda: sluice.outlets._listener is None)  # its clients' side has ended
+        await until(lambda: proxy.outlets._listener is None)  # its clients' side has ended
         assert not ends.done()
         there.upstream.release.set()
-        await until(lambda: not sluice.tailrace.running)
+        await until(lambda: not proxy.upstream_dispatch.running)
         for _ in range(3):
             move(0.05)
             await turns()
@@ -389,8 +389,8 @@
         client = await there.client()
         client.send("a1", "/read/hold")
         await soon(there.upstream.comes.get())
-        settings = there.sluice.settings
-        there.sluice.retune(replace(settings, seeds=(("127.0.0.8", 1),), bounds=replace(settings.bounds)))
+        settings = there.proxy.settings
+        there.proxy.retune(replace(settings, seeds=(("127.0.0.8", 1),), bounds=replace(settings.bounds)))
         there.take("input_limits", "input_limits", {**TOLD, "header_bytes": 10, "body_bytes": 1})
         there.take("route", "read", {**route("read", "/read/", "t"), "host": "h.example"})
         there.take("plant", "s", None)
@@ -409,9 +409,9 @@
             return (await call(there.readiness, b"GET", b"/"))[0] == 200
 
         assert not await ready()  # it has a route, and nobody that is whole has told it all
-        there.sluice.channels.whole_at = asyncio.get_running_loop().time()
+        there.proxy.channels.whole_at = asyncio.get_running_loop().time()
         assert await ready()
-        ends = asyncio.get_running_loop().create_task(there.sluice.stop())
+        ends = asyncio.get_running_loop().create_task(there.proxy.stop())
         await turns()
         assert not await ready()
         move(NOTICE_S)
@@ -427,7 +427,7 @@
     tmp_path: Path,
 ) -> None:
     async def test(there: Beside) -> None:
-        sluice, upstream, path = there.sluice, there.upstream, b"/instances/i-1"
+        proxy, upstream, path = there.proxy, there.upstream, b"/instances/i-1"
 
         async def told(method: bytes, body: bytes = b"") -> int:
             status, said = await call(there.control, method, path, body, within_s=1.0)
@@ -436,7 +436,7 @@
 
         async def passes(attempt: str) -> End:
             ended: asyncio.Future[End] = asyncio.get_running_loop().create_future()
-            sluice.tailrace.take(passing(attempt, "/read/ok"), ended.set_result)
+            proxy.upstream_dispatch.take(passing(attempt, "/read/ok"), ended.set_result)
             return await soon(ended)
 
         assert await told(b"PUT", b"no beat") == 400  # and nothing of it is taken
@@ -457,14 +457,14 @@
 
 def test_a_drain_that_others_know_of_holds_after_a_restart_of_the_sidecar(tmp_path: Path) -> None:
     async def test(there: Beside) -> None:
-        sluice = there.sluice
+        proxy = there.proxy
         value = {"plant": "s", "node": "n1", "zone": "z", "epoch": "", "capacity": 8, "state": "decaying"}
-        item = sluice.roll.take("instance", "i-9", 5000, {**value, "cold_ms": 0.0})
-        sluice.upstream.beat = None  # as it is before the first beat
-        sluice._changed("roll", [item])  # type: ignore[list-item]
-        sluice.registry.mind()
+        item = proxy.roll.take("instance", "i-9", 5000, {**value, "cold_ms": 0.0})
+        proxy.upstream.beat = None  # as it is before the first beat
+        proxy._changed("roll", [item])  # type: ignore[list-item]
+        proxy.registry.mind()
         ended: list[End] = []
-        sluice.tailrace.take(replace(passing("b1", "/read/ok"), instance="i-9"), ended.append)
+        proxy.upstream_dispatch.take(replace(passing("b1", "/read/ok"), instance="i-9"), ended.append)
         assert ended == [TurnedAway(Why.LEAVING)]
 
     beside(tmp_path, test)
--- a/tests/mesh/test_leat_channels.py
+++ b/tests/mesh/test_dissemination_peers.py
@@ -9,11 +9,12 @@
 
 import pytest
 
-from waterworks.aquifer.store import Store
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channel, Channels
-from waterworks.lock.report import REPORTS
-from waterworks.penstock.link import Link
+from mesh.data_plane.membership import PROXY
+from mesh.dissemination.peers import Channel, Channels
+from mesh.event_log.log import EventLog
+from mesh.replication.store import Store
+from mesh.rollout.report import REPORTS
+from mesh.transport.link import Link
 
 LINKS = 12
 
@@ -64,12 +65,14 @@
         self.charter, self.roll, self.reports = Looked("c1", 100), Looked("c1", 100), Looked("c1", 100)
         self.stores = {"charter": self.charter, "roll": self.roll, REPORTS: self.reports}
         hello = {"t": "hello", "node": "c1", "source": "c1", "takes": [REPORTS]}
-        gauge = Gauge("c1", io.StringIO())
-        self.channels = Channels("c1", hello, self.stores, 3, gauge, lambda name, items: None, up=(REPORTS,))
+        event_log = EventLog("c1", io.StringIO())
+        self.channels = Channels(
+            "c1", hello, self.stores, 3, event_log, lambda name, items: None, up=(REPORTS,)
+        )
         self.lines = [Line() for _ in range(LINKS)]
         self.peers: list[Channel] = []
         for at, line in enumerate(self.lines):
-            hello = {"node": f"s{at}", "source": f"s{at}.1", "role": "sluice"}
+            hello = {"node": f"s{at}", "source": f"s{at}.1", "role": PROXY}
             self.peers.append(self.channels.adopt(cast(Link, line), hello))
         for _ in range(2):  # the first question is answered with nothing, the next one stands
             for peer in self.peers:
@@ -120,7 +123,7 @@
     def script(middle: Middle) -> None:
         middle.charter.take("route", "r1", 1, {"a": 1})
         middle.ticks(1)
-        middle.roll.take("node", "n1", 1, {"role": "sluice"})
+        middle.roll.take("node", "n1", 1, {"role": PROXY})
         middle.ticks(2)
         assert all(line.told() == ["r1"] for line in middle.lines)
         for peer in middle.peers:
--- a/tests/mesh/test_leat_exchange.py
+++ b/tests/mesh/test_dissemination_pull_exchange.py
@@ -11,12 +11,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.items import Item, same_content
-from waterworks.aquifer.snapshot import SNAPSHOTS
-from waterworks.aquifer.store import Lack, Store
-from waterworks.leat import exchange as leat
-from waterworks.leat.exchange import Exchange, pack, unpack
-from waterworks.penstock.frames import Head
+from mesh.dissemination import pull_exchange
+from mesh.dissemination.pull_exchange import Exchange, pack, unpack
+from mesh.replication.items import Item, same_content
+from mesh.replication.snapshot import SNAPSHOTS
+from mesh.replication.store import Lack, Store
+from mesh.transport.frames import Head
 
 PAGE = 3
 FRAMES_MOST = 4000
@@ -127,7 +127,7 @@
 
 @pytest.fixture(autouse=True)
 def small_pages(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(leat, "PAGE", PAGE)
+    monkeypatch.setattr(pull_exchange, "PAGE", PAGE)
 
 
 @given(st.integers(2, 5), OPS)
--- a/tests/mesh/test_duty_carried.py
+++ b/tests/mesh/test_duty_carried.py
@@ -10,16 +10,16 @@
 
 import pytest
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Store
-from waterworks.gauge.log import Gauge
-from waterworks.operate import shape
-from waterworks.operate.view import Process, View
-from waterworks.reservoir.duties import LIVELY_S, MOST_DROPPED, ROUND_S, Duties
-from waterworks.sluice.membership import INSTANCE, NODE, Membership
-from waterworks.sluice.passage import Passage
-from waterworks.weir.duty import DUTY, REAPING, Standing, first
-from waterworks.weir.reaping import MOST_ASKED, spans
+from mesh.cli import shape
+from mesh.cli.view import Process, View
+from mesh.control_plane.leases import LIVELY_S, MOST_DROPPED, ROUND_S, Duties
+from mesh.data_plane.membership import CONTROLLER, INSTANCE, NODE, PROXY, Membership
+from mesh.data_plane.peer_calls import Passage
+from mesh.event_log.log import EventLog
+from mesh.membership.failure_detection import MOST_ASKED, spans
+from mesh.membership.lease import DUTY, REAPING, Standing, first
+from mesh.replication.items import Item
+from mesh.replication.store import Store
 
 SPANS = spans(3000.0, 1500.0)
 CORES = [f"c{n}" for n in (1, 2, 3)]
@@ -34,7 +34,7 @@
         self.now = 0.0
         self.sent: dict[str, list[Any]] = {name: [] for name in OTHERS}
         self.roll, self.membership, self.log = Store("me", 20_000), Membership(), io.StringIO()
-        self.channels = SimpleNamespace(open=[self.channel(name, "reservoir") for name in OTHERS])
+        self.channels = SimpleNamespace(open=[self.channel(name, CONTROLLER) for name in OTHERS])
         members = {f"ip-{name}": None for name in CORES}
         self.touch = True
         self.view = 3
@@ -51,16 +51,16 @@
             channels,
             council,
             lambda: self.touch,
-            Gauge(ME, self.log),
+            EventLog(ME, self.log),
             self.took,
         )
         loop: Any = SimpleNamespace(time=lambda: self.now)
         self.duties._loop = loop
         self.duties._look_at, self.duties.watch = 0.0, type(self.duties.watch)(0.0)
         for name in CORES:
-            self.node(name, "reservoir", f"ip-{name}")
+            self.node(name, CONTROLLER, f"ip-{name}")
         for at in range(sides):
-            self.node(f"s{at}", "sluice", "10.0.1.1")
+            self.node(f"s{at}", PROXY, "10.0.1.1")
 
     def channel(self, node: str, role: str) -> Any:
         sent = self.sent.setdefault(node, [])
@@ -118,7 +118,7 @@
     alone = Alone(sides)
     keep = [f"s{at}" for at in range(sides, 3 * sides)]
     for name in keep:
-        alone.node(name, "sluice", "10.0.1.2")
+        alone.node(name, PROXY, "10.0.1.2")
 
     def hear() -> None:
         for name in keep:
@@ -253,8 +253,8 @@
     def test() -> None:
         alone = Alone(2)
         alone.go_on(SPANS.gone_s - 0.5)
-        alone.node("s0", "sluice", "10.0.1.1", version=2)
-        gone: Any = alone.channel("s1", "sluice")
+        alone.node("s0", PROXY, "10.0.1.1", version=2)
+        gone: Any = alone.channel("s1", PROXY)
         gone.link.heard_at = alone.now
         alone.duties.closed(gone)
         alone.go_on(alone.now + SPANS.gone_s - 1.0)
@@ -271,7 +271,7 @@
         alone = Alone()
         alone.duties.node = second = OTHERS[0]
         alone.duties.turn._me = second
-        alone.channels.open = [alone.channel(ME, "reservoir")]
+        alone.channels.open = [alone.channel(ME, CONTROLLER)]
         if why == "not whole":
             alone.channels.open[0].whole = False
             alone.go_on(8.0)
@@ -337,7 +337,7 @@
 
 def test_status_shows_the_highest_claim_that_any_control_process_knows() -> None:
     def core(name: str, **told: Any) -> Process:
-        return Process(name, (name, 1), {"node": name, "role": "reservoir", **told})
+        return Process(name, (name, 1), {"node": name, "role": CONTROLLER, **told})
 
     old, new = ({REAPING: {"epoch": epoch, "holder": f"c{epoch}", "here": True}} for epoch in (3, 12))
     view = View((core("c1", duties=new), core("c2", duties=old), core("c3"), core("c4", duties={REAPING: 7})))
--- a/tests/mesh/test_duty_turn.py
+++ b/tests/mesh/test_duty_turn.py
@@ -8,9 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Store
-from waterworks.weir.duty import (
+from mesh.membership.lease import (
     DUTY,
     MOST_EPOCH,
     REAPING,
@@ -24,6 +22,8 @@
     read_standing,
     value,
 )
+from mesh.replication.items import Item
+from mesh.replication.store import Store
 
 STEADY_S = 3.0
 NAMES = [f"c{number}" for number in range(1, 6)]
--- a/tests/mesh/test_gauge_events.py
+++ b/tests/mesh/test_event_log_events.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from waterworks.gauge import events
-from waterworks.gauge.events import CATALOGUE, Event
+from mesh.event_log import events
+from mesh.event_log.events import CATALOGUE, Event
 
 ROOT = Path(__file__).parents[2]
 COLUMNS = ["event", "text", "values", "what it means", "what to do"]
@@ -38,7 +38,7 @@
 
 def tellings() -> Iterator[tuple[str, str, set[str]]]:
     """Where the mesh tells an event: the place, the event's constant, the names of the values."""
-    for path in sorted((ROOT / "waterworks").rglob("*.py")):
+    for path in sorted((ROOT / "mesh").rglob("*.py")):
         for node in ast.walk(ast.parse(path.read_text())):
             if not (
                 isinstance(node, ast.Call)
--- a/tests/mesh/test_gauge_log.py
+++ b/tests/mesh/test_event_log_log.py
@@ -5,9 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.gauge import events
-from waterworks.gauge.events import Level
-from waterworks.gauge.log import MOST_A_SECOND, MOST_VALUE, Gauge
+from mesh.event_log import events
+from mesh.event_log.events import Level
+from mesh.event_log.log import MOST_A_SECOND, MOST_VALUE, EventLog
 
 
 class Clock:
@@ -17,16 +17,16 @@
         return self.now
 
 
-def log(level: Level = Level.INFO) -> tuple[Gauge, io.StringIO, Clock]:
+def log(level: Level = Level.INFO) -> tuple[EventLog, io.StringIO, Clock]:
     stream, clock = io.StringIO(), Clock()
-    return Gauge("core-1", stream, level=level, clock=clock), stream, clock
+    return EventLog("core-1", stream, level=level, clock=clock), stream, clock
 
 
 def test_a_line_has_time_number_text_and_values_in_order() -> None:
-    gauge, stream, _ = log()
-    gauge.tell(events.LINK_LOST, why="reset by peer", peer="core-2", after_ms=12.5)
-    gauge.tell(events.DISK_FRESH, first=False)
-    gauge.tell(events.DUTY_LEFT, duty="census", why=None)
+    event_log, stream, _ = log()
+    event_log.tell(events.LINK_LOST, why="reset by peer", peer="core-2", after_ms=12.5)
+    event_log.tell(events.DISK_FRESH, first=False)
+    event_log.tell(events.DUTY_LEFT, duty="census", why=None)
     assert stream.getvalue().splitlines() == [
         '14:03:07.250 W202 link lost peer=core-2 why="reset by peer" after_ms=12.5',
         "14:03:07.250 W402 store begun on an empty disk first=no",
@@ -43,12 +43,12 @@
 
 
 def test_what_is_below_the_level_or_over_the_rate_is_not_formatted() -> None:
-    gauge, stream, _ = log()
+    event_log, stream, _ = log()
     Costly.shown = 0
-    gauge.tell(events.READ_BACK, items=Costly())
+    event_log.tell(events.READ_BACK, items=Costly())
     assert (stream.getvalue(), Costly.shown) == ("", 0)
     for _ in range(MOST_A_SECOND + 5):
-        gauge.tell(events.LINK_UP, peer=Costly())
+        event_log.tell(events.LINK_UP, peer=Costly())
     assert len(stream.getvalue().splitlines()) == Costly.shown == MOST_A_SECOND
     verbose, stream, _ = log(Level.DEBUG)
     verbose.tell(events.READ_BACK, items=3)
@@ -56,14 +56,14 @@
 
 
 def test_the_suppressed_are_told_once_and_each_event_has_its_own_bound() -> None:
-    gauge, stream, clock = log()
+    event_log, stream, clock = log()
     for _ in range(MOST_A_SECOND + 17):
-        gauge.tell(events.LINK_UP, peer="a")
-    gauge.tell(events.LINK_LOST, peer="a", why="b")
+        event_log.tell(events.LINK_UP, peer="a")
+    event_log.tell(events.LINK_LOST, peer="a", why="b")
     assert "suppressed" not in stream.getvalue()
     for step in (1.0, 0.1, -50.0):  # a clock set back starts a second of its own
         clock.now += step
-        gauge.tell(events.LINK_UP, peer="a")
+        event_log.tell(events.LINK_UP, peer="a")
     lines = stream.getvalue().splitlines()[MOST_A_SECOND:]
     assert [line.partition("suppressed=")[2] for line in lines] == ["", "17", "", ""]
 
@@ -71,8 +71,8 @@
 @settings(max_examples=80, deadline=None)
 @given(st.text() | st.integers() | st.floats() | st.lists(st.text()))
 def test_any_value_keeps_to_its_line_and_its_length(value: object) -> None:
-    gauge, stream, _ = log()
-    gauge.tell(events.LINK_LOST, peer=value, why="x" * 10_000)
+    event_log, stream, _ = log()
+    event_log.tell(events.LINK_LOST, peer=value, why="x" * 10_000)
     written = stream.getvalue()
     assert written.isascii() and written.isprintable() == ("\n" not in written)
     assert written.splitlines() == [written[:-1]]
@@ -84,12 +84,12 @@
         def write(self, text: str, /) -> int:
             raise BrokenPipeError
 
-    Gauge("core-1", Broken(), clock=Clock()).tell(events.STARTED, role="x")
+    EventLog("core-1", Broken(), clock=Clock()).tell(events.STARTED, role="x")
 
     class Nameless:
         def __str__(self) -> str:
             raise RuntimeError
 
-    gauge, stream, _ = log()
-    gauge.tell(events.STARTED, role=Nameless())
+    event_log, stream, _ = log()
+    event_log.tell(events.STARTED, role=Nameless())
     assert "role=RuntimeError" in stream.getvalue()
--- a/tests/mesh/test_lost_links.py
+++ b/tests/mesh/test_lost_links.py
@@ -28,7 +28,7 @@
 
 
 def a_run(instance: str = "red-1") -> Run:
-    return Run("a1", instance, "red", "sluice-1", 1.1, 1.2, "ok", seal=f"{instance}.1", sum=7)
+    return Run("a1", instance, "red", "proxy-1", 1.1, 1.2, "ok", seal=f"{instance}.1", sum=7)
 
 
 def served() -> Ledger:
@@ -148,8 +148,8 @@
     ledger = served()
     ledger.troubles = [Trouble("reset", 1, 1.0, 1.1)]
     ledger.lost = [
-        Lost(KEY, "sluice-1", 1.15, True, "reset"),
-        Lost(OTHER, "sluice-2", 1.15, True, "reset"),  # it ran at sluice-1, after the loss
+        Lost(KEY, "proxy-1", 1.15, True, "reset"),
+        Lost(OTHER, "proxy-2", 1.15, True, "reset"),  # it ran at proxy-1, after the loss
     ]
     found = ledger.in_doubt()
     assert found["run_there"] == {"reset": {"success": 1}}
@@ -235,7 +235,7 @@
 # Between real sidecars
 
 
-SMALL = Size(sluices=3, connections=3, pause_s=0.05, every_s=(0.1, 0.3))
+SMALL = Size(proxies=3, connections=3, pause_s=0.05, every_s=(0.1, 0.3))
 
 
 def played(folder: Path, seconds: float, script: tuple[str, ...], size: Size = SMALL) -> Play:
@@ -259,7 +259,7 @@
 
 
 def test_a_guard_that_is_missing_is_seen(tmp_path: Path) -> None:
-    size = Size(sluices=2, connections=3, pause_s=0.05, broken=5.0, without=("ids",))
+    size = Size(proxies=2, connections=3, pause_s=0.05, broken=5.0, without=("ids",))
     rules = {fault.rule for fault in played(tmp_path, 3.0, ("reset",), size).ledger.judge()}
     assert Rule.DOOR in rules and Rule.SEAL in rules
 
--- a/tests/mesh/test_map.py
+++ b/tests/mesh/test_map.py
@@ -9,6 +9,7 @@
 ROOT = Path(__file__).parents[2]
 MAP = (ROOT / "docs/design/map.md").read_text()
 PAGES = (ROOT / "docs/pages.md").read_text()
+CONNECTIONS = "test_data_plane_upstream_connections.py"
 REFERENCE = re.compile(r"`((?:\w+/)*\w+\.py):([A-Za-z_]\w*(?:\.\w+)*)`")
 RULES = {
     *("MIXED", "UNASKED", "TWICE", "REFUSED", "DENIED", "ROUTE", "DRAIN", "LOST", "CONFIG", "BUDGET"),
@@ -38,11 +39,7 @@
 
 def file_of(path: str) -> Path | None:
     """Where a reference points: the mesh's packages, then the root, then the mesh's tests by bare name."""
-    places = (
-        [ROOT / "tests/mesh" / path]
-        if path.startswith("test_")
-        else [ROOT / "waterworks" / path, ROOT / path]
-    )
+    places = [ROOT / "tests/mesh" / path] if path.startswith("test_") else [ROOT / "mesh" / path, ROOT / path]
     return next((place for place in places if place.is_file()), None)
 
 
@@ -103,6 +100,7 @@
 
 
 def test_what_is_not_there_is_seen() -> None:
-    gone = "`sluice/tables.py:Table.x` `sluice/none.py:x` `test_sluice_tap.py:test_x` `tables.py:Table`"
+    balancers = "data_plane/service_balancers.py"
+    gone = f"`{balancers}:Table.x` `data_plane/none.py:x` `test_cli_judge.py:test_x` `tables.py:Table`"
     assert len(missing(gone)) == 4
-    assert missing("`sluice/tables.py:Table.take` `test_sluice_tap.py:test_nobody_there_is_not_sent`") == []
+    assert missing(f"`{balancers}:Table.take` `{CONNECTIONS}:test_nobody_there_is_not_sent`") == []
--- a/tests/mesh/test_member_model.py
+++ b/tests/mesh/test_member_model.py
@@ -8,12 +8,12 @@
 
 import pytest
 
+from mesh.replication import quorum, reconfiguration
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum import Place
 from rigs.member_model import CHAIN, SIZES, Members
-from rigs.mesh_world.seeds import Patch
+from simulation.mesh.seeds import Patch
 from statecheck import explore
-from waterworks.aquifer import changes, quorum
-from waterworks.aquifer.quorum import Place
-from waterworks.aquifer.views import View
 
 
 @pytest.mark.parametrize("size", SIZES)
@@ -44,13 +44,15 @@
 
 def left_before_the_copies_were(patch: Patch) -> None:
     patch.setattr(Members, "_may_vote", lambda self, one, name, wanted: True)
-    finish = changes._finish
+    finish = reconfiguration._finish
 
-    def unlevelled(view: View, known: Mapping[str, Any], tolerance: quorum.Tolerance) -> changes.Plan:
-        level = {name: changes.Known(one.place, one.heard, one.whole, 99) for name, one in known.items()}
+    def unlevelled(view: View, known: Mapping[str, Any], tolerance: quorum.Tolerance) -> reconfiguration.Plan:
+        level = {
+            name: reconfiguration.Known(one.place, one.heard, one.whole, 99) for name, one in known.items()
+        }
         return finish(view, level, tolerance)
 
-    patch.setattr(changes, "_finish", unlevelled)
+    patch.setattr(reconfiguration, "_finish", unlevelled)
 
 
 def one_that_is_not_level_votes_for_the_end(patch: Patch) -> None:
@@ -79,22 +81,22 @@
 
 def single_step_replacement(patch: Patch) -> None:
     patch.setattr(Members, "_may_vote", lambda self, one, name, wanted: True)
-    begin = changes._begin
+    begin = reconfiguration._begin
 
-    def at_once(view: View, known: Mapping[str, Any], tolerance: quorum.Tolerance) -> changes.Plan:
+    def at_once(view: View, known: Mapping[str, Any], tolerance: quorum.Tolerance) -> reconfiguration.Plan:
         found = begin(view, known, tolerance)
-        return changes.Plan(found.view and View(found.view.epoch, found.view.now), found.stays)
+        return reconfiguration.Plan(found.view and View(found.view.epoch, found.view.now), found.stays)
 
-    patch.setattr(changes, "_begin", at_once)
+    patch.setattr(reconfiguration, "_begin", at_once)
 
 
 def two_changes_at_once(patch: Patch) -> None:
     """The next change begins while the one before is not over, and forgets what came before it."""
 
-    def begin(view: View, known: Mapping[str, Any], tolerance: quorum.Tolerance) -> changes.Plan:
-        return changes._begin(View(view.epoch, view.now), known, tolerance)
+    def begin(view: View, known: Mapping[str, Any], tolerance: quorum.Tolerance) -> reconfiguration.Plan:
+        return reconfiguration._begin(View(view.epoch, view.now), known, tolerance)
 
-    patch.setattr(changes, "_finish", begin)
+    patch.setattr(reconfiguration, "_finish", begin)
 
 
 def only_the_new_view_counts(patch: Patch) -> None:
@@ -113,7 +115,7 @@
 
 
 def shrinks_below_what_is_asked(patch: Patch) -> None:
-    patch.setattr(changes, "_why_not", lambda view, wanted, known, tolerance: "")
+    patch.setattr(reconfiguration, "_why_not", lambda view, wanted, known, tolerance: "")
 
 
 SEEDED: list[tuple[Callable[[Patch], None], str, str]] = [
--- a/tests/mesh/test_members_world.py
+++ b/tests/mesh/test_members_world.py
@@ -9,15 +9,15 @@
 
 import pytest
 
-from rigs.mesh_world import members, troubles
-from rigs.mesh_world.members import Play, begin, change, confirms, counts, end, go, played
-from rigs.mesh_world.seeds import Patch
-from rigs.mesh_world.world import Script, World
-from waterworks.aquifer import changes
-from waterworks.aquifer.quorum import Tolerance
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.reservoir.joining import Joining
+from mesh.control_plane.joining import Joining
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication import reconfiguration
+from mesh.replication.quorum import Tolerance
+from simulation.mesh import members, troubles
+from simulation.mesh.members import Play, begin, change, confirms, counts, end, go, played
+from simulation.mesh.seeds import Patch
+from simulation.mesh.world import Script, World
 
 PLAYS: list[tuple[Play, tuple[int, ...]]] = [
     (members.replaced_in_turn, (3, 5)),
@@ -113,9 +113,9 @@
 
     def script(world: World) -> Script:
         world.zone = lambda machine: where[machine.name]  # type: ignore[method-assign]
-        yield from world.boot(3, sluices=3)
+        yield from world.boot(3, proxies=3)
         world.env.process(world.witness.watch())
-        first, second, third = world.reservoirs()
+        first, second, third = world.controllers()
         yield from confirms(world, 1)
         assert first.program.minding.losses() == {"machines": 1, "zones": 1, "regions": 0}
         go(world, third)
@@ -148,15 +148,15 @@
     it leaves is the only other loss."""
     yield from world.boot(3)
     world.env.process(world.witness.watch())
-    old = world.reservoirs()[0]
+    old = world.controllers()[0]
     world.counting = True
     begin(world, 11)
-    yield from world.commit(world.reservoirs()[1:], change(1))
+    yield from world.commit(world.controllers()[1:], change(1))
     yield world.env.timeout(0.3)
     if world.troubled_at > 0.0:
         yield world.env.timeout(members.SETTLES_S + 2.5)
     ends = world.env.process(end(world, old))
-    yield from world.commit(world.reservoirs()[1:], change(2))
+    yield from world.commit(world.controllers()[1:], change(2))
     yield ends
     world.counting = False
     go(world, old)
@@ -204,22 +204,22 @@
 def heard(world: World) -> list[tuple[str, dict[str, Any]]]:
     """Events of all processes from here on."""
     found: list[tuple[str, dict[str, Any]]] = []
-    tell = Gauge.tell
+    tell = EventLog.tell
 
-    def tells(self: Gauge, event: events.Event, **values: Any) -> None:
+    def tells(self: EventLog, event: events.Event, **values: Any) -> None:
         found.append((event.code, values))
         tell(self, event, **values)
 
     world._patches.append(patch := pytest.MonkeyPatch())
     patch.start, patch.stop = (lambda: None), patch.undo  # type: ignore[attr-defined]
-    patch.setattr(Gauge, "tell", tells)
+    patch.setattr(EventLog, "tell", tells)
     return found
 
 
 def test_what_is_borne_is_told_when_it_falls_below_what_is_asked_and_when_it_is_back() -> None:
     def loses(world: World) -> Script:
         told = heard(world)
-        first, *_, last = world.reservoirs()
+        first, *_, last = world.controllers()
         yield world.env.timeout(2.0)
         assert first.program.minding.losses()["machines"] == 1
         world.kill(last)
@@ -236,7 +236,7 @@
 
 def test_a_word_removes_one_that_is_gone_and_is_refused_with_a_reason_where_that_is_not_safe() -> None:
     def asks(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         told: list[Any] = []
 
         def remove(name: str) -> Script:
@@ -266,7 +266,7 @@
 
 def test_a_restart_in_turn_changes_no_members_and_a_place_that_changes_is_made_known() -> None:
     def restarts(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         epoch = cores[0].program.council.view().epoch
         for machine in cores:
             began = world.env.now
@@ -287,7 +287,7 @@
 
 def test_settings_that_count_a_machine_no_more_or_again_are_heeded_where_that_is_safe() -> None:
     def retunes(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         last, other = cores[3], cores[2]
         for machine in (last, other):
             machine.counted = False
@@ -306,7 +306,7 @@
 
 
 def never_leaves(patch: Patch) -> None:
-    patch.setattr(changes, "_leavers", lambda view, known: [])
+    patch.setattr(reconfiguration, "_leavers", lambda view, known: [])
 
 
 def never_level(patch: Patch) -> None:
@@ -314,17 +314,17 @@
 
 
 def silence_takes_long(patch: Patch) -> None:
-    patch.setattr(changes, "_gains", lambda *args: False)
+    patch.setattr(reconfiguration, "_gains", lambda *args: False)
 
 
 def shrinks(patch: Patch) -> None:
     """Whoever is told to end leaves, whatever is left."""
-    patch.setattr(changes, "_why_not", lambda *args: "")
+    patch.setattr(reconfiguration, "_why_not", lambda *args: "")
 
 
 def three_end(world: World) -> Script:
     """A restart in turn must leave a core that bears a loss at any time."""
-    for machine in world.reservoirs():
+    for machine in world.controllers():
         yield from end(world, machine)
         counted = max(len(program.council.view().now) for _, program in world.programs(core=True))
         if counted < 3:
--- a/tests/mesh/test_weir_lives.py
+++ b/tests/mesh/test_membership_instance_lifecycle.py
@@ -7,10 +7,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Store
-from waterworks.weir.calls import DECAYING, SETTLED, Beat
-from waterworks.weir.lives import GONE_VERSION, SILENT_BEATS, STEP, Publish, Upstream
+from mesh.membership.instance_commands import DECAYING, SETTLED, Beat
+from mesh.membership.instance_lifecycle import GONE_VERSION, SILENT_BEATS, STEP, Publish, Upstream
+from mesh.replication.items import Item
+from mesh.replication.store import Store
 
 BEAT_MS, DRAIN_MS = 1500.0, 2000.0
 
@@ -91,7 +91,7 @@
 
 
 def test_the_rising_of_versions_is_seen_to_break_without_the_steps(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("waterworks.weir.lives.STEP", 1)
+    monkeypatch.setattr("mesh.membership.instance_lifecycle.STEP", 1)
     upstream = make()
     told = upstream.take(0.0, beat(1)) + upstream.end(1.0) + make().take(2.0, beat(2))
     versions = [one.version for one in told]
--- a/tests/mesh/test_weir_rendezvous.py
+++ b/tests/mesh/test_membership_rendezvous.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.weir.rendezvous import few, order
+from mesh.membership.rendezvous import few, order
 
 NAMES = st.sets(st.text("abcdef0123", min_size=1, max_size=4), min_size=1, max_size=20)
 
--- a/tests/mesh/test_weir_tombs.py
+++ b/tests/mesh/test_membership_tombstones.py
@@ -1,7 +1,7 @@
 """How long dropped items of the membership are kept."""
 
-from waterworks.aquifer.items import Item
-from waterworks.weir.tombs import KEPT_S, MOST, Tombs
+from mesh.membership.tombstones import KEPT_S, MOST, Tombs
+from mesh.replication.items import Item
 
 
 def dropped(name: str) -> Item:
--- a/tests/mesh/test_mesh_process.py
+++ b/tests/mesh/test_mesh_process.py
@@ -87,7 +87,7 @@
         log = self.folder / f"{node}.log"
         with log.open("ab") as stream:
             process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", f"waterworks.{program}"),
+                *(sys.executable, "-m", f"mesh.{program}"),
                 cwd=ROOT,
                 env={**os.environ, "ANISESTAIR_BOOT": str(self.folder / f"{node}.toml")},
                 stdout=asyncio.subprocess.DEVNULL,
@@ -109,7 +109,7 @@
                 seeds,
                 state_dir=str(disk),
             )
-            await self.start(f"core-{at}", "reservoir")
+            await self.start(f"core-{at}", "control_plane")
             upstream = Upstream(f"i-{at}", SERVICES[at], way, self.runs, capacity=8)
             await upstream.start(f"{NET}.{21 + at}")
             self.upstreams.append(upstream)
@@ -124,7 +124,7 @@
                 service=SERVICES[at],
                 grace_s=GRACE_S,
             )
-            await self.start(f"side-{at}", "sluice")
+            await self.start(f"side-{at}", "data_plane")
             self.beats.append(asyncio.get_running_loop().create_task(self._beat(at)))
 
     async def _beat(self, at: int) -> None:
@@ -262,20 +262,20 @@
 
         # It comes back; then all of them go, and come back with their disks alone
         wanted["late"] = "r5"
-        await there.start("core-0", "reservoir")
+        await there.start("core-0", "control_plane")
         for at in range(MACHINES):
             assert names(await operator.read(there.control(11 + at))) == wanted
-        for program in there.programs.values():  # the sluices too: they would tell the configuration again
+        for program in there.programs.values():  # the proxies too: they would tell the configuration again
             await program.kill()
         for at in range(MACHINES):
-            await there.start(f"core-{at}", "reservoir")
+            await there.start(f"core-{at}", "control_plane")
         for at in range(MACHINES):
             assert names(await operator.read(there.control(11 + at))) == wanted
 
     play(tmp_path, test)
 
 
-def test_a_sluice_that_is_told_to_end_loses_no_call_on_either_hop(tmp_path: Path) -> None:
+def test_a_proxy_that_is_told_to_end_loses_no_call_on_either_hop(tmp_path: Path) -> None:
     async def test(there: Mesh, operator: Operator) -> None:
         program, upstreams = there.programs["side-2"], there.upstreams
         held = {}
--- a/tests/mesh/test_order_model.py
+++ b/tests/mesh/test_order_model.py
@@ -7,13 +7,13 @@
 
 import pytest
 
+from mesh.replication.acceptor import Acceptor, Promised, Refusal
+from mesh.replication.membership_epochs import View
+from mesh.replication.proposer import Chosen, Proposer, Rivalled
 from rigs import order_model
-from rigs.mesh_world.seeds import Patch
 from rigs.order_model import SIZES, Orders, Side
+from simulation.mesh.seeds import Patch
 from statecheck import explore
-from waterworks.aquifer.ballot import Acceptor, Promised, Refusal
-from waterworks.aquifer.proposer import Chosen, Proposer, Rivalled
-from waterworks.aquifer.views import View
 
 SMALL = ["two orders", "two ballots", "a crash", "news", "four members"]
 
--- a/tests/mesh/test_orders_world.py
+++ b/tests/mesh/test_orders_world.py
@@ -9,15 +9,15 @@
 
 import pytest
 
-from rigs.mesh_world import troubles
-from rigs.mesh_world.plays import order, play
-from rigs.mesh_world.wire import End
-from rigs.mesh_world.world import Life, Script, World
-from waterworks.aquifer.ballot import Settled
-from waterworks.aquifer.proposer import Again, Proposer, Unclear
-from waterworks.reservoir import voting as voting_module
-from waterworks.reservoir.clerk import HOLD_S
-from waterworks.reservoir.voting import HASTY, OPEN_S, PENDING, RANK_S, Voting
+from mesh.control_plane import proposals as voting_module
+from mesh.control_plane.operator_api import HOLD_S
+from mesh.control_plane.proposals import HASTY, OPEN_S, PENDING, RANK_S, Voting
+from mesh.replication.acceptor import Settled
+from mesh.replication.proposer import Again, Proposer, Unclear
+from simulation.mesh import troubles
+from simulation.mesh.plays import order, play
+from simulation.mesh.wire import End
+from simulation.mesh.world import Life, Script, World
 
 Play = Callable[[World], Script]
 R1 = ("route", "r1")
@@ -25,7 +25,7 @@
 
 def played(then: Play, cores: int = 3) -> list[str]:
     def script(world: World) -> Script:
-        yield from world.boot(cores, sluices=1)
+        yield from world.boot(cores, proxies=1)
         world.env.process(world.witness.watch())
         yield from then(world)
         world.heal()
@@ -38,7 +38,7 @@
 
 def at_once(world: World, *sent: tuple[int, bytes]) -> Script:
     """Orders to machines by place; their answers' statuses, 0 for silence."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     calls = [world.env.process(world.patch(cores[at], body)) for at, body in sent]
     statuses = []
     for call in calls:
@@ -50,7 +50,7 @@
 def clear(world: World, at: int, body: bytes, tries: int = 20) -> Script:
     """The first clear answer of that machine."""
     for _ in range(tries):
-        answer = yield from world.patch(world.reservoirs()[at], body)
+        answer = yield from world.patch(world.controllers()[at], body)
         if answer is not None and answer.status < 500:
             return answer
         yield world.env.timeout(0.1)
@@ -90,7 +90,7 @@
 
 def test_a_drop_and_a_set_of_one_version_are_rivals() -> None:
     def drop_or_set(world: World) -> Script:
-        yield from world.commit(world.reservoirs(), order(["r1"], 1, 1))
+        yield from world.commit(world.controllers(), order(["r1"], 1, 1))
         bodies = [order(["r1"], 2, 2), order(["r1"], 2, 0, drop=True)]
         yield from at_once(world, *enumerate(bodies))
         first = yield from clear(world, 0, bodies[0])
@@ -107,7 +107,7 @@
             for at in range(3):
                 assert (yield from clear(world, at, body)).status == 200
         assert (yield from clear(world, 1, rival)).status == 409
-        troubles.all_killed(world, world.reservoirs()[0].life, None)  # type: ignore[arg-type]
+        troubles.all_killed(world, world.controllers()[0].life, None)  # type: ignore[arg-type]
         yield world.env.timeout(2.0)
         for at in range(3):
             assert (yield from clear(world, at, one)).status == 200
@@ -136,13 +136,13 @@
 
 def test_a_large_order_of_which_one_route_is_rivalled_is_refused_whole() -> None:
     def large(world: World) -> Script:
-        yield from world.commit(world.reservoirs(), order(["r1"], 1, 1))
+        yield from world.commit(world.controllers(), order(["r1"], 1, 1))
         names = [f"r{n}" for n in range(1, 161)]
         answer = yield from clear(world, 1, order(names, 1, 2))
         assert answer.status == 409 and b"route r1" in answer.body
         answer = yield from clear(world, 1, order(names, 2, 2))
         assert answer.status == 200
-        assert len(world.reservoirs()[2].program.charter.items) >= 160
+        assert len(world.controllers()[2].program.charter.items) >= 160
 
     assert played(large) == []
 
@@ -152,7 +152,7 @@
 
     def pages(world: World) -> Script:
         names = [f"r{n}" for n in range(40)]
-        answer = yield from world.patch(world.reservoirs()[0], order(names, 1, 2))
+        answer = yield from world.patch(world.controllers()[0], order(names, 1, 2))
         assert answer.status == 200
 
     assert played(pages) == []
@@ -181,7 +181,7 @@
 
 def test_a_stalled_disk_holds_nobody_up() -> None:
     def stalled(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         cores[1].disk.hangs_until = world.env.now + 2.0
         began = world.env.now
         answer = yield from world.patch(cores[0], order(["r1"], 1, 1))
@@ -194,7 +194,7 @@
 
 def test_what_its_proposer_left_half_voted_is_decided_within_the_stated_time() -> None:
     def left(world: World) -> Script:
-        first, *others = world.reservoirs()
+        first, *others = world.controllers()
         world.env.process(world.patch(first, order(["r1", "r2"], 1, 1)))
         while not any(machine.program.acceptor.votes for machine in others):
             yield world.env.timeout(0.0005)
@@ -215,7 +215,7 @@
 
 def test_a_read_brings_an_open_vote_to_its_decision_first() -> None:
     def reads(world: World) -> Script:
-        first, *others = world.reservoirs()
+        first, *others = world.controllers()
         world.env.process(world.patch(first, order(["r1"], 1, 1)))
         while not all(machine.program.acceptor.votes for machine in others):
             yield world.env.timeout(0.0005)
@@ -238,7 +238,7 @@
 
     def then(world: World) -> Script:
         monkeypatch.setattr(Voting, "_ballot", hasty)
-        yield from world.patch(world.reservoirs()[0], order(["r1"], 1, 1))
+        yield from world.patch(world.controllers()[0], order(["r1"], 1, 1))
         monkeypatch.undo()
 
     assert played(then) == []
@@ -247,7 +247,7 @@
 
 def test_an_order_goes_on_after_its_caller_has_left() -> None:
     def leaves(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         for machine in cores[1:]:
             machine.disk.hangs_until = world.env.now + 1.2
         answer = yield from world.patch(cores[0], order(["r1"], 1, 1))
@@ -261,7 +261,7 @@
 
 def test_a_digest_that_was_overtaken_outlives_a_lost_disk() -> None:
     def lost(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         for version in (1, 2, 3):
             yield from world.commit(cores, order(["r1"], version, version))
         for machine in cores:
@@ -281,10 +281,10 @@
 
 def rivals(world: World) -> Script:
     """Two rivals at once, and the first is sent again to another machine whatever became of it."""
-    yield from world.boot(3, sluices=1)
+    yield from world.boot(3, proxies=1)
     world.env.process(world.witness.watch())
     world.counting = True
-    cores = world.reservoirs()
+    cores = world.controllers()
     bodies = [order(["r1", "r2"], 1, 1), order(["r1"], 1, 2)]
     one = world.env.process(world.commit(cores, bodies[0], 30))
     other = world.env.process(world.commit(cores[1:], bodies[1], 30))
@@ -303,10 +303,10 @@
 
 def overtaking(world: World) -> Script:
     """A version, the next one and the first again, each to another machine."""
-    yield from world.boot(3, sluices=1)
+    yield from world.boot(3, proxies=1)
     world.env.process(world.witness.watch())
     world.counting = True
-    cores = world.reservoirs()
+    cores = world.controllers()
     for at, version in ((0, 1), (1, 2), (2, 1)):
         answer = yield from world.commit(cores[at:], order(["r1"], version, version), 30)
         assert answer is not None and answer.status == 200
--- a/tests/mesh/test_pages_world.py
+++ b/tests/mesh/test_pages_world.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from rigs.mesh_world.world import Machine, Script, World
-from waterworks.headworks.settings import Settings
+from mesh.runtime.settings import Settings
+from simulation.mesh.world import Machine, Script, World
 
 APART_S = 0.3  # all start within this
 ACK_S = 4.0
@@ -47,10 +47,10 @@
         for at in order:
             world.start(machines[at], cold=True)
             yield world.env.timeout(APART_S / (len(order) - 1))
-        answer = yield from world.commit(world.reservoirs(), change(1))
+        answer = yield from world.commit(world.controllers(), change(1))
         assert answer.status == 200 and world.env.now - began < ACK_S
         yield from world.until(lambda: in_force(world, 1), 2.0, "the route is in force")
-        yield from world.joined(world.reservoirs())
+        yield from world.joined(world.controllers())
         programs = [program for _, program in world.programs(core=True)]
         assert all(len(program.council.members()) == 4 for program in programs)
         yield from world.witness.finish()
@@ -75,8 +75,8 @@
 def test_a_later_start_goes_by_one_seed_that_can_be_had_and_others_by_what_they_know() -> None:
     def later(world: World) -> Script:
         assert isinstance(world, Reseeded)
-        yield from world.boot(5, sluices=2)
-        yield from world.commit(world.reservoirs(), change(1))
+        yield from world.boot(5, proxies=2)
+        yield from world.commit(world.controllers(), change(1))
         cores = world.machines
         world.seeds = ("10.0.0.1", "10.0.9.8", "10.0.0.5")  # one goes, one never was, one joined later
         for _, program in world.programs(core=True) + world.programs(core=False):
@@ -109,8 +109,8 @@
 def test_a_sidecar_that_can_have_none_of_its_seeds_goes_by_what_the_others_tell_it() -> None:
     def later(world: World) -> Script:
         assert isinstance(world, Reseeded)
-        yield from world.boot(3, sluices=2)
-        yield from world.commit(world.reservoirs(), change(1))
+        yield from world.boot(3, proxies=2)
+        yield from world.commit(world.controllers(), change(1))
         one, two = world.machines["s1"], world.machines["s2"]
         yield from world.until(lambda: two.program.membership.address("s1") is not None, 3.0, "it is known")
         world.seeds = ("10.0.9.7", "10.0.9.8", "10.0.9.9")
@@ -137,8 +137,8 @@
     """Each to any of the processes, and each sent again as it was, as where its answer was lost."""
 
     def day(world: World) -> Script:
-        yield from world.boot(3, sluices=2)
-        cores, left, late = world.reservoirs(), [0], []
+        yield from world.boot(3, proxies=2)
+        cores, left, late = world.controllers(), [0], []
 
         def order(version: int, name: str, first: int) -> Script:
             began = world.env.now
--- a/tests/mesh/test_reaping_judge.py
+++ b/tests/mesh/test_reaping_judge.py
@@ -6,9 +6,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.items import Item, outranks
-from waterworks.weir import reaping
-from waterworks.weir.reaping import GAP_S, MOST_ASKED, Known, Verdict, Watch, asks, enough, judge, spans
+from mesh.membership import failure_detection
+from mesh.membership.failure_detection import (
+    GAP_S,
+    MOST_ASKED,
+    Known,
+    Verdict,
+    Watch,
+    asks,
+    enough,
+    judge,
+    spans,
+)
+from mesh.replication.items import Item, outranks
 
 SPANS = spans(3000.0, 1500.0)
 GONE, SUSPECT, ZONE = SPANS.gone_s, SPANS.suspect_s, SPANS.zone_s
@@ -123,10 +133,10 @@
 @pytest.mark.parametrize("clock", [-1000, -1, 0, 1, 1000])
 def test_a_return_outranks_the_drop_whatever_the_clock_says(clock: int) -> None:
     item = Item("node", "n", 1_700_000, {"address": "10.0.0.1:1"})
-    ((kind, name, version, value),) = reaping.drops([item])
+    ((kind, name, version, value),) = failure_detection.drops([item])
     drop = Item(kind, name, version, value)
-    assert outranks(drop, item) and reaping.dropped(drop) and not reaping.dropped(item)
-    assert reaping.drops([drop]) == []
-    back = Item("node", "n", reaping.above(drop, 1_700_000 + clock), item.value)
+    assert outranks(drop, item) and failure_detection.dropped(drop) and not failure_detection.dropped(item)
+    assert failure_detection.drops([drop]) == []
+    back = Item("node", "n", failure_detection.above(drop, 1_700_000 + clock), item.value)
     assert outranks(back, drop) and back.version >= 1_700_000 + clock
-    assert reaping.above(None, 5) == 5 and not reaping.dropped(None)
+    assert failure_detection.above(None, 5) == 5 and not failure_detection.dropped(None)
--- a/tests/mesh/test_reaping_world.py
+++ b/tests/mesh/test_reaping_world.py
@@ -9,18 +9,18 @@
 
 import pytest
 
-from rigs.mesh_world.drops import Drops
-from rigs.mesh_world.world import Machine, Script
-from waterworks.gauge import events
-from waterworks.lock.report import REPORT
-from waterworks.reservoir import program as reservoir_program
-from waterworks.reservoir.contact import Probing
-from waterworks.sluice import program as sluice_program
-from waterworks.sluice.hop import Call, End, Returned
-from waterworks.sluice.registry import Registry
-from waterworks.weir import reaping
-from waterworks.weir.duty import REAPING, Standing, Turn, first
-from waterworks.weir.reaping import Watch, spans
+from mesh.control_plane import program as controller_program
+from mesh.control_plane.contact_probes import Probing
+from mesh.data_plane import program as proxy_program
+from mesh.data_plane.call_messages import Call, End, Returned
+from mesh.data_plane.upstream_registration import Registry
+from mesh.event_log import events
+from mesh.membership import failure_detection
+from mesh.membership.failure_detection import Watch, spans
+from mesh.membership.lease import REAPING, Standing, Turn, first
+from mesh.rollout.report import REPORT
+from simulation.mesh.drops import Drops
+from simulation.mesh.world import Machine, Script
 
 SPANS = spans(3000.0, 1500.0)
 GONE_S = SPANS.gone_s
@@ -37,9 +37,9 @@
     return found
 
 
-def booted(then: Play, cores: int = 3, sluices: int = 5, well: bool = True) -> Play:
+def booted(then: Play, cores: int = 3, proxies: int = 5, well: bool = True) -> Play:
     def script(world: Drops) -> Script:
-        yield from world.boot(cores, sluices)
+        yield from world.boot(cores, proxies)
         yield from world.settles(20.0)
         assert world.standing()[1] == order(cores)[0]
         yield from then(world)
@@ -84,7 +84,7 @@
             assert program.tables.sidecars == 4 and "s1" not in program.passage._links
             assert program.membership.at("s1") == [] and program.membership.address("s1") is None
             assert not program.passage._leaving
-        for core in world.reservoirs():
+        for core in world.controllers():
             assert core.program.reports.items[REPORT, "s1"].value is None
         ((_, _, told),) = world.events(events.NODE_DROPPED)
         assert told["instances"] == 1 and told["silent_s"] >= GONE_S
@@ -96,15 +96,15 @@
     def dies(world: Drops) -> Script:
         world.start(world.add("c4", "10.0.0.4", counted=False))
         yield world.env.timeout(5.0)
-        assert "10.0.0.4" in world.machines["s1"].program.membership.reservoirs()
+        assert "10.0.0.4" in world.machines["s1"].program.membership.controllers()
         gone = [name for name in order() if name != order()[0]][0]
         for name in ("c4", gone):
             world.power_off(world.machines[name])
         yield world.env.timeout(GONE_S + LATE_S)
         assert drops(world) == ["c4"]
         for machine in (world.machines["s1"], world.machines[order()[0]]):
-            assert "10.0.0.4" not in machine.program.membership.reservoirs()
-            assert world.machines[gone].ip in machine.program.membership.reservoirs()
+            assert "10.0.0.4" not in machine.program.membership.controllers()
+            assert world.machines[gone].ip in machine.program.membership.controllers()
 
     assert played(booted(dies)) == []
 
@@ -112,7 +112,7 @@
 def test_a_zone_that_is_cut_off_is_kept_and_after_much_longer_it_is_not(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(reservoir_program, "spans", lambda *_: replace(SPANS, zone_s=60.0))
+    monkeypatch.setattr(controller_program, "spans", lambda *_: replace(SPANS, zone_s=60.0))
 
     def cut(world: Drops) -> Script:
         cut_off(world, "s1", "s2", "s3")
@@ -170,7 +170,7 @@
     def take(call: Call, ended: Callable[[End], None]) -> None:
         ended(Returned(200, [], call.instance.encode(), True))
 
-    other.program.tailrace.take = take
+    other.program.upstream_dispatch.take = take
     instance = f"i-{other.name}"
     call = Call("a-1", b"GET", b"/x", [], b"", instance, "s", 900.0)
     membership = caller.program.membership
@@ -190,25 +190,25 @@
                 for key in (("node", "s1"), ("instance", "i-s1")):
                     machine.program.roll.forget(key)
                 assert not any(key[1] == "s1" for key in machine.program.roll.items)
-        yield world.env.timeout(sluice_program.ASKS_ANEW_S)
+        yield world.env.timeout(proxy_program.ASKS_ANEW_S)
 
-    assert played(booted(away, sluices=2), {}) == []
+    assert played(booted(away, proxies=2), {}) == []
 
 
 def test_who_stood_still_forgets_and_asks_anew_though_its_links_looked_open() -> None:
     def still(world: Drops) -> Script:
         life = world.machines["s1"].life
-        world.freeze(world.machines["s1"], sluice_program.ASKS_ANEW_S + 20.0)
+        world.freeze(world.machines["s1"], proxy_program.ASKS_ANEW_S + 20.0)
         yield world.env.timeout(GONE_S + LATE_S)
         assert drops(world) == ["s1"]
         for machine in world.machines.values():
             if machine.name != "s1":
                 for key in (("node", "s1"), ("instance", "i-s1")):
                     machine.program.roll.forget(key)
-        yield world.env.timeout(sluice_program.ASKS_ANEW_S)
+        yield world.env.timeout(proxy_program.ASKS_ANEW_S)
         assert world.machines["s1"].life is life
 
-    assert played(booted(still, sluices=2), {}) == []
+    assert played(booted(still, proxies=2), {}) == []
 
 
 @pytest.mark.parametrize("how", ["killed", "cut", "frozen", "restarted"])
@@ -277,7 +277,7 @@
 def old_orders(world: Drops) -> Script:
     """The holder is overtaken and does not hear of it; with one node gone it goes on asking."""
     holder, after = (world.machines[name] for name in order()[:2])
-    for machine in world.reservoirs():
+    for machine in world.controllers():
         machine.program.duties.turn.note(0.0, Standing(5, after.name))
     duties = holder.program.duties
     turn = duties.turn = Turn(REAPING, holder.name, SPANS.suspect_s)
@@ -320,7 +320,7 @@
 def lone_holder(world: Drops) -> Script:
     """The holder is cut off from the other control processes and from one sidecar of three in a zone."""
     holder = world.machines[order()[0]]
-    world.cut([holder], [*(m for m in world.reservoirs() if m is not holder), world.machines["s1"]])
+    world.cut([holder], [*(m for m in world.controllers() if m is not holder), world.machines["s1"]])
     yield world.env.timeout(GONE_S + LATE_S)
 
 
@@ -333,7 +333,7 @@
     """One is cut off while the whole core stands still for most of the time: nobody listened for so long."""
     cut_off(world, "s1")
     yield world.env.timeout(4.0)
-    for machine in world.reservoirs():
+    for machine in world.controllers():
         world.freeze(machine, GONE_S)
     yield world.env.timeout(GONE_S + 6.0)
     assert world.dropped == []
@@ -360,17 +360,17 @@
 
 
 def drops_while_cut_from_most(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(reaping, "enough", lambda heard, members: True)
+    patch.setattr(failure_detection, "enough", lambda heard, members: True)
     patch.setattr(Probing, "acts", lambda self: True)
 
 
 def others_are_not_listened_to(patch: pytest.MonkeyPatch) -> None:
-    real = reaping.judge
-    patch.setattr(reaping, "judge", lambda nodes, silences, spans: real(nodes, silences[:1], spans))
+    real = failure_detection.judge
+    patch.setattr(failure_detection, "judge", lambda nodes, silences, spans: real(nodes, silences[:1], spans))
 
 
 def zones_go_like_nodes(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(reservoir_program, "spans", lambda *_: replace(SPANS, zone_s=GONE_S))
+    patch.setattr(controller_program, "spans", lambda *_: replace(SPANS, zone_s=GONE_S))
 
 
 def standing_still_counts_as_silence(patch: pytest.MonkeyPatch) -> None:
@@ -378,11 +378,11 @@
 
 
 def a_node_that_returns_is_not_said(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(sluice_program, "dropped", lambda item: False)
+    patch.setattr(proxy_program, "dropped", lambda item: False)
 
 
 def a_return_does_not_outrank(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(sluice_program, "above", lambda item, version: version - 1)
+    patch.setattr(proxy_program, "above", lambda item, version: version - 1)
 
 
 def its_upstream_is_not_said_again(patch: pytest.MonkeyPatch) -> None:
--- a/tests/mesh/test_repair_copies.py
+++ b/tests/mesh/test_repair_copies.py
@@ -8,9 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.digest import DEPTH, Digests
-from waterworks.aquifer.items import Item, content
-from waterworks.aquifer.repair import (
+from mesh.dissemination.pull_exchange import Exchange, pack
+from mesh.replication.anti_entropy import (
     MOST_LEAVES,
     MOST_RANGES,
     Deeper,
@@ -21,9 +20,10 @@
     read_ranges,
     under,
 )
-from waterworks.aquifer.store import Store
-from waterworks.leat.exchange import Exchange, pack
-from waterworks.penstock.frames import frame
+from mesh.replication.digest import DEPTH, Digests
+from mesh.replication.items import Item, content
+from mesh.replication.store import Store
+from mesh.transport.frames import frame
 
 FORGETS, KEEPS = True, False
 
--- a/tests/mesh/test_repair_world.py
+++ b/tests/mesh/test_repair_world.py
@@ -12,19 +12,19 @@
 import pytest
 
 from anisestair.http import codec as http
-from rigs.mesh_world.drops import Drops
-from rigs.mesh_world.world import Machine, Script
-from waterworks.aquifer.ballot import Acceptor
-from waterworks.aquifer.items import Item, Key, content
-from waterworks.aquifer.store import Store
-from waterworks.cistern.keeper import Fresh, Keeper, Kept, Opened, Refused
-from waterworks.cistern.layout import held
-from waterworks.gauge import events
-from waterworks.gauge.log import Gauge
-from waterworks.leat.channels import Channels
-from waterworks.reservoir import repairing
-from waterworks.reservoir.ledger import Ledger
-from waterworks.reservoir.repairing import CHARTER, EVERY_S, Repairing
+from mesh.control_plane import anti_entropy
+from mesh.control_plane.anti_entropy import CHARTER, EVERY_S, Repairing
+from mesh.control_plane.write_batches import Ledger
+from mesh.dissemination.peers import Channels
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.acceptor import Acceptor
+from mesh.replication.items import Item, Key, content
+from mesh.replication.store import Store
+from mesh.storage.layout import held
+from mesh.storage.lmdb_store import Fresh, Keeper, Kept, Opened, Refused
+from simulation.mesh.drops import Drops
+from simulation.mesh.world import Machine, Script
 
 CHANGE = (
     b'{"apply":{"input_ports":[{"host":"h","control_law":[{"name":"r1","kind":"idempotent","epoch":"r3",'
@@ -40,7 +40,7 @@
     def script(world: Drops) -> Script:
         yield from world.boot(3, 2)
         yield from world.settles(20.0)
-        answer = yield from world.commit(world.reservoirs(), CHANGE)
+        answer = yield from world.commit(world.controllers(), CHANGE)
         assert answer.status == 200
         yield world.env.timeout(1.0)
         yield from then(world)
@@ -232,18 +232,20 @@
 
 
 def nothing_is_taken(patch: pytest.MonkeyPatch) -> None:
-    real = repairing.mend
+    real = anti_entropy.mend
 
     def mend(store: Store, leaves: Any, items: Any, forgets: bool) -> Any:
         found = real(store, leaves, items, forgets)
         return type(found)([], [], [], [])
 
-    patch.setattr(repairing, "mend", mend)
+    patch.setattr(anti_entropy, "mend", mend)
 
 
 def drops_are_brought_back(patch: pytest.MonkeyPatch) -> None:
-    real = repairing.mend
-    patch.setattr(repairing, "mend", lambda store, leaves, items, forgets: real(store, leaves, items, False))
+    real = anti_entropy.mend
+    patch.setattr(
+        anti_entropy, "mend", lambda store, leaves, items, forgets: real(store, leaves, items, False)
+    )
 
 
 @pytest.mark.parametrize(
@@ -271,10 +273,10 @@
         opened = Keeper.open(tmp_path, 1 << 20)
         assert isinstance(opened, Fresh)
         store, log = Store("a", 100), io.StringIO()
-        gauge = Gauge("a", log)
-        ledger = Ledger(store, Acceptor("a"), opened.keeper, gauge, whole=True)
-        channels = Channels("a", {}, {}, 0, gauge, lambda name, items: None)
-        repair = Repairing(1, {CHARTER: store}, channels, ledger, gauge, lambda name, items: None)
+        event_log = EventLog("a", log)
+        ledger = Ledger(store, Acceptor("a"), opened.keeper, event_log, whole=True)
+        channels = Channels("a", {}, {}, 0, event_log, lambda name, items: None)
+        repair = Repairing(1, {CHARTER: store}, channels, ledger, event_log, lambda name, items: None)
         taken = store.take_all([("route", f"r{n}", 1, {"x": f"value {n}"}) for n in range(20)])
         assert isinstance(taken, list)
         ledger.mark(taken)
--- a/tests/mesh/test_aquifer_digest.py
+++ b/tests/mesh/test_replication_digest.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.digest import Digests, differing
-from waterworks.aquifer.items import Item, Key
+from mesh.replication.digest import Digests, differing
+from mesh.replication.items import Item, Key
 
 
 def found(mine: Digests, theirs: Digests) -> tuple[list[Key], int, int]:
--- a/tests/mesh/test_aquifer_exchange.py
+++ b/tests/mesh/test_replication_exchange.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.items import Item, Key, outranks, same_content
-from waterworks.aquifer.store import PAGE, Lack, Store
+from mesh.replication.items import Item, Key, outranks, same_content
+from mesh.replication.store import PAGE, Lack, Store
 
 NODES = 3
 Taken = dict[tuple[str, int], Item]
--- a/tests/mesh/test_aquifer_items.py
+++ b/tests/mesh/test_replication_items.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.items import Item, content, outranks, same_content
+from mesh.replication.items import Item, content, outranks, same_content
 
 VALUES = st.none() | st.dictionaries(st.sampled_from("ab"), st.sampled_from([0, 1, 1.0, True, "", None, [1]]))
 ITEMS = st.builds(
--- a/tests/mesh/test_aquifer_views.py
+++ b/tests/mesh/test_replication_membership_epochs.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import MOST_EPOCH, MOST_MEMBERS, NOBODY, View, read_view, write_view
+from mesh.replication.membership_epochs import MOST_EPOCH, MOST_MEMBERS, NOBODY, View, read_view, write_view
+from mesh.replication.quorum import Place, Tolerance
 
 PLACES = st.sampled_from([Place("a", "r"), Place("b", "r"), Place("c", "q")])
 PART = st.dictionaries(st.sampled_from("12345"), PLACES, min_size=1, max_size=4)
--- a/tests/mesh/test_aquifer_quorum.py
+++ b/tests/mesh/test_replication_quorum.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.quorum import Place, Tolerance, durable, overlaps
+from mesh.replication.quorum import Place, Tolerance, durable, overlaps
 
 AREA = {"a": "r", "b": "r", "c": "q"}
 Members = dict[str, Place]
--- a/tests/mesh/test_aquifer_contact.py
+++ b/tests/mesh/test_replication_quorum_contact.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from waterworks.aquifer.contact import QUESTIONS, Contact, Proof
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import View
+from mesh.replication.membership_epochs import View
+from mesh.replication.quorum import Place, Tolerance
+from mesh.replication.quorum_contact import QUESTIONS, Contact, Proof
 
 ONE = Tolerance(1, 0, 0)
 BOUND_S = 1.0
--- a/tests/mesh/test_aquifer_changes.py
+++ b/tests/mesh/test_replication_reconfiguration.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.changes import Borne, Known, borne, heard_whole, plan
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.views import MOST_MEMBERS, View
+from mesh.replication.membership_epochs import MOST_MEMBERS, View
+from mesh.replication.quorum import Place, Tolerance
+from mesh.replication.reconfiguration import Borne, Known, borne, heard_whole, plan
 
 ONE = Tolerance(1, 0, 0)
 
--- a/tests/mesh/test_aquifer_snapshot.py
+++ b/tests/mesh/test_replication_snapshot.py
@@ -4,9 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.snapshot import MOMENTS, SNAP, TAKINGS, Taking, cut
-from waterworks.aquifer.store import Mistaken, Store
+from mesh.replication.items import Item
+from mesh.replication.snapshot import MOMENTS, SNAP, TAKINGS, Taking, cut
+from mesh.replication.store import Mistaken, Store
 
 PAGE = 7
 
--- a/tests/mesh/test_aquifer_store.py
+++ b/tests/mesh/test_replication_store.py
@@ -1,7 +1,7 @@
 """One store: what writes and merges change, what is answered, and every bound."""
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import PAGE, PAGINGS, SPARE_SOURCES, Full, Lack, Store
+from mesh.replication.items import Item
+from mesh.replication.store import PAGE, PAGINGS, SPARE_SOURCES, Full, Lack, Store
 
 
 def pull(asker: Store, sender: Store) -> list[Item]:
--- a/tests/mesh/test_aquifer_forgotten.py
+++ b/tests/mesh/test_replication_tombstones.py
@@ -4,9 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.forgotten import BUCKETS, LEFT, Forgotten, digest_of, read_rows
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Store
+from mesh.replication.items import Item
+from mesh.replication.store import Store
+from mesh.replication.tombstones import BUCKETS, LEFT, Forgotten, digest_of, read_rows
 
 KEYS = [("k", f"n{number}") for number in range(200)]
 
--- a/tests/mesh/test_restore.py
+++ b/tests/mesh/test_restore.py
@@ -12,11 +12,11 @@
 from typer.testing import CliRunner, Result
 
 from benchmarks.catch_up import Mesh
+from mesh.cli.command import app
+from mesh.replication.membership_epochs import NOBODY, View
+from mesh.replication.quorum import Place, Tolerance
+from mesh.replication.restore import STEP, restored
 from rigs.mesh_peers import change, polled, route
-from waterworks.aquifer.quorum import Place, Tolerance
-from waterworks.aquifer.restore import STEP, restored
-from waterworks.aquifer.views import NOBODY, View
-from waterworks.operate.command import app
 
 ONE = Tolerance(1, 0, 0)
 ABC = View(5, {name: Place("z", "r") for name in "abc"})
--- a/tests/mesh/test_lock.py
+++ b/tests/mesh/test_rollout.py
@@ -10,18 +10,18 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from waterworks.aquifer.items import Item
-from waterworks.lock import chamber as chamber_module
-from waterworks.lock import newer as newer_module
-from waterworks.lock.bounds import CALLER_S, derive
-from waterworks.lock.chamber import KEPT, MOST_ORDERS, ORDER_S, Chamber, Order, Pass, State
-from waterworks.lock.contact import GAP_S, Contact
-from waterworks.lock.draw import Draw
-from waterworks.lock.kinds import STAGED, Kind, kind_of
-from waterworks.lock.newer import Newer
-from waterworks.lock.report import MOST_NAMED, Count, Report, pack, read
-from waterworks.lock.word import LOOKS, MOST_ROUTES, MOST_WATCHED, WATCH_S, Tally, Watch, sound, worse
-from waterworks.manifold.routes import Route
+from mesh.configuration.routes import Route
+from mesh.replication.items import Item
+from mesh.rollout import staged_activation as chamber_module
+from mesh.rollout import version_check as newer_module
+from mesh.rollout.bounds import CALLER_S, derive
+from mesh.rollout.canary_selection import Draw
+from mesh.rollout.canary_verdict import LOOKS, MOST_ROUTES, MOST_WATCHED, WATCH_S, Tally, Watch, sound, worse
+from mesh.rollout.change_kinds import STAGED, Kind, kind_of
+from mesh.rollout.contact import GAP_S, Contact
+from mesh.rollout.report import MOST_NAMED, Count, Report, pack, read
+from mesh.rollout.staged_activation import KEPT, MOST_ORDERS, ORDER_S, Chamber, Order, Pass, State
+from mesh.rollout.version_check import Newer
 
 READ = Route("a", 1, "h", "/a/", False, 1000.0, 400.0, 3, 1, (("p", 1.0),))
 
--- a/tests/mesh/test_headworks_deploy.py
+++ b/tests/mesh/test_runtime_deploy_file.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.headworks.deploy import check_deploy
+from mesh.runtime.deploy_file import check_deploy
 
 ROOT = Path(__file__).parents[2]
 
@@ -94,12 +94,12 @@
     assert check_deploy(text)
 
 
-@pytest.mark.parametrize("program", ["sluice", "reservoir"])
+@pytest.mark.parametrize("program", ["data_plane", "control_plane"])
 def test_a_program_of_the_mesh_loads_nothing_of_the_sidecar_in_service_but_what_they_share(
     program: str,
 ) -> None:
     look = (
-        f"import sys, waterworks.{program}.program;"
+        f"import sys, mesh.{program}.program;"
         "print(sorted(n for n in sys.modules if n.startswith('anisestair.') and n.count('.') == 1))"
     )
     found = subprocess.run([sys.executable, "-c", look], cwd=ROOT, capture_output=True, text=True, check=True)
--- a/tests/mesh/test_headworks_settings.py
+++ b/tests/mesh/test_runtime_settings.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.quorum import Tolerance
-from waterworks.headworks.settings import (
+from mesh.replication.quorum import Tolerance
+from mesh.runtime.settings import (
     MOST_LISTED,
     MOST_TEXT,
     Bounds,
--- a/tests/mesh/test_scale.py
+++ b/tests/mesh/test_scale.py
@@ -1,5 +1,5 @@
 """The size to design for: the page's figures follow from the newest result files, the run keeps its bounds,
-and hollow sluices say what real ones say."""
+and hollow proxies say what real ones say."""
 
 from __future__ import annotations
 
@@ -11,14 +11,15 @@
 
 from benchmarks import scale_fit, scale_plan
 from benchmarks.scale_run import PARTS
+from mesh.data_plane.membership import PROXY
+from mesh.dissemination.pull_exchange import Exchange, pack, unpack
+from mesh.replication.store import Store
+from mesh.transport import link
+from mesh.transport.frames import Frames, frame
 from rigs.hollow.counting import ALIVE, NEWS, Counts
 from rigs.hollow.machine import HOLLOW_BYTES, MB, Bounds, Refused, total_bytes
 from rigs.hollow.patient import main as patient
 from rigs.hollow.stores import HollowStore, Pool
-from waterworks.aquifer.store import Store
-from waterworks.leat.exchange import Exchange, pack, unpack
-from waterworks.penstock import link
-from waterworks.penstock.frames import Frames, frame
 
 # The page
 
@@ -30,7 +31,7 @@
 
 def test_a_figure_that_no_result_gave_is_seen() -> None:
     page = scale_plan.PAGE.read_text()
-    row = next(line for line in page.splitlines() if line.startswith("| `reservoir.rss_mb`"))
+    row = next(line for line in page.splitlines() if line.startswith("| `controller.rss_mb`"))
     other = page.replace(row, row.replace("1", "2"))
     assert scale_plan.filled(other, scale_plan.tables(scale_plan.made())) != other
 
@@ -72,14 +73,14 @@
         scale_fit.fit("linear", [1.0, 2.0, 3.0], [1.0, 2.0, 3.0])
 
 
-def test_only_sizes_of_the_runs_own_reservoirs_count_and_of_one_size_the_last() -> None:
-    def size(hollow: int, *parts: str, reservoirs: int = scale_fit.CORES) -> dict[str, Any]:
+def test_only_sizes_of_the_runs_own_controllers_count_and_of_one_size_the_last() -> None:
+    def size(hollow: int, *parts: str, controllers: int = scale_fit.CORES) -> dict[str, Any]:
         played = {part: {"hollow_lag_s": 0.0} for part in parts}
         outcome = "whole" if "back" in parts else "failed: x"
-        return {"hollow": hollow, "outcome": outcome, "reservoirs": reservoirs, "parts": played}
+        return {"hollow": hollow, "outcome": outcome, "controllers": controllers, "parts": played}
 
     last, failed = size(100, *PARTS), size(200, "join", "quiet")
-    told = [size(300, *PARTS), size(100, *PARTS), last, failed, size(500), size(400, *PARTS, reservoirs=9)]
+    told = [size(300, *PARTS), size(100, *PARTS), last, failed, size(500), size(400, *PARTS, controllers=9)]
     found = scale_fit.usable(told)
     assert [one["hollow"] for one in found] == [100, 200, 300]
     assert found[0] is last
@@ -122,12 +123,12 @@
 
 def test_no_program_is_given_less_patience_than_it_ships_with(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(link, "SILENT_S", link.SILENT_S)
-    for program, silent_s in (("reservoir", 0.1), ("other", 3.0)):
+    for program, silent_s in (("control_plane", 0.1), ("other", 3.0)):
         with pytest.raises(ValueError, match="give one of"):
             patient(program, silent_s)
 
 
-# Hollow sluices
+# Hollow proxies
 
 
 def talk(store: Store) -> list[object]:
@@ -135,7 +136,7 @@
     said: list[object] = []
     here, there = Exchange({"roll": store}), Store("c1", 100)
     peer = Exchange({"roll": there})
-    store.take("node", "s1", 1, {"role": "sluice"})
+    store.take("node", "s1", 1, {"role": PROXY})
     for at in range(3):
         there.take("node", f"n{at}", 1, {"at": at})
     here.met("c1", ())
@@ -157,10 +158,10 @@
     assert talk(HollowStore("s1.1", 100, Pool())) == talk(Store("s1.1", 100))
 
 
-def test_one_copy_of_an_item_serves_all_hollow_sluices_of_a_process() -> None:
+def test_one_copy_of_an_item_serves_all_hollow_proxies_of_a_process() -> None:
     pool = Pool()
     one, other = HollowStore("s1", 100, pool), HollowStore("s2", 100, pool)
-    item = one.take("node", "n", 1, {"role": "sluice"})
+    item = one.take("node", "n", 1, {"role": PROXY})
     assert item is not None
     other.merge([unpack(pack(item))], {"s1": 1})
     assert other.items["node", "n"] is one.items["node", "n"]
@@ -179,6 +180,6 @@
     assert sum(counts.got_bytes.values()) == len(data)
 
 
-def test_what_hollow_sluices_do_is_written_down_beside_its_command() -> None:
+def test_what_hollow_proxies_do_is_written_down_beside_its_command() -> None:
     page = Path(scale_plan.PAGE).read_text()
     assert "python -m benchmarks.scale_run" in page and "python -m benchmarks.scale_plan" in page
--- a/tests/mesh/test_mesh_world.py
+++ b/tests/mesh/test_simulated_mesh.py
@@ -9,11 +9,11 @@
 import pytest
 
 from anisestair.http import codec as http
-from rigs.mesh_world import seeds, troubles
-from rigs.mesh_world.world import Script, World
-from waterworks.aquifer.ballot import Ballot
-from waterworks.reservoir.repairing import EVERY_S
-from waterworks.weir.tombs import ASKS_ANEW_S
+from mesh.control_plane.anti_entropy import EVERY_S
+from mesh.membership.tombstones import ASKS_ANEW_S
+from mesh.replication.acceptor import Ballot
+from simulation.mesh import seeds, troubles
+from simulation.mesh.world import Script, World
 
 Play = Callable[[World], Script]
 
@@ -60,10 +60,10 @@
 
 
 def one_change(world: World) -> Script:
-    yield from world.boot(3, sluices=2)
+    yield from world.boot(3, proxies=2)
     world.env.process(world.witness.watch())
     world.counting = True
-    yield from world.commit(world.reservoirs(), change(1))
+    yield from world.commit(world.controllers(), change(1))
     yield from well_again(world)
 
 
@@ -77,23 +77,23 @@
     while not all(len(machine.disk.rows) for machine in world.founders):
         yield world.env.timeout(0.001)
     world.counting = True
-    yield from world.commit(world.reservoirs(), change(1))
+    yield from world.commit(world.controllers(), change(1))
     yield world.env.timeout(0.3)
     yield from well_again(world)
 
 
 def two_join(world: World) -> Script:
-    yield from world.boot(3, sluices=1)
+    yield from world.boot(3, proxies=1)
     world.env.process(world.witness.watch())
     world.counting = True
-    cores = world.reservoirs()
+    cores = world.controllers()
     for number in (4, 5):
         world.start(world.add(f"c{number}", f"10.0.0.{number}"))
     yield from world.commit(cores, change(1))
     yield world.env.timeout(0.1)
     yield from world.commit(cores[1:], change(2))
     yield world.env.timeout(0.3)
-    yield from world.commit(world.reservoirs()[3:], drop(3))
+    yield from world.commit(world.controllers()[3:], drop(3))
     yield from well_again(world)
 
 
@@ -152,9 +152,9 @@
 # Scripts without points
 
 
-def booted(cores: int, then: Play, sluices: int = 1) -> Play:
+def booted(cores: int, then: Play, proxies: int = 1) -> Play:
     def script(world: World) -> Script:
-        yield from world.boot(cores, sluices)
+        yield from world.boot(cores, proxies)
         world.env.process(world.witness.watch())
         yield from then(world)
         world.heal()
@@ -165,7 +165,7 @@
 
 
 def cut_off(world: World) -> Script:
-    cores = world.reservoirs()
+    cores = world.controllers()
     yield from world.commit(cores, change(1))
     world.cut(cores[:1], [machine for machine in world.machines.values() if machine is not cores[0]])
     answer: Any = None
@@ -179,7 +179,7 @@
 
 
 def calls_that_are_refused(world: World) -> Script:
-    cores = world.reservoirs()
+    cores = world.controllers()
     yield from world.commit(cores, change(1))
     invalid = [
         change(2, service="nowhere", known=False),
@@ -199,7 +199,7 @@
 
 def two_operators(world: World) -> Script:
     """Two at once, the same names, at two machines, uneven steps; older ones come again."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     for version in (3, 9, 10, 30):
         one: Any = world.env.process(world.commit(cores, change(version, trials=1 + version % 3)))
         other: Any = world.env.process(world.commit(cores[1:], change(version - 1, "r2")))
@@ -214,19 +214,19 @@
 
 def a_disk_is_lost(world: World) -> Script:
     """Change after change, and one disk after the other is lost, each after the one before is whole again."""
-    for number, machine in enumerate(world.reservoirs()):
-        yield from world.commit(world.reservoirs(), change(number + 1))
+    for number, machine in enumerate(world.controllers()):
+        yield from world.commit(world.controllers(), change(number + 1))
         troubles.wiped(world, machine.life, None)  # type: ignore[arg-type]
         yield world.env.timeout(1.2)
         yield from world.joined([machine])
-    for machine in world.reservoirs():
+    for machine in world.controllers():
         answer = yield from world.get(machine)
         assert answer.status == 200
 
 
 def a_closing_fault(world: World) -> Script:
-    yield from world.commit(world.reservoirs(), change(1))
-    troubles.all_power_one_wiped(world, world.reservoirs()[1].life, None)  # type: ignore[arg-type]
+    yield from world.commit(world.controllers(), change(1))
+    troubles.all_power_one_wiped(world, world.controllers()[1].life, None)  # type: ignore[arg-type]
     yield world.env.timeout(3.0)
 
 
@@ -242,7 +242,7 @@
     """Half of them is enough for a read: every write was durable with more than half."""
 
     def halves(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         yield from world.commit(cores, change(1))
         world.cut(cores[:2], [*cores[2:], world.machines["s1"]])
         yield world.env.timeout(3.5)
@@ -257,7 +257,7 @@
 
 def test_what_was_taken_from_one_that_died_reaches_the_sidecars_once_it_is_acknowledged() -> None:
     def dies(world: World) -> Script:
-        first, *others = world.reservoirs()
+        first, *others = world.controllers()
         world.cut([first], [others[1], *(m for m in world.machines.values() if not m.core)])
         yield world.env.timeout(0.01)
         world.env.process(world.patch(first, change(1)))
@@ -271,7 +271,7 @@
         world.witness.sidecars_know(world.loop.time())
         world.start(first)
 
-    assert played(booted(3, dies, sluices=2)) == []
+    assert played(booted(3, dies, proxies=2)) == []
 
 
 def test_who_was_out_of_touch_for_longer_than_tombstones_are_kept_hears_of_the_ends() -> None:
@@ -290,24 +290,24 @@
         yield world.env.timeout(ASKS_ANEW_S + 5.0)
         world.heal()
         yield world.env.timeout(8.0)
-        assert "i-s2" not in world.reservoirs()[0].program.membership.instances
+        assert "i-s2" not in world.controllers()[0].program.membership.instances
         assert "i-s2" not in one.program.membership.instances
 
-    assert played(booted(3, away, sluices=2)) == []
+    assert played(booted(3, away, proxies=2)) == []
 
 
 def test_a_disk_may_be_lost_while_two_join() -> None:
     def lost(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         joiners = [world.add(f"c{number}", f"10.0.0.{number}") for number in (4, 5)]
-        for machine in world.reservoirs():
+        for machine in world.controllers():
             machine.disk.takes_s = 0.05
         for machine in joiners:
             world.start(machine)
         yield world.env.timeout(0.01)
-        while any(len(machine.program.council.view().names) < 5 for machine in world.reservoirs()):
+        while any(len(machine.program.council.view().names) < 5 for machine in world.controllers()):
             yield world.env.timeout(0.001)
-        assert any(machine.program.council.view().joint for machine in world.reservoirs())
+        assert any(machine.program.council.view().joint for machine in world.controllers())
         troubles.wiped(world, cores[2].life, None)  # type: ignore[arg-type]
         yield world.env.timeout(2.0)
 
@@ -335,7 +335,7 @@
     """All lose power right after an acknowledgement, and one its disk."""
 
     def then(world: World) -> Script:
-        cores = world.reservoirs()
+        cores = world.controllers()
         slow = [machine for machine in cores if machine.name in at_sync]
         for machine in slow:
             machine.disk.takes_s = 0.3
@@ -348,7 +348,7 @@
 
 
 def drops_and_old_ones_again(world: World) -> Script:
-    cores = world.reservoirs()
+    cores = world.controllers()
     for version in (1, 2):
         yield from world.commit(cores, change(version))
     yield from world.commit(cores, drop(3))
@@ -358,7 +358,7 @@
 
 def lost_and_cut(world: World) -> Script:
     """One is wiped and comes back while it hears only one that was cut off from the last change."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     side = world.machines["s1"]
     world.kill(side)  # it would hand on what it knows
     yield from world.commit(cores, change(1))
@@ -377,7 +377,7 @@
 
 
 def disk_refuses(world: World) -> Script:
-    cores = world.reservoirs()
+    cores = world.controllers()
     for machine in cores[:2]:
         machine.disk.refuses_until = world.env.now + 0.9
     yield from world.commit(cores, change(1))
@@ -386,7 +386,7 @@
 
 
 def same_version_twice(world: World) -> Script:
-    cores = world.reservoirs()
+    cores = world.controllers()
     one = world.env.process(world.patch(cores[0], change(1, trials=1)))
     other = world.env.process(world.patch(cores[1], change(1, trials=2)))
     yield one & other
@@ -394,7 +394,7 @@
 
 def equal_versions_on_both_sides_of_a_cut(world: World) -> Script:
     """The one that is cut off is sent the greater bytes, the others the lesser ones."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     yield from world.commit(cores, change(1))
     others = [machine for machine in world.machines.values() if machine is not cores[0]]
     world.cut(cores[:1], others)
@@ -409,7 +409,7 @@
 def a_decision_is_not_heard_and_the_next_one_is(world: World) -> Script:
     """One refuses the first of two orders for a higher promise, hears the second decided, and then nothing
     more of the source, which is killed before its news go out."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     yield from world.commit(cores, change(1))
     yield world.env.timeout(0.1)
     world.cut(cores[1:2], cores[2:], both=False)
@@ -429,7 +429,7 @@
 def one_joins_behind_a_writer(world: World) -> Script:
     """What a writer sends is held up while one joins; then it reaches one that knows. The writer is not the
     one that proposes who counts: that one would be missed first."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     yield from world.until(lambda: cores[0].program.minding.turn.newest.epoch, 3.0, "the duty is taken")
     holder = cores[0].program.minding.turn.newest.holder
     writer = next(machine for machine in cores if machine.name != holder)
--- a/tests/mesh/test_stage_model.py
+++ b/tests/mesh/test_stage_model.py
@@ -7,16 +7,16 @@
 
 import pytest
 
+from mesh.rollout import staged_activation as chamber_module
+from mesh.rollout.change_kinds import Kind
+from mesh.rollout.contact import Contact
+from mesh.rollout.report import Report
+from mesh.rollout.staged_activation import Chamber, Pass
+from mesh.rollout.version_check import Newer
 from rigs import stage_model
-from rigs.mesh_world.seeds import Patch
 from rigs.stage_model import HOLD, NEWS, SIZES, Side, Stages
+from simulation.mesh.seeds import Patch
 from statecheck import explore
-from waterworks.lock import chamber as chamber_module
-from waterworks.lock.chamber import Chamber, Pass
-from waterworks.lock.contact import Contact
-from waterworks.lock.kinds import Kind
-from waterworks.lock.newer import Newer
-from waterworks.lock.report import Report
 
 KNOW = Chamber.know
 
--- a/tests/mesh/test_stages_frames.py
+++ b/tests/mesh/test_stages_frames.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.store import Store
-from waterworks.leat.exchange import Exchange, pack
-from waterworks.lock.report import REPORTS
-from waterworks.penstock.frames import Frames, frame
-from waterworks.sluice.hop import Call, TurnedAway, end_head, read_call, read_end
-from waterworks.valve.passing import Why
+from mesh.admission.final_check import Why
+from mesh.data_plane.call_messages import Call, TurnedAway, end_head, read_call, read_end
+from mesh.dissemination.pull_exchange import Exchange, pack
+from mesh.replication.items import Item
+from mesh.replication.store import Store
+from mesh.rollout.report import REPORTS
+from mesh.transport.frames import Frames, frame
 
 UP, TAKES = (REPORTS,), [REPORTS]
 
--- a/tests/mesh/test_stages_world.py
+++ b/tests/mesh/test_stages_world.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from rigs.mesh_world import stage_seeds
-from rigs.mesh_world.seeds import Patch
-from rigs.mesh_world.staged import CONTACT_S, SETTLE_S, Staged, rule, split
-from rigs.mesh_world.world import Machine, Script
-from waterworks.lock import chamber as chamber_module
-from waterworks.lock.bounds import derive
+from mesh.rollout import staged_activation as chamber_module
+from mesh.rollout.bounds import derive
+from simulation.mesh import stage_seeds
+from simulation.mesh.seeds import Patch
+from simulation.mesh.staged import CONTACT_S, SETTLE_S, Staged, rule, split
+from simulation.mesh.world import Machine, Script
 
 Play = Callable[[Staged], Script]
 HOLD_S = derive(2000.0, 4000.0).hold_s
@@ -85,13 +85,13 @@
         yield world.env.timeout(max(began + 0.25 - world.env.now, 0.0))
         assert versions(world).count(2) == 1, versions(world)  # the first part: a tenth, one at least
         first = [m.name for m, v in zip(sides(world), versions(world), strict=True) if v == 2]
-        assert first == list(world.reservoirs()[0].program.membership.draw().first("route", "a", 2))
+        assert first == list(world.controllers()[0].program.membership.draw().first("route", "a", 2))
         yield world.env.timeout(began + HOLD_S + 0.1 - world.env.now)
         assert set(versions(world)) == {2}
         yield world.env.timeout(0.5)
         over = [c for c in world.calls.values() if c.at < world.env.now - 0.2]
         assert len(over) > 100 and all(c.status == 200 and c.over - c.at < 0.1 for c in over)  # no stall
-        for machine in world.reservoirs():
+        for machine in world.controllers():
             rollout = machine.program.rollouts.rollouts[-1]
             assert rollout.done is not None and not rollout.missing
             assert machine.program.rollouts.lacking(("route", "a")) == []
@@ -139,7 +139,7 @@
         told: list[float] = []
         while world.env.now < began + HOLD_S:
             yield world.env.timeout(0.02)
-            if not told and all(m.program.rollouts.rollouts[-1].worse for m in world.reservoirs()):
+            if not told and all(m.program.rollouts.rollouts[-1].worse for m in world.controllers()):
                 told.append(float(world.env.now) - began)
                 assert versions(world).count(2) == 1
         assert told and told[0] < HOLD_S
@@ -175,7 +175,7 @@
     def then(world: Staged) -> Script:
         """One sidecar hears no control process, only the other sidecars, for longer than the bound."""
         lone = sides(world)[0]
-        world.cut([lone], world.reservoirs())
+        world.cut([lone], world.controllers())
         yield from world.commits(2, rule("a", "q", 2), rule("b", "q", 2, effectful=True))
         lone.program.membership.nodes = dict(lone.program.membership.nodes)
         yield world.env.timeout(7.0)
@@ -189,7 +189,7 @@
         mine = [c for c in list(world.calls.values())[before:] if c.life is lone.life]
         assert len(mine) == 12 and all(c.status == 200 and c.runs == ["q"] for c in mine), mine
         world.trouble()  # the plain witness holds a sidecar for in touch that is cut off alone
-        yield from world.commit(world.reservoirs(), b'{"remove":{"routes":[{"name":"a","epoch":"r3"}]}}')
+        yield from world.commit(world.controllers(), b'{"remove":{"routes":[{"name":"a","epoch":"r3"}]}}')
         yield world.env.timeout(7.0)
         for _ in range(6):  # some go to its own upstream, where no more is known than here
             world.ask_for(lone, "a")
@@ -248,21 +248,21 @@
 
 
 def kills_core(world: Staged, first: Machine, rest: Machine) -> None:
-    for number, machine in enumerate(world.reservoirs()):
+    for number, machine in enumerate(world.controllers()):
         world.kill(machine)
         world.restart(machine, 0.3 + 0.05 * number)
 
 
 def halves_core(world: Staged, first: Machine, rest: Machine) -> None:
-    cores = world.reservoirs()
+    cores = world.controllers()
     world.cut(cores[:1], cores[1:])
     world.loop.call_later(1.5, world.heal)
 
 
 def stalls_disks(world: Staged, first: Machine, rest: Machine) -> None:
-    for machine in world.reservoirs():
+    for machine in world.controllers():
         machine.disk.hangs_until = float(world.env.now) + 3.5
-    world._befalls(world.reservoirs())
+    world._befalls(world.controllers())
 
 
 TROUBLES = (
@@ -300,7 +300,7 @@
 
 def overtaking(world: Staged) -> Script:
     """Versions of one route every 0.4 s, from two operators at once, and a change back among them."""
-    cores = world.reservoirs()
+    cores = world.controllers()
     for number in range(8):
         version = 2 + 2 * number
         one: Any = world.env.process(moves(world, version + 1, "pq"[number % 2], horizon_ms=2000 + version))
@@ -315,7 +315,7 @@
 def dropped_and_back(world: Staged) -> Script:
     for version in (2, 4):
         yield from world.commit(
-            world.reservoirs(), b'{"remove":{"routes":[{"name":"a","epoch":"r%d"}]}}' % version
+            world.controllers(), b'{"remove":{"routes":[{"name":"a","epoch":"r%d"}]}}' % version
         )
         yield world.env.timeout(0.1)
         assert set(versions(world)) == {None}
@@ -377,7 +377,7 @@
 def cut_and_back(world: Staged) -> Script:
     """Who was cut off takes all at once when it is back."""
     lone = sides(world)[0]
-    world.cut([lone], world.reservoirs())
+    world.cut([lone], world.controllers())
     yield world.env.timeout(1.5)
     yield from moves(world, 2)
     yield world.env.timeout(1.0)
@@ -393,7 +393,7 @@
     yield from moves(world, 2)
     yield world.env.timeout(1.0)
     for machine in sides(world):
-        odd = machine.program.tailrace.traces.odd
+        odd = machine.program.upstream_dispatch.traces.odd
         assert not any("old" in entry[-1] for entry in odd)
 
 
--- a/tests/mesh/test_cistern_layout.py
+++ b/tests/mesh/test_storage_layout.py
@@ -6,11 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.aquifer.ballot import Ballot, Vote
-from waterworks.aquifer.items import Item
-from waterworks.aquifer.quorum import Place
-from waterworks.aquifer.views import VIEW, View, read_view
-from waterworks.cistern import layout
+from mesh.replication.acceptor import Ballot, Vote
+from mesh.replication.items import Item
+from mesh.replication.membership_epochs import VIEW, View, read_view
+from mesh.replication.quorum import Place
+from mesh.storage import layout
 
 WORDS = st.text(max_size=40)
 JSON: st.SearchStrategy[Any] = st.recursive(
@@ -57,7 +57,7 @@
     key, value = layout.pack_item(item)
     other = layout.pack_item(Item(kind="route", name="b", version=1, value={}, source="one", number=1))[0]
     for rows in ({other: value}, {key: b"{"}, {key: b'"\xff"'}, {b"vector": b"[]"}, {b"unheard": b""}):
-        with pytest.raises(layout.CisternError, match="row"):
+        with pytest.raises(layout.StorageError, match="row"):
             layout.held(rows)
 
 
@@ -79,7 +79,7 @@
     assert held.votes == votes and held.past == (past,)
     assert held.ceiling == 1 << 40 and held.generations == {"10.0.0.1": 2}
     for key, _ in rows:
-        with pytest.raises(layout.CisternError, match="row"):
+        with pytest.raises(layout.StorageError, match="row"):
             layout.held({key: b'{"neither'})
 
 
--- a/tests/mesh/test_cistern_keeper.py
+++ b/tests/mesh/test_storage_lmdb_store.py
@@ -11,9 +11,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from waterworks.cistern import keeper as keeping
-from waterworks.cistern import layout
-from waterworks.cistern.keeper import NAME, Failed, Fresh, Keeper, Kept, Opened, Refused, SetAside, room
+from mesh.storage import layout
+from mesh.storage import lmdb_store as keeping
+from mesh.storage.lmdb_store import NAME, Failed, Fresh, Keeper, Kept, Opened, Refused, SetAside, room
 
 PAGE = 4096
 MOST = 1 << 20
@@ -191,7 +191,7 @@
         patch.setattr(keeping, "unseal", lambda key, stored: stored[8:])
         assert keeper.verify() == ()
     assert any("checksum differs" in finding for finding in keeper.verify())
-    with pytest.raises(layout.CisternError):
+    with pytest.raises(layout.StorageError):
         keeper.rows()
 
 
--- a/tests/mesh/test_cistern_names.py
+++ b/tests/mesh/test_storage_names.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from waterworks.cistern import keeper as keeping
-from waterworks.cistern.keeper import NAME, Failed, Keeper, Kept, Opened
+from mesh.storage import lmdb_store as keeping
+from mesh.storage.lmdb_store import NAME, Failed, Keeper, Kept, Opened
 
 MOST = 1 << 20
 FIRST, SECOND = {b"route": b"a" * 100}, {b"route": b"b" * 100}
--- a/tests/mesh/test_cistern_power.py
+++ b/tests/mesh/test_storage_power.py
@@ -12,8 +12,8 @@
 import lmdb
 import pytest
 
-from waterworks.cistern import keeper as keeping
-from waterworks.cistern.keeper import Fresh, Keeper, Kept, Opened
+from mesh.storage import lmdb_store as keeping
+from mesh.storage.lmdb_store import Fresh, Keeper, Kept, Opened
 
 MOST = 1 << 20
 ROWS = {b"a": b"1" * 100, b"b": b"2" * 5000}
--- a/tests/mesh/test_penstock_frames.py
+++ b/tests/mesh/test_transport_frames.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waterworks.penstock import frames as module
-from waterworks.penstock.frames import BadFrame, Frames, frame
+from mesh.transport import frames as module
+from mesh.transport.frames import BadFrame, Frames, frame
 
 TEXT = st.text(max_size=12)
 VALUES = st.recursive(
--- a/tests/mesh/test_penstock_desk.py
+++ b/tests/mesh/test_transport_http_calls.py
@@ -9,10 +9,10 @@
 import pytest
 
 from anisestair.http import codec as http
+from mesh.transport import http_calls as module
+from mesh.transport.http_calls import Answer, Desk
+from mesh.transport.link import Address
 from rigs.mesh_peers import Client, play, read_message, soon, until
-from waterworks.penstock import desk as module
-from waterworks.penstock.desk import Answer, Desk
-from waterworks.penstock.link import Address
 
 
 class Office:
--- a/tests/mesh/test_penstock_link.py
+++ b/tests/mesh/test_transport_link.py
@@ -7,11 +7,11 @@
 
 import pytest
 
+from mesh.data_plane.program import TICK_S
+from mesh.transport import link as module
+from mesh.transport.frames import Head, frame
+from mesh.transport.link import ALIVE, BEAT_S, SILENT_S, Link, connect, listen
 from rigs.mesh_peers import move, play, soon, until
-from waterworks.penstock import link as module
-from waterworks.penstock.frames import Head, frame
-from waterworks.penstock.link import ALIVE, BEAT_S, SILENT_S, Link, connect, listen
-from waterworks.sluice.program import TICK_S
 
 
 class End:
