--- /dev/null
+++ b/mesh/data_plane/call_trace.py
@@ -0,0 +1,97 @@
+"""Writes to the log what took a call's time on each hop, and how many bytes leave the zone.
+
+Loaded only where the process was started with ``--debug``. The lines are events 510 to 512, which
+`benchmarks/worth.py` reads.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from mesh.data_plane.call_messages import Call, End
+from mesh.data_plane.call_state import Ask, Failed, Refused
+from mesh.data_plane.traces import words
+from mesh.event_log import events
+from mesh.transport.link import Link
+
+if TYPE_CHECKING:
+    from mesh.data_plane.program import Proxy
+
+MOST_TRIES, MOST_END = 4, 24  # tries of one line, and characters of how each ended
+BYTES_EVERY_S = 1.0
+
+
+class CallTrace:
+    """Of one proxy."""
+
+    def __init__(self, proxy: Proxy) -> None:
+        self._proxy, self._event_log = proxy, proxy.event_log
+        self._counted: dict[Link, int] = {}  # bytes of each link that have been added up
+        self._sums = {"calls": 0, "answers": 0, "updates": 0}
+
+    def begin(self) -> None:
+        proxy = self._proxy
+        proxy.tables.traces.trace = self.first_hop
+        proxy.upstream_dispatch.traces.trace = self.second_hop
+        self._count_bytes()
+
+    def first_hop(self, now: float, ask: Ask, told: int | Refused | Failed | None) -> None:
+        """A client's call has its end, or its client has left (None)."""
+        ends = {Refused: "refused", Failed: "failed", type(None): "left"}
+        self._event_log.tell(
+            events.CALL_AT_FIRST_HOP,
+            attempt=ask.attempt,
+            route=ask.route.name,
+            service=ask.service,
+            aim_ms=ask.route.aim_ms,
+            took_ms=round(now - ask.taken, 1),
+            end=told if isinstance(told, int) else ends[type(told)],
+            tries="|".join(self._tries(now, ask)),
+        )
+
+    def _tries(self, now: float, ask: Ask) -> Iterable[str]:
+        """Each try as upstream, when it was sent (ms), how long it took, and its end; one that is still out
+        has taken until now."""
+        for number, (instance, end, took) in enumerate(ask.tried[:MOST_TRIES]):
+            sent = ask.sent[number]
+            took_ms = now - sent if end == "out" else took
+            yield f"{instance}/{sent - ask.taken:.1f}/{took_ms:.1f}/{end[:MOST_END]}"
+
+    def second_hop(self, now: float, call: Call, came: float, began: float, end: End) -> None:
+        """A call for the upstream beside this proxy has its end; ``began`` is 0 where it was never passed
+        on."""
+        self._event_log.tell(
+            events.CALL_AT_SECOND_HOP,
+            attempt=call.attempt,
+            instance=call.instance,
+            caller=call.caller,
+            waited_ms=round((began or now) - came, 1),
+            ran_ms=round(now - began, 1) if began else None,
+            end=words(end),
+        )
+
+    def _count_bytes(self) -> None:
+        """What the links to other zones have sent. The last second of a link that closes is not counted."""
+        proxy, counted = self._proxy, {}
+        for kind, node, link in self._links():
+            value = proxy.membership.nodes.get(node)
+            counted[link] = link.sent_bytes
+            if value is not None and value.get("zone") != proxy.settings.zone:
+                self._sums[kind] += link.sent_bytes - self._counted.get(link, 0)
+        self._counted = counted
+        sums = self._sums
+        self._event_log.tell(
+            events.BYTES_SENT, calls=sums["calls"], answers=sums["answers"], updates=sums["updates"]
+        )
+        proxy.loop.call_later(BYTES_EVERY_S, self._count_bytes)
+
+    def _links(self) -> Iterable[tuple[str, str, Link]]:
+        """What each link carries from here, the node at its other end, and the link."""
+        for outgoing in self._proxy.passage.links():
+            if outgoing.link is not None:
+                yield "calls", outgoing.node, outgoing.link
+        for link in self._proxy.incoming_links:
+            yield "answers", link.node, link
+        for channel in self._proxy.channels.open:
+            yield "updates", channel.node, channel.link
--- a/mesh/data_plane/peer_calls.py
+++ b/mesh/data_plane/peer_calls.py
@@ -10,7 +10,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 
 from mesh.admission.final_check import Why
@@ -398,6 +398,9 @@
             link.used = self.loop.time()
             link._open()
 
+    def links(self) -> Iterable[Outgoing]:
+        return self._links.values()
+
     def reaches(self, node: str) -> bool:
         """As far as is known."""
         link = self._links.get(node)
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -137,7 +137,7 @@
         self.reach = Reach(bounds.contact_ms, self.channels, event_log)
         self.questions = Questions(answers_of(self, time.time))
         self.ending = False
-        self._links: set[Link] = set()  # with calls from other sidecars
+        self.incoming_links: set[Link] = set()  # with calls from other sidecars
         self._server: asyncio.Server | None = None
         self._touched = self.loop.time()  # when there was last a link with news
         self._doubted_at: float | None = None  # what is held of the charter is to be told anew since then
@@ -156,6 +156,10 @@
         self._know()
         self.loop.call_later(TICK_S, self._tick)
         self.event_log.tell(events.STARTED, role=ROLE_NAMES[PROXY])
+        if self.event_log.writes(events.CALL_AT_FIRST_HOP):
+            from mesh.data_plane.call_trace import CallTrace
+
+            CallTrace(self).begin()
 
     def _say_node(self) -> None:
         settings = self.settings
@@ -189,7 +193,7 @@
         self.passage.tick(now)
         self.tap.sweep()
         self.sessions.sweep(now)
-        for link in list(self._links):
+        for link in list(self.incoming_links):
             link.tick(now)
         for key in self.tombs.due(now):
             self.roll.forget(key)
@@ -243,7 +247,7 @@
 
     def _said_all(self) -> bool:
         """Nothing runs here for other sidecars, and what they were answered has left."""
-        return not self.upstream_dispatch.running and not any(link.unsent for link in self._links)
+        return not self.upstream_dispatch.running and not any(link.unsent for link in self.incoming_links)
 
     # News
 
@@ -357,7 +361,8 @@
             life = head.get("life")  # none from a program that cannot ask back
             session = self.sessions.open(str(life)) if life else None
             link.peer = Incoming(link, self.upstream_dispatch, self.sessions, session)
-            self._links.add(link)
+            link.node = str(head.get("node", ""))
+            self.incoming_links.add(link)
             if session is not None:
                 link.send({"t": "life", "life": self.life})
             self._hear_of(head.get("core"))
@@ -367,7 +372,7 @@
             link.close("no hello")
 
     def _unmet(self, link: Link, why: str) -> None:
-        self._links.discard(link)
+        self.incoming_links.discard(link)
         self.questions.lost(link)
         if isinstance(link.peer, Channel):
             self.channels.lost(link.peer, why)
--- a/mesh/data_plane/traces.py
+++ b/mesh/data_plane/traces.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Generic, TypeVar
 
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
@@ -64,6 +64,7 @@
 
     def __init__(self) -> None:
         self.plain, self.odd = Ring[First](), Ring[First]()
+        self.trace: Callable[[float, Ask, int | Refused | Failed | None], None] | None = None
 
     def ended(self, now: float, ask: Ask, told: int | Refused | Failed | None) -> None:
         """``told``: the status passed on, or what this sidecar said itself; None: the client left."""
@@ -76,6 +77,8 @@
                 *(tuple(tried[:MOST_TRIES]), count, told),
             )
         )
+        if self.trace is not None:
+            self.trace(now, ask, told)
 
 
 class SecondHop:
@@ -83,6 +86,7 @@
 
     def __init__(self) -> None:
         self.plain, self.odd = Ring[Second](), Ring[Second]()
+        self.trace: Callable[[float, Call, float, float, End], None] | None = None
 
     def ended(self, now: float, call: Call, came: float, began: float, end: End) -> None:
         """``came`` and ``began``: when it came here, and was passed on (0: never)."""
@@ -93,3 +97,5 @@
                 *(call.instance[:MOST_NAME], call.caller[:MOST_NAME], words(end)),
             )
         )
+        if self.trace is not None:
+            self.trace(now, call, came, began, end)
--- a/mesh/event_log/events.py
+++ b/mesh/event_log/events.py
@@ -26,6 +26,8 @@
     level: Level
     text: str
     fields: tuple[str, ...] = ()
+    limited: bool = True
+    """At most so many lines a second as the log allows; False for those that are written only where asked."""
 
     @property
     def code(self) -> str:
@@ -37,8 +39,8 @@
 """All events, by number."""
 
 
-def _event(number: int, level: Level, text: str, *fields: str) -> Event:
-    event = Event(number, level, text, fields)
+def _event(number: int, level: Level, text: str, *fields: str, limited: bool = True) -> Event:
+    event = Event(number, level, text, fields, limited)
     if CATALOGUE.setdefault(number, event) is not event:
         raise ValueError(f"events: {number} is given twice; take a free number")
     return event
@@ -112,6 +114,19 @@
 CALLS_CUT = _event(503, Level.WARNING, "link lost with calls out", "peer", "calls", "asked", "why")
 WRONG_ANSWER = _event(504, Level.ERROR, "wrong answer dropped", "wanted", "got")
 UNCLEAR = _event(505, Level.WARNING, "effectful call unclear", "attempt", "why")
+CALL_AT_FIRST_HOP = _event(
+    *(510, Level.DEBUG, "call over at its first hop", "attempt", "route", "service", "aim_ms", "took_ms"),
+    *("end", "tries"),
+    limited=False,
+)
+CALL_AT_SECOND_HOP = _event(
+    *(511, Level.DEBUG, "call over at its second hop", "attempt", "instance", "caller", "waited_ms"),
+    *("ran_ms", "end"),
+    limited=False,
+)
+BYTES_SENT = _event(
+    512, Level.DEBUG, "bytes sent to other zones", "calls", "answers", "updates", limited=False
+)
 
 DUTY_TAKEN = _event(601, Level.INFO, "duty taken", "duty", "epoch")
 DUTY_LEFT = _event(602, Level.INFO, "duty left", "duty", "epoch", "why")
--- a/mesh/event_log/log.py
+++ b/mesh/event_log/log.py
@@ -53,17 +53,22 @@
             number: [0, 0, 0] for number in CATALOGUE
         }  # second, lines in it, suppressed since a line
 
+    def writes(self, event: Event) -> bool:
+        """Whether an event of that level is written at all."""
+        return event.level >= self._level
+
     def tell(self, event: Event, /, **values: object) -> None:
         """Write ``HH:MM:SS.mmm W202 link lost peer=... why=...``, the event's fields first and in its order;
-        one that is not given is ``?``. Nothing is formatted below the log's level or beyond MOST_A_SECOND.
+        one that is not given is ``?``. Nothing is formatted below the log's level, or beyond MOST_A_SECOND
+        where the event is limited.
         Values keep to one line and MOST_VALUE characters. Never raises for a value or a stream."""
-        if event.level < self._level:
+        if not self.writes(event):
             return
         now = self._clock()
         told = self._told[event.number]
         if told[0] != int(now):
             told[0], told[1] = int(now), 0
-        if told[1] >= MOST_A_SECOND:
+        if event.limited and told[1] >= MOST_A_SECOND:
             told[2] += 1
             return
         told[1] += 1
--- a/mesh/runtime/startup.py
+++ b/mesh/runtime/startup.py
@@ -6,17 +6,19 @@
 import os
 import signal
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Protocol
 
 import uvloop
 
 from mesh.event_log import events
+from mesh.event_log.events import Level
 from mesh.event_log.log import EventLog
 from mesh.runtime.settings import Settings, Wrong, read
 
 VARIABLE = "ANISESTAIR_BOOT"
+DEBUG = "--debug"  # debug lines are written too
 LOOK_S = 1.0  # between two looks at the file, which may change without a signal
 
 
@@ -89,8 +91,13 @@
     del following
 
 
-def run(make: Callable[[Settings, EventLog], Program]) -> int:
-    """The exit status: 2 for settings that cannot be used, 1 for an address or a disk that cannot."""
+def run(make: Callable[[Settings, EventLog], Program], arguments: Sequence[str] = ()) -> int:
+    """The exit status: 2 for arguments or settings that cannot be used, 1 for an address or a disk that
+    cannot."""
+    if arguments and list(arguments) != [DEBUG]:
+        print(f"arguments: {' '.join(arguments)!r} is not known; give none, or {DEBUG}", file=sys.stderr)
+        return 2
+    level = Level.DEBUG if arguments else Level.INFO
     settings = load(os.environ)
     if isinstance(settings, Wrong):
         for line in settings.findings:
@@ -98,7 +105,7 @@
         return 2
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(settings, EventLog(settings.node, sys.stderr), make))
+            runner.run(_serve(settings, EventLog(settings.node, sys.stderr, level), make))
     except OSError as fault:
         print(f"{settings.node}: {fault}", file=sys.stderr)
         return 1
--- a/mesh/transport/link.py
+++ b/mesh/transport/link.py
@@ -49,6 +49,8 @@
         self._long = 0  # bytes of long frames since little was unsent
         self._unsent = 0  # at the last tick
         self.peer: Any = None  # whose it is, as its owner has it
+        self.node = ""  # of the other end, where it has said so and its owner keeps it
+        self.sent_bytes = 0
 
     @property
     def up(self) -> bool:
@@ -92,6 +94,7 @@
         if len(payload) > LONG_BYTES:
             self._long = min(self._long + len(payload), LONG_MOST_BYTES)
         self._transport.write(payload)
+        self.sent_bytes += len(payload)
         self.sent_at = self._loop.time()
         return True
 
@@ -112,6 +115,7 @@
             self.close("silent")
         elif (self.owes or self.steady) and now - self.sent_at >= BEAT_S:
             self._transport.write(ALIVE)
+            self.sent_bytes += len(ALIVE)
             self.sent_at = now
 
     def close(self, why: str) -> None:
