--- a/mesh/runtime/deploy_file.py
+++ b/mesh/runtime/deploy_file.py
@@ -1,6 +1,7 @@
 """The deploy file, checked: which program runs on which machines. Mistakes are told before any machine is
 used."""
 
+import re
 import tomllib
 from collections.abc import Mapping
 from typing import Any
@@ -11,6 +12,7 @@
 """Roles on one class of machines."""
 _HELPERS = ("env", "npx")
 _SHELL = frozenset("|&;<>$`\"'\\*?(){}~#")
+_PACKAGE = re.compile(r"[a-z0-9][a-z0-9+.-]+")  # Debian policy 5.6.1
 _FIELDS = frozenset({"run", "on", "count", "share", "apart", "serves"})
 
 
@@ -28,8 +30,11 @@
             "build: missing or no text; write the shell line that installs what the programs need"
         )
     findings += [
-        f"{name!r}: no field of the file; remove it" for name in tables if name not in ("build", "roles")
+        f"{name!r}: no field of the file; remove it"
+        for name in tables
+        if name not in ("build", "packages", "roles")
     ]
+    findings += _check_packages(tables.get("packages", []))
     roles = tables.get("roles")
     if not isinstance(roles, dict) or not roles:
         return (*findings, "roles: none; write [roles.NAME] with run, on and serves")
@@ -42,6 +47,20 @@
     return (*findings, *_check_classes(good))
 
 
+def _check_packages(packages: object) -> list[str]:
+    if not isinstance(packages, list):
+        return ["packages: no list; write the names of the system packages that a clean build needs"]
+    findings = []
+    for name in packages:
+        if not isinstance(name, str) or not _PACKAGE.fullmatch(name):
+            findings.append(
+                f"packages: {name!r} is no name of a package; write it as the package manager does"
+            )
+        elif packages.count(name) > 1:
+            findings.append(f"packages: {name} stands twice; name it once")
+    return list(dict.fromkeys(findings))
+
+
 def _check_role(role: Mapping[str, Any]) -> list[str]:
     findings = [f"{name!r}: no field of a role; remove it" for name in role if name not in _FIELDS]
     run = role.get("run")
--- a/tests/mesh/test_runtime_deploy_file.py
+++ b/tests/mesh/test_runtime_deploy_file.py
@@ -37,6 +37,24 @@
     assert findings(role(share=1)) == []
 
 
+@pytest.mark.parametrize(
+    ("packages", "found"),
+    [
+        (["python3", "libgcc-s1", "g++"], []),
+        ([], []),
+        ("python3", ["packages: no list; write the names of the system packages that a clean build needs"]),
+        (
+            ["Python 3"],
+            ["packages: 'Python 3' is no name of a package; write it as the package manager does"],
+        ),
+        ([3], ["packages: 3 is no name of a package; write it as the package manager does"]),
+        (["dash", "dash"], ["packages: dash stands twice; name it once"]),
+    ],
+)
+def test_packages_are_names_each_once(packages: object, found: list[str]) -> None:
+    assert findings(role(), packages=packages) == found
+
+
 @pytest.mark.parametrize(
     ("changed", "field"),
     [
