Tell the catalogue's silent events where they belong, retire the seven that nothing can tell

Change: unknown settings and the word to end (startup), configuration in force (a proxy), a store that cannot be opened or was moved on (a controller) and a spent retry budget (once a window, with the number of refused retries) are told; 207, 208, 209, 304, 306, 307 and 501 are retired and never given again.

--- a/mesh/control_plane/program.py
+++ b/mesh/control_plane/program.py
@@ -224,10 +224,13 @@
         outcome = Keeper.open(folder, room(settings.limits.disk_mb))
         kept = Held()
         if isinstance(outcome, Failed):
+            self.event_log.tell(events.DISK_FAILED, reason=outcome.reason)
             raise OSError(outcome.reason)
         if isinstance(outcome, SetAside):
             self.event_log.tell(events.DISK_SET_ASIDE, moved_to=str(outcome.moved_to), reason=outcome.reason)
         elif isinstance(outcome, Opened):
+            for note in outcome.notes:
+                self.event_log.tell(events.DISK_MOVED_ON, note=note)
             kept = held(outcome.rows)
             self.charter.forgotten.merge(kept.forgotten)
             self.charter.restore(kept.items, kept.vector)
@@ -317,6 +320,10 @@
         if dropped(self.roll.items.get((NODE, self.settings.node))):
             self._say_node()
 
+    def open_calls(self) -> int:
+        """Of operators, not answered yet."""
+        return self.desk.busy
+
     async def stop(self) -> None:
         await self.joining.leave()
         self.stopping.set()
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -241,6 +241,10 @@
         self.readiness.stop()
         self.event_log.tell(events.ENDED)
 
+    def open_calls(self) -> int:
+        """Of clients on this machine, and of other proxies at the upstream beside it."""
+        return self.intake.in_hand + len(self.upstream_dispatch.running) + len(self.upstream_dispatch.line)
+
     def _said_all(self) -> bool:
         """Nothing runs here for other sidecars, and what they were answered has left."""
         return not self.upstream_dispatch.running and not any(link.unsent for link in self._links)
@@ -253,6 +257,8 @@
             for item in items:
                 self._configure(item)
             self.stages.changed()
+            newest = max((item.version for item in items), default=0)
+            self.event_log.tell(events.IN_FORCE, items=len(items), version=newest)
         else:
             self.tombs.note(self.loop.time(), items)
             for service, entries in self.membership.take(items).items():
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -47,6 +48,7 @@
         self.tables, self.service = tables, service
         self.loop = tables.loop
         self.budget = Budget(tables.ratio, tables.window_ms, tables.slack)
+        self._denied_told, self._denied_told_at = 0, -math.inf  # refused retries in the log; when, ms
         self._classes: dict[str, api.RequestClass] = {}
         self._add(first)
         self.balancer = Balancer(self._settings(), tables.seed(service))
@@ -224,13 +226,23 @@
             self._finish(ask, ask.final(self.tables.now() >= ask.deadline - 2.0, wait_ms))
             self._cut(ask)
 
+    def _may_retry(self, now: float) -> bool:
+        """Whether the budget bears another retry; if not, that is told once a window."""
+        if self.budget.spend(now, self.tables.sidecars):
+            return True
+        if now - self._denied_told_at >= self.tables.window_ms:
+            refused = self.budget.denied - self._denied_told
+            self.tables.event_log.tell(events.BUDGET_SPENT, service=self.service, refused=refused)
+            self._denied_told, self._denied_told_at = self.budget.denied, now
+        return False
+
     def _send(self, ask: Ask, instance: str) -> None:
         tables, now = self.tables, self.tables.now()
         number = len(ask.outs)
         ask.outs.append(None)
         ask.sent.append(now)
         ask.tried.append((instance, "out", 0.0))
-        if ask.arrived and (ask.arrived >= ask.route.trials or not self.budget.spend(now, tables.sidecars)):
+        if ask.arrived and (ask.arrived >= ask.route.trials or not self._may_retry(now)):
             ask.tried[number] = (instance, "not sent: no budget for a further try", 0.0)
             self.handle(api.AttemptEnded(ask.id, number, Outcome.MOOT, 0.0, False))
             return
--- a/mesh/event_log/events.py
+++ b/mesh/event_log/events.py
@@ -36,11 +36,14 @@
 CATALOGUE: dict[int, Event] = {}
 """All events, by number."""
 
+RETIRED = frozenset({207, 208, 209, 304, 306, 307, 501})
+"""Numbers of earlier catalogues that nothing tells any more; they are not given again."""
+
 
 def _event(number: int, level: Level, text: str, *fields: str) -> Event:
     event = Event(number, level, text, fields)
-    if CATALOGUE.setdefault(number, event) is not event:
-        raise ValueError(f"events: {number} is given twice; take a free number")
+    if number in RETIRED or CATALOGUE.setdefault(number, event) is not event:
+        raise ValueError(f"events: {number} is given twice, or retired; take a free number")
     return event
 
 
@@ -60,9 +63,6 @@
 INSTANCE_SETTLED = _event(204, Level.INFO, "instance settled", "service", "instance")
 INSTANCE_DECAYING = _event(205, Level.INFO, "instance decaying", "service", "instance")
 INSTANCE_GONE = _event(206, Level.INFO, "instance gone", "service", "instance", "why")
-SUSPECTED = _event(207, Level.WARNING, "machine suspected", "peer", "silent_ms")
-ADDRESS_REUSED = _event(208, Level.INFO, "address used again", "address", "before", "now")
-PEER_REFUSED = _event(209, Level.WARNING, "peer refused", "peer", "reason")
 NODE_DROPPED = _event(212, Level.INFO, "node given up", "peer", "silent_s", "instances")
 ZONE_KEPT = _event(213, Level.WARNING, "most of a zone silent, its nodes kept", "zone")
 CONTACT_LOST = _event(220, Level.WARNING, "contact with most members lost", "heard", "of")
@@ -78,10 +78,7 @@
 CHANGE_TAKEN = _event(301, Level.INFO, "change decided", "items")
 CHANGE_REFUSED = _event(302, Level.WARNING, "change refused", "reason")
 NOT_ACKNOWLEDGED = _event(303, Level.WARNING, "change not acknowledged in time", "reason")
-PULLED = _event(304, Level.INFO, "configuration pulled", "peer", "items")
 IN_FORCE = _event(305, Level.INFO, "configuration in force", "items", "version")
-READ_BACK = _event(306, Level.DEBUG, "configuration read back", "items")
-BEHIND = _event(307, Level.WARNING, "configuration behind", "peer", "items")
 STATE_FULL = _event(308, Level.ERROR, "control state full", "reason")
 ROUTE_WORSE = _event(
     309, Level.ERROR, "route worse by its new version", "route", "version", "failed", "before"
@@ -107,8 +104,7 @@
 DROPS_FORGOTTEN = _event(411, Level.INFO, "drops forgotten, which all hold", "items")
 DISK_MOVED_ON = _event(408, Level.INFO, "store moved on", "note")
 
-SHED = _event(501, Level.INFO, "calls shed", "service", "why")
-BUDGET_SPENT = _event(502, Level.WARNING, "budget for further tries spent", "service")
+BUDGET_SPENT = _event(502, Level.WARNING, "retry budget spent", "service", "refused")
 CALLS_CUT = _event(503, Level.WARNING, "link lost with calls out", "peer", "calls", "asked", "why")
 WRONG_ANSWER = _event(504, Level.ERROR, "wrong answer dropped", "wanted", "got")
 UNCLEAR = _event(505, Level.WARNING, "effectful call unclear", "attempt", "why")
--- a/mesh/runtime/startup.py
+++ b/mesh/runtime/startup.py
@@ -18,6 +18,7 @@
 
 VARIABLE = "ANISESTAIR_BOOT"
 LOOK_S = 1.0  # between two looks at the file, which may change without a signal
+MOST_NAMED = 20  # unknown settings in one line of the log
 
 
 class Program(Protocol):
@@ -30,6 +31,9 @@
     async def stop(self) -> None:
         """An orderly end."""
 
+    def open_calls(self) -> int:
+        """Calls that are in hand and will be finished before an orderly end."""
+
 
 def load(environment: Mapping[str, str]) -> Settings | Wrong:
     path = environment.get(VARIABLE, "")
@@ -82,9 +86,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ends.set)
     program = make(settings, event_log)
+    if settings.unknown:
+        event_log.tell(events.SETTINGS_UNKNOWN, names=", ".join(settings.unknown[:MOST_NAMED]))
     await program.start()
     following = Following(settings, event_log, program)
     await ends.wait()
+    event_log.tell(events.STOPPING, open_calls=program.open_calls())
     await program.stop()
     del following
 
--- a/mesh/transport/http_calls.py
+++ b/mesh/transport/http_calls.py
@@ -131,9 +131,9 @@
         self._callers.discard(caller)
 
     @property
-    def busy(self) -> bool:
-        """A call is being worked on."""
-        return any(not item.idle for item in self._callers)
+    def busy(self) -> int:
+        """How many calls are being worked on."""
+        return sum(not item.idle for item in self._callers)
 
     def stop(self) -> None:
         """Takes no more connections; calls in hand are answered, idle connections end."""
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -272,6 +272,8 @@
             assert tries == budget.spent <= 0.5 * (0.2 * requests + 4.0)
         assert tries >= 0.5 * (0.2 * 120 + 4.0) - 1.0  # and are not withheld below it
         assert budget.denied > 0
+        told = [line for line in bench.log.getvalue().splitlines() if " W502 " in line]
+        assert len(told) == 1 and "service=s refused=1" in told[0]  # once a window
 
     at_table(test, slack=4.0)
 
--- a/tests/mesh/test_event_log_events.py
+++ b/tests/mesh/test_event_log_events.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import pytest
+
 from mesh.event_log import events
 from mesh.event_log.events import CATALOGUE, Event
 
@@ -56,3 +58,19 @@
         event = getattr(events, name, None)
         assert isinstance(event, Event), f"{place}: no event {name}"
         assert given == set(event.fields), f"{place}: {name} has {event.fields}"
+
+
+def test_every_event_is_told_somewhere() -> None:
+    told = {
+        node.attr
+        for path in (ROOT / "mesh").rglob("*.py")
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name) and node.value.id == "events"
+    }
+    assert {name for name, event in vars(events).items() if isinstance(event, Event)} <= told
+
+
+def test_a_number_that_is_retired_is_not_given_again() -> None:
+    assert events.RETIRED.isdisjoint(CATALOGUE)
+    with pytest.raises(ValueError, match="207"):
+        events._event(207, events.Level.INFO, "given again")
--- /dev/null
+++ b/tests/mesh/test_runtime_startup.py
@@ -0,0 +1,48 @@
+"""What a program says in its log as it starts and is told to end."""
+
+import asyncio
+import io
+import os
+import signal
+from pathlib import Path
+
+import pytest
+import tomli_w
+
+from mesh.event_log.log import EventLog
+from mesh.runtime import startup
+from mesh.runtime.settings import Settings, read
+from tests.mesh.test_runtime_settings import example
+
+
+class Program:
+    """Asks for its own end as soon as it runs."""
+
+    def __init__(self) -> None:
+        self.stopped = False
+
+    async def start(self) -> None:
+        asyncio.get_running_loop().call_soon(os.kill, os.getpid(), signal.SIGTERM)
+
+    def retune(self, settings: Settings) -> None:
+        raise AssertionError("the settings have not changed")
+
+    async def stop(self) -> None:
+        self.stopped = True
+
+    def open_calls(self) -> int:
+        return 3
+
+
+def test_unknown_settings_and_the_word_to_end_are_told(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file, log, program = tmp_path / "boot.toml", io.StringIO(), Program()
+    file.write_text(tomli_w.dumps(example() | {f"field_{at:02}": 1 for at in range(30)}))
+    monkeypatch.setenv(startup.VARIABLE, str(file))
+    settings = read(file.read_text())
+    assert isinstance(settings, Settings)
+    asyncio.run(startup._serve(settings, EventLog("n", log), lambda *_: program))
+    unknown, stopping = log.getvalue().splitlines()
+    assert "I102 unknown settings ignored" in unknown and "field_19" in unknown and "field_20" not in unknown
+    assert stopping.endswith("I103 asked to end open_calls=3") and program.stopped
