Take a call's wait for its link off what the second hop is told is left

Cause: a call was stamped with the time and the patience left when its upstream was chosen. Where it then waited for the link (0.2 s at the most) or for the second hop's life (0.1 s), the frame still carried the old figures: the second hop let it wait, and the upstream work, up to 0.2 s past its client's deadline, and a lost link was asked back for as much too long. Change: what waits is charged as it is written. Calls on a link that is up are untouched.

--- a/mesh/data_plane/call_messages.py
+++ b/mesh/data_plane/call_messages.py
@@ -33,6 +33,13 @@
     effectful: bool = False  # it may run once at the most
     aim_ms: float = 0.0  # known at the first hop alone
 
+    def wait(self, waited_ms: float) -> None:
+        """Charges ``waited_ms`` at the first hop, so that the second hop is told what is left by then."""
+        self.left_ms -= waited_ms
+        self.patience_ms -= waited_ms
+        self.longer_ms -= waited_ms
+        self.age_ms += waited_ms
+
     def head(self, number: int) -> Head:
         return {
             "t": "call",
--- a/mesh/data_plane/call_state.py
+++ b/mesh/data_plane/call_state.py
@@ -282,7 +282,7 @@
         self.state = CHOSEN
         self.link: Any = None  # the node's, as the passage has it
         self.number = 0
-        self.sent = 0.0  # seconds of the loop's clock
+        self.sent = 0.0  # seconds of the loop's clock; until it is written, when it was handed over
         self.life: str | None = None  # of the second hop, on the link that was lost
         self.running: Any = None  # where the second hop is this process
         self.asking: asyncio.TimerHandle | None = None  # when asking back is over
--- a/mesh/data_plane/peer_calls.py
+++ b/mesh/data_plane/peer_calls.py
@@ -57,7 +57,7 @@
         self.left = False  # the node is elsewhere now, or gone
 
     def send(self, out: Out) -> None:
-        self.used = self.passage.loop.time()
+        self.used = out.sent = self.passage.loop.time()
         if self._may_write(out):
             self._write(out)
         elif self.down:
@@ -119,6 +119,7 @@
         waiting, self.waiting = self.waiting, []
         for out in waiting:
             if self._may_write(out):
+                out.call.wait((self.passage.loop.time() - out.sent) * 1000.0)
                 self._write(out)
             elif self.link is not None and self.link.up:
                 self.waiting.append(out)
