--- a/tests/mesh/test_runtime_startup.py
+++ b/tests/mesh/test_runtime_startup.py
@@ -25,7 +25,7 @@
         asyncio.get_running_loop().call_soon(os.kill, os.getpid(), signal.SIGTERM)
 
     def retune(self, settings: Settings) -> None:
-        raise AssertionError("the settings have not changed")
+        raise AssertionError(f"settings that have not changed: {settings}")
 
     async def stop(self) -> None:
         self.stopped = True
