Decide on routes that came late by figures like their own

Change: route_classes.py keeps the classes, apart from the table. Beyond the bound those alike in kind, worth, aim and horizon share one, bounded as well; the most trials of any route bound the attempts, and the route's own the upstreams.

--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -11,22 +11,21 @@
 
 from hareloom import Balancer
 from hareloom import interface as api
-from hareloom.interface import NEVER_RAN, Effect, ListKind, Outcome, ServerState
+from hareloom.interface import NEVER_RAN, ListKind, Outcome, ServerState
 from mesh.admission.final_check import Why
 from mesh.admission.retry_budget import Budget
 from mesh.configuration.routes import Route
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
 from mesh.data_plane.call_state import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
 from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.route_classes import RouteClasses, worth_of
 from mesh.data_plane.traces import FirstHop, words
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
 from mesh.transport.link import Address
 
 FURTHER = 2  # attempts of a request beyond its route's trials, for those that never reached an upstream
-LATE_WORTH = 0.3  # of an answer after its aim, as no configuration tells it
 RETRY_AFTER_MS = 10_000.0  # the longest advice; clients take a third of their time at the most
-CLASSES = 64  # routes with a class of their own; the rest share one by what they may do
 # Of its aim a request waits for a place, and is then told to come back: a quarter less the ways to its
 # client.
 # What is worth more for its work than others at the service waits longer: the next places are its own.
@@ -47,8 +46,8 @@
         self.tables, self.service = tables, service
         self.loop = tables.loop
         self.budget = Budget(tables.ratio, tables.window_ms, tables.slack)
-        self._classes: dict[str, api.RequestClass] = {}
-        self._add(first)
+        self.classes = RouteClasses()
+        self.classes.take(first)
         self.balancer = Balancer(self._settings(), tables.seed(service))
         self.asks: dict[str, Ask] = {}
         self._events: deque[api.Event] = deque()
@@ -59,13 +58,12 @@
 
     def _settings(self) -> api.Settings:
         tables = self.tables
-        trials = max(tables.trials.get(name, 1) for name in self._classes)
         return api.Settings(
-            classes=tuple(self._classes.values()),
+            classes=self.classes.all(),
             peers=max(tables.sidecars, 1),
             zone=tables.zone,
             limits=api.Limits(
-                max_attempts=trials + FURTHER,
+                max_attempts=self.classes.trials + FURTHER,
                 paced=False,
                 may_cancel=True,
                 max_retry_after_ms=RETRY_AFTER_MS,
@@ -78,28 +76,9 @@
 
     def _add(self, route: Route) -> str:
         """The class of a route, made or renewed where it is not as the route says."""
-        name = route.name
-        if name not in self._classes and len(self._classes) >= CLASSES:
-            name = "effectful" if route.effectful else "idempotent"
-        aim = min(route.aim_ms, route.horizon_ms) if route.aim_ms > 0 else route.horizon_ms
-        known = self._classes.get(name)
-        if known is not None and name != route.name:
-            return name
-        effect = Effect.UNSAFE if route.effectful else Effect.SAFE
-        shape = (aim, route.horizon_ms, effect)
-        same = known is not None and (known.aim_ms, known.deadline_ms, known.effect) == shape
-        if not same or self.tables.trials[name] != route.trials:
-            self._classes[name] = api.RequestClass(
-                name,
-                aim_ms=aim,
-                deadline_ms=route.horizon_ms,
-                worth=2.0 ** -min(route.priority, 8),
-                late_worth=LATE_WORTH,
-                effect=effect,
-            )
-            self.tables.trials[name] = route.trials
-            if hasattr(self, "balancer"):
-                self.retune()
+        name, changed = self.classes.take(route)
+        if changed:
+            self.retune()
         return name
 
     def retune(self) -> None:
@@ -244,7 +223,7 @@
             instance,
             ask.caller,
             ask.deadline - now,
-            rank=2.0 ** -min(ask.route.priority, 8) / max(ask.route.aim_ms, 1.0),
+            rank=worth_of(ask.route) / max(ask.route.aim_ms, 1.0),
             patience_ms=PATIENCE * ask.route.aim_ms - (now - ask.taken),
             longer_ms=PATIENCE_OVER * ask.route.aim_ms - (now - ask.taken),
             route=ask.route.name,
@@ -310,7 +289,6 @@
         self.zone, self.event_log = zone, event_log
         self.ratio, self.window_ms, self.slack = bounds
         self._random = random.Random(seed)
-        self.trials: dict[str, int] = {}
         self.sidecars, self.many_zones = 3, False
         self.by_service: dict[str, Table] = {}
         self.traces = FirstHop()
--- /dev/null
+++ b/tests/mesh/test_data_plane_route_classes.py
@@ -0,0 +1,63 @@
+"""Classes of routes: bounded whatever routes there are, and by the route's own figures for each."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hareloom.interface import Effect
+from mesh.configuration.routes import Route
+from mesh.data_plane.route_classes import OWN_MOST, SHARED_MOST, RouteClasses, worth_of
+
+ROUTE = Route("r", 1, "h", "/r/", False, 1000.0, 400.0, 2, 1, (("s", 1.0),))
+SHAPES = st.tuples(
+    st.booleans(), st.sampled_from((10.0, 400.0, 30_000.0, 590_000.0)), st.integers(0, 12), st.integers(1, 6)
+)
+
+
+@settings(deadline=None, max_examples=40)
+@given(st.lists(SHAPES, min_size=OWN_MOST + 1, max_size=OWN_MOST + 300))
+def test_each_route_is_decided_on_by_figures_like_its_own(shapes: list[tuple[bool, float, int, int]]) -> None:
+    classes = RouteClasses()
+    for at, (effectful, horizon_ms, priority, trials) in enumerate(shapes):
+        route = replace(
+            ROUTE,
+            name=f"r{at}",
+            effectful=effectful,
+            horizon_ms=horizon_ms,
+            aim_ms=horizon_ms / 3.0,
+            priority=priority,
+            trials=trials,
+        )
+        name, _ = classes.take(route)
+        klass = {one.name: one for one in classes.all()}[name]
+        assert (klass.effect is Effect.UNSAFE) == effectful
+        if name not in ("effectful", "idempotent"):  # beyond all bounds
+            assert klass.worth == worth_of(route)
+            assert 0.7 < klass.aim_ms / route.aim_ms < 1.5
+            assert 0.7 < klass.deadline_ms / horizon_ms < 1.5
+        assert classes.trials >= trials
+        assert classes.take(route) == (name, False)
+    assert len(classes.all()) <= OWN_MOST + SHARED_MOST + 2
+
+
+def test_a_late_route_has_its_own_aim_and_trials_and_not_those_of_the_first_beyond_the_bound() -> None:
+    classes = RouteClasses()
+    for at in range(OWN_MOST):
+        classes.take(replace(ROUTE, name=f"r{at}"))
+    quick, _ = classes.take(replace(ROUTE, name="quick", aim_ms=10.0, horizon_ms=30.0))
+    slow, told = classes.take(replace(ROUTE, name="slow", aim_ms=4000.0, horizon_ms=9000.0, trials=5))
+    by_name = {one.name: one for one in classes.all()}
+    assert told and classes.trials == 5
+    assert by_name[quick].aim_ms < 20.0 and by_name[slow].aim_ms > 3000.0
+
+
+def test_a_route_that_changes_has_its_class_renewed() -> None:
+    classes = RouteClasses()
+    assert classes.take(ROUTE) == ("r", True)
+    assert classes.take(replace(ROUTE, version=2)) == ("r", False)
+    assert classes.take(replace(ROUTE, version=3, aim_ms=50.0)) == ("r", True)
+    (klass,) = classes.all()
+    assert klass.aim_ms == 50.0
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -14,6 +14,7 @@
 from hareloom import interface as api
 from mesh.admission.final_check import Why
 from mesh.configuration.routes import Route
+from mesh.data_plane import route_classes
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
 from mesh.data_plane.call_state import Ask, Failed, Final, Refused, Served
 from mesh.data_plane.service_balancers import GUARD_MS, Table, Tables
@@ -385,7 +386,7 @@
 def test_classes_are_bounded_and_what_a_route_may_do_is_kept_beyond_the_bound(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("mesh.data_plane.service_balancers.CLASSES", 3)
+    monkeypatch.setattr(route_classes, "OWN_MOST", 3)
 
     async def test(bench: Bench) -> None:
         for at in range(8):
@@ -396,9 +397,10 @@
             if not final.done():
                 bench.end(OK)
             bench.serve(5)
-        assert set(bench.table(READ)._classes) == {
+        assert {one.name for one in bench.table(READ).classes.all()} == {
             *("route-0", "route-1", "read"),
-            *("effectful", "idempotent"),
+            "effectful, worth 0.5, aim 512 ms, horizon 1024 ms",
+            "idempotent, worth 0.5, aim 512 ms, horizon 1024 ms",
         }
 
     at_table(test, upstreams=9)
@@ -414,3 +416,35 @@
         assert len(bench.sends(ask)) == 6
 
     at_table(test, upstreams=9)
+
+
+def test_a_route_that_came_late_has_its_trials_as_the_first_have() -> None:
+    async def test(bench: Bench) -> None:
+        for at in range(route_classes.OWN_MOST + 1):
+            bench.ask(replace(READ, name=f"r{at}", trials=1))
+            bench.end(OK)
+        ask, final = bench.ask(replace(READ, name="late", trials=6))
+        while not final.done():
+            bench.end(UNCLEAR)
+        assert len(bench.sends(ask)) == 6
+
+    at_table(test, upstreams=9)
+
+
+def test_four_thousand_late_routes_are_served_as_the_first_and_cost_a_bounded_number_of_retunes() -> None:
+    async def test(bench: Bench) -> None:
+        told, retunes = bench.table(READ).balancer.on_retune, []
+
+        def retune(settings: api.Settings) -> None:
+            retunes.append(settings)
+            told(settings)
+
+        bench.table(READ).balancer.on_retune = retune  # type: ignore[method-assign]
+        for at in range(4020):
+            shape = replace(READ, name=f"r{at}", aim_ms=100.0 + at, priority=at % 4)
+            _, final = bench.ask(shape, left_ms=900.0)
+            bench.end(OK)
+            assert final.result() == Served(OK), at
+        assert len(retunes) < 2 * route_classes.OWN_MOST + route_classes.SHARED_MOST
+
+    at_table(test)
