--- a/mesh/data_plane/route_classes.py
+++ b/mesh/data_plane/route_classes.py
@@ -58,12 +58,14 @@
     """Of one service."""
 
     def __init__(self) -> None:
+        """No routes yet."""
         self._own: dict[str, api.RequestClass] = {}  # by the route's name
         self._shared: dict[str, api.RequestClass] = {}
         self._known: dict[str, tuple[Route, str]] = {}  # as each came last, and its class
         self.trials = 1  # the most that any route has had
 
     def all(self) -> tuple[api.RequestClass, ...]:
+        """The classes that decisions are made by, those of single routes first."""
         return *self._own.values(), *self._shared.values()
 
     def take(self, route: Route) -> tuple[str, bool]:
