--- a/benchmarks/days_played.py
+++ b/benchmarks/days_played.py
@@ -34,7 +34,7 @@
 Entry = Mapping[str, Any]
 
 
-class BadPage(Exception):
+class BadPageError(Exception):
     """A page without both marks; one line."""
 
 
@@ -78,6 +78,7 @@
 
 
 def signs_of(day: Mapping[str, Any]) -> tuple[str, ...]:
+    """What speaks against a day: rules broken with their counts, a fault, a gate that it failed."""
     rules = [f"{name} {count}" for name, count in (day.get("rules") or {}).items() if count]
     fault = ["fault"] if day.get("fault") else []
     gate = ["gate"] if day.get("gate") is False else []
@@ -94,6 +95,7 @@
 
 
 def plays_of(name: str, entry: Entry) -> Iterator[Play]:
+    """Each day of one entry of the journal."""
     trial = str(entry.get("why") or "").lower().startswith(TRIAL)
     for day in entry["days"]:
         seed = day.get("seed")
@@ -103,11 +105,13 @@
 
 
 def unfinished_of(name: str, entry: Entry) -> Unfinished:
+    """An entry that ended without days."""
     error = str(entry.get("error") or "no days left")
     return Unfinished(name, str(entry["cmd"]), site_of(entry), str(entry.get("why") or ""), error)
 
 
 def grouped(plays: Iterable[Play]) -> dict[tuple[str, str], list[Play]]:
+    """Plays by site and day."""
     found: dict[tuple[str, str], list[Play]] = {}
     for play in plays:
         found.setdefault((play.site, play.day), []).append(play)
@@ -115,6 +119,7 @@
 
 
 def told_seeds(plays: Sequence[Play]) -> str:
+    """The seeds of some plays, as a cell of the table."""
     seeds = sorted({play.seed for play in plays if play.seed is not None})
     if len(seeds) > MOST_SEEDS or any(seed > 99 for seed in seeds):
         return f"{len(seeds)} seeds" if len(seeds) != 1 else str(seeds[0])
@@ -122,6 +127,7 @@
 
 
 def told_result(plays: Sequence[Play]) -> str:
+    """How some plays of one day ended, as a cell of the table."""
     broken = [play for play in plays if play.signs]
     untold = sum(not play.signs and not play.gate_told for play in plays)
     trials = sum(play.trial for play in plays)
@@ -133,6 +139,7 @@
 
 
 def told_entries(plays: Sequence[Play]) -> str:
+    """The newest entries of some plays, as a cell of the table."""
     names = list(dict.fromkeys(play.entry[-8:] for play in plays))
     more = f" and {len(names) - MOST_ENTRIES} before" if len(names) > MOST_ENTRIES else ""
     return " ".join(names[-MOST_ENTRIES:]) + more
@@ -159,15 +166,16 @@
 
 
 def with_table(page: str, made: str) -> str:
-    """The page with what stands between its marks replaced. Raises BadPage."""
+    """The page with what stands between its marks replaced. Raises BadPageError."""
     before, begin, rest = page.partition(BEGIN)
     _, end, after = rest.partition(END)
     if not begin or not end:
-        raise BadPage(f"the page needs the lines {BEGIN} and {END}")
+        raise BadPageError(f"the page needs the lines {BEGIN} and {END}")
     return f"{before}{BEGIN}\n{made}\n{END}{after}"
 
 
 def main() -> int:
+    """Write the table into its page; the exit status."""
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     words.add_argument("--since", default="", help="the first entry's name begins so or comes later")
     words.add_argument("--journal", type=Path, default=JOURNAL)
@@ -182,7 +190,7 @@
         return 0
     try:
         page = with_table(given.write.read_text(encoding="utf-8"), made)
-    except (OSError, BadPage) as fault:
+    except (OSError, BadPageError) as fault:
         print(f"days_played: {given.write}: {fault}", file=sys.stderr)
         return 1
     given.write.write_text(page, encoding="utf-8")
--- a/benchmarks/draw_days.py
+++ b/benchmarks/draw_days.py
@@ -33,7 +33,7 @@
 from typing import Any
 
 from benchmarks.bench_runs import Bench, Result, pooled
-from benchmarks.day_files import ROOT, BadDay, inside_repository, read_day, write_day
+from benchmarks.day_files import ROOT, BadDayError, inside_repository, read_day, write_day
 from benchmarks.day_kinds import BadKinds, Day, drawers, told
 from benchmarks.reduce_days import taken_apart
 
@@ -176,7 +176,7 @@
         tomllib.TOMLDecodeError,
         subprocess.SubprocessError,
         BadKinds,
-        BadDay,
+        BadDayError,
     ) as fault:
         print(f"draw_days: {fault!r}; give the bench's program and its site files", file=sys.stderr)
         return 1
--- a/benchmarks/reduce_days.py
+++ b/benchmarks/reduce_days.py
@@ -20,6 +20,7 @@
 
 
 def of_items(day: Day, left: Sequence[Item]) -> Day:
+    """The same day with these troubles and plans alone."""
     found = {key: value for key, value in day.items() if key != "closing"}
     found.update({part: [entry for name, entry in left if name == part] for part in PARTS})
     found.update({name: entry for name, entry in left if name == "closing"})
--- a/benchmarks/tolerated_losses.py
+++ b/benchmarks/tolerated_losses.py
@@ -112,4 +112,5 @@
 
 
 def without_size(entry: Entry) -> Entry:
+    """A trouble without how many machines it takes."""
     return {key: value for key, value in entry.items() if key not in ("share", "count")}
