--- a/benchmarks/worth.py
+++ b/benchmarks/worth.py
@@ -65,6 +65,7 @@
     def __init__(
         self, told: Mapping[str, Any], calls: Sequence[Call], trace: Trace, speeds: Mapping[str, float]
     ) -> None:
+        """``told``: the class as the report has it; ``calls``: its route's; ``speeds``: by upstream."""
         self.told, self.calls, self.speeds = told, calls, speeds
         seen = statistics.median(call.took_ms for call in calls) if calls else 0.0
         self.client_ms = max(told["p50_ms"] - seen, 0.0) if calls else 0.0
@@ -80,6 +81,7 @@
         return call.end == "200" and call.took_ms + self.client_ms > call.aim_ms
 
     def cause(self, call: Call) -> str:
+        """What made this call late."""
         parts = self.parts[call.attempt]
         over = {part: getattr(parts, part) - self.usual[part] for part in PARTS}
         part = max(over, key=lambda name: over[name])
@@ -110,11 +112,12 @@
         return dict(found)
 
     def mean_parts(self, calls: Sequence[Call]) -> dict[str, float]:
+        """Milliseconds by part, the mean of those calls."""
         some = [self.parts[call.attempt] for call in calls] or [Parts()]
         return {part: round(statistics.fmean(getattr(one, part) for one in some), 1) for part in PARTS}
 
 
-def class_weights(report: Report, ledgers: Mapping[str, ClassLedger]) -> Loss:
+def class_weights(ledgers: Mapping[str, ClassLedger]) -> Loss:
     """Each class's part of the whole day's loss, as far as the report tells worths: by calls lost."""
     lost = {name: one.told["n"] * (1.0 - one.told["worth"]) for name, one in ledgers.items()}
     whole = sum(lost.values())
@@ -123,7 +126,7 @@
 
 def calls_loss(report: Report, ledgers: Mapping[str, ClassLedger]) -> Loss:
     """What the calls cost, by class and cause."""
-    weights = class_weights(report, ledgers)
+    weights = class_weights(ledgers)
     worst = min(report["classes"], key=lambda one: one["worth"])["name"]
     found: Loss = defaultdict(float)
     for part, weight, value in report["parts"]:
@@ -167,6 +170,7 @@
 
 
 def ledger(report: Report, trace: Trace) -> dict[str, Any]:
+    """All rows, as they are printed as JSON."""
     loads = upstream_loads(trace)
     speeds = {one.instance: one.speed for some in loads.values() for one in some}
     routes, by_route = match_routes(report, trace), trace.by_route()
@@ -206,6 +210,7 @@
 
 
 def table(told: Mapping[str, Any]) -> list[str]:
+    """The rows as lines of Markdown."""
     lines = [
         f"worth {told['worth']:.4f}, lost {told['loss']:.4f}",
         "",
@@ -238,6 +243,7 @@
 
 
 def main() -> None:
+    """The command line."""
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
--- a/benchmarks/worth_trace.py
+++ b/benchmarks/worth_trace.py
@@ -30,6 +30,7 @@
 
     @property
     def failed(self) -> bool:
+        """It ran, or may have, and gave no answer that a client wants."""
         return self.end.startswith(("5", "unclear"))
 
 
@@ -62,6 +63,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
+    """A call as its first hop had it; times in milliseconds."""
+
     attempt: str
     route: str
     aim_ms: float
@@ -72,6 +75,8 @@
 
 @dataclass(slots=True)
 class Trace:
+    """What the proxies of a day wrote."""
+
     calls: list[Call] = field(default_factory=list)
     stays: dict[tuple[str, str], Stay] = field(default_factory=dict)  # by attempt and instance
     bytes_sent: dict[str, dict[str, int]] = field(default_factory=dict)  # by proxy, by kind: the last told
@@ -85,6 +90,7 @@
         return dict(sums)
 
     def by_route(self) -> dict[str, list[Call]]:
+        """Calls by the name of their route."""
         found: dict[str, list[Call]] = defaultdict(list)
         for call in self.calls:
             found[call.route].append(call)
@@ -166,6 +172,7 @@
 
 
 def second_tries(calls: Iterable[Call]) -> SecondTries:
+    """Counts tries that failed, and calls whose first and second both did."""
     tries = failed = first_failed = both = 0
     for call in calls:
         tries += len(call.tries)
--- a/mesh/data_plane/call_trace.py
+++ b/mesh/data_plane/call_trace.py
@@ -26,11 +26,13 @@
     """Of one proxy."""
 
     def __init__(self, proxy: Proxy) -> None:
+        """``proxy`` must have started: its log is written to, its links are looked at."""
         self._proxy, self._event_log = proxy, proxy.event_log
         self._counted: dict[Link, int] = {}  # bytes of each link that have been added up
         self._sums = {"calls": 0, "answers": 0, "updates": 0}
 
     def begin(self) -> None:
+        """From now on each call that ends is told, and every second what the links have sent."""
         proxy = self._proxy
         proxy.tables.traces.trace = self.first_hop
         proxy.upstream_dispatch.traces.trace = self.second_hop
--- a/tests/mesh/test_event_log_log.py
+++ b/tests/mesh/test_event_log_log.py
@@ -45,14 +45,14 @@
 def test_what_is_below_the_level_or_over_the_rate_is_not_formatted() -> None:
     event_log, stream, _ = log()
     Costly.shown = 0
-    event_log.tell(events.READ_BACK, items=Costly())
+    event_log.tell(events.BYTES_SENT, calls=Costly(), answers=0, updates=0)
     assert (stream.getvalue(), Costly.shown) == ("", 0)
     for _ in range(MOST_A_SECOND + 5):
         event_log.tell(events.LINK_UP, peer=Costly())
     assert len(stream.getvalue().splitlines()) == Costly.shown == MOST_A_SECOND
     verbose, stream, _ = log(Level.DEBUG)
-    verbose.tell(events.READ_BACK, items=3)
-    assert stream.getvalue().endswith("D306 configuration read back items=3\n")
+    verbose.tell(events.BYTES_SENT, calls=3, answers=2, updates=1)
+    assert stream.getvalue().endswith("D512 bytes sent to other zones calls=3 answers=2 updates=1\n")
 
 
 def test_the_suppressed_are_told_once_and_each_event_has_its_own_bound() -> None:
