End a withdrawn attempt in the decisions, too: it counted as out for good

Cause: when a client left, or a call's deadline came, what was still out was dropped at the second hop, but the decisions were never told. The attempt stayed in the limit, on its upstream (whose standing grew by its age), its request was never forgotten, and an upstream on trial was never tried again by that proxy.

Change: each attempt that is withdrawn ends there, as cancelled where the client left, as timed out at the deadline.

--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -128,19 +128,24 @@
         if not ask.over:
             self._over(ask)
             self.tables.traces.ended(self.tables.now(), ask, None)
-            self._cut(ask)
             self.handle(api.ClientGone(ask.id))
+            self._cut(ask, Outcome.CANCELLED)
 
     def _overdue(self, ask: Ask) -> None:
         if not ask.over:
             self._finish(ask, Failed(True) if ask.may_have_run() else Refused(0.0))
-            self._cut(ask)
             self.handle(api.ClientGone(ask.id))
+            self._cut(ask, Outcome.TIMEOUT)
 
-    def _cut(self, ask: Ask) -> None:
-        for out in ask.outs:
+    def _cut(self, ask: Ask, outcome: Outcome) -> None:
+        """Withdraws what is still out of a request that is over. The decisions hear of each end: they would
+        count it as out, and its upstream as busy with it, for good."""
+        now = self.tables.now()
+        for number, out in enumerate(ask.outs):
             if out is not None:
+                ask.outs[number] = None
                 self.tables.passage.drop(out)
+                self.handle(api.AttemptEnded(ask.id, number, outcome, now - ask.sent[number], False))
 
     def _over(self, ask: Ask) -> None:
         ask.over = True
@@ -183,6 +188,8 @@
                     ask = self.asks.get(getattr(event, "request", ""))
                     if ask is not None:
                         self._finish(ask, Failed(False))
+                        self.handle(api.ClientGone(ask.id))
+                        self._cut(ask, Outcome.CANCELLED)
         finally:
             self._handling = False
 
@@ -196,14 +203,15 @@
             self.loop.call_later(action.delay_ms / 1000.0, self.handle, api.Timer(action.token))
             return
         if isinstance(action, api.Cancel):
-            return  # what is out when a request is over has been cut with it
+            return  # what is out when a request is over is cut with it
         if isinstance(action, (api.Refuse, api.Fail)):
             ask = self.asks.get(action.request)
             if ask is None:
                 return
             wait_ms = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
-            self._finish(ask, ask.final(self.tables.now() >= ask.deadline - 2.0, wait_ms))
-            self._cut(ask)
+            late = self.tables.now() >= ask.deadline - 2.0
+            self._finish(ask, ask.final(late, wait_ms))
+            self._cut(ask, Outcome.TIMEOUT if late else Outcome.CANCELLED)
 
     def _may_retry(self, now: float) -> bool:
         """Whether the budget bears another retry; if not, that is told once a window."""
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -329,6 +329,26 @@
     at_table(test)
 
 
+@pytest.mark.parametrize("left", [True, False], ids=["the client leaves", "the deadline passes"])
+def test_what_is_withdrawn_is_no_longer_counted_as_out_and_its_upstream_is_tried_again(left: bool) -> None:
+    async def test(bench: Bench) -> None:
+        ask, _ = bench.ask(READ)  # the first is a trial of its upstream
+        balancer = bench.table(READ).balancer
+        assert balancer.limits.out == 1 and any(server.trial for server in balancer.servers.values())
+        if left:
+            bench.table(READ).gone(ask)
+        else:
+            move(1.0 + GUARD_MS / 1000.0 + 0.01)
+            await turns()
+        assert balancer.limits.out == 0 and not balancer.requests
+        assert [(server.held, server.trial) for server in balancer.servers.values()] == [(0, False)]
+        move(10.0)
+        bench.serve(3)
+        assert len(bench.passage.sent) == 4
+
+    at_table(test, upstreams=1)
+
+
 @pytest.mark.parametrize("event", [api.Request, api.AttemptEnded])
 def test_a_fault_in_the_decisions_costs_one_request(event: type) -> None:
     async def test(bench: Bench) -> None:
