--- a/benchmarks/core_share.py
+++ b/benchmarks/core_share.py
@@ -101,7 +101,8 @@
     parser.add_argument("--machines", type=int, default=0)
     parser.add_argument("--zones", type=int, default=0)
     options = parser.parse_args()
-    layouts, tolerances = LAYOUTS, TOLERANCES
+    layouts: Sequence[Sequence[int]] = LAYOUTS
+    tolerances: Sequence[Tolerance] = TOLERANCES
     if options.layout:
         layouts = (tuple(int(part) for part in options.layout.split(",")),)
         tolerances = (Tolerance(options.machines, options.zones, 0),)
--- a/rigs/call_world.py
+++ b/rigs/call_world.py
@@ -291,7 +291,7 @@
         expects = one.link.expects if one.link is not None else 0
         if one.out or one.asking or one.waiting or expects > (not one.proved):
             found.append(f"{name} to {node}: {len(one.out)} out, {len(one.asking)} asked, expects {expects}")
-    for link in program._links:
+    for link in program.incoming_links:
         if link.owes:
             found.append(f"{name}: owes {link.owes} on a link")
     if program.sessions.bytes or any(one.calls for one in program.sessions.by_life.values()):
