--- a/lab/market.py
+++ b/lab/market.py
@@ -106,6 +106,7 @@
         limits = api.Limits(
             max_attempts=made.allow.max_attempts,
             may_cancel=made.allow.cancel,
+            second_copies=made.allow.second_copies,
             max_retry_after_ms=made.clients.max_retry_after_ms,
             connect_timeout_ms=made.network.connect_timeout_ms,
             idle_ms=made.servers.idle_ms,
--- a/lab/policies/__init__.py
+++ b/lab/policies/__init__.py
@@ -8,6 +8,7 @@
 
 from hareloom import Balancer
 from lab.policies.choices import Ejecting, LeastOfTwo, Random, RoundRobin, SmoothedOfTwo
+from lab.policies.hedged import Hedged, Mesh
 from lab.policies.limits import GradientLimit
 from lab.policies.module import NoLimit, NoRetries
 from lab.policies.oracle import LateOracle, Oracle
@@ -18,6 +19,8 @@
 POLICIES: dict[str, tuple[Policy, bool]] = {
     "module": (Balancer, False),
     "module+storms": (Balancer, True),
+    "mesh": (Mesh, False),
+    "mesh with hedges": (Hedged, False),
     "module without limit": (NoLimit, False),
     "module without retries": (NoRetries, False),
     "round robin": (RoundRobin, False),
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -180,6 +180,7 @@
 class Allow(Table, frozen=True, kw_only=True):
     max_attempts: Count = 4
     cancel: bool = True
+    second_copies: bool = False  # two attempts of a call may be out at once
     drain_grace_ms: NotNegative = 2000.0
     answer_slack_ms: NotNegative = 20.0
 
