Play answers of every kind over both hops against MIXED, trials and horizon

No test went over both hops with answers that are no plain success. Judged: status, seal and body against what was given, trials, horizon. call_world judges trials too. Calls are served again after all sidecars were killed at once, which had no test.

--- a/rigs/call_world.py
+++ b/rigs/call_world.py
@@ -13,7 +13,7 @@
 import random
 import sys
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -45,17 +45,22 @@
 
     token: str
     home: str
-    effectful: bool
+    route: Route
     sent_at: float
     got: list[int] = field(default_factory=list)
+    headers: http.Headers = field(default_factory=list)
     body: bytes = b""
     answered_at: float = 0.0
     life: Any = None
     cut_at: float | None = None  # it was out on a link that was lost then
     ran_by_then: bool = False
 
+    @property
+    def effectful(self) -> bool:
+        return self.route.effectful
 
-class _Work:
+
+class Work:
     """A request at an upstream, as `UpstreamDispatch` sees its connection."""
 
     def __init__(self, ended: Callable[[Outcome], None]) -> None:
@@ -70,21 +75,21 @@
             ended(outcome)
 
 
-class _Tap:
+class Tap:
     """Stands in for the connections to the upstream beside one sidecar."""
 
     def __init__(self, world: CallWorld, machine: Machine) -> None:
         self.world, self.machine, self.most = world, machine, 100
 
-    async def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> _Work | None:
+    async def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> Work | None:
         world, draw = self.world, self.world.draw
         chance = draw.random() if world.fails else 1.0
         if chance < 0.02:
             ended(NotSent(False))
             return None
         token = payload.rpartition(b"\r\n\r\n")[2]
-        world.begun[token.decode()] += 1
-        work = _Work(ended)
+        world.begin(token.decode(), self.machine.name)
+        work = Work(ended)
         if chance < 0.05:
             outcome: Outcome = Broken("the connection ended")
         else:
@@ -101,6 +106,10 @@
 
 
 class CallWorld(World):
+    routes: tuple[Route, ...] = (WRITE, READ)  # the last may be repeated
+    upstreams = 2
+    waits_ms: tuple[int, ...] = (300, 600, 900, 1500)  # that clients tell
+
     def __init__(
         self, seed: int, asks_back: bool = True, kinds: Sequence[str] = TROUBLES, fails: bool = True
     ) -> None:
@@ -111,6 +120,7 @@
         self.asks_back = asks_back
         self.works_s = (0.003, 0.02, 0.08, 0.3 if fails else 0.15)
         self.begun: Counter[str] = Counter()
+        self.ran_at: defaultdict[str, set[str]] = defaultdict(set)  # the upstreams that began a request
         self.asked: list[Asked] = []
         self.faults: dict[int, str] = {}
         self.struck: list[str] = []
@@ -118,13 +128,22 @@
     def service(self, machine: Machine) -> str:
         return SERVICE if machine.name.startswith("s") else "clients"
 
+    def tap(self, machine: Machine) -> Tap:
+        """What stands in for the connections to that machine's upstream."""
+        return Tap(self, machine)
+
+    def begin(self, token: str, upstream: str) -> None:
+        """An upstream begins a request."""
+        self.begun[token] += 1
+        self.ran_at[token].add(upstream)
+
     def dress(self, life: Life) -> None:
         program = life.program
-        program.tap = program.upstream_dispatch.tap = _Tap(self, life.machine)
+        program.tap = program.upstream_dispatch.tap = self.tap(life.machine)
         if not self.asks_back:
             program.passage.life = ""
-        program.routes.put(WRITE)
-        program.routes.put(READ)
+        for route in self.routes:
+            program.routes.put(route)
 
     # Troubles
 
@@ -199,23 +218,23 @@
             if changed:
                 machine.life.context.run(program._changed, "roll", changed)  # type: ignore[union-attr]
 
-    def request(self, machine: Machine, effectful: bool, attempt: str, left_ms: int) -> None:
+    def request(self, machine: Machine, route: Route, attempt: str, left_ms: int) -> None:
         program = machine.program
         if program is None:
             return
-        one = Asked(f"t{len(self.asked)}", machine.name, effectful, self.loop.time(), life=machine.life)
+        one = Asked(f"t{len(self.asked)}", machine.name, route, self.loop.time(), life=machine.life)
         self.asked.append(one)
         headers = [
             (b"host", HOST.encode()),
             (b"attempt-id", attempt.encode()),
             (b"time-remaining", b"%d" % left_ms),
         ]
-        target = b"/w/x" if effectful else b"/r/x"
+        target = route.prefix.encode() + b"x"
         message = http.Message(method=b"POST", target=target, headers=headers, body=one.token.encode())
 
         def reply(status: int, headers: http.Headers, body: bytes) -> None:
             one.got.append(status)
-            one.body, one.answered_at = body, self.loop.time()
+            one.headers, one.body, one.answered_at = headers, body, self.loop.time()
 
         def begin() -> None:
             program.intake.begin(program.tables.now(), message, reply)
@@ -225,8 +244,8 @@
     def boot_sides(self) -> Script:
         sides = [
             self.add(f"{kind}{n}", f"10.0.{at}.{n}", core=False)
-            for at, kind in enumerate("fs")
-            for n in (1, 2)
+            for at, (kind, count) in enumerate((("f", 2), ("s", self.upstreams)))
+            for n in range(1, count + 1)
         ]
         for machine in sides:
             self.start(machine)
@@ -234,6 +253,9 @@
         self.share()
         yield self.env.timeout(0.05)
 
+    def draw_route(self) -> Route:
+        return WRITE if self.draw.random() < 0.8 else READ
+
     def draw_troubles(self) -> None:
         for _ in range(self.draw.choice((1, 1, 2, 3, 4))):
             self.faults[self.draw.randrange(FRAMES)] = self.draw.choice(self.kinds)
@@ -242,14 +264,14 @@
         draw = self.draw
         yield from self.boot_sides()
         for number in range(4):  # links are up before troubles begin
-            self.request(self.machines["f1" if number % 2 else "f2"], False, f"w{number}", 900)
+            self.request(self.machines["f1" if number % 2 else "f2"], self.routes[-1], f"w{number}", 900)
             yield self.env.timeout(0.1)
         self.draw_troubles()
         self.counting = True
         for number in range(CALLS):
             home = self.machines[draw.choice(("f1", "f1", "f2", "f2", "s1"))]
             attempt = f"a{draw.randrange(number + 1)}" if draw.random() < 0.1 else f"a{number}"
-            self.request(home, draw.random() < 0.8, attempt, draw.choice((300, 600, 900, 1500)))
+            self.request(home, self.draw_route(), attempt, draw.choice(self.waits_ms))
             yield self.env.timeout(draw.choice((0.0, 0.002, 0.02, 0.1)))
         self.counting = False
         yield self.env.timeout(QUIET_S)
@@ -270,6 +292,8 @@
                 found.append(f"twice: {one.token} was begun {self.begun[one.token]} times")
             if one.effectful and one.got[:1] == [503] and self.begun[one.token]:
                 found.append(f"promise: {one.token} was refused with a promise and ran")
+            if len(self.ran_at[one.token]) > one.route.trials:
+                found.append(f"trials: {one.token} ran at {sorted(self.ran_at[one.token])}")
         for machine, program in self.programs(core=False):
             found += left_over(machine.name, program)
         return found
--- /dev/null
+++ b/tests/mesh/test_answer_world.py
@@ -0,0 +1,140 @@
+"""MIXED, BUDGET's trials and the price of holding, over both hops: whatever upstreams answer, whatever is
+lost, killed or asked back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from mesh.data_plane import request_dispatch, service_balancers
+from mesh.data_plane.call_messages import End, Returned, TurnedAway, Unclear
+from mesh.data_plane.call_state import Ask, Final, Served
+from rigs.answer_world import AnswerWorld, UpstreamAnswer
+from rigs.call_world import TROUBLES
+from simulation.mesh.seeds import Patch
+
+# HTTP's own, those that promise, and some that HTTP does not know; with 421 no upstream has run a request.
+STATUSES = (200, 204, 299, 302, 400, 404, 408, 429, 499, 500, 502, 503, 504, 520, 599)
+OWN = UpstreamAnswer(200)
+
+
+def usual(status: int) -> UpstreamAnswer:
+    return UpstreamAnswer(status)
+
+
+ANSWERS = st.one_of(
+    st.just(OWN),
+    st.just(UpstreamAnswer(200, silent=True)),
+    st.sampled_from(STATUSES).map(usual),
+    st.builds(UpstreamAnswer, st.sampled_from(STATUSES), st.booleans(), st.just(True), st.booleans()),
+    st.sampled_from((400, 421, 429, 503)).map(lambda status: UpstreamAnswer(status, False, False)),
+)
+
+
+@settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(
+    st.integers(0, 2**32),
+    st.lists(ANSWERS, min_size=1, max_size=9),
+    st.sets(st.sampled_from(TROUBLES), min_size=1, max_size=4).map(sorted),
+)
+def test_what_clients_are_told_is_what_upstreams_gave(
+    seed: int, answers: list[UpstreamAnswer], kinds: list[str]
+) -> None:
+    world = AnswerWorld(seed, answers, kinds)
+    assert world.played() == [], world.struck
+
+
+# Seeded faults in the shipped code, each with the word by which it is found
+
+
+def passes_headers_on_with_a_status_of_its_own(patch: Patch) -> None:
+    real = request_dispatch.Intake._answer
+
+    def answer(self: Any, reply: Any, ask: Ask, final: Final) -> None:
+        if isinstance(final, Served) and final.answer.status == 520:
+            self._asks.pop(ask.id, None)
+            reply(502, final.answer.headers, final.answer.body)
+        else:
+            real(self, reply, ask, final)
+
+    patch.setattr(request_dispatch.Intake, "_answer", answer)
+
+
+def passes_any_status_on(patch: Patch) -> None:
+    patch.setattr(request_dispatch, "http", SimpleNamespace(STATUS_LINES=range(1000)))
+
+
+def takes_a_success_without_a_seal(patch: Patch) -> None:
+    patch.setattr(
+        "mesh.data_plane.upstream_dispatch.UpstreamDispatch._sealed", lambda self, running, message: True
+    )
+
+
+def gives_the_second_answer_the_status_of_the_first(patch: Patch) -> None:
+    def final(self: Ask, late: bool, retry_after_ms: float) -> Final:
+        if self.last is not None:
+            return Served(Returned(500, self.last.headers, self.last.body, True))
+        return FINAL(self, late, retry_after_ms)
+
+    patch.setattr(Ask, "final", final)
+
+
+def counts_no_run_whose_end_is_unclear(patch: Patch) -> None:
+    def ended(self: Any, ask: Ask, number: int, end: End) -> None:
+        ask.arrived -= isinstance(end, Unclear)
+        ENDED(self, ask, number, end)
+
+    patch.setattr(service_balancers.Table, "_ended", ended)
+
+
+def counts_no_run_that_failed(patch: Patch) -> None:
+    def ended(self: Any, ask: Ask, number: int, end: End) -> None:
+        ask.arrived -= not isinstance(end, TurnedAway) and not ask.over
+        ENDED(self, ask, number, end)
+
+    patch.setattr(service_balancers.Table, "_ended", ended)
+
+
+def holds_a_request_for_as_long_as_its_client_waits(patch: Patch) -> None:
+    def take(self: Any, ask: Ask) -> None:
+        ask.deadline = ask.taken + float(ask.message.get(b"time-remaining") or 0.0)
+        TAKE(self, ask)
+
+    patch.setattr(service_balancers.Table, "take", take)
+
+
+FINAL, ENDED, TAKE = Ask.final, service_balancers.Table._ended, service_balancers.Table.take
+SEEDED: list[tuple[Callable[[Patch], None], str]] = [
+    (passes_headers_on_with_a_status_of_its_own, "seal"),
+    (passes_any_status_on, "status"),
+    (takes_a_success_without_a_seal, "seal"),
+    (gives_the_second_answer_the_status_of_the_first, "seal"),
+    (counts_no_run_whose_end_is_unclear, "trials"),
+    (counts_no_run_that_failed, "trials"),
+    (holds_a_request_for_as_long_as_its_client_waits, "held"),
+]
+FAILING = (
+    OWN,
+    UpstreamAnswer(520),
+    UpstreamAnswer(502),
+    UpstreamAnswer(200, sealed=False),
+    UpstreamAnswer(503),
+    UpstreamAnswer(504),
+    UpstreamAnswer(200, silent=True),
+)
+
+
+@pytest.mark.parametrize(("seed", "word"), SEEDED, ids=[seed.__name__ for seed, _ in SEEDED])
+def test_a_seeded_fault_is_seen(
+    seed: Callable[[Patch], None], word: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    seed(monkeypatch)
+    for play in range(100):
+        if any(line.startswith(word) for line in AnswerWorld(play, FAILING).played()):
+            return
+    raise AssertionError("not seen in 100 plays")
--- a/tests/mesh/test_call_world.py
+++ b/tests/mesh/test_call_world.py
@@ -14,8 +14,9 @@
 from mesh.data_plane.call_messages import TurnedAway, Unclear
 from mesh.data_plane.call_state import Ask, outcome_of
 from mesh.data_plane.peer_calls import Outgoing
-from rigs.call_world import TROUBLES, CallWorld
+from rigs.call_world import QUIET_S, TROUBLES, CallWorld
 from simulation.mesh.seeds import Patch
+from simulation.mesh.world import RESTART_S, Script, World
 
 PLAYS = 60
 ASK = Session.ask
@@ -51,6 +52,38 @@
         assert world.struck == [f"{number} {trouble}"]
 
 
+class AllLost(CallWorld):
+    """All sidecars are killed in one moment, and started again."""
+
+    def play(self, world: World) -> Script:
+        yield from self.boot_sides()
+        self.ask_everywhere("before")
+        yield self.env.timeout(0.01)
+        for machine in list(self.machines.values()):
+            self.kill(machine)
+        yield self.env.timeout(0.5)
+        for machine in list(self.machines.values()):
+            self.restart(machine)
+        yield self.env.timeout(2.0 * RESTART_S)
+        self.share()
+        yield self.env.timeout(0.5)
+        self.ask_everywhere("after")
+        yield self.env.timeout(QUIET_S)
+
+    def ask_everywhere(self, when: str) -> None:
+        for name, machine in self.machines.items():
+            for route in self.routes:
+                self.request(machine, route, f"{when}-{name}-{route.name}", 900)
+
+
+def test_calls_are_served_again_after_all_sidecars_were_lost_at_once() -> None:
+    world = AllLost(3, fails=False)
+    assert world.played() == []
+    half = len(world.asked) // 2
+    assert [one.got for one in world.asked[half:]] == [[200]] * half
+    assert any(not one.got for one in world.asked[:half])  # they were lost while calls were out
+
+
 def test_a_play_is_the_same_each_time() -> None:
     def told(seed: int) -> list[Any]:
         world = CallWorld(seed)
