Count calls that a repeat's run makes against the budget where they arrive

Cause: the rule counts a call made by a run which was itself a repeat as a repeat at the service that is called. Nobody counted them: half of the budget was left free for them, which is enough for two services in a row and not for three, where each may use its half. Tests as well for what had none: the sidecar's word on instances at its machine, the word to the others before an end, what is behind an answer that closes, three taken to share the budget until the membership is known. The rig of one whole sidecar is a module of its own.

--- a/mesh/admission/retry_budget.py
+++ b/mesh/admission/retry_budget.py
@@ -3,8 +3,8 @@
 The rule: in any window, arrivals at a service beyond the first of each request stay under ``ratio`` times the
 requests for it plus ``slack``, over all sidecars. Each keeps to ``ratio`` of its own requests and to its part
 of the slack, so the sum keeps to the whole. Half of both is left free: calls that a repeated run makes count
-as repeats where they arrive, and no sidecar sees which those are; and one that starts anew has forgotten what
-it spent.
+as repeats where they arrive, and are known by their deadline alone (`mesh.admission.repeat_runs`); and one
+that starts anew has forgotten what it spent.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
     def __init__(self, ratio: float, window_ms: float, slack: float) -> None:
         self._ratio, self._window, self._slack = ratio, max(window_ms, 1.0), slack
         self._slots: deque[list[float]] = deque(maxlen=SLOTS + 1)  # [index, requests, further]
-        self.spent = self.denied = 0
+        self.spent = self.denied = self.charged = 0
 
     def _slot(self, now: float) -> list[float]:
         index = now // (self._window / SLOTS)
@@ -48,3 +48,8 @@
         slot[2] += 1.0
         self.spent += 1
         return True
+
+    def charge(self, now: float) -> None:
+        """A first arrival that counts as one beyond it: it is not refused, and leaves less to others."""
+        self._slot(now)[2] += 1.0
+        self.charged += 1
--- a/mesh/data_plane/call_messages.py
+++ b/mesh/data_plane/call_messages.py
@@ -32,6 +32,7 @@
     anyway: bool = False  # it was turned away as of an old version once, and there is no newer one to be had
     effectful: bool = False  # it may run once at the most
     aim_ms: float = 0.0  # known at the first hop alone
+    repeat: bool = False  # another try has arrived before, or a repeat's run has made it
 
     def wait(self, waited_ms: float) -> None:
         """Charges ``waited_ms`` at the first hop, so that the second hop is told what is left by then."""
@@ -53,7 +54,7 @@
             "l": round(self.left_ms, 1),
             "k": self.rank,
             "q": [round(self.patience_ms, 1), round(self.longer_ms, 1)],
-            "v": [self.route, self.version, round(self.age_ms), self.anyway, self.effectful],
+            "v": [self.route, self.version, round(self.age_ms), self.anyway, self.effectful, self.repeat],
         }
 
 
@@ -96,7 +97,7 @@
 
 def read_call(head: Head, body: bytes) -> Call:
     """Raises KeyError, TypeError or ValueError for what is no call. Fields unknown here are passed over."""
-    way: Sequence[Any] = head.get("v") or ("", 0, 0.0, False)  # four parts before there was asking back
+    way: Sequence[Any] = head.get("v") or ("", 0, 0.0, False)  # the last two came later
     return Call(
         attempt=str(head["a"]),
         method=head["m"].encode("latin-1"),
@@ -114,6 +115,7 @@
         age_ms=float(way[2]),
         anyway=bool(way[3]),
         effectful=len(way) > 4 and bool(way[4]),
+        repeat=len(way) > 5 and bool(way[5]),
     )
 
 
--- a/mesh/data_plane/call_state.py
+++ b/mesh/data_plane/call_state.py
@@ -332,6 +332,7 @@
     guard: asyncio.TimerHandle | None = None
     over: bool = False
     anyway: bool = False  # its version was said to be old: the newest known here is what it goes by
+    repeat: bool = False  # made by a run that was itself a repeat, as far as can be known
 
     def may_have_run(self) -> bool:
         return self.unclear or any(out is not None for out in self.outs)
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -110,6 +110,7 @@
             lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
         )
         self.upstream_dispatch.bodies = self.intake.bodies
+        self.intake.repeats = self.upstream_dispatch.repeats
         self.registry = Registry(
             self.upstream,
             self.roll,
--- a/mesh/data_plane/request_dispatch.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -10,6 +10,7 @@
 from anisestair.http import codec as http
 from anisestair.http.frontend import TARGET
 from mesh.admission.buffer_budget import Holding
+from mesh.admission.repeat_runs import RepeatRuns
 from mesh.configuration.limits import Limits
 from mesh.configuration.routes import Route, pick
 from mesh.data_plane.call_messages import Returned
@@ -55,6 +56,7 @@
         self.tables, self.caller, self._find, self._known, self._fill = tables, caller, find, known, fill
         self.budget = Budget(memory_mb)
         self.bodies = Holding(self.budget.total, LONGEST)
+        self.repeats = RepeatRuns()  # of the upstream beside this sidecar, whose calls come here, too
         self.limits = Limits()  # a request keeps to those that hold when it begins
         self._count = 0
         self._asks: dict[str, Ask] = {}
@@ -120,6 +122,7 @@
             deadline=taken + waits,
             answer=lambda final: self._answer(reply, ask, final),
             anyway=anyway,
+            repeat=left is not None and self.repeats.made(taken + float(left)),
         )
         self._asks[ask.id] = ask
         table, new = self.tables.of(service, route)
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -244,7 +244,10 @@
             anyway=ask.anyway,
             effectful=ask.route.effectful,
             aim_ms=ask.route.aim_ms,
+            repeat=ask.repeat or ask.arrived > 0,
         )
+        if ask.repeat and number == 0:
+            self.budget.charge(now)
         ask.arrived += 1
         ended = False
 
--- a/mesh/data_plane/upstream_dispatch.py
+++ b/mesh/data_plane/upstream_dispatch.py
@@ -11,6 +11,7 @@
 from mesh.admission.call_sessions import Kept
 from mesh.admission.fair_share import Shares
 from mesh.admission.final_check import Turned, Why, judge, places
+from mesh.admission.repeat_runs import RepeatRuns
 from mesh.admission.wait_queue import Line, Lowest
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
 from mesh.data_plane.call_state import SECOND, Event, State, event_of
@@ -65,6 +66,7 @@
         self._loop = asyncio.get_running_loop()
         self.running: set[Running] = set()  # at the upstream
         self.line, self.lowest, self.shares = Line(), Lowest(), Shares()
+        self.repeats = RepeatRuns()  # at the upstream
         self.traces = SecondHop()
         self._alarm: asyncio.TimerHandle | None = None
         self._rings = 0.0  # when it does
@@ -116,6 +118,8 @@
         call, running.began = running.call, self.now()
         call.left_ms -= running.began - running.came
         self.running.add(running)
+        if call.repeat:
+            self.repeats.began(running, running.began + call.left_ms)
         self.shares.passed(call.rank)
         running.expiry = self._loop.call_later(call.left_ms / 1000.0 + LATE_S, self._expire, running)
         running.task = task = self._loop.create_task(self._pass(running))
@@ -195,6 +199,7 @@
 
     def _forget(self, running: Running) -> None:
         self.running.discard(running)
+        self.repeats.ended(running)
         if running.expiry is not None:
             running.expiry.cancel()
         if len(self.line):
--- a/rigs/answer_world.py
+++ b/rigs/answer_world.py
@@ -36,6 +36,7 @@
     """Stands in for the connections to an upstream that gives the world's answers in turn."""
 
     async def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> Work | None:
+        """Begins the request unless the answer says that it did not, and ends it with that answer."""
         world = self.world
         assert isinstance(world, AnswerWorld)
         token = payload.rpartition(b"\r\n\r\n")[2].decode()
@@ -55,28 +56,35 @@
 
 
 def body_of(seal: bytes) -> bytes:
+    """The body that goes with a seal."""
     return b"body of " + seal
 
 
 class AnswerWorld(CallWorld):
+    """Four upstreams that give ``answers`` in turn."""
+
     routes = (WRITE, ONCE, TWICE)
     upstreams = 4
     waits_ms = (300, 900, 1500, 5000)  # the last beyond each route's horizon
 
     def __init__(self, seed: int, answers: Sequence[UpstreamAnswer], kinds: Sequence[str] = TROUBLES) -> None:
+        """``kinds``: of trouble."""
         super().__init__(seed, kinds=kinds)
         self.answers = answers
         self._given = 0
         self.held_up: set[str] = set()  # machines that stood still
 
     def next_answer(self) -> UpstreamAnswer:
+        """What the next request at any upstream gets."""
         self._given += 1
         return self.answers[self._given % len(self.answers)]
 
     def tap(self, machine: Machine) -> Tap:
+        """Stands in for the connections to that machine's upstream."""
         return AnsweringTap(self, machine)
 
     def draw_route(self) -> Route:
+        """Any, each as often."""
         return self.draw.choice(self.routes)
 
     def _strike(self, fault: str, life: Life, end: End) -> float | None:
@@ -87,6 +95,7 @@
         return super()._strike(fault, life, end)
 
     def judged(self) -> list[str]:
+        """What was broken, a line each."""
         found = [line for line in super().judged() if not line.startswith("another's")]
         for one in self.asked:
             if one.got:
--- a/tests/mesh/test_answer_world.py
+++ b/tests/mesh/test_answer_world.py
@@ -14,6 +14,7 @@
 from mesh.data_plane import request_dispatch, service_balancers
 from mesh.data_plane.call_messages import End, Returned, TurnedAway, Unclear
 from mesh.data_plane.call_state import Ask, Final, Served
+from mesh.data_plane.upstream_dispatch import UpstreamDispatch
 from rigs.answer_world import AnswerWorld, UpstreamAnswer
 from rigs.call_world import TROUBLES
 from simulation.mesh.seeds import Patch
@@ -70,9 +71,7 @@
 
 
 def takes_a_success_without_a_seal(patch: Patch) -> None:
-    patch.setattr(
-        "mesh.data_plane.upstream_dispatch.UpstreamDispatch._sealed", lambda self, running, message: True
-    )
+    patch.setattr(UpstreamDispatch, "_sealed", lambda *_: True)
 
 
 def gives_the_second_answer_the_status_of_the_first(patch: Patch) -> None:
--- a/tests/mesh/test_data_plane_client_connection.py
+++ b/tests/mesh/test_data_plane_client_connection.py
@@ -12,7 +12,7 @@
 from anisestair.http import codec as http
 from mesh.configuration.limits import Limits
 from mesh.configuration.routes import Routes, read_route
-from mesh.data_plane.client_connection import AT_ONCE, Outlets
+from mesh.data_plane.client_connection import AT_ONCE, Outlet, Outlets
 from mesh.data_plane.peer_calls import Passage
 from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 from mesh.data_plane.service_balancers import GUARD_MS, Tables
@@ -355,6 +355,25 @@
     beside(test, by_path)
 
 
+def test_behind_one_whose_answer_will_close_nothing_is_begun() -> None:
+    async def test(sidecar: Sidecar) -> None:
+        client = await sidecar.client()
+        client.send("a1", "/read/hold")
+        assert await sidecar.came() == "a1"
+        (connection,) = sidecar.outlets._connections
+        assert isinstance(connection, Outlet)
+        connection._slots[-1].closes = True
+        client.send("a2", "/read/ok")
+        await until(lambda: bool(connection.waiting))
+        sidecar.upstream.release.set()
+        answer = await client.read()
+        assert answer is not None and answer.get(b"connection") == "close"
+        assert await client.read() is None
+        assert [message.get(b"attempt-id") for message in sidecar.upstream.seen] == ["a1"]
+
+    beside(test, by_path)
+
+
 def test_what_cannot_be_read_behind_requests_is_answered_in_its_turn() -> None:
     async def test(sidecar: Sidecar) -> None:
         client = await sidecar.client()
--- /dev/null
+++ b/tests/mesh/test_data_plane_repeats.py
@@ -0,0 +1,80 @@
+"""Calls that a repeat's run makes: known where they begin, told on, counted against the budget."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+from mesh.admission.repeat_runs import NEAR_MS, RepeatRuns
+from mesh.admission.retry_budget import KEPT, Budget
+from mesh.data_plane.call_messages import Call, read_call
+from mesh.data_plane.service_balancers import Tables
+from rigs.mesh_peers import soon, turns, until
+from rigs.whole_sidecar import Beside, beside, passing
+
+
+def test_a_call_is_taken_for_a_repeats_by_its_deadline_while_that_runs() -> None:
+    runs = RepeatRuns()
+    assert not runs.made(1000.0)
+    runs.began("one", 1000.0)
+    runs.began("two", 5000.0)
+    assert runs.made(1000.0 + NEAR_MS) and runs.made(5000.0 - NEAR_MS)
+    assert not runs.made(1000.0 - NEAR_MS - 1.0) and not runs.made(3000.0)
+    runs.ended("one")
+    runs.ended("never began")
+    assert not runs.made(1000.0) and len(runs) == 1
+
+
+def test_what_is_charged_is_never_refused_and_leaves_less_for_further_tries() -> None:
+    budget = Budget(0.2, 1000.0, 8.0)
+    for _ in range(int(KEPT * 8.0)):
+        budget.charge(0.0)
+    assert not budget.spend(0.0, 1)
+    budget.charge(0.0)
+    assert (budget.charged, budget.spent, budget.denied) == (5, 0, 1)
+    assert budget.spend(2000.0, 1)
+
+
+def test_a_frame_tells_a_repeat_and_an_older_programs_has_none() -> None:
+    call = replace(passing("a1", "/x"), repeat=True)
+    head = call.head(1)
+    assert read_call(head, b"").repeat
+    assert not read_call({**head, "v": head["v"][:5]}, b"").repeat
+
+
+class Sent:
+    """Notes the calls that a sidecar sends."""
+
+    def __init__(self, tables: Tables) -> None:
+        self.calls: list[Call] = []
+        self._send = tables.passage.send
+        tables.passage.send = self.send  # type: ignore[method-assign]
+
+    def send(self, call: Call, *way: object) -> object:
+        self.calls.append(call)
+        return self._send(call, *way)  # type: ignore[arg-type]
+
+
+def test_the_calls_of_a_repeats_run_are_told_on_as_repeats_and_charged(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        proxy, sent = there.proxy, Sent(there.proxy.tables)
+        ended: list[object] = []
+        repeat = replace(passing("b1", "/read/hold"), left_ms=2000.0, repeat=True)
+        proxy.upstream_dispatch.take(repeat, ended.append)
+        assert (await soon(there.upstream.comes.get())).get(b"attempt-id") == "b1"
+
+        client = await there.client()
+        assert (await client.ask("own", "/read/ok", left_ms=2000)).status == 200  # the upstream's own call
+        assert (await client.ask("other", "/read/ok", left_ms=900)).status == 200
+        assert [(call.attempt, call.repeat) for call in sent.calls] == [("own", True), ("other", False)]
+        budget = proxy.tables.by_service["s"].budget
+        assert (budget.charged, budget.spent) == (1, 0)
+
+        there.upstream.release.set()
+        await until(lambda: bool(ended))
+        await turns()
+        assert len(proxy.upstream_dispatch.repeats) == 0
+        assert (await client.ask("later", "/read/ok", left_ms=2000)).status == 200
+        assert not sent.calls[-1].repeat
+
+    beside(tmp_path, test)
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -227,6 +227,7 @@
         bench.end(OK)
         assert final.result() == Served(OK)
         assert bench.table(READ).budget.spent == 1
+        assert [sent.call.repeat for sent in bench.passage.sent] == [False, True]
 
     at_table(test)
 
@@ -252,6 +253,7 @@
         ask, final = bench.ask(route)
         bench.end(FULL)
         assert len(bench.sends(ask)) == 2 and bench.table(READ).budget.spent == 0
+        assert not any(sent.call.repeat for sent in bench.passage.sent)
         bench.end(FULL_THERE)
         assert len(bench.sends(ask)) == 2
         assert isinstance(final.result(), Refused)
@@ -279,6 +281,29 @@
     at_table(test, slack=4.0)
 
 
+def test_three_are_taken_to_share_the_budget_until_the_membership_is_known() -> None:
+    def further(bench: Bench) -> int:
+        for _ in range(8):
+            _, final = bench.ask(READ)
+            while not final.done():
+                bench.end(UNCLEAR)
+        return bench.table(READ).budget.spent
+
+    async def test(bench: Bench) -> None:
+        bench.tables.sidecars = 3  # as it is made
+        assert further(bench) == 2  # half of 12, a third of it
+        bench.tables.people(0, 1)  # none is counted as one
+        assert further(bench) > 2
+
+    async def new(bench: Bench) -> None:
+        made = bench.tables
+        again = Tables(made.passage, Place(), made.node_of, "z", (0.0, 1.0, 12.0), 7, made.event_log)
+        assert again.sidecars == 3
+
+    at_table(test, slack=12.0, ratio=0.0)
+    at_table(new)
+
+
 def test_nothing_that_could_have_it_is_refused_with_a_time_to_come_back() -> None:
     async def test(bench: Bench) -> None:
         for route in (READ, PAY):
--- /dev/null
+++ b/tests/mesh/test_data_plane_upstream_registration.py
@@ -0,0 +1,117 @@
+"""What a sidecar says of the instances at its machine, beside what the others have of them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from mesh.data_plane.membership import INSTANCE
+from mesh.data_plane.program import NOTICE_S, Proxy
+from mesh.membership.instance_commands import DECAYING, SETTLED
+from mesh.membership.instance_lifecycle import GONE_VERSION, SILENT_BEATS
+from rigs.mesh_peers import call, move, soon, turns, until
+from rigs.whole_sidecar import Beside, beside
+
+
+def told(proxy: Proxy, instance: str, version: int, value: dict[str, Any] | None) -> None:
+    """The others say so of an instance."""
+    item = proxy.roll.take(INSTANCE, instance, version, value)
+    proxy._changed("roll", [item])  # type: ignore[list-item]
+
+
+def value(node: str = "n1", state: str = SETTLED) -> dict[str, Any]:
+    return {
+        "plant": "s",
+        "node": node,
+        "zone": "z",
+        "epoch": "",
+        "capacity": 8,
+        "state": state,
+        "cold_ms": 0.0,
+    }
+
+
+def state(proxy: Proxy, instance: str) -> str | None:
+    """As this sidecar's roll has it; None: it is gone."""
+    found = proxy.roll.items[INSTANCE, instance].value
+    return None if found is None else str(found["state"])
+
+
+def test_lives_before_the_one_that_beats_here_are_gone_and_others_machines_are_left_alone(
+    tmp_path: Path,
+) -> None:
+    async def test(there: Beside) -> None:
+        proxy = there.proxy
+        told(proxy, "i-before", 5000, value())
+        told(proxy, "i-elsewhere", 5000, value(node="n2"))
+        proxy.registry.mind()
+        assert state(proxy, "i-before") is None
+        assert proxy.roll.items[INSTANCE, "i-before"].version == GONE_VERSION
+        assert (state(proxy, "i-elsewhere"), state(proxy, "i-1")) == (SETTLED, SETTLED)
+
+    beside(tmp_path, test)
+
+
+def test_without_a_beat_what_is_said_of_this_machine_stands_until_the_upstream_was_silent(
+    tmp_path: Path,
+) -> None:
+    async def test(there: Beside) -> None:
+        proxy = there.proxy
+        there.upstream.instance = "i-late"
+        proxy.upstream.beat = None  # as it is before the first beat
+        told(proxy, "i-1", proxy.upstream.version + 1, value())
+        told(proxy, "i-drains", 5000, value(state=DECAYING))
+        proxy.registry.mind()
+        assert (state(proxy, "i-1"), state(proxy, "i-drains")) == (SETTLED, DECAYING)
+        assert proxy.upstream.said_decaying == {"i-drains"}
+        move(SILENT_BEATS * proxy.upstream.beat_ms / 1000.0 + 0.01)
+        proxy.registry.mind()
+        assert (state(proxy, "i-1"), state(proxy, "i-drains")) == (None, None)
+
+    beside(tmp_path, test)
+
+
+def test_one_that_the_others_gave_up_and_that_beats_is_said_again_above_their_word(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        proxy = there.proxy
+        told(proxy, "i-1", GONE_VERSION, None)
+        proxy.registry.mind()
+        assert state(proxy, "i-1") == SETTLED
+        assert proxy.roll.items[INSTANCE, "i-1"].version > GONE_VERSION
+
+    beside(tmp_path, test)
+
+
+def test_at_an_end_the_others_are_told_first_and_clients_answered_until_they_know(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        proxy, loop = there.proxy, asyncio.get_running_loop()
+        told_in_turn: list[str | None] = []
+        proxy.channels.poke = lambda: told_in_turn.append(state(proxy, "i-1"))  # type: ignore[method-assign]
+        ends = loop.create_task(proxy.stop())
+        await turns()
+        assert told_in_turn and told_in_turn[-1] == DECAYING
+        assert (await call(there.readiness, b"GET", b"/"))[0] == 503
+        client = await there.client()
+        answer = await client.ask(
+            "a1", "/read/ok"
+        )  # its own upstream takes nothing new, and there is no other
+        assert (answer.status, answer.get(b"connection")) == (503, None)
+        assert not proxy.outlets.stopping
+        move(NOTICE_S)
+        await until(lambda: proxy.outlets.stopping)
+        move(1.0)
+        await soon(ends)
+
+    beside(tmp_path, test)
+
+
+def test_settings_that_change_leave_the_upstream_as_it_is(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        before = dict(there.proxy.roll.items)
+        there.proxy.retune(replace(there.proxy.settings, seeds=(("127.0.0.8", 1),)))
+        there.proxy.registry.mind()
+        assert there.proxy.roll.items == before
+
+    beside(tmp_path, test)
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -4,13 +4,10 @@
 from __future__ import annotations
 
 import asyncio
-import io
 import socket
-from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
-from typing import Any
 
 import pytest
 
@@ -18,85 +15,16 @@
 from mesh.admission.buffer_budget import LONG_SHARE, SHORT, Holding
 from mesh.admission.final_check import DRAIN_SHARE, Why
 from mesh.configuration.limits import HEAD_BESIDE, MOST_HEAD, Limits, read_limits
-from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, read_end
+from mesh.data_plane.call_messages import End, Returned, TurnedAway
 from mesh.data_plane.program import EXIT_S as BEFORE_KILL_S
-from mesh.data_plane.program import NOTICE_S, Proxy
+from mesh.data_plane.program import NOTICE_S
 from mesh.data_plane.request_dispatch import LONGEST
-from mesh.event_log.log import EventLog
-from mesh.runtime.settings import Settings, read
-from mesh.transport.frames import Frames, Head, frame
-from rigs.mesh_peers import (
-    Client,
-    Upstream,
-    call,
-    free_ports,
-    move,
-    play,
-    route,
-    soon,
-    turns,
-    until,
-    write_settings,
-)
+from rigs.mesh_peers import Client, call, move, route, soon, turns, until
+from rigs.whole_sidecar import Beside, Other, beside, passing
 
 TOLD = {"header_bytes": 65536, "body_bytes": 12 << 20, "header_lag_ms": 3000, "quiescent_ms": 15000}
 
 
-class Beside:
-    """A sidecar that runs, the upstream beside it, and the operators' item."""
-
-    def __init__(self, folder: Path, ports: list[int], upstream: Upstream, grace_s: float) -> None:
-        file = folder / "side.toml"
-        write_settings(
-            *(file, "n1", "127.0.0.1", "auxiliary", ports, ["127.0.0.9"], upstream.address, "s"),
-            grace_s=grace_s,
-        )
-        settings = read(file.read_text())
-        assert isinstance(settings, Settings), settings
-        self.proxy, self.upstream = Proxy(settings, EventLog("t", io.StringIO())), upstream
-        self.peers, self.control, self.outbound, self.readiness = (("127.0.0.1", port) for port in ports)
-        self._version = 0
-
-    def take(self, kind: str, name: str, value: dict[str, Any] | None) -> None:
-        self._version += 1
-        item = self.proxy.charter.take(kind, name, self._version, value)
-        self.proxy._changed("charter", [item])  # type: ignore[list-item]
-
-    async def client(self) -> Client:
-        return await Client.to(self.outbound)
-
-    async def open(self, count: int) -> None:
-        await until(lambda: self.proxy.outlets.held() == count)
-
-
-def beside(folder: Path, test: Callable[[Beside], Awaitable[None]], grace_s: float = 6.0) -> None:
-    async def run() -> None:
-        upstream = Upstream(way=lambda message: message.target.rpartition(b"/")[2].decode())
-        await upstream.start()
-        there = Beside(folder, free_ports(["127.0.0.1"], 4), upstream, grace_s)
-        proxy = there.proxy
-        await proxy.start()
-        there.take("plant", "s", {"name": "s", "epoch": "r1"})
-        there.take("route", "read", {**route("read", "/read/", "s", horizon_ms=30_000), "host": "h.example"})
-        assert await upstream.tell(there.control) == 200
-        try:
-            await test(there)
-        finally:
-            upstream.release.set()
-            proxy.tap.close()
-            for connection in list(proxy.outlets._connections):
-                connection.close()
-            await proxy.outlets.stop(accept_s=0.0)
-            proxy.control.stop()
-            proxy.readiness.stop()
-            assert proxy._server is not None
-            proxy._server.close()
-            upstream.close()
-            await turns()
-
-    play(run)
-
-
 def test_figures_that_are_missing_have_their_defaults_and_none_is_taken_beyond_its_bound() -> None:
     assert read_limits(None) == read_limits({"header_bytes": None}) == Limits()
     assert read_limits(TOLD) == Limits(65536 + HEAD_BESIDE, 12 << 20, 3.25, 15.0)
@@ -330,33 +258,6 @@
 # Ends, and what changes under requests in hand
 
 
-class Other:
-    """Another sidecar, as far as it sends calls here; it reads when it is told to."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer, self.frames = reader, writer, Frames()
-        writer.write(frame({"t": "hello", "node": "n2", "for": "calls"}))
-
-    @staticmethod
-    async def to(there: Beside) -> Other:
-        return Other(*await soon(asyncio.open_connection(*there.peers, limit=1024)))
-
-    def send(self, number: int, path: str, body: bytes = b"") -> None:
-        self.writer.write(frame(passing(f"b{number}", path, body).head(number), body))
-
-    async def end(self) -> End:
-        while True:
-            data = await soon(self.reader.read(1 << 20))
-            found: list[tuple[Head, bytes]] = [one for one in self.frames.feed(data) if one[0].get("t")]
-            if found:
-                return read_end(*found[0])
-
-
-def passing(attempt: str, path: str, body: bytes = b"") -> Call:
-    headers = [(b"host", b"h.example")]
-    return Call(attempt, b"POST", path.encode(), headers, body, "i-1", "other", 30_000.0, 0.5, 20.0)
-
-
 def test_at_an_end_calls_of_other_sidecars_are_waited_for_until_their_answers_have_left(
     tmp_path: Path,
 ) -> None:
