Lose no answer at an end, nor to a change of the clients' times

At an end the answer that closes a connection was written while bytes could still stand unread in the kernel, or half a request be read: closing then resets the connection, and the answer with it. What has come is now read and answered first, as what had been read already was. A change that leaves clients less time to send (header_lag_ms) also shortened how long a client may take nothing of its answer, so a rollout cut off clients that read slowly: with 100 ms, after 0.35 s. That time no longer shrinks within a life.

--- a/anisestair/http/frontend.py
+++ b/anisestair/http/frontend.py
@@ -390,6 +390,7 @@
 
     connection: type[ClientConnection] = ClientConnection
     request_s = REQUEST_S
+    choked_s = REQUEST_S  # a client that takes nothing of its answers for so long has gone
     # Where clients are told how long a connection may rest, none is closed idle sooner, but at the very bound
     # of connections; and each that has rested for longer is. Seconds; None: they are told nothing.
     quiescent_s: float | None = None
@@ -485,7 +486,7 @@
             elif connection.current is not None and connection.reader.stream is None:
                 continue
             elif connection.choked:
-                if age > self.request_s:
+                if age > self.choked_s:
                     connection.transport.abort()
             elif connection.reader.partial:
                 if age > self.request_s:
--- a/mesh/data_plane/client_connection.py
+++ b/mesh/data_plane/client_connection.py
@@ -13,7 +13,7 @@
 
 from anisestair.flow.budget import Body
 from anisestair.http import codec as http
-from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend
+from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend, unread
 from mesh.configuration.limits import Limits
 from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 
@@ -135,14 +135,20 @@
         if self.transport is None or slot.payload is not None:
             return
         slot.id = None
-        # At an end, what was read together with this request is answered first.
-        behind = len(self._slots) > 1 or bool(self.waiting) or bool(self.unread)
-        slot.closes = slot.closes or (self.frontend.closing and not behind)
+        slot.closes = slot.closes or (self.frontend.closing and not self._more_comes())
         slot.payload = http.write_response(status, headers, body, slot.closes)
         if not self._advancing:
             self._flush()
             self.advance()
 
+    def _more_comes(self) -> bool:
+        """At an end, what has come behind this request is answered first, also what the kernel still has:
+        closing on unread input would reset the connection, and the answer with it."""
+        assert self.transport is not None
+        if len(self._slots) > 1 or self.waiting or self.unread or self.reader.partial:
+            return True
+        return unread(self.transport.get_extra_info("socket"))
+
     def _flush(self) -> None:
         """The answers whose turn it is."""
         if self.transport is None or self.transport.is_closing():
@@ -219,3 +225,5 @@
         """The operators' limits from now on: of bytes for what begins now, of times for all."""
         self.intake.limits = limits
         self.request_s, self.quiescent_s = limits.request_s, limits.quiescent_s
+        # A change that leaves clients less time to send cuts off none that reads its answer slowly.
+        self.choked_s = max(self.choked_s, limits.request_s)
--- a/tests/mesh/test_data_plane_client_connection.py
+++ b/tests/mesh/test_data_plane_client_connection.py
@@ -10,6 +10,7 @@
 import pytest
 
 from anisestair.http import codec as http
+from anisestair.http.frontend import unread
 from mesh.configuration.limits import Limits
 from mesh.configuration.routes import Routes, read_route
 from mesh.data_plane.client_connection import AT_ONCE, Outlet, Outlets
@@ -421,3 +422,26 @@
         await soon(ends)
 
     beside(test, by_path)
+
+
+def test_at_an_end_what_stands_in_the_kernel_behind_an_answer_is_read_and_answered_too() -> None:
+    """Closing on unread input would reset the connection, and the answer with it."""
+
+    async def test(sidecar: Sidecar) -> None:
+        client = await sidecar.client()
+        client.send("a1", "/read/hold")
+        assert await sidecar.came() == "a1"
+        ends = asyncio.get_running_loop().create_task(sidecar.outlets.stop(accept_s=0.0))
+        await until(lambda: sidecar.outlets._listener is None)
+        (connection,) = sidecar.outlets._connections
+        assert connection.transport is not None
+        connection.transport.pause_reading()  # as if it came in the same turn of the loop as the answer
+        client.send("a2", "/read/ok")
+        await until(lambda: unread(connection.transport.get_extra_info("socket")))  # type: ignore[union-attr]
+        sidecar.upstream.release.set()
+        answers = [await client.read() for _ in range(2)]
+        assert [answer and answer.status for answer in answers] == [200, 200]
+        assert [answer and answer.get(b"connection") for answer in answers] == [None, "close"]
+        await soon(ends)
+
+    beside(test, by_path)
--- /dev/null
+++ b/tests/mesh/test_data_plane_rollouts.py
@@ -0,0 +1,171 @@
+"""LOST around planned work on live traffic: each request that was read whole gets a whole answer, whatever is
+changed and told meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import replace
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from mesh.data_plane.program import NOTICE_S
+from rigs.mesh_peers import Client, move, route, soon, turns, until
+from rigs.whole_sidecar import Beside, beside
+
+CHANGES = 150
+DEPTH = 4  # requests that a client sends before it reads
+LIMITS = {"header_bytes": 65536, "body_bytes": 1 << 20, "header_lag_ms": 3000, "quiescent_ms": 15000}
+
+
+class Traffic:
+    """Clients that send on until they are told to stop or their connection ends; some send ahead."""
+
+    def __init__(self, there: Beside, paths: tuple[str, ...]) -> None:
+        self.there, self.paths = there, paths
+        self.stopped = False
+        self.sent = self.answered = 0
+        self.lost: list[str] = []  # ran, and its connection ended without its answer
+        self.failed: list[tuple[str, int]] = []
+
+    async def client(self, name: str, ahead: int) -> None:
+        connection = await self.there.client()
+        number = 0
+        while not self.stopped:
+            burst = [f"{name}-{number + at}" for at in range(ahead)]
+            number += ahead
+            for at, attempt in enumerate(burst):
+                connection.send(attempt, self.paths[at % len(self.paths)])
+            self.sent += ahead
+            if not await self._answers(connection, burst):
+                return
+
+    async def _answers(self, connection: Client, burst: list[str]) -> bool:
+        """Whether the connection goes on."""
+        for at, attempt in enumerate(burst):
+            try:
+                answer = await connection.read()
+            except ConnectionError:
+                answer = None
+            if answer is None:
+                ran = {message.get(b"attempt-id") for message in self.there.upstream.seen}
+                self.lost += [one for one in burst[at:] if one in ran]
+                return False
+            self.answered += 1
+            if answer.status != 200:
+                self.failed.append((attempt, answer.status))
+            if answer.get(b"connection") == "close":
+                return False
+        return True
+
+
+def change(there: Beside, number: int) -> None:
+    """One change of everything that a configuration holds, and the settings told anew."""
+    rule = route(
+        "read", "/read/", "s", horizon_ms=30_000 - number, setpoint_ms=500 + number, trials=1 + number % 3
+    )
+    there.take("route", "read", {**rule, "host": "h.example"})
+    added = f"more-{number % 20}"
+    more = {**route(added, f"/{added}/", "s"), "host": "h.example"}
+    there.take("route", added, more if number % 40 < 20 else None)
+    limits = {
+        **LIMITS,
+        "header_lag_ms": 300 + 100 * (number % 28),
+        "quiescent_ms": 2000 + 500 * (number % 27),
+    }
+    there.take("input_limits", "input_limits", limits)
+    there.take("plant", "s", {"name": "s", "epoch": f"r{number}", "conn_saturation": 20 + number % 90})
+    seeds = (("127.0.0.8" if number % 2 else "127.0.0.9", 1),)
+    there.proxy.retune(replace(there.proxy.settings, seeds=seeds))
+
+
+def test_changes_and_settings_in_quick_turn_cut_off_and_fail_no_request(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        traffic = Traffic(there, ("/read/ok",))
+        clients = [
+            asyncio.get_running_loop().create_task(traffic.client(f"c{at}", 1 + at % DEPTH))
+            for at in range(8)
+        ]
+        for number in range(CHANGES):
+            before = traffic.answered
+            change(there, number)
+            await until(lambda before=before: traffic.answered > before)  # type: ignore[misc]
+        traffic.stopped = True
+        await soon(asyncio.gather(*clients))
+        assert (traffic.lost, traffic.failed) == ([], [])
+        assert traffic.answered == traffic.sent > CHANGES
+
+    beside(tmp_path, test)
+
+
+def test_a_change_that_ends_connections_in_use_is_seen(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        traffic = Traffic(there, ("/read/ok",))
+        clients = [asyncio.get_running_loop().create_task(traffic.client(f"c{at}", DEPTH)) for at in range(8)]
+        while not traffic.lost and not all(client.done() for client in clients):
+            before = traffic.answered
+            await until(lambda before=before: traffic.answered > before or bool(traffic.lost))  # type: ignore[misc]
+            for connection in list(there.proxy.outlets._connections)[:1]:
+                connection.close()
+            await turns()
+        traffic.stopped = True
+        await soon(asyncio.gather(*clients))
+        assert traffic.lost
+
+    beside(tmp_path, test)
+
+
+def test_an_end_on_live_traffic_loses_no_request_that_ran(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        traffic, loop = Traffic(there, ("/read/ok",)), asyncio.get_running_loop()
+        clients = [loop.create_task(traffic.client(f"c{at}", 1 + at % DEPTH)) for at in range(12)]
+        await until(lambda: traffic.answered > 50)
+        ends = loop.create_task(there.proxy.stop())
+        await turns()
+        change(there, 1)
+        before = traffic.answered
+        await until(lambda: traffic.answered > before + 50)
+        move(NOTICE_S)
+        await soon(asyncio.gather(*clients))  # each connection has ended
+        await soon(ends)
+        assert traffic.lost == []
+        assert {status for _, status in traffic.failed} <= {503}  # its own upstream takes nothing new
+
+    beside(tmp_path, test)
+
+
+def test_a_change_of_the_time_to_send_cuts_off_no_client_that_reads_slowly(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test(there: Beside) -> None:
+        outlets, loop, body = there.proxy.outlets, asyncio.get_running_loop(), b"x" * (1 << 20)
+        monkeypatch.setattr("anisestair.http.frontend.time", SimpleNamespace(monotonic=loop.time))
+        there.take("input_limits", "input_limits", LIMITS)
+        small = socket.socket()
+        small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        small.connect(there.outbound)
+        stream, writer = await asyncio.open_connection(sock=small, limit=1024)
+        await there.open(1)
+        (connection,) = outlets._connections
+        await until(lambda: connection.transport is not None)
+        assert connection.transport is not None
+        source = connection.transport.get_extra_info("socket")
+        source.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16384)
+        client = Client(stream, writer)
+        client.send("a1", "/read/ok", body=body, left_ms=30_000)
+        await until(lambda: connection.choked)
+        there.take("input_limits", "input_limits", {**LIMITS, "header_lag_ms": 100})
+        outlets._sweep()
+        for _ in range(4):
+            move(0.5)
+            outlets._sweep()
+            await turns()
+        assert outlets.held() == 1
+        answer = await client.read()
+        assert answer is not None and answer.body.endswith(body)
+        writer.transport.abort()
+        monkeypatch.undo()
+
+    beside(tmp_path, test)
