--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -1,4 +1,4 @@
-"""How far the market in virtual time and real sockets agree: five scenarios, some seeds, service of both.
+"""How far the simulation in virtual time and real sockets agree: five scenarios, some seeds, service of both.
 
     python -m benchmarks.agreement [--seeds 5] [--at-once 3] [--speaks http]
 
--- a/benchmarks/event_kinds.py
+++ b/benchmarks/event_kinds.py
@@ -31,7 +31,7 @@
     from hareloom import Balancer
     from hareloom import interface as api
     from lab import scenario
-    from lab.market import Market
+    from lab.simulation import Simulation
 
     spent, count = defaultdict[str, float](float), Counter[str]()
 
@@ -52,7 +52,7 @@
     changes: dict[str, Any] = {"load.share": rate / CAPACITY, "sidecars.cpu.per_s": 0.0, "seconds": seconds}
     if trouble:
         changes["troubles"] = [TROUBLE]
-    row = Market(scenario.load(BUSY).changed(changes).play_of(1), 1, Timed).run()
+    row = Simulation(scenario.load(BUSY).changed(changes).play_of(1), 1, Timed).run()
     calls = count["Request"]
     kinds = {
         kind: {"us": round(spent[kind] / count[kind], 2), "a_call": round(count[kind] / calls, 3)}
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -18,8 +18,8 @@
 import numpy as np
 
 from lab import many, scenario
-from lab.market import Market
 from lab.scenario import Source
+from lab.simulation import Simulation
 
 ROOT = Path(__file__).resolve().parent.parent
 CALLS = 240.0
@@ -50,9 +50,9 @@
 
 def virtual(sidecars: int, seconds: float) -> dict[str, Any]:
     begin = time.monotonic()
-    market = Market(source(sidecars, seconds).play_of(1), 1)
-    row = market.run()
-    counts = [server.connections for server in market.servers]
+    simulation = Simulation(source(sidecars, seconds).play_of(1), 1)
+    row = simulation.run()
+    counts = [server.connections for server in simulation.servers]
     return {
         "sidecars": sidecars,
         "connections": sum(counts) / len(counts),
--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -1,4 +1,4 @@
-"""How fast the market in virtual time is, and how its memory grows.
+"""How fast the simulation in virtual time is, and how its memory grows.
 
     python -m benchmarks.lab [--large]     # 5 x 15 and 200 x 100 sidecars and servers; --large: 10,000 x
     1,000
@@ -21,12 +21,12 @@
 
 from hareloom import Balancer
 from hareloom import interface as api
-from lab.market import Market
 from lab.scenario import Scenario, typed
+from lab.simulation import Simulation
 
 SIZES = {"5 x 15": (5, 15, 120.0), "200 x 100": (200, 100, 30.0)}
 LARGE = {"10,000 x 1,000": (10_000, 1_000, 2.0)}
-# Work as on the first market, some 300 calls a second for 15 servers.
+# Work as on the first simulation, some 300 calls a second for 15 servers.
 MARKET = {"share": 0.5, "work_ms": 60.0, "aim_ms": 500.0, "deadline_ms": 2000.0}
 KEYED = {"group": "cell", "window_ms": 8000.0}
 
@@ -62,9 +62,9 @@
     gc.set_threshold(200_000, 20, 50)
     base = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
     begun = time.perf_counter()
-    market = Market(scenario(sidecars, servers, seconds), 1, Timed)
+    simulation = Simulation(scenario(sidecars, servers, seconds), 1, Timed)
     laid_out = time.perf_counter()
-    row = market.run()
+    row = simulation.run()
     spent = time.perf_counter() - laid_out
     return {
         "events": row.events,
--- a/benchmarks/many.py
+++ b/benchmarks/many.py
@@ -19,11 +19,11 @@
 import msgspec
 
 from lab import many, report, scenario
-from lab.market import Market
 from lab.measures import Row
 from lab.policies import policy
 from lab.results import KEY, Folder
 from lab.scenario import Source
+from lab.simulation import Simulation
 
 ROOT = Path(__file__).resolve().parent.parent
 POLICIES = ("random", "oracle")
@@ -34,7 +34,7 @@
 
 
 def virtual(source: Source, seed: int, name: str) -> Row:
-    return Market(source.play_of(seed), seed, *policy(name)).run()
+    return Simulation(source.play_of(seed), seed, *policy(name)).run()
 
 
 def served(row: Row) -> float:
--- a/lab/__init__.py
+++ b/lab/__init__.py
@@ -1,4 +1,4 @@
-"""The laboratory: the market in virtual time, experiments on it, and what they came to. Nothing that serves
+"""The laboratory: the simulation in virtual time, experiments on it, and their results. Nothing that serves
 loads it."""
 
 import os
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -13,8 +13,8 @@
 from lab.streams import lognormal
 
 if TYPE_CHECKING:
-    from lab.market import Market
     from lab.sidecars import Sidecar
+    from lab.simulation import Simulation
     from lab.streams import Stream
 
 OVER_SHARE_WORTH = 0.1  # of a call beyond what its member is entitled to
@@ -59,8 +59,8 @@
     """``hot`` and ``loud`` hold the troubles of the moment: how many times its part a sidecar or member
     sends."""
 
-    def __init__(self, market: Market) -> None:
-        self.market, self.clock, scenario = market, market.clock, market.scenario
+    def __init__(self, simulation: Simulation) -> None:
+        self.simulation, self.clock, scenario = simulation, simulation.clock, simulation.scenario
         self.made, self.load, self.scenario = scenario.clients, scenario.load, scenario
         self.class_bounds = list(accumulate(item.share for item in scenario.classes))
         self.shares = [item.share for item in scenario.members]
@@ -78,14 +78,14 @@
         self.saved = [(1000.0 * rate, 0.0) for rate in self.entitled]
 
     def begin(self) -> None:
-        sidecars = self.market.sidecars
-        uneven, chance = self.scenario.sidecars.uneven, self.market.streams.of("uneven")
+        sidecars = self.simulation.sidecars
+        uneven, chance = self.scenario.sidecars.uneven, self.simulation.streams.of("uneven")
         parts = [lognormal(chance.random(), uneven) for _ in sidecars]
         rate = self.scenario.rate() * self.load.share / 1000.0
         for sidecar, part in zip(sidecars, parts, strict=True):
             own = rate * part / sum(parts)
             if own > 0 and sidecar.here:
-                stream = self.market.streams.of("calls", sidecar.number)
+                stream = self.simulation.streams.of("calls", sidecar.number)
                 first = stream.exponential(self.load.burst / own)
                 self.clock.at(first, self._arrive, sidecar.number, own, stream)
 
@@ -124,7 +124,7 @@
         call.hasty = stream.random() < self.made.impatient
         if not self._within(member):
             call.worth *= OVER_SHARE_WORTH
-        self.market.measures.asked(call)
+        self.simulation.measures.asked(call)
         self._try(number, call)
 
     def _within(self, member: int) -> bool:
@@ -137,11 +137,11 @@
 
     def _try(self, number: int, call: Call) -> None:
         """As clients of the platform do: a try is given up before the call is; the last has what is left."""
-        now, made, sidecar = self.clock.now, self.made, self.market.reached(number)
+        now, made, sidecar = self.clock.now, self.made, self.simulation.reached(number)
         call.tries += 1
         self.names += 1
         held = Try(f"c{self.prefix}{self.names}", call, sidecar, made.marked and call.tries > 1)
-        self.market.measures.bin().offered += 1
+        self.simulation.measures.bin().offered += 1
         if not sidecar.up:
             held.open = False
             self._again(held, "cut", 0.0)
@@ -158,7 +158,7 @@
         sidecar, until = held.sidecar, self.clock.now - self.scenario.allow.answer_slack_ms
         stood = sidecar.paused or until <= sidecar.resumed_at  # still, when its time was over
         if overdue and sidecar.up and not stood and held.life == sidecar.life:
-            self.market.checker.overdue(sidecar.number, held.name)
+            self.simulation.checker.overdue(sidecar.number, held.name)
         sidecar.gone(held)
         self.ended(held, "lost", 0.0)
 
@@ -167,7 +167,7 @@
         if not held.open:
             return
         held.open = False
-        call, measures = held.call, self.market.measures
+        call, measures = held.call, self.simulation.measures
         spent = self.clock.now - call.begun
         measures.outcome(what)
         if what == "served":
--- a/lab/command.py
+++ b/lab/command.py
@@ -18,12 +18,12 @@
 
 from lab import experiment, hunt, pool, report, running, scenario, statistics, tables
 from lab.experiment import Experiment, Plan, Play, Point
-from lab.market import Market
 from lab.policies import POLICIES, Unknown, policy
 from lab.reduce import RULES, Symptom, reduced
 from lab.results import Folder, Mixed, of_one_code
 from lab.revisions import Revisions, libraries
 from lab.scenario import Source, Wrong
+from lab.simulation import Simulation
 from lab.worker import Job, broken
 
 P = ParamSpec("P")
@@ -105,12 +105,14 @@
     Example: python -m lab play lab/scenarios/outage.toml --set load.share=0.9
     """
     decides, watched = policy(way)
-    market = Market(scenario.load(file).changed(_changes(settings)).play_of(seed), seed, decides, watched)
-    row = market.run()
+    simulation = Simulation(
+        scenario.load(file).changed(_changes(settings)).play_of(seed), seed, decides, watched
+    )
+    row = simulation.run()
     click.echo(msgspec.json.format(msgspec.json.encode(msgspec.structs.asdict(row))).decode())
-    for rule, words in sorted(market.checker.first.items()):
+    for rule, words in sorted(simulation.checker.first.items()):
         click.echo(f"{rule}: {words}", err=True)
-    return 1 if market.checker.broken or row.falls or row.fault else 0
+    return 1 if simulation.checker.broken or row.falls or row.fault else 0
 
 
 @main.command("run")
@@ -370,7 +372,7 @@
             made = Source(path=str(file), tree=tree, draws={}).play_of(seed)
         except Wrong:
             return False
-        return symptom.shows(Market(made, seed, decides, watched).run())
+        return symptom.shows(Simulation(made, seed, decides, watched).run())
 
     tree = hunt.Hunt(source).file_of(
         hunt.Tried(values=hunt.draw(source.draws, seed), seed=seed, row=broken(""))
@@ -416,7 +418,7 @@
     except many.Broken as fault:
         click.echo(str(fault), err=True)
         return 1
-    real, emulated = found.row, Market(source.play_of(seed), seed).run()
+    real, emulated = found.row, Simulation(source.play_of(seed), seed).run()
     shown = {
         "sockets": msgspec.structs.asdict(real) | found.percentiles(),
         "emulated": msgspec.structs.asdict(emulated),
--- a/lab/discovery.py
+++ b/lab/discovery.py
@@ -8,17 +8,17 @@
 from hareloom.interface import ListKind, ServerState
 
 if TYPE_CHECKING:
-    from lab.market import Market
     from lab.servers import Server
     from lab.sidecars import Sidecar
+    from lab.simulation import Simulation
 
 
 class Discovery:
     """The list as it stands, its changes by version, and those who are told."""
 
-    def __init__(self, market: Market) -> None:
-        self.market, self.made, self.clock = market, market.scenario.discovery, market.clock
-        self.chance = market.streams.of("discovery")
+    def __init__(self, simulation: Simulation) -> None:
+        self.simulation, self.made, self.clock = simulation, simulation.scenario.discovery, simulation.clock
+        self.chance = simulation.streams.of("discovery")
         self.entries: dict[str, api.ServerEntry] = {}
         self.changes: list[api.ServerEntry] = []  # the n-th made version n + 1
         self.away, self.late_ms = False, 0.0
@@ -44,7 +44,7 @@
 
     def started(self, server: Server) -> None:
         if server.name not in self.entries:
-            self.market.evenness.mark(self.clock.now, server.number, "unlisted", True)
+            self.simulation.evenness.mark(self.clock.now, server.number, "unlisted", True)
         self.clock.at(self.chance.uniform(*self.made.add_ms), self._added, server, server.epoch)
 
     def _added(self, server: Server, epoch: int) -> None:
@@ -60,14 +60,14 @@
             self.entries.pop(server.name, None)
         else:
             self.entries[server.name] = entry
-        even, now = self.market.evenness, self.clock.now
+        even, now = self.simulation.evenness, self.clock.now
         even.mark(now, server.number, "unlisted", state is not ServerState.READY)
         if state is ServerState.READY:
             even.cause(now, "listed", (server.number,))
         self.changes.append(entry)
         if self.away:
             return
-        for sidecar in self.market.processes():
+        for sidecar in self.simulation.processes():
             if sidecar.subscribed:
                 self.push(sidecar)
 
@@ -116,15 +116,15 @@
         """Pushed: nothing comes. Asked: the calls that wait end."""
         self.away = True
         if self.made.mode == "ask":
-            for sidecar in self.market.processes():
+            for sidecar in self.simulation.processes():
                 if sidecar.subscribed:
                     self._failed(sidecar, sidecar.life)
 
     def come_back(self) -> None:
         self.away = False
-        self.market.evenness.cause(self.clock.now, "discovery is back")
+        self.simulation.evenness.cause(self.clock.now, "discovery is back")
         if self.made.mode == "push":
-            for sidecar in self.market.processes():
+            for sidecar in self.simulation.processes():
                 if sidecar.here:
                     self.push(sidecar)
 
@@ -135,5 +135,5 @@
 
     def mend(self, servers: list[Server]) -> None:
         for server in servers:
-            if server.state == "up" and server.name not in self.market.leaving:
+            if server.state == "up" and server.name not in self.simulation.leaving:
                 self.tell(server, ServerState.READY)
--- a/lab/driver.py
+++ b/lab/driver.py
@@ -17,8 +17,8 @@
 import uvloop
 
 from lab.scenario import Source
-from lab.sockets import Shard, WireMarket
-from lab.wire_sidecars import Speaks
+from lab.socket_sidecars import Speaks
+from lab.socket_simulation import Shard, SocketSimulation
 from lab.worker import MOST_FRAME, write_frame
 
 
@@ -50,20 +50,20 @@
         write_frame(sink, msgspec.msgpack.encode(what))
 
     job = msgspec.convert(await read(reader), Part)
-    market = WireMarket(job.source.play_of(job.seed), job.seed, job.speaks, job.shard)
-    market.told_of_falls = lambda number: tell({"fell": number})
+    simulation = SocketSimulation(job.source.play_of(job.seed), job.seed, job.speaks, job.shard)
+    simulation.told_of_falls = lambda number: tell({"fell": number})
     try:
-        tell({"reached": await market.open()})
+        tell({"reached": await simulation.open()})
         reached = (await read(reader))["reached"]
-        tell({"up_s": await market.ready({int(number): dials for number, dials in reached.items()})})
+        tell({"up_s": await simulation.ready({int(number): dials for number, dials in reached.items()})})
         start = (await read(reader))["start"]
 
         async def hear() -> None:
             while True:
-                market.heard_of_fall((await read(reader))["fell"])
+                simulation.heard_of_fall((await read(reader))["fell"])
 
         hearing = asyncio.ensure_future(hear())
-        playing = asyncio.ensure_future(market.take_place(start))
+        playing = asyncio.ensure_future(simulation.take_place(start))
         await asyncio.wait([hearing, playing], return_when=asyncio.FIRST_COMPLETED)
         if not playing.done():  # nobody is there to be told
             playing.cancel()
@@ -71,11 +71,11 @@
         hearing.cancel()
         await asyncio.wait([hearing])
         await playing
-        tell({"report": market.report()})
+        tell({"report": simulation.report()})
         while "over" not in await read(reader):  # what others still have here is served until all are done
             pass
     finally:
-        await market.close()
+        await simulation.close()
 
 
 def main() -> None:
--- a/lab/links.py
+++ b/lab/links.py
@@ -1,4 +1,4 @@
-"""Links between zones, and what may befall them, as the market's models see it.
+"""Links between zones, and what may befall them, as the simulation's models see it.
 
 A link leads from the sidecars of one zone to the servers of another, or of the same. Over sockets a relay
 does the same to real connections (rigs/relay.py).
--- a/lab/many.py
+++ b/lab/many.py
@@ -15,8 +15,8 @@
 from lab.driver import Part, read
 from lab.revisions import ROOT
 from lab.scenario import Scenario, Source
-from lab.sockets import Concluded
-from lab.wire_sidecars import Speaks
+from lab.socket_sidecars import Speaks
+from lab.socket_simulation import Concluded
 from rigs.fleet import end_with_parent
 
 EACH = 350.0  # calls a second that one driver speaks for
--- a/lab/servers.py
+++ b/lab/servers.py
@@ -1,4 +1,4 @@
-"""A server as the market sees it: workers, a queue, a cold start, falls, slow states, pauses and silence.
+"""A server as the simulation sees it: workers, a queue, a cold start, falls, slow states, pauses and silence.
 
 A call's speed is that of the moment in which a worker takes it: what changes while it runs counts from the
 next.
@@ -15,8 +15,8 @@
 from lab.scenario import Kind
 
 if TYPE_CHECKING:
-    from lab.market import Market
     from lab.sidecars import Sidecar
+    from lab.simulation import Simulation
 
 UP, DEAD, SILENT = "up", "dead", "silent"
 
@@ -63,13 +63,15 @@
 class Server:
     """``work`` and spans in ms; ``peak`` is the most that came, as a multiple of what it could do."""
 
-    def __init__(self, market: Market, number: int, kind: Kind, name: str, cold: bool = False) -> None:
-        made = market.scenario.servers
-        self.market, self.clock, self.made, self.kind = market, market.clock, made, kind
+    def __init__(
+        self, simulation: Simulation, number: int, kind: Kind, name: str, cold: bool = False
+    ) -> None:
+        made = simulation.scenario.servers
+        self.simulation, self.clock, self.made, self.kind = simulation, simulation.clock, made, kind
         self.number, self.name = number, name
-        self.zone = market.scenario.network.zones[number % len(market.scenario.network.zones)]
+        self.zone = simulation.scenario.network.zones[number % len(simulation.scenario.network.zones)]
         self.cell = number // made.cell
-        chance = market.streams.of("server", name)
+        chance = simulation.streams.of("server", name)
         spread = made.speed_cv * math.sqrt(3.0)  # an even draw of that coefficient of variation
         self.speed = max(kind.speed * chance.uniform(1.0 - spread, 1.0 + spread), 0.05)
         self.chokes = chance.random() < made.choke.share
@@ -89,7 +91,7 @@
         self.met: dict[int, float] = {}
         if made.pause_every_ms > 0:
             self.clock.at(chance.exponential(made.pause_every_ms), self._pause)
-        market.evenness.joins(number, kind.workers * self.speed)
+        simulation.evenness.joins(number, kind.workers * self.speed)
         self._has()
         if cold:
             self._warming()
@@ -97,7 +99,7 @@
     def _has(self) -> None:
         """Tells what it has in hand."""
         workers = self.kind.workers if self.state == UP else 0
-        self.market.evenness.moved(self.clock.now, self.number, workers, self.running, len(self.waiting))
+        self.simulation.evenness.moved(self.clock.now, self.number, workers, self.running, len(self.waiting))
 
     def _warming(self) -> None:
         self.mark("cold", True)
@@ -109,7 +111,7 @@
 
     def mark(self, why: str, unsound: bool) -> None:
         """From now on it is not to be counted on, for this reason, or no longer for it."""
-        self.market.evenness.mark(self.clock.now, self.number, why, unsound)
+        self.simulation.evenness.mark(self.clock.now, self.number, why, unsound)
 
     def place(self) -> tuple[str, str, int]:
         """Its name, zone and cell."""
@@ -137,15 +139,15 @@
         """The last byte of a request is here."""
         if self.state != UP or attempt.epoch != self.epoch:
             if self.state != SILENT:
-                self.market.reply(attempt, Outcome.RESET)
+                self.simulation.reply(attempt, Outcome.RESET)
             return
-        self.market.evenness.came(self.clock.now, self.number)
+        self.simulation.evenness.came(self.clock.now, self.number)
         work = self._work(attempt)
         self.take(work)
         if self.state != UP:
             return  # it fell over by this one; what it held was reset
         if self.errors > 0 and self.chance.random() < self.errors:
-            self.market.reply(attempt, Outcome.ERROR)
+            self.simulation.reply(attempt, Outcome.ERROR)
         elif self.running < self.kind.workers:
             self._begin(attempt, work)
         elif len(self.waiting) < self.room:
@@ -156,7 +158,7 @@
                 self._crowd()
             self._has()
         else:
-            self.market.reply(attempt, Outcome.FULL)
+            self.simulation.reply(attempt, Outcome.FULL)
 
     def take(self, work: float) -> None:
         """Counts work that came: too much for too long, and a starting server falls."""
@@ -167,18 +169,18 @@
             self.recent_work -= self.recent.popleft()[1]
         warmth = self.warmth()
         part = self.recent_work / (self.kind.workers * self.speed * made.fall_ms * warmth)
-        self.market.measures.loaded(self.number, part)
+        self.simulation.measures.loaded(self.number, part)
         if warmth < 1.0 and part > self.peak:
             self.peak = part
         if part > made.fall_multiple and (warmth < 1.0 or made.falls_warm):
             self.falls += 1
-            self.market.measures.fell(warmth < 1.0)
-            self.market.fell(self)
+            self.simulation.measures.fell(warmth < 1.0)
+            self.simulation.fell(self)
             self.stop(DEAD)
             self.clock.at(made.down_ms, self.start)
 
     def _work(self, attempt: Attempt) -> float:
-        keys, now = self.market.scenario.load.keys, self.clock.now
+        keys, now = self.simulation.scenario.load.keys, self.clock.now
         if attempt.key < 0 or keys.gain <= 0:
             return attempt.work
         known = now - self.met.pop(attempt.key, -math.inf) <= keys.kept_ms
@@ -213,11 +215,11 @@
         attempt.state = ""
         self.held.discard(attempt)
         self.running -= 1
-        self.market.checker.ran(attempt.request, attempt.klass)
+        self.simulation.checker.ran(attempt.request, attempt.klass)
         if self.state == UP:
             if not attempt.open:
-                self.market.measures.wasted += 1
-            self.market.reply(attempt, Outcome.OK)
+                self.simulation.measures.wasted += 1
+            self.simulation.reply(attempt, Outcome.OK)
         self._next()
         self._has()
 
@@ -252,7 +254,7 @@
                 self.crowded_at = now
             elif now - self.crowded_at > choke.over_ms:
                 self.choked, self.choked_at, self.idle_at = True, now, math.inf
-                self.market.measures.choked += 1
+                self.simulation.measures.choked += 1
             return
         if self.running + len(self.waiting) >= choke.idle * workers:
             self.idle_at = math.inf
@@ -282,8 +284,8 @@
         for attempt in sorted(held, key=lambda item: (item.sent, item.sidecar.number, item.request)):
             attempt.state = ""
             if state == DEAD:
-                self.market.reply(attempt, Outcome.RESET)
-        self.market.discovery.ended(self, state == SILENT)
+                self.simulation.reply(attempt, Outcome.RESET)
+        self.simulation.discovery.ended(self, state == SILENT)
 
     def start(self) -> None:
         """Up again, cold, under the same name and with another birth."""
@@ -294,4 +296,4 @@
         self._has()
         self._warming()
         self.mark("down", False)
-        self.market.discovery.started(self)
+        self.simulation.discovery.started(self)
--- a/lab/sidecars.py
+++ b/lab/sidecars.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from lab.clients import Try
-    from lab.market import Market
+    from lab.simulation import Simulation
 
 
 class Decides(Protocol):
@@ -35,17 +35,19 @@
 
     here = True  # not of another process, as in a rig of several
 
-    def __init__(self, market: Market, number: int, policy: Policy, watched: bool, version: int = 0) -> None:
+    def __init__(
+        self, simulation: Simulation, number: int, policy: Policy, watched: bool, version: int = 0
+    ) -> None:
         """``version``: how many processes this sidecar has been before; two of them may be there at once."""
-        self.market, self.clock, self.number, self.turn = market, market.clock, number, version
+        self.simulation, self.clock, self.number, self.turn = simulation, simulation.clock, number, version
         self.policy, self.watched = policy, watched
-        zones = market.scenario.network.zones
+        zones = simulation.scenario.network.zones
         self.zone = zones[number % len(zones)]
-        self.settings = market.settings(self.zone, number)
-        cpu = market.scenario.sidecars.cpu
-        self.bill = Bill(cpu, market.measures) if cpu.per_s > 0 else None
+        self.settings = simulation.settings(self.zone, number)
+        cpu = simulation.scenario.sidecars.cpu
+        self.bill = Bill(cpu, simulation.measures) if cpu.per_s > 0 else None
         place = (number, version) if version else (number,)
-        self.net, self.lag = market.streams.of("net", *place), market.streams.of("lag", *place)
+        self.net, self.lag = simulation.streams.of("net", *place), simulation.streams.of("lag", *place)
         self.up, self.paused, self.life, self.resumed_at = False, False, 0, -1.0
         self.inbox: deque[tuple[Callable[..., None], tuple[object, ...]]] = deque()
         self.version, self.subscribed = 0, False
@@ -59,21 +61,21 @@
     def start(self, entries: tuple[api.ServerEntry, ...] | None = None) -> None:
         """Starts, or starts again with nothing but its last list."""
         self.up, self.paused, self.life = True, False, self.life + 1
-        seed = self.market.seed * 100_003 + self.number * 101 + self.life + 7919 * self.turn
+        seed = self.simulation.seed * 100_003 + self.number * 101 + self.life + 7919 * self.turn
         self.module = self.policy(self.settings, seed)
         if isinstance(self.module, Sees):
-            net = self.market.scenario.network
-            sight = self.market.sight(self.number, self.module.late)
+            net = self.simulation.scenario.network
+            sight = self.simulation.sight(self.number, self.module.late)
             self.module.given(sight, self.number, max(net.same_ms, net.cross_ms))
         self._looks = 0.0
         self.watch = Watch(self.settings, seed) if self.watched else None
-        self.subscribed = self.market.scenario.discovery.mode == "push"
+        self.subscribed = self.simulation.scenario.discovery.mode == "push"
         first = entries is not None
         if entries is not None:
             self.known = {entry.server: entry for entry in entries}
         entries = tuple(self.known.values())
         if not self.turn or self.life > 1:
-            self.market.checker.started(self.number)  # to the rules two processes are one sidecar
+            self.simulation.checker.started(self.number)  # to the rules two processes are one sidecar
         self.hear(api.ServerList(ListKind.CACHED, self.version, entries))
         if first and self.subscribed:
             self.hear(api.ServerList(ListKind.FULL, self.version, entries))
@@ -91,11 +93,11 @@
         self.sent.clear()
         self.out.clear()
         for number, kept in self.kept.items():
-            self.market.servers[number].connections -= len(kept)
+            self.simulation.servers[number].connections -= len(kept)
         self.kept.clear()
         tries, self.tries = self.tries, {}
         for held in tries.values():
-            self.market.clients.ended(held, "cut", 0.0)
+            self.simulation.clients.ended(held, "cut", 0.0)
 
     def pause(self) -> None:
         self.paused = True
@@ -122,10 +124,10 @@
             if event.kind is ListKind.FULL:
                 named = {entry.server for entry in event.entries}
                 self.known = {name: entry for name, entry in self.known.items() if name in named}
-            self.market.checker.listed(self.number, self.clock.now, event)
+            self.simulation.checker.listed(self.number, self.clock.now, event)
         now, watch = self.clock.now, self.watch
         if watch is not None and (change := watch.told(now, event)) is not None:
-            self.market.measures.changes.append((self.number, change))
+            self.simulation.measures.changes.append((self.number, change))
         actions = self.module.handle(now, event)
         if self.bill is not None:
             self._pay(now, event, actions)
@@ -144,7 +146,7 @@
             elif isinstance(action, api.Fail):
                 self._answer(action.request, "failed", 0.0)
             elif isinstance(action, api.Subscribe):
-                self.market.discovery.subscribe(self)
+                self.simulation.discovery.subscribe(self)
 
     def _pay(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
         """Looks are counted where the module counts them, else as many as a pick is taken to need."""
@@ -152,7 +154,7 @@
         sends = sum(isinstance(action, api.Send) for action in actions)
         looks = getattr(self.module, "looks", None)
         if looks is None:
-            looked = sends * self.market.scenario.sidecars.cpu.looks
+            looked = sends * self.simulation.scenario.sidecars.cpu.looks
         else:
             looked, self._looks = looks - self._looks, looks
         self.bill.book(now, event, sends, looked)
@@ -169,7 +171,7 @@
         if not held.open:
             return
         self.tries[held.name] = held
-        self.market.checker.asked(self.number, held.name, held.call.klass.name, until)
+        self.simulation.checker.asked(self.number, held.name, held.call.klass.name, until)
         if self.bill is not None:
             self.bill.took(self.clock.now, held.call)
         self.hear(api.Request(held.name, held.call.klass.name, until, None, held.marked))
@@ -184,16 +186,16 @@
         if self.paused:
             self.inbox.append((self._left, (name,)))
             return
-        self.market.checker.left(self.number, name, self.clock.now)
+        self.simulation.checker.left(self.number, name, self.clock.now)
         self.hear(api.ClientGone(name))
         self._forget(name)
 
     def _answer(self, name: str, what: str, advice_ms: float) -> None:
-        self.market.checker.final(self.number, name, what, self.clock.now)
+        self.simulation.checker.final(self.number, name, what, self.clock.now)
         held = self.tries.pop(name, None)
         self._forget(name)
         if held is not None:
-            self.market.clients.ended(held, what, advice_ms)
+            self.simulation.clients.ended(held, what, advice_ms)
 
     def _forget(self, name: str) -> None:
         """Counts of attempts are kept while one can still end."""
@@ -204,12 +206,12 @@
     # Attempts
 
     def _send(self, action: api.Send) -> None:
-        market, now, name = self.market, self.clock.now, action.request
+        simulation, now, name = self.simulation, self.clock.now, action.request
         number = self.sent.get(name, 0)
         self.sent[name] = number + 1
         self.out[name] = self.out.get(name, 0) + 1
-        server = market.by_name[action.server]
-        market.checker.sent(self.number, name, number, server.place(), now)
+        server = simulation.by_name[action.server]
+        simulation.checker.sent(self.number, name, number, server.place(), now)
         held = self.tries.get(name)
         work, key, klass = 0.0, -1, ""
         if held is not None:
@@ -217,31 +219,31 @@
             noise = lognormal(turned(call.chance, call.tries * 8 + number), call.klass.noise)
             work, key, klass = call.work * noise, call.key, call.klass.name
         attempt = self.attempts[name, number] = Attempt(self, name, number, server, now, work, key, klass)
-        market.measures.bin().sent += 1
+        simulation.measures.bin().sent += 1
         self.clock.at(action.timeout_ms, self.ended, attempt, Outcome.TIMEOUT)
-        if market.swallowed(self, server):
+        if simulation.swallowed(self, server):
             return  # nothing comes back, not even of the connect
-        link = market.links.of(self.zone, server.zone)
-        one_way = self.delay(server) + link.late(market.links.chance)
+        link = simulation.links.of(self.zone, server.zone)
+        one_way = self.delay(server) + link.late(simulation.links.chance)
         epoch, opened = self._take(server)
         attempt.opened = opened if epoch >= 0 else now
         if epoch >= 0:
             attempt.epoch = epoch
             if link.dead_before > opened:
                 return  # open at this end alone
-            if link.reset and market.links.chance.random() < link.reset:
+            if link.reset and simulation.links.chance.random() < link.reset:
                 self.clock.at(one_way, self.ended, attempt, Outcome.RESET)
                 return
             self.clock.at(one_way, server.arrive, attempt)
             return
-        market.measures.bin().connects += 1
+        simulation.measures.bin().connects += 1
         if self.watch is not None:
             self.watch.opened(now)
-        made = market.scenario.servers
+        made = simulation.scenario.servers
         if server.state == DEAD:
             self.clock.at(2.0 * one_way, self.ended, attempt, Outcome.CONNECT_FAILED)
         elif server.state == SILENT:
-            wait = market.scenario.network.connect_timeout_ms
+            wait = simulation.scenario.network.connect_timeout_ms
             self.clock.at(wait, self.ended, attempt, Outcome.CONNECT_FAILED)
         else:
             hello = one_way * (1.0 + 2.0 * made.handshake_rtts)
@@ -255,7 +257,7 @@
             self.ended(attempt, Outcome.CONNECT_FAILED)
             return
         if server.connections >= server.made.connections:
-            self.market.reply(attempt, Outcome.FULL)  # too many connections: turned away unseen
+            self.simulation.reply(attempt, Outcome.FULL)  # too many connections: turned away unseen
             return
         server.connections += 1
         attempt.epoch = epoch
@@ -284,7 +286,7 @@
 
     def delay(self, server: Server) -> float:
         """One way, ms."""
-        net = self.market.scenario.network
+        net = self.simulation.scenario.network
         base = net.same_ms if server.zone == self.zone else net.cross_ms
         return base * (1.0 + net.jitter * self.net.random())
 
@@ -308,7 +310,7 @@
             else:
                 server.connections -= 1
                 server.cancel(attempt)
-        self.market.checker.ended(self.number, name, number, outcome)
+        self.simulation.checker.ended(self.number, name, number, outcome)
         if outcome is Outcome.OK and name in self.tries:
             self._answer(name, "served", 0.0)
         else:
--- a/lab/market.py
+++ b/lab/simulation.py
@@ -1,4 +1,4 @@
-"""The whole market in virtual time: a play is a function of its scenario, its seed and the code.
+"""The whole simulation in virtual time: a play is a function of its scenario, its seed and the code.
 
 What decides is real (the module, the watch for storms, or a policy to hold against them); servers, network,
 discovery and clients are models. Nothing here reads a clock or a file.
@@ -44,7 +44,7 @@
     )
 
 
-class Market:
+class Simulation:
     """One play. ``watched``: the watch for storms stands before each module, as the operator's file has
     it."""
 
@@ -95,7 +95,7 @@
         self.by_name[server.name] = server
 
     def add_server(self, kind: Kind) -> None:
-        """A machine that the market has not had, started now."""
+        """A machine that the simulation has not had, started now."""
         number = len(self.servers)
         server = self._make(self, number, kind, f"s-{number}", cold=True)
         self._put(server)
--- a/lab/wire_servers.py
+++ b/lab/socket_servers.py
@@ -18,7 +18,7 @@
 from rigs.relay import Door, Faults, TcpRelay
 
 if TYPE_CHECKING:
-    from lab.sockets import WireMarket
+    from lab.socket_simulation import SocketSimulation
 
 ANSWERS = {
     Outcome.OK: b"200 OK",
@@ -30,7 +30,7 @@
 MOST_FACTS = 12
 
 
-class WireAttempt(Attempt):
+class SocketAttempt(Attempt):
     """An attempt as its server sees it, with the connection that it came on and its number there."""
 
     __slots__ = ("side", "msgid")
@@ -42,9 +42,9 @@
 class Side(asyncio.Protocol):
     """A connection of a sidecar to a server, whatever it speaks: what came on it and is not answered."""
 
-    server: WireServer
+    server: SocketServer
     epoch: int
-    held: dict[int, WireAttempt]
+    held: dict[int, SocketAttempt]
     transport: asyncio.Transport
 
     def opened(self, transport: asyncio.BaseTransport) -> None:
@@ -52,42 +52,44 @@
         self.transport, self.epoch, self.held = cast(asyncio.Transport, transport), server.epoch, {}
         server.sides.add(self)
         server.connections += 1
-        server.market.measures.bin().connects += 1
+        server.simulation.measures.bin().connects += 1
         if server.made.handshake_ms > 0 and server.state == UP:
             server.take(server.made.handshake_ms)
 
     def came(self, name: str, msgid: int, facts: str) -> None:
         """A whole request; ``facts`` are what its client says of the call (``facts_of``)."""
-        market, server = cast("WireMarket", self.server.market), self.server
+        simulation, server = cast("SocketSimulation", self.server.simulation), self.server
         told = read_facts(facts)
-        sidecar: Any = market.peers[int(told["n"])]
+        sidecar: Any = simulation.peers[int(told["n"])]
         klass, server.count = told["c"], server.count + 1
         number = f"{server.number}.{server.count}"
-        market.measures.bin().sent += 1
-        market.checker.sent(sidecar.number, name, number, server.place(), market.clock.now)
+        simulation.measures.bin().sent += 1
+        simulation.checker.sent(sidecar.number, name, number, server.place(), simulation.clock.now)
         noise = turned(told["h"], int(told["t"]) * 8 + server.number % 8)
-        work = told["w"] * lognormal(noise, market.noise_of[klass])
-        attempt = WireAttempt(sidecar, name, number, server, market.clock.now, work, int(told["k"]), klass)
+        work = told["w"] * lognormal(noise, simulation.noise_of[klass])
+        attempt = SocketAttempt(
+            sidecar, name, number, server, simulation.clock.now, work, int(told["k"]), klass
+        )
         attempt.side, attempt.epoch, attempt.msgid = self, self.epoch, msgid
         self.held[msgid] = attempt
-        if market.swallowed(sidecar, server):
+        if simulation.swallowed(sidecar, server):
             return
         if server.connections > server.made.connections:
-            market.reply(attempt, Outcome.FULL)
+            simulation.reply(attempt, Outcome.FULL)
         else:
-            market.clock.at(sidecar.delay(server), server.arrive, attempt)
+            simulation.clock.at(sidecar.delay(server), server.arrive, attempt)
 
-    def answer(self, attempt: WireAttempt, outcome: Outcome) -> None:
+    def answer(self, attempt: SocketAttempt, outcome: Outcome) -> None:
         if self.held.pop(attempt.msgid, None) is not attempt or self.transport.is_closing():
             return
         attempt.open = False
-        self.server.market.checker.ended(attempt.sidecar.number, attempt.request, attempt.number, outcome)
+        self.server.simulation.checker.ended(attempt.sidecar.number, attempt.request, attempt.number, outcome)
         if outcome in ANSWERS:
             self.transport.write(self.words(attempt, outcome))
         else:
             self.transport.abort()
 
-    def words(self, attempt: WireAttempt, outcome: Outcome) -> bytes:
+    def words(self, attempt: SocketAttempt, outcome: Outcome) -> bytes:
         raise NotImplementedError
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -99,7 +101,7 @@
         for attempt in held.values():
             attempt.open = False
             server.cancel(attempt)
-            server.market.checker.ended(
+            server.simulation.checker.ended(
                 attempt.sidecar.number, attempt.request, attempt.number, Outcome.TIMEOUT
             )
 
@@ -122,7 +124,7 @@
 class HttpSide(Side, fleet._Messages):
     """HTTP/1.1, one request at a time."""
 
-    def __init__(self, server: WireServer) -> None:
+    def __init__(self, server: SocketServer) -> None:
         fleet._Messages.__init__(self)
         self.server = server
 
@@ -133,7 +135,7 @@
         name = fleet.head_value(head, b"x-correlation-id").decode(errors="replace")
         self.came(name, 0, fleet.head_value(head, b"x-facts").decode(errors="replace"))
 
-    def words(self, attempt: WireAttempt, outcome: Outcome) -> bytes:
+    def words(self, attempt: SocketAttempt, outcome: Outcome) -> bytes:
         body = b"done:" + attempt.request.encode() if outcome is Outcome.OK else b""
         return b"HTTP/1.1 %s\r\ncontent-length: %d\r\n\r\n%s" % (ANSWERS[outcome], len(body), body)
 
@@ -141,7 +143,7 @@
 class RpcSide(Side):
     """MessagePack-RPC, answered in any order."""
 
-    def __init__(self, server: WireServer) -> None:
+    def __init__(self, server: SocketServer) -> None:
         self.server = server
         self.unpacker = msgpack.Unpacker(raw=False, strict_map_key=False, max_buffer_size=MOST_MESSAGE)
 
@@ -153,13 +155,13 @@
         for _, msgid, _, params in self.unpacker:
             self.came(params[0]["id"], msgid, params[0]["facts"])
 
-    def words(self, attempt: WireAttempt, outcome: Outcome) -> bytes:
+    def words(self, attempt: SocketAttempt, outcome: Outcome) -> bytes:
         error = {Outcome.FULL: BUSY, Outcome.ERROR: {"why": "an error"}}.get(outcome)
         result = None if error else [attempt.request]
         return cast(bytes, msgpack.packb([1, attempt.msgid, error, result]))
 
 
-class WireServer(Server):
+class SocketServer(Server):
     """The model with a listener for each protocol, and a relay before each for those links that may fail."""
 
     def __init__(self, *args: Any, **more: Any) -> None:
@@ -170,10 +172,10 @@
         self.doors = tuple(Door(lambda found, speaks=kind: self._accept(found, speaks)) for kind in SIDES)  # type: ignore[misc]
         for door in self.doors:
             door.serve()
-        market = cast("WireMarket", self.market)
+        simulation = cast("SocketSimulation", self.simulation)
         self.relays: dict[str, list[TcpRelay]] = {}  # by zone of the sidecars, a relay for each protocol
-        for zone in market.relayed:
-            seed = market.seed * 1009 + self.number
+        for zone in simulation.relayed:
+            seed = simulation.seed * 1009 + self.number
             self.relays[zone] = [TcpRelay("127.0.0.1", door.port, seed) for door in self.doors]
 
     def _accept(self, found: socket.socket, speaks: type[HttpSide] | type[RpcSide]) -> None:
--- a/lab/wire_sidecars.py
+++ b/lab/socket_sidecars.py
@@ -1,5 +1,5 @@
-"""Real sidecars as the market's models meet them: a process each, its clients' connections, and the list it
-is told."""
+"""Real sidecars as the simulation's models meet them: a process each, its clients' connections, and the list
+it is told."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 from lab.clients import Try
 from lab.launch import Program
 from lab.servers import Server
-from lab.wire_servers import BUSY, facts_of
+from lab.socket_servers import BUSY, facts_of
 from rigs import fleet
 from rigs.rpc_peer import RpcCaller
 
 if TYPE_CHECKING:
-    from lab.sockets import WireMarket
+    from lab.socket_simulation import SocketSimulation
 
 Speaks = Literal["http", "rpc"]
 
@@ -28,7 +28,7 @@
 class _ClientSide(fleet._Messages):
     """A client's connection to its sidecar: one request at a time."""
 
-    def __init__(self, sidecar: WireSidecar) -> None:
+    def __init__(self, sidecar: SocketSidecar) -> None:
         super().__init__()
         self.sidecar = sidecar
         self.held: Try | None = None
@@ -58,7 +58,7 @@
         status = int(head[9:12])
         what = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
         if what == "served" and body != b"done:" + held.name.encode():
-            self.sidecar.market.checker.breach("lost", f"{held.name} got another call's answer")
+            self.sidecar.simulation.checker.breach("lost", f"{held.name} got another call's answer")
         advice = fleet.head_value(head, b"retry-after") or b"0"
         self.sidecar.answered(held, what, float(advice) * 1000.0)
 
@@ -73,7 +73,7 @@
 class _Agent(fleet._Messages):
     """Discovery as one sidecar meets it: a watch is held until there is something new."""
 
-    def __init__(self, sidecar: WireSidecar) -> None:
+    def __init__(self, sidecar: SocketSidecar) -> None:
         super().__init__()
         self.sidecar = sidecar
         self.timer: asyncio.TimerHandle | None = None
@@ -86,8 +86,8 @@
         self.sidecar.list_calls += 1
         after = head.partition(b"after=")[2][:18].partition(b"&")[0].partition(b" ")[0]
         wait = head.partition(b"wait_ms=")[2][:8].partition(b"&")[0].partition(b" ")[0]
-        if self.sidecar.market.discovery.away:
-            if self.sidecar.market.scenario.discovery.mode == "ask":
+        if self.sidecar.simulation.discovery.away:
+            if self.sidecar.simulation.scenario.discovery.mode == "ask":
                 self.transport.abort()
             return
         if not after.isdigit() or int(after) < self.sidecar.version + 1 or not wait.isdigit():
@@ -110,16 +110,16 @@
             self.timer.cancel()
 
 
-class WireSidecar:
-    """A real sidecar as a process, as the market's models meet it."""
+class SocketSidecar:
+    """A real sidecar as a process, as the simulation's models meet it."""
 
     here = True  # its process is this one's child
 
-    def __init__(self, market: WireMarket, number: int, speaks: Speaks) -> None:
-        self.market, self.number, self.speaks = market, number, speaks
-        zones = market.scenario.network.zones
+    def __init__(self, simulation: SocketSimulation, number: int, speaks: Speaks) -> None:
+        self.simulation, self.number, self.speaks = simulation, number, speaks
+        zones = simulation.scenario.network.zones
         self.zone = zones[number % len(zones)]
-        self.net, self.lag = market.streams.of("net", number), market.streams.of("lag", number)
+        self.net, self.lag = simulation.streams.of("net", number), simulation.streams.of("lag", number)
         self.up, self.paused, self.life, self.version, self.subscribed = False, False, 0, 0, True
         self.turn, self.resumed_at, self.list_calls = 0, -1.0, 0
         self.known: dict[str, api.ServerEntry] = {}
@@ -138,7 +138,7 @@
         return facts_of(self.number, call.klass.name, call.work, call.chance, call.key, call.tries)
 
     def delay(self, server: Server) -> float:
-        net = self.market.scenario.network
+        net = self.simulation.scenario.network
         base = net.same_ms if server.zone == self.zone else net.cross_ms
         return base * (1.0 + net.jitter * self.net.random())
 
@@ -157,19 +157,19 @@
 
     async def _run(self) -> None:
         operator = self._operator() if self.speaks == "rpc" else ""
-        self.running = await self.market.launcher.program(self.market.config(self), operator)
+        self.running = await self.simulation.launcher.program(self.simulation.config(self), operator)
         if operator:
             self.rpc_port = await self.running.said_port()
             self.running.read_on()
         self.up, self.life = True, self.life + 1
-        self.market.checker.started(self.number)
+        self.simulation.checker.started(self.number)
         told = api.ServerList(ListKind.FULL, self.version, tuple(self.known.values()))
-        self.market.checker.listed(self.number, self.market.clock.now, told)
+        self.simulation.checker.listed(self.number, self.simulation.clock.now, told)
 
     def _operator(self) -> str:
         """The operator's file: each class a method of its name."""
         lines = ["[rpc]", 'listen = "127.0.0.1:0"', f'turned_away = ["{BUSY}"]']
-        for item in self.market.scenario.classes:
+        for item in self.simulation.scenario.classes:
             lines += ["[[rpc.methods]]", f'pattern = "{item.name}"', f'class = "{item.name}"']
             lines += ['id = [0, "id"]', 'deadline = [0, "left_ms"]']
             if item.effect == "keyed":
@@ -203,7 +203,7 @@
 
     def resume(self) -> None:
         if self.paused and self.running is not None:
-            self.paused, self.resumed_at = False, self.market.clock.now
+            self.paused, self.resumed_at = False, self.simulation.clock.now
             self.running.process.send_signal(signal.SIGCONT)
 
     # The list
@@ -216,17 +216,17 @@
             return
         for entry in event.entries:
             self.known[entry.server] = entry
-        self.market.checker.listed(self.number, self.market.clock.now, event)
+        self.simulation.checker.listed(self.number, self.simulation.clock.now, event)
         for agent in [agent for agent in self.agents if agent.timer is not None]:
             agent.send()
         self.known = {k: e for k, e in self.known.items() if e.state is not api.ServerState.GONE}
 
     def list_told(self) -> dict[str, Any]:
-        market = self.market
-        if market.scenario.discovery.mode == "ask":
-            self.version = len(market.discovery.changes)
-            self.known = dict(market.discovery.entries)
-        reached = {name: market.wire(name).dials() for name in self.known}
+        simulation = self.simulation
+        if simulation.scenario.discovery.mode == "ask":
+            self.version = len(simulation.discovery.changes)
+            self.known = dict(simulation.discovery.entries)
+        reached = {name: simulation.wire(name).dials() for name in self.known}
         dials = {name: found.get(self.zone, found[""]) for name, found in reached.items()}
         hosts = [
             {
@@ -238,7 +238,9 @@
                 "block": entry.cell,
                 "health": "up" if entry.state is api.ServerState.READY else "draining",
                 "share": entry.size,
-                "born_ms": 0 if entry.started_at is None else round(market.began_unix_ms + entry.started_at),
+                "born_ms": 0
+                if entry.started_at is None
+                else round(simulation.began_unix_ms + entry.started_at),
             }
             for entry in self.known.values()
             if entry.state is not api.ServerState.GONE
@@ -270,8 +272,8 @@
             self.idle.append(side)
             return
         self.busy[held.name] = side
-        self.market.checker.asked(self.number, held.name, held.call.klass.name, until)
-        side.ask(held, until - self.market.clock.now)
+        self.simulation.checker.asked(self.number, held.name, held.call.klass.name, until)
+        side.ask(held, until - self.simulation.clock.now)
 
     async def _call(self, held: Try, until: float) -> None:
         """Over MessagePack-RPC: all calls on one connection, which nothing but its end gives up."""
@@ -280,8 +282,8 @@
                 if self.rpc is None or self.rpc.writer.is_closing():
                     self.rpc = await RpcCaller.connect(self.rpc_port)
             # A sidecar is told the class's deadline here, and not when this try's client gives up.
-            self.market.checker.asked(self.number, held.name, held.call.klass.name, math.inf)
-            left = round(until - self.market.clock.now)
+            self.simulation.checker.asked(self.number, held.name, held.call.klass.name, math.inf)
+            left = round(until - self.simulation.clock.now)
             params = {"id": held.name, "key": f"key-{held.name}", "left_ms": left}
             params["facts"] = self.facts(held)
             error, result = await self.rpc.send(held.call.klass.name, params)
@@ -291,29 +293,29 @@
         code = error.get("code") if isinstance(error, dict) else None
         what = "served" if error is None else "refused" if code == "refused" else "failed"
         if error is None and result != [held.name]:
-            self.market.checker.breach("lost", f"{held.name} got another call's answer")
+            self.simulation.checker.breach("lost", f"{held.name} got another call's answer")
         self.answered(held, what, float(error.get("retry_after_ms", 0.0)) if code == "refused" else 0.0)
 
     def answered(self, held: Try, what: str, advice_ms: float) -> None:
         self.busy.pop(held.name, None)
         if held.open:
-            self.market.checker.final(self.number, held.name, what, self.market.clock.now)
+            self.simulation.checker.final(self.number, held.name, what, self.simulation.clock.now)
             if what == "served":
-                self.market.heard(held)
-        self.market.clients.ended(held, what, advice_ms)
+                self.simulation.heard(held)
+        self.simulation.clients.ended(held, what, advice_ms)
 
     def cut(self, held: Try) -> None:
         """The connection ended without an answer."""
         self.busy.pop(held.name, None)
         if held.open and self.up and held.life == self.life:
-            self.market.checker.breach("lost", f"{held.name} was cut off by a running sidecar")
-        self.market.clients.ended(held, "cut", 0.0)
+            self.simulation.checker.breach("lost", f"{held.name} was cut off by a running sidecar")
+        self.simulation.clients.ended(held, "cut", 0.0)
 
     def gone(self, held: Try) -> None:
         side = self.busy.pop(held.name, None)
         if self.speaks == "rpc":
             return  # nothing tells the sidecar; what it was told of the time left does
-        self.market.checker.left(self.number, held.name, self.market.clock.now)
+        self.simulation.checker.left(self.number, held.name, self.simulation.clock.now)
         if side is not None:
             side.held = None
             side.transport.abort()
--- a/lab/sockets.py
+++ b/lab/socket_simulation.py
@@ -1,13 +1,13 @@
 """A scenario over real sockets: real sidecar processes between the emulator's own models, which run in real
 time.
 
-Servers, clients, discovery and troubles are those of the virtual market, the decisions those of the program
-as it is started; only messages go over loopback. So what differs between the two is the sidecar's network
-code, the kernel and the machine. Calls begin when they are due, whatever became of those before, and their
-latency counts from then. A play is bounded in time and events, and ends what it began.
+Servers, clients, discovery and troubles are those of the simulation in virtual time, the decisions those of
+the program as it is started; only messages go over loopback. So what differs between the two is the sidecar's
+network code, the kernel and the machine. Calls begin when they are due, whatever became of those before, and
+their latency counts from then. A play is bounded in time and events, and ends what it began.
 
 Hundreds of sidecars are more than one process can speak for: the servers and sidecars of a play are dealt
-to several (lab/driver.py), each of which has a market of all of them, with those of the others as mere
+to several (lab/driver.py), each of which has a simulation of all of them, with those of the others as mere
 places. What they saw is merged on the machine's one clock, and checked and measured as a whole
 (`concluded`).
 """
@@ -32,14 +32,14 @@
 from lab.evenness import Evenness
 from lab.launch import Launcher, cpu_s, memory_kb
 from lab.ledger import Notes, merged, told
-from lab.market import Market
 from lab.measures import Measures, Row
 from lab.scenario import Scenario, Wrong
 from lab.servers import Attempt, Server
+from lab.simulation import Simulation
+from lab.socket_servers import Elsewhere, SocketAttempt, SocketServer
+from lab.socket_sidecars import Absent, SocketSidecar, Speaks
 from lab.streams import Streams
 from lab.wall import WallClock
-from lab.wire_servers import Elsewhere, WireAttempt, WireServer
-from lab.wire_sidecars import Absent, Speaks, WireSidecar
 
 SOCKETS_MS = 50.0  # that every time limit is longer over sockets (protocol)
 MOST_US = 60_000_000  # of a latency that is counted
@@ -51,18 +51,18 @@
 class Peer:
     """A sidecar as servers see it, in whichever process it is spoken for."""
 
-    def __init__(self, market: WireMarket, number: int, zone: str) -> None:
-        self.market, self.number, self.zone = market, number, zone
-        self._net = market.streams.of("net", "peer", number, market.shard[0])
+    def __init__(self, simulation: SocketSimulation, number: int, zone: str) -> None:
+        self.simulation, self.number, self.zone = simulation, number, zone
+        self._net = simulation.streams.of("net", "peer", number, simulation.shard[0])
 
     def delay(self, server: Server) -> float:
-        net = self.market.scenario.network
+        net = self.simulation.scenario.network
         base = net.same_ms if server.zone == self.zone else net.cross_ms
         return base * (1.0 + net.jitter * self._net.random())
 
 
-class WireMarket(Market):
-    """The market in real time, or one process' part of it. Made inside a running event loop.
+class SocketSimulation(Simulation):
+    """The simulation in real time, or one process' part of it. Made inside a running event loop.
 
     ``open``, then ``ready`` with what all processes' ``open`` gave, then ``take_place``, then ``report``."""
 
@@ -97,7 +97,7 @@
         count = scenario.sidecars.count
         self.peers = [Peer(self, n, zones[n % len(zones)]) for n in range(count)]
         sidecars: Any = [
-            WireSidecar(self, n, speaks) if self._mine(n) else Absent(n, zones[n % len(zones)])
+            SocketSidecar(self, n, speaks) if self._mine(n) else Absent(n, zones[n % len(zones)])
             for n in range(count)
         ]
         self.sidecars = sidecars
@@ -107,16 +107,16 @@
     def _mine(self, number: int) -> bool:
         return number % self.shard[1] == self.shard[0]
 
-    def _server(self, market: Market, number: int, *given: Any, **more: Any) -> Server:
-        kind = WireServer if self._mine(number) else Elsewhere
-        return kind(market, number, *given, **more)
+    def _server(self, simulation: Simulation, number: int, *given: Any, **more: Any) -> Server:
+        kind = SocketServer if self._mine(number) else Elsewhere
+        return kind(simulation, number, *given, **more)
 
-    def wire(self, name: str) -> WireServer:
-        return cast(WireServer, self.by_name[name])
+    def wire(self, name: str) -> SocketServer:
+        return cast(SocketServer, self.by_name[name])
 
     def _link(self, place: links.Place, link: links.Link) -> None:
         for server in self.servers:
-            cast(WireServer, server).fault(place, link)
+            cast(SocketServer, server).fault(place, link)
 
     def fell(self, server: Server) -> None:
         self.told_of_falls(server.number)
@@ -132,13 +132,13 @@
         self.latency.record_value(min(max(spent, 1), MOST_US))
 
     def reply(self, attempt: Attempt, outcome: Outcome) -> None:
-        assert isinstance(attempt, WireAttempt)
+        assert isinstance(attempt, SocketAttempt)
         sidecar, server = attempt.sidecar, attempt.server
         if self.cut and (sidecar.zone in self.cut) != (server.zone in self.cut):
             return
         self.clock.at(sidecar.delay(server), attempt.side.answer, attempt, outcome)
 
-    def config(self, sidecar: WireSidecar) -> str:
+    def config(self, sidecar: SocketSidecar) -> str:
         """The platform's file for a sidecar (DEPLOY, PROTOCOL)."""
         made = self.told
         settings = {
@@ -201,7 +201,7 @@
 
     @staticmethod
     def _here(server: Server) -> bool:
-        return isinstance(server, WireServer)
+        return isinstance(server, SocketServer)
 
     async def ready(self, reached: dict[int, dict[str, tuple[str, str]]]) -> float:
         """All sidecars of this process are up; the seconds that it took. Raises NoStart."""
@@ -213,7 +213,7 @@
         await asyncio.gather(*(sidecar.begin(entries) for sidecar in self._own()))
         return time.monotonic() - begin
 
-    def _own(self) -> list[WireSidecar]:
+    def _own(self) -> list[SocketSidecar]:
         return [sidecar for sidecar in cast("list[Any]", self.sidecars) if sidecar.here]
 
     async def take_place(self, at: float | None = None) -> None:
@@ -262,7 +262,7 @@
         grace = scenario.allow.drain_grace_ms + SOCKETS_MS
         allow = msgspec.structs.replace(scenario.allow, answer_slack_ms=slack, drain_grace_ms=grace)
         made = msgspec.structs.replace(scenario, allow=allow)
-        virtual = Market(made, seed)  # for its settings alone: it is not played
+        virtual = Simulation(made, seed)  # for its settings alone: it is not played
         self.checker = Checker(made, virtual.settings(made.network.zones[0]), SOCKETS_MS)
         self.evenness = Evenness(made.settle_ms)
         self.measures = Measures(made, virtual.clock)
@@ -308,12 +308,12 @@
     """One play over sockets in this process, which takes as long as it says."""
 
     async def whole() -> dict[str, Any]:
-        market = WireMarket(scenario, seed, speaks)
+        simulation = SocketSimulation(scenario, seed, speaks)
         try:
-            await market.ready(await market.open())
-            await market.take_place()
-            return market.report()
+            await simulation.ready(await simulation.open())
+            await simulation.take_place()
+            return simulation.report()
         finally:
-            await market.close()
+            await simulation.close()
 
     return Concluded(scenario, seed, [asyncio.run(whole())])
--- a/lab/troubles.py
+++ b/lab/troubles.py
@@ -1,4 +1,4 @@
-"""What befalls the market, when: each trouble of a scenario planned on the clock before the play begins.
+"""What befalls the simulation, when: each trouble of a scenario planned on the clock before the play begins.
 
 Who is hit is drawn from a stream of the trouble's own, before anything has happened: the same under every
 policy.
@@ -18,32 +18,32 @@
 from lab.servers import DEAD, SILENT, UP, Server
 
 if TYPE_CHECKING:
-    from lab.market import Market
     from lab.sidecars import Sidecar
+    from lab.simulation import Simulation
     from lab.streams import Stream
 
 
-def plan(market: Market) -> None:
-    for number, trouble in enumerate(market.scenario.troubles):
-        made = _Planned(market, trouble, market.streams.of("trouble", number, trouble.kind))
+def plan(simulation: Simulation) -> None:
+    for number, trouble in enumerate(simulation.scenario.troubles):
+        made = _Planned(simulation, trouble, simulation.streams.of("trouble", number, trouble.kind))
         getattr(made, f"plan_{trouble.kind}")()
 
 
 class _Planned:
     """One trouble; a method a kind. What it hits is among the servers and sidecars of the play's start."""
 
-    def __init__(self, market: Market, trouble: Trouble, chance: Stream) -> None:
-        self.market, self.made, self.chance = market, trouble, chance
-        self.clock = market.clock
+    def __init__(self, simulation: Simulation, trouble: Trouble, chance: Stream) -> None:
+        self.simulation, self.made, self.chance = simulation, trouble, chance
+        self.clock = simulation.clock
         self.start, self.end = trouble.at_ms, trouble.at_ms + trouble.for_ms
 
     def hit(self) -> list[Server]:
-        servers = self.market.servers
+        servers = self.simulation.servers
         count = min(math.ceil(self.made.share * len(servers)), len(servers))
         return [servers[at] for at in sorted(self.chance.shuffled(len(servers))[:count])]
 
     def hit_sidecars(self) -> list[Sidecar]:
-        sidecars = self.market.sidecars
+        sidecars = self.simulation.sidecars
         count = min(math.ceil(self.made.share * len(sidecars)), len(sidecars))
         return [sidecars[at] for at in sorted(self.chance.shuffled(len(sidecars))[:count])]
 
@@ -75,7 +75,7 @@
     plan_flapping = plan_dead
 
     def plan_none(self) -> None:
-        for server in self.market.servers:
+        for server in self.simulation.servers:
             self.during(partial(self._stop, server, DEAD), server.start)
 
     def plan_slow(self) -> None:
@@ -86,7 +86,7 @@
             )
 
     def plan_errors(self) -> None:
-        usual = self.market.scenario.servers.error_share
+        usual = self.simulation.scenario.servers.error_share
         for server in self.hit():
             self.during(
                 partial(self._spoil, server, "errors", min(self.made.size, 1.0)),
@@ -104,8 +104,8 @@
 
     def _replace(self, server: Server) -> None:
         self._stop(server, DEAD)
-        self.market.leaving.add(server.name)
-        self.market.add_server(server.kind)
+        self.simulation.leaving.add(server.name)
+        self.simulation.add_server(server.kind)
 
     def plan_drain(self) -> None:
         """One after the other: told to finish, ended when its calls are done at the latest, and back cold."""
@@ -115,9 +115,9 @@
             self.clock.at(begin, self._drain, server)
 
     def _drain(self, server: Server) -> None:
-        most = max(item.deadline_ms for item in self.market.scenario.classes)
-        wait = self.market.scenario.allow.drain_grace_ms + most
-        self.market.discovery.tell(server, ServerState.DRAINING)
+        most = max(item.deadline_ms for item in self.simulation.scenario.classes)
+        wait = self.simulation.scenario.allow.drain_grace_ms + most
+        self.simulation.discovery.tell(server, ServerState.DRAINING)
         self.clock.at(wait, self._stop, server, DEAD)
         self.clock.at(wait + 500.0, server.start)
 
@@ -126,30 +126,32 @@
         hit = self.hit()
         for turn, server in enumerate(hit):
             self.clock.at(self.start + turn * self.made.for_ms / len(hit), self._leave, server)
-        self.clock.at(self.start, setattr, self.market.clients, "burst", 1.0 - self.made.share)
+        self.clock.at(self.start, setattr, self.simulation.clients, "burst", 1.0 - self.made.share)
 
     def _leave(self, server: Server) -> None:
-        most = max(item.deadline_ms for item in self.market.scenario.classes)
-        self.market.leaving.add(server.name)
-        self.market.discovery.tell(server, ServerState.DRAINING)
-        self.clock.at(self.market.scenario.allow.drain_grace_ms + most, self._stop, server, DEAD)
+        most = max(item.deadline_ms for item in self.simulation.scenario.classes)
+        self.simulation.leaving.add(server.name)
+        self.simulation.discovery.tell(server, ServerState.DRAINING)
+        self.clock.at(self.simulation.scenario.allow.drain_grace_ms + most, self._stop, server, DEAD)
 
     # The network
 
     def plan_partition(self) -> None:
-        zones = self.market.scenario.network.zones
+        zones = self.simulation.scenario.network.zones
         if len(zones) > 1:
-            self.during(lambda: self.market.cut.add(zones[-1]), lambda: self.market.cut.discard(zones[-1]))
+            self.during(
+                lambda: self.simulation.cut.add(zones[-1]), lambda: self.simulation.cut.discard(zones[-1])
+            )
 
     def plan_loss(self) -> None:
         self.during(
-            partial(setattr, self.market, "loss", min(self.made.size, 1.0)),
-            partial(setattr, self.market, "loss", 0.0),
+            partial(setattr, self.simulation, "loss", min(self.made.size, 1.0)),
+            partial(setattr, self.simulation, "loss", 0.0),
         )
 
     def _plan_links(self) -> None:
-        links = self.market.links
-        for place in hit_links(self.market.scenario.network.zones, self.made, self.chance):
+        links = self.simulation.links
+        for place in hit_links(self.simulation.scenario.network.zones, self.made, self.chance):
             there = self.chance.random() < 0.5
             self.during(partial(links.begin, place, self.made, there), partial(links.end, place))
 
@@ -158,40 +160,42 @@
     # Discovery
 
     def plan_disagree(self) -> None:
-        late = self.market.discovery.late_by
+        late = self.simulation.discovery.late_by
         hit = {sidecar.number: self.made.size for sidecar in self.hit_sidecars()}
         self.during(lambda: late.update(hit), late.clear)
 
     def plan_away(self) -> None:
-        self.during(self.market.discovery.go_away, self.market.discovery.come_back)
+        self.during(self.simulation.discovery.go_away, self.simulation.discovery.come_back)
 
     def plan_late(self) -> None:
-        found = self.market.discovery
+        found = self.simulation.discovery
         self.during(
             partial(setattr, found, "late_ms", self.made.size), partial(setattr, found, "late_ms", 0.0)
         )
 
     def plan_wrong(self) -> None:
         hit = self.hit()
-        self.during(lambda: self.market.discovery.mistake(hit), lambda: self.market.discovery.mend(hit))
+        self.during(
+            lambda: self.simulation.discovery.mistake(hit), lambda: self.simulation.discovery.mend(hit)
+        )
 
     # Clients
 
     def plan_burst(self) -> None:
-        clients = self.market.clients
+        clients = self.simulation.clients
         self.during(
             partial(setattr, clients, "burst", self.made.size), partial(setattr, clients, "burst", 1.0)
         )
-        self.clock.at(self.start, lambda: self.market.evenness.cause(self.clock.now, "burst"))
+        self.clock.at(self.start, lambda: self.simulation.evenness.cause(self.clock.now, "burst"))
 
     def plan_hot(self) -> None:
-        hot = self.market.clients.hot
+        hot = self.simulation.clients.hot
         hit = {sidecar.number: self.made.size for sidecar in self.hit_sidecars()}
         self.during(lambda: hot.update(hit), hot.clear)
 
     def plan_loud(self) -> None:
-        names = [item.name for item in self.market.scenario.members]
-        loud, member = self.market.clients.loud, names.index(self.made.member)
+        names = [item.name for item in self.simulation.scenario.members]
+        loud, member = self.simulation.clients.loud, names.index(self.made.member)
         self.during(lambda: loud.update({member: self.made.size}), lambda: loud.pop(member, None))
 
     # Sidecars
@@ -210,7 +214,7 @@
     def plan_pause(self) -> None:
         for sidecar in self.hit_sidecars():
             self.during(sidecar.pause, sidecar.resume)
-        self.clock.at(self.end, lambda: self.market.evenness.cause(self.clock.now, "go on"))
+        self.clock.at(self.end, lambda: self.simulation.evenness.cause(self.clock.now, "go on"))
 
     def plan_upgrade(self) -> None:
         for sidecar in self.hit_sidecars():
@@ -220,6 +224,6 @@
                 self.clock.at(later, self._change, sidecar.number)
 
     def _change(self, number: int) -> None:
-        market = self.market
-        if number not in market.changes and market.sidecars[number].up:
-            versions.Change(market, number, self.made.size).begin()
+        simulation = self.simulation
+        if number not in simulation.changes and simulation.sidecars[number].up:
+            versions.Change(simulation, number, self.made.size).begin()
--- a/lab/versions.py
+++ b/lab/versions.py
@@ -14,8 +14,8 @@
 from hareloom import interface as api
 
 if TYPE_CHECKING:
-    from lab.market import Market
     from lab.sidecars import Sidecar
+    from lab.simulation import Simulation
 
 ASKED_MS = 100.0  # from a start to what the old process has learnt; its age is as much again
 READY_MS = 400.0  # from a start to its yes
@@ -26,23 +26,28 @@
 class Change:
     """One change of one sidecar. ``still_ms``: how long each process stands still, by turns; 0: neither."""
 
-    def __init__(self, market: Market, number: int, still_ms: float) -> None:
-        self.market, self.clock, self.number, self.still_ms = market, market.clock, number, still_ms
-        self.old = market.sidecars[number]
-        self.new = type(self.old)(market, number, self.old.policy, self.old.watched, self.old.turn + 1)
-        self.chance = market.streams.of("change", number, self.new.turn)
+    def __init__(self, simulation: Simulation, number: int, still_ms: float) -> None:
+        self.simulation, self.clock, self.number, self.still_ms = (
+            simulation,
+            simulation.clock,
+            number,
+            still_ms,
+        )
+        self.old = simulation.sidecars[number]
+        self.new = type(self.old)(simulation, number, self.old.policy, self.old.watched, self.old.turn + 1)
+        self.chance = simulation.streams.of("change", number, self.new.turn)
         self.ready_at = -1.0
 
     def begin(self) -> None:
-        market, old, new = self.market, self.old, self.new
-        market.changes[self.number] = self
+        simulation, old, new = self.simulation, self.old, self.new
+        simulation.changes[self.number] = self
         new.known = dict(old.known)
         new.version = old.version
         new.start()
         if new.subscribed:
             # A watch that begins is told what has changed, also what is still on its way to the old process.
-            market.discovery.push(new)
-        deadline = max(item.deadline_ms for item in market.scenario.classes)
+            simulation.discovery.push(new)
+        deadline = max(item.deadline_ms for item in simulation.scenario.classes)
         self.clock.at(ASKED_MS, self._ask)
         self.clock.at(READY_MS, self._ready)
         self.clock.at(READY_MS + max(deadline, FADE_MS) + END_MS, self._end)
@@ -50,7 +55,7 @@
             self.clock.at(0.0, self._stand_still, new, old)
 
     def beside(self) -> list[Sidecar]:
-        """The process that is not the sidecar's own in the market's list."""
+        """The process that is not the sidecar's own in the simulation's list."""
         return [self.new] if self.ready_at < 0.0 else [self.old]
 
     def reached(self) -> Sidecar:
@@ -75,10 +80,10 @@
 
     def _ready(self) -> None:
         self.ready_at = self.clock.now
-        self.market.sidecars[self.number] = self.new
+        self.simulation.sidecars[self.number] = self.new
 
     def _stand_still(self, one: Sidecar, other: Sidecar) -> None:
-        if self.market.changes.get(self.number) is not self:
+        if self.simulation.changes.get(self.number) is not self:
             return
         one.pause()
         self.clock.at(self.still_ms, one.resume)
@@ -88,5 +93,5 @@
         """What the old one still has is cut off; it had its time."""
         self.old.resume()
         self.old.die()
-        if self.market.changes.get(self.number) is self:
-            del self.market.changes[self.number]
+        if self.simulation.changes.get(self.number) is self:
+            del self.simulation.changes[self.number]
--- a/lab/wall.py
+++ b/lab/wall.py
@@ -1,4 +1,4 @@
-"""Real time for the market's models: the same plans as in virtual time, carried out when they are due."""
+"""Real time for the simulation's models: the same plans as in virtual time, carried out when they are due."""
 
 from __future__ import annotations
 
--- a/lab/worker.py
+++ b/lab/worker.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
-from lab.market import Market
 from lab.measures import BIN_MS, Measures, Row
 from lab.policies import policy
 from lab.results import COUNTS, QUANTILES, Found
 from lab.scenario import Source
+from lab.simulation import Simulation
 
 MOST_FRAME = 64 * 1024 * 1024
 
@@ -54,14 +54,14 @@
     """Raises nothing: what goes wrong is in the row."""
     try:
         decides, watched = policy(job.policy)
-        market = Market(job.source.play_of(job.seed), job.seed, decides, watched)
-        row = market.run()
+        simulation = Simulation(job.source.play_of(job.seed), job.seed, decides, watched)
+        row = simulation.run()
     except Exception as fault:  # whatever it is, it is this play's alone
         return Found(row=broken(f"{type(fault).__name__}: {fault}"), quantiles_ms=[])
     return Found(
         row=row,
-        quantiles_ms=quantiles(market.measures),
-        series=series(market.measures, len(market.servers)) if job.series else [],
+        quantiles_ms=quantiles(simulation.measures),
+        series=series(simulation.measures, len(simulation.servers)) if job.series else [],
     )
 
 
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -9,31 +9,31 @@
 import pytest
 
 from lab import scenario
-from lab.market import Market
 from lab.measures import Row
+from lab.simulation import Simulation
 
 SOURCE = scenario.load(Path(__file__).resolve().parent.parent / "lab/scenarios/even.toml")
 
 
-def played(**changes: Any) -> tuple[Market, Row]:
+def played(**changes: Any) -> tuple[Simulation, Row]:
     given = {"seconds": 14.0, **{place.replace("__", "."): value for place, value in changes.items()}}
-    market = Market(SOURCE.changed(given).play_of(1), 1)
-    row = market.run()
-    assert not market.checker.broken and not row.falls and not row.fault, market.checker.first
-    return market, row
+    simulation = Simulation(SOURCE.changed(given).play_of(1), 1)
+    row = simulation.run()
+    assert not simulation.checker.broken and not row.falls and not row.fault, simulation.checker.first
+    return simulation, row
 
 
-def came(market: Market, first_ms: float, last_ms: float) -> dict[int, int]:
+def came(simulation: Simulation, first_ms: float, last_ms: float) -> dict[int, int]:
     """Attempts by server between two instants."""
     cells = slice(int(first_ms / 50), int(last_ms / 50))
-    return {server: sum(counts[cells]) for server, counts in market.evenness.counts.items()}
+    return {server: sum(counts[cells]) for server, counts in simulation.evenness.counts.items()}
 
 
 def test_a_server_five_times_the_others_has_about_five_times_their_calls() -> None:
     kinds = [{"name": "std", "share": 39.0, "workers": 2}, {"name": "big", "share": 1.0, "workers": 10}]
-    market, row = played(servers__kinds=kinds)
-    counts = came(market, 4000.0, 14_000.0)
-    (big,) = (server.number for server in market.servers if server.kind.name == "big")
+    simulation, row = played(servers__kinds=kinds)
+    counts = came(simulation, 4000.0, 14_000.0)
+    (big,) = (server.number for server in simulation.servers if server.kind.name == "big")
     rest = [count for server, count in counts.items() if server != big]
     assert 3.0 < counts[big] / (sum(rest) / len(rest)) < 7.0 and row.service > 0.995
 
@@ -53,30 +53,34 @@
 
 def test_what_answers_wrongly_and_fast_attracts_nobody() -> None:
     errors = {"kind": "errors", "at_ms": 4500.0, "for_ms": 8000.0, "share": 0.025, "size": 1.0}
-    market, _ = played(troubles=[errors])
-    (failing,) = (server.number for server in market.servers if server.errors > 0 or _spoilt(market, server))
-    counts = came(market, 7000.0, 12_000.0)
+    simulation, _ = played(troubles=[errors])
+    (failing,) = (
+        server.number for server in simulation.servers if server.errors > 0 or _spoilt(simulation, server)
+    )
+    counts = came(simulation, 7000.0, 12_000.0)
     rest = [count for server, count in counts.items() if server != failing]
     assert counts[failing] < 0.7 * sum(rest) / len(rest)
 
 
-def _spoilt(market: Market, server: Any) -> bool:
-    return any(why == "errors" for _, why, _ in market.evenness._marks.get(server.number, ()))
+def _spoilt(simulation: Simulation, server: Any) -> bool:
+    return any(why == "errors" for _, why, _ in simulation.evenness._marks.get(server.number, ()))
 
 
 def test_all_that_lose_discovery_together_and_get_it_back_go_on() -> None:
     away = {"kind": "away", "at_ms": 5000.0, "for_ms": 4000.0}
     replaced = {"kind": "replaced", "at_ms": 6000.0, "for_ms": 1000.0, "share": 0.1}
-    market, row = played(troubles=[away, replaced], load__share=0.4, seconds=16.0)
+    simulation, row = played(troubles=[away, replaced], load__share=0.4, seconds=16.0)
     assert row.service > 0.97 and row.peak < 2.0
-    counts = came(market, 12_000.0, 16_000.0)
-    assert all(counts[server.number] > 0 for server in market.servers if server.name not in market.leaving)
+    counts = came(simulation, 12_000.0, 16_000.0)
+    assert all(
+        counts[server.number] > 0 for server in simulation.servers if server.name not in simulation.leaving
+    )
 
 
 @pytest.mark.parametrize("sidecars, servers", [(6, 60), (200, 8)])
 def test_few_sidecars_for_many_servers_and_many_for_few(sidecars: int, servers: int) -> None:
     """Where servers are more than sets reach, some have nothing: no fault. Where few, each has its part."""
-    market, row = played(sidecars__count=sidecars, servers__count=servers, load__share=0.3, seconds=10.0)
+    simulation, row = played(sidecars__count=sidecars, servers__count=servers, load__share=0.3, seconds=10.0)
     assert row.service > 0.99
     if servers < 60:
-        assert all(count > 0 for count in came(market, 4000.0, 10_000.0).values())
+        assert all(count > 0 for count in came(simulation, 4000.0, 10_000.0).values())
--- a/tests/test_evenness.py
+++ b/tests/test_evenness.py
@@ -11,8 +11,8 @@
 from lab import scenario
 from lab.evenness import Evenness
 from lab.ledger import Notes, merged, told
-from lab.market import Market
 from lab.policies import policy
+from lab.simulation import Simulation
 
 
 def even(servers: int = 2, settle: float = 0.0) -> Evenness:
@@ -114,8 +114,8 @@
     source = scenario.load(Path("lab/scenarios/even.toml")).changed({"seconds": 15.0})
     found = {}
     for name in ("module", "random"):
-        market = Market(source.play_of(1), 1, *policy(name))
-        found[name] = market.run()
-        assert not market.checker.broken and found[name].unused == 0
+        simulation = Simulation(source.play_of(1), 1, *policy(name))
+        found[name] = simulation.run()
+        assert not simulation.checker.broken and found[name].unused == 0
     assert found["module"].spread_1s < 0.8 * found["random"].spread_1s
     assert found["module"].waste < found["random"].waste
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -13,9 +13,9 @@
 from hareloom import interface as api
 from hareloom.governor import FULL, HOLDS_MS, RATE, SAMPLED, SHED, Governor
 from lab import scenario
-from lab.market import Market
 from lab.policies.choices import LeastOfTwo
 from lab.sidecars import Policy
+from lab.simulation import Simulation
 
 COSTS = api.Costs(request=4.0, pick=18.0, look=0.4, ended=14.0, timer=6.0, entry=4.0, other=2.0)
 CLASSES = (
@@ -121,7 +121,7 @@
 
 def service(decides: Policy, share: float) -> float:
     source = scenario.load(BUSY).changed({"seconds": 6.0, "settle_ms": 1000.0, "load.share": share})
-    return Market(source.play_of(1), 1, decides).run().service
+    return Simulation(source.play_of(1), 1, decides).run().service
 
 
 def test_service_falls_smoothly_where_a_textbook_policy_falls_off_a_cliff() -> None:
--- a/tests/test_lab_ceiling.py
+++ b/tests/test_lab_ceiling.py
@@ -8,8 +8,8 @@
 import pytest
 
 from lab import scenario
-from lab.market import Market
 from lab.policies import policy
+from lab.simulation import Simulation
 from lab.statistics import way
 
 LIBRARY = Path(__file__).resolve().parent.parent / "lab" / "scenarios"
@@ -23,7 +23,7 @@
     changes = SMALL | {"sidecars.count": sidecars} | (TROUBLES if name != "calm" else {})
     source, found = scenario.load(LIBRARY / f"{name}.toml").changed(changes), {}
     for decides in ("random", "module", "late oracle", "oracle"):
-        play = Market(source.play_of(3), 3, *policy(decides))
+        play = Simulation(source.play_of(3), 3, *policy(decides))
         row = play.run()
         found[decides] = row.service
         if decides != "random":
@@ -34,7 +34,7 @@
 
 def test_sight_is_as_late_as_it_says() -> None:
     source = scenario.load(LIBRARY / "calm.toml").changed({"network.cross_ms": 20.0, "seconds": 5.0})
-    play = Market(source.play_of(1), 1, *policy("random"))
+    play = Simulation(source.play_of(1), 1, *policy("random"))
     now, late = play.sight(0, False), play.sight(0, True)
     assert (now.late_ms, late.late_ms) == (0.0, 40.0) and play.sight(1, True) is not late
     seen = []
--- a/tests/test_lab_market.py
+++ b/tests/test_lab_simulation.py
@@ -1,4 +1,4 @@
-"""The market in virtual time: known results, one outcome for a seed, the four rules whatever befalls it."""
+"""The simulation in virtual time: known results, one outcome for a seed, the four rules whatever happens."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 
 from hareloom import Balancer
 from hareloom import interface as api
-from lab import scenario, sockets
-from lab.market import Market
+from lab import scenario, socket_simulation
 from lab.measures import Row
 from lab.policies import POLICIES, policy
 from lab.policies.choices import LeastOfTwo, Random
 from lab.scenario import Scenario, Trouble
+from lab.simulation import Simulation
 from lab.streams import Streams
 
 LIBRARY = Path(__file__).resolve().parent.parent / "lab" / "scenarios"
@@ -48,17 +48,17 @@
 
 
 def test_a_play_is_a_function_of_its_scenario_and_seed() -> None:
-    market = made(troubles=[{"kind": "dead", "at_ms": 3000, "for_ms": 1500, "share": 0.4}])
-    rows = [Market(market, seed).run() for seed in (1, 1, 2)]
+    play_scenario = made(troubles=[{"kind": "dead", "at_ms": 3000, "for_ms": 1500, "share": 0.4}])
+    rows = [Simulation(play_scenario, seed).run() for seed in (1, 1, 2)]
     assert rows[0] == rows[1] != rows[2]
 
 
 def test_policies_meet_the_same_calls_and_troubles_on_a_seed() -> None:
     """Common random numbers: what clients ask first does not hang on what becomes of it."""
-    market = made(troubles=[{"kind": "silent", "at_ms": 3000, "for_ms": 1500, "share": 0.4}])
+    play_scenario = made(troubles=[{"kind": "silent", "at_ms": 3000, "for_ms": 1500, "share": 0.4}])
     seen = []
     for decides in (Random, LeastOfTwo):
-        play = Market(market, 7, decides)
+        play = Simulation(play_scenario, 7, decides)
         play.run()
         seen.append(([made_.first for made_ in play.measures.bins], [s.speed for s in play.servers]))
     assert seen[0] == seen[1]
@@ -73,7 +73,7 @@
 
 
 def test_both_orders_of_one_instant_can_be_played() -> None:
-    rows = [Market(made(ties=ties, network={"jitter": 0.0}), 3).run() for ties in ("first", "last")]
+    rows = [Simulation(made(ties=ties, network={"jitter": 0.0}), 3).run() for ties in ("first", "last")]
     assert all(kept(row) and row.service > 0.9 for row in rows)
 
 
@@ -95,11 +95,11 @@
         {"kind": "silent", "at_ms": 3000.0, "for_ms": 1500.0, "share": 0.4},
         {"kind": "slow", "at_ms": 5000.0, "for_ms": 1500.0, "share": 0.4, "size": 6.0},
     ]
-    market = made(troubles=troubles, load={"share": 0.85})
-    plain = msgspec.to_builtins(market)
+    play_scenario = made(troubles=troubles, load={"share": 0.85})
+    plain = msgspec.to_builtins(play_scenario)
     rows = []
     for tree in (plain, slower(plain)):
-        play = Market(scenario.typed(tree, "test"), 5, Balancer)
+        play = Simulation(scenario.typed(tree, "test"), 5, Balancer)
         factor = 1.0 if tree is plain else 8.0
         for sidecar in play.sidecars:  # what the platform sets is no part of a scenario
             rules = replace(sidecar.settings.rules, ask_within_ms=10_000.0 * factor)
@@ -119,7 +119,7 @@
     terms = [offered**k / math.factorial(k) for k in range(c)]
     last = offered**c / math.factorial(c) / (1.0 - load)
     wait = last / (sum(terms) + last) * work / (c * (1.0 - load))
-    market = made(
+    play_scenario = made(
         seconds=60,
         servers={"count": 1, "kinds": [{"workers": c}], "queue": 10_000, "thrash": 0.0, "speed_cv": 0.0}
         | {"handshake_ms": 0.0, "handshake_rtts": 0.0, "connections": 20_000},
@@ -132,7 +132,7 @@
     )
     means = []
     for seed in range(6):
-        play = Market(msgspec.structs.replace(market, troubles=()), seed, Random)
+        play = Simulation(msgspec.structs.replace(play_scenario, troubles=()), seed, Random)
         play.run()
         means.append(statistics.mean(play.measures.latencies) - work)
     error = statistics.stdev(means) / math.sqrt(len(means))
@@ -145,7 +145,7 @@
     load, count = 0.8, 150
 
     def tail(decides: type[Random]) -> list[float]:
-        market = made(
+        play_scenario = made(
             seconds=4,
             servers={"count": count, "queue": 10_000, "thrash": 0.0, "speed_cv": 0.0, "connections": 20_000}
             | {"handshake_ms": 0.0, "handshake_rtts": 0.0},
@@ -156,13 +156,13 @@
             load={"share": load},
             sidecars={"count": 1},
         )
-        play, found = Market(market, 1, decides), [0.0] * 6
+        play, found = Simulation(play_scenario, 1, decides), [0.0] * 6
         for turn in range(20):
             play.clock.at(2000.0 + 100.0 * turn, look, play, found)
         play.run()
         return found
 
-    def look(play: Market, found: list[float]) -> None:
+    def look(play: Simulation, found: list[float]) -> None:
         held = [server.running + len(server.waiting) for server in play.servers]
         for k in range(6):
             found[k] += sum(number >= k for number in held) / count / 20.0
@@ -174,14 +174,14 @@
     assert two[5] < 0.005 < one[5]
 
 
-# The rules, whatever befalls the market
+# The rules, whatever befalls the simulated system
 
 
 @pytest.mark.parametrize("kind", get_args(get_type_hints(Trouble)["kind"]))
 def test_the_module_keeps_the_rules_through_each_trouble(kind: str) -> None:
     trouble = {"kind": kind, "at_ms": 2500, "for_ms": 2000, "share": 0.5, "size": 2.0, "member": "one"}
-    market = made(troubles=[trouble], discovery={"mode": "ask"} if kind in ("away", "late") else {})
-    play = Market(market, 11)
+    play_scenario = made(troubles=[trouble], discovery={"mode": "ask"} if kind in ("away", "late") else {})
+    play = Simulation(play_scenario, 11)
     row = play.run()
     assert kept(row) and row.calls > 500, play.checker.first
 
@@ -194,7 +194,7 @@
         {"kind": "errors", "at_ms": 3000, "for_ms": 2000, "share": 0.5, "size": 0.4},
     ]
     decides, watched = policy(name)
-    play = Market(made(troubles=troubles, load={"share": 0.9}), 4, decides, watched)
+    play = Simulation(made(troubles=troubles, load={"share": 0.9}), 4, decides, watched)
     assert kept(play.run()), play.checker.first
 
 
@@ -206,13 +206,13 @@
         | {"servers.count": 3 + seed % 7, "sidecars.count": 1 + seed % 4, "load.share": 0.3 + seed % 3 * 0.5}
         | {"servers.kinds.0.workers": 1 + seed % 2, "classes.0.work_ms": 20.0 + 10 * (seed % 5)}
     )
-    play = Market(source.play_of(seed), seed)
+    play = Simulation(source.play_of(seed), seed)
     assert kept(play.run()), play.checker.first
 
 
-def test_a_market_with_no_server_for_a_while_refuses_and_comes_back() -> None:
+def test_a_simulation_with_no_server_for_a_while_refuses_and_comes_back() -> None:
     none = {"kind": "none", "at_ms": 2500, "for_ms": 2500}
-    play = Market(made(troubles=[none], discovery={"notice_ms": [100, 200], "add_ms": [100, 200]}), 2)
+    play = Simulation(made(troubles=[none], discovery={"notice_ms": [100, 200], "add_ms": [100, 200]}), 2)
     row = play.run()
     during = play.measures.bins[13:17]  # a try of a call that began later may be served when they are back
     assert kept(row) and sum(b.got for b in during) == 0.0 and sum(b.refused for b in during) > 50
@@ -223,7 +223,7 @@
     """Found by a hunt: what is due at its resumption answers requests whose clients it does not know to be
     gone."""
     pause = {"kind": "pause", "at_ms": 2000, "for_ms": 4000, "share": 0.6}
-    play = Market(made(troubles=[pause], load={"share": 1.5}, clients={"tries": 1}), 18)
+    play = Simulation(made(troubles=[pause], load={"share": 1.5}, clients={"tries": 1}), 18)
     row = play.run()
     assert kept(row) and row.lost > 0.02, play.checker.first
 
@@ -232,7 +232,7 @@
     """Found by a hunt and reduced: one sidecar, three servers that end and are back, cold, four seconds
     later."""
     source = scenario.load(Path(__file__).resolve().parent / "reduced" / "returned_unheard.toml")
-    assert Market(source.play_of(28), 28).run().falls == 0
+    assert Simulation(source.play_of(28), 28).run().falls == 0
 
 
 # The checker sees what breaks them
@@ -288,15 +288,15 @@
         {"kind": "errors", "at_ms": 1500, "for_ms": 4000, "share": 0.8, "size": 0.5},
         {"kind": "shrink", "at_ms": 1500, "for_ms": 500, "share": 0.5},
     ]
-    market = made(troubles=troubles, allow={"drain_grace_ms": 300}, load={"share": 1.3})
-    play = Market(market, 1, decides)
+    play_scenario = made(troubles=troubles, allow={"drain_grace_ms": 300}, load={"share": 1.3})
+    play = Simulation(play_scenario, 1, decides)
     row = play.run()
     assert getattr(row, f"broke_{rule}") > 0 and row.score == 0.0 and rule in play.checker.first
 
 
 def test_a_starting_server_that_gets_too_much_falls_and_that_counts() -> None:
     dead = {"kind": "dead", "at_ms": 3000, "for_ms": 500, "share": 0.5}
-    row = Market(made(troubles=[dead], load={"share": 1.3}), 1, Random).run()
+    row = Simulation(made(troubles=[dead], load={"share": 1.3}), 1, Random).run()
     assert row.falls > 0 and row.broke_fall == row.falls and row.peak > 2.5 and row.score == 0.0
 
 
@@ -306,7 +306,7 @@
 
 
 def test_a_policy_that_never_ends_is_ended() -> None:
-    row = Market(made(most_events=20_000), 1, Restless).run()
+    row = Simulation(made(most_events=20_000), 1, Restless).run()
     assert row.fault == "more than 20000 events by 0 ms" and row.score == 0.0 and row.events == 20_000
 
 
@@ -316,20 +316,22 @@
 def test_a_server_that_turned_slow_stays_so_until_it_has_rested() -> None:
     choke = {"share": 1.0, "waiting": 2.0, "over_ms": 500, "slower": 3.0, "idle": 0.5, "idle_ms": 300}
     calls = {"seconds": 8, "load": {"share": 1.4}, "servers": {"choke": choke}}
-    assert Market(made(**calls), 1, Random).run().chokes > 0
+    assert Simulation(made(**calls), 1, Random).run().chokes > 0
     calls["load"] = {"share": 0.3}
-    assert Market(made(**calls), 1, Random).run().chokes == 0
+    assert Simulation(made(**calls), 1, Random).run().chokes == 0
 
 
 def test_a_warm_key_costs_a_server_less() -> None:
     keys = {"count": 3, "gain": 0.8, "kept_ms": 4000.0}
-    spans = [Market(made(load={"share": 0.5, "keys": item}), 1, Random).run().p50_ms for item in (keys, {})]
+    spans = [
+        Simulation(made(load={"share": 0.5, "keys": item}), 1, Random).run().p50_ms for item in (keys, {})
+    ]
     assert spans[0] < 0.6 * spans[1]
 
 
 def test_a_loud_member_is_worth_a_tenth_beyond_its_part() -> None:
     members = [{"name": "a", "entitled": 0.5}, {"name": "b", "entitled": 0.1}]
-    play = Market(made(members=members, load={"share": 0.6}, sidecars={"count": 1}), 1, Random)
+    play = Simulation(made(members=members, load={"share": 0.6}, sidecars={"count": 1}), 1, Random)
     play.run()
     worth = [sum(v for (_, member), v in play.measures.asked_by.items() if member == n) for n in (0, 1)]
     assert worth[1] < 0.6 * worth[0]
@@ -360,7 +362,7 @@
         small = {"seconds": 7.0, "servers.count": 6, "sidecars.count": 3, "settle_ms": 1000.0}
         source = scenario.load(LIBRARY / f"{name}.toml").changed(small | dict(changes))
         for decides in ("module", "least of two"):
-            row = Market(source.play_of(1), 1, *policy(decides)).run()
+            row = Simulation(source.play_of(1), 1, *policy(decides)).run()
             rows.append([round(v, 9) if isinstance(v, float) else v for v in msgspec.structs.astuple(row)])
     assert xxhash.xxh3_64_hexdigest(msgspec.json.encode(rows)) == DIGEST
 
@@ -378,7 +380,7 @@
     tables: dict[str, Any] = {"seconds": 3, "settle_ms": 0, "classes": [patient], "troubles": [dead]}
     tables |= {"load": {"share": 0.3}, "sidecars": {"count": 1}, "clients": {"impatient": 0.0}}
     for speaks in ("http", "rpc"):
-        found = sockets.play(made(**tables), 1, speaks)  # type: ignore[arg-type]
+        found = socket_simulation.play(made(**tables), 1, speaks)  # type: ignore[arg-type]
         served = sum(item.served for item in found.measures.bins)
         assert kept(found.row) and served > 50, found.checker.first
         assert found.latency.get_total_count() == served
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -31,7 +31,7 @@
 from hareloom import interface as api
 from hareloom.interface import ListKind, Outcome, ServerState
 from lab import scenario
-from lab.market import Market
+from lab.simulation import Simulation
 from rigs import fleet
 from statecheck import explore, lasting
 
@@ -320,12 +320,12 @@
 
 
 def changes_in(**tables: object) -> list[tuple[int, Change]]:
-    """Of the state, by sidecar, in a market of three."""
+    """Of the state, by sidecar, in a simulation of three."""
     made = {"name": "t", "seconds": 32, "sidecars": {"count": 3}, "load": {"share": 0.7}}
     servers = {"count": 5, "kinds": [{"workers": 2}]}
-    market = Market(scenario.typed(made | {"servers": servers} | tables, "test"), 1, watched=True)
-    market.run()
-    return market.measures.changes
+    simulation = Simulation(scenario.typed(made | {"servers": servers} | tables, "test"), 1, watched=True)
+    simulation.run()
+    return simulation.measures.changes
 
 
 def test_every_sidecar_sees_the_storm_of_an_outage_and_its_end() -> None:
