--- a/benchmarks/readability.py
+++ b/benchmarks/readability.py
@@ -22,7 +22,7 @@
 import shutil
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -76,17 +76,34 @@
     )
 
 
-def import_circles(packages: tuple[str, ...] = PACKAGES) -> list[list[str]]:
-    """Groups of two or more modules that reach one another by their imports, largest first."""
-    graph = grimp.build_graph(*packages, cache_dir=None)
-    reached = {module: graph.find_upstream_modules(module) for module in graph.modules}
+def circles_of(imports: Mapping[str, set[str]]) -> list[list[str]]:
+    """Groups of two or more modules that reach one another by what each of them imports, largest first."""
+    reached = {module: _reached(module, imports) for module in imports}
     groups = {
-        tuple(sorted({module, *(other for other in upstream if module in reached[other])}))
-        for module, upstream in reached.items()
+        tuple(sorted(other for other in found if module in reached.get(other, ())))
+        for module, found in reached.items()
     }
     return sorted((list(group) for group in groups if len(group) > 1), key=lambda group: (-len(group), group))
 
 
+def _reached(module: str, imports: Mapping[str, set[str]]) -> set[str]:
+    """The modules that imports lead to from this one; itself only where a circle does."""
+    found: set[str] = set()
+    to_visit = list(imports[module])
+    while to_visit:
+        visited = to_visit.pop()
+        if visited not in found:
+            found.add(visited)
+            to_visit.extend(imports.get(visited, ()))
+    return found
+
+
+def import_circles(packages: tuple[str, ...] = PACKAGES) -> list[list[str]]:
+    """The circles among the modules of these packages."""
+    graph = grimp.build_graph(*packages, cache_dir=None)
+    return circles_of({module: graph.find_modules_directly_imported_by(module) for module in graph.modules})
+
+
 def ruff(*arguments: str) -> str:
     """What ruff prints; that it finds something is no error here."""
     command = [sys.executable, "-m", "ruff", "check", *arguments]
--- /dev/null
+++ b/lab/calls.py
@@ -0,0 +1,57 @@
+"""A call of a client and its tries, as all parts of a simulation pass them on."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from lab.scenario import Class
+
+
+class TrySidecar(Protocol):
+    """What a try needs of the sidecar that it was sent to. ``life`` counts that sidecar's starts."""
+
+    number: int
+    life: int
+    up: bool
+    paused: bool
+    resumed_at: float
+
+    def gone(self, held: Try) -> None:
+        """The client waits no longer for this try."""
+
+
+class Call:
+    """What a client wants, over all its tries; ``worth`` is what its answer in time earns."""
+
+    __slots__ = (
+        "klass",
+        "member",
+        "begun",
+        "worth",
+        "work",
+        "key",
+        "chance",
+        "tries",
+        "ignores",
+        "hasty",
+        "got",
+        "slowed",
+    )
+
+    def __init__(self, klass: Class, member: int, begun: float, worth: float, work: float, key: int) -> None:
+        """``begun`` in ms; ``work`` in ms of a worker of speed 1; ``key``: -1 where it has none."""
+        self.klass, self.member, self.begun, self.worth = klass, member, begun, worth
+        self.work, self.key, self.tries = work, key, 0
+        self.chance, self.ignores, self.hasty = 0.0, False, False
+        self.got, self.slowed = 0.0, False  # worth that its answer earned; its sidecar lacked the CPU for it
+
+
+class Try:
+    """One request of a call, to one sidecar."""
+
+    __slots__ = ("name", "call", "sidecar", "life", "open", "marked")
+
+    def __init__(self, name: str, call: Call, sidecar: TrySidecar, marked: bool) -> None:
+        """``marked``: it tells the sidecar that it is not the call's first."""
+        self.name, self.call, self.sidecar, self.marked = name, call, sidecar, marked
+        self.life, self.open = sidecar.life, True
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -5,61 +5,40 @@
 
 import math
 from itertools import accumulate
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import numpy as np
 
-from lab.scenario import Class
-from lab.streams import lognormal
-
-if TYPE_CHECKING:
-    from lab.sidecars import Sidecar
-    from lab.simulation import Simulation
-    from lab.streams import Stream
+from lab.calls import Call, Try
+from lab.checker import Checker
+from lab.clock import Clock
+from lab.measures import Measures
+from lab.scenario import Scenario
+from lab.sidecars import Sidecar
+from lab.streams import Stream, Streams, lognormal
 
 OVER_SHARE_WORTH = 0.1  # of a call beyond what its member is entitled to
 
 
-class Call:
-    """What a client wants, over all its tries; ``worth`` is what its answer in time earns."""
-
-    __slots__ = (
-        "klass",
-        "member",
-        "begun",
-        "worth",
-        "work",
-        "key",
-        "chance",
-        "tries",
-        "ignores",
-        "hasty",
-        "got",
-        "slowed",
-    )
-
-    def __init__(self, klass: Class, member: int, begun: float, worth: float, work: float, key: int) -> None:
-        self.klass, self.member, self.begun, self.worth = klass, member, begun, worth
-        self.work, self.key, self.tries = work, key, 0
-        self.chance, self.ignores, self.hasty = 0.0, False, False
-        self.got, self.slowed = 0.0, False  # worth that its answer earned; its sidecar lacked the CPU for it
-
-
-class Try:
-    """One request of a call."""
+class ClientsHost(Protocol):
+    """What clients need of the simulation that they are part of."""
 
-    __slots__ = ("name", "call", "sidecar", "life", "open", "marked")
+    scenario: Scenario
+    clock: Clock
+    streams: Streams
+    measures: Measures
+    checker: Checker
+    sidecars: list[Sidecar]
 
-    def __init__(self, name: str, call: Call, sidecar: Sidecar, marked: bool) -> None:
-        self.name, self.call, self.sidecar, self.marked = name, call, sidecar, marked
-        self.life, self.open = sidecar.life, True
+    def reached(self, number: int) -> Sidecar:
+        """The process that a call of this sidecar's application comes to."""
 
 
 class Clients:
     """``hot`` and ``loud`` hold the troubles of the moment: how many times its part a sidecar or member
     sends."""
 
-    def __init__(self, simulation: Simulation) -> None:
+    def __init__(self, simulation: ClientsHost) -> None:
         self.simulation, self.clock, scenario = simulation, simulation.clock, simulation.scenario
         self.made, self.load, self.scenario = scenario.clients, scenario.load, scenario
         self.class_bounds = list(accumulate(item.share for item in scenario.classes))
--- a/lab/cpu.py
+++ b/lab/cpu.py
@@ -8,14 +8,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from hareloom import interface as api
-
-if TYPE_CHECKING:
-    from lab.clients import Call
-    from lab.measures import Measures
-    from lab.scenario import Cpu
+from lab.calls import Call
+from lab.measures import Measures
+from lab.scenario import Cpu
 
 SECOND_MS = 1000.0
 
--- a/lab/discovery.py
+++ b/lab/discovery.py
@@ -2,21 +2,35 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from hareloom import interface as api
 from hareloom.interface import ListKind, ServerState
+from lab.clock import Clock
+from lab.evenness import Evenness
+from lab.scenario import Scenario
+from lab.servers import Server
+from lab.sidecars import Sidecar
+from lab.streams import Streams
 
-if TYPE_CHECKING:
-    from lab.servers import Server
-    from lab.sidecars import Sidecar
-    from lab.simulation import Simulation
+
+class DiscoveryHost(Protocol):
+    """What discovery needs of the simulation that it is part of."""
+
+    scenario: Scenario
+    clock: Clock
+    streams: Streams
+    evenness: Evenness
+    leaving: set[str]
+
+    def processes(self) -> list[Sidecar]:
+        """All that hear of the list."""
 
 
 class Discovery:
     """The list as it stands, its changes by version, and those who are told."""
 
-    def __init__(self, simulation: Simulation) -> None:
+    def __init__(self, simulation: DiscoveryHost) -> None:
         self.simulation, self.made, self.clock = simulation, simulation.scenario.discovery, simulation.clock
         self.chance = simulation.streams.of("discovery")
         self.entries: dict[str, api.ServerEntry] = {}
--- a/lab/driver.py
+++ b/lab/driver.py
@@ -17,8 +17,9 @@
 import uvloop
 
 from lab.scenario import Source
+from lab.socket_servers import Shard
 from lab.socket_sidecars import Speaks
-from lab.socket_simulation import Shard, SocketSimulation
+from lab.socket_simulation import SocketSimulation
 from lab.worker import MOST_FRAME, write_frame
 
 
--- a/lab/measures.py
+++ b/lab/measures.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
 from anisestair.storms.state import Change
+from lab.calls import Call
+from lab.clock import Clock
+from lab.evenness import Evenness
 from lab.scenario import Scenario
 
-if TYPE_CHECKING:
-    from lab.clients import Call
-    from lab.clock import Clock
-    from lab.evenness import Evenness
-
 BIN_MS = 250.0
 BACK = 0.95  # recovered: so much of the service before the first trouble
 
--- a/lab/revisions.py
+++ b/lab/revisions.py
@@ -18,7 +18,15 @@
 MODEL = (
     *("lab/streams.py", "lab/clock.py", "lab/scenario.py", "lab/servers.py", "lab/discovery.py"),
     *("lab/sidecars.py", "lab/clients.py", "lab/checker.py", "lab/measures.py", "lab/troubles.py"),
-    *("lab/simulation.py", "lab/policies", "lab/cpu.py", "lab/sight.py", "lab/links.py", "lab/versions.py"),
+    *(
+        "lab/calls.py",
+        "lab/simulation.py",
+        "lab/policies",
+        "lab/cpu.py",
+        "lab/sight.py",
+        "lab/links.py",
+        "lab/versions.py",
+    ),
 )
 LIBRARIES = ("numpy", "xxhash", "msgspec", "pyarrow", "hdrhistogram", "matplotlib")
 
--- a/lab/servers.py
+++ b/lab/servers.py
@@ -8,19 +8,64 @@
 
 import math
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from hareloom import interface as api
 from hareloom.interface import Outcome
-from lab.scenario import Kind
-
-if TYPE_CHECKING:
-    from lab.sidecars import Sidecar
-    from lab.simulation import Simulation
+from lab.checker import Checker
+from lab.clock import Clock
+from lab.evenness import Evenness
+from lab.measures import Measures
+from lab.scenario import Kind, Scenario
+from lab.streams import Streams
 
 UP, DEAD, SILENT = "up", "dead", "silent"
 
 
+class AttemptSidecar(Protocol):
+    """What an attempt needs of the sidecar that sent it."""
+
+    number: int
+    zone: str
+
+    def delay(self, server: Server) -> float:
+        """The time of one message to a server, one way, in ms."""
+
+    def ended(self, attempt: Attempt, outcome: Outcome) -> None:
+        """The attempt has come to this end, as the sidecar sees it."""
+
+
+class ServerEvents(Protocol):
+    """Who notices that servers start and end."""
+
+    def started(self, server: Server) -> None:
+        """A server is up."""
+
+    def ended(self, server: Server, silent: bool) -> None:
+        """A server has stopped, with its connections open where ``silent``."""
+
+
+class ServerHost(Protocol):
+    """What a server needs of the simulation that it is part of."""
+
+    scenario: Scenario
+    clock: Clock
+    streams: Streams
+    measures: Measures
+    checker: Checker
+    evenness: Evenness
+
+    @property
+    def discovery(self) -> ServerEvents:
+        """Who is told of starts and ends."""
+
+    def fell(self, server: Server) -> None:
+        """A server was pushed over."""
+
+    def reply(self, attempt: Attempt, outcome: Outcome) -> None:
+        """An attempt's answer, or its end, leaves the server."""
+
+
 class Attempt:
     """One attempt on its way, from the send to what comes of it."""
 
@@ -42,7 +87,7 @@
 
     def __init__(
         self,
-        sidecar: Sidecar,
+        sidecar: AttemptSidecar,
         request: str,
         number: int | str,
         server: Server,
@@ -64,7 +109,7 @@
     """``work`` and spans in ms; ``peak`` is the most that came, as a multiple of what it could do."""
 
     def __init__(
-        self, simulation: Simulation, number: int, kind: Kind, name: str, cold: bool = False
+        self, simulation: ServerHost, number: int, kind: Kind, name: str, cold: bool = False
     ) -> None:
         made = simulation.scenario.servers
         self.simulation, self.clock, self.made, self.kind = simulation, simulation.clock, made, kind
--- a/lab/sidecars.py
+++ b/lab/sidecars.py
@@ -4,19 +4,21 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from anisestair.storms.watch import Watch
 from hareloom import interface as api
 from hareloom.interface import ListKind, Outcome
+from lab.calls import Try
+from lab.checker import Checker
+from lab.clock import Clock
 from lab.cpu import Bill
+from lab.links import Links
+from lab.measures import Measures
+from lab.scenario import Scenario
 from lab.servers import DEAD, SILENT, UP, Attempt, Server
-from lab.sight import Sees
-from lab.streams import lognormal, turned
-
-if TYPE_CHECKING:
-    from lab.clients import Try
-    from lab.simulation import Simulation
+from lab.sight import Sees, Sight
+from lab.streams import Streams, lognormal, turned
 
 
 class Decides(Protocol):
@@ -30,13 +32,61 @@
 Kept = tuple[int, float, float]
 
 
+class TryEnds(Protocol):
+    """Who is told what became of a client's try."""
+
+    def ended(self, held: Try, what: str, advice_ms: float) -> None:
+        """The one outcome of a try, with the time after which its client may come again."""
+
+
+class Subscriptions(Protocol):
+    """Where a sidecar asks for the list of servers."""
+
+    def subscribe(self, sidecar: Sidecar) -> None:
+        """Ask for the list and its changes from here on."""
+
+
+class SidecarHost(Protocol):
+    """What a sidecar needs of the simulation that it is part of."""
+
+    scenario: Scenario
+    seed: int
+    clock: Clock
+    streams: Streams
+    measures: Measures
+    checker: Checker
+    links: Links
+    servers: list[Server]
+    by_name: dict[str, Server]
+
+    @property
+    def clients(self) -> TryEnds:
+        """Who is told what became of tries."""
+
+    @property
+    def discovery(self) -> Subscriptions:
+        """Where the list of servers is asked for."""
+
+    def settings(self, zone: str, number: int) -> api.Settings:
+        """The decisions' settings for a sidecar of this zone and number."""
+
+    def sight(self, sidecar: int, late: bool) -> Sight:
+        """What a policy that sees servers' states may look at."""
+
+    def swallowed(self, sidecar: Sidecar, server: Server) -> bool:
+        """Whether nothing of an attempt arrives, nor anything comes back."""
+
+    def reply(self, attempt: Attempt, outcome: Outcome) -> None:
+        """An attempt's answer, or its end, leaves its server."""
+
+
 class Sidecar:
     """``life`` counts its starts: what was planned in an earlier one is void."""
 
     here = True  # not of another process, as in a rig of several
 
     def __init__(
-        self, simulation: Simulation, number: int, policy: Policy, watched: bool, version: int = 0
+        self, simulation: SidecarHost, number: int, policy: Policy, watched: bool, version: int = 0
     ) -> None:
         """``version``: how many processes this sidecar has been before; two of them may be there at once."""
         self.simulation, self.clock, self.number, self.turn = simulation, simulation.clock, number, version
--- a/lab/socket_servers.py
+++ b/lab/socket_servers.py
@@ -6,20 +6,17 @@
 import asyncio
 import math
 import socket
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, Protocol, cast
 
 import msgpack
 
 from hareloom.interface import Outcome
 from lab.links import Link, Place
-from lab.servers import DEAD, UP, Attempt, Server
+from lab.servers import DEAD, UP, Attempt, Server, ServerHost
 from lab.streams import lognormal, turned
 from rigs import fleet
 from rigs.relay import Door, Faults, TcpRelay
 
-if TYPE_CHECKING:
-    from lab.socket_simulation import SocketSimulation
-
 ANSWERS = {
     Outcome.OK: b"200 OK",
     Outcome.ERROR: b"500 Internal Server Error",
@@ -30,6 +27,36 @@
 MOST_FACTS = 12
 
 
+Shard = tuple[int, int]  # which of how many processes
+
+
+class SocketServerHost(ServerHost, Protocol):
+    """What servers on sockets need of the simulation that they are part of. ``peers``: all sidecars, by their
+    numbers; ``noise_of``: by class, the spread of its work; ``relayed``: zones whose links may fail."""
+
+    seed: int
+    shard: Shard
+    peers: list[Peer]
+    noise_of: dict[str, float]
+    relayed: tuple[str, ...]
+
+    def swallowed(self, sidecar: Any, server: Server) -> bool:
+        """Whether nothing of an attempt arrives, nor anything comes back."""
+
+
+class Peer:
+    """A sidecar as servers see it, in whichever process it is spoken for."""
+
+    def __init__(self, simulation: SocketServerHost, number: int, zone: str) -> None:
+        self.simulation, self.number, self.zone = simulation, number, zone
+        self._net = simulation.streams.of("net", "peer", number, simulation.shard[0])
+
+    def delay(self, server: Server) -> float:
+        net = self.simulation.scenario.network
+        base = net.same_ms if server.zone == self.zone else net.cross_ms
+        return base * (1.0 + net.jitter * self._net.random())
+
+
 class SocketAttempt(Attempt):
     """An attempt as its server sees it, with the connection that it came on and its number there."""
 
@@ -58,7 +85,7 @@
 
     def came(self, name: str, msgid: int, facts: str) -> None:
         """A whole request; ``facts`` are what its client says of the call (``facts_of``)."""
-        simulation, server = cast("SocketSimulation", self.server.simulation), self.server
+        simulation, server = cast(SocketServerHost, self.server.simulation), self.server
         told = read_facts(facts)
         sidecar: Any = simulation.peers[int(told["n"])]
         klass, server.count = told["c"], server.count + 1
@@ -172,7 +199,7 @@
         self.doors = tuple(Door(lambda found, speaks=kind: self._accept(found, speaks)) for kind in SIDES)  # type: ignore[misc]
         for door in self.doors:
             door.serve()
-        simulation = cast("SocketSimulation", self.simulation)
+        simulation = cast(SocketServerHost, self.simulation)
         self.relays: dict[str, list[TcpRelay]] = {}  # by zone of the sidecars, a relay for each protocol
         for zone in simulation.relayed:
             seed = simulation.seed * 1009 + self.number
--- a/lab/socket_sidecars.py
+++ b/lab/socket_sidecars.py
@@ -8,23 +8,49 @@
 import math
 import signal
 from contextlib import AsyncExitStack
-from typing import TYPE_CHECKING, Any, Literal
+from typing import Any, Literal, Protocol
 
 from hareloom import interface as api
 from hareloom.interface import ListKind
-from lab.clients import Try
-from lab.launch import Program
+from lab.calls import Try
+from lab.checker import Checker
+from lab.clients import Clients
+from lab.clock import Clock
+from lab.discovery import Discovery
+from lab.launch import Launcher, Program
+from lab.scenario import Scenario
 from lab.servers import Server
-from lab.socket_servers import BUSY, facts_of
+from lab.socket_servers import BUSY, SocketServer, facts_of
+from lab.streams import Streams
 from rigs import fleet
 from rigs.rpc_peer import RpcCaller
 
-if TYPE_CHECKING:
-    from lab.socket_simulation import SocketSimulation
-
 Speaks = Literal["http", "rpc"]
 
 
+class SocketSidecarHost(Protocol):
+    """What sidecars on sockets need of the simulation that they are part of. ``began_unix_ms``: the play's
+    start in milliseconds since 1970."""
+
+    scenario: Scenario
+    clock: Clock
+    streams: Streams
+    checker: Checker
+    discovery: Discovery
+    clients: Clients
+    launcher: Launcher
+    began_unix_ms: float
+
+    def config(self, sidecar: SocketSidecar) -> str:
+        """The platform's file for a sidecar."""
+
+    def wire(self, name: str) -> SocketServer:
+        """The server of that name."""
+
+    def heard(self, held: Try) -> None:
+        """A try was served; its latency counts."""
+
+
 class _ClientSide(fleet._Messages):
     """A client's connection to its sidecar: one request at a time."""
 
@@ -115,7 +141,7 @@
 
     here = True  # its process is this one's child
 
-    def __init__(self, simulation: SocketSimulation, number: int, speaks: Speaks) -> None:
+    def __init__(self, simulation: SocketSidecarHost, number: int, speaks: Speaks) -> None:
         self.simulation, self.number, self.speaks = simulation, number, speaks
         zones = simulation.scenario.network.zones
         self.zone = zones[number % len(zones)]
--- a/lab/socket_simulation.py
+++ b/lab/socket_simulation.py
@@ -25,8 +25,9 @@
 
 from hareloom.interface import Outcome
 from lab import links, troubles
+from lab.calls import Try
 from lab.checker import Checker
-from lab.clients import Clients, Try
+from lab.clients import Clients
 from lab.clock import Unending
 from lab.discovery import Discovery
 from lab.evenness import Evenness
@@ -36,7 +37,7 @@
 from lab.scenario import Scenario, Wrong
 from lab.servers import Attempt, Server
 from lab.simulation import Simulation
-from lab.socket_servers import Elsewhere, SocketAttempt, SocketServer
+from lab.socket_servers import Elsewhere, Peer, Shard, SocketAttempt, SocketServer
 from lab.socket_sidecars import Absent, SocketSidecar, Speaks
 from lab.streams import Streams
 from lab.wall import WallClock
@@ -45,20 +46,6 @@
 MOST_US = 60_000_000  # of a latency that is counted
 EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
 MOST_NOTES = 4_000_000  # of one process
-Shard = tuple[int, int]  # which of how many processes
-
-
-class Peer:
-    """A sidecar as servers see it, in whichever process it is spoken for."""
-
-    def __init__(self, simulation: SocketSimulation, number: int, zone: str) -> None:
-        self.simulation, self.number, self.zone = simulation, number, zone
-        self._net = simulation.streams.of("net", "peer", number, simulation.shard[0])
-
-    def delay(self, server: Server) -> float:
-        net = self.simulation.scenario.network
-        base = net.same_ms if server.zone == self.zone else net.cross_ms
-        return base * (1.0 + net.jitter * self._net.random())
 
 
 class SocketSimulation(Simulation):
--- a/lab/troubles.py
+++ b/lab/troubles.py
@@ -9,21 +9,38 @@
 import math
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from hareloom.interface import ServerState
 from lab import versions
+from lab.clients import Clients
+from lab.evenness import Evenness
 from lab.links import hit as hit_links
-from lab.scenario import Trouble
+from lab.scenario import Kind, Trouble
 from lab.servers import DEAD, SILENT, UP, Server
+from lab.sidecars import Sidecar
+from lab.streams import Stream
+from lab.versions import ChangeHost
 
-if TYPE_CHECKING:
-    from lab.sidecars import Sidecar
-    from lab.simulation import Simulation
-    from lab.streams import Stream
 
+class TroublesHost(ChangeHost, Protocol):
+    """What troubles need of the simulation that they befall. ``cut``: zones that no message leaves or enters;
+    ``loss``: share of attempts that are swallowed; ``leaving``: servers that do not come back."""
 
-def plan(simulation: Simulation) -> None:
+    cut: set[str]
+    loss: float
+    leaving: set[str]
+    evenness: Evenness
+
+    @property
+    def clients(self) -> Clients:
+        """The callers, whose load troubles change."""
+
+    def add_server(self, kind: Kind) -> None:
+        """Start a machine that has not been there."""
+
+
+def plan(simulation: TroublesHost) -> None:
     for number, trouble in enumerate(simulation.scenario.troubles):
         made = _Planned(simulation, trouble, simulation.streams.of("trouble", number, trouble.kind))
         getattr(made, f"plan_{trouble.kind}")()
@@ -32,7 +49,7 @@
 class _Planned:
     """One trouble; a method a kind. What it hits is among the servers and sidecars of the play's start."""
 
-    def __init__(self, simulation: Simulation, trouble: Trouble, chance: Stream) -> None:
+    def __init__(self, simulation: TroublesHost, trouble: Trouble, chance: Stream) -> None:
         self.simulation, self.made, self.chance = simulation, trouble, chance
         self.clock = simulation.clock
         self.start, self.end = trouble.at_ms, trouble.at_ms + trouble.for_ms
--- a/lab/versions.py
+++ b/lab/versions.py
@@ -8,14 +8,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from hareloom import Balancer
 from hareloom import interface as api
-
-if TYPE_CHECKING:
-    from lab.sidecars import Sidecar
-    from lab.simulation import Simulation
+from lab.discovery import Discovery
+from lab.sidecars import Sidecar, SidecarHost
 
 ASKED_MS = 100.0  # from a start to what the old process has learnt; its age is as much again
 READY_MS = 400.0  # from a start to its yes
@@ -23,10 +21,21 @@
 END_MS = 700.0  # beyond the longest deadline, after which the platform ends the old one
 
 
+class ChangeHost(SidecarHost, Protocol):
+    """What a change of versions needs of the simulation that it is part of."""
+
+    sidecars: list[Sidecar]
+    changes: dict[int, Change]
+
+    @property
+    def discovery(self) -> Discovery:
+        """The list of servers, which new processes are told."""
+
+
 class Change:
     """One change of one sidecar. ``still_ms``: how long each process stands still, by turns; 0: neither."""
 
-    def __init__(self, simulation: Simulation, number: int, still_ms: float) -> None:
+    def __init__(self, simulation: ChangeHost, number: int, still_ms: float) -> None:
         self.simulation, self.clock, self.number, self.still_ms = (
             simulation,
             simulation.clock,
