--- a/mesh/admission/__init__.py
+++ b/mesh/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Limits and last words on calls: the shared budget, may it have run, drains."""
+"""Limits on calls, without I/O: retry budget, wait queue, buffer budget, final check."""
--- a/mesh/configuration/__init__.py
+++ b/mesh/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""The operator's configuration: decoded, checked, routed by."""
+"""The operators' configuration without I/O: decoding, validation, routes."""
--- a/mesh/dissemination/__init__.py
+++ b/mesh/dissemination/__init__.py
@@ -1,1 +1,1 @@
-"""News: what a process lacks, pulled by a vector of versions from the few others that it knows."""
+"""Updates: what a process lacks, pulled by version vectors from the few peers that it knows."""
--- a/mesh/membership/__init__.py
+++ b/mesh/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Membership without I/O: beats, lives of upstreams, who knows whom, duties."""
+"""Membership without I/O: heartbeats, incarnations of upstreams, rendezvous, failure detection, leases."""
--- a/mesh/replication/__init__.py
+++ b/mesh/replication/__init__.py
@@ -1,1 +1,1 @@
-"""Control state without I/O: items with versions, their merge, vectors, digests, quorums."""
+"""Replicated state without I/O: items with versions, merge, vectors, digests, ballots, quorums."""
--- a/mesh/runtime/__init__.py
+++ b/mesh/runtime/__init__.py
@@ -1,1 +1,1 @@
-"""A process's settings file, read and checked."""
+"""How a process runs: settings file, deploy file, start and signals, introspection."""
--- a/mesh/storage/__init__.py
+++ b/mesh/storage/__init__.py
@@ -1,1 +1,1 @@
-"""The disk: what was acknowledged, in lmdb."""
+"""The durable store: what was acknowledged, in lmdb."""
--- a/mesh/transport/__init__.py
+++ b/mesh/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Links between the system's own processes: netstrings of JSON over TCP, and HTTP at the edge."""
+"""Links between the mesh's processes: netstrings of JSON over TCP, and HTTP at the edge."""
