--- a/mesh/data_plane/route_classes.py
+++ b/mesh/data_plane/route_classes.py
@@ -58,7 +58,6 @@
     """Of one service."""
 
     def __init__(self) -> None:
-        """No route has come."""
         """No routes yet."""
         self._own: dict[str, api.RequestClass] = {}  # by the route's name
         self._shared: dict[str, api.RequestClass] = {}
@@ -66,7 +65,6 @@
         self.trials = 1  # the most that any route has had
 
     def all(self) -> tuple[api.RequestClass, ...]:
-        """Every class that a route has, or has had."""
         """The classes that decisions are made by, those of single routes first."""
         return *self._own.values(), *self._shared.values()
 
