--- a/benchmarks/bench_runs.py
+++ b/benchmarks/bench_runs.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from benchmarks.day_files import ROOT, read_day
-from benchmarks.day_kinds import BadKinds
+from benchmarks.trouble_kinds import KindsTextError
 
 JOURNAL = ROOT / "journal"
 QUICK_S = 300.0  # for what plays nothing: a machine short of memory was seen to take over 60 s for it
@@ -62,8 +62,8 @@
     rules = {name: number for one in found for name, number in (one["rules"] or {}).items() if number}
     fault = next((str(one["fault"]) for one in found if one["fault"]), "")
     short = tuple(str(line) for one in found for line in one.get("short") or ())
-    seen = [one for part in found for one in part.get("first") or () if isinstance(one, dict)]
-    first = tuple(f"{one.get('rule')} at {one.get('at_s')} s: {one.get('what')}" for one in seen)
+    observed = [one for part in found for one in part.get("first") or () if isinstance(one, dict)]
+    first = tuple(f"{one.get('rule')} at {one.get('at_s')} s: {one.get('what')}" for one in observed)
     gave_up = re.search(
         r"(?<!worth )given up|gave (?:it )?up|too busy|day.cap", f"{fault}\n{out}", re.IGNORECASE
     )
@@ -114,15 +114,15 @@
     running: set[subprocess.Popen[str]] = field(default_factory=set)
 
     def kinds(self, site: Path) -> str:
-        """Raises BadKinds."""
+        """Raises KindsTextError."""
         try:
             done = subprocess.run(
                 [self.program, "kinds", site], cwd=ROOT, capture_output=True, text=True, timeout=QUICK_S
             )
         except (OSError, subprocess.TimeoutExpired) as fault:
-            raise BadKinds(f"{self.program} kinds {site}: {fault}") from fault
+            raise KindsTextError(f"{self.program} kinds {site}: {fault}") from fault
         if done.returncode:
-            raise BadKinds(f"{self.program} kinds {site}: {(done.stderr or done.stdout).strip()[:200]}")
+            raise KindsTextError(f"{self.program} kinds {site}: {(done.stderr or done.stdout).strip()[:200]}")
         return done.stdout
 
     def build(self) -> None:
@@ -134,16 +134,16 @@
         seed = str(read_day(day)["seed"])
         report, before = day.with_suffix(".report"), {entry.name for entry in JOURNAL.glob("*.json")}
         report.unlink(missing_ok=True)
-        words = [str(word) for word in (self.program, "run", site, day, "--seed", seed)]
-        words += ["--report", str(report), "--jobs", "1"]
-        words += ["--no-cpu"] if self.no_cpu else []
-        words += [] if self.day_cap is None else ["--day-cap", f"{self.day_cap:g}"]
-        words += ["--why", self.why] if self.why else []
+        arguments = [str(word) for word in (self.program, "run", site, day, "--seed", seed)]
+        arguments += ["--report", str(report), "--jobs", "1"]
+        arguments += ["--no-cpu"] if self.no_cpu else []
+        arguments += [] if self.day_cap is None else ["--day-cap", f"{self.day_cap:g}"]
+        arguments += ["--why", self.why] if self.why else []
         start, code = time.monotonic(), None
         with (
             day.with_suffix(".out").open("w+", encoding="utf-8", errors="replace") as into,
             subprocess.Popen(
-                words,
+                arguments,
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=into,
--- a/benchmarks/compose_site.py
+++ b/benchmarks/compose_site.py
@@ -20,7 +20,7 @@
 
 import tomli_w
 
-from benchmarks.day_files import ROOT, BadDayError, Day, inside_repository, read_day
+from benchmarks.day_files import ROOT, Day, DayFileError, inside_repository, read_day
 
 Site = dict[str, Any]
 
@@ -73,7 +73,7 @@
     try:
         days = with_seeds([read_day(path) for path in given.days], given.seeds)
         target = write_composed(given.site, days, out, given.name or given.site.stem)
-    except (OSError, KeyError, tomllib.TOMLDecodeError, BadDayError) as fault:
+    except (OSError, KeyError, tomllib.TOMLDecodeError, DayFileError) as fault:
         print(f"compose_site: {fault}; give a site file of the bench and days", file=sys.stderr)
         return 1
     print(target)
--- a/benchmarks/day_files.py
+++ b/benchmarks/day_files.py
@@ -12,17 +12,17 @@
 Day = dict[str, Any]
 
 
-class BadDayError(Exception):
+class DayFileError(Exception):
     """A day file without what every day has; one line."""
 
 
 def read_day(path: Path) -> Day:
-    """The first day of a file, whether it stands at the top or under ``[[day]]``. Raises BadDayError."""
+    """The first day of a file, whether it stands at the top or under ``[[day]]``. Raises DayFileError."""
     found = tomllib.loads(path.read_text(encoding="utf-8"))
     day: Day = found.get("day", [found])[0]
     missing = [field for field in ("name", "seed", "plan", "faults") if field not in day]
     if missing:
-        raise BadDayError(f"{path}: {', '.join(missing)} missing; write the day as benchmarks/days does")
+        raise DayFileError(f"{path}: {', '.join(missing)} missing; write the day as benchmarks/days does")
     return day
 
 
--- a/benchmarks/days_played.py
+++ b/benchmarks/days_played.py
@@ -34,7 +34,7 @@
 Entry = Mapping[str, Any]
 
 
-class BadPageError(Exception):
+class PageMarksError(Exception):
     """A page without both marks; one line."""
 
 
@@ -166,15 +166,16 @@
 
 
 def with_table(page: str, made: str) -> str:
-    """The page with what stands between its marks replaced. Raises BadPageError."""
+    """The page with what stands between its marks replaced. Raises PageMarksError."""
     before, begin, rest = page.partition(BEGIN)
     _, end, after = rest.partition(END)
     if not begin or not end:
-        raise BadPageError(f"the page needs the lines {BEGIN} and {END}")
+        raise PageMarksError(f"the page needs the lines {BEGIN} and {END}")
     return f"{before}{BEGIN}\n{made}\n{END}{after}"
 
 
 def main() -> int:
+    """The exit code: 1 for a page without its marks, 0."""
     """Write the table into its page; the exit status."""
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     words.add_argument("--since", default="", help="the first entry's name begins so or comes later")
@@ -190,7 +191,7 @@
         return 0
     try:
         page = with_table(given.write.read_text(encoding="utf-8"), made)
-    except (OSError, BadPageError) as fault:
+    except (OSError, PageMarksError) as fault:
         print(f"days_played: {given.write}: {fault}", file=sys.stderr)
         return 1
     given.write.write_text(page, encoding="utf-8")
--- a/benchmarks/draw_days.py
+++ b/benchmarks/draw_days.py
@@ -33,21 +33,23 @@
 from typing import Any
 
 from benchmarks.bench_runs import Bench, Result, pooled
-from benchmarks.day_files import ROOT, BadDayError, inside_repository, read_day, write_day
-from benchmarks.day_kinds import BadKinds, Day, drawers, told
-from benchmarks.reduce_days import taken_apart
+from benchmarks.day_drawer import Day, describe, drawers
+from benchmarks.day_files import ROOT, DayFileError, inside_repository, read_day, write_day
+from benchmarks.reduce_days import reduce_day
+from benchmarks.trouble_kinds import KindsTextError
 
 
-def line(day: Day, found: Result) -> str:
+def result_line(day: Day, found: Result) -> str:
     """One for a person."""
     because = ", ".join(found.signs) or found.fault or (found.said.splitlines() or [""])[-1][:100]
     return (
         f"{day['name']}: {found.state} in {found.seconds:g} s{': ' * bool(because)}{because}; "
-        + ", ".join(told(day))
+        + ", ".join(describe(day))
     )
 
 
-def summed(results: Sequence[Result]) -> dict[str, Any]:
+def summary_of(results: Sequence[Result]) -> dict[str, Any]:
+    """How many days ended in which way, and which signs were seen how often."""
     states = Counter(found.state for found in results)
     signs = Counter(sign for found in results for sign in found.signs)
     gate_alone = sum(found.signs == ("gate",) for found in results)
@@ -61,7 +63,7 @@
 
 
 def draw(bench: Bench, sites: Sequence[Path], out: Path, seed: int, count: int) -> list[tuple[Path, Path]]:
-    """Days' files with their sites. Raises BadKinds, OSError, KeyError, tomllib.TOMLDecodeError."""
+    """Days' files with their sites. Raises KindsTextError, OSError, KeyError, tomllib.TOMLDecodeError."""
     read = [tomllib.loads(site.read_text(encoding="utf-8")) for site in sites]
     made = drawers(read, [bench.kinds(site) for site in sites])
     found = []
@@ -74,8 +76,11 @@
 
 
 def arguments() -> argparse.Namespace:
-    words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    verbs = words.add_subparsers(dest="verb", required=True)
+    """Those of the command line."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    verbs = parser.add_subparsers(dest="verb", required=True)
     for verb in ("play", "draw", "reduce"):
         one = verbs.add_parser(verb)
         one.add_argument("bench", type=Path, metavar="BENCH")
@@ -98,16 +103,19 @@
             one.add_argument("--why", default="", help="a line for the bench's journal")
         if verb == "play":
             one.add_argument("--reduce", action="store_true", help="the broken ones, one after another")
-    return words.parse_args()
+    return parser.parse_args()
 
 
-def keep(table: Path, site: Path, day: Day, found: Result, more: Mapping[str, Any] | None = None) -> None:
+def append_row(
+    table: Path, site: Path, day: Day, found: Result, more: Mapping[str, Any] | None = None
+) -> None:
+    """Adds a day and how it ended to the table."""
     said = {key: value for key, value in asdict(found).items() if value}
     row = {
         "site": site.stem,
         "day": day["name"],
         "seed": day["seed"],
-        "kinds": told(day),
+        "kinds": describe(day),
         **said,
         **(more or {}),
     }
@@ -116,6 +124,7 @@
 
 
 def play_all(bench: Bench, given: argparse.Namespace, out: Path) -> int:
+    """Draws, plays and, where asked, reduces days; 1 unless all are clean."""
     drawn, table = draw(bench, given.sites, out, given.seed, given.count), out / "days.jsonl"
     bench.build()
     results: dict[Path, Result] = {}
@@ -124,35 +133,37 @@
         for done in as_completed(under_way):
             site, path = under_way[done]
             results[path] = found = done.result()
-            keep(table, site, read_day(path), found)
-            print(line(read_day(path), found), flush=True)
+            append_row(table, site, read_day(path), found)
+            print(result_line(read_day(path), found), flush=True)
     if given.reduce:
         for site, path in drawn:
             found = results[path]
             if found.state == "broken":
-                less, how = taken_apart(bench, site, path, found, given.most, given.jobs)
-                keep(table, site, read_day(less), found, {"reduced": how})
+                less, how = reduce_day(bench, site, path, found, given.most, given.jobs)
+                append_row(table, site, read_day(less), found, {"reduced": how})
                 print(f"{path.stem}: {how['from']} entries down to {how['to']}: {less}", flush=True)
-    print(json.dumps({"seed": given.seed, **summed([*results.values()]), "table": str(table)}))
+    print(json.dumps({"seed": given.seed, **summary_of([*results.values()]), "table": str(table)}))
     return 0 if all(found.state == "clean" for found in results.values()) else 1
 
 
 def reduce_one(bench: Bench, given: argparse.Namespace, out: Path) -> int:
+    """Reduces the given day; 1 where it does not break."""
     (site,) = given.sites
     bench.build()
     path = write_day(out / given.day.name, read_day(given.day), bench.bare)
     first = bench.play(site, path)
-    print(line(read_day(path), first), flush=True)
+    print(result_line(read_day(path), first), flush=True)
     if first.state != "broken":
         print(json.dumps({"day": path.stem, "state": first.state}))
         return 1
-    less, how = taken_apart(bench, site, path, first, given.most, given.jobs)
-    keep(out / "days.jsonl", site, read_day(less), first, {"reduced": how})
+    less, how = reduce_day(bench, site, path, first, given.most, given.jobs)
+    append_row(out / "days.jsonl", site, read_day(less), first, {"reduced": how})
     print(json.dumps({"day": path.stem, "state": first.state, "left": str(less), **how}))
     return 0
 
 
 def main() -> int:
+    """The exit code: 2 for a folder inside the repository, 1 for a failure, 0."""
     given = arguments()
     out = given.out.resolve()
     if inside_repository(out):
@@ -175,13 +186,13 @@
         KeyError,
         tomllib.TOMLDecodeError,
         subprocess.SubprocessError,
-        BadKinds,
-        BadDayError,
+        KindsTextError,
+        DayFileError,
     ) as fault:
         print(f"draw_days: {fault!r}; give the bench's program and its site files", file=sys.stderr)
         return 1
     for _, path in drawn:
-        print(f"{path.stem}: {', '.join(told(read_day(path)))}")
+        print(f"{path.stem}: {', '.join(describe(read_day(path)))}")
     print(json.dumps([str(path) for _, path in drawn]))
     return 0
 
--- a/benchmarks/draw_deployments.py
+++ b/benchmarks/draw_deployments.py
@@ -46,7 +46,7 @@
 FLOOR = 0.5  # of the site's floors
 
 
-class BadSite(Exception):
+class SiteFileError(Exception):
     """A site file without a part that is drawn from; one line."""
 
 
@@ -90,11 +90,13 @@
 
 
 def drawn(site: Site, name: str, wire: str, rng: random.Random, kind: DeploymentKind = PLAIN) -> Site:
-    """A deployment like ``site``, of one kind; ``wire`` is the file's name beside it. Raises BadSite."""
+    """A deployment like ``site``, of one kind; ``wire`` is a file beside it. Raises SiteFileError."""
     try:
         return _drawn(copy.deepcopy(site), name, wire, rng, kind)
     except (KeyError, IndexError, TypeError) as fault:
-        raise BadSite(f"{site.get('name', 'a site')}: {fault!r} is missing or of another form") from fault
+        raise SiteFileError(
+            f"{site.get('name', 'a site')}: {fault!r} is missing or of another form"
+        ) from fault
 
 
 def _drawn(site: Site, name: str, wire: str, rng: random.Random, kind: DeploymentKind) -> Site:
@@ -265,7 +267,7 @@
         rng.choice(days)["faults"] += [{"at": at, **entry} for entry in both]
 
 
-def told(site: Site) -> str:
+def describe_site(site: Site) -> str:
     """One line on what a site is."""
     sides = sum(machine["count"] for machine in _sides(site))
     cores = [m for m in site["machines"] if m["class"] == "core"]
@@ -286,6 +288,7 @@
 
 
 def main() -> int:
+    """The exit code: 2 for a folder inside the repository, 1 for a site that cannot be read, 0."""
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     words.add_argument("sites", type=Path, nargs="+", metavar="SITE")
     words.add_argument("--out", type=Path, required=True)
@@ -310,11 +313,11 @@
             kind = KINDS[names[number % len(names)]]
             name = f"drawn-{given.seed}-{number}" + ("" if kind is PLAIN else f"-{kind.name}")
             found = drawn(site, name, copied, random.Random(f"{given.seed}/{number}"), kind)
-        except (OSError, KeyError, tomllib.TOMLDecodeError, BadSite) as fault:
+        except (OSError, KeyError, tomllib.TOMLDecodeError, SiteFileError) as fault:
             print(f"draw_deployments: {path}: {fault}; give a site file of the bench", file=sys.stderr)
             return 1
         (out / f"{name}.toml").write_text(tomli_w.dumps(found), encoding="utf-8")
-        print(told(found), flush=True)
+        print(describe_site(found), flush=True)
         made.append(str(out / f"{name}.toml"))
     print(json.dumps(made))
     return 0
--- a/benchmarks/reduce_days.py
+++ b/benchmarks/reduce_days.py
@@ -7,27 +7,27 @@
 from typing import Any
 
 from benchmarks.bench_runs import Bench, Result, pooled
+from benchmarks.day_drawer import PARTS, Day, describe
 from benchmarks.day_files import read_day, write_day
-from benchmarks.day_kinds import PARTS, Day, told
 
 Item = tuple[str, Any]  # a part's name and an entry, or what closes the day
 
 
-def items(day: Day) -> list[Item]:
+def removable_items(day: Day) -> list[Item]:
     """All that can be taken out of a day."""
     closing = [("closing", day["closing"])] if "closing" in day else []
     return [(part, entry) for part in PARTS for entry in day[part]] + closing
 
 
-def of_items(day: Day, left: Sequence[Item]) -> Day:
-    """The same day with these troubles and plans alone."""
+def day_with(day: Day, left: Sequence[Item]) -> Day:
+    """The same day with these items alone."""
     found = {key: value for key, value in day.items() if key != "closing"}
     found.update({part: [entry for name, entry in left if name == part] for part in PARTS})
     found.update({name: entry for name, entry in left if name == "closing"})
     return found
 
 
-def reduced(
+def minimized(
     whole: Sequence[Item], breaks: Callable[[Sequence[Sequence[Item]]], Sequence[bool]], most: int
 ) -> tuple[list[Item], int, bool]:
     """What is left of items that break together; days asked for; and whether no item more can go alone.
@@ -56,14 +56,14 @@
     return left, asked, True
 
 
-def same(first: Result, other: Result) -> bool:
+def breaks_alike(first: Result, other: Result) -> bool:
     """Whether a day broke as another did: by a rule before a fault, by a fault before the gate."""
     named = {*first.signs} - {"fault", "gate"}
     wanted = named or ({"fault"} if "fault" in first.signs else {*first.signs})
     return other.state == "broken" and bool(wanted & {*other.signs})
 
 
-def taken_apart(
+def reduce_day(
     bench: Bench, site: Path, path: Path, first: Result, most: int, jobs: int
 ) -> tuple[Path, dict[str, Any]]:
     """The file of what is left of a broken day, and how it was found."""
@@ -76,13 +76,21 @@
             number += 1
             name = f"{path.stem}-less{number}"
             paths.append(
-                write_day(path.with_name(f"{name}.toml"), of_items(day, left) | {"name": name}, bench.bare)
+                write_day(path.with_name(f"{name}.toml"), day_with(day, left) | {"name": name}, bench.bare)
             )
         with pooled(bench, jobs) as pool:
-            return [same(first, found) for found in pool.map(lambda one: bench.play(site, one), paths)]
+            return [
+                breaks_alike(first, found) for found in pool.map(lambda one: bench.play(site, one), paths)
+            ]
 
-    left, asked, done = reduced(items(day), breaks, most)
+    left, asked, done = minimized(removable_items(day), breaks, most)
     name = f"{path.stem}-reduced"
-    found = of_items(day, left) | {"name": name}
-    told_ = {"from": len(items(day)), "to": len(left), "days": asked, "least": done, "kinds": told(found)}
-    return write_day(path.with_name(f"{name}.toml"), found, bench.bare), told_
+    found = day_with(day, left) | {"name": name}
+    summary = {
+        "from": len(removable_items(day)),
+        "to": len(left),
+        "days": asked,
+        "least": done,
+        "kinds": describe(found),
+    }
+    return write_day(path.with_name(f"{name}.toml"), found, bench.bare), summary
--- a/tests/mesh/test_benchmarks_mesh.py
+++ b/tests/mesh/test_benchmarks_mesh.py
@@ -149,7 +149,7 @@
 ) -> None:
     broken = like()
     del broken["net"]
-    with pytest.raises(draw_deployments.BadSite, match=r"plain: KeyError\('net'\)"):
+    with pytest.raises(draw_deployments.SiteFileError, match=r"plain: KeyError\('net'\)"):
         draw_deployments.drawn(broken, "n", "w.json", random.Random(1))
     inside = draw_deployments.ROOT / "benchmarks" / "drawn"
     monkeypatch.setattr("sys.argv", ["draw", "site.toml", "--out", str(inside), "--seed", "1"])
--- a/tests/mesh/test_days_played.py
+++ b/tests/mesh/test_days_played.py
@@ -11,7 +11,7 @@
 import tomli_w
 
 from benchmarks import compose_site, days_played
-from benchmarks.day_files import BadDayError, read_day
+from benchmarks.day_files import DayFileError, read_day
 
 
 def day(name: str, seed: int | None, **more: Any) -> dict[str, Any]:
@@ -113,7 +113,7 @@
 ) -> None:
     site, bad = write_site(tmp_path), tmp_path / "bad.toml"
     bad.write_text('name = "bad"\nplan = []\n')
-    with pytest.raises(BadDayError, match="seed, faults missing"):
+    with pytest.raises(DayFileError, match="seed, faults missing"):
         read_day(bad)
     for out, code, said in ((tmp_path, 1, "seed, faults missing"), (compose_site.ROOT, 2, "give a folder")):
         monkeypatch.setattr("sys.argv", ["compose_site", str(site), str(bad), "--out", str(out)])
--- a/tests/mesh/test_draw_days.py
+++ b/tests/mesh/test_draw_days.py
@@ -15,8 +15,9 @@
 
 from benchmarks import bench_runs, day_files, draw_days
 from benchmarks.bench_runs import Bench, Result, records, result
-from benchmarks.day_kinds import BadKinds, Drawer, drawers, told, words
-from benchmarks.reduce_days import Item, items, of_items, reduced, same
+from benchmarks.day_drawer import Drawer, describe, drawers
+from benchmarks.reduce_days import Item, breaks_alike, day_with, minimized, removable_items
+from benchmarks.trouble_kinds import KindsTextError, parse_kinds_text
 
 KINDS = """Made-up words. for_s: how long (4). gap_s: a pause (2). share: a part, 0 to 1.
 For servers, 'how' may also hold everyone (of all) and lone. For machines, 'how' may also hold first or last.
@@ -80,28 +81,28 @@
 
 
 def test_kinds_variants_and_figures_are_read_from_what_is_printed() -> None:
-    said = words(KINDS)
-    assert {kind.name: {*kind.hows, *kind.added} for kind in said.kinds} == HOWS
+    said = parse_kinds_text(KINDS)
+    assert {kind.name: {*kind.variants, *kind.modifiers} for kind in said.kinds} == HOWS
     kinds = {kind.name: kind for kind in said.kinds}
-    assert kinds["srv_halt"].added == ("near",)
+    assert kinds["srv_halt"].modifiers == ("near",)
     assert kinds["srv_halt"].figures == {"share": 0.2, "x": 3.0}
     assert kinds["roll_all"].whole_x
-    assert [kinds[name].of for name in HOWS] == ["servers", "servers", "machines", "machines", *[""] * 5]
+    assert [kinds[name].target for name in HOWS] == ["servers", "servers", "machines", "machines", *[""] * 5]
     assert kinds["crowd"].places == ("zone", "class")
-    assert said.heads == {"machines": ("first", "last"), "servers": ("everyone", "lone")}
-    assert (said.after, said.after_kind, said.cuts) == (
+    assert said.selectors == {"machines": ("first", "last"), "servers": ("everyone", "lone")}
+    assert (said.machine_modifiers, said.kind_modifiers, said.cut_variants) == (
         ("again", "soon"),
         {"srv_halt": ("loud",)},
         ("noisy",),
     )
-    assert (said.closing, said.closing_hows) == (("dark_all", "lose_all"), ("late", "early"))
+    assert (said.closing_kinds, said.closing_variants) == (("dark_all", "lose_all"), ("late", "early"))
     assert said.figures == {"count": 1.0, "for_s": 4.0, "gap_s": 2.0}
 
 
 @pytest.mark.parametrize("text", ["", "unknown verb: kinds", "one\n\ntwo three\n"])
 def test_a_text_without_kinds_is_refused(text: str) -> None:
-    with pytest.raises(BadKinds):
-        words(text)
+    with pytest.raises(KindsTextError):
+        parse_kinds_text(text)
 
 
 def test_the_same_seed_gives_the_same_valid_day_inside_the_sites_bounds() -> None:
@@ -184,9 +185,9 @@
 
 def test_a_day_breaks_as_another_by_a_rule_before_a_fault_before_the_gate() -> None:
     lost, gate = Result("broken", ("LOST", "gate")), Result("broken", ("gate",))
-    assert same(lost, Result("broken", ("LOST",)))
-    assert not same(lost, gate) and same(gate, lost)
-    assert not same(lost, Result("unclear", ("LOST",)))
+    assert breaks_alike(lost, Result("broken", ("LOST",)))
+    assert not breaks_alike(lost, gate) and breaks_alike(gate, lost)
+    assert not breaks_alike(lost, Result("unclear", ("LOST",)))
 
 
 ENTRIES: list[Item] = [("faults", {"at": float(at), "kind": "k"}) for at in range(12)]
@@ -198,7 +199,7 @@
     def breaks(tried: Sequence[Sequence[Item]]) -> list[bool]:
         return [all(item in one for item in wanted) for one in tried]
 
-    left, asked, least = reduced(ENTRIES, breaks, 100)
+    left, asked, least = minimized(ENTRIES, breaks, 100)
     assert (left, least) == (wanted, True)
     assert 0 < asked < 100
 
@@ -211,16 +212,16 @@
         asked.extend(tried)
         return [False for _ in tried]
 
-    left, days, least = reduced(ENTRIES, breaks, most)
+    left, days, least = minimized(ENTRIES, breaks, most)
     assert (left, days, len(asked)) == (ENTRIES, min(most, 26), min(most, 26))  # 2, 4, 8, then 12 parts
     assert least == (most >= 26)
 
 
 def test_what_closes_a_day_can_be_taken_out_too() -> None:
     day = drawer().day("d", 0, "s") | {"closing": {"kind": "dark_all"}}
-    whole = items(day)
-    assert of_items(day, whole) == day
-    assert "closing" not in of_items(day, whole[:-1]) and of_items(day, [whole[-1]])["faults"] == []
+    whole = removable_items(day)
+    assert day_with(day, whole) == day
+    assert "closing" not in day_with(day, whole[:-1]) and day_with(day, [whole[-1]])["faults"] == []
 
 
 STAND_IN = """#!{python}
@@ -276,7 +277,7 @@
     assert last["signs"] == {"LOST": len(broken), "gate": len(broken)}
     assert [row["reduced"]["kinds"] for row in rows if "reduced" in row] == [["crowd"]] * len(broken)
     left = day_files.read_day(out / f"{broken[0]['day']}-reduced.toml")
-    assert (told(left), left["seed"]) == (["crowd"], broken[0]["seed"])
+    assert (describe(left), left["seed"]) == (["crowd"], broken[0]["seed"])
     code, last = called(
         monkeypatch, capsys, "reduce", *given[:2], out / f"{broken[0]['day']}.toml", *given[2:]
     )
--- a/tests/mesh/test_tolerated_losses.py
+++ b/tests/mesh/test_tolerated_losses.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from benchmarks.day_kinds import Drawer, drawers
+from benchmarks.day_drawer import Drawer, drawers
 from benchmarks.tolerated_losses import MOST_GONE, Losses
 
 KINDS = """Made-up words. for_s: how long (4). gap_s: a pause (2). share: a part, 0 to 1.
