--- a/benchmarks/days_played.py
+++ b/benchmarks/days_played.py
@@ -175,8 +175,7 @@
 
 
 def main() -> int:
-    """The exit code: 1 for a page without its marks, 0."""
-    """Write the table into its page; the exit status."""
+    """Prints or writes the table; the exit code is 1 for a page without its marks."""
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     words.add_argument("--since", default="", help="the first entry's name begins so or comes later")
     words.add_argument("--journal", type=Path, default=JOURNAL)
