Count a request that is taken anew once, and heed bounds told anew

Two causes by which the budget of further tries could be passed. A request whose route was older than the second hop's is taken anew, and was counted by the old and by the new taking: each change under load raised what may be tried. And the ratio, window and slack of the settings file, as drain_ms, were read at the start alone: SIGHUP changed nothing of them. Change: who gives a request up takes it off its count; the proxy tells the tables and the upstream's record the bounds when they change, and what was spent by the former ones stays spent. Tests for each fail without the change. The rollout test's seeded fault is held by its upstream now: it was red once where no request was in hand.

--- a/mesh/admission/retry_budget.py
+++ b/mesh/admission/retry_budget.py
@@ -23,6 +23,16 @@
         self._slots: deque[list[float]] = deque(maxlen=SLOTS + 1)  # [index, requests, further]
         self.spent = self.denied = self.charged = 0
 
+    def tune(self, now: float, ratio: float, window_ms: float, slack: float) -> None:
+        """The rule is another from now on. What counted by the one before counts as if it were of this
+        moment: nothing that was spent is forgotten."""
+        requests = sum(item[1] for item in self._slots)
+        further = sum(item[2] for item in self._slots)
+        self._ratio, self._window, self._slack = ratio, max(window_ms, 1.0), slack
+        self._slots.clear()
+        slot = self._slot(now)
+        slot[1], slot[2] = requests, further
+
     def _slot(self, now: float) -> list[float]:
         index = now // (self._window / SLOTS)
         if not self._slots or self._slots[-1][0] != index:
@@ -35,6 +45,10 @@
         """A client's request for this service."""
         self._slot(now)[1] += 1.0
 
+    def withdraw(self, now: float) -> None:
+        """One of those requests is taken anew, and counted anew where it goes then."""
+        self._slot(now)[1] -= 1.0
+
     def spend(self, now: float, sidecars: int) -> bool:
         """Whether one more arrival beyond the first may be caused now; if so it is counted. ``sidecars``: how
         many share the budget, as far as is known."""
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -40,7 +40,7 @@
 from mesh.replication.store import Full, Store
 from mesh.rollout.report import REPORTS
 from mesh.runtime.introspection_calls import Asker, Questions
-from mesh.runtime.settings import Settings
+from mesh.runtime.settings import Bounds, Settings
 from mesh.transport.frames import Head
 from mesh.transport.http_calls import Answer, Desk
 from mesh.transport.link import Address, Link, listen
@@ -58,6 +58,11 @@
 EXIT_S = 0.4  # before the kill, what is left is given up
 
 
+def budget_of(bounds: Bounds) -> tuple[float, float, float]:
+    """The budget of further tries: ratio, window in milliseconds and slack."""
+    return bounds.retry_ratio, bounds.retry_window_s * 1000.0, bounds.retry_slack
+
+
 class Proxy:
     def __init__(self, settings: Settings, event_log: EventLog) -> None:
         self.settings, self.event_log = settings, event_log
@@ -84,7 +89,7 @@
             self.membership,
             self.membership.node_of,
             settings.zone,
-            (bounds.retry_ratio, bounds.retry_window_s * 1000.0, bounds.retry_slack),
+            budget_of(bounds),
             zlib.crc32(self.life.encode()),
             event_log,
         )
@@ -340,8 +345,10 @@
         self._know()
 
     def retune(self, settings: Settings) -> None:
-        """The settings file has changed: other seeds."""
+        """The settings file has changed: other seeds, other bounds."""
         self.settings = settings
+        self.tables.tune(budget_of(settings.bounds))
+        self.upstream.drain_ms = settings.bounds.drain_ms
         self.stages.tune(settings)
         self.reach.tune(settings.bounds.contact_ms)
         self._know()
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -160,6 +160,7 @@
     def _anew(self, ask: Ask) -> None:
         """Nothing of it has run or is out; whoever took it does so once more, by the route as it is now."""
         self._over(ask)
+        self.budget.withdraw(self.tables.now())
         self.handle(api.ClientGone(ask.id))
         ask.answer(Anew())
 
@@ -327,6 +328,13 @@
         table = self.by_service[service] = Table(self, service, route)
         return table, True
 
+    def tune(self, bounds: tuple[float, float, float]) -> None:
+        """The budget of further tries is another: ratio, window in milliseconds and slack."""
+        if bounds != (self.ratio, self.window_ms, self.slack):
+            self.ratio, self.window_ms, self.slack = bounds
+            for table in self.by_service.values():
+                table.budget.tune(self.now(), *bounds)
+
     def people(self, sidecars: int, zones: int) -> None:
         """How many sidecars there are, and in how many zones."""
         if (sidecars, zones > 1) != (self.sidecars, self.many_zones):
--- a/tests/mesh/test_admission_retry_budget.py
+++ b/tests/mesh/test_admission_retry_budget.py
@@ -88,6 +88,26 @@
     assert excess(pressed, 3, KEPT, faulty)
 
 
+def test_another_rule_holds_at_once_and_forgets_nothing_that_was_spent() -> None:
+    one = budget()
+    for _ in range(100):
+        one.request(0.0)
+    assert [one.spend(0.0, 1) for _ in range(10)] == [True] * 10  # of half of 0.3 x 100 + 12
+    one.tune(10.0, RATIO / 3.0, 2.0 * WINDOW_MS, SLACK)
+    assert [one.spend(20.0, 1) for _ in range(2)] == [True, False]  # of half of 0.1 x 100 + 12
+    one.tune(30.0, RATIO, WINDOW_MS, SLACK)
+    assert [one.spend(40.0, 1) for _ in range(11)] == [True] * 10 + [False]
+
+
+def test_a_request_that_is_taken_anew_counts_once() -> None:
+    one = Budget(1.0, WINDOW_MS, 0.0)
+    for _ in range(8):
+        one.request(0.0)
+        one.withdraw(0.0)
+        one.request(0.0)
+    assert [one.spend(0.0, 1) for _ in range(5)] == [True] * 4 + [False]
+
+
 def test_what_is_used_up_comes_back_after_the_window_and_the_table_has_its_bound() -> None:
     one = budget()
     assert [one.spend(0.0, 1) for _ in range(8)] == [True] * 6 + [False] * 2
--- a/tests/mesh/test_data_plane_rollouts.py
+++ b/tests/mesh/test_data_plane_rollouts.py
@@ -102,17 +102,16 @@
 
 def test_a_change_that_ends_connections_in_use_is_seen(tmp_path: Path) -> None:
     async def test(there: Beside) -> None:
-        traffic = Traffic(there, ("/read/ok",))
-        clients = [asyncio.get_running_loop().create_task(traffic.client(f"c{at}", DEPTH)) for at in range(8)]
-        while not traffic.lost and not all(client.done() for client in clients):
-            before = traffic.answered
-            await until(lambda before=before: traffic.answered > before or bool(traffic.lost))  # type: ignore[misc]
-            for connection in list(there.proxy.outlets._connections)[:1]:
-                connection.close()
-            await turns()
+        traffic = Traffic(there, ("/read/hold",))
+        clients = [asyncio.get_running_loop().create_task(traffic.client(f"c{at}", 1)) for at in range(4)]
+        await until(lambda: len(there.upstream.seen) == len(clients))
+        for connection in list(there.proxy.outlets._connections)[:2]:
+            connection.close()
+        await until(lambda: len(traffic.lost) == 2)
         traffic.stopped = True
+        there.upstream.release.set()
         await soon(asyncio.gather(*clients))
-        assert traffic.lost
+        assert len(traffic.lost) == 2
 
     beside(tmp_path, test)
 
@@ -169,3 +168,16 @@
         monkeypatch.undo()
 
     beside(tmp_path, test)
+
+
+def test_the_bounds_that_settings_tell_anew_hold_from_then_on(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        proxy, client = there.proxy, await there.client()
+        assert (await client.ask("a1", "/read/ok")).status == 200
+        bounds = replace(proxy.settings.bounds, retry_ratio=0.0, retry_slack=2.0, drain_ms=700.0)
+        proxy.retune(replace(proxy.settings, bounds=bounds))
+        budget = proxy.tables.by_service["s"].budget
+        assert [budget.spend(proxy.tables.now(), 1) for _ in range(2)] == [True, False]
+        assert proxy.upstream.drain_ms == 700.0
+
+    beside(tmp_path, test)
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -16,7 +16,7 @@
 from mesh.configuration.routes import Route
 from mesh.data_plane import route_classes
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
-from mesh.data_plane.call_state import Ask, Failed, Final, Refused, Served
+from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served
 from mesh.data_plane.service_balancers import GUARD_MS, Table, Tables
 from mesh.event_log.log import EventLog
 from rigs.mesh_peers import move, play, soon, turns
@@ -281,6 +281,16 @@
     at_table(test, slack=4.0)
 
 
+def test_a_request_that_is_taken_anew_is_counted_by_whoever_takes_it_alone() -> None:
+    async def test(bench: Bench) -> None:
+        _, final = bench.ask(READ)
+        bench.end(TurnedAway(Why.OLD))
+        assert final.result() == Anew()
+        assert sum(slot[1] for slot in bench.table(READ).budget._slots) == 0.0
+
+    at_table(test)
+
+
 def test_three_are_taken_to_share_the_budget_until_the_membership_is_known() -> None:
     def further(bench: Bench) -> int:
         for _ in range(8):
