--- a/tests/test_lab_hedged.py
+++ b/tests/test_lab_hedged.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from lab.market import Market
 from lab.policies.hedged import LEAST, SHARE, Hedged, Mesh, RecentTimes
 from lab.scenario import load, put, typed
+from lab.simulation import Simulation
 
 ROOT = Path(__file__).parents[1]
 
@@ -33,13 +33,13 @@
     tree = dict(load(ROOT / "lab/scenarios/short_aims.toml").tree)
     for place, value in {"seconds": 8, "settle_ms": 2000, **changes}.items():
         put(tree, place.replace("__", "."), value, "test")
-    market = Market(typed(tree, "test"), 3, policy)
-    row = market.run()
-    hedges = sum(getattr(one.module, "hedges", 0) for one in market.sidecars)
+    simulation = Simulation(typed(tree, "test"), 3, policy)
+    row = simulation.run()
+    hedges = sum(getattr(one.module, "hedges", 0) for one in simulation.sidecars)
     return row, row.calls, hedges
 
 
-def test_hedges_keep_the_rules_and_their_share_and_stop_in_an_overload() -> None:
+def test_hedges_keep_the_rules_and_their_share_and_become_fewer_in_an_overload() -> None:
     row, calls, hedges = played(Hedged)
     assert not (row.fault or row.broke_twice or row.broke_lost)
     assert 0 < hedges <= SHARE * calls + 11 * 5
