--- a/benchmarks/worth.py
+++ b/benchmarks/worth.py
@@ -67,7 +67,8 @@
     ) -> None:
         """``told``: the class as the report has it; ``calls``: its route's; ``speeds``: by upstream."""
         self.told, self.calls, self.speeds = told, calls, speeds
-        seen = statistics.median(call.took_ms for call in calls) if calls else 0.0
+        self.answered = {call.attempt: trace.answered_ms(call) for call in calls}
+        seen = statistics.median(self.answered.values()) if calls else 0.0
         self.client_ms = max(told["p50_ms"] - seen, 0.0) if calls else 0.0
         self.parts = {call.attempt: trace.parts(call, self.client_ms) for call in calls}
         self.usual = {
@@ -78,7 +79,7 @@
         self.lost = [call for call in calls if call.end != "200"]
 
     def _late(self, call: Call) -> bool:
-        return call.end == "200" and call.took_ms + self.client_ms > call.aim_ms
+        return call.end == "200" and self.answered[call.attempt] + self.client_ms > call.aim_ms
 
     def cause(self, call: Call) -> str:
         """What made this call late."""
@@ -88,7 +89,7 @@
         if part != "run":
             return part.replace("_", " ")
         speed = self.speeds.get(call.tries[-1].instance, 1.0)
-        rest = call.took_ms + self.client_ms - parts.run
+        rest = self.answered[call.attempt] + self.client_ms - parts.run
         return SLOW_UPSTREAM if speed < 1.0 and rest + parts.run * speed <= call.aim_ms else LONG_RUN
 
     def loss(self) -> Loss:
--- a/benchmarks/worth_trace.py
+++ b/benchmarks/worth_trace.py
@@ -16,7 +16,7 @@
 
 LINE = re.compile(r"(?P<before>.*?)\b[DIWE](?P<number>\d{3}) (?P<text>.*)")
 VALUE = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
-FIRST_HOP, SECOND_HOP, BYTES = 510, 511, 512
+FIRST_HOP, SECOND_HOP, BYTES, TURN = 510, 511, 512, 513
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +47,8 @@
     """Where a call's time went, in milliseconds; the sum is all of it.
 
     ``queue``: waiting for a place before the upstream. ``second_try``: all from the first send to the last,
-    where there was more than one. The other parts are the last try's, whose answer the client has.
+    where there was more than one. ``turn``: the answer stood ready, those before it on its connection had not
+    left. The other parts are the last try's, whose answer the client has.
     """
 
     pick: float = 0.0
@@ -55,6 +56,7 @@
     queue: float = 0.0
     run: float = 0.0
     second_try: float = 0.0
+    turn: float = 0.0
     client: float = 0.0
 
 
@@ -79,6 +81,7 @@
 
     calls: list[Call] = field(default_factory=list)
     stays: dict[tuple[str, str], Stay] = field(default_factory=dict)  # by attempt and instance
+    turns: dict[str, float] = field(default_factory=dict)  # milliseconds by attempt
     bytes_sent: dict[str, dict[str, int]] = field(default_factory=dict)  # by proxy, by kind: the last told
 
     def sent(self) -> dict[str, int]:
@@ -99,7 +102,7 @@
     def parts(self, call: Call, client_ms: float) -> Parts:
         """``client_ms``: the way from the client and back, which no proxy sees."""
         if not call.tries:
-            return Parts(pick=call.took_ms, client=client_ms)
+            return Parts(pick=call.took_ms, turn=self.turns.get(call.attempt, 0.0), client=client_ms)
         first, last = call.tries[0], call.tries[-1]
         stay = self.stays.get((call.attempt, last.instance), Stay(0.0, 0.0))
         left = call.took_ms - last.sent_ms
@@ -109,9 +112,14 @@
             queue=stay.waited_ms,
             run=stay.ran_ms,
             link=left - stay.waited_ms - stay.ran_ms,
+            turn=self.turns.get(call.attempt, 0.0),
             client=client_ms,
         )
 
+    def answered_ms(self, call: Call) -> float:
+        """From the call's arrival until its answer left."""
+        return call.took_ms + self.turns.get(call.attempt, 0.0)
+
 
 def _values(text: str) -> dict[str, str]:
     return {
@@ -137,7 +145,7 @@
     trace = Trace()
     for line in lines:
         match = LINE.match(line)
-        if match is None or int(match["number"]) not in (FIRST_HOP, SECOND_HOP, BYTES):
+        if match is None or int(match["number"]) not in (FIRST_HOP, SECOND_HOP, BYTES, TURN):
             continue
         number, values = int(match["number"]), _values(match["text"])
         if number == FIRST_HOP:
@@ -149,6 +157,8 @@
         elif number == SECOND_HOP:
             stay = Stay(_number(values["waited_ms"]), _number(values["ran_ms"]))
             trace.stays[values["attempt"], values["instance"]] = stay
+        elif number == TURN:
+            trace.turns[values["attempt"]] = float(values["waited_ms"])
         else:
             node = match["before"].split()[-2] if len(match["before"].split()) > 1 else "-"
             kinds = ("calls", "answers", "updates")
--- a/mesh/data_plane/call_trace.py
+++ b/mesh/data_plane/call_trace.py
@@ -1,6 +1,6 @@
 """Writes to the log what took a call's time on each hop, and how many bytes leave the zone.
 
-Loaded only where the process was started with ``--debug``. The lines are events 510 to 512, which
+Loaded only where the process was started with ``--debug``. The lines are events 510 to 513, which
 `benchmarks/worth.py` reads.
 """
 
@@ -12,6 +12,7 @@
 
 from mesh.data_plane.call_messages import Call, End
 from mesh.data_plane.call_state import Ask, Failed, Refused
+from mesh.data_plane.client_connection import Outlets
 from mesh.data_plane.membership import Membership
 from mesh.data_plane.peer_calls import Passage
 from mesh.data_plane.service_balancers import Tables
@@ -25,6 +26,7 @@
 
 MOST_TRIES, MOST_END = 4, 24  # tries of one line, and characters of how each ended
 BYTES_EVERY_S = 1.0
+LEAST_WAIT_S = 0.001  # of an answer that is told to have waited
 
 
 class Traced(Protocol):
@@ -38,6 +40,7 @@
     passage: Passage
     incoming_links: set[Link]
     channels: Channels
+    outlets: Outlets
     membership: Membership
 
 
@@ -55,6 +58,7 @@
         proxy = self._proxy
         proxy.tables.traces.trace = self.first_hop
         proxy.upstream_dispatch.traces.trace = self.second_hop
+        proxy.outlets.trace = self.answer_left
         self._count_bytes()
 
     def first_hop(self, now: float, ask: Ask, told: int | Refused | Failed | None) -> None:
@@ -92,6 +96,11 @@
             end=words(end),
         )
 
+    def answer_left(self, attempt: str, waited_s: float) -> None:
+        """An answer has left that stood ready for so long: those before it on its connection went first."""
+        if waited_s >= LEAST_WAIT_S:
+            self._event_log.tell(events.ANSWER_WAITED, attempt=attempt, waited_ms=round(waited_s * 1000.0, 1))
+
     def _count_bytes(self) -> None:
         """What the links to other zones have sent. The last second of a link that closes is not counted."""
         proxy, counted = self._proxy, {}
--- a/mesh/data_plane/client_connection.py
+++ b/mesh/data_plane/client_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 
 import httptools
@@ -62,12 +63,13 @@
 class Slot:
     """One request, in its place among those of its connection."""
 
-    __slots__ = ("closes", "id", "message", "payload", "taken")
+    __slots__ = ("closes", "id", "message", "payload", "ready", "taken")
 
     def __init__(self, taken: float, message: http.Message) -> None:
         self.taken, self.message = taken, message
         self.id: str | None = None  # while it is in hand
         self.payload: bytes | None = None  # its answer, until those before it have theirs
+        self.ready = 0.0  # since when, where that is traced; seconds of the loop's clock
         self.closes = not message.keep_alive
 
 
@@ -75,7 +77,7 @@
     def __init__(self, frontend: Frontend) -> None:
         super().__init__(frontend)
         assert isinstance(frontend, Outlets)
-        self._intake = frontend.intake
+        self._outlets, self._intake = frontend, frontend.intake
         self.reader = self._inflow = Inflow(self._intake)
         self._slots: deque[Slot] = deque()
         self._advancing = False
@@ -137,6 +139,8 @@
         slot.id = None
         slot.closes = slot.closes or (self.frontend.closing and not self._more_comes())
         slot.payload = http.write_response(status, headers, body, slot.closes)
+        if self._outlets.trace is not None:
+            slot.ready = self._outlets.loop.time()
         if not self._advancing:
             self._flush()
             self.advance()
@@ -158,6 +162,9 @@
             assert slot.payload is not None
             self._let_go_of(slot.message)
             self.transport.write(slot.payload)
+            if self._outlets.trace is not None:
+                attempt = slot.message.get(b"attempt-id") or ""
+                self._outlets.trace(attempt, self._outlets.loop.time() - slot.ready)
             self.since = self.frontend.loop.time()
             if slot.closes:
                 self._leave_all()
@@ -212,6 +219,8 @@
 
     def __init__(self, intake: Intake, most: int) -> None:
         self.intake = intake
+        # Where calls are traced: told for each answer how many seconds it stood ready before it left.
+        self.trace: Callable[[str, float], None] | None = None
         super().__init__(intake, most)
 
     def _sweep(self) -> None:
--- a/mesh/event_log/events.py
+++ b/mesh/event_log/events.py
@@ -123,6 +123,9 @@
 BYTES_SENT = _event(
     512, Level.DEBUG, "bytes sent to other zones", "calls", "answers", "updates", limited=False
 )
+ANSWER_WAITED = _event(
+    513, Level.DEBUG, "answer waited for those before it", "attempt", "waited_ms", limited=False
+)
 
 DUTY_TAKEN = _event(601, Level.INFO, "duty taken", "duty", "epoch")
 DUTY_LEFT = _event(602, Level.INFO, "duty left", "duty", "epoch", "why")
--- a/tests/mesh/test_benchmarks_worth.py
+++ b/tests/mesh/test_benchmarks_worth.py
@@ -97,6 +97,15 @@
     assert any(line.startswith("| read: queue | ") for line in table(told))
 
 
+def test_an_answer_that_waits_for_those_before_it_is_late_by_its_turn() -> None:
+    turn = f"{PROXY} D513 answer waited for those before it attempt=r-1.1 waited_ms=600"
+    trace = read_trace([*calls(40), turn])
+    told = ledger(report(late=1, failed=0, worth=0.98), trace)
+    assert told["calls"] == {"read: turn": pytest.approx(0.016)}
+    (call,) = [one for one in trace.calls if one.attempt == "r-1.1"]
+    assert trace.parts(call, 0.0).turn == 600.0 and trace.answered_ms(call) == 700.0
+
+
 def test_what_no_proxy_saw_is_told_as_such() -> None:
     told = ledger(report(late=4, failed=0, worth=0.93), Trace())
     assert list(told["calls"]) == ["read: not traced"]
--- a/tests/mesh/test_data_plane_client_connection.py
+++ b/tests/mesh/test_data_plane_client_connection.py
@@ -305,6 +305,23 @@
     beside(test, by_path)
 
 
+def test_an_answer_that_waits_its_turn_is_traced_with_its_wait() -> None:
+    async def test(sidecar: Sidecar) -> None:
+        waited: dict[str, float] = {}
+        sidecar.outlets.trace = waited.__setitem__
+        client = await sidecar.client()
+        client.send("a1", "/read/hold")
+        client.send("a2", "/read/ok")
+        await until(lambda: len(sidecar.upstream_dispatch.running) == 1)
+        assert not waited
+        move(0.3)
+        sidecar.upstream.release.set()
+        assert [await client.read() for _ in range(2)]
+        assert waited["a1"] < 0.1 <= 0.3 <= waited["a2"]
+
+    beside(test, by_path)
+
+
 def test_so_many_of_one_connection_are_in_hand_and_no_more() -> None:
     async def test(sidecar: Sidecar) -> None:
         client = await sidecar.client()
