--- a/benchmarks/scale_kinds.py
+++ b/benchmarks/scale_kinds.py
@@ -12,7 +12,7 @@
 from mesh.data_plane.membership import PROXY
 from mesh.dissemination.pull_exchange import pack
 from mesh.replication.items import Item
-from mesh.rollout.report import REPORT, Report
+from mesh.rollout.report import REPORT, RolloutReport
 from mesh.rollout.report import pack as pack_report
 
 Size = dict[str, Any]
@@ -68,7 +68,7 @@
     )
     vector = {f"core-{at}.0a1b2c3d": 400 for at in range(machines)}
     report = Item(
-        REPORT, "sidecar-12345", 1_700_000_000_000, pack_report(Report(vector, {}, 0, ())), source, 1
+        REPORT, "sidecar-12345", 1_700_000_000_000, pack_report(RolloutReport(vector, {}, 0, ())), source, 1
     )
     entry = _bytes({source: 2}) - 1
     links = asked * proxies // machines + machines
--- a/mesh/cli/bearing.py
+++ b/mesh/cli/bearing.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from mesh.cli.view import Told, number, part
-from mesh.configuration.commands import PLANT, ROUTE, Change, Write, label
+from mesh.cli.mesh_snapshot import Told, number, part
+from mesh.configuration.commands import PLANT, ROUTE, ConfigurationWrite, ItemWrite, label
 from mesh.configuration.routes import Route, read_route
 from mesh.configuration.validation import check
 from mesh.replication.items import Item, Key, same_content
@@ -39,7 +39,7 @@
     ratios: tuple[float, ...] = field(default=())
 
 
-def judged(change: Change, standing: Mapping[Key, Item], facts: Facts) -> list[Fault]:
+def judged(change: ConfigurationWrite, standing: Mapping[Key, Item], facts: Facts) -> list[Fault]:
     """All that speaks against sending ``change`` now; what the mesh would refuse is first."""
 
     def stands(kind: str, name: str) -> tuple[int, dict[str, Any] | None] | None:
@@ -65,7 +65,7 @@
     return found
 
 
-def _versions(change: Change, standing: Mapping[Key, Item]) -> Iterator[Fault]:
+def _versions(change: ConfigurationWrite, standing: Mapping[Key, Item]) -> Iterator[Fault]:
     for write in change.writes:
         item = standing.get((write.kind, write.name))
         if item is None or write.version > item.version:
@@ -80,11 +80,11 @@
         yield Fault(name, "epoch", what, f"give r{item.version + 1} or higher")
 
 
-def _as_item(write: Write) -> Item:
+def _as_item(write: ItemWrite) -> Item:
     return Item(write.kind, write.name, write.version, write.value)
 
 
-def after(change: Change, standing: Mapping[Key, Item]) -> dict[Key, Item]:
+def after(change: ConfigurationWrite, standing: Mapping[Key, Item]) -> dict[Key, Item]:
     """What stands once the change is in force."""
     found = dict(standing)
     for write in change.writes:
@@ -94,7 +94,7 @@
     return found
 
 
-def _shadowed(change: Change, standing: Mapping[Key, Item]) -> Iterator[Fault]:
+def _shadowed(change: ConfigurationWrite, standing: Mapping[Key, Item]) -> Iterator[Fault]:
     """Routes that no request takes; told where the change has a part in it."""
     named = {write.name for write in change.writes if write.kind == ROUTE}
     alike: dict[tuple[str, str], list[Route]] = {}
@@ -159,7 +159,7 @@
     fields: tuple[str, ...]
 
 
-def differences(change: Change, standing: Mapping[Key, Item]) -> list[Difference]:
+def differences(change: ConfigurationWrite, standing: Mapping[Key, Item]) -> list[Difference]:
     """For each item of the change, in the order of kinds and names."""
     found = []
     for write in sorted(change.writes, key=lambda write: (write.kind, write.name)):
--- a/mesh/cli/client.py
+++ b/mesh/cli/client.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from mesh.cli.view import Process, Told, View, newest, read_items, text
+from mesh.cli.mesh_snapshot import MeshSnapshot, Process, Told, newest, read_items, text
 from mesh.data_plane.membership import CONTROLLER, INSTANCE, NODE, PROXY
 from mesh.membership.instance_commands import read_address
 from mesh.replication.items import Item, Key
@@ -38,16 +38,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Silent:
+class Unreachable:
     """No answer; ``why`` is one line."""
 
     why: str
 
 
-Reply = Answered | Refused | Silent
+Reply = Answered | Refused | Unreachable
 
 
-class Line:
+class ProcessLink:
     """A link to one process."""
 
     def __init__(self, address: Address) -> None:
@@ -64,16 +64,16 @@
                 if self._link is None:
                     self._link = await connect(self.address, lambda: Link(_nothing, self._frame, self._lost))
                     if self._link is None:
-                        return Silent("cannot be reached")
+                        return Unreachable("cannot be reached")
                     self._link.send({"t": "hello", "for": "operate"})
                 self._count += 1
                 future = asyncio.get_running_loop().create_future()
                 self._waiting[self._count] = future
                 if not self._link.send({"t": "ask", "n": self._count, "q": question, **told}):
-                    return Silent("the link was lost")
+                    return Unreachable("the link was lost")
                 reply = await future
         except TimeoutError:
-            return Silent(f"no answer within {within_s:g} s")
+            return Unreachable(f"no answer within {within_s:g} s")
         return Answered(reply.value, time.monotonic() - began) if isinstance(reply, Answered) else reply
 
     def _frame(self, link: Link, head: Head, body: bytes) -> None:
@@ -88,7 +88,7 @@
         waiting, self._waiting = self._waiting, {}
         for future in waiting.values():
             if not future.done():
-                future.set_result(Silent("the link was lost; it may be of another version"))
+                future.set_result(Unreachable("the link was lost; it may be of another version"))
 
     def close(self) -> None:
         if self._link is not None:
@@ -101,7 +101,7 @@
 
 async def ask(address: Address, question: str, within_s: float, **told: Any) -> Reply:
     """One question over a link of its own."""
-    line = Line(address)
+    line = ProcessLink(address)
     try:
         return await line.ask(question, within_s, **told)
     finally:
@@ -123,7 +123,7 @@
     """One process's status."""
     reply = await ask(address, "status", within_s)
     if not isinstance(reply, Answered):
-        why = reply.why if isinstance(reply, Silent) else reply.reason
+        why = reply.why if isinstance(reply, Unreachable) else reply.reason
         return Process(name, address, None, why)
     clock = reply.value.get("clock")
     half = reply.took_s / 2.0
@@ -131,16 +131,16 @@
     return Process(name, address, reply.value, "", ahead, half)
 
 
-async def held(address: Address, store: str, within_s: float) -> list[Item] | Silent:
+async def held(address: Address, store: str, within_s: float) -> list[Item] | Unreachable:
     """All items that a process holds in ``store``, charter or roll; each page within ``within_s``."""
-    line = Line(address)
+    line = ProcessLink(address)
     found: list[Item] = []
     try:
         while len(found) < MOST_ITEMS:
             after = list(found[-1].key) if found else None
             reply = await line.ask("items", within_s, store=store, after=after)
             if not isinstance(reply, Answered):
-                return Silent(reply.why if isinstance(reply, Silent) else reply.reason)
+                return Unreachable(reply.why if isinstance(reply, Unreachable) else reply.reason)
             page = read_items(reply.value.get("items"))
             found += page
             if not page or not reply.value.get("more"):
@@ -150,17 +150,17 @@
         line.close()
 
 
-async def items(processes: Sequence[Process], store: str, within_s: float) -> dict[Key, Item] | Silent:
+async def items(processes: Sequence[Process], store: str, within_s: float) -> dict[Key, Item] | Unreachable:
     """What COPIES of these processes hold together, the first that answer in this order: control processes
     that hear enough others first."""
     order = sorted(
         processes, key=lambda p: (not (p.told or {}).get("in_touch"), p.role != CONTROLLER, p.node)
     )
     copies: list[list[Item]] = []
-    why = Silent("no process to ask")
+    why = Unreachable("no process to ask")
     for process in order:
         copy = await held(process.address, store, within_s)
-        if isinstance(copy, Silent):
+        if isinstance(copy, Unreachable):
             why = copy
         else:
             copies.append(copy)
@@ -180,14 +180,14 @@
 
 async def look(
     addresses: Sequence[Address], within_s: float, roles: Sequence[str] = (CONTROLLER, PROXY)
-) -> View | Silent:
+) -> MeshSnapshot | Unreachable:
     """The mesh as those at these addresses know it; each of its processes in these roles is asked as
     well, and once more where it holds another configuration than most: a change may just be on its way."""
     first = await reach(addresses, within_s)
     if not first:
-        return Silent(f"nobody answers at {', '.join(f'{host}:{port}' for host, port in addresses)}")
+        return Unreachable(f"nobody answers at {', '.join(f'{host}:{port}' for host, port in addresses)}")
     roll = await items(first, "roll", within_s)
-    if isinstance(roll, Silent):
+    if isinstance(roll, Unreachable):
         return roll
     nodes = {i.name: i.value for i in roll.values() if i.kind == NODE and i.value is not None}
     instances = {i.name: i.value for i in roll.values() if i.kind == INSTANCE and i.value is not None}
@@ -206,15 +206,10 @@
             found.append(Process(name, address, None, "not asked"))
     found += known.values()  # at an address that was given and is in no roll yet
     found += await all_of(lambda other: status(*other, within_s), others)
-    view = View(tuple(sorted(found, key=lambda p: p.name)), nodes, instances)
-    differing = {p.name for group in list(view.digests().values())[1:] for p in group}
+    snapshot = MeshSnapshot(tuple(sorted(found, key=lambda p: p.name)), nodes, instances)
+    differing = {p.name for group in list(snapshot.digests().values())[1:] for p in group}
     if not differing:
-        return view
-    again = await all_of(lambda p: status(p.name, p.address, within_s), view.answering())
+        return snapshot
+    again = await all_of(lambda p: status(p.name, p.address, within_s), snapshot.answering())
     fresh = {process.name: process for process in again}
-    return View(tuple(fresh.get(p.name, p) for p in view.processes), nodes, instances)
-
-
-def role_in(view: View, process: Process) -> str:
-    """As the process says, or else as the roll has it."""
-    return process.role or text(view.nodes.get(process.name), "role")
+    return MeshSnapshot(tuple(fresh.get(p.name, p) for p in snapshot.processes), nodes, instances)
--- a/mesh/cli/command.py
+++ b/mesh/cli/command.py
@@ -11,10 +11,11 @@
 import typer
 
 from mesh.cli import shape
-from mesh.cli.client import Answered, Refused, Silent, all_of, ask, look
+from mesh.cli.client import Answered, Refused, Unreachable, all_of, ask, look
 from mesh.cli.config import config
 from mesh.cli.judge import findings
 from mesh.cli.members import members
+from mesh.cli.mesh_snapshot import MeshSnapshot, Process, Told, number, text
 from mesh.cli.options import (
     FINDINGS,
     FINE,
@@ -34,7 +35,6 @@
 from mesh.cli.rollout import rollout
 from mesh.cli.state import state
 from mesh.cli.text import names
-from mesh.cli.view import Process, Told, View, number, text
 from mesh.data_plane.membership import PROXY
 from mesh.transport.link import Address
 
@@ -61,15 +61,15 @@
     at: At = None, settings: SettingsFile = None, wait: Wait = WAIT_S, as_json: AsJson = False
 ) -> None:
     """Members, core, upstreams by service, versions in force; what is not as it should be is first."""
-    view = heard(look(found(at, settings, as_json), wait), as_json)
-    wrong = findings(view)
+    snapshot = heard(look(found(at, settings, as_json), wait), as_json)
+    wrong = findings(snapshot)
     value = {
         "findings": [asdict(finding) for finding in wrong],
-        "processes": [shape.process_row(view, process) for process in view.processes],
-        "configurations": shape.versions(view),
-        "services": shape.services(view),
+        "processes": [shape.process_row(snapshot, process) for process in snapshot.processes],
+        "configurations": shape.versions(snapshot),
+        "services": shape.services(snapshot),
     }
-    tell(value, shape.status(view, wrong), as_json, FINDINGS if wrong else FINE)
+    tell(value, shape.status(snapshot, wrong), as_json, FINDINGS if wrong else FINE)
 
 
 @app.command("nodes")
@@ -77,8 +77,8 @@
     at: At = None, settings: SettingsFile = None, wait: Wait = WAIT_S, as_json: AsJson = False
 ) -> None:
     """Every process, one line each."""
-    view = heard(look(found(at, settings, as_json), wait), as_json)
-    rows = [shape.process_row(view, process) for process in view.processes]
+    snapshot = heard(look(found(at, settings, as_json), wait), as_json)
+    rows = [shape.process_row(snapshot, process) for process in snapshot.processes]
     tell(rows, shape.nodes(rows), as_json)
 
 
@@ -91,11 +91,11 @@
     as_json: AsJson = False,
 ) -> None:
     """Upstreams counted by service, or those of one service as the sidecars see them."""
-    view = heard(look(found(at, settings, as_json), wait, (PROXY,) if service else ()), as_json)
+    snapshot = heard(look(found(at, settings, as_json), wait, (PROXY,) if service else ()), as_json)
     if not service:
-        counted = shape.services(view)
+        counted = shape.services(snapshot)
         tell(counted, shape.all_services(counted), as_json)
-    told = [one for _, one in asyncio.run(_ask_all(view, "upstreams", wait, service=service))[0]]
+    told = [one for _, one in asyncio.run(_ask_all(snapshot, "upstreams", wait, service=service))[0]]
     rows = shape.merged(told)
     if not rows:
         fail(FINDINGS, f"{service}: no upstream of it is known; start one, or look at the name", as_json)
@@ -121,14 +121,14 @@
     as_json: AsJson = False,
 ) -> None:
     """Both hops of a call of late: what was decided, and how it ended."""
-    view = heard(look(found(at, settings, as_json), wait, (PROXY,)), as_json)
-    told, silent = asyncio.run(_ask_all(view, "trace", wait, attempt=attempt))
+    snapshot = heard(look(found(at, settings, as_json), wait, (PROXY,)), as_json)
+    told, silent = asyncio.run(_ask_all(snapshot, "trace", wait, attempt=attempt))
     entries: list[dict[str, Any]] = []
     for node, one in told:
         kept = one.get("entries")
         entries += [{"node": node, **entry} for entry in kept if isinstance(entry, dict)] if kept else []
     entries.sort(key=lambda entry: (number(entry, "hop"), -number(entry, "ago_ms")))
-    where = {name: text(value, "node") for name, value in view.instances.items()}
+    where = {name: text(value, "node") for name, value in snapshot.instances.items()}
     lines = shape.traced(attempt, entries, where)
     if silent:
         lines.append(f"no answer from {len(silent)} sidecars: {names(silent, 60)}")
@@ -149,15 +149,15 @@
     as_json: AsJson = False,
 ) -> None:
     """Where a request would go, as one sidecar sees it: route, services, upstreams, and why each."""
-    view = heard(look(found(at, settings, as_json), wait, ()), as_json)
-    answering = view.answering(PROXY)
-    others = [p for p in view.processes if text(view.nodes.get(p.name), "role") == PROXY]
+    snapshot = heard(look(found(at, settings, as_json), wait, ()), as_json)
+    answering = snapshot.answering(PROXY)
+    others = [p for p in snapshot.processes if text(snapshot.nodes.get(p.name), "role") == PROXY]
     if where:
-        answering = [p for p in view.processes if p.name == where]
+        answering = [p for p in snapshot.processes if p.name == where]
         if not answering:
             fail(USAGE, f"--from: no node {where} is known; nodes lists them", as_json)
     node, reply = asyncio.run(_first(answering or others, wait, host, path))
-    if isinstance(reply, Silent):
+    if isinstance(reply, Unreachable):
         fail(NOBODY, f"{node}: {reply.why}; name another sidecar with --from", as_json)
     if isinstance(reply, Refused):
         fail(REFUSED, f"{node}: {reply.reason}", as_json)
@@ -169,27 +169,25 @@
 
 async def _first(
     processes: Sequence[Process], wait: float, host: str, path: str
-) -> tuple[str, Answered | Refused | Silent]:
+) -> tuple[str, Answered | Refused | Unreachable]:
     """The first of a few that answers, and its answer."""
-    node, reply = "-", Silent("no sidecar is known")
-    told: Answered | Refused | Silent = reply
+    node, reply = "-", Unreachable("no sidecar is known")
+    told: Answered | Refused | Unreachable = reply
     for process in processes[:3]:
         node, told = process.name, await ask(process.address, "route", wait, host=host, path=path)
-        if not isinstance(told, Silent):
+        if not isinstance(told, Unreachable):
             break
     return node, told
 
 
 async def _ask_all(
-    view: View, question: str, wait: float, **what: Any
+    snapshot: MeshSnapshot, question: str, wait: float, **what: Any
 ) -> tuple[list[tuple[str, Told]], list[str]]:
     """The answers of all sidecars, by node, and those that gave none."""
-    asked = view.answering(PROXY)
-    silent = [
-        p.name for p in view.processes if p.told is None and text(view.nodes.get(p.name), "role") == PROXY
-    ]
+    asked = snapshot.answering(PROXY)
+    silent = [p.name for p in snapshot.processes if p.told is None and snapshot.role_of(p) == PROXY]
 
-    async def one(process: Process) -> Answered | Refused | Silent:
+    async def one(process: Process) -> Answered | Refused | Unreachable:
         address: Address = process.address
         return await ask(address, question, wait, **what)
 
@@ -197,6 +195,6 @@
     for process, reply in zip(asked, await all_of(one, asked), strict=True):
         if isinstance(reply, Answered):
             told.append((process.node, reply.value))
-        elif isinstance(reply, Silent):
+        elif isinstance(reply, Unreachable):
             silent.append(process.name)
     return told, silent
--- a/mesh/cli/config.py
+++ b/mesh/cli/config.py
@@ -14,7 +14,8 @@
 import typer
 
 from mesh.cli import bearing, write_client
-from mesh.cli.client import Answered, Silent, all_of, ask, items, look
+from mesh.cli.client import Answered, Unreachable, all_of, ask, items, look
+from mesh.cli.mesh_snapshot import MeshSnapshot, number, text
 from mesh.cli.options import (
     FINDINGS,
     FINE,
@@ -32,8 +33,7 @@
     tell,
 )
 from mesh.cli.text import wrapped
-from mesh.cli.view import View, number, text
-from mesh.configuration.commands import INPUT_LIMITS, Change, Invalid, decode_change, label
+from mesh.configuration.commands import INPUT_LIMITS, ConfigurationWrite, Invalid, decode_change, label
 from mesh.configuration.read_back import render
 from mesh.data_plane.membership import CONTROLLER, PROXY
 from mesh.membership.instance_commands import read_address
@@ -85,7 +85,7 @@
     return told
 
 
-def decoded(body: bytes, as_json: bool) -> Change:
+def decoded(body: bytes, as_json: bool) -> ConfigurationWrite:
     """Ends with FINDINGS where nobody would take it."""
     change = decode_change(body)
     if isinstance(change, Invalid):
@@ -95,20 +95,22 @@
     return change
 
 
-async def _standing(addresses: Sequence[Address], wait: float) -> tuple[View, dict[Key, Item]] | Silent:
+async def _standing(
+    addresses: Sequence[Address], wait: float
+) -> tuple[MeshSnapshot, dict[Key, Item]] | Unreachable:
     """The mesh, sidecars too, and what stands in its configuration, as those that can be had hold it."""
-    view = await look(addresses, wait)
-    if isinstance(view, Silent):
-        return view
-    standing = await items(view.answering(), "charter", wait)
-    if isinstance(standing, Silent):
+    snapshot = await look(addresses, wait)
+    if isinstance(snapshot, Unreachable):
+        return snapshot
+    standing = await items(snapshot.answering(), "charter", wait)
+    if isinstance(standing, Unreachable):
         return standing
-    return view, {key: item for key, item in standing.items() if bearing.is_configuration(key)}
+    return snapshot, {key: item for key, item in standing.items() if bearing.is_configuration(key)}
 
 
-def controls(view: View) -> list[Address]:
+def controls(snapshot: MeshSnapshot) -> list[Address]:
     """Where the operator's calls go, control processes that hear enough others first."""
-    order = sorted(view.answering(CONTROLLER), key=lambda p: not (p.told or {}).get("in_touch"))
+    order = sorted(snapshot.answering(CONTROLLER), key=lambda p: not (p.told or {}).get("in_touch"))
     found = [read_address(text(process.told, "control")) for process in order]
     return [address for address in found if address is not None]
 
@@ -132,9 +134,9 @@
             (i.kind, i.name, i.version, dict(i.value)) for i in standing.values() if i.value is not None
         )
     else:
-        view = heard(look(addresses, wait, (CONTROLLER,)), as_json)
-        outcome = asyncio.run(write_client.send(controls(view), b"GET", PATH, b"", wait))
-        if not isinstance(outcome, write_client.Taken):
+        snapshot = heard(look(addresses, wait, (CONTROLLER,)), as_json)
+        outcome = asyncio.run(write_client.send(controls(snapshot), b"GET", PATH, b"", wait))
+        if not isinstance(outcome, write_client.Accepted):
             _unclear(outcome, "config get --held shows what those that answer hold", as_json)
         told = outcome.body
     value = msgspec.json.decode(told)
@@ -147,15 +149,17 @@
 def _one(told: bytes, wanted: str, as_json: bool) -> Mapping[str, Any]:
     kind, _, name = wanted.partition("/")
     change = decode_change(as_call(told))
-    if isinstance(change, Change):
+    if isinstance(change, ConfigurationWrite):
         for write in change.writes:
             if write.kind == kind and write.name == (name or INPUT_LIMITS) and write.value is not None:
                 return write.value
     fail(FINDINGS, f"--item: {wanted} does not stand; give KIND/NAME such as route/r1 or plant/red", as_json)
 
 
-def _unclear(outcome: write_client.Turned | write_client.Unclear, mend: str, as_json: bool) -> NoReturn:
-    if isinstance(outcome, write_client.Turned):
+def _unclear(
+    outcome: write_client.Rejected | write_client.Indeterminate, mend: str, as_json: bool
+) -> NoReturn:
+    if isinstance(outcome, write_client.Rejected):
         fail(REFUSED, f"{outcome.status}: {outcome.reason}", as_json)
     fail(REFUSED if outcome.heard else NOBODY, f"no clear answer ({outcome.reason}); {mend}", as_json)
 
@@ -170,19 +174,19 @@
 ) -> None:
     """Judges a change before it is sent: by itself, by what stands, and by what the mesh can bear now."""
     change = decoded(read_file(file, as_json), as_json)
-    view, standing = heard(_standing(found(at, settings, as_json), wait), as_json)
-    faults = bearing.judged(change, standing, asyncio.run(_facts(view, wait)))
+    snapshot, standing = heard(_standing(found(at, settings, as_json), wait), as_json)
+    faults = bearing.judged(change, standing, asyncio.run(_facts(snapshot, wait)))
     lines = [line for fault in faults for line in wrapped(fault.line())]
     counted = f"{len(change.writes)} items: nothing speaks against them"
     value = {"items": len(change.writes), "findings": [asdict(fault) for fault in faults]}
     tell(value, lines or [counted], as_json, FINDINGS if faults else FINE)
 
 
-async def _facts(view: View, wait: float) -> bearing.Facts:
-    proxies = view.answering(PROXY)
+async def _facts(snapshot: MeshSnapshot, wait: float) -> bearing.Facts:
+    proxies = snapshot.answering(PROXY)
     replies = await all_of(lambda p: ask(p.address, "answers", wait), proxies[:MOST_SIDECARS])
     return bearing.Facts(
-        bearing.settled(view.instances),
+        bearing.settled(snapshot.instances),
         tuple(reply.value for reply in replies if isinstance(reply, Answered)),
         tuple(number(p.told, "retry_ratio", 1.0) for p in proxies),
     )
@@ -233,12 +237,12 @@
     """Sends a change, the same to one control process after another, until one answers clearly."""
     body = read_file(file, as_json)
     change = decoded(body, as_json)
-    view = heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json)
-    addresses = controls(view)
+    snapshot = heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json)
+    addresses = controls(snapshot)
     if not addresses:
         fail(NOBODY, "no control process answers: nothing was sent; check --at and whether they run", as_json)
     outcome = asyncio.run(write_client.send(addresses, b"PATCH", PATH, body, within))
-    if not isinstance(outcome, write_client.Taken):
+    if not isinstance(outcome, write_client.Accepted):
         _unclear(outcome, "it may be in force: send the same file again", as_json)
     else:
         names = [label(write.kind, write.name) for write in change.writes]
--- a/mesh/cli/judge.py
+++ b/mesh/cli/judge.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from statistics import median
 
-from mesh.cli.view import Process, View, number, part, text
+from mesh.cli.mesh_snapshot import MeshSnapshot, Process, number, part, text
 from mesh.data_plane.membership import CONTROLLER, PROXY
 from mesh.membership.instance_lifecycle import SILENT_BEATS
 
@@ -27,34 +27,34 @@
         return f"{self.kind}: {self.subject}: {self.what}; {self.mend}"
 
 
-def findings(view: View) -> list[Finding]:
+def findings(snapshot: MeshSnapshot) -> list[Finding]:
     """All that is wrong, the gravest kinds first, each kind in the order of names."""
     return [
-        *_members(view),
-        *_core(view),
-        *_losses(view),
-        *_disks(view),
-        *_silent(view),
-        *_behind(view),
-        *_instances(view),
-        *_proxies(view),
-        *_clocks(view),
-        *_settings(view),
+        *_members(snapshot),
+        *_core(snapshot),
+        *_losses(snapshot),
+        *_disks(snapshot),
+        *_silent(snapshot),
+        *_behind(snapshot),
+        *_instances(snapshot),
+        *_proxies(snapshot),
+        *_clocks(snapshot),
+        *_settings(snapshot),
     ]
 
 
-def members(view: View) -> dict[str, str]:
+def members(snapshot: MeshSnapshot) -> dict[str, str]:
     """Whose disks count, by address, with their zone, as any control process that answers has it."""
     found: dict[str, str] = {}
-    for process in view.answering(CONTROLLER):
+    for process in snapshot.answering(CONTROLLER):
         for address, place in part(process.told, "members").items():
             found[address] = str(place[0]) if isinstance(place, list) and place else ""
     return dict(sorted(found.items()))
 
 
-def _members(view: View) -> Iterator[Finding]:
-    there = {text(process.told, "ip") for process in view.answering(CONTROLLER)}
-    for address in members(view):
+def _members(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    there = {text(process.told, "ip") for process in snapshot.answering(CONTROLLER)}
+    for address in members(snapshot):
         if address not in there:
             yield Finding(
                 "member missing",
@@ -64,8 +64,8 @@
             )
 
 
-def _core(view: View) -> Iterator[Finding]:
-    controllers = view.answering(CONTROLLER)
+def _core(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    controllers = snapshot.answering(CONTROLLER)
     if not controllers:
         yield Finding(
             "core out of reach",
@@ -93,9 +93,9 @@
             )
 
 
-def _losses(view: View) -> Iterator[Finding]:
+def _losses(snapshot: MeshSnapshot) -> Iterator[Finding]:
     """What a process with contact says; one word of it is enough."""
-    for process in view.answering(CONTROLLER):
+    for process in snapshot.answering(CONTROLLER):
         borne, asked = part(process.told, "borne"), part(process.told, "tolerates")
         less = [kind for kind in asked if borne and 0 < number(asked, kind) > number(borne, kind)]
         if less and process.told is not None and process.told.get("in_touch"):
@@ -111,8 +111,8 @@
             return
 
 
-def _disks(view: View) -> Iterator[Finding]:
-    for process in view.answering(CONTROLLER):
+def _disks(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    for process in snapshot.answering(CONTROLLER):
         assert process.told is not None
         refused = text(process.told, "refused")
         if refused:
@@ -128,9 +128,9 @@
             )
 
 
-def _silent(view: View) -> Iterator[Finding]:
-    missing = members(view)
-    for process in view.processes:
+def _silent(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    missing = members(snapshot)
+    for process in snapshot.processes:
         if process.told is None and process.address[0] not in missing:
             yield Finding(
                 "no answer",
@@ -138,7 +138,7 @@
                 process.why,
                 "start it or look at its network; where its machine is gone, nothing is to do",
             )
-        elif process.told is not None and process.name in view.nodes and process.node != process.name:
+        elif process.told is not None and process.name in snapshot.nodes and process.node != process.name:
             yield Finding(
                 "other node there",
                 process.name,
@@ -147,8 +147,8 @@
             )
 
 
-def _behind(view: View) -> Iterator[Finding]:
-    groups = list(view.digests().values())
+def _behind(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    groups = list(snapshot.digests().values())
     for group in groups[1:]:
         for process in sorted(group, key=lambda p: p.node):
             charter = part(process.told, "charter")
@@ -160,10 +160,10 @@
             )
 
 
-def _instances(view: View) -> Iterator[Finding]:
-    for instance, value in sorted(view.instances.items()):
+def _instances(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    for instance, value in sorted(snapshot.instances.items()):
         node = text(value, "node")
-        if node not in view.nodes:
+        if node not in snapshot.nodes:
             yield Finding(
                 "instance without node",
                 instance,
@@ -172,8 +172,8 @@
             )
 
 
-def _proxies(view: View) -> Iterator[Finding]:
-    for process in view.answering(PROXY):
+def _proxies(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    for process in snapshot.answering(PROXY):
         told = process.told
         assert told is not None
         if told.get("ending"):
@@ -208,8 +208,8 @@
         yield Finding("no beats", process.node, what, "look at the upstream on that machine")
 
 
-def _clocks(view: View) -> Iterator[Finding]:
-    told = view.answering()
+def _clocks(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    told = snapshot.answering()
     if not told:
         return
     usual = median(process.ahead_s for process in told)
@@ -224,8 +224,8 @@
             )
 
 
-def _settings(view: View) -> Iterator[Finding]:
-    for process in view.answering():
+def _settings(snapshot: MeshSnapshot) -> Iterator[Finding]:
+    for process in snapshot.answering():
         unknown = (process.told or {}).get("unknown")
         if isinstance(unknown, list) and unknown:
             yield Finding(
@@ -244,7 +244,7 @@
     return kinds
 
 
-def sound(view: View, process: Process) -> str:
+def sound(snapshot: MeshSnapshot, process: Process) -> str:
     """How a process stands, in a word or two."""
     if process.told is None:
         return process.why or "no answer"
--- a/mesh/cli/members.py
+++ b/mesh/cli/members.py
@@ -8,7 +8,8 @@
 
 import typer
 
-from mesh.cli.client import Answered, Silent, ask, look
+from mesh.cli.client import Answered, Unreachable, ask, look
+from mesh.cli.mesh_snapshot import MeshSnapshot, Process, number, part, text
 from mesh.cli.options import (
     FINE,
     NOBODY,
@@ -24,7 +25,6 @@
     tell,
 )
 from mesh.cli.text import borne, line, table, wrapped
-from mesh.cli.view import Process, View, number, part, text
 from mesh.data_plane.membership import CONTROLLER
 
 REMOVE_WAIT_S = 10.0
@@ -37,7 +37,7 @@
     """Who counts, under which epoch, what each lacks, and how many more losses are borne."""
     process = _first(heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json), as_json)
     reply = asyncio.run(ask(process.address, "members", wait))
-    if isinstance(reply, Silent):
+    if isinstance(reply, Unreachable):
         fail(NOBODY, f"{process.node}: {reply.why}; ask another with --at", as_json)
     if not isinstance(reply, Answered):
         fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
@@ -53,10 +53,10 @@
     as_json: AsJson = False,
 ) -> None:
     """Says that a machine which counts is gone for good; refused where taking it out is not safe."""
-    view = heard(look(found(at, settings, as_json), min(wait, WAIT_S), (CONTROLLER,)), as_json)
-    process = _first(view, as_json)
+    snapshot = heard(look(found(at, settings, as_json), min(wait, WAIT_S), (CONTROLLER,)), as_json)
+    process = _first(snapshot, as_json)
     reply = asyncio.run(ask(process.address, "members remove", wait, node=node))
-    if isinstance(reply, Silent):
+    if isinstance(reply, Unreachable):
         fail(NOBODY, f"{process.node}: {reply.why}; it may be under way: look with members show", as_json)
     if not isinstance(reply, Answered):
         fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
@@ -65,9 +65,9 @@
     tell({"node": process.node, **reply.value}, lines, as_json, FINE)
 
 
-def _first(view: View, as_json: bool) -> Process:
+def _first(snapshot: MeshSnapshot, as_json: bool) -> Process:
     """One that can act where there is one."""
-    able = view.answering(CONTROLLER)
+    able = snapshot.answering(CONTROLLER)
     if not able:
         fail(NOBODY, "no control process answers; check --at and whether they run", as_json)
     return min(able, key=lambda process: not (process.told or {}).get("in_touch"))
--- a/mesh/cli/view.py
+++ b/mesh/cli/mesh_snapshot.py
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class View:
+class MeshSnapshot:
     """``processes``: those of the roll and those of ``--at``, by name; ``nodes`` and ``instances``: what
     stands in the roll, by name."""
 
@@ -51,6 +51,10 @@
     nodes: Mapping[str, Told] = field(default_factory=dict)
     instances: Mapping[str, Told] = field(default_factory=dict)
 
+    def role_of(self, process: Process) -> str:
+        """As the process says itself, else as the membership has it; "" where neither is known."""
+        return process.role or text(self.nodes.get(process.name), "role")
+
     def answering(self, role: str = "") -> list[Process]:
         """Those that answered, of one role or (for "") of any."""
         return [p for p in self.processes if p.told is not None and role in ("", p.role)]
--- a/mesh/cli/options.py
+++ b/mesh/cli/options.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from mesh.cli.client import Silent
+from mesh.cli.client import Unreachable
 from mesh.cli.text import line
 from mesh.membership.instance_commands import read_address
 from mesh.runtime.settings import Wrong, read
@@ -74,9 +74,9 @@
     return list(dict.fromkeys([*((host, port) for host, _ in told.seeds), (told.ip, port)]))
 
 
-def heard(coming: Coroutine[Any, Any, T | Silent], as_json: bool) -> T:
+def heard(coming: Coroutine[Any, Any, T | Unreachable], as_json: bool) -> T:
     """Runs it; ends with NOBODY where nobody answered."""
     outcome = asyncio.run(coming)
-    if isinstance(outcome, Silent):
+    if isinstance(outcome, Unreachable):
         fail(NOBODY, f"{outcome.why}; check --at and whether the processes run", as_json)
     return outcome
--- a/mesh/cli/rollout.py
+++ b/mesh/cli/rollout.py
@@ -7,7 +7,8 @@
 
 import typer
 
-from mesh.cli.client import Answered, Refused, Silent, all_of, ask, look
+from mesh.cli.client import Answered, Refused, Unreachable, all_of, ask, look
+from mesh.cli.mesh_snapshot import MeshSnapshot, Process, Told, number, part
 from mesh.cli.options import (
     FINDINGS,
     FINE,
@@ -24,7 +25,6 @@
     tell,
 )
 from mesh.cli.text import names, table, wrapped
-from mesh.cli.view import Process, Told, View, number, part, text
 from mesh.configuration.commands import ROUTE
 from mesh.data_plane.membership import CONTROLLER, PROXY
 from mesh.rollout.change_kinds import STAGED
@@ -40,8 +40,8 @@
 @rollout.command("show")
 def _show(at: At = None, settings: SettingsFile = None, wait: Wait = WAIT_S, as_json: AsJson = False) -> None:
     """The changes of late, and which sidecars have not confirmed them."""
-    view = heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json)
-    node, told = _of_core(view, wait, as_json, "rollouts")
+    snapshot = heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json)
+    node, told = _of_core(snapshot, wait, as_json, "rollouts")
     rows: list[Told] = [one for one in told.get("rollouts", []) if isinstance(one, dict)]
     lines = [f"at {node}: {told.get('sidecars')} sidecars", *shown(rows, int(number(told, "sidecars")))]
     lines += voted(part(told, "votes"))
@@ -63,9 +63,9 @@
             item,
         )
     )
-    view = heard(look(found(at, settings, as_json), wait), as_json)
-    node, core = _of_core(view, wait, as_json, "rollout", kind=kind, name=name)
-    told, silent = _of_sides(view, wait, "rollout", name=name) if kind == ROUTE else ([], [])
+    snapshot = heard(look(found(at, settings, as_json), wait), as_json)
+    node, core = _of_core(snapshot, wait, as_json, "rollout", kind=kind, name=name)
+    told, silent = _of_sides(snapshot, wait, "rollout", name=name) if kind == ROUTE else ([], [])
     value = {"node": node, "core": core, "sidecars": told, "silent": silent}
     tell(value, explained(kind, name, core, told, silent), as_json, FINDINGS if core.get("missing") else FINE)
 
@@ -99,8 +99,8 @@
 def _order(
     word: str, route: str, at_next: bool, at: Any, settings: Any, wait: float, as_json: bool
 ) -> NoReturn:
-    view = heard(look(found(at, settings, as_json), wait, (PROXY,)), as_json)
-    told, silent = _of_sides(view, wait, "order", name=route, order=word, next=at_next)
+    snapshot = heard(look(found(at, settings, as_json), wait, (PROXY,)), as_json)
+    told, silent = _of_sides(snapshot, wait, "order", name=route, order=word, next=at_next)
     if not told:
         fail(NOBODY, "no sidecar answers; check --at and whether they run", as_json)
     value = {"sidecars": told, "silent": silent}
@@ -119,9 +119,11 @@
     tell(value, [f"{word}: {len(obeyed)} of {len(told)} sidecars still held it back", *more], as_json)
 
 
-def _of_core(view: View, wait: float, as_json: bool, question: str, **what: Any) -> tuple[str, Told]:
+def _of_core(
+    snapshot: MeshSnapshot, wait: float, as_json: bool, question: str, **what: Any
+) -> tuple[str, Told]:
     """The answer of the first control process that hears enough others, else of any; ends where none has."""
-    able = sorted(view.answering(CONTROLLER), key=lambda p: (not (p.told or {}).get("in_touch"), p.node))
+    able = sorted(snapshot.answering(CONTROLLER), key=lambda p: (not (p.told or {}).get("in_touch"), p.node))
     why = "no control process answers; check --at and whether they run"
     for process in able:
         reply = asyncio.run(ask(process.address, question, wait, **what))
@@ -133,14 +135,16 @@
     fail(NOBODY, why, as_json)
 
 
-def _of_sides(view: View, wait: float, question: str, **what: Any) -> tuple[list[Told], list[str]]:
+def _of_sides(
+    snapshot: MeshSnapshot, wait: float, question: str, **what: Any
+) -> tuple[list[Told], list[str]]:
     """The sidecars' answers, each with its node, and those that gave none."""
-    sides = [p for p in view.processes if text(view.nodes.get(p.name), "role") == PROXY or p.role == PROXY]
+    sides = [p for p in snapshot.processes if snapshot.role_of(p) == PROXY]
 
-    async def one(process: Process) -> Answered | Refused | Silent:
+    async def one(process: Process) -> Answered | Refused | Unreachable:
         return await ask(process.address, question, wait, **what)
 
-    async def all_sides() -> list[Answered | Refused | Silent]:
+    async def all_sides() -> list[Answered | Refused | Unreachable]:
         return await all_of(one, sides)
 
     told: list[Told] = []
--- a/mesh/cli/shape.py
+++ b/mesh/cli/shape.py
@@ -7,18 +7,18 @@
 from typing import Any
 
 from mesh.cli.judge import Finding, grouped, sound
+from mesh.cli.mesh_snapshot import MeshSnapshot, Process, Told, number, part, text
 from mesh.cli.text import borne, line, names, table, wrapped
-from mesh.cli.view import Process, Told, View, number, part, text
 from mesh.data_plane.membership import CONTROLLER, PROXY, ROLE_NAMES
 
 MOST_ROWS = 10  # of the core, of services and of other digests in `status`, which keeps to a screen
 MOST_ALIKE = 10  # findings of one kind that `doctor` prints; --json has all
 
 
-def services(view: View) -> list[dict[str, Any]]:
+def services(snapshot: MeshSnapshot) -> list[dict[str, Any]]:
     """Upstreams counted by service; those without one that takes calls are first."""
     found = []
-    for service, instances in view.by_service().items():
+    for service, instances in snapshot.by_service().items():
         settled = sum(value.get("state") == "settled" for _, value in instances)
         found.append(
             {
@@ -32,7 +32,7 @@
     return sorted(found, key=lambda one: (one["settled"] > 0, one["service"]))
 
 
-def versions(view: View) -> list[dict[str, Any]]:
+def versions(snapshot: MeshSnapshot) -> list[dict[str, Any]]:
     """The configurations that are held, the one that counts first, and by whom."""
     return [
         {
@@ -41,18 +41,18 @@
             "dropped": int(number(part(group[0].told, "charter"), "dropped")),
             "held_by": [process.node for process in group],
         }
-        for digest, group in view.digests().items()
+        for digest, group in snapshot.digests().items()
     ]
 
 
-def process_row(view: View, process: Process) -> dict[str, Any]:
+def process_row(snapshot: MeshSnapshot, process: Process) -> dict[str, Any]:
     upstream = part(process.told, "upstream")
     return {
         "node": process.name,
-        "role": _role_name(process.role or text(view.nodes.get(process.name), "role")),
-        "zone": text(process.told, "zone") or text(view.nodes.get(process.name), "zone"),
+        "role": _role_name(snapshot.role_of(process)),
+        "zone": text(process.told, "zone") or text(snapshot.nodes.get(process.name), "zone"),
         "address": f"{process.address[0]}:{process.address[1]}",
-        "state": sound(view, process),
+        "state": sound(snapshot, process),
         "digest": process.digest,
         "ahead_s": round(process.ahead_s, 3) if process.told is not None else None,
         "upstream": text(upstream, "instance"),
@@ -66,7 +66,7 @@
     return ROLE_NAMES.get(role, role)
 
 
-def status(view: View, found: Sequence[Finding]) -> list[str]:
+def status(snapshot: MeshSnapshot, found: Sequence[Finding]) -> list[str]:
     """At most some 50 lines, whatever the size of the mesh."""
     lines = []
     if found:
@@ -78,26 +78,26 @@
         lines.append("all is as it should be")
     lines.append("")
     for role in (CONTROLLER, PROXY):
-        known = [p for p in view.processes if (p.role or text(view.nodes.get(p.name), "role")) == role]
+        known = [p for p in snapshot.processes if snapshot.role_of(p) == role]
         answer = sum(process.told is not None for process in known)
         lines.append(f"{PLURALS[role]:<12}{answer} of {len(known)} answer")
-    lines.append(f"{'upstreams':<12}{len(view.instances)} of {len(view.by_service())} services")
-    lines += duties(view) + members(view)
-    for at, held in enumerate(versions(view)[:MOST_ROWS]):
+    lines.append(f"{'upstreams':<12}{len(snapshot.instances)} of {len(snapshot.by_service())} services")
+    lines += duties(snapshot) + members(snapshot)
+    for at, held in enumerate(versions(snapshot)[:MOST_ROWS]):
         lead = "configuration" if at == 0 else "  other"
         told = f"{lead} {held['items']} items, {held['dropped']} dropped, digest {held['digest']}: "
         told += f"{len(held['held_by'])} processes"
         if at:
             told += f" ({names(held['held_by'], max(96 - len(told), 10))})"
         lines.append(line(told))
-    lines += ["", *core(view), "", *_services(services(view))]
+    lines += ["", *core(snapshot), "", *_services(services(snapshot))]
     return lines
 
 
-def duties(view: View) -> list[str]:
+def duties(snapshot: MeshSnapshot) -> list[str]:
     """Who has which duty, by the highest epoch that any control process knows."""
     found: dict[str, tuple[float, str]] = {}
-    for process in view.answering(CONTROLLER):
+    for process in snapshot.answering(CONTROLLER):
         told = part(process.told, "duties")
         for duty in told:
             standing = part(told, duty)
@@ -110,9 +110,9 @@
     ]
 
 
-def members(view: View) -> list[str]:
+def members(snapshot: MeshSnapshot) -> list[str]:
     """Under which epoch who counts, and how many more losses are borne, by a process with the newest."""
-    told = [p.told for p in view.answering(CONTROLLER) if p.told is not None and "epoch" in p.told]
+    told = [p.told for p in snapshot.answering(CONTROLLER) if p.told is not None and "epoch" in p.told]
     if not told:
         return []
     newest = max(told, key=lambda one: (bool(one.get("in_touch")), number(one, "epoch")))
@@ -120,8 +120,8 @@
     return [line(f"{'members':<12}{count}; {borne(part(newest, 'borne'))}")]
 
 
-def core(view: View) -> list[str]:
-    controllers = view.answering(CONTROLLER)
+def core(snapshot: MeshSnapshot) -> list[str]:
+    controllers = snapshot.answering(CONTROLLER)
     rows = []
     for process in controllers[:MOST_ROWS]:
         told = process.told or {}
@@ -129,7 +129,7 @@
         rows.append(
             (
                 *(process.node, process.role, text(told, "zone"), text(told, "ip"), text(told, "control")),
-                *(disk, sound(view, process)),
+                *(disk, sound(snapshot, process)),
             )
         )
     lines = table(("core", "role", "zone", "member", "control", "disk", "state"), rows)
@@ -190,18 +190,18 @@
             seen.setdefault(text(upstream, "instance"), []).append(upstream)
     found = []
     for instance, views in sorted(seen.items()):
-        used = [view for view in views if "active" in view]
-        ws = [number(view, "w") for view in used if view.get("w") is not None]
+        used = [snapshot for snapshot in views if "active" in snapshot]
+        ws = [number(snapshot, "w") for snapshot in used if snapshot.get("w") is not None]
         found.append(
             {
                 "instance": instance,
                 "node": text(views[0], "node"),
                 "zone": text(views[0], "zone"),
                 "state": text(views[0], "state"),
-                "active_at": sum(bool(view.get("active")) for view in used),
+                "active_at": sum(bool(snapshot.get("active")) for snapshot in used),
                 "used_by": len(used),
                 "w_median": round(median(ws), 3) if ws else None,
-                "held": int(sum(number(view, "held") for view in used)),
+                "held": int(sum(number(snapshot, "held") for snapshot in used)),
             }
         )
     return found
--- a/mesh/cli/state.py
+++ b/mesh/cli/state.py
@@ -7,7 +7,8 @@
 
 import typer
 
-from mesh.cli.client import Answered, Silent, all_of, ask, look
+from mesh.cli.client import Answered, Unreachable, all_of, ask, look
+from mesh.cli.mesh_snapshot import Process, Told, number, text
 from mesh.cli.options import (
     DISK_WAIT_S,
     FINDINGS,
@@ -25,7 +26,6 @@
     tell,
 )
 from mesh.cli.text import wrapped
-from mesh.cli.view import Process, Told, number, text
 from mesh.data_plane.membership import CONTROLLER
 
 LOOK_S = 2.0  # for the processes' status; the longer wait is for their disks
@@ -38,8 +38,8 @@
     at: At = None, settings: SettingsFile = None, wait: Wait = DISK_WAIT_S, as_json: AsJson = False
 ) -> None:
     """Every row of every control process's disk, read and checked; changes wait for it there."""
-    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
-    asked = view.answering(CONTROLLER)
+    snapshot = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
+    asked = snapshot.answering(CONTROLLER)
     if not asked:
         fail(NOBODY, "no control process answers; check --at and whether they run", as_json)
 
@@ -47,7 +47,10 @@
         reply = await ask(process.address, "verify", wait)
         if isinstance(reply, Answered):
             return {"node": process.node, **reply.value, "findings": wrong(reply.value)}
-        return {"node": process.node, "findings": [reply.why if isinstance(reply, Silent) else reply.reason]}
+        return {
+            "node": process.node,
+            "findings": [reply.why if isinstance(reply, Unreachable) else reply.reason],
+        }
 
     rows = asyncio.run(all_of(one, asked))
     lines = []
@@ -93,14 +96,14 @@
 ) -> None:
     """After more losses than are borne: what a control process holds, or a copy, leads on. Refused where
     that would make older state lead."""
-    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
-    able = [p for p in view.answering(CONTROLLER) if where in ("", p.node)]
+    snapshot = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
+    able = [p for p in snapshot.answering(CONTROLLER) if where in ("", p.node)]
     able.sort(key=lambda p: not (p.told or {}).get("whole"))
     if not able:
         fail(NOBODY, "no such control process answers; check --at and whether it runs", as_json)
     process = able[0]
     reply = asyncio.run(ask(process.address, "restore", wait, copy=copy, lost=list(lost or ())))
-    if isinstance(reply, Silent):
+    if isinstance(reply, Unreachable):
         fail(NOBODY, f"{process.node}: {reply.why}; it may be done: look at status", as_json)
     if not isinstance(reply, Answered):
         fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
@@ -123,16 +126,16 @@
     as_json: AsJson = False,
 ) -> None:
     """Has a control process copy its store, as it is now, to a new folder under its state folder."""
-    view = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
-    able = [p for p in view.answering(CONTROLLER) if where in ("", p.node)]
+    snapshot = heard(look(found(at, settings, as_json), min(wait, LOOK_S), (CONTROLLER,)), as_json)
+    able = [p for p in snapshot.answering(CONTROLLER) if where in ("", p.node)]
     able.sort(key=lambda p: not ((p.told or {}).get("in_touch") and (p.told or {}).get("whole")))
-    if not able and where and where not in view.nodes:
+    if not able and where and where not in snapshot.nodes:
         fail(USAGE, f"--from: no node {where} is known; nodes lists them", as_json)
     if not able:
         fail(NOBODY, "no such control process answers; check --at and whether it runs", as_json)
     process = able[0]
     reply = asyncio.run(ask(process.address, "backup", wait, to=to))
-    if isinstance(reply, Silent):
+    if isinstance(reply, Unreachable):
         fail(NOBODY, f"{process.node}: {reply.why}; the copy may still be made: look there", as_json)
     if not isinstance(reply, Answered):
         fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
--- a/mesh/cli/write_client.py
+++ b/mesh/cli/write_client.py
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Taken:
+class Accepted:
     """A 200, by whom and at which try."""
 
     body: bytes
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Turned:
+class Rejected:
     """A clear no."""
 
     status: int
@@ -53,14 +53,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Unclear:
+class Indeterminate:
     """No clear answer in the time: it may be in force. ``heard``: something answered at all."""
 
     reason: str
     heard: bool
 
 
-Outcome = Taken | Turned | Unclear
+Outcome = Accepted | Rejected | Indeterminate
 
 
 async def call(address: Address, method: bytes, path: bytes, body: bytes, within_s: float) -> Reply | None:
@@ -105,20 +105,20 @@
         if reply is not None:
             heard = True
             if 200 <= reply.status < 300:
-                return Taken(reply.body, address, tries)
+                return Accepted(reply.body, address, tries)
             reason = f"{reply.status}: {said(reply.body)}"
             if reply.status in AT_ONCE:
-                return Turned(reply.status, said(reply.body))
+                return Rejected(reply.status, said(reply.body))
             if 400 <= reply.status < 500 and reply.status not in AGAIN:
                 others += 1
                 if others == OTHERS_MOST:
-                    return Turned(reply.status, said(reply.body))
+                    return Rejected(reply.status, said(reply.body))
         if loop.time() + wait < until:
             await pause(wait)
             wait = min(2.0 * wait, PAUSE_MOST_S)
         elif tries >= len(addresses):
             break
-    return Unclear(reason, heard)
+    return Indeterminate(reason, heard)
 
 
 async def _followed(
--- a/mesh/configuration/commands.py
+++ b/mesh/configuration/commands.py
@@ -1,7 +1,7 @@
 """The operator's call, read and judged as far as it can be with no view of what stands.
 
-A ``PATCH /configuration`` becomes a ``Change``, one write for each name in it, or the first fault found.
-Fields that this program does not use are kept, as an item must read back exactly as it was sent.
+A ``PATCH /configuration`` becomes a ``ConfigurationWrite``, one item write for each name in it, or the first
+fault found. Fields that this program does not use are kept, as an item must read back exactly as it was sent.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Write:
+class ItemWrite:
     """One item set or dropped. ``value`` is the item as sent, a route's with its ``host`` added; None says
     that the item is dropped."""
 
@@ -49,10 +49,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
+class ConfigurationWrite:
     """A call that can be read whole: at most one write for each kind and name, at most ITEMS_MOST."""
 
-    writes: tuple[Write, ...]
+    writes: tuple[ItemWrite, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +68,7 @@
         return f"{self.item}: {self.field} {self.reason}"
 
 
-def decode_change(body: bytes) -> Change | Invalid:
+def decode_change(body: bytes) -> ConfigurationWrite | Invalid:
     """The change that ``body`` asks for, or the first fault in it. Raises nothing, whatever the bytes.
 
     Of one name given twice, the higher version holds; the same version with two contents is a fault.
@@ -85,7 +85,7 @@
         return Invalid("call", "body", f"is nested too deep; give at most {DEPTH_MOST} levels")
     gathered = _Gathered()
     fault = _read_apply(call.get("apply"), gathered) or _read_remove(call.get("remove"), gathered)
-    return fault or Change(tuple(gathered.writes.values()))
+    return fault or ConfigurationWrite(tuple(gathered.writes.values()))
 
 
 def shown(value: object) -> str:
@@ -103,7 +103,7 @@
     """The writes of one call, the higher version of each name."""
 
     def __init__(self) -> None:
-        self.writes: dict[tuple[str, str], Write] = {}
+        self.writes: dict[tuple[str, str], ItemWrite] = {}
         self.taken = 0
 
     def take(
@@ -117,7 +117,7 @@
         epoch = sent.get("epoch")
         if not isinstance(epoch, str) or not _EPOCH.fullmatch(epoch):
             return Invalid(item, "epoch", _instead(epoch, "r and a number, such as r12"))
-        write = Write(kind, name, int(epoch[1:]), value)
+        write = ItemWrite(kind, name, int(epoch[1:]), value)
         other = self.writes.get((kind, name))
         if other is None or write.version > other.version:
             self.writes[kind, name] = write
--- a/mesh/configuration/limits.py
+++ b/mesh/configuration/limits.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Limits:
+class InputLimits:
     """What a figure that the operators do not give is, in bytes and seconds; no ``quiescent_s``: connections
     may rest as long as there is room for them."""
 
@@ -26,12 +26,12 @@
     quiescent_s: float | None = None
 
 
-def read_limits(value: Mapping[str, Any] | None) -> Limits:
+def read_limits(value: Mapping[str, Any] | None) -> InputLimits:
     """Of the item as it stands, or None where there is none; its figures are numbers above 0 or missing."""
     told = {field: float(number) for field, number in (value or {}).items() if field in _FIELDS and number}
-    none = Limits()
+    none = InputLimits()
     head, body, lag, rest = (told.get(field) for field in _FIELDS)
-    return Limits(
+    return InputLimits(
         min(int(head), MOST_HEAD) + HEAD_BESIDE if head else none.head,
         int(body) if body else none.body,
         lag / 1000.0 + LAG_BESIDE_S if lag else none.request_s,
--- a/mesh/configuration/routes.py
+++ b/mesh/configuration/routes.py
@@ -14,7 +14,7 @@
 ROUTES_MOST = 100_000
 
 
-class RoutesFull(Exception):
+class RoutesFullError(Exception):
     """A route more than the table may hold: whoever accepts routes has to refuse them first."""
 
 
@@ -107,10 +107,12 @@
         return self._named.get(name)
 
     def put(self, route: Route) -> None:
-        """Adds ``route`` in place of the one of its name, wherever that stood. Raises RoutesFull on a new
-        name when there is no room."""
+        """Adds ``route`` in place of the one of its name, wherever that stood. Raises RoutesFullError on a
+        new name when there is no room."""
         if route.name not in self._named and len(self._named) >= self._most:
-            raise RoutesFull(f"route {route.name!r}: the table holds {self._most} routes; drop some first")
+            raise RoutesFullError(
+                f"route {route.name!r}: the table holds {self._most} routes; drop some first"
+            )
         self.drop(route.name)
         self._named[route.name] = route
         node = self._hosts.setdefault(route.host, _Node())
--- a/mesh/configuration/validation.py
+++ b/mesh/configuration/validation.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from mesh.configuration.commands import PLANT, ROUTE, Change, Invalid, label, shown
+from mesh.configuration.commands import PLANT, ROUTE, ConfigurationWrite, Invalid, label, shown
 
 
 def check(
-    change: Change, standing: Callable[[str, str], tuple[int, dict[str, Any] | None] | None]
+    change: ConfigurationWrite, standing: Callable[[str, str], tuple[int, dict[str, Any] | None] | None]
 ) -> Invalid | None:
     """The first route of ``change`` that would come into force naming an unknown service, or None.
 
--- a/mesh/control_plane/operator_api.py
+++ b/mesh/control_plane/operator_api.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from anisestair.http import codec as http
-from mesh.configuration.commands import Change, Invalid, decode_change, label
+from mesh.configuration.commands import ConfigurationWrite, Invalid, decode_change, label
 from mesh.configuration.read_back import render
 from mesh.configuration.validation import check
 from mesh.control_plane.contact_probes import Probing
@@ -42,7 +42,7 @@
     status: int
 
 
-Command = Change | ReadAll | Invalid | Unknown
+Command = ConfigurationWrite | ReadAll | Invalid | Unknown
 
 
 def decode(message: http.Message) -> Command:
@@ -111,7 +111,7 @@
             if item.value is not None and item.kind != VIEW
         )
 
-    async def _change(self, change: Change, within_s: float) -> Answer:
+    async def _change(self, change: ConfigurationWrite, within_s: float) -> Answer:
         until = self._loop.time() + within_s
         writes = {(w.kind, w.name, w.version): w.value for w in change.writes}
         invalid = check(change, self._standing)
--- a/mesh/control_plane/rollouts.py
+++ b/mesh/control_plane/rollouts.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from mesh.configuration.commands import ROUTE, Write
+from mesh.configuration.commands import ROUTE, ItemWrite
 from mesh.configuration.routes import read_route
 from mesh.data_plane.membership import PROXY, Membership
 from mesh.dissemination.peers import Channels
@@ -23,7 +23,7 @@
 from mesh.rollout.bounds import derive
 from mesh.rollout.canary_verdict import Tally, sound, worse
 from mesh.rollout.change_kinds import STAGED, kind_of
-from mesh.rollout.report import Count, Report, read
+from mesh.rollout.report import CanaryCounts, RolloutReport, read
 
 KEPT = 64  # changes, each the items that came at once
 OPEN_S = 60.0  # a change that nobody confirms is looked after for so long
@@ -75,10 +75,10 @@
             channels,
             event_log,
         )
-        self.reports: dict[str, Report] = {}  # by node
+        self.reports: dict[str, RolloutReport] = {}  # by node
         self.heard: dict[str, float] = {}  # and when it last came
         self.rollouts: deque[Rollout] = deque(maxlen=KEPT)
-        self._counts: dict[Key, dict[str, Count]] = {}  # by item and node; of items that change now
+        self._counts: dict[Key, dict[str, CanaryCounts]] = {}  # by item and node; of items that change now
         self._waits: set[_Wait] = set()
 
     def tune(self, settle_ms: float, ack_ms: float) -> None:
@@ -128,7 +128,7 @@
             if not wait.done.done() and self._first_have(wait.items):
                 wait.done.set_result(None)
 
-    def _count(self, node: str, count: Count) -> None:
+    def _count(self, node: str, count: CanaryCounts) -> None:
         """Pools what the first part saw."""
         rollout = next(
             (r for r in reversed(self.rollouts) if r.versions.get(count.key) == count.version), None
@@ -171,7 +171,7 @@
 
     # Before an acknowledgement
 
-    def hurting(self, writes: Sequence[Write], standing: Standing) -> list[Key]:
+    def hurting(self, writes: Sequence[ItemWrite], standing: Standing) -> list[Key]:
         """Of these writes, those that come into force and can make sound calls fail."""
         found = []
         for write in writes:
@@ -239,7 +239,7 @@
     return needs
 
 
-def _has(report: Report, rollout: Rollout) -> bool:
+def _has(report: RolloutReport, rollout: Rollout) -> bool:
     return all(report.vector.get(s, 0) >= n for s, n in rollout.needs.items()) and not any(
         key in rollout.versions for key in report.held
     )
--- a/mesh/data_plane/client_connection.py
+++ b/mesh/data_plane/client_connection.py
@@ -14,7 +14,7 @@
 from anisestair.flow.budget import Body
 from anisestair.http import codec as http
 from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend
-from mesh.configuration.limits import Limits
+from mesh.configuration.limits import InputLimits
 from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 
 AT_ONCE = 8  # requests of one connection that are in hand
@@ -215,7 +215,7 @@
                 connection.since = self.loop.time()
         super()._sweep()
 
-    def keep_to(self, limits: Limits) -> None:
+    def keep_to(self, limits: InputLimits) -> None:
         """The operators' limits from now on: of bytes for what begins now, of times for all."""
         self.intake.limits = limits
         self.request_s, self.quiescent_s = limits.request_s, limits.quiescent_s
--- a/mesh/data_plane/introspection.py
+++ b/mesh/data_plane/introspection.py
@@ -14,7 +14,7 @@
 from mesh.data_plane.membership import PROXY
 from mesh.data_plane.service_balancers import Table
 from mesh.data_plane.traces import First, Second
-from mesh.rollout.staged_activation import Order
+from mesh.rollout.staged_activation import RolloutCommand
 from mesh.runtime.introspection_calls import Handler, Refusal, Told, common, items
 
 if TYPE_CHECKING:
@@ -262,7 +262,7 @@
 
 def order(proxy: Proxy, name: str, word: str, at_next: bool) -> Told:
     """An operator's hold or go. ``obeyed``: that version was held back here; null where nothing was."""
-    one = proxy.stages.order(name, Order(word), at_next)
+    one = proxy.stages.order(name, RolloutCommand(word), at_next)
     standing = proxy.routes.named(name)
     return {
         "node": proxy.settings.node,
--- a/mesh/data_plane/membership.py
+++ b/mesh/data_plane/membership.py
@@ -7,7 +7,7 @@
 
 from mesh.membership.instance_commands import read_address
 from mesh.replication.items import Item
-from mesh.rollout.canary_selection import Draw
+from mesh.rollout.canary_selection import CanarySelection
 from mesh.transport.link import Address
 
 NODE, INSTANCE = "node", "instance"
@@ -24,7 +24,7 @@
         self._addresses: dict[str, Address] = {}
         self.of_service: dict[str, set[str]] = {}
         self._of_node: dict[str, dict[str, None]] = {}  # instances, in the order in which they came
-        self._draw: Draw | None = None
+        self._draw: CanarySelection | None = None
 
     def take(self, items: Iterable[Item]) -> dict[str, list[tuple[str, Mapping[str, Any] | None]]]:
         """Takes items that have changed; gives the instances among them, by service."""
@@ -89,12 +89,14 @@
                 found[address[0]] = address
         return found
 
-    def draw(self) -> Draw:
+    def draw(self) -> CanarySelection:
         """Who takes changed items first, of the sidecars that have an upstream: those without one have ended,
         or carry next to nothing."""
         if self._draw is None:
             nodes = {str(value["node"]) for value in self.instances.values()}
-            self._draw = Draw({node: str(self.nodes.get(node, {}).get("zone", "")) for node in nodes})
+            self._draw = CanarySelection(
+                {node: str(self.nodes.get(node, {}).get("zone", "")) for node in nodes}
+            )
         return self._draw
 
     def proxies(self) -> int:
--- a/mesh/data_plane/request_dispatch.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -11,7 +11,7 @@
 from anisestair.http.frontend import TARGET
 from mesh.admission.buffer_budget import Holding
 from mesh.admission.repeat_runs import RepeatRuns
-from mesh.configuration.limits import Limits
+from mesh.configuration.limits import InputLimits
 from mesh.configuration.routes import Route, pick
 from mesh.data_plane.call_messages import Returned
 from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served
@@ -57,7 +57,7 @@
         self.budget = Budget(memory_mb)
         self.bodies = Holding(self.budget.total, LONGEST)
         self.repeats = RepeatRuns()  # of the upstream beside this sidecar, whose calls come here, too
-        self.limits = Limits()  # a request keeps to those that hold when it begins
+        self.limits = InputLimits()  # a request keeps to those that hold when it begins
         self._count = 0
         self._asks: dict[str, Ask] = {}
 
--- a/mesh/data_plane/staged_routes.py
+++ b/mesh/data_plane/staged_routes.py
@@ -19,12 +19,12 @@
 from mesh.replication.items import Item, Key
 from mesh.replication.store import Store, paging
 from mesh.rollout.bounds import derive
-from mesh.rollout.canary_verdict import Watch, worse
-from mesh.rollout.change_kinds import STAGED, Kind, kind_of
-from mesh.rollout.contact import GAP_S, Contact
-from mesh.rollout.report import MOST_NAMED, REPORT, REPORTS, Count, Report, pack
-from mesh.rollout.staged_activation import Chamber, Order, Pass, State
-from mesh.rollout.version_check import Newer
+from mesh.rollout.canary_verdict import CanaryMonitor, worse
+from mesh.rollout.change_kinds import STAGED, ChangeKind, kind_of
+from mesh.rollout.contact import GAP_S, UpdateContact
+from mesh.rollout.report import MOST_NAMED, REPORT, REPORTS, CanaryCounts, RolloutReport, pack
+from mesh.rollout.staged_activation import ItemActivation, RolloutCommand, StagedActivation, State
+from mesh.rollout.version_check import VersionCheck
 from mesh.runtime.settings import Settings
 from mesh.transport.frames import Head
 
@@ -51,8 +51,8 @@
         self._routes, self._membership, self._prepare = routes, membership, prepare
         self._channels, self._version, self._event_log = channels, version, event_log
         times = derive(settings.bounds.settle_ms, settings.bounds.ack_ms)
-        self.chamber, self.contact = Chamber(times.hold_s), Contact(times.news_s)
-        self._newer, self.watch = Newer(times.newer_s), Watch()
+        self.chamber, self.contact = StagedActivation(times.hold_s), UpdateContact(times.news_s)
+        self._newer, self.watch = VersionCheck(times.newer_s), CanaryMonitor()
         self.dry: dict[
             str, str
         ] = {}  # services without a live upstream when a route was to use them, by route
@@ -80,7 +80,7 @@
         first = kind in STAGED and self._node in self._membership.draw().first(ROUTE, item.name, item.version)
         one = self.chamber.know(now, item.key, item.version, kind, first, late or self.contact.behind(now))
         self.dry.pop(item.name, None)
-        if kind is Kind.MOVED and new is not None:
+        if kind is ChangeKind.MOVED and new is not None:
             dry = self._prepare(new)
             self.chamber.prepared(one)
             for service in dry:
@@ -90,7 +90,7 @@
             self._use(now, one)
         self._arm()
 
-    def _use(self, now: float, one: Pass) -> None:
+    def _use(self, now: float, one: ItemActivation) -> None:
         item = self._charter.items.get(one.key)
         new, old = _read(item) if item is not None else None, self._routes.named(one.key[1])
         if item is None or new is None:
@@ -129,7 +129,7 @@
                 self.changed()
         self._arm()
 
-    def order(self, name: str, order: Order, at_next: bool) -> Pass | None:
+    def order(self, name: str, order: RolloutCommand, at_next: bool) -> ItemActivation | None:
         """An operator's word for a route: for what is held back, or (``at_next``) for its next version. None
         where nothing is held back."""
         now, key = self._loop.time(), (ROUTE, name)
@@ -223,11 +223,11 @@
         keys = dict.fromkeys([key for key in self._floor_held if key in held] + list(held))
         named = {key: held[key].version for key in list(keys)[:MOST_NAMED]}
         counts = [
-            Count((ROUTE, w.name), w.version, (w.new.n, w.new.bad), (w.old.n, w.old.bad))
+            CanaryCounts((ROUTE, w.name), w.version, (w.new.n, w.new.bad), (w.old.n, w.old.bad))
             for w in list(self.watch.watched.values())[-MOST_NAMED:]
             if w.new.n and w.until >= self._loop.time()
         ]
-        told = pack(Report(self._floor, named, len(held) - len(named), tuple(counts)))
+        told = pack(RolloutReport(self._floor, named, len(held) - len(named), tuple(counts)))
         if told == self._said:
             return
         self._said, self._said_at = told, self._loop.time()
--- a/mesh/rollout/bounds.py
+++ b/mesh/rollout/bounds.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Times:
+class RolloutTimes:
     """Seconds. ``hold_s``: so long after the news a sidecar of the rest takes an item at the latest.
     ``news_s``: what is left of the settling time for the news. ``ack_wait_s``: an acknowledgement waits for
     the first part so long at most. ``newer_s``: after so long every sidecar in touch has an item that was
@@ -24,9 +24,9 @@
     newer_s: float
 
 
-def derive(settle_ms: float, ack_ms: float, share: float | None = None) -> Times:
+def derive(settle_ms: float, ack_ms: float, share: float | None = None) -> RolloutTimes:
     """``share`` in place of HOLD_SHARE, at most 0.5: the news want the greater part."""
     settle_s, ack_s = settle_ms / 1000.0, ack_ms / 1000.0
     hold_s = min(max(HOLD_SHARE if share is None else share, 0.0), 0.5) * settle_s
     ack_wait_s = ACK_SHARE * min(ack_s, CALLER_S) if hold_s > 0.0 else 0.0
-    return Times(hold_s, settle_s - hold_s, ack_wait_s, settle_s + ack_s)
+    return RolloutTimes(hold_s, settle_s - hold_s, ack_wait_s, settle_s + ack_s)
--- a/mesh/rollout/canary_selection.py
+++ b/mesh/rollout/canary_selection.py
@@ -18,7 +18,7 @@
 )
 
 
-class Draw:
+class CanarySelection:
     """Of one membership. ``zones``: each sidecar's, by its node's name."""
 
     def __init__(self, zones: Mapping[str, str]) -> None:
--- a/mesh/rollout/canary_verdict.py
+++ b/mesh/rollout/canary_verdict.py
@@ -51,7 +51,7 @@
 
 
 @dataclass(slots=True)
-class Watched:
+class CanaryRoute:
     """A new way since it came into force here."""
 
     name: str
@@ -63,13 +63,13 @@
     told_worse: bool = False
 
 
-class Watch:
+class CanaryMonitor:
     """A sidecar's own calls, by route."""
 
     def __init__(self) -> None:
         self._routes: dict[str, tuple[int, Tally]] = {}
         self._all = Tally()
-        self.watched: dict[str, Watched] = {}
+        self.watched: dict[str, CanaryRoute] = {}
 
     def begin(self, now: float, name: str, version: int, aim_ms: float) -> None:
         """That version of that route is in force from now on; its calls are watched. Past MOST_WATCHED the
@@ -77,13 +77,15 @@
         _, old = self._routes.get(name, (0, Tally()))
         base = old if old.n >= LOOKS[0] else self._all
         self.watched.pop(name, None)
-        self.watched[name] = Watched(name, version, aim_ms, Tally(base.n, base.bad), Tally(), now + WATCH_S)
+        self.watched[name] = CanaryRoute(
+            name, version, aim_ms, Tally(base.n, base.bad), Tally(), now + WATCH_S
+        )
         if len(self.watched) > MOST_WATCHED:
             del self.watched[next(iter(self.watched))]
 
     def ended(
         self, now: float, name: str, version: int, failed: bool, took_ms: float, aim_ms: float
-    ) -> Watched | None:
+    ) -> CanaryRoute | None:
         """A call by that version of that route is over. Gives the watch where it is time to look."""
         watched = self.watched.get(name)
         if watched is not None and watched.version != version:
--- a/mesh/rollout/change_kinds.py
+++ b/mesh/rollout/change_kinds.py
@@ -7,7 +7,7 @@
 from mesh.configuration.routes import Route
 
 
-class Kind(str, Enum):
+class ChangeKind(str, Enum):
     """How a new version of an item differs from the one in force."""
 
     ADDED = "added"  # until it is taken its requests get 404
@@ -22,21 +22,21 @@
 
 # In stages go those that can make sound requests fail. An addition cannot: its requests fail until it is
 # taken. A drop is wanted, and its bound is the same for all.
-STAGED = frozenset({Kind.MOVED, Kind.BOUNDED})
+STAGED = frozenset({ChangeKind.MOVED, ChangeKind.BOUNDED})
 
 
-def kind_of(old: Route | None, new: Route | None) -> Kind:
+def kind_of(old: Route | None, new: Route | None) -> ChangeKind:
     """``old``: in force, None for none; ``new``: None where it is dropped."""
     if new is None:
-        return Kind.DROPPED
+        return ChangeKind.DROPPED
     if old is None:
-        return Kind.ADDED
+        return ChangeKind.ADDED
     if (old.host, old.prefix) != (new.host, new.prefix):
-        return Kind.PLACED
+        return ChangeKind.PLACED
     if new.effectful and not old.effectful:
-        return Kind.ONCE
+        return ChangeKind.ONCE
     if dict(old.split) != dict(new.split):
-        return Kind.MOVED
+        return ChangeKind.MOVED
     if (old.horizon_ms, old.trials, old.effectful) != (new.horizon_ms, new.trials, new.effectful):
-        return Kind.BOUNDED
-    return Kind.RANKED
+        return ChangeKind.BOUNDED
+    return ChangeKind.RANKED
--- a/mesh/rollout/contact.py
+++ b/mesh/rollout/contact.py
@@ -10,7 +10,7 @@
 GAP_S = 0.4  # between two looks, which are a tenth of a second apart: more, and the process stood still
 
 
-class Contact:
+class UpdateContact:
     def __init__(self, news_s: float, gap_s: float = GAP_S) -> None:
         self.news_s, self.gap_s = news_s, gap_s
         self._since: float | None = None  # in contact without a break since then
--- a/mesh/rollout/report.py
+++ b/mesh/rollout/report.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Count:
+class CanaryCounts:
     """What the first part saw: calls and failures by the new way, and by the old one."""
 
     key: Key
@@ -29,18 +29,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Report:
+class RolloutReport:
     vector: Mapping[str, int]
     held: Mapping[Key, int]  # known here and not in force: the version that is known
     more: int  # items held back beyond those; the vector is older than them then
-    counts: tuple[Count, ...]
+    counts: tuple[CanaryCounts, ...]
 
     def has(self, item: Item) -> bool:
         """Whether that item, at its rank or a higher one, is in force there."""
         return self.vector.get(item.source, 0) >= item.number and item.key not in self.held
 
 
-def pack(report: Report) -> dict[str, Any]:
+def pack(report: RolloutReport) -> dict[str, Any]:
     told: dict[str, Any] = {"v": dict(report.vector)}
     if report.held:
         told["held"] = [[*key, version] for key, version in report.held.items()]
@@ -51,17 +51,17 @@
     return told
 
 
-def read(told: Mapping[str, Any]) -> Report:
+def read(told: Mapping[str, Any]) -> RolloutReport:
     """Raises KeyError, TypeError or ValueError for what is no report; fields unknown here are passed over."""
     vector = told["v"]
     if not isinstance(vector, dict) or len(vector) > MOST_SOURCES:
         raise ValueError(f"v: give at most {MOST_SOURCES} entries by source")
     held = {(str(kind), str(name)): int(version) for kind, name, version in told.get("held", [])[:MOST_NAMED]}
     counts = [
-        Count((str(kind), str(name)), int(version), (int(n), int(bad)), (int(old_n), int(old_bad)))
+        CanaryCounts((str(kind), str(name)), int(version), (int(n), int(bad)), (int(old_n), int(old_bad)))
         for kind, name, version, n, bad, old_n, old_bad in told.get("counts", [])[:MOST_NAMED]
     ]
-    return Report(
+    return RolloutReport(
         {str(source): int(number) for source, number in vector.items()},
         held,
         int(told.get("more", 0)),
--- a/mesh/rollout/staged_activation.py
+++ b/mesh/rollout/staged_activation.py
@@ -15,7 +15,7 @@
 from enum import Enum
 
 from mesh.replication.items import Key
-from mesh.rollout.change_kinds import STAGED, Kind
+from mesh.rollout.change_kinds import STAGED, ChangeKind
 
 MOST_HELD = 1024  # items held back at once; one more is taken at once
 KEPT = 256  # passes kept to be explained
@@ -30,7 +30,7 @@
     OVERTAKEN = "overtaken"
 
 
-class Order(str, Enum):
+class RolloutCommand(str, Enum):
     """An operator's word."""
 
     HOLD = "hold"  # until the latest instant, whatever the first part says
@@ -38,30 +38,32 @@
 
 
 @dataclass(slots=True, eq=False)
-class Pass:
+class ItemActivation:
     """One version of one item on its way here. ``latest``: in force then at the latest; ``taken``: when it
     came into force, or was overtaken before; ``why`` it went when it did."""
 
     key: Key
     version: int
-    kind: Kind
+    kind: ChangeKind
     first: bool
     known: float
     latest: float
     why: str
     state: State = State.KNOWN
     taken: float = 0.0
-    ordered: Order | None = None
+    ordered: RolloutCommand | None = None
 
 
-class Chamber:
+class StagedActivation:
     def __init__(self, hold_s: float) -> None:
         self.hold_s = hold_s
-        self.held: dict[Key, Pass] = {}
-        self.passes: deque[Pass] = deque(maxlen=KEPT)  # the oldest first
-        self._orders: dict[Key, tuple[Order, float]] = {}
+        self.held: dict[Key, ItemActivation] = {}
+        self.passes: deque[ItemActivation] = deque(maxlen=KEPT)  # the oldest first
+        self._orders: dict[Key, tuple[RolloutCommand, float]] = {}
 
-    def know(self, now: float, key: Key, version: int, kind: Kind, first: bool, behind: bool) -> Pass:
+    def know(
+        self, now: float, key: Key, version: int, kind: ChangeKind, first: bool, behind: bool
+    ) -> ItemActivation:
         """A version has come that is higher than all before. ``first``: this sidecar is of its first part;
         ``behind``: it may have been known elsewhere for long. The pass is IN_FORCE where it is to be taken
         now, else KNOWN."""
@@ -72,13 +74,13 @@
             wait, why = 0.0, "this sidecar was behind: taken at once"
         elif first:
             wait, why = 0.0, "first part: taken at once"
-        elif ordered is Order.GO:
+        elif ordered is RolloutCommand.GO:
             wait, why = 0.0, "an operator's go: taken at once"
         elif len(self.held) >= MOST_HELD:
             wait, why = 0.0, f"{MOST_HELD} items are held already: taken at once"
         else:
             wait, why = self.hold_s, "waits for the first part"
-        one = Pass(key, version, kind, first, now, now + wait, why, ordered=ordered)
+        one = ItemActivation(key, version, kind, first, now, now + wait, why, ordered=ordered)
         before = self.held.pop(key, None)
         if before is not None:
             before.state, before.taken, before.why = State.OVERTAKEN, now, f"overtaken by r{version}"
@@ -91,11 +93,11 @@
             self.held[key] = one
         return one
 
-    def prepared(self, one: Pass) -> None:
+    def prepared(self, one: ItemActivation) -> None:
         if one.state is State.KNOWN:
             one.state = State.PREPARED
 
-    def due(self, now: float) -> list[Pass]:
+    def due(self, now: float) -> list[ItemActivation]:
         """Those whose latest instant has come; they are to be taken now."""
         found = [one for one in self.held.values() if one.latest <= now]
         for one in found:
@@ -105,24 +107,24 @@
     def next_due(self) -> float | None:
         return min((one.latest for one in self.held.values()), default=None)
 
-    def good(self, now: float, key: Key, version: int) -> Pass | None:
+    def good(self, now: float, key: Key, version: int) -> ItemActivation | None:
         """The first part's word is good. Gives what is to be taken now; None where there is nothing, or an
         operator holds it."""
         one = self.held.get(key)
-        if one is None or one.version != version or one.ordered is Order.HOLD:
+        if one is None or one.version != version or one.ordered is RolloutCommand.HOLD:
             return None
         return self._take(now, one, "the first part's word is good")
 
-    def order(self, now: float, key: Key, order: Order) -> Pass | None:
+    def order(self, now: float, key: Key, order: RolloutCommand) -> ItemActivation | None:
         """An operator's word for what is held back; gives it, IN_FORCE where it is to be taken now. None
         where nothing is held: it is in force already, and only a higher version changes that."""
         one = self.held.get(key)
         if one is None:
             return None
         one.ordered = order
-        return self._take(now, one, "an operator's go") if order is Order.GO else one
+        return self._take(now, one, "an operator's go") if order is RolloutCommand.GO else one
 
-    def order_next(self, now: float, key: Key, order: Order) -> None:
+    def order_next(self, now: float, key: Key, order: RolloutCommand) -> None:
         """For the next version of that item, within ORDER_S."""
         self._orders.pop(key, None)
         self._orders[key] = (order, now + ORDER_S)
@@ -135,11 +137,11 @@
             if one.state is State.IN_FORCE and one.taken <= before:
                 one.state = State.CONFIRMED
 
-    def _order(self, now: float, key: Key) -> Order | None:
+    def _order(self, now: float, key: Key) -> RolloutCommand | None:
         order, until = self._orders.pop(key, (None, 0.0))
         return order if now < until else None
 
-    def _take(self, now: float, one: Pass, why: str) -> Pass:
+    def _take(self, now: float, one: ItemActivation, why: str) -> ItemActivation:
         self.held.pop(one.key, None)
         one.state, one.taken, one.why = State.IN_FORCE, now, why
         return one
--- a/mesh/rollout/version_check.py
+++ b/mesh/rollout/version_check.py
@@ -13,7 +13,7 @@
 MOST = 4096  # routes that changed of late; a call by an older one is passed on
 
 
-class Newer:
+class VersionCheck:
     def __init__(self, bound_s: float) -> None:
         self.bound_s = bound_s
         self._known: OrderedDict[str, tuple[int, float]] = OrderedDict()
--- a/rigs/hollow/proxy.py
+++ b/rigs/hollow/proxy.py
@@ -22,9 +22,9 @@
 from mesh.membership.tombstones import Tombs
 from mesh.replication.items import Item, Key
 from mesh.replication.store import PAGE
-from mesh.rollout.change_kinds import Kind
-from mesh.rollout.report import MOST_NAMED, REPORT, REPORTS, Report, pack
-from mesh.rollout.staged_activation import Chamber, Pass, State
+from mesh.rollout.change_kinds import ChangeKind
+from mesh.rollout.report import MOST_NAMED, REPORT, REPORTS, RolloutReport, pack
+from mesh.rollout.staged_activation import ItemActivation, StagedActivation, State
 from mesh.transport.frames import Head
 from mesh.transport.link import Address
 from rigs.hollow.counting import Counts
@@ -103,7 +103,7 @@
         self.roll = HollowStore(self.life, MOST_ROLL, host.pool)
         self.reports = HollowStore(self.life, 1, host.pool)
         self.upstream = Upstream(self.node, self.zone, host.beat_s * 1000.0, 2000.0)
-        self.chamber, self.tombs = Chamber(host.hold_s), Tombs()
+        self.chamber, self.tombs = StagedActivation(host.hold_s), Tombs()
         self._controllers: dict[str, Address] = {}
         self._routes: set[Key] = set()
         self._beats, self._beat_at = 0, 0.0
@@ -233,14 +233,14 @@
         moved = item.key in self._routes
         self._routes.add(item.key)
         first = moved and self.host.first(self.node, item.name, item.version)
-        kind = Kind.MOVED if moved else Kind.ADDED
+        kind = ChangeKind.MOVED if moved else ChangeKind.ADDED
         one = self.chamber.know(now, item.key, item.version, kind, first, False)
         if one.state is State.IN_FORCE:
             self._in_force(now, one)
         self._arm()
         self._say_within(SAY_SOON_S if first else SAY_S)
 
-    def _in_force(self, now: float, one: Pass) -> None:
+    def _in_force(self, now: float, one: ItemActivation) -> None:
         self.host.note(self.host.forced, one.key[1], one.version, now)
 
     def _arm(self) -> None:
@@ -272,10 +272,10 @@
 
     def _say(self) -> None:
         self._saying = None
-        held: dict[Key, Pass] = self.chamber.held
+        held: dict[Key, ItemActivation] = self.chamber.held
         self._said_vector = self._vector()
         named = {key: held[key].version for key in list(held)[:MOST_NAMED]}
-        told = pack(Report(self._said_vector, named, len(held) - len(named), ()))
+        told = pack(RolloutReport(self._said_vector, named, len(held) - len(named), ()))
         if told == self._said:
             return
         self._said = told
--- a/rigs/stage_model.py
+++ b/rigs/stage_model.py
@@ -1,7 +1,7 @@
 """Stages in the small, for `statecheck`: two control processes, sidecars and two routes; news, reports and
 words that come in any order, late, twice or never; sidecars that crash, stand still and are cut off. What
-decides is the shipped code (`Chamber`, `Contact`, `Report`, `Newer`); the model is its host and its
-surroundings.
+decides is the shipped code (`StagedActivation`, `UpdateContact`, `RolloutReport`, `VersionCheck`); the model
+is its host and its surroundings.
 
 Time goes by ticks. What the rules promise of the surroundings is a guard of the tick: timers fire in time, an
 acknowledgement comes within ACK, and news reach a sidecar in touch within NEWS of it.
@@ -14,11 +14,11 @@
 from typing import Any, NamedTuple
 
 from mesh.replication.items import Item
-from mesh.rollout.change_kinds import STAGED, Kind
-from mesh.rollout.contact import Contact
-from mesh.rollout.report import Report
-from mesh.rollout.staged_activation import Chamber, Pass
-from mesh.rollout.version_check import Newer
+from mesh.rollout.change_kinds import STAGED, ChangeKind
+from mesh.rollout.contact import UpdateContact
+from mesh.rollout.report import RolloutReport
+from mesh.rollout.staged_activation import ItemActivation, StagedActivation
+from mesh.rollout.version_check import VersionCheck
 from statecheck import Model, Violation
 from statecheck.model import State
 
@@ -30,7 +30,7 @@
 class Change(NamedTuple):
     item: int
     version: int
-    kind: Kind
+    kind: ChangeKind
     core: int  # where the operator sends it
     until: int = 0  # at the latest
 
@@ -244,7 +244,7 @@
             return side._replace(broken="held: one that was behind held back")
         return side
 
-    def _use(self, side: Side, one: Pass) -> Side:
+    def _use(self, side: Side, one: ItemActivation) -> Side:
         item = int(one.key[1])
         broken = "" if one.version > side.force[item] else f"back: from {side.force[item]} to {one.version}"
         waits = NEVER if one.version >= side.known[item] else side.waits[item]
@@ -279,7 +279,7 @@
         if not told:
             return False
         _, known, held = told
-        report = Report(
+        report = RolloutReport(
             {f"i{at}": number for at, number in enumerate(known)}, {_key(at): v for at, v in held}, 0, ()
         )
         return report.has(Item("route", str(item), version, {}, f"i{item}", version))
@@ -307,7 +307,7 @@
                         if side.force[item] < version:
                             yield Violation("confirms", f"sidecar {at} confirms {item} r{version} in vain")
                 for other in sides:
-                    newer = Newer(float(SETTLE + ACK))
+                    newer = VersionCheck(float(SETTLE + ACK))
                     if other.known[item]:
                         newer.note(float(other.since[item]), str(item), other.known[item])
                     if side.touched < other.since[item] - CONTACT:
@@ -330,39 +330,41 @@
     return ("route", str(item))
 
 
-def _chamber(side: Side) -> Chamber:
-    chamber = Chamber(float(HOLD))
+def _chamber(side: Side) -> StagedActivation:
+    chamber = StagedActivation(float(HOLD))
     for item, version, latest, known in side.held:
-        one = Pass(_key(item), version, Kind.MOVED, False, float(known), float(latest), "")
+        one = ItemActivation(_key(item), version, ChangeKind.MOVED, False, float(known), float(latest), "")
         chamber.held[one.key] = one
     return chamber
 
 
-def _held(chamber: Chamber) -> tuple[tuple[int, int, int, int], ...]:
+def _held(chamber: StagedActivation) -> tuple[tuple[int, int, int, int], ...]:
     return tuple(
         (int(one.key[1]), one.version, int(one.latest), int(one.known)) for one in chamber.held.values()
     )
 
 
-def _contact(side: Side) -> Contact:
-    contact = Contact(float(NEWS), GAP)
+def _contact(side: Side) -> UpdateContact:
+    contact = UpdateContact(float(NEWS), GAP)
     contact._since, contact._looked = side.contact
     return contact
 
 
 SIZES = {
-    "two operators": Size((Change(0, 2, Kind.MOVED, 0), Change(0, 4, Kind.MOVED, 1, 1))),
-    "a change and its drop": Size((Change(0, 2, Kind.MOVED, 0), Change(0, 4, Kind.DROPPED, 0, 1))),
-    "two items": Size((Change(0, 2, Kind.MOVED, 0), Change(1, 2, Kind.BOUNDED, 1))),
-    "a crash": Size((Change(0, 2, Kind.MOVED, 0),), crashes=1, core_crashes=1, holders=2, until=5),
-    "a stand-still": Size((Change(0, 2, Kind.MOVED, 0),), stands=1),
-    "a cut": Size((Change(0, 2, Kind.MOVED, 0),), cuts=1),
+    "two operators": Size((Change(0, 2, ChangeKind.MOVED, 0), Change(0, 4, ChangeKind.MOVED, 1, 1))),
+    "a change and its drop": Size(
+        (Change(0, 2, ChangeKind.MOVED, 0), Change(0, 4, ChangeKind.DROPPED, 0, 1))
+    ),
+    "two items": Size((Change(0, 2, ChangeKind.MOVED, 0), Change(1, 2, ChangeKind.BOUNDED, 1))),
+    "a crash": Size((Change(0, 2, ChangeKind.MOVED, 0),), crashes=1, core_crashes=1, holders=2, until=5),
+    "a stand-still": Size((Change(0, 2, ChangeKind.MOVED, 0),), stands=1),
+    "a cut": Size((Change(0, 2, ChangeKind.MOVED, 0),), cuts=1),
 }
 LARGE = {
     "three sidecars, two operators, a crash": Size(
-        (Change(0, 2, Kind.MOVED, 0), Change(0, 4, Kind.MOVED, 1, 1)), sides=3, crashes=1, until=6
+        (Change(0, 2, ChangeKind.MOVED, 0), Change(0, 4, ChangeKind.MOVED, 1, 1)), sides=3, crashes=1, until=6
     ),
     "three sidecars, two items, a stand-still": Size(
-        (Change(0, 2, Kind.MOVED, 0), Change(1, 2, Kind.BOUNDED, 1)), sides=3, stands=1, until=6
+        (Change(0, 2, ChangeKind.MOVED, 0), Change(1, 2, ChangeKind.BOUNDED, 1)), sides=3, stands=1, until=6
     ),
 }
--- a/simulation/mesh/cuts.py
+++ b/simulation/mesh/cuts.py
@@ -14,7 +14,7 @@
 
 import simpy
 
-from mesh.configuration.commands import Change, decode_change
+from mesh.configuration.commands import ConfigurationWrite, decode_change
 from mesh.event_log.events import Event
 from mesh.replication.items import Key
 from mesh.replication.quorum_contact import BOUND_SHARE, OPEN_SHARE, Proof
@@ -157,7 +157,7 @@
         answer: Answer | None = yield from super().call(machine, method, body)
         if method == b"PATCH" and answer is not None and answer.status == 200:
             change = decode_change(body)
-            assert isinstance(change, Change)
+            assert isinstance(change, ConfigurationWrite)
             for write in change.writes:
                 acked = self.history.setdefault((write.kind, write.name), [])
                 acked.append((write.version, float(self.env.now)))
--- a/simulation/mesh/stage_seeds.py
+++ b/simulation/mesh/stage_seeds.py
@@ -10,63 +10,65 @@
 from mesh.data_plane.call_messages import Call, End, TurnedAway
 from mesh.data_plane.staged_routes import Stages
 from mesh.data_plane.upstream_dispatch import Running, UpstreamDispatch
-from mesh.rollout import bounds as lock_bounds
-from mesh.rollout.canary_selection import Draw
-from mesh.rollout.change_kinds import Kind
-from mesh.rollout.contact import Contact
-from mesh.rollout.report import Report
-from mesh.rollout.staged_activation import Chamber, Pass
-from mesh.rollout.version_check import Newer
+from mesh.rollout import bounds as rollout_bounds
+from mesh.rollout.canary_selection import CanarySelection
+from mesh.rollout.change_kinds import ChangeKind
+from mesh.rollout.contact import UpdateContact
+from mesh.rollout.report import RolloutReport
+from mesh.rollout.staged_activation import ItemActivation, StagedActivation
+from mesh.rollout.version_check import VersionCheck
 from simulation.mesh.seeds import Patch
 
 
 def hold_beyond_the_bound(patch: Patch) -> None:
-    patch.setattr(lock_bounds, "HOLD_SHARE", 0.5)
+    patch.setattr(rollout_bounds, "HOLD_SHARE", 0.5)
     patch.setattr(Stages, "told", lambda self, head: None)  # a good word would end it sooner
     patch.setattr(
-        Chamber, "next_due", lambda self: min((p.latest + 1.6 for p in self.held.values()), default=None)
+        StagedActivation,
+        "next_due",
+        lambda self: min((p.latest + 1.6 for p in self.held.values()), default=None),
     )
 
 
 def hold_begun_anew_by_each_version(patch: Patch) -> None:
-    real = Chamber.know
+    real = StagedActivation.know
 
-    def know(self: Chamber, *args: Any) -> Pass:
+    def know(self: StagedActivation, *args: Any) -> ItemActivation:
         self.held.pop(args[1], None)
         return real(self, *args)
 
-    patch.setattr(Chamber, "know", know)
+    patch.setattr(StagedActivation, "know", know)
 
 
 def goes_back_when_overtaken(patch: Patch) -> None:
-    real = Chamber.know
+    real = StagedActivation.know
 
-    def know(self: Chamber, *args: Any) -> Pass:
+    def know(self: StagedActivation, *args: Any) -> ItemActivation:
         before = self.held.get(args[1])
         one = real(self, *args)
         if before is not None:
             self.held.setdefault((args[1][0], args[1][1]), before)
         return one
 
-    def use(self: Stages, now: float, one: Pass) -> None:
+    def use(self: Stages, now: float, one: ItemActivation) -> None:
         item = self._charter.items[one.key]
         assert item.value is not None
         self._routes.put(read_route(item.name, one.version, dict(item.value)))
 
-    patch.setattr(Chamber, "know", know)
+    patch.setattr(StagedActivation, "know", know)
     patch.setattr(Stages, "_use", use)
 
 
 def first_part_is_empty(patch: Patch) -> None:
-    patch.setattr(Draw, "first", lambda self, kind, name, version: frozenset())
+    patch.setattr(CanarySelection, "first", lambda self, kind, name, version: frozenset())
 
 
 def first_part_is_all(patch: Patch) -> None:
-    patch.setattr(Draw, "first", lambda self, kind, name, version: self.nodes)
+    patch.setattr(CanarySelection, "first", lambda self, kind, name, version: self.nodes)
 
 
 def confirms_what_is_held_back(patch: Patch) -> None:
-    patch.setattr(Report, "has", lambda self, item: self.vector.get(item.source, 0) >= item.number)
+    patch.setattr(RolloutReport, "has", lambda self, item: self.vector.get(item.source, 0) >= item.number)
 
 
 def names_any_eight_with_a_new_vector(patch: Patch) -> None:
@@ -82,7 +84,7 @@
 
 def second_hop_turns_away_too_early(patch: Patch) -> None:
     patch.setattr(
-        Newer,
+        VersionCheck,
         "outdated",
         lambda self, now, name, version, age_s: self._known.get(name, (0, 0.0))[0] > version,
     )
@@ -100,13 +102,15 @@
 
 
 def drops_are_held_back(patch: Patch) -> None:
-    real = Chamber.know
+    real = StagedActivation.know
 
-    def know(self: Chamber, now: float, key: Any, version: int, kind: Any, first: bool, behind: bool) -> Pass:
-        return real(self, now, key, version, Kind.MOVED, first, behind)
+    def know(
+        self: StagedActivation, now: float, key: Any, version: int, kind: Any, first: bool, behind: bool
+    ) -> ItemActivation:
+        return real(self, now, key, version, ChangeKind.MOVED, first, behind)
 
-    patch.setattr(Chamber, "know", know)
+    patch.setattr(StagedActivation, "know", know)
 
 
 def behind_is_not_noticed(patch: Patch) -> None:
-    patch.setattr(Contact, "behind", lambda self, now: False)
+    patch.setattr(UpdateContact, "behind", lambda self, now: False)
--- a/simulation/mesh/witness.py
+++ b/simulation/mesh/witness.py
@@ -13,7 +13,7 @@
 import msgspec
 import simpy
 
-from mesh.configuration.commands import INPUT_LIMITS, PLANT, ROUTE, Change, decode_change
+from mesh.configuration.commands import INPUT_LIMITS, PLANT, ROUTE, ConfigurationWrite, decode_change
 from mesh.replication.acceptor import Number, Settled, Vote, digest_of
 from mesh.replication.items import Item, Key, content
 from mesh.replication.membership_epochs import View
@@ -56,7 +56,7 @@
 
     def sends(self, body: bytes, valid: bool) -> None:
         change = decode_change(body)
-        if valid and isinstance(change, Change):
+        if valid and isinstance(change, ConfigurationWrite):
             for write in change.writes:
                 told = content(Item(write.kind, write.name, write.version, write.value))
                 key = (write.kind, write.name)
@@ -87,7 +87,7 @@
 
     def _acknowledged(self, machine: Machine, body: bytes) -> None:
         change = decode_change(body)
-        if not isinstance(change, Change):
+        if not isinstance(change, ConfigurationWrite):
             self._say(f"{machine.name} acknowledged what cannot be read")
             return
         now = float(self.world.env.now)
@@ -139,7 +139,7 @@
             return
         self.rivalled.add(body)
         change = decode_change(body)
-        writes = change.writes if isinstance(change, Change) else ()
+        writes = change.writes if isinstance(change, ConfigurationWrite) else ()
         numbers = {(write.kind, write.name, write.version): write.value for write in writes}
         if not any(self._decided_otherwise(number, value) for number, value in numbers.items()):
             self._say(f"{machine.name} answers 409, and no number is decided otherwise")
@@ -165,7 +165,7 @@
 
     def _read(self, machine: Machine, body: bytes, began: float) -> None:
         change = decode_change(b'{"apply":' + body + b"}")
-        if not isinstance(change, Change):
+        if not isinstance(change, ConfigurationWrite):
             self._say(f"{machine.name}: its answer to GET cannot be read: {body[:80]!r}")
             return
         found = {(write.kind, write.name): write for write in change.writes}
--- a/tests/mesh/test_cli_bearing.py
+++ b/tests/mesh/test_cli_bearing.py
@@ -11,16 +11,16 @@
 
 from mesh.cli.bearing import FEW, Facts, after, differences, judged
 from mesh.cli.config import as_call
-from mesh.configuration.commands import Change, decode_change
+from mesh.configuration.commands import ConfigurationWrite, decode_change
 from mesh.replication.items import Item, Key
 from rigs.mesh_peers import change, route
 
 FACTS = Facts({"red": 2, "blue": 1}, ratios=(0.2,))
 
 
-def call(body: Mapping[str, Any]) -> Change:
+def call(body: Mapping[str, Any]) -> ConfigurationWrite:
     decoded = decode_change(json.dumps(body).encode())
-    assert isinstance(decoded, Change), decoded
+    assert isinstance(decoded, ConfigurationWrite), decoded
     return decoded
 
 
--- a/tests/mesh/test_cli_judge.py
+++ b/tests/mesh/test_cli_judge.py
@@ -10,7 +10,7 @@
 
 from mesh.cli import shape, text
 from mesh.cli.judge import CLOCK_S, findings
-from mesh.cli.view import Process, View, newest, read_items
+from mesh.cli.mesh_snapshot import MeshSnapshot, Process, newest, read_items
 from mesh.data_plane.membership import CONTROLLER, PROXY
 
 CHARTER = {"items": 9, "dropped": 1, "digest": "a" * 16}
@@ -34,7 +34,7 @@
     return Process(f"side-{at}", (f"10.1.{at // 250}.{at % 250}", 7), {**told, **fields})
 
 
-def view(*processes: Process) -> View:
+def snapshot(*processes: Process) -> MeshSnapshot:
     nodes = {
         p.name: {"role": CONTROLLER if p.name.startswith("core") else PROXY, "zone": "z"} for p in processes
     }
@@ -48,7 +48,7 @@
         }
         for p in sides
     }
-    return View(processes, nodes, instances)
+    return MeshSnapshot(processes, nodes, instances)
 
 
 SOUND = (core(0), core(1), core(2), side(0), side(1), side(2))
@@ -64,7 +64,7 @@
 
 
 def test_nothing_is_found_where_all_is_as_it_should_be() -> None:
-    assert findings(view(*SOUND)) == []
+    assert findings(snapshot(*SOUND)) == []
 
 
 @pytest.mark.parametrize(
@@ -91,32 +91,34 @@
 ) -> None:
     processes = list(SOUND)
     processes[at] = spoil(processes[at])
-    found = findings(view(*processes))
+    found = findings(snapshot(*processes))
     assert [(one.kind, one.subject) for one in found] == [(kind, subject)]
     assert found[0].mend and "\n" not in found[0].line()
 
 
 def test_an_instance_whose_node_nobody_knows_is_found() -> None:
-    there = view(*SOUND)
+    there = snapshot(*SOUND)
     nodes = {name: value for name, value in there.nodes.items() if name != "side-1"}
-    found = findings(View(tuple(p for p in SOUND if p.name != "side-1"), nodes, there.instances))
+    found = findings(MeshSnapshot(tuple(p for p in SOUND if p.name != "side-1"), nodes, there.instances))
     assert [(one.kind, one.subject) for one in found] == [("instance without node", "i-1")]
 
 
 def test_a_core_that_is_wholly_out_of_reach_is_found_first() -> None:
-    found = findings(view(*[silent(p) for p in SOUND[:3]], *SOUND[3:]))
+    found = findings(snapshot(*[silent(p) for p in SOUND[:3]], *SOUND[3:]))
     assert found[0].kind == "core out of reach"
 
 
 def test_a_clock_that_the_wait_for_the_answer_may_explain_is_not_found() -> None:
     near = [replace(p, ahead_s=5.0, within_s=0.0) for p in SOUND]  # this process's own clock is off
     near[3] = replace(near[3], ahead_s=5.0 + CLOCK_S + 1.0, within_s=1.5)
-    assert findings(view(*near)) == []
+    assert findings(snapshot(*near)) == []
 
 
 def test_what_counts_is_what_the_core_holds_even_where_most_are_behind() -> None:
     old = {**CHARTER, "items": 8, "digest": "b" * 16}
-    found = findings(view(*SOUND[:3], *[told(p, charter=old) for p in SOUND[3:]], told(side(3), charter=old)))
+    found = findings(
+        snapshot(*SOUND[:3], *[told(p, charter=old) for p in SOUND[3:]], told(side(3), charter=old))
+    )
     assert {(one.kind, one.subject) for one in found} == {("behind", f"side-{at}") for at in range(4)}
 
 
@@ -127,7 +129,7 @@
     for at in range(503, 603):
         digest = f"{at % 30:016x}"
         processes[at] = told(processes[at], charter={**CHARTER, "digest": digest}, upstream=None)
-    there = view(*processes)
+    there = snapshot(*processes)
     lines = shape.status(there, findings(there))
     assert len(lines) <= 50 and max(map(len, lines)) <= 100
     assert lines[0].startswith("NOT AS IT SHOULD BE") and lines[1].split()[:3] == ["member", "missing", "1"]
@@ -153,7 +155,7 @@
         Process("b", ("h", 2), {"role": CONTROLLER, "members": 3, "charter": [], "unknown": 4}),
         Process("c", ("h", 3), {"role": PROXY, "upstream": 3, "beat_ms": "x", "node": 7}),
     ]
-    there = View(tuple(odd), {"a": {}, "b": {"role": 3}}, {"i": {"plant": None}})
+    there = MeshSnapshot(tuple(odd), {"a": {}, "b": {"role": 3}}, {"i": {"plant": None}})
     assert findings(there) and shape.status(there, findings(there))
     assert read_items([["k", "n", 1, None], ["k", "n"], 3, ["k", "n", "1", None], [1, "n", 1, {}]]) != []
     assert read_items({"no": "list"}) == []
--- a/tests/mesh/test_cli_write_client.py
+++ b/tests/mesh/test_cli_write_client.py
@@ -9,7 +9,7 @@
 
 from anisestair.http import codec as http
 from mesh.cli import write_client
-from mesh.cli.write_client import PAUSE_S, Outcome, Taken, Turned, Unclear, send
+from mesh.cli.write_client import PAUSE_S, Accepted, Indeterminate, Outcome, Rejected, send
 from mesh.transport.http_calls import Answer, Desk
 
 BODY = b'{"apply": {}}'
@@ -65,7 +65,7 @@
 
 def test_it_goes_on_after_failures_with_a_growing_pause_and_is_the_same_each_time() -> None:
     outcome, core = play([Answer(503), Answer(429), Answer(429)], [Answer(408), Answer(429), Answer(200)])
-    assert isinstance(outcome, Taken) and outcome.tries == 6
+    assert isinstance(outcome, Accepted) and outcome.tries == 6
     assert [at for at, _ in core.calls] == [0, 1, 0, 1, 0, 1] and {body for _, body in core.calls} == {BODY}
     assert core.pauses == [PAUSE_S * wait for wait in (1, 2, 4, 8, 10)]
 
@@ -73,20 +73,20 @@
 @pytest.mark.parametrize("status", [400, 409, 412, 413, 422])
 def test_a_clear_no_ends_it_at_once(status: int) -> None:
     outcome, core = play([Answer(status, b'{"error": "route r: bad"}')], [Answer(200)])
-    assert outcome == Turned(status, "route r: bad") and len(core.calls) == 1
+    assert outcome == Rejected(status, "route r: bad") and len(core.calls) == 1
 
 
 def test_another_4xx_ends_it_at_the_third() -> None:
     outcome, core = play([Answer(404)], [Answer(403)])
-    assert isinstance(outcome, Turned) and len(core.calls) == 3
+    assert isinstance(outcome, Rejected) and len(core.calls) == 3
 
 
 def test_redirections_are_followed_twice_and_no_further() -> None:
     outcome, core = play([Answer(307, location="1")], [Answer(307, location="2")], [Answer(200)])
-    assert isinstance(outcome, Taken) and [at for at, _ in core.calls] == [0, 1, 2]
+    assert isinstance(outcome, Accepted) and [at for at, _ in core.calls] == [0, 1, 2]
     on = [[Answer(307, location=f"{at + 1}")] for at in range(3)]
     outcome, core = play(*on, [Answer(200)])
-    assert isinstance(outcome, Taken) and [at for at, _ in core.calls] == [0, 1, 2, 1, 2, 3]
+    assert isinstance(outcome, Accepted) and [at for at, _ in core.calls] == [0, 1, 2, 1, 2, 3]
 
 
 def test_silence_is_left_behind_and_nobody_at_all_is_told_apart_from_no_clear_answer(
@@ -94,8 +94,8 @@
 ) -> None:
     monkeypatch.setattr(write_client, "SILENCE_S", 0.05)
     outcome, core = play([None], [Answer(200)])
-    assert isinstance(outcome, Taken) and [at for at, _ in core.calls] == [0, 1]
+    assert isinstance(outcome, Accepted) and [at for at, _ in core.calls] == [0, 1]
     outcome, _ = play([None], within_s=0.1)
-    assert isinstance(outcome, Unclear) and not outcome.heard
+    assert isinstance(outcome, Indeterminate) and not outcome.heard
     outcome, _ = play([Answer(503, b'{"error": "too few"}')], within_s=0.15)
-    assert outcome == Unclear("503: too few", True)
+    assert outcome == Indeterminate("503: too few", True)
--- a/tests/mesh/test_configuration_commands.py
+++ b/tests/mesh/test_configuration_commands.py
@@ -10,7 +10,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mesh.configuration.commands import DEPTH_MOST, ITEMS_MOST, Change, Invalid, Write, decode_change
+from mesh.configuration.commands import (
+    DEPTH_MOST,
+    ITEMS_MOST,
+    ConfigurationWrite,
+    Invalid,
+    ItemWrite,
+    decode_change,
+)
 
 CALL: dict[str, Any] = {
     "apply": {
@@ -54,7 +61,7 @@
 MISSING = object()
 
 
-def decoded(call: Any) -> Change | Invalid:
+def decoded(call: Any) -> ConfigurationWrite | Invalid:
     return decode_change(json.dumps(call).encode())
 
 
@@ -75,29 +82,29 @@
 def test_a_call_becomes_writes_with_values_as_sent() -> None:
     rules = CALL["apply"]["input_ports"][0]["control_law"]
     plants = CALL["apply"]["plant_groups"]
-    assert decoded(CALL) == Change(
+    assert decoded(CALL) == ConfigurationWrite(
         (
-            Write("input_limits", "input_limits", 7, CALL["apply"]["input_limits"]),
-            Write("route", "r-split", 7, {**rules[0], "host": "a.example"}),
-            Write("route", "r-one", 12, {**rules[1], "host": "a.example"}),
-            Write("plant", "p1", 7, plants[0]),
-            Write("plant", "p2", 7, plants[1]),
-            Write("route", "r-old", 9, None),
-            Write("plant", "p-old", 3, None),
+            ItemWrite("input_limits", "input_limits", 7, CALL["apply"]["input_limits"]),
+            ItemWrite("route", "r-split", 7, {**rules[0], "host": "a.example"}),
+            ItemWrite("route", "r-one", 12, {**rules[1], "host": "a.example"}),
+            ItemWrite("plant", "p1", 7, plants[0]),
+            ItemWrite("plant", "p2", 7, plants[1]),
+            ItemWrite("route", "r-old", 9, None),
+            ItemWrite("plant", "p-old", 3, None),
         )
     )
 
 
 @pytest.mark.parametrize("call", [{}, {"apply": None, "remove": {}}, {"apply": {"input_ports": []}}])
 def test_any_part_may_be_missing(call: Any) -> None:
-    assert decoded(call) == Change(())
+    assert decoded(call) == ConfigurationWrite(())
 
 
 @pytest.mark.parametrize("part", ["plants", "plant_groups"])
 def test_services_are_dropped_under_either_name(part: str) -> None:
     drops = {part: [{"name": "p", "epoch": "r2"}], "input_limits": [{"epoch": "r8"}]}
-    assert decoded({"remove": drops}) == Change(
-        (Write("plant", "p", 2, None), Write("input_limits", "input_limits", 8, None))
+    assert decoded({"remove": drops}) == ConfigurationWrite(
+        (ItemWrite("plant", "p", 2, None), ItemWrite("input_limits", "input_limits", 8, None))
     )
 
 
@@ -209,7 +216,7 @@
     ],
 )
 def test_what_lies_just_within_the_bounds_is_taken(path: str, value: Any) -> None:
-    assert isinstance(decoded(changed(path, value)), Change)
+    assert isinstance(decoded(changed(path, value)), ConfigurationWrite)
 
 
 @pytest.mark.parametrize(
@@ -245,12 +252,12 @@
             value = [value]
         return {"apply": {"plant_groups": [{"name": "p", "epoch": "r1", "x": value}]}}
 
-    assert isinstance(decoded(nested(DEPTH_MOST - 1)), Change)
+    assert isinstance(decoded(nested(DEPTH_MOST - 1)), ConfigurationWrite)
     fault = decoded(nested(DEPTH_MOST))
     assert isinstance(fault, Invalid) and "deep" in fault.line()
 
 
-def drop_and_set(dropped: str, set_at: str) -> Change | Invalid:
+def drop_and_set(dropped: str, set_at: str) -> ConfigurationWrite | Invalid:
     plant = {"name": "p", "epoch": set_at}
     return decoded(
         {"apply": {"plant_groups": [plant]}, "remove": {"plants": [{"name": "p", "epoch": dropped}]}}
@@ -258,8 +265,10 @@
 
 
 def test_of_one_name_twice_the_higher_version_holds_by_number() -> None:
-    assert drop_and_set("r9", "r10") == Change((Write("plant", "p", 10, {"name": "p", "epoch": "r10"}),))
-    assert drop_and_set("r10", "r9") == Change((Write("plant", "p", 10, None),))
+    assert drop_and_set("r9", "r10") == ConfigurationWrite(
+        (ItemWrite("plant", "p", 10, {"name": "p", "epoch": "r10"}),)
+    )
+    assert drop_and_set("r10", "r9") == ConfigurationWrite((ItemWrite("plant", "p", 10, None),))
 
 
 def test_one_version_with_two_contents_is_invalid_and_the_same_again_is_not() -> None:
@@ -267,13 +276,15 @@
     assert isinstance(fault, Invalid) and (fault.item, fault.field) == ("plant p", "epoch")
     plant = {"name": "p", "epoch": "r1"}
     assert isinstance(decoded({"apply": {"plant_groups": [plant, {**plant, "tls": True}]}}), Invalid)
-    assert decoded({"apply": {"plant_groups": [plant, plant]}}) == Change((Write("plant", "p", 1, plant),))
+    assert decoded({"apply": {"plant_groups": [plant, plant]}}) == ConfigurationWrite(
+        (ItemWrite("plant", "p", 1, plant),)
+    )
 
 
 def test_a_call_holds_as_many_items_as_the_bound_and_no_more() -> None:
     names = [{"name": f"r{index}", "epoch": "r1"} for index in range(ITEMS_MOST)]
     whole = decoded({"remove": {"routes": names}})
-    assert isinstance(whole, Change) and len(whole.writes) == ITEMS_MOST == 20_000
+    assert isinstance(whole, ConfigurationWrite) and len(whole.writes) == ITEMS_MOST == 20_000
     fault = decoded({"remove": {"routes": names, "plants": names[:1]}})
     assert isinstance(fault, Invalid) and "20000 items" in fault.line()
 
@@ -298,11 +309,11 @@
 @settings(max_examples=150, deadline=None)
 @given(body=st.binary(max_size=60) | JSON.map(lambda value: json.dumps(value).encode()))
 def test_no_bytes_raise(body: bytes) -> None:
-    assert isinstance(decode_change(body), (Change, Invalid))
+    assert isinstance(decode_change(body), (ConfigurationWrite, Invalid))
 
 
 @settings(max_examples=300, deadline=None)
 @given(path=st.sampled_from(PLACES), value=JSON)
 def test_no_value_in_any_place_raises(path: str, value: Any) -> None:
     answer = decoded(changed(path, value))
-    assert isinstance(answer, Change) or answer.line().isprintable()
+    assert isinstance(answer, ConfigurationWrite) or answer.line().isprintable()
--- a/tests/mesh/test_configuration_read_back.py
+++ b/tests/mesh/test_configuration_read_back.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mesh.configuration.commands import Change, Write, decode_change
+from mesh.configuration.commands import ConfigurationWrite, ItemWrite, decode_change
 from mesh.configuration.read_back import render
 from mesh.configuration.routes import Routes, read_route
 from mesh.configuration.validation import check
@@ -70,13 +70,13 @@
 LIMITS = st.none() | items({}, {"header_bytes": NUMBERS, "quiescent_ms": NUMBERS})
 
 
-def rendered(change: Change) -> bytes:
+def rendered(change: ConfigurationWrite) -> bytes:
     return render(
         (write.kind, write.name, write.version, write.value) for write in change.writes if write.value
     )
 
 
-def named(writes: tuple[Write, ...]) -> dict[tuple[str, str], Write]:
+def named(writes: tuple[ItemWrite, ...]) -> dict[tuple[str, str], ItemWrite]:
     return {(write.kind, write.name): write for write in writes}
 
 
@@ -92,10 +92,10 @@
         ]
     sent = {"input_limits": limits, "input_ports": ports, "plant_groups": plants}
     first = decode_change(json.dumps({"apply": sent}).encode())
-    assert isinstance(first, Change)
+    assert isinstance(first, ConfigurationWrite)
     body = rendered(first)
     again = decode_change(b'{"apply":' + body + b"}")
-    assert isinstance(again, Change)
+    assert isinstance(again, ConfigurationWrite)
     assert named(again.writes) == named(first.writes)
 
     answer = json.loads(body)
@@ -111,7 +111,7 @@
 
     mixed = list(first.writes)
     order.shuffle(mixed)
-    assert rendered(Change(tuple(mixed))) == body
+    assert rendered(ConfigurationWrite(tuple(mixed))) == body
 
 
 def test_nothing_standing_is_rendered_as_empty_lists() -> None:
@@ -140,7 +140,7 @@
     ports = [{"host": f"h{at}.example", "control_law": rules[at * 400 : at * 400 + 400]} for at in range(10)]
     plants = [{"name": f"p{index}", "epoch": "r1"} for index in range(40)]
     change = decode_change(json.dumps({"apply": {"input_ports": ports, "plant_groups": plants}}).encode())
-    assert isinstance(change, Change) and check(change, lambda kind, name: None) is None
+    assert isinstance(change, ConfigurationWrite) and check(change, lambda kind, name: None) is None
     routes = Routes()
     for write in change.writes:
         if write.kind == "route" and write.value:
--- a/tests/mesh/test_configuration_routes.py
+++ b/tests/mesh/test_configuration_routes.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mesh.configuration.routes import Route, Routes, RoutesFull, fold_host, pick, read_route
+from mesh.configuration.routes import Route, Routes, RoutesFullError, fold_host, pick, read_route
 
 
 def route(name: str, prefix: str, version: int = 1, host: str = "a.example") -> Route:
@@ -121,7 +121,7 @@
     routes = Routes(most=2)
     routes.put(route("a", "/a/"))
     routes.put(route("b", "/b/"))
-    with pytest.raises(RoutesFull, match="drop some"):
+    with pytest.raises(RoutesFullError, match="drop some"):
         routes.put(route("c", "/c/"))
     routes.put(route("a", "/moved/", 2))
     assert routes.names() == {"a", "b"} and routes.find("a.example", "/a/") is None
--- a/tests/mesh/test_configuration_validation.py
+++ b/tests/mesh/test_configuration_validation.py
@@ -6,28 +6,28 @@
 
 import pytest
 
-from mesh.configuration.commands import Change, Invalid, Write
+from mesh.configuration.commands import ConfigurationWrite, Invalid, ItemWrite
 from mesh.configuration.validation import check
 
 Standing = dict[tuple[str, str], tuple[int, dict[str, Any] | None]]
 
 
-def route(version: int, *services: str) -> Write:
+def route(version: int, *services: str) -> ItemWrite:
     split = [{"plant": service, "gain": index} for index, service in enumerate(services)]
     response = {"plant": services[0]} if len(services) == 1 else {"distribution": split}
-    return Write("route", "r", version, {"name": "r", "response": response})
+    return ItemWrite("route", "r", version, {"name": "r", "response": response})
 
 
-def plant(version: int, name: str = "p") -> Write:
-    return Write("plant", name, version, {"name": name})
+def plant(version: int, name: str = "p") -> ItemWrite:
+    return ItemWrite("plant", name, version, {"name": name})
 
 
-def drop(version: int) -> Write:
-    return Write("plant", "p", version, None)
+def drop(version: int) -> ItemWrite:
+    return ItemWrite("plant", "p", version, None)
 
 
-def judged(standing: Standing, *writes: Write) -> Invalid | None:
-    return check(Change(writes), lambda kind, name: standing.get((kind, name)))
+def judged(standing: Standing, *writes: ItemWrite) -> Invalid | None:
+    return check(ConfigurationWrite(writes), lambda kind, name: standing.get((kind, name)))
 
 
 STANDS: Standing = {("plant", "p"): (5, {"name": "p"})}
@@ -45,12 +45,12 @@
         (DROPPED, [route(1, "p"), plant(6)]),
         (DROPPED | {("route", "r"): (3, {})}, [route(3, "p")]),  # changes nothing
         (DROPPED | {("route", "r"): (3, None)}, [route(2, "p")]),
-        ({}, [Write("route", "r", 1, None), drop(2)]),
+        ({}, [ItemWrite("route", "r", 1, None), drop(2)]),
         (STANDS | {("route", "r"): (3, route(3, "p").value)}, [drop(6)]),  # routes outside of the call stay
     ],
 )
 def test_routes_that_lead_somewhere_or_change_nothing_are_taken(
-    standing: Standing, writes: list[Write]
+    standing: Standing, writes: list[ItemWrite]
 ) -> None:
     assert judged(standing, *writes) is None
 
@@ -60,14 +60,14 @@
     [
         ({}, [route(1, "p")]),
         ({("route", "p"): (1, {})}, [route(1, "p")]),  # a route of that name is no service
-        ({}, [Write("route", "p", 1, route(1, "p").value), route(1, "p")][::-1]),
+        ({}, [ItemWrite("route", "p", 1, route(1, "p").value), route(1, "p")][::-1]),
         (DROPPED, [route(1, "p")]),
         (STANDS, [route(1, "p"), drop(6)]),
         ({}, [drop(6), route(1, "p")]),
         ({("route", "r"): (3, {})}, [plant(1, "q"), route(4, "p")]),
     ],
 )
-def test_an_unknown_service_is_named_with_its_route(standing: Standing, writes: list[Write]) -> None:
+def test_an_unknown_service_is_named_with_its_route(standing: Standing, writes: list[ItemWrite]) -> None:
     fault = judged(standing, *writes)
     assert fault is not None
     assert fault.line() == "route r: response.plant names the unknown service p; set it in plant_groups"
--- a/tests/mesh/test_data_plane_client_connection.py
+++ b/tests/mesh/test_data_plane_client_connection.py
@@ -10,7 +10,7 @@
 import pytest
 
 from anisestair.http import codec as http
-from mesh.configuration.limits import Limits
+from mesh.configuration.limits import InputLimits
 from mesh.configuration.routes import Routes, read_route
 from mesh.data_plane.client_connection import AT_ONCE, Outlet, Outlets
 from mesh.data_plane.peer_calls import Passage
@@ -271,7 +271,7 @@
 
 def test_a_body_beyond_the_bound_is_413_and_runs_nowhere() -> None:
     async def test(sidecar: Sidecar) -> None:
-        sidecar.outlets.keep_to(Limits(body=10))
+        sidecar.outlets.keep_to(InputLimits(body=10))
         client = await sidecar.client()
         assert (await client.ask("a1", body=b"x" * 10)).status == 200
         assert (await client.ask("a2", body=b"x" * 11)).status == 413
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -14,7 +14,7 @@
 from anisestair.http.frontend import EXIT_S, IDLE_S
 from mesh.admission.buffer_budget import LONG_SHARE, SHORT, Holding
 from mesh.admission.final_check import DRAIN_SHARE, Why
-from mesh.configuration.limits import HEAD_BESIDE, MOST_HEAD, Limits, read_limits
+from mesh.configuration.limits import HEAD_BESIDE, MOST_HEAD, InputLimits, read_limits
 from mesh.data_plane.call_messages import End, Returned, TurnedAway
 from mesh.data_plane.program import EXIT_S as BEFORE_KILL_S
 from mesh.data_plane.program import NOTICE_S
@@ -26,8 +26,8 @@
 
 
 def test_figures_that_are_missing_have_their_defaults_and_none_is_taken_beyond_its_bound() -> None:
-    assert read_limits(None) == read_limits({"header_bytes": None}) == Limits()
-    assert read_limits(TOLD) == Limits(65536 + HEAD_BESIDE, 12 << 20, 3.25, 15.0)
+    assert read_limits(None) == read_limits({"header_bytes": None}) == InputLimits()
+    assert read_limits(TOLD) == InputLimits(65536 + HEAD_BESIDE, 12 << 20, 3.25, 15.0)
     assert read_limits({"header_bytes": 1e12}).head == MOST_HEAD + HEAD_BESIDE
 
 
--- a/tests/mesh/test_duty_carried.py
+++ b/tests/mesh/test_duty_carried.py
@@ -11,7 +11,7 @@
 import pytest
 
 from mesh.cli import shape
-from mesh.cli.view import Process, View
+from mesh.cli.mesh_snapshot import MeshSnapshot, Process
 from mesh.control_plane.leases import LIVELY_S, MOST_DROPPED, ROUND_S, Duties
 from mesh.data_plane.membership import CONTROLLER, INSTANCE, NODE, PROXY, Membership
 from mesh.data_plane.peer_calls import Passage
@@ -340,8 +340,10 @@
         return Process(name, (name, 1), {"node": name, "role": CONTROLLER, **told})
 
     old, new = ({REAPING: {"epoch": epoch, "holder": f"c{epoch}", "here": True}} for epoch in (3, 12))
-    view = View((core("c1", duties=new), core("c2", duties=old), core("c3"), core("c4", duties={REAPING: 7})))
+    view = MeshSnapshot(
+        (core("c1", duties=new), core("c2", duties=old), core("c3"), core("c4", duties={REAPING: 7}))
+    )
     assert shape.duties(view) == ["duties      reaping by c12, epoch 12"]
     assert shape.duties(view)[0] in shape.status(view, [])
     nobody = {REAPING: {"epoch": 0, "holder": "", "here": False}}
-    assert shape.duties(View((core("c1", duties=nobody),))) == []
+    assert shape.duties(MeshSnapshot((core("c1", duties=nobody),))) == []
--- a/tests/mesh/test_rollout.py
+++ b/tests/mesh/test_rollout.py
@@ -12,16 +12,33 @@
 
 from mesh.configuration.routes import Route
 from mesh.replication.items import Item
-from mesh.rollout import staged_activation as chamber_module
+from mesh.rollout import staged_activation as activation_module
 from mesh.rollout import version_check as newer_module
 from mesh.rollout.bounds import CALLER_S, derive
-from mesh.rollout.canary_selection import Draw
-from mesh.rollout.canary_verdict import LOOKS, MOST_ROUTES, MOST_WATCHED, WATCH_S, Tally, Watch, sound, worse
-from mesh.rollout.change_kinds import STAGED, Kind, kind_of
-from mesh.rollout.contact import GAP_S, Contact
-from mesh.rollout.report import MOST_NAMED, Count, Report, pack, read
-from mesh.rollout.staged_activation import KEPT, MOST_ORDERS, ORDER_S, Chamber, Order, Pass, State
-from mesh.rollout.version_check import Newer
+from mesh.rollout.canary_selection import CanarySelection
+from mesh.rollout.canary_verdict import (
+    LOOKS,
+    MOST_ROUTES,
+    MOST_WATCHED,
+    WATCH_S,
+    CanaryMonitor,
+    Tally,
+    sound,
+    worse,
+)
+from mesh.rollout.change_kinds import STAGED, ChangeKind, kind_of
+from mesh.rollout.contact import GAP_S, UpdateContact
+from mesh.rollout.report import MOST_NAMED, CanaryCounts, RolloutReport, pack, read
+from mesh.rollout.staged_activation import (
+    KEPT,
+    MOST_ORDERS,
+    ORDER_S,
+    ItemActivation,
+    RolloutCommand,
+    StagedActivation,
+    State,
+)
+from mesh.rollout.version_check import VersionCheck
 
 READ = Route("a", 1, "h", "/a/", False, 1000.0, 400.0, 3, 1, (("p", 1.0),))
 
@@ -44,19 +61,19 @@
 
 def test_what_can_hurt_goes_in_stages_and_nothing_else() -> None:
     kinds = {
-        Kind.ADDED: (None, READ),
-        Kind.DROPPED: (READ, None),
-        Kind.PLACED: (READ, replace(READ, prefix="/b/", split=(("q", 1.0),))),
-        Kind.ONCE: (READ, replace(READ, effectful=True, split=(("q", 1.0),))),
-        Kind.MOVED: (READ, replace(READ, split=(("p", 0.9), ("q", 0.1)))),
-        Kind.BOUNDED: (READ, replace(READ, horizon_ms=900.0)),
-        Kind.RANKED: (READ, replace(READ, aim_ms=100.0, priority=3, version=2)),
+        ChangeKind.ADDED: (None, READ),
+        ChangeKind.DROPPED: (READ, None),
+        ChangeKind.PLACED: (READ, replace(READ, prefix="/b/", split=(("q", 1.0),))),
+        ChangeKind.ONCE: (READ, replace(READ, effectful=True, split=(("q", 1.0),))),
+        ChangeKind.MOVED: (READ, replace(READ, split=(("p", 0.9), ("q", 0.1)))),
+        ChangeKind.BOUNDED: (READ, replace(READ, horizon_ms=900.0)),
+        ChangeKind.RANKED: (READ, replace(READ, aim_ms=100.0, priority=3, version=2)),
     }
     for kind, (old, new) in kinds.items():
         assert kind_of(old, new) is kind
-    assert kind_of(replace(READ, effectful=True), READ) is Kind.BOUNDED
-    assert kind_of(READ, replace(READ, trials=1)) is Kind.BOUNDED
-    assert {Kind.MOVED, Kind.BOUNDED} == STAGED
+    assert kind_of(replace(READ, effectful=True), READ) is ChangeKind.BOUNDED
+    assert kind_of(READ, replace(READ, trials=1)) is ChangeKind.BOUNDED
+    assert {ChangeKind.MOVED, ChangeKind.BOUNDED} == STAGED
 
 
 # Draws
@@ -68,31 +85,34 @@
     count: int, zones: int, version: int
 ) -> None:
     nodes = {f"n{at}": f"z{at % zones}" for at in range(count)}
-    first = Draw(nodes).first("route", "a", version)
-    assert first == Draw(dict(reversed(nodes.items()))).first("route", "a", version)
+    first = CanarySelection(nodes).first("route", "a", version)
+    assert first == CanarySelection(dict(reversed(nodes.items()))).first("route", "a", version)
     assert len(first) == max(count // 10, 1) and first <= nodes.keys()
     by_zone = [sum(nodes[node] == f"z{at}" for node in first) for at in range(min(zones, count))]
     assert max(by_zone) - min(by_zone) <= 1
     gone = sorted(nodes.keys() - first)[:1]
     if gone and count % 10:  # one of the others that goes changes nothing, where the part stays as large
-        assert Draw({n: z for n, z in nodes.items() if n not in gone}).first("route", "a", version) == first
+        assert (
+            CanarySelection({n: z for n, z in nodes.items() if n not in gone}).first("route", "a", version)
+            == first
+        )
 
 
 def test_each_version_has_a_part_of_its_own_and_nobody_is_always_in_it() -> None:
-    draw = Draw({f"n{at}": f"z{at % 3}" for at in range(60)})
+    draw = CanarySelection({f"n{at}": f"z{at % 3}" for at in range(60)})
     counts = dict.fromkeys(draw.nodes, 0)
     for version in range(2000):
         for node in draw.first("route", "a", version):
             counts[node] += 1
     assert min(counts.values()) > 0 and max(counts.values()) < 2000 / 2
-    assert Draw({}).first("route", "a", 1) == frozenset()
+    assert CanarySelection({}).first("route", "a", 1) == frozenset()
 
 
-# Contact
+# UpdateContact
 
 
 def test_who_was_out_of_contact_within_the_news_time_is_behind() -> None:
-    contact = Contact(1.4)
+    contact = UpdateContact(1.4)
     assert contact.behind(0.0)
     for at in range(20):
         contact.look(at / 10, True)
@@ -117,12 +137,12 @@
     def __init__(self) -> None:
         super().__init__()
         self.now, self.hold = 100.0, 0.6
-        self.chamber = Chamber(self.hold)
+        self.chamber = StagedActivation(self.hold)
         self.version: dict[str, int] = {}
         self.force: dict[str, int] = {}
         self.known: dict[str, list[tuple[int, float]]] = {}  # versions not in force yet, and when they came
 
-    def use(self, one: Pass) -> None:
+    def use(self, one: ItemActivation) -> None:
         name = one.key[1]
         assert one.version > self.force.get(name, 0), "went back"
         self.force[name] = one.version
@@ -131,11 +151,11 @@
     @rule(
         name=st.sampled_from("abc"),
         step=st.integers(1, 9),
-        kind=st.sampled_from(list(Kind)),
+        kind=st.sampled_from(list(ChangeKind)),
         first=st.booleans(),
         behind=st.booleans(),
     )
-    def news(self, name: str, step: int, kind: Kind, first: bool, behind: bool) -> None:
+    def news(self, name: str, step: int, kind: ChangeKind, first: bool, behind: bool) -> None:
         version = self.version[name] = self.version.get(name, 0) + step
         self.known.setdefault(name, []).append((version, self.now))
         one = self.chamber.know(self.now, ("route", name), version, kind, first, behind)
@@ -159,20 +179,20 @@
         held = self.chamber.held.get(("route", name))
         one = self.chamber.good(self.now, ("route", name), version)
         if one is not None:
-            assert one.version == version and one.ordered is not Order.HOLD
+            assert one.version == version and one.ordered is not RolloutCommand.HOLD
             self.use(one)
         elif held is not None and held.version == version:
-            assert held.ordered is Order.HOLD
+            assert held.ordered is RolloutCommand.HOLD
 
-    @rule(name=st.sampled_from("abc"), order=st.sampled_from(list(Order)), at_next=st.booleans())
-    def order(self, name: str, order: Order, at_next: bool) -> None:
+    @rule(name=st.sampled_from("abc"), order=st.sampled_from(list(RolloutCommand)), at_next=st.booleans())
+    def order(self, name: str, order: RolloutCommand, at_next: bool) -> None:
         if at_next:
             self.chamber.order_next(self.now, ("route", name), order)
             return
         held = ("route", name) in self.chamber.held
         one = self.chamber.order(self.now, ("route", name), order)
         assert (one is not None) == held
-        if one is not None and order is Order.GO:
+        if one is not None and order is RolloutCommand.GO:
             self.use(one)
 
     @precondition(lambda self: self.force)
@@ -200,15 +220,17 @@
 
 
 def test_what_is_held_and_ordered_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(chamber_module, "MOST_HELD", 3)
-    chamber = Chamber(0.6)
-    states = [chamber.know(0.0, ("route", f"r{at}"), 1, Kind.MOVED, False, False).state for at in range(5)]
+    monkeypatch.setattr(activation_module, "MOST_HELD", 3)
+    chamber = StagedActivation(0.6)
+    states = [
+        chamber.know(0.0, ("route", f"r{at}"), 1, ChangeKind.MOVED, False, False).state for at in range(5)
+    ]
     assert states == [State.KNOWN] * 3 + [State.IN_FORCE] * 2
     for at in range(MOST_ORDERS + 1):
-        chamber.order_next(0.0, ("route", f"n{at}"), Order.GO)
-    chamber = Chamber(0.6)
-    chamber.order_next(0.0, ("route", "a"), Order.GO)
-    assert chamber.know(ORDER_S + 0.1, ("route", "a"), 2, Kind.MOVED, False, False).state is State.KNOWN
+        chamber.order_next(0.0, ("route", f"n{at}"), RolloutCommand.GO)
+    chamber = StagedActivation(0.6)
+    chamber.order_next(0.0, ("route", "a"), RolloutCommand.GO)
+    assert chamber.know(ORDER_S + 0.1, ("route", "a"), 2, ChangeKind.MOVED, False, False).state is State.KNOWN
 
 
 # The word
@@ -236,7 +258,7 @@
 
 
 def test_calls_count_for_the_version_that_they_began_with_and_lateness_by_the_longer_aim() -> None:
-    watch = Watch()
+    watch = CanaryMonitor()
     for _ in range(20):
         watch.ended(0.0, "a", 1, False, 300.0, 400.0)
     watch.begin(1.0, "a", 2, 400.0)
@@ -258,8 +280,8 @@
 
 
 def test_a_report_confirms_what_its_vector_holds_but_for_what_it_names() -> None:
-    count = Count(("route", "a"), 7, (16, 1), (30, 2))
-    report = Report({"c1": 5, "c2": 9}, {("route", "b"): 3}, 0, (count,))
+    count = CanaryCounts(("route", "a"), 7, (16, 1), (30, 2))
+    report = RolloutReport({"c1": 5, "c2": 9}, {("route", "b"): 3}, 0, (count,))
     assert read(pack(report)) == report
     assert read({**pack(report), "of a newer program": {"x": 1}}) == report
     assert report.has(Item("route", "a", 7, {}, "c1", 5)) and not report.has(
@@ -271,12 +293,12 @@
     for broken in ({}, {"v": []}, {"v": {"c1": "x"}}, {"v": {}, "held": [["a"]]}, {"v": {}, "counts": [[1]]}):
         with pytest.raises((KeyError, TypeError, ValueError)):
             read(broken)
-    many = pack(Report({}, {("route", f"r{at}"): 1 for at in range(MOST_NAMED + 4)}, 0, ()))
+    many = pack(RolloutReport({}, {("route", f"r{at}"): 1 for at in range(MOST_NAMED + 4)}, 0, ()))
     assert len(read(many).held) == MOST_NAMED
 
 
 def test_no_call_is_outdated_that_its_client_sent_before_the_bound() -> None:
-    newer = Newer(6.0)
+    newer = VersionCheck(6.0)
     newer.note(10.0, "a", 5)
     assert not newer.outdated(16.0, "a", 4, 0.0) and newer.outdated(16.1, "a", 4, 0.0)
     assert not newer.outdated(18.0, "a", 4, 2.1) and newer.outdated(18.2, "a", 4, 2.1)
--- a/tests/mesh/test_stage_model.py
+++ b/tests/mesh/test_stage_model.py
@@ -7,18 +7,18 @@
 
 import pytest
 
-from mesh.rollout import staged_activation as chamber_module
-from mesh.rollout.change_kinds import Kind
-from mesh.rollout.contact import Contact
-from mesh.rollout.report import Report
-from mesh.rollout.staged_activation import Chamber, Pass
-from mesh.rollout.version_check import Newer
+from mesh.rollout import staged_activation as activation_module
+from mesh.rollout.change_kinds import ChangeKind
+from mesh.rollout.contact import UpdateContact
+from mesh.rollout.report import RolloutReport
+from mesh.rollout.staged_activation import ItemActivation, StagedActivation
+from mesh.rollout.version_check import VersionCheck
 from rigs import stage_model
 from rigs.stage_model import HOLD, NEWS, SIZES, Side, Stages
 from simulation.mesh.seeds import Patch
 from statecheck import explore
 
-KNOW = Chamber.know
+KNOW = StagedActivation.know
 
 
 def test_every_order_of_events_is_sound_where_a_sidecar_is_cut_off() -> None:
@@ -31,59 +31,63 @@
 
 
 def holds_too_long(patch: Patch) -> None:
-    patch.setattr(Chamber, "__init__", lambda self, hold, init=Chamber.__init__: init(self, hold + NEWS))
+    patch.setattr(
+        StagedActivation,
+        "__init__",
+        lambda self, hold, init=StagedActivation.__init__: init(self, hold + NEWS),
+    )
 
 
 def begins_anew_when_overtaken(patch: Patch) -> None:
-    def know(self: Chamber, now: float, key: Any, *args: Any) -> Pass:
+    def know(self: StagedActivation, now: float, key: Any, *args: Any) -> ItemActivation:
         self.held.pop(key, None)
         return KNOW(self, now, key, *args)
 
-    patch.setattr(Chamber, "know", know)
+    patch.setattr(StagedActivation, "know", know)
 
 
 def keeps_what_was_overtaken(patch: Patch) -> None:
-    def know(self: Chamber, now: float, key: Any, *args: Any) -> Pass:
+    def know(self: StagedActivation, now: float, key: Any, *args: Any) -> ItemActivation:
         before = self.held.get(key)
         one = KNOW(self, now, key, *args)
         if before is not None:
             self.held[key] = before
         return one
 
-    patch.setattr(Chamber, "know", know)
+    patch.setattr(StagedActivation, "know", know)
 
 
 def takes_what_is_held_twice(patch: Patch) -> None:
-    real = Chamber._take
+    real = StagedActivation._take
 
-    def take(self: Chamber, now: float, one: Pass, why: str) -> Pass:
+    def take(self: StagedActivation, now: float, one: ItemActivation, why: str) -> ItemActivation:
         held = dict(self.held)
         real(self, now, one, why)
         self.held = held
         return one
 
-    patch.setattr(Chamber, "_take", take)
+    patch.setattr(StagedActivation, "_take", take)
 
 
 def any_versions_word_will_do(patch: Patch) -> None:
-    real = Chamber.good
+    real = StagedActivation.good
 
-    def good(self: Chamber, now: float, key: Any, version: int) -> Pass | None:
+    def good(self: StagedActivation, now: float, key: Any, version: int) -> ItemActivation | None:
         return real(self, now, key, self.held[key].version)
 
-    patch.setattr(Chamber, "good", good)
+    patch.setattr(StagedActivation, "good", good)
 
 
 def never_behind(patch: Patch) -> None:
-    patch.setattr(Contact, "behind", lambda self, now: False)
+    patch.setattr(UpdateContact, "behind", lambda self, now: False)
 
 
 def always_behind(patch: Patch) -> None:
-    patch.setattr(Contact, "behind", lambda self, now: True)
+    patch.setattr(UpdateContact, "behind", lambda self, now: True)
 
 
 def confirms_what_is_held(patch: Patch) -> None:
-    patch.setattr(Report, "has", lambda self, item: self.vector.get(item.source, 0) >= item.number)
+    patch.setattr(RolloutReport, "has", lambda self, item: self.vector.get(item.source, 0) >= item.number)
 
 
 def reports_leave_out_what_is_held(patch: Patch) -> None:
@@ -94,20 +98,22 @@
 
 
 def turns_away_at_once(patch: Patch) -> None:
-    patch.setattr(Newer, "__init__", lambda self, bound, init=Newer.__init__: init(self, 0.0))
+    patch.setattr(VersionCheck, "__init__", lambda self, bound, init=VersionCheck.__init__: init(self, 0.0))
 
 
 def turns_away_after_the_settling_time_alone(patch: Patch) -> None:
-    patch.setattr(Newer, "__init__", lambda self, bound, init=Newer.__init__: init(self, float(NEWS)))
+    patch.setattr(
+        VersionCheck, "__init__", lambda self, bound, init=VersionCheck.__init__: init(self, float(NEWS))
+    )
 
 
 def drops_wait(patch: Patch) -> None:
-    patch.setattr(chamber_module, "STAGED", frozenset(Kind))
-    patch.setattr(stage_model, "STAGED", frozenset({Kind.MOVED, Kind.BOUNDED}))
+    patch.setattr(activation_module, "STAGED", frozenset(ChangeKind))
+    patch.setattr(stage_model, "STAGED", frozenset({ChangeKind.MOVED, ChangeKind.BOUNDED}))
 
 
 def timers_do_not_fire(patch: Patch) -> None:
-    patch.setattr(Chamber, "due", lambda self, now: [])
+    patch.setattr(StagedActivation, "due", lambda self, now: [])
     patch.setattr(Stages, "_may_tick", lambda self, state: state[0] <= HOLD + 1)
 
 
--- a/tests/mesh/test_stages_world.py
+++ b/tests/mesh/test_stages_world.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from mesh.rollout import staged_activation as chamber_module
+from mesh.rollout import staged_activation as activation_module
 from mesh.rollout.bounds import derive
 from simulation.mesh import stage_seeds
 from simulation.mesh.seeds import Patch
@@ -156,16 +156,17 @@
 def test_an_operators_go_and_hold_are_obeyed_while_there_is_time() -> None:
     def then(world: Staged) -> Script:
         for machine in sides(world):
-            machine.program.stages.order("a", chamber_module.Order.GO, True)
+            machine.program.stages.order("a", activation_module.RolloutCommand.GO, True)
         began = float(world.env.now)
         yield from moves(world, 2)
         yield world.env.timeout(began + 0.1 - world.env.now)
         assert set(versions(world)) == {2} and versions(world, "b").count(2) == 1
         for machine in sides(world):
-            machine.program.stages.order("b", chamber_module.Order.GO, False)
+            machine.program.stages.order("b", activation_module.RolloutCommand.GO, False)
         assert set(versions(world, "b")) == {2}
         assert all(
-            m.program.stages.order("a", chamber_module.Order.HOLD, False) is None for m in sides(world)
+            m.program.stages.order("a", activation_module.RolloutCommand.HOLD, False) is None
+            for m in sides(world)
         )
 
     assert played(staged(then, traffic_s=0.0)) == []
@@ -203,7 +204,7 @@
     def then(world: Staged) -> Script:
         one = sides(world)[0]
         for version, service in ((2, "q"), (3, "p"), (4, "q")):
-            one.program.stages.order("b", chamber_module.Order.GO, True)
+            one.program.stages.order("b", activation_module.RolloutCommand.GO, True)
             for _ in range(4):
                 world.ask_for(one, "b", True)
             before = one.program.routes.named("b").split[0][0]
@@ -337,12 +338,12 @@
 
 def many(world: Staged) -> Script:
     """More at once than may be held back."""
-    count = chamber_module.MOST_HELD * 3
+    count = activation_module.MOST_HELD * 3
     for version, service in ((1, "p"), (2, "q")):
         yield from world.commits(version, *(rule(f"m{n}", service, version) for n in range(count)))
         yield world.env.timeout(0.1)
         held = [len(m.program.stages.chamber.held) for m in sides(world)]
-        assert version == 1 or max(held) == chamber_module.MOST_HELD
+        assert version == 1 or max(held) == activation_module.MOST_HELD
         yield world.env.timeout(1.0)
     assert all(m.program.routes.named(f"m{n}").version == 2 for m in sides(world) for n in range(count))
 
@@ -360,7 +361,7 @@
 
 
 def test_more_changes_than_may_be_held_back_are_taken_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(chamber_module, "MOST_HELD", 60)
+    monkeypatch.setattr(activation_module, "MOST_HELD", 60)
     assert played(staged(many, traffic_s=0.0, count=2)) == []
 
 
