--- a/benchmarks/mesh_stages.py
+++ b/benchmarks/mesh_stages.py
@@ -27,7 +27,7 @@
 from benchmarks.mesh_news import Meter
 from mesh.rollout import bounds
 from mesh.rollout.bounds import derive
-from mesh.rollout.canary_verdict import OutcomeCount, worse
+from mesh.rollout.canary_verdict import Tally, worse
 from rigs.stage_model import LARGE, SIZES, Stages
 from simulation.mesh.staged import Staged, rule
 from simulation.mesh.world import Machine, Script
@@ -153,8 +153,8 @@
     chance, found = random.Random(49), 0
     for number in range(plays):
         failing = (0.0, 0.01, 0.05, 0.2)[number % 4]
-        old = OutcomeCount(200, sum(chance.random() < failing for _ in range(200)))
-        new, wrong = OutcomeCount(), False
+        old = Tally(200, sum(chance.random() < failing for _ in range(200)))
+        new, wrong = Tally(), False
         for n in range(1, 65):
             new.n, new.bad = n, new.bad + (chance.random() < failing)
             wrong = wrong or n in (8, 16, 32, 64) and worse(new, old)
--- a/mesh/control_plane/rollouts.py
+++ b/mesh/control_plane/rollouts.py
@@ -21,7 +21,7 @@
 from mesh.replication.items import Item, Key
 from mesh.replication.store import Store
 from mesh.rollout.bounds import derive
-from mesh.rollout.canary_verdict import OutcomeCount, sound, worse
+from mesh.rollout.canary_verdict import Tally, sound, worse
 from mesh.rollout.change_kinds import STAGED, kind_of
 from mesh.rollout.report import CanaryCounts, RolloutReport, read
 
@@ -138,8 +138,8 @@
         counts = self._counts.setdefault(count.key, {})
         counts[node] = count
         same = [one for one in counts.values() if one.version == count.version]
-        new = OutcomeCount(sum(one.new[0] for one in same), sum(one.new[1] for one in same))
-        old = OutcomeCount(sum(one.old[0] for one in same), sum(one.old[1] for one in same))
+        new = Tally(sum(one.new[0] for one in same), sum(one.new[1] for one in same))
+        old = Tally(sum(one.old[0] for one in same), sum(one.old[1] for one in same))
         if worse(new, old):
             if count.key not in rollout.worse:
                 rollout.worse.add(count.key)
@@ -220,15 +220,15 @@
             if (report := self.reports.get(node)) is None or not report.has(item)
         )
 
-    def counted(self, key: Key) -> tuple[OutcomeCount, OutcomeCount]:
+    def counted(self, key: Key) -> tuple[Tally, Tally]:
         """What the first part saw of its version: the new way's calls, and the old one's."""
         item = self._charter.items.get(key)
         same = [
             c for c in self._counts.get(key, {}).values() if item is not None and c.version == item.version
         ]
         return (
-            OutcomeCount(sum(c.new[0] for c in same), sum(c.new[1] for c in same)),
-            OutcomeCount(sum(c.old[0] for c in same), sum(c.old[1] for c in same)),
+            Tally(sum(c.new[0] for c in same), sum(c.new[1] for c in same)),
+            Tally(sum(c.old[0] for c in same), sum(c.old[1] for c in same)),
         )
 
 
--- a/mesh/data_plane/call_trace.py
+++ b/mesh/data_plane/call_trace.py
@@ -6,17 +6,37 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from mesh.data_plane.call_messages import Call, End
 from mesh.data_plane.call_state import Ask, Failed, Refused
+from mesh.data_plane.membership import Membership
+from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.service_balancers import Tables
 from mesh.data_plane.traces import words
+from mesh.data_plane.upstream_dispatch import UpstreamDispatch
+from mesh.dissemination.peers import Channels
 from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.runtime.settings import Settings
 from mesh.transport.link import Link
 
-if TYPE_CHECKING:
-    from mesh.data_plane.program import Proxy
+
+class TracedProxy(Protocol):
+    """What a trace needs of the proxy whose calls it tells."""
+
+    loop: asyncio.AbstractEventLoop
+    settings: Settings
+    event_log: EventLog
+    channels: Channels
+    membership: Membership
+    passage: Passage
+    tables: Tables
+    upstream_dispatch: UpstreamDispatch
+    incoming_links: set[Link]
+
 
 MOST_TRIES, MOST_END = 4, 24  # tries of one line, and characters of how each ended
 BYTES_EVERY_S = 1.0
@@ -25,7 +45,7 @@
 class CallTrace:
     """Of one proxy."""
 
-    def __init__(self, proxy: Proxy) -> None:
+    def __init__(self, proxy: TracedProxy) -> None:
         """``proxy`` must have started: its log is written to, its links are looked at."""
         self._proxy, self._event_log = proxy, proxy.event_log
         self._counted: dict[Link, int] = {}  # bytes of each link that have been added up
--- a/mesh/rollout/canary_verdict.py
+++ b/mesh/rollout/canary_verdict.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(slots=True)
-class OutcomeCount:
+class Tally:
     n: int = 0
     bad: int = 0
 
@@ -33,7 +33,7 @@
             self.n, self.bad = self.n // 2, self.bad // 2
 
 
-def worse(new: OutcomeCount, old: OutcomeCount) -> bool:
+def worse(new: Tally, old: Tally) -> bool:
     """Whether the new way is worse, by the rule above. False where either has fewer than LOOKS[0] calls."""
     if min(new.n, old.n) < LOOKS[0] or new.bad * old.n <= old.bad * new.n:
         return False
@@ -44,7 +44,7 @@
     return ways / comb(both, new.n) < ALPHA
 
 
-def sound(new: OutcomeCount, old: OutcomeCount) -> bool:
+def sound(new: Tally, old: Tally) -> bool:
     if new.n < GOOD_LEAST or old.n < LOOKS[0]:
         return False
     return new.bad / new.n <= old.bad / old.n + GOOD_MARGIN
@@ -57,8 +57,8 @@
     name: str
     version: int
     aim_ms: float  # the longer of both ways': an aim that was shortened makes nobody worse
-    old: OutcomeCount
-    new: OutcomeCount
+    old: Tally
+    new: Tally
     until: float
     told_worse: bool = False
 
@@ -67,18 +67,18 @@
     """A sidecar's own calls, by route."""
 
     def __init__(self) -> None:
-        self._routes: dict[str, tuple[int, OutcomeCount]] = {}
-        self._all = OutcomeCount()
+        self._routes: dict[str, tuple[int, Tally]] = {}
+        self._all = Tally()
         self.watched: dict[str, CanaryRoute] = {}
 
     def begin(self, now: float, name: str, version: int, aim_ms: float) -> None:
         """That version of that route is in force from now on; its calls are watched. Past MOST_WATCHED the
         oldest watch ends."""
-        _, old = self._routes.get(name, (0, OutcomeCount()))
+        _, old = self._routes.get(name, (0, Tally()))
         base = old if old.n >= LOOKS[0] else self._all
         self.watched.pop(name, None)
         self.watched[name] = CanaryRoute(
-            name, version, aim_ms, OutcomeCount(base.n, base.bad), OutcomeCount(), now + WATCH_S
+            name, version, aim_ms, Tally(base.n, base.bad), Tally(), now + WATCH_S
         )
         if len(self.watched) > MOST_WATCHED:
             del self.watched[next(iter(self.watched))]
@@ -96,7 +96,7 @@
         if known is None or known[0] < version:
             if known is None and len(self._routes) >= MOST_ROUTES:
                 return None
-            known = self._routes[name] = (version, OutcomeCount())
+            known = self._routes[name] = (version, Tally())
         if known[0] == version:
             known[1].add(bad)
         if watched is None:
--- a/tests/mesh/test_rollout.py
+++ b/tests/mesh/test_rollout.py
@@ -22,7 +22,7 @@
     MOST_WATCHED,
     WATCH_S,
     CanaryMonitor,
-    OutcomeCount,
+    Tally,
     sound,
     worse,
 )
@@ -240,25 +240,21 @@
     chance = random.Random(49)
     for failing in (0.0, 0.01, 0.1, 0.4):  # of the old way, and of a sound new one
         for _ in range(1000):
-            old = OutcomeCount(200, sum(chance.random() < failing for _ in range(200)))
-            new = OutcomeCount()
+            old = Tally(200, sum(chance.random() < failing for _ in range(200)))
+            new = Tally()
             for _ in range(LOOKS[-1]):
                 new.n += 1
                 new.bad += chance.random() < failing
                 assert new.n not in LOOKS or not worse(new, old), (failing, new, old)
     for failing in (0.0, 0.01, 0.1):
-        assert worse(OutcomeCount(8, 8), OutcomeCount(200, int(200 * failing)))
-    assert not worse(OutcomeCount(7, 7), OutcomeCount(200, 0)) and not worse(
-        OutcomeCount(8, 8), OutcomeCount(7, 0)
-    )
+        assert worse(Tally(8, 8), Tally(200, int(200 * failing)))
+    assert not worse(Tally(7, 7), Tally(200, 0)) and not worse(Tally(8, 8), Tally(7, 0))
 
 
 def test_a_word_is_good_only_where_enough_is_known_of_both_ways() -> None:
-    assert sound(OutcomeCount(16, 0), OutcomeCount(8, 0)) and sound(OutcomeCount(16, 1), OutcomeCount(8, 1))
-    assert not sound(OutcomeCount(15, 0), OutcomeCount(100, 0)) and not sound(
-        OutcomeCount(16, 0), OutcomeCount(7, 0)
-    )
-    assert not sound(OutcomeCount(16, 2), OutcomeCount(100, 0))
+    assert sound(Tally(16, 0), Tally(8, 0)) and sound(Tally(16, 1), Tally(8, 1))
+    assert not sound(Tally(15, 0), Tally(100, 0)) and not sound(Tally(16, 0), Tally(7, 0))
+    assert not sound(Tally(16, 2), Tally(100, 0))
 
 
 def test_calls_count_for_the_version_that_they_began_with_and_lateness_by_the_longer_aim() -> None:
