--- a/mesh/data_plane/call_trace.py
+++ b/mesh/data_plane/call_trace.py
@@ -23,29 +23,28 @@
 from mesh.runtime.settings import Settings
 from mesh.transport.link import Link
 
+MOST_TRIES, MOST_END = 4, 24  # tries of one line, and characters of how each ended
+BYTES_EVERY_S = 1.0
 
-class TracedProxy(Protocol):
-    """What a trace needs of the proxy whose calls it tells."""
 
-    loop: asyncio.AbstractEventLoop
+class Traced(Protocol):
+    """What of a proxy is traced."""
+
     settings: Settings
     event_log: EventLog
-    channels: Channels
-    membership: Membership
-    passage: Passage
+    loop: asyncio.AbstractEventLoop
     tables: Tables
     upstream_dispatch: UpstreamDispatch
+    passage: Passage
     incoming_links: set[Link]
-
-
-MOST_TRIES, MOST_END = 4, 24  # tries of one line, and characters of how each ended
-BYTES_EVERY_S = 1.0
+    channels: Channels
+    membership: Membership
 
 
 class CallTrace:
     """Of one proxy."""
 
-    def __init__(self, proxy: TracedProxy) -> None:
+    def __init__(self, proxy: Traced) -> None:
         """``proxy`` must have started: its log is written to, its links are looked at."""
         self._proxy, self._event_log = proxy, proxy.event_log
         self._counted: dict[Link, int] = {}  # bytes of each link that have been added up
