--- a/anisestair/http/codec.py
+++ b/anisestair/http/codec.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import cast
 
 import httptools
 
@@ -64,6 +65,7 @@
     keep_alive: bool = True
     stream: Body | None = None  # instead of a body, where that is long
     old: bool = False  # HTTP/1.0: it knows no chunks
+    hold: object = None  # what its reader keeps for as long as it is in hand
 
     def get(self, name: bytes) -> str | None:
         """The value of the first header of that name (in lower case)."""
@@ -220,7 +222,8 @@
 
     def on_message_complete(self) -> None:
         message, stream = self._message, self.stream
-        message.body = bytes(self._body)
+        # A long one is not copied once more: nothing is added to it after this.
+        message.body = bytes(self._body) if len(self._body) <= MAX_BODY else cast(bytes, self._body)
         message.keep_alive = self._parser.should_keep_alive() and not self.until_eof
         self.expects_continue = self.until_eof = self.partial = False
         self.keeps = message.keep_alive
@@ -275,17 +278,24 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
-def write_request(method: bytes, target: bytes, headers: Headers, body: bytes | Body = b"") -> bytes:
+def write_request(
+    method: bytes, target: bytes, headers: Headers, body: bytes | bytearray | Body = b""
+) -> bytes:
     """The whole request, or its head where the body is a stream."""
     if isinstance(body, Body):
         return _write(b"%s %s HTTP/1.1" % (method, target), [*headers, stream_framing(body.length)], b"")
+    return request_head(method, target, headers, len(body)) + body
+
+
+def request_head(method: bytes, target: bytes, headers: Headers, length: int) -> bytes:
+    """Of a request whose body has so many bytes."""
     # A GET without a body says nothing of a length; every other method has to (RFC 9110, 8.6).
-    framing = [(b"content-length", b"%d" % len(body))] if body or method != b"GET" else []
-    return _write(b"%s %s HTTP/1.1" % (method, target), [*headers, *framing], body)
+    framing = [(b"content-length", b"%d" % length)] if length or method != b"GET" else []
+    return _write(b"%s %s HTTP/1.1" % (method, target), [*headers, *framing], b"")
 
 
 def write_response(
-    status: int, headers: Headers, body: bytes | Body, close: bool, chunks: bool = True
+    status: int, headers: Headers, body: bytes | bytearray | Body, close: bool, chunks: bool = True
 ) -> bytes:
     """The whole answer, or its head where the body is a stream. Without chunks a stream of no known length
     ends with its connection."""
@@ -299,6 +309,6 @@
     return _write(STATUS_LINES[status], [*headers, *framing], body)
 
 
-def _write(start: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> bytes:
+def _write(start: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes | bytearray) -> bytes:
     lines = [start, *[b"%s: %s" % header for header in headers], b"", body]
     return b"\r\n".join(lines)
--- /dev/null
+++ b/mesh/data_plane/body_transfer.py
@@ -0,0 +1,83 @@
+"""Bodies in pieces over one link, in both directions, as either hop has them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mesh.admission.buffer_budget import Reservation
+from mesh.data_plane.call_messages import Arrived, Octets, Piece
+from mesh.transport.body_pieces import IncomingBody, OutgoingBodies
+from mesh.transport.link import Link
+
+Whole = Callable[[Octets, Reservation], None]
+
+
+class BodyTransfer:
+    """``window``: what the other end's greeting says that it takes, 0 where it takes whole frames alone."""
+
+    def __init__(self, link: Link, window: int) -> None:
+        self._link = link
+        self.takes_pieces = window > 0
+        self._outgoing = OutgoingBodies(window)
+        self._written: dict[int, Callable[[], None]] = {}  # called when a body's last piece is written
+        self._incoming: dict[int, tuple[IncomingBody, Reservation, Whole]] = {}
+        link.on_writable = self._write
+
+    def send(self, number: int, body: Octets, written: Callable[[], None]) -> None:
+        """``written`` is called once, perhaps before this returns, unless the body is cancelled."""
+        self._written[number] = written
+        self._outgoing.add(number, body)
+        self._write()
+
+    def _write(self) -> None:
+        """As much as the link and the windows take, bodies in turn."""
+        while self._link.up and not self._link.choked and (part := self._outgoing.next()) is not None:
+            self._link.send(Piece(number=part.number), part.data)
+            if part.last:
+                self._written.pop(part.number)()
+
+    def expect(self, number: int, size: int, hold: Reservation, whole: Whole) -> None:
+        """A body of so many bytes follows; ``hold`` is its memory, ``whole`` called once when all is here."""
+        self._incoming[number] = IncomingBody(size), hold, whole
+
+    def arrived(self, message: Arrived) -> None:
+        """Raises PieceError."""
+        self._outgoing.confirm(message.number, message.count)
+        self._write()
+
+    def piece(self, number: int, part: bytes) -> None:
+        """Of a body that nobody waits for any more it is passed over. Raises PieceError."""
+        found = self._incoming.get(number)
+        if found is None:
+            return
+        body, hold, whole = found
+        body.add(part)
+        self._link.send(Arrived(number=number, count=body.confirm()))
+        if body.whole:
+            del self._incoming[number]
+            whole(body.data, hold)
+
+    def cancel_sending(self, number: int) -> bool:
+        """False where that body is not being sent, or all of it is written."""
+        self._outgoing.cancel(number)
+        sending = self._written.pop(number, None) is not None
+        self._write()  # others may have its part of the window
+        return sending
+
+    def cancel_receiving(self, number: int) -> bool:
+        """False where that body is not on its way here."""
+        found = self._incoming.pop(number, None)
+        if found is None:
+            return False
+        found[1].release()
+        return True
+
+    def receiving(self, number: int) -> bool:
+        return number in self._incoming
+
+    def close(self) -> None:
+        """The link is lost: nothing that is not whole will ever be."""
+        self._written.clear()
+        self._outgoing = OutgoingBodies(0)
+        for number in list(self._incoming):
+            self.cancel_receiving(number)
--- a/mesh/data_plane/call_messages.py
+++ b/mesh/data_plane/call_messages.py
@@ -1,14 +1,169 @@
-"""One call as it goes between the two hops, and what the second tells the first of its end."""
+"""One call as it goes between the two hops, what the second tells the first of its end, and the frames.
+
+Each frame's head is a typed structure, decoded once, where the link reads it. On the wire its fields have one
+letter. What a program from before a field leaves out has its default; fields and frames that are unknown here
+are passed over.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from anisestair.http import codec as http
+from mesh.admission.buffer_budget import Reservation
 from mesh.admission.final_check import Why
-from mesh.transport.frames import Head
+from mesh.transport.frames import FrameHead, decode_object
+
+Octets = bytes | bytearray  # a body; one that came in pieces is not copied once more
+HeaderFields = list[tuple[str, str]]  # headers on the wire
+
+
+class Greeting(FrameHead, tag_field="t", tag="hello"):
+    """The first hop's first word on a link. ``window``: bytes of each body in pieces that it takes beyond
+    what it has confirmed; 0 is a program that takes no pieces."""
+
+    node: str
+    purpose: str = msgspec.field(name="for")
+    life: str
+    core: list[str]
+    window: int = 0
+
+
+class Life(FrameHead, tag_field="t", tag="life"):
+    """The second hop's answer to a greeting; ``window`` as there."""
+
+    life: str
+    window: int = 0
+
+
+class Patience(msgspec.Struct, array_like=True):
+    """Milliseconds that a call waits for a place at the most, and where others there are of lower rank."""
+
+    usual: float = 0.0
+    longer: float = 0.0
+
+
+class RouteUsed(msgspec.Struct, array_like=True):
+    """The route by which a call goes, as its first hop has it."""
+
+    name: str = ""
+    version: int = 0
+    age_ms: float = 0.0
+    anyway: bool = False
+    effectful: bool = False
+
+
+class CallHead(FrameHead, tag_field="t", tag="call"):
+    """A call. ``size`` above 0: its body has so many bytes and follows in pieces."""
+
+    number: int = msgspec.field(name="n")
+    attempt: str = msgspec.field(name="a")
+    method: str = msgspec.field(name="m")
+    target: str = msgspec.field(name="p")
+    headers: HeaderFields = msgspec.field(name="h")
+    instance: str = msgspec.field(name="i")
+    caller: str = msgspec.field(name="c")
+    left_ms: float = msgspec.field(name="l")
+    rank: float = msgspec.field(name="k")
+    patience: Patience = msgspec.field(name="q")
+    route: RouteUsed = msgspec.field(name="v", default_factory=RouteUsed)
+    size: int = msgspec.field(name="z", default=0)
+
+
+class EndHead(FrameHead, tag_field="t", tag="end"):
+    """A call's end: with ``status`` `Returned`, with ``why`` `TurnedAway`, else `Unclear`. ``size`` as above,
+    of the answer's body."""
+
+    number: int = msgspec.field(name="n")
+    status: int | None = msgspec.field(name="s", default=None)
+    headers: HeaderFields | None = msgspec.field(name="h", default=None)
+    ran: bool | None = msgspec.field(name="r", default=None)
+    why: Why | None = msgspec.field(name="w", default=None)
+    arrived: bool | None = msgspec.field(name="v", default=None)
+    newer: list[Any] | None = msgspec.field(name="i", default=None)
+    unclear: str | None = msgspec.field(name="u", default=None)
+    size: int = msgspec.field(name="z", default=0)
+
+
+class Passed(FrameHead, tag_field="t", tag="passed"):
+    """The upstream has a call that was asked after."""
+
+    number: int = msgspec.field(name="n")
+
+
+class AskBack(FrameHead, tag_field="t", tag="ask"):
+    """What became of a call whose link was lost?"""
+
+    number: int = msgspec.field(name="n")
+    attempt: str = msgspec.field(name="a")
+
+
+class Drop(FrameHead, tag_field="t", tag="drop"):
+    """Nobody waits for a call any more, or for the rest of its answer."""
+
+    number: int = msgspec.field(name="n")
+
+
+class Piece(FrameHead, tag_field="t", tag="piece"):
+    """The next bytes, behind it as its body, of a call's body or, from the second hop, of its answer's."""
+
+    number: int = msgspec.field(name="n")
+
+
+class Arrived(FrameHead, tag_field="t", tag="arrived"):
+    """So many first bytes of a body in pieces have come."""
+
+    number: int = msgspec.field(name="n")
+    count: int = msgspec.field(name="b")
+
+
+FirstHopMessage = Greeting | CallHead | AskBack | Drop | Piece | Arrived
+SecondHopMessage = Life | EndHead | Passed | Piece | Arrived
+KNOWN = frozenset({"hello", "life", "call", "end", "passed", "ask", "drop", "piece", "arrived"})
+_decode_first: Callable[[bytes], FirstHopMessage] = msgspec.json.Decoder(FirstHopMessage).decode
+_decode_second: Callable[[bytes], SecondHopMessage] = msgspec.json.Decoder(SecondHopMessage).decode
+
+
+class LaterFrame(FrameHead):
+    """A frame of a later program."""
+
+
+def _unknown(text: bytes, fault: msgspec.ValidationError) -> Any:
+    """What is passed over; raises the fault where the frame is one of ours, and wrong."""
+    head = decode_object(text)
+    if head.get("t") in KNOWN:
+        raise fault
+    return msgspec.convert(head, LaterFrame) if head else head
+
+
+def decode_from_first_hop(text: bytes) -> Any:
+    """A `FirstHopMessage`; what is none of them is empty or a `LaterFrame`. Raises msgspec.DecodeError."""
+    try:
+        return _decode_first(text)
+    except msgspec.ValidationError as fault:
+        return _unknown(text, fault)
+
+
+def decode_from_second_hop(text: bytes) -> Any:
+    """A `SecondHopMessage`; otherwise as `decode_from_first_hop`."""
+    try:
+        return _decode_second(text)
+    except msgspec.ValidationError as fault:
+        return _unknown(text, fault)
+
+
+def from_first_hop(head: dict[str, Any]) -> Any:
+    """A message that was read as a mere object: it stood right behind the greeting. Raises ValueError."""
+    if head.get("t") not in KNOWN:
+        return LaterFrame()
+    try:
+        return msgspec.convert(head, FirstHopMessage)
+    except msgspec.ValidationError as fault:
+        raise ValueError(str(fault)) from None
 
 
 @dataclass(slots=True)
@@ -19,7 +174,7 @@
     method: bytes
     target: bytes
     headers: http.Headers
-    body: bytes
+    body: Octets
     instance: str
     caller: str
     left_ms: float
@@ -33,31 +188,40 @@
     effectful: bool = False  # it may run once at the most
     aim_ms: float = 0.0  # known at the first hop alone
 
-    def head(self, number: int) -> Head:
-        return {
-            "t": "call",
-            "n": number,
-            "a": self.attempt,
-            "m": self.method.decode("latin-1"),
-            "p": self.target.decode("latin-1"),
-            "h": pack_headers(self.headers),
-            "i": self.instance,
-            "c": self.caller,
-            "l": round(self.left_ms, 1),
-            "k": self.rank,
-            "q": [round(self.patience_ms, 1), round(self.longer_ms, 1)],
-            "v": [self.route, self.version, round(self.age_ms), self.anyway, self.effectful],
-        }
+    def head(self, number: int, in_pieces: bool = False) -> CallHead:
+        """Its frame's; ``in_pieces``: its body is not in that frame."""
+        return CallHead(
+            number=number,
+            attempt=self.attempt,
+            method=self.method.decode("latin-1"),
+            target=self.target.decode("latin-1"),
+            headers=pack_headers(self.headers),
+            instance=self.instance,
+            caller=self.caller,
+            left_ms=round(self.left_ms, 1),
+            rank=self.rank,
+            patience=Patience(round(self.patience_ms, 1), round(self.longer_ms, 1)),
+            route=RouteUsed(self.route, self.version, round(self.age_ms), self.anyway, self.effectful),
+            size=len(self.body) if in_pieces else 0,
+        )
+
+    def aged(self, by_ms: float) -> None:
+        """So long it took to arrive."""
+        self.left_ms -= by_ms
+        self.patience_ms -= by_ms
+        self.longer_ms -= by_ms
+        self.age_ms += by_ms
 
 
 @dataclass(frozen=True, slots=True)
 class Returned:
-    """The upstream's own answer, whole."""
+    """The upstream's own answer, whole. ``hold``: the memory that is taken for its body."""
 
     status: int
     headers: http.Headers
-    body: bytes
+    body: Octets
     ran: bool  # it says that it ran the call, or does not say that it did not
+    hold: Reservation | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,56 +243,55 @@
 End = Returned | TurnedAway | Unclear
 
 
-def pack_headers(headers: http.Headers) -> list[list[str]]:
-    return [[name.decode("latin-1"), value.decode("latin-1")] for name, value in headers]
+def pack_headers(headers: http.Headers) -> HeaderFields:
+    return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in headers]
 
 
-def unpack_headers(fields: list[list[str]]) -> http.Headers:
+def unpack_headers(fields: HeaderFields) -> http.Headers:
     return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields]
 
 
-def read_call(head: Head, body: bytes) -> Call:
-    """Raises KeyError, TypeError or ValueError for what is no call. Fields unknown here are passed over."""
-    way: Sequence[Any] = head.get("v") or ("", 0, 0.0, False)  # four parts before there was asking back
+def read_call(head: CallHead, body: Octets) -> Call:
+    """Raises ValueError for what is no call."""
+    route = head.route
     return Call(
-        attempt=str(head["a"]),
-        method=head["m"].encode("latin-1"),
-        target=head["p"].encode("latin-1"),
-        headers=unpack_headers(head["h"]),
+        attempt=head.attempt,
+        method=head.method.encode("latin-1"),
+        target=head.target.encode("latin-1"),
+        headers=unpack_headers(head.headers),
         body=body,
-        instance=str(head["i"]),
-        caller=str(head["c"]),
-        left_ms=float(head["l"]),
-        rank=float(head["k"]),
-        patience_ms=float(head["q"][0]),
-        longer_ms=float(head["q"][1]),
-        route=str(way[0]),
-        version=int(way[1]),
-        age_ms=float(way[2]),
-        anyway=bool(way[3]),
-        effectful=len(way) > 4 and bool(way[4]),
+        instance=head.instance,
+        caller=head.caller,
+        left_ms=head.left_ms,
+        rank=head.rank,
+        patience_ms=head.patience.usual,
+        longer_ms=head.patience.longer,
+        route=route.name,
+        version=route.version,
+        age_ms=route.age_ms,
+        anyway=route.anyway,
+        effectful=route.effectful,
     )
 
 
-def end_head(number: int, end: End) -> tuple[Head, bytes | None]:
-    """An end as a frame."""
-    head: dict[str, Any] = {"t": "end", "n": number}
+def end_head(number: int, end: End, in_pieces: bool = False) -> tuple[EndHead, Octets | None]:
+    """An end as a frame, and the body in it; ``in_pieces``: that is not in the frame."""
     if isinstance(end, Returned):
-        head.update(s=end.status, h=pack_headers(end.headers), r=end.ran)
-        return head, end.body
+        size = len(end.body) if in_pieces else 0
+        fields = pack_headers(end.headers)
+        head = EndHead(number=number, status=end.status, headers=fields, ran=end.ran, size=size)
+        return head, None if in_pieces else end.body
     if isinstance(end, TurnedAway):
-        head.update(w=end.why.value, v=end.arrived)
-        if end.newer is not None:
-            head["i"] = end.newer
-    else:
-        head.update(u=end.why)
-    return head, None
-
-
-def read_end(head: Head, body: bytes) -> End:
-    """Raises KeyError, TypeError or ValueError for what is no end."""
-    if "s" in head:
-        return Returned(int(head["s"]), unpack_headers(head["h"]), body, bool(head["r"]))
-    if "w" in head:
-        return TurnedAway(Why(head["w"]), bool(head["v"]), head.get("i"))
-    return Unclear(str(head["u"]))
+        return EndHead(number=number, why=end.why, arrived=end.arrived, newer=end.newer), None
+    return EndHead(number=number, unclear=end.why), None
+
+
+def read_end(head: EndHead, body: Octets, hold: Reservation | None = None) -> End:
+    """Raises ValueError for what is no end."""
+    if head.status is not None:
+        return Returned(head.status, unpack_headers(head.headers or []), body, head.ran is not False, hold)
+    if head.why is not None:
+        return TurnedAway(head.why, head.arrived is True, head.newer)
+    if head.unclear is not None:
+        return Unclear(head.unclear)
+    raise ValueError("an end without a word")
--- a/mesh/data_plane/call_state.py
+++ b/mesh/data_plane/call_state.py
@@ -36,6 +36,8 @@
     ENDED = 9  # without an answer of the upstream, or the first hop has its end
     IDLE = 10  # of a connection to the upstream: nobody's
     CLOSED = 11  # of a connection to the upstream: never used again
+    SENDING = 12  # its body leaves in pieces, and the last has not left
+    RECEIVING = 13  # its body comes in pieces, and is not whole
 
 
 class Event(IntEnum):
@@ -56,6 +58,9 @@
     ASK = 13  # a call is written to the connection
     STRAY = 14  # an answer to another call, or to nobody's
     CROWDED = 15  # its own answer, with more behind it, or the connection is to close
+    PARTLY_SENT = 16  # its frame is written, and its body follows in pieces
+    WHOLE_SENT = 17  # the last of them is written
+    WHOLE = 18  # the last of them has come
 
 
 class Certain(Enum):
@@ -97,6 +102,7 @@
 OUT = PASSAGE + "Outgoing."
 RACE = UPSTREAM_DISPATCH + "UpstreamDispatch."
 CONNECTION = TAP + "TapConnection."
+INCOMING = "data_plane/incoming_calls.py:Incoming."
 
 EDGES: tuple[Edge, ...] = tuple(
     Edge(hop, *row)
@@ -107,16 +113,22 @@
                 (S.CHOSEN, E.LINK_UP, S.SENT, C.MAY, OPEN, OUT + "_write"),
                 (S.CHOSEN, E.LINK_DOWN, S.ENDED, C.NEVER, PROMISE, OUT + "_turn_away"),
                 (S.CHOSEN, E.GIVEN_UP, S.WITHDRAWN, C.NEVER, PROMISE, OUT + "drop"),
-                (S.SENT, E.ANSWER, S.ENDED, C.RAN, OWN, OUT + "_frame"),
-                (S.SENT, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_frame"),
-                (S.SENT, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_frame"),
+                (S.CHOSEN, E.PARTLY_SENT, S.SENDING, C.NOT_YET, OPEN, OUT + "_write"),
+                (S.SENDING, E.WHOLE_SENT, S.SENT, C.MAY, OPEN, OUT + "_sent_whole"),
+                (S.SENDING, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_ended"),
+                (S.SENDING, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_ended"),
+                (S.SENDING, E.LINK_LOST, S.ENDED, C.NEVER, PROMISE, OUT + "_lost"),
+                (S.SENDING, E.GIVEN_UP, S.WITHDRAWN, C.NEVER, PROMISE, OUT + "drop"),
+                (S.SENT, E.ANSWER, S.ENDED, C.RAN, OWN, OUT + "_ended"),
+                (S.SENT, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_ended"),
+                (S.SENT, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_ended"),
                 (S.SENT, E.LINK_LOST, S.UNCLEAR, C.MAY, OPEN, OUT + "_lost"),
                 (S.SENT, E.GIVEN_UP, S.WITHDRAWN, C.MAY, NONE, OUT + "drop"),
                 (S.UNCLEAR, E.LINK_LOST, S.UNCLEAR, C.MAY, OPEN, OUT + "_lost"),
                 (S.UNCLEAR, E.PASSED, S.SENT, C.MAY, OPEN, OUT + "_frame"),
-                (S.UNCLEAR, E.ANSWER, S.ENDED, C.RAN, OWN, OUT + "_frame"),
-                (S.UNCLEAR, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_frame"),
-                (S.UNCLEAR, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_frame"),
+                (S.UNCLEAR, E.ANSWER, S.ENDED, C.RAN, OWN, OUT + "_ended"),
+                (S.UNCLEAR, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_ended"),
+                (S.UNCLEAR, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_ended"),
                 (S.UNCLEAR, E.TIME_OVER, S.ENDED, C.MAY, NONE, OUT + "_unclear"),
                 (S.UNCLEAR, E.GIVEN_UP, S.WITHDRAWN, C.MAY, NONE, OUT + "drop"),
             ),
@@ -124,6 +136,10 @@
         (
             Hop.SECOND,
             (
+                (S.RECEIVING, E.WHOLE, S.READ, C.NOT_YET, OPEN, INCOMING + "_whole"),
+                (S.RECEIVING, E.GIVEN_UP, S.WITHDRAWN, C.NEVER, PROMISE, INCOMING + "_withdraw"),
+                (S.RECEIVING, E.LINK_LOST, S.WITHDRAWN, C.NEVER, PROMISE, INCOMING + "lost"),
+                (S.RECEIVING, E.ASKED_BACK, S.WITHDRAWN, C.NEVER, PROMISE, INCOMING + "_withdraw"),
                 (S.READ, E.PLACE, S.PASSED_ON, C.MAY, OPEN, RACE + "_start"),
                 (S.READ, E.NO_PLACE, S.WAITING, C.NOT_YET, OPEN, RACE + "take"),
                 (S.WAITING, E.PLACE, S.PASSED_ON, C.MAY, OPEN, RACE + "_start"),
@@ -137,7 +153,7 @@
                     S.PASSED_ON,
                     C.MAY,
                     OPEN,
-                    "data_plane/incoming_calls.py:Incoming.lost",
+                    INCOMING + "lost",
                 ),
                 (
                     S.PASSED_ON,
@@ -145,7 +161,7 @@
                     S.PASSED_ON,
                     C.MAY,
                     OPEN,
-                    "data_plane/incoming_calls.py:Incoming._asked",
+                    INCOMING + "_asked",
                 ),
                 (S.PASSED_ON, E.ANSWER, S.ANSWERED, C.RAN, OWN, RACE + "_tell"),
                 (S.PASSED_ON, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, RACE + "_tell"),
@@ -269,7 +285,7 @@
 Try = tuple[str, str, float]  # the upstream, how it ended, after so many milliseconds
 
 
-CHOSEN = State.CHOSEN
+CHOSEN, SENDING = State.CHOSEN, State.SENDING
 
 
 class Out:
@@ -334,7 +350,8 @@
     anyway: bool = False  # its version was said to be old: the newest known here is what it goes by
 
     def may_have_run(self) -> bool:
-        return self.unclear or any(out is not None for out in self.outs)
+        """One whose body has not left whole has not run, and never does once it is dropped."""
+        return self.unclear or any(out is not None and out.state is not SENDING for out in self.outs)
 
     def final(self, late: bool, retry_after_ms: float) -> Final:
         """What its client may be told now that nothing more is done for it: a promise only where it is
--- a/mesh/data_plane/client_connection.py
+++ b/mesh/data_plane/client_connection.py
@@ -14,7 +14,9 @@
 from anisestair.flow.budget import Body
 from anisestair.http import codec as http
 from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend
+from mesh.admission.buffer_budget import SHORT, Reservation
 from mesh.configuration.limits import Limits
+from mesh.data_plane.call_messages import Octets
 from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 
 AT_ONCE = 8  # requests of one connection that are in hand
@@ -28,6 +30,12 @@
         super().__init__(httptools.HttpRequestParser, intake.limits.body)
         self._intake = intake
         self.held = 0  # bytes of the body being read; a whole one's are its message's
+        self._head = Reservation(intake.buffers.heads)  # of the head being read, where it is long
+
+    def feed(self, data: bytes) -> None:
+        super().feed(data)
+        if self._in_head and self._spent > http.SLICE and not self._head.grow(self._spent - self._head.size):
+            raise http.BadMessage(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
@@ -46,6 +54,8 @@
     def on_message_complete(self) -> None:
         super().on_message_complete()
         self.held, self._body = 0, bytearray()
+        if self._head.size:
+            self._message.hold, self._head = self._head, Reservation(self._intake.buffers.heads)
 
     def _hold(self, size: int) -> None:
         if not self._intake.bodies.take(size, self.held):
@@ -54,7 +64,8 @@
         self.held += size
 
     def let_go(self) -> None:
-        """Of the body that was being read."""
+        """Of the message that was being read."""
+        self._head.release()
         self._intake.bodies.give(self.held)
         self.held = 0
 
@@ -67,7 +78,7 @@
     def __init__(self, taken: float, message: http.Message) -> None:
         self.taken, self.message = taken, message
         self.id: str | None = None  # while it is in hand
-        self.payload: bytes | None = None  # its answer, until those before it have theirs
+        self.payload: bytes | None = None  # its answer, until those before it have theirs; counted as held
         self.closes = not message.keep_alive
 
 
@@ -80,13 +91,25 @@
         self._slots: deque[Slot] = deque()
         self._advancing = False
         self._unsent = 0  # bytes of answers that the client had not taken at the last look
+        self._untaken = 0  # and those of them that count as held
 
     def taken(self) -> bool:
         """Whether its client has taken some of its answers since the last look."""
         assert self.transport is not None
         before, self._unsent = self._unsent, self.transport.get_write_buffer_size()
+        self._count(self._unsent)
         return self._unsent < before
 
+    def _count(self, unsent: int) -> None:
+        """Answers that wait for their client are in hand. A few bytes are the kernel's affair."""
+        held = unsent if unsent > SHORT else 0
+        self._intake.buffers.answers.charge(held - self._untaken)
+        self._untaken = held
+
+    def resume_writing(self) -> None:
+        self._count(0)
+        super().resume_writing()
+
     def advance(self) -> None:
         if self._advancing:  # an answer was given while a request was being taken
             return
@@ -131,7 +154,7 @@
         last = self._slots[-1]
         return not last.closes and (route is None or not route.effectful)
 
-    def _say(self, slot: Slot, status: int, headers: http.Headers, body: bytes) -> None:
+    def _say(self, slot: Slot, status: int, headers: http.Headers, body: Octets) -> None:
         if self.transport is None or slot.payload is not None:
             return
         slot.id = None
@@ -139,6 +162,7 @@
         behind = len(self._slots) > 1 or bool(self.waiting) or bool(self.unread)
         slot.closes = slot.closes or (self.frontend.closing and not behind)
         slot.payload = http.write_response(status, headers, body, slot.closes)
+        self._intake.buffers.answers.charge(len(slot.payload))
         if not self._advancing:
             self._flush()
             self.advance()
@@ -152,6 +176,8 @@
             assert slot.payload is not None
             self._let_go_of(slot.message)
             self.transport.write(slot.payload)
+            self._intake.buffers.answers.give(len(slot.payload))
+            self._count(self.transport.get_write_buffer_size())
             self.since = self.frontend.loop.time()
             if slot.closes:
                 self._leave_all()
@@ -166,6 +192,8 @@
         self.current = None
         for slot in slots:
             self._let_go_of(slot.message)
+            if slot.payload is not None:
+                self._intake.buffers.answers.give(len(slot.payload))
             if slot.id is not None:
                 self._intake.client_gone(slot.id)
 
@@ -176,6 +204,8 @@
 
     def _let_go_of(self, message: http.Message) -> None:
         self._intake.bodies.give(len(message.body))
+        if isinstance(message.hold, Reservation):
+            message.hold.release()
 
     def let_go(self) -> None:
         self._inflow.let_go()
@@ -195,6 +225,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._leave_all()
+        self._count(0)
         super().connection_lost(exc)
 
     def idle(self) -> bool:
--- a/mesh/data_plane/incoming_calls.py
+++ b/mesh/data_plane/incoming_calls.py
@@ -4,19 +4,54 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
+from typing import Any
 
+from mesh.admission.buffer_budget import Reservation
 from mesh.admission.call_sessions import Kept, Session, Sessions, Verdict
 from mesh.admission.final_check import Why
-from mesh.data_plane.call_messages import End, Returned, TurnedAway, Unclear, end_head, read_call
-from mesh.data_plane.call_state import Event, State
+from mesh.data_plane.body_transfer import BodyTransfer
+from mesh.data_plane.call_messages import (
+    Arrived,
+    AskBack,
+    Call,
+    CallHead,
+    Drop,
+    End,
+    Octets,
+    Passed,
+    Piece,
+    Returned,
+    TurnedAway,
+    Unclear,
+    decode_from_first_hop,
+    end_head,
+    from_first_hop,
+    read_call,
+)
+from mesh.data_plane.call_state import SECOND, Event, State
 from mesh.data_plane.upstream_dispatch import OVER, Running, UpstreamDispatch
-from mesh.transport.frames import Head
+from mesh.transport.body_pieces import PIECE_BYTES
+from mesh.transport.frames import MOST, RefusedBody
 from mesh.transport.link import Link
 
 
+class Receiving:
+    """A call whose body comes in pieces; nothing of it is passed on before it is whole."""
+
+    __slots__ = ("began", "call", "kept", "state")
+
+    def __init__(self, call: Call, kept: Kept[End] | None, began: float) -> None:
+        self.call, self.kept, self.began = call, kept, began
+        self.state = State.RECEIVING
+
+    def on(self, event: Event) -> None:
+        self.state = SECOND[self.state, event]
+
+
 class Incoming:
     """The other end: calls that come from a first hop over one link. ``session`` has what outlasts the link,
-    where the first hop tells its life."""
+    where the first hop tells its life; ``window`` is what its greeting says that it takes of a body."""
 
     MOST = 4096  # calls in hand over one link; more are turned away
 
@@ -26,76 +61,144 @@
         upstream_dispatch: UpstreamDispatch,
         sessions: Sessions[End] | None = None,
         session: Session[End] | None = None,
+        window: int = 0,
     ) -> None:
         self._link, self._upstream_dispatch = link, upstream_dispatch
         self._sessions, self._session = sessions, session
+        self._receiving: dict[int, Receiving] = {}
         self._running: dict[int, Running] = {}
+        self._sending: dict[int, Returned] = {}  # answers in pieces that are not written whole
         self._loop = asyncio.get_running_loop()
+        self._transfer = BodyTransfer(link, window)
+        link.read_with(decode_from_first_hop)
 
-    def frame(self, head: Head, body: bytes) -> None:
-        """A call, the word that nobody waits for one, or a question after one whose link was lost. Raises
-        KeyError, TypeError, ValueError."""
-        number = int(head["n"])
-        if head["t"] == "drop":
-            self._dropped(number)
-            return
-        session = self._session
-        if head["t"] == "ask":
-            if session is not None:
-                self._asked(session, number, str(head["a"]))
-            return
-        call = read_call(head, body)
+    def frame(self, message: Any, body: bytes) -> None:
+        """A `FirstHopMessage`, or the object of one right behind the greeting. Raises ValueError."""
+        if isinstance(message, dict):
+            message = from_first_hop(message)
+        if isinstance(message, CallHead):
+            self._called(message, body)
+        elif isinstance(message, Piece):
+            self._transfer.piece(message.number, body)
+        elif isinstance(message, Arrived):
+            self._transfer.arrived(message)
+        elif isinstance(message, Drop):
+            self._dropped(message.number)
+        elif isinstance(message, AskBack) and self._session is not None:
+            self._asked(self._session, message.number, message.attempt)
+
+    def _called(self, message: CallHead, body: bytes) -> None:
+        number, session = message.number, self._session
+        call = read_call(message, body)
         if session is not None and not session.take(number):
             return  # a second copy, or barred: whoever sent it waits for no answer over this link
         self._link.owes += 1
-        size = len(call.body)
-        if len(self._running) >= self.MOST or not self._upstream_dispatch.bodies.take(size):
+        hold = Reservation(self._upstream_dispatch.bodies)
+        full = len(self._running) + len(self._receiving) >= self.MOST
+        if full or isinstance(body, RefusedBody) or not hold.grow(message.size or len(body)):
             self._end(number, TurnedAway(Why.FULL))
             return
-        if session is None or not call.effectful:
-            running = self._upstream_dispatch.take(call, lambda end: self._ended(number, end, size))
-            if running is not None and running.state not in OVER:
-                self._running[number] = running
+        kept: Kept[End] | None = None
+        if session is not None and call.effectful:
+            kept = session.calls[number] = Kept(call.attempt)
+        if not message.size:
+            self._begin(number, call, kept, hold)
+            return
+        receiving = self._receiving[number] = Receiving(call, kept, self._loop.time())
+        if kept is not None:
+            kept.run = (receiving, self)
+        self._transfer.expect(number, message.size, hold, partial(self._whole, number))
+
+    def _whole(self, number: int, body: Octets, hold: Reservation) -> None:
+        """The last piece of a call's body has come."""
+        receiving = self._receiving.pop(number)
+        receiving.on(Event.WHOLE)
+        call, kept = receiving.call, receiving.kept
+        call.body = body
+        call.aged((self._loop.time() - receiving.began) * 1000.0)
+        if kept is not None:
+            kept.run = None
+        self._begin(number, call, kept, hold)
+
+    def _begin(self, number: int, call: Call, kept: Kept[End] | None, hold: Reservation) -> None:
+        """Passes a whole call on to the upstream, or to the line before it."""
+        if kept is None:
+            running = self._upstream_dispatch.take(call, lambda end: self._ended(number, end, hold))
+        else:
+            running = self._upstream_dispatch.take(call, lambda end: self._over(number, kept, end, hold))
+        if running is None or running.state in OVER:
             return
-        kept: Kept[End] = Kept(call.attempt)
-        session.calls[number] = kept
-        running = self._upstream_dispatch.take(call, lambda end: self._over(session, number, kept, end, size))
-        if running is not None and running.state not in OVER:
-            self._running[number] = running
+        self._running[number], running.hold = running, hold
+        if kept is not None:
             kept.run, running.kept = (running, self), kept
             kept.waits = running.state is State.WAITING
 
-    def _ended(self, number: int, end: End, held: int) -> None:
-        """A call with a body of ``held`` bytes has its end."""
-        self._upstream_dispatch.bodies.give(held)
+    def _ended(self, number: int, end: End, hold: Reservation) -> None:
+        """A call has its end; ``hold`` is its body's memory."""
+        hold.release()
         self._end(number, end)
 
-    def _over(self, session: Session[End], number: int, kept: Kept[End], end: End, held: int) -> None:
+    def _over(self, number: int, kept: Kept[End], end: End, hold: Reservation) -> None:
         """So has one that can be asked for: to the link on which it is waited for, if there is one, and held
         besides."""
-        self._upstream_dispatch.bodies.give(held)
+        hold.release()
         here: Incoming | None = self if kept.run is None else kept.run[1]
-        if self._sessions is not None:
+        if self._session is not None and self._sessions is not None:
             size = len(end.body) if isinstance(end, Returned) else 0
-            self._sessions.end(session, number, end, size, self._loop.time())
+            self._sessions.end(self._session, number, end, size, self._loop.time())
         if here is not None:
             here._end(number, end)
+        elif isinstance(end, Returned) and end.hold is not None:
+            end.hold.release()  # what is held for a question has a bound of its own
 
     def _end(self, number: int, end: End) -> None:
         self._running.pop(number, None)
+        if isinstance(end, Returned) and len(end.body) > PIECE_BYTES and self._transfer.takes_pieces:
+            self._sending[number] = end
+            self._link.expects += 1  # word that its pieces arrive
+            self._link.send(end_head(number, end, in_pieces=True)[0])
+            self._transfer.send(number, end.body, partial(self._written, number))
+            return
+        if isinstance(end, Returned) and len(end.body) > MOST:
+            end = Unclear(f"an answer of {len(end.body)} bytes is more than an earlier program takes")
+        self._link.owes -= 1
+        self._link.send(*end_head(number, end))
+        if isinstance(end, Returned) and end.hold is not None:
+            end.hold.release()
+
+    def _written(self, number: int) -> None:
+        """The last piece of an answer has left, or nobody wants the rest."""
+        end = self._sending.pop(number)
         self._link.owes -= 1
-        head, body = end_head(number, end)
-        self._link.send(head, body)
+        self._link.expects -= 1
+        if end.hold is not None:
+            end.hold.release()
 
     def _dropped(self, number: int) -> None:
-        running = self._running.pop(number, None)
-        if running is None:
+        if number in self._sending:
+            self._transfer.cancel_sending(number)
+            self._written(number)
             return
-        self._link.owes -= 1
-        self._drop(running)
-        if running.kept is not None and self._session is not None and self._sessions is not None:
+        kept: Kept[End] | None
+        if number in self._receiving:
+            kept = self._receiving[number].kept
+            self._withdraw(number, Event.GIVEN_UP)
+        else:
+            running = self._running.pop(number, None)
+            if running is None:
+                return
+            self._link.owes -= 1
+            self._drop(running)
+            kept = running.kept
+        if kept is not None and self._session is not None and self._sessions is not None:
             self._sessions.end(self._session, number, None, 0, self._loop.time())
 
+    def _withdraw(self, number: int, event: Event) -> None:
+        """A call whose body is not whole is given up, and never runs."""
+        self._receiving.pop(number).on(event)
+        self._transfer.cancel_receiving(number)
+        self._link.owes -= 1
+
     def _asked(self, session: Session[End], number: int, attempt: str) -> None:
         self._link.owes += 1
         verdict, kept = session.ask(number, attempt)
@@ -105,13 +208,16 @@
                 before._leave(number)
             kept.run, self._running[number] = (running, self), running
             running.on(Event.ASKED_BACK)
-            self._link.send({"t": "passed", "n": number})
+            self._link.send(Passed(number=number))
             return
         if kept is not None and kept.run is not None:  # it waits
-            running, before = kept.run
-            if before is not None:
-                before._leave(number)
-            self._drop(running, Event.ASKED_BACK)
+            waiting, before = kept.run
+            if isinstance(waiting, Receiving):
+                before._withdraw(number, Event.ASKED_BACK)
+            else:
+                if before is not None:
+                    before._leave(number)
+                self._drop(waiting, Event.ASKED_BACK)
         if verdict is Verdict.NO:
             self._end(number, TurnedAway(Why.LOST))
         elif verdict is Verdict.DONE and kept is not None and kept.end is not None:
@@ -126,9 +232,16 @@
 
     def lost(self) -> None:
         """The link is down. What may be repeated its first hop has given up, and may have sent elsewhere;
-        what waits does not run any more. What is effectful and runs may be asked after."""
-        running, self._running = self._running, {}
+        what waits or is not whole does not run any more. What is effectful and runs may be asked after."""
         session = self._session
+        for number in list(self._receiving):
+            self._withdraw(number, Event.LINK_LOST)
+            if session is not None:
+                session.lost(number)
+        for number in list(self._sending):
+            self._written(number)
+        self._transfer.close()
+        running, self._running = self._running, {}
         for number, item in running.items():
             kept = item.kept
             if session is None or kept is None:
@@ -142,7 +255,6 @@
             self._sessions.closed(session, self._loop.time())
 
     def _drop(self, running: Running, event: Event = Event.GIVEN_UP) -> None:
-        done = running.done
         self._upstream_dispatch.drop(running, event)
-        if not done:  # else its end has given its body's room back
-            self._upstream_dispatch.bodies.give(len(running.call.body))
+        if running.hold is not None:
+            running.hold.release()
--- a/mesh/data_plane/introspection.py
+++ b/mesh/data_plane/introspection.py
@@ -54,6 +54,7 @@
         "control": proxy.reach.told(now),
         "routes": len(proxy.routes),
         "in_hand": proxy.intake.in_hand,
+        "memory": proxy.intake.buffers.told(),
         "retry_ratio": settings.bounds.retry_ratio,
         "beat_ms": settings.beat_period_ms,
         "upstream": _upstream(proxy),
--- /dev/null
+++ b/mesh/data_plane/peer_links.py
@@ -0,0 +1,95 @@
+"""All links of the first hop, by node, and which of them has a call."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from mesh.admission.final_check import Why
+from mesh.data_plane.call_messages import Call, End, TurnedAway
+from mesh.data_plane.call_state import Out
+from mesh.data_plane.paced_turns import PacedTurns
+from mesh.data_plane.peer_calls import Outgoing
+from mesh.data_plane.upstream_dispatch import UpstreamDispatch
+from mesh.event_log.log import EventLog
+from mesh.transport.link import Address
+
+
+class Passage:
+    """``local`` is the second hop of this process, ``node`` this one's name. ``reached`` is told
+    when a node can no longer be reached, and when it can again. ``life`` is this process's own, unlike any
+    other's: the calls of a life are numbered upwards, and no number is ever used again."""
+
+    def __init__(
+        self,
+        node: str,
+        local: UpstreamDispatch,
+        event_log: EventLog,
+        reached: Callable[[str, bool], None],
+        life: str = "",
+    ) -> None:
+        self.node, self.local, self.event_log, self.reached, self.life = node, local, event_log, reached, life
+        self.loop = asyncio.get_running_loop()
+        self.count = 0
+        self.core: Callable[[], Mapping[str, Address]] = dict  # control processes as they are known here
+        self._links: dict[str, Outgoing] = {}
+        self._leaving: set[str] = set()  # known no more, with calls still out
+        self.turns = PacedTurns(self.loop)  # of calls of lost links, over all links
+
+    def send(self, call: Call, node: str, address: Address | None, ended: Callable[[End], None]) -> Out:
+        """``ended`` is called once, perhaps before this returns, unless the call is dropped."""
+        out = Out(call, ended)
+        if node == self.node:
+            out.running = self.local.take(call, ended)
+            return out
+        link = self._links.get(node)
+        if address is None:
+            ended(TurnedAway(Why.DOWN))
+            return out
+        self._leaving.discard(node)
+        if link is None or link.address != address:
+            if link is not None:
+                link.leave()
+            known_down = link is not None and link.down
+            link = self._links[node] = Outgoing(self, node, address)
+            if known_down:
+                self.reached(node, True)
+        out.link = link
+        link.send(out)
+        return out
+
+    def drop(self, out: Out) -> None:
+        if out.running is not None:
+            self.local.drop(out.running)
+        elif out.link is not None:
+            out.link.drop(out)
+
+    def warm(self, node: str, address: Address) -> None:
+        """Opens a link that a call will soon want; nothing where there is one, or one is tried already."""
+        if node != self.node and node not in self._links:
+            link = self._links[node] = Outgoing(self, node, address)
+            link.used = self.loop.time()
+            link.open()
+
+    def reaches(self, node: str) -> bool:
+        """As far as is known."""
+        link = self._links.get(node)
+        return link is None or not link.down
+
+    def forget(self, node: str) -> None:
+        """A node that is known no more, perhaps because others cannot hear it: what is out on its link may
+        still be answered, and the link is left after that."""
+        if node in self._links:
+            self._leaving.add(node)
+            self._leave()
+
+    def _leave(self) -> None:
+        for node in sorted(self._leaving):
+            if not self._links[node].out and not self._links[node].asking:
+                self._leaving.discard(node)
+                self._links.pop(node).leave()
+
+    def tick(self, now: float) -> None:
+        self._leave()
+        for link in list(self._links.values()):
+            link.tick(now)
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -14,13 +14,14 @@
 from mesh.configuration.commands import INPUT_LIMITS, PLANT, ROUTE
 from mesh.configuration.limits import read_limits
 from mesh.configuration.routes import Route, Routes
-from mesh.data_plane.call_messages import End
+from mesh.data_plane.call_messages import End, Life
 from mesh.data_plane.client_connection import Outlets
 from mesh.data_plane.control_contact import Reach
 from mesh.data_plane.incoming_calls import Incoming
 from mesh.data_plane.introspection import answers_of
 from mesh.data_plane.membership import NODE, PROXY, ROLE_NAMES, Membership
-from mesh.data_plane.peer_calls import MOST_TOLD, Passage
+from mesh.data_plane.peer_calls import MOST_TOLD
+from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.request_dispatch import Intake
 from mesh.data_plane.service_balancers import Tables
 from mesh.data_plane.staged_routes import Stages
@@ -41,7 +42,7 @@
 from mesh.rollout.report import REPORTS
 from mesh.runtime.introspection_calls import Asker, Questions
 from mesh.runtime.settings import Settings
-from mesh.transport.frames import Head
+from mesh.transport.body_pieces import WINDOW_BYTES
 from mesh.transport.http_calls import Answer, Desk
 from mesh.transport.link import Address, Link, listen
 
@@ -109,7 +110,7 @@
             self.configured,
             lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
         )
-        self.upstream_dispatch.bodies = self.intake.bodies
+        self.upstream_dispatch.share(self.intake.buffers)
         self.registry = Registry(
             self.upstream,
             self.roll,
@@ -147,7 +148,7 @@
 
     async def start(self) -> None:
         ports = self.settings.ports
-        self._server = await listen(self.peer_address, lambda: Link(lambda _: None, self._met, self._unmet))
+        self._server = await listen(self.peer_address, self._new_link)
         assert ports.outbound is not None and ports.readiness is not None and ports.control is not None
         self.outlets.listen(ports.outbound)
         await self.control.listen(ports.control)
@@ -157,6 +158,9 @@
         self.loop.call_later(TICK_S, self._tick)
         self.event_log.tell(events.STARTED, role=ROLE_NAMES[PROXY])
 
+    def _new_link(self) -> Link:
+        return Link(lambda _: None, self._met, self._unmet, self.intake.buffers.frames)
+
     def _say_node(self) -> None:
         settings = self.settings
         self._node_version = above(self.roll.items.get((NODE, settings.node)), self._node_version + 1)
@@ -341,12 +345,12 @@
 
     # Links that others open
 
-    def _met(self, link: Link, head: Head, body: bytes) -> None:
+    def _met(self, link: Link, head: Any, body: bytes) -> None:
         if isinstance(link.peer, Incoming):
             try:
                 link.peer.frame(head, body)
             except (KeyError, TypeError, ValueError, AttributeError) as fault:
-                link.close(f"unreadable {head.get('t')}: {fault!r}")
+                link.close(f"unreadable {type(head).__name__}: {fault!r}")
         elif isinstance(link.peer, Channel):
             self.channels.frame(link.peer, head, body)
         elif isinstance(link.peer, Asker):
@@ -356,10 +360,11 @@
         elif head.get("t") == "hello" and head.get("for") == "calls":
             life = head.get("life")  # none from a program that cannot ask back
             session = self.sessions.open(str(life)) if life else None
-            link.peer = Incoming(link, self.upstream_dispatch, self.sessions, session)
+            window = int(head.get("window") or 0)  # none from a program that takes no pieces
+            link.peer = Incoming(link, self.upstream_dispatch, self.sessions, session, window)
             self._links.add(link)
             if session is not None:
-                link.send({"t": "life", "life": self.life})
+                link.send(Life(life=self.life, window=WINDOW_BYTES))
             self._hear_of(head.get("core"))
         elif head.get("t") == "hello" and head.get("for") == "news" and "source" in head and "node" in head:
             self.channels.adopt(link, head)
--- a/mesh/data_plane/request_dispatch.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -9,21 +9,18 @@
 from anisestair.flow.budget import Budget
 from anisestair.http import codec as http
 from anisestair.http.frontend import TARGET
-from mesh.admission.buffer_budget import Holding
+from mesh.admission.buffer_budget import BufferBudget
 from mesh.configuration.limits import Limits
 from mesh.configuration.routes import Route, pick
-from mesh.data_plane.call_messages import Returned
+from mesh.data_plane.call_messages import Octets, Returned
 from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served
 from mesh.data_plane.service_balancers import Tables
-from mesh.transport.frames import MOST
 
-# Bytes of a body that this program can carry, whatever the operators allow: one frame between two sidecars.
-LONGEST = MOST
 UNREADY_S = 0.3  # after which a client may come back while no configuration is here
 OTHERS_S = 0.2  # and where nothing better is known
 ID = re.compile(rb"[!-~]{1,128}")
 WHOLE = re.compile(rb"[0-9]{1,9}")
-Reply = Callable[[int, http.Headers, bytes], None]
+Reply = Callable[[int, http.Headers, Octets], None]
 
 ONCE = frozenset({b"host", b"attempt-id", b"time-remaining"})
 
@@ -54,7 +51,8 @@
         """``known``: whether a configuration is here at all. ``fill`` tells a new table its instances."""
         self.tables, self.caller, self._find, self._known, self._fill = tables, caller, find, known, fill
         self.budget = Budget(memory_mb)
-        self.bodies = Holding(self.budget.total, LONGEST)
+        self.buffers = BufferBudget(self.budget.total)
+        self.bodies = self.buffers.bodies
         self.limits = Limits()  # a request keeps to those that hold when it begins
         self._count = 0
         self._asks: dict[str, Ask] = {}
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -17,7 +17,7 @@
 from mesh.configuration.routes import Route
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
 from mesh.data_plane.call_state import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
-from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.traces import FirstHop, words
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
@@ -152,8 +152,9 @@
 
     def _overdue(self, ask: Ask) -> None:
         if not ask.over:
-            self._finish(ask, Failed(True) if ask.may_have_run() else Refused(0.0))
-            self._cut(ask)
+            final = Failed(True) if ask.may_have_run() else Refused(0.0)
+            self._cut(ask)  # first: the rest of a body that has not left whole must never leave
+            self._finish(ask, final)
             self.handle(api.ClientGone(ask.id))
 
     def _cut(self, ask: Ask) -> None:
@@ -221,8 +222,9 @@
             if ask is None:
                 return
             wait_ms = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
-            self._finish(ask, ask.final(self.tables.now() >= ask.deadline - 2.0, wait_ms))
-            self._cut(ask)
+            final = ask.final(self.tables.now() >= ask.deadline - 2.0, wait_ms)
+            self._cut(ask)  # first, as in _overdue
+            self._finish(ask, final)
 
     def _send(self, ask: Ask, instance: str) -> None:
         tables, now = self.tables, self.tables.now()
--- a/mesh/data_plane/upstream_connections.py
+++ b/mesh/data_plane/upstream_connections.py
@@ -15,11 +15,14 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import cast
 
 import httptools
 
 from anisestair.http import codec as http
+from mesh.admission.buffer_budget import Holding, Reservation
+from mesh.data_plane.call_messages import Octets
 from mesh.data_plane.call_state import CONNECTIONS, Event, State, own
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
@@ -30,7 +33,8 @@
 IDLE_S = 3.0  # where an answer does not tell how long the connection is kept
 MARGIN_S = 0.7  # given back so long before the upstream would close it
 LONGEST_S = 30.0
-MOST_ANSWER = 16 * 1024 * 1024
+MOST_ANSWER = 1 << 30  # bytes of a body, whatever memory there is
+UNSHARED_BYTES = 64 * 1024 * 1024  # of answers, until the tap is told what it shares
 PASSED_OVER = 4  # answers with another id on one connection; more, and it is of no use
 RECENT = 4096  # ids of the last calls
 ID = b"attempt-id"
@@ -42,9 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """A whole answer to this call."""
+    """A whole answer to this call; ``hold`` is the memory that is taken for its body."""
 
     message: http.Message
+    hold: Reservation | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,10 +69,52 @@
 Outcome = Answered | NotSent | Broken
 
 
+class AnswerReader(http.Reader):
+    """Whole answers of one connection. What memory does not bear is refused once its length is known."""
+
+    def __init__(self, answers: Holding) -> None:
+        super().__init__(httptools.HttpResponseParser, MOST_ANSWER)
+        self._answers = answers
+        self._hold = Reservation(answers)
+        self._holds: list[Reservation] = []  # of those that are whole
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        if self._length:
+            self._grow(self._length)
+
+    def on_body(self, part: bytes) -> None:
+        if self._length is None:
+            self._grow(len(part))
+        super().on_body(part)
+
+    def on_message_complete(self) -> None:
+        before = len(self._whole)
+        super().on_message_complete()
+        self._body = bytearray()
+        if len(self._whole) > before:
+            self._holds.append(self._hold)
+            self._hold = Reservation(self._answers)
+
+    def _grow(self, size: int) -> None:
+        if not self._hold.grow(size):
+            self._refuse(HTTPStatus.INSUFFICIENT_STORAGE)
+
+    def take_held(self) -> list[Answered]:
+        """Those that are whole, each with its memory."""
+        holds, self._holds = self._holds, []
+        return [Answered(message, hold) for message, hold in zip(self.take(), holds, strict=True)]
+
+    def let_go(self) -> None:
+        """Of what came of an answer that never is whole."""
+        self._hold.release()
+        self._holds.clear()
+
+
 class TapConnection(http.Buffered):
     def __init__(self, tap: Tap) -> None:
         self._tap = tap
-        self._reader = http.Reader(httptools.HttpResponseParser, MOST_ANSWER)
+        self._reader = AnswerReader(tap.answers)
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
         self._id = b""
@@ -99,11 +146,16 @@
             and not self._poll.poll(0)
         )
 
-    def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> None:
+    def ask(
+        self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None], body: Octets = b""
+    ) -> None:
+        """``body`` goes behind the payload."""
         assert self._transport is not None
         self.state = AFTER_ASK
         self._id, self._ended = attempt, ended
         self._transport.write(payload)
+        if body:
+            self._transport.write(body)
 
     def drop(self) -> None:
         """Nobody waits for the answer any more; the upstream stops when the connection closes."""
@@ -131,23 +183,25 @@
             return
         try:
             self._reader.feed(data)
-        except http.BadMessage:
-            self._settle(self._reader.take(), False)
+        except http.BadMessage as fault:
+            self._settle(self._reader.take_held(), False)
             self.close()
-            self._break("what came is no answer")
+            large = fault.status is HTTPStatus.INSUFFICIENT_STORAGE
+            self._break("memory does not bear its answer" if large else "what came is no answer")
             return
-        self._settle(self._reader.take(), True)
+        self._settle(self._reader.take_held(), True)
 
     def eof_received(self) -> None:
         try:
             self._reader.end()
         except http.BadMessage:
             return
-        self._settle(self._reader.take(), False)
+        self._settle(self._reader.take_held(), False)
 
-    def _settle(self, answers: list[http.Message], good: bool) -> None:
+    def _settle(self, answers: list[Answered], good: bool) -> None:
         while answers and self.state is SENT:
-            answer = answers.pop(0)
+            answered = answers.pop(0)
+            answer = answered.message
             told = answer.get(ID)
             if not own(self._id, told.encode("latin-1") if told is not None else None):
                 self.on(Event.STRAY)
@@ -163,11 +217,12 @@
             else:
                 self.on(Event.CROWDED)
                 self.close()
-            self._end(Answered(answer))
+            self._end(answered)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._tap.lost(self)
         self._reader.close()
+        self._reader.let_go()
         self._break("the connection ended")
 
 
@@ -177,6 +232,7 @@
     def __init__(self, address: Address, most: int, event_log: EventLog, drain_ms: float = math.inf) -> None:
         self.address, self.most, self.event_log = address, most, event_log
         self.connect_s = min(CONNECT_S, DRAIN_PART * drain_ms / 1000.0)
+        self.answers = Holding(UNSHARED_BYTES, UNSHARED_BYTES)  # the memory for answers, shared with others
         self._loop = asyncio.get_running_loop()
         self._idle: list[TapConnection] = []
         self._open: set[TapConnection] = set()
@@ -185,15 +241,16 @@
         self._coming = 0
 
     async def ask(
-        self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]
+        self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None], body: Octets = b""
     ) -> TapConnection | None:
-        """Puts a call on a connection; ``ended`` is called once with its outcome, unless it is dropped."""
+        """Puts a call on a connection, ``body`` behind its payload; ``ended`` is called once with its
+        outcome, unless it is dropped."""
         now, again = self._loop.time(), attempt in self._recent
         while self._idle and not again:
             connection = self._idle.pop()
             if connection.usable(now):
                 self._note(attempt)
-                connection.ask(attempt, payload, ended)
+                connection.ask(attempt, payload, ended, body)
                 return connection
             connection.close()
         if again and self._idle and len(self._open) + self._coming >= self.most:
@@ -215,7 +272,7 @@
         self._open.add(connection)
         if not again:
             self._note(attempt)
-        connection.ask(attempt, payload, ended)
+        connection.ask(attempt, payload, ended, body)
         return connection
 
     def _note(self, attempt: bytes) -> None:
--- a/mesh/data_plane/upstream_dispatch.py
+++ b/mesh/data_plane/upstream_dispatch.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from anisestair.http import codec as http
-from mesh.admission.buffer_budget import Holding
+from mesh.admission.buffer_budget import SHORT, BufferBudget, Reservation
 from mesh.admission.call_sessions import Kept
 from mesh.admission.fair_share import Shares
 from mesh.admission.final_check import Turned, Why, judge, places
@@ -19,7 +19,6 @@
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
 from mesh.membership.instance_lifecycle import Publish, Upstream
-from mesh.transport.frames import MOST
 
 # Written anew here, whatever was sent.
 OURS = frozenset({b"time-remaining", b"target-instance", b"calling-service", b"attempt-id"})
@@ -27,19 +26,21 @@
 OVER = frozenset({State.ANSWERED, State.WITHDRAWN, State.ENDED})
 # Members of an enumeration are found slowly, and these are asked for with every call.
 READ, WITHDRAWN, PLACE = State.READ, State.WITHDRAWN, Event.PLACE
+UNSHARED_BYTES = 64 * 1024 * 1024  # of messages, until `share` says
 LATE_S = 0.25  # an upstream that says nothing this long after its deadline is not waited for
 
 
 class Running:
     """A call that waits for a place, or has been passed on."""
 
-    __slots__ = ("began", "call", "came", "connection", "ended", "expiry", "kept", "state", "task")
+    __slots__ = ("began", "call", "came", "connection", "ended", "expiry", "hold", "kept", "state", "task")
 
     def __init__(self, call: Call, ended: Callable[[End], None], came: float) -> None:
         self.call, self.ended, self.came = call, ended, came
         self.began = 0.0  # when it was passed on
         self.state = READ
         self.kept: Kept[End] | None = None  # what outlasts its link
+        self.hold: Reservation | None = None  # its body's memory, where it came over a link
         self.connection: TapConnection | None = None
         self.expiry: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
@@ -70,11 +71,16 @@
         self._rings = 0.0  # when it does
         self._tasks: set[asyncio.Task[None]] = set()
         self.load: tuple[int, int, int] | None = None  # running, waiting, slots, as last told
-        self.bodies = Holding(MOST, MOST)  # of calls from other sidecars; shared with the clients' side
+        self.share(BufferBudget(UNSHARED_BYTES))
         self.newer: Callable[[Call], list[Any] | None] = (
             lambda call: None
         )  # what its route should be, if not so
 
+    def share(self, buffers: BufferBudget) -> None:
+        """The memory for bodies, answers and frames, which the clients' side uses as well."""
+        self.bodies, self.answers, self.frames = buffers.bodies, buffers.answers, buffers.frames
+        self.tap.answers = buffers.answers
+
     def now(self) -> float:
         return self._loop.time() * 1000.0
 
@@ -176,10 +182,13 @@
             (b"target-instance", call.instance.encode("latin-1")),
             (b"calling-service", call.caller.encode("latin-1")),
         ]
-        payload = http.write_request(call.method, call.target, headers, call.body)
-        connection = await self.tap.ask(
-            call.attempt.encode("latin-1"), payload, lambda outcome: self._end(running, outcome)
-        )
+        attempt, ended = call.attempt.encode("latin-1"), lambda outcome: self._end(running, outcome)
+        if len(call.body) <= SHORT:
+            payload = http.write_request(call.method, call.target, headers, call.body)
+            connection = await self.tap.ask(attempt, payload, ended)
+        else:  # a long body is not copied behind its head
+            head = http.request_head(call.method, call.target, headers, len(call.body))
+            connection = await self.tap.ask(attempt, head, ended, call.body)
         if connection is None:
             return
         if running.state is WITHDRAWN:
@@ -231,7 +240,7 @@
             self._tell(running, Unclear("a success without its seal or id"))
         else:
             headers = [item for item in message.end_to_end() if item[0] not in TELLING]
-            self._tell(running, Returned(message.status, headers, message.body, ran=True))
+            self._tell(running, Returned(message.status, headers, message.body, True, outcome.hold))
 
     def _sealed(self, running: Running, message: http.Message) -> bool:
         return bool(message.get(b"response-seal")) and message.get(b"attempt-id") == running.call.attempt
--- a/mesh/transport/frames.py
+++ b/mesh/transport/frames.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -15,40 +15,83 @@
 
 MOST = 16 * 1024 * 1024  # bytes of one netstring
 DIGITS = 8  # of a length: what MOST can have
+COMMA = 0x2C
 BODY = "body"  # the head's field that tells how long the netstring behind it is
+UNCOUNTED = 64 * 1024  # bytes of a netstring that is read without asking for room
 
 _encode = msgspec.json.Encoder().encode
-_decode: Callable[[bytes], Head] = msgspec.json.Decoder(dict[str, Any]).decode
+decode_object: Callable[[bytes], Head] = msgspec.json.Decoder(dict[str, Any]).decode
+
+
+class FrameHead(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Base of typed heads. ``body`` is the length of the netstring behind it, None where there is none."""
+
+    body: int | None = None
+
+
+class Room(Protocol):
+    """What bounds the bytes of frames that are being read; `mesh.admission.buffer_budget` has it."""
+
+    def take(self, size: int) -> bool: ...
+
+    def give(self, size: int) -> None: ...
 
 
 class BadFrame(Exception):
     """The other end sent what is no frame; the link is of no use any more."""
 
 
-def frame(head: Head, body: bytes | None = None) -> bytes:
-    """One frame as bytes; ``head`` must be JSON's kinds of values alone."""
+class RefusedBody(bytes):
+    """Stands for a body for which there was no room: it is passed over as it comes."""
+
+
+Octets = bytes | bytearray | memoryview
+
+
+def frame(head: Head | FrameHead, body: Octets | None = None) -> bytes:
+    """One frame as bytes; a ``head`` that is a dict must be of JSON's kinds of values alone."""
     if body is None:
         text = _encode(head)
         return b"%d:%b," % (len(text), text)
-    head[BODY] = len(body)
+    if isinstance(head, FrameHead):
+        head.body = len(body)
+    else:
+        head[BODY] = len(body)
     text = _encode(head)
-    return b"%d:%b,%d:%b," % (len(text), text, len(body), body)
+    return b"".join((b"%d:%b,%d:" % (len(text), text, len(body)), body, b","))
+
+
+def _body_length(head: Any) -> Any:
+    """What a head says of its body; None where it has none."""
+    return head.body if isinstance(head, FrameHead) else head.get(BODY)
 
 
 class Frames:
-    """Bytes in, whole frames out."""
+    """Bytes in, whole frames out. ``decode`` reads a head and raises msgspec.DecodeError for what is none.
 
-    def __init__(self) -> None:
+    A long netstring is read only where ``room`` has place for it. Without place a body is passed over and its
+    head told at once with a `RefusedBody`; a head without place is a BadFrame.
+    """
+
+    def __init__(self, room: Room | None = None) -> None:
+        self.decode: Callable[[bytes], Any] = decode_object
+        self._room = room
         self._held = bytearray()
-        self._head: Head | None = None  # its body is still to come
+        self._head: Any = None  # its body is still to come
+        self._counted = 0  # bytes of the netstring being read for which there is room
+        self._passing = 0  # bytes of a refused body that are still to come, and the comma behind them
 
-    def feed(self, data: bytes) -> list[tuple[Head, bytes]]:
+    def feed(self, data: bytes) -> list[tuple[Any, bytes]]:
         """The frames that are whole now. Raises BadFrame; what was whole before is lost with the link."""
         held = self._held
         held += data
-        found: list[tuple[Head, bytes]] = []
+        found: list[tuple[Any, bytes]] = []
         at, end = 0, len(held)
         while True:
+            if self._passing:
+                at = self._pass_over(at, end)
+                if self._passing:
+                    break
             colon = held.find(b":", at, at + DIGITS + 1)
             if colon < 0:
                 if end - at > DIGITS:
@@ -60,27 +103,64 @@
             length = int(digits)
             if length > MOST:
                 raise BadFrame(f"{length} bytes, over {MOST}")
+            if length > UNCOUNTED and not self._counted and not self._count(length):
+                if self._head is None:
+                    raise BadFrame(f"memory does not bear a head of {length} bytes")
+                self._check_body(length)
+                found.append((self._head, RefusedBody()))
+                self._head = None
+                at, self._passing = colon + 1, length + 1
+                continue
             close = colon + 1 + length
             if close >= end:
                 break
-            if held[close] != 0x2C:
+            if held[close] != COMMA:
                 raise BadFrame("no comma at the end")
             part = bytes(held[colon + 1 : close])
             at = close + 1
+            if self._counted:
+                self.let_go()
             if self._head is not None:
-                if self._head[BODY] != length:
-                    raise BadFrame("a body of another length than was told")
+                self._check_body(length)
                 found.append((self._head, part))
                 self._head = None
                 continue
             try:
-                head = _decode(part)
+                head = self.decode(part)
             except (msgspec.DecodeError, RecursionError) as fault:
                 raise BadFrame(str(fault)) from None
-            if BODY in head:
+            if _body_length(head) is not None:
                 self._head = head
             else:
                 found.append((head, b""))
         if at:
             del held[:at]
         return found
+
+    def _check_body(self, length: int) -> None:
+        if _body_length(self._head) != length:
+            raise BadFrame("a body of another length than was told")
+
+    def _count(self, length: int) -> bool:
+        """Whether there is room for a long netstring, which is then taken."""
+        if self._room is None:
+            return True
+        if not self._room.take(length):
+            return False
+        self._counted = length
+        return True
+
+    def let_go(self) -> None:
+        """Gives back the room of the netstring that was being read: it is whole, or its link is lost."""
+        if self._counted and self._room is not None:
+            self._room.give(self._counted)
+        self._counted = 0
+
+    def _pass_over(self, at: int, end: int) -> int:
+        """Leaves out what has come of a refused body; gives where the bytes behind it begin."""
+        left_out = min(self._passing, end - at)
+        self._passing -= left_out
+        at += left_out
+        if not self._passing and self._held[at - 1] != COMMA:
+            raise BadFrame("no comma at the end")
+        return at
--- a/mesh/transport/link.py
+++ b/mesh/transport/link.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from mesh.transport.frames import BadFrame, Frames, Head, frame
+from mesh.transport.frames import BadFrame, FrameHead, Frames, Head, Octets, Room, frame
 
 Address = tuple[str, int]
 
@@ -27,17 +27,19 @@
 
 
 class Link(asyncio.Protocol):
-    """Either end. ``on_frame(link, head, body)`` is called for each frame, ``on_lost(link, why)`` once."""
+    """Either end. ``on_frame(link, head, body)`` is called for each frame, ``on_lost(link, why)`` once; heads
+    are dicts until ``read_with`` sets a decoder of typed ones. ``room`` bounds frames that are being read."""
 
     def __init__(
         self,
         on_up: Callable[[Link], None],
-        on_frame: Callable[[Link, Head, bytes], None],
+        on_frame: Callable[[Link, Any, bytes], None],
         on_lost: Callable[[Link, str], None],
+        room: Room | None = None,
     ) -> None:
         self._on_up, self._on_frame, self._on_lost = on_up, on_frame, on_lost
         self._loop = asyncio.get_running_loop()
-        self._frames = Frames()
+        self._frames = Frames(room)
         self._transport: asyncio.Transport | None = None
         self._why = "closed by the other end"
         self.sent_at = self.heard_at = self._loop.time()
@@ -49,6 +51,8 @@
         self._long = 0  # bytes of long frames since little was unsent
         self._unsent = 0  # at the last tick
         self.peer: Any = None  # whose it is, as its owner has it
+        self.choked = False  # the kernel takes no more for now
+        self.on_writable: Callable[[], None] = _nothing  # it takes more again
 
     @property
     def up(self) -> bool:
@@ -59,6 +63,17 @@
         """Bytes that the kernel has not taken."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
+    def read_with(self, decode: Callable[[bytes], Any]) -> None:
+        """Heads that come from now on are read by ``decode``, which raises msgspec.DecodeError."""
+        self._frames.decode = decode
+
+    def pause_writing(self) -> None:
+        self.choked = True
+
+    def resume_writing(self) -> None:
+        self.choked = False
+        self.on_writable()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
@@ -77,7 +92,7 @@
             if head and self.up:
                 self._on_frame(self, head, body)
 
-    def send(self, head: Head, body: bytes | None = None) -> bool:
+    def send(self, head: Head | FrameHead, body: Octets | None = None) -> bool:
         """False where the link is down, or its peer does not read."""
         if not self.up:
             return False
@@ -122,9 +137,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is not None:
             self._why = str(exc)
+        self._frames.let_go()
         self._on_lost(self, self._why)
 
 
+def _nothing() -> None:
+    return
+
+
 async def connect(address: Address, make: Callable[[], Link]) -> Link | None:
     """A link that is up, or None where the other end cannot be had within CONNECT_S."""
     loop = asyncio.get_running_loop()
--- a/rigs/call_world.py
+++ b/rigs/call_world.py
@@ -285,7 +285,7 @@
     found = []
     if program.upstream_dispatch.running or len(program.upstream_dispatch.line):
         found.append(f"{name}: calls at the upstream or in the line")
-    if program.intake.in_hand or program.passage._turns:
+    if program.intake.in_hand or len(program.passage.turns):
         found.append(f"{name}: requests in hand")
     for node, one in program.passage._links.items():
         expects = one.link.expects if one.link is not None else 0
--- a/tests/mesh/test_data_plane_client_connection.py
+++ b/tests/mesh/test_data_plane_client_connection.py
@@ -13,7 +13,7 @@
 from mesh.configuration.limits import Limits
 from mesh.configuration.routes import Routes, read_route
 from mesh.data_plane.client_connection import AT_ONCE, Outlets
-from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 from mesh.data_plane.service_balancers import GUARD_MS, Tables
 from mesh.data_plane.upstream_connections import Tap
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -15,7 +15,7 @@
 from mesh.admission.final_check import Why
 from mesh.configuration.routes import Route
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
-from mesh.data_plane.call_state import Ask, Failed, Final, Refused, Served
+from mesh.data_plane.call_state import Ask, Failed, Final, Refused, Served, State
 from mesh.data_plane.service_balancers import GUARD_MS, Table, Tables
 from mesh.event_log.log import EventLog
 from rigs.mesh_peers import move, play, soon, turns
@@ -35,6 +35,7 @@
     call: Call
     node: str
     ended: Callable[[End], None]
+    state: State = State.SENT
 
 
 @dataclass
--- a/tests/mesh/test_duty_carried.py
+++ b/tests/mesh/test_duty_carried.py
@@ -14,7 +14,7 @@
 from mesh.cli.view import Process, View
 from mesh.control_plane.leases import LIVELY_S, MOST_DROPPED, ROUND_S, Duties
 from mesh.data_plane.membership import CONTROLLER, INSTANCE, NODE, PROXY, Membership
-from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.peer_links import Passage
 from mesh.event_log.log import EventLog
 from mesh.membership.failure_detection import MOST_ASKED, spans
 from mesh.membership.lease import DUTY, REAPING, Standing, first
