--- a/tests/mesh/test_data_plane_body_transfer.py
+++ b/tests/mesh/test_data_plane_body_transfer.py
@@ -264,6 +264,21 @@
     over_earlier(test)
 
 
+def test_a_whole_frame_that_memory_does_not_bear_is_turned_away_and_its_link_stays() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        give_room(bench, far)
+        await bench.known(far)
+        far.links[0]._frames._room = Holding(len(LONG), len(LONG))  # its copies leave half of that
+        _, end = bench.send(far, long_call("a1"))
+        assert await soon(end) == TurnedAway(Why.FULL)
+        _, end = bench.send(far, call("a2"))
+        await until(lambda: len(far.second.taken) == 2)
+        far.second.end(1, SERVED)
+        assert await soon(end) == SERVED and len(far.links) == 1
+
+    over_earlier(test)
+
+
 def test_a_long_body_waits_until_the_other_end_has_said_what_it_takes() -> None:
     async def test(bench: Bench, far: Far) -> None:
         far.window = WINDOW_BYTES
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -200,6 +200,65 @@
     beside(tmp_path, test)
 
 
+def test_a_long_head_that_memory_does_not_bear_is_503_and_a_borne_one_is_counted_to_its_end(
+    tmp_path: Path,
+) -> None:
+    async def test(there: Beside) -> None:
+        there.take("input_limits", "input_limits", TOLD)
+        heads = there.proxy.intake.buffers.heads
+        heads.most = heads.longest = 40_000
+        held = await there.client()
+        held.send("a1", "/read/hold", headers=[(b"x-own", b"x" * 25_000)])
+        await soon(there.upstream.comes.get())
+        assert 20_000 < heads.held < 30_000
+        other = await there.client()
+        assert (await other.ask("a2", "/read/ok", headers=[(b"x-own", b"x" * 20_000)])).status == 503
+        assert (await (await there.client()).ask("a3", "/read/ok", headers=[(b"x-own", b"x")])).status == 200
+        there.upstream.release.set()
+        answer = await held.read()
+        assert answer is not None and answer.status == 200
+        await until(lambda: heads.held == 0)
+
+    beside(tmp_path, test)
+
+
+@pytest.mark.parametrize("size", [30_000, 60_000])
+def test_an_answer_that_memory_does_not_bear_may_have_run_and_takes_no_memory(
+    tmp_path: Path, size: int
+) -> None:
+    async def test(there: Beside) -> None:
+        answers = there.proxy.intake.buffers.answers
+        answers.most = answers.longest = 50_000
+        client = await there.client()
+        answer = await client.ask("a1", "/read/ok", body=b"x" * size)
+        assert answer.status == (502 if size > answers.most else 200)
+        assert there.upstream.runs["a1"] >= 1
+        await until(lambda: answers.held == 0)
+        assert (await client.ask("a2", "/read/ok")).status == 200
+
+    beside(tmp_path, test)
+
+
+def test_an_answer_that_its_client_does_not_read_counts_until_it_does(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        there.take("input_limits", "input_limits", TOLD)
+        answers = there.proxy.intake.buffers.answers
+        client = await Client.to(there.outbound)
+        client.send("a1", "/read/ok", body=b"x" * (9 << 20))
+        await until(lambda: len(there.upstream.seen) == 1 and answers.held > 1 << 20)
+        told = there.proxy.intake.buffers.told()["answers"]
+        assert told["held_bytes"] == answers.memory <= told["most_bytes"]
+        answer = await client.read()
+        assert answer is not None and answer.status == 200
+        await until(lambda: answers.held == 0)
+        client.send("a2", "/read/ok", body=b"x" * (9 << 20))
+        await until(lambda: len(there.upstream.seen) == 2 and answers.held > 1 << 20)
+        client.leave()
+        await until(lambda: answers.held == 0)
+
+    beside(tmp_path, test)
+
+
 def test_long_bodies_leave_room_for_short_ones() -> None:
     bodies = Holding(2 * 16 * SHORT, 8 * SHORT)
     assert not bodies.take(8 * SHORT + 1) and not bodies.take(1, before=8 * SHORT)
--- a/tests/mesh/test_transport_frames.py
+++ b/tests/mesh/test_transport_frames.py
@@ -89,6 +89,58 @@
     assert len(b"%d" % (16 * 1024 * 1024)) == module.DIGITS
 
 
+class Room:
+    """Bears frames of so many bytes together."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+
+    def take(self, size: int) -> bool:
+        bears = self.held + size <= self.most
+        self.held += size if bears else 0
+        return bears
+
+    def give(self, size: int) -> None:
+        self.held -= size
+
+
+LONG = module.UNCOUNTED + 1
+
+
+@pytest.mark.parametrize("step", [1000, LONG // 2, 3 * LONG])
+def test_a_body_without_room_is_passed_over_and_what_follows_is_read(step: int) -> None:
+    room = Room(LONG)
+    reader, found = Frames(room), []
+    stream = frame({"t": "a"}, b"x" * (LONG + 1)) + frame({"t": "b"}, b"y" * LONG) + frame({"t": "c"}, b"z")
+    for start in range(0, len(stream), step):
+        found += reader.feed(stream[start : start + step])
+        assert len(reader._held) <= LONG + step and room.held <= LONG
+    assert [(head["t"], bytes(body)) for head, body in found] == [("a", b""), ("b", b"y" * LONG), ("c", b"z")]
+    assert [isinstance(body, module.RefusedBody) for _, body in found] == [True, False, False]
+    assert room.held == 0
+
+
+def test_a_head_without_room_is_told_and_a_body_that_never_is_whole_gives_its_room_back() -> None:
+    with pytest.raises(BadFrame, match="memory"):
+        Frames(Room(LONG)).feed(b"%d:" % (LONG + 1))
+    room = Room(LONG)
+    reader = Frames(room)
+    assert reader.feed(frame({"t": "a"}, b"x" * LONG)[:-2]) == [] and room.held == LONG
+    reader.let_go()
+    assert room.held == 0
+
+
+def test_a_refused_body_of_another_length_or_without_its_comma_is_told() -> None:
+    text = b'{"body":%d}' % (LONG + 1)
+    head = b"%d:%b," % (len(text), text)
+    with pytest.raises(BadFrame, match="length"):
+        Frames(Room(0)).feed(head + b"%d:" % (LONG + 2))
+    reader = Frames(Room(0))
+    reader.feed(head + b"%d:" % (LONG + 1) + b"x" * (LONG + 1))
+    with pytest.raises(BadFrame, match="comma"):
+        reader.feed(b";")
+
+
 def test_what_is_taken_is_not_held() -> None:
     reader = Frames()
     for _ in range(100):
