--- a/benchmarks/long_bodies.py
+++ b/benchmarks/long_bodies.py
@@ -42,14 +42,17 @@
     """An upstream that reads whole bodies, keeps nothing of them, and answers with seal and id."""
 
     def __init__(self) -> None:
+        """Nothing has come yet."""
         self._head = b""
         self._left = 0  # bytes of a body still to come
         self._answer = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A caller is there."""
         self._transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Answers each request whose body is whole."""
         while data:
             if not self._left:
                 head, end, data = (self._head + data).partition(b"\r\n\r\n")
@@ -81,11 +84,13 @@
     """Calls with a body of 4 KiB, the next when the last answer has come."""
 
     def __init__(self, calls: Calls) -> None:
+        """``calls`` has how many are left, and takes what is measured."""
         super().__init__()
         self._calls, self._sent, self._body = calls, 0.0, b"x" * SHORT_BYTES
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Asks the first."""
         super().connection_made(transport)
         self._ask()
 
@@ -98,18 +103,21 @@
         self.transport.write(request(SHORT_BYTES) + self._body)
 
     def message(self, head: bytes) -> None:
+        """Measures an answer and asks the next."""
         if head.startswith(b"HTTP/1.1 200"):
             self._calls.latencies.append(time.perf_counter() - self._sent)
         else:
             self._calls.others += 1
         self._ask()
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, _: Exception | None) -> None:
+        """All are answered, or the proxy has closed."""
         if not self.done.done():
             self.done.set_result(None)
 
 
 async def short_calls(address: Address, count: int) -> Load:
+    """So many, one after another. Raises TimeoutError where they take more than 100 ms each."""
     calls, began = Calls(count), time.perf_counter()
     _, caller = await asyncio.get_running_loop().create_connection(lambda: ShortCaller(calls), *address)
     async with asyncio.timeout(5.0 + count * 0.1):
@@ -121,6 +129,8 @@
 
 
 class Senders:
+    """Clients that send one long body after another."""
+
     def __init__(self, address: Address, size: int, rate: float) -> None:
         """``rate``: bytes a second of one sender, 0 for as fast as they are taken."""
         self._address, self._rate, self._body = address, rate, b"b" * size
@@ -128,6 +138,7 @@
         self.ending = False
 
     async def run(self, count: int) -> None:
+        """So many of them, until ``ending`` is set."""
         await asyncio.gather(*(self._send() for _ in range(count)))
 
     async def _send(self) -> None:
@@ -179,6 +190,7 @@
 
     @classmethod
     async def start(cls, ips: list[str]) -> Beside:
+        """Starts it with an upstream at each ip."""
         found = cls()
         found._process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "benchmarks.long_bodies", "--beside", *ips),
@@ -199,15 +211,18 @@
         await self._process.stdin.drain()
 
     async def begin(self, address: Address, bodies: int, size: int, rate: float) -> None:
+        """So many clients begin to send bodies of ``size`` bytes, each ``rate`` bytes a second."""
         await self._say(
             {"host": address[0], "port": address[1], "bodies": bodies, "size": size, "rate": rate}
         )
 
     async def end(self) -> dict[str, Any]:
+        """They end; gives what they sent."""
         await self._say({})
         return cast(dict[str, Any], await self._read())
 
     async def stop(self) -> None:
+        """Ends the process."""
         self._process.kill()
         await self._process.wait()
 
@@ -251,6 +266,7 @@
 
 
 async def one_round(folder: Path, given: argparse.Namespace) -> dict[str, Any]:
+    """The mesh is started, measured and ended."""
     mesh = Mesh.of(folder, 1, 2)
     _with_memory(mesh)
     there = await Beside.start([f"{mesh.net}.{SIDE + at}" for at in range(2)])
@@ -289,6 +305,7 @@
 
 
 def main() -> None:
+    """Reads the arguments, measures, prints."""
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     words.add_argument("--rounds", type=int, default=3)
     words.add_argument("--calls", type=int, default=2000)
--- a/mesh/admission/buffer_budget.py
+++ b/mesh/admission/buffer_budget.py
@@ -21,6 +21,7 @@
     """The memory that several holdings share, in bytes."""
 
     def __init__(self, room: int) -> None:
+        """Nobody holds anything of ``room`` yet."""
         self.room = room
         self.holdings: list[Holding] = []
 
@@ -37,6 +38,7 @@
     def __init__(
         self, room: int, longest: int, copies: int = COPIES, pool: Pool | None = None, kept: int = 0
     ) -> None:
+        """Nothing is in hand yet."""
         self.most, self.longest = room // copies, longest
         self.copies, self.kept = copies, kept
         self.held = 0  # bytes in hand
@@ -76,6 +78,7 @@
     __slots__ = ("_holding", "size")
 
     def __init__(self, holding: Holding) -> None:
+        """Nothing of ``holding`` is taken yet."""
         self._holding = holding
         self.size = 0  # bytes
 
@@ -93,6 +96,7 @@
             self._holding.give(size)
 
     def __del__(self) -> None:
+        """Nobody refers to its message any more."""
         self.release()
 
 
@@ -100,6 +104,7 @@
     """All of a process: ``room`` is the memory for messages, in bytes."""
 
     def __init__(self, room: int) -> None:
+        """Divides ``room`` among the kinds."""
         self.pool = Pool(room)
         free = room - int((KEPT_BODIES + KEPT_ANSWERS + KEPT_HEADS + KEPT_FRAMES) * room)
 
--- a/mesh/data_plane/body_transfer.py
+++ b/mesh/data_plane/body_transfer.py
@@ -13,9 +13,11 @@
 
 
 class BodyTransfer:
-    """``window``: what the other end's greeting says that it takes, 0 where it takes whole frames alone."""
+    """The bodies in pieces that cross one link. While one is on its way either end owes and expects
+    something: its pieces, and word that they arrived. So both tell a link on which nothing comes any more."""
 
     def __init__(self, link: Link, window: int) -> None:
+        """``window``: what the other end's greeting says that it takes, 0 where it takes no pieces."""
         self._link = link
         self.takes_pieces = window > 0
         self._outgoing = OutgoingBodies(window)
@@ -25,6 +27,7 @@
 
     def send(self, number: int, body: Octets, written: Callable[[], None]) -> None:
         """``written`` is called once, perhaps before this returns, unless the body is cancelled."""
+        self._count(1)
         self._written[number] = written
         self._outgoing.add(number, body)
         self._write()
@@ -36,13 +39,19 @@
             if part.last:
                 self._written.pop(part.number)()
 
+    def _count(self, bodies: int) -> None:
+        self._link.owes += bodies
+        self._link.expects += bodies
+
     def expect(self, number: int, size: int, hold: Reservation, whole: Whole) -> None:
         """A body of so many bytes follows; ``hold`` is its memory, ``whole`` called once when all is here."""
+        self._count(1)
         self._incoming[number] = IncomingBody(size), hold, whole
 
     def arrived(self, message: Arrived) -> None:
         """Raises PieceError."""
-        self._outgoing.confirm(message.number, message.count)
+        if self._outgoing.confirm(message.number, message.count):
+            self._count(-1)
         self._write()
 
     def piece(self, number: int, part: bytes) -> None:
@@ -55,11 +64,13 @@
         self._link.send(Arrived(number=number, count=body.confirm()))
         if body.whole:
             del self._incoming[number]
+            self._count(-1)
             whole(body.data, hold)
 
     def cancel_sending(self, number: int) -> bool:
         """False where that body is not being sent, or all of it is written."""
-        self._outgoing.cancel(number)
+        if self._outgoing.cancel(number):
+            self._count(-1)
         sending = self._written.pop(number, None) is not None
         self._write()  # others may have its part of the window
         return sending
@@ -69,12 +80,10 @@
         found = self._incoming.pop(number, None)
         if found is None:
             return False
+        self._count(-1)
         found[1].release()
         return True
 
-    def receiving(self, number: int) -> bool:
-        return number in self._incoming
-
     def close(self) -> None:
         """The link is lost: nothing that is not whole will ever be."""
         self._written.clear()
--- a/mesh/data_plane/call_messages.py
+++ b/mesh/data_plane/call_messages.py
@@ -205,12 +205,12 @@
             size=len(self.body) if in_pieces else 0,
         )
 
-    def aged(self, by_ms: float) -> None:
-        """So long it took to arrive."""
-        self.left_ms -= by_ms
-        self.patience_ms -= by_ms
-        self.longer_ms -= by_ms
-        self.age_ms += by_ms
+    def wait(self, waited_ms: float) -> None:
+        """Charges ``waited_ms`` of either hop, so that whoever has the call next knows what is left."""
+        self.left_ms -= waited_ms
+        self.patience_ms -= waited_ms
+        self.longer_ms -= waited_ms
+        self.age_ms += waited_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,10 +244,12 @@
 
 
 def pack_headers(headers: http.Headers) -> HeaderFields:
+    """Headers as they stand in a frame."""
     return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in headers]
 
 
 def unpack_headers(fields: HeaderFields) -> http.Headers:
+    """Headers of a frame; raises UnicodeEncodeError."""
     return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields]
 
 
--- a/mesh/data_plane/call_state.py
+++ b/mesh/data_plane/call_state.py
@@ -117,14 +117,14 @@
                 (S.SENDING, E.WHOLE_SENT, S.SENT, C.MAY, OPEN, OUT + "_sent_whole"),
                 (S.SENDING, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_ended"),
                 (S.SENDING, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_ended"),
-                (S.SENDING, E.LINK_LOST, S.ENDED, C.NEVER, PROMISE, OUT + "_lost"),
+                (S.SENDING, E.LINK_LOST, S.ENDED, C.NEVER, PROMISE, OUT + "_cut"),
                 (S.SENDING, E.GIVEN_UP, S.WITHDRAWN, C.NEVER, PROMISE, OUT + "drop"),
                 (S.SENT, E.ANSWER, S.ENDED, C.RAN, OWN, OUT + "_ended"),
                 (S.SENT, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_ended"),
                 (S.SENT, E.NO_ANSWER, S.ENDED, C.MAY, NONE, OUT + "_ended"),
-                (S.SENT, E.LINK_LOST, S.UNCLEAR, C.MAY, OPEN, OUT + "_lost"),
+                (S.SENT, E.LINK_LOST, S.UNCLEAR, C.MAY, OPEN, OUT + "_cut"),
                 (S.SENT, E.GIVEN_UP, S.WITHDRAWN, C.MAY, NONE, OUT + "drop"),
-                (S.UNCLEAR, E.LINK_LOST, S.UNCLEAR, C.MAY, OPEN, OUT + "_lost"),
+                (S.UNCLEAR, E.LINK_LOST, S.UNCLEAR, C.MAY, OPEN, OUT + "_cut"),
                 (S.UNCLEAR, E.PASSED, S.SENT, C.MAY, OPEN, OUT + "_frame"),
                 (S.UNCLEAR, E.ANSWER, S.ENDED, C.RAN, OWN, OUT + "_ended"),
                 (S.UNCLEAR, E.TURNED_AWAY, S.ENDED, C.NEVER, PROMISE, OUT + "_ended"),
@@ -298,7 +298,7 @@
         self.state = CHOSEN
         self.link: Any = None  # the node's, as the passage has it
         self.number = 0
-        self.sent = 0.0  # seconds of the loop's clock
+        self.sent = 0.0  # seconds of the loop's clock; until it is written, when it was handed over
         self.life: str | None = None  # of the second hop, on the link that was lost
         self.running: Any = None  # where the second hop is this process
         self.asking: asyncio.TimerHandle | None = None  # when asking back is over
--- a/mesh/data_plane/incoming_calls.py
+++ b/mesh/data_plane/incoming_calls.py
@@ -42,10 +42,12 @@
     __slots__ = ("began", "call", "kept", "state")
 
     def __init__(self, call: Call, kept: Kept[End] | None, began: float) -> None:
+        """``began``: when its frame came, in seconds of the loop."""
         self.call, self.kept, self.began = call, kept, began
         self.state = State.RECEIVING
 
     def on(self, event: Event) -> None:
+        """Takes an event that its state has a row for."""
         self.state = SECOND[self.state, event]
 
 
@@ -63,6 +65,7 @@
         session: Session[End] | None = None,
         window: int = 0,
     ) -> None:
+        """Takes over the link of a greeting."""
         self._link, self._upstream_dispatch = link, upstream_dispatch
         self._sessions, self._session = sessions, session
         self._receiving: dict[int, Receiving] = {}
@@ -115,7 +118,7 @@
         receiving.on(Event.WHOLE)
         call, kept = receiving.call, receiving.kept
         call.body = body
-        call.aged((self._loop.time() - receiving.began) * 1000.0)
+        call.wait((self._loop.time() - receiving.began) * 1000.0)
         if kept is not None:
             kept.run = None
         self._begin(number, call, kept, hold)
@@ -153,15 +156,14 @@
 
     def _end(self, number: int, end: End) -> None:
         self._running.pop(number, None)
+        self._link.owes -= 1
         if isinstance(end, Returned) and len(end.body) > PIECE_BYTES and self._transfer.takes_pieces:
             self._sending[number] = end
-            self._link.expects += 1  # word that its pieces arrive
             self._link.send(end_head(number, end, in_pieces=True)[0])
             self._transfer.send(number, end.body, partial(self._written, number))
             return
         if isinstance(end, Returned) and len(end.body) > MOST:
             end = Unclear(f"an answer of {len(end.body)} bytes is more than an earlier program takes")
-        self._link.owes -= 1
         self._link.send(*end_head(number, end))
         if isinstance(end, Returned) and end.hold is not None:
             end.hold.release()
@@ -169,14 +171,12 @@
     def _written(self, number: int) -> None:
         """The last piece of an answer has left, or nobody wants the rest."""
         end = self._sending.pop(number)
-        self._link.owes -= 1
-        self._link.expects -= 1
         if end.hold is not None:
             end.hold.release()
 
     def _dropped(self, number: int) -> None:
+        self._transfer.cancel_sending(number)  # of an answer, also when all of it is written
         if number in self._sending:
-            self._transfer.cancel_sending(number)
             self._written(number)
             return
         kept: Kept[End] | None
--- a/mesh/data_plane/paced_turns.py
+++ b/mesh/data_plane/paced_turns.py
@@ -11,7 +11,10 @@
 
 
 class PacedTurns:
+    """The work that waits for its turn."""
+
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Nothing waits yet; pauses are those of ``loop``."""
         self._loop = loop
         self._turns: deque[Callable[[], None]] = deque()
         self._questions: deque[Callable[[], None]] = deque()  # before those: their time to ask in is short
@@ -19,6 +22,7 @@
         self._pausing = False
 
     def __len__(self) -> int:
+        """How much waits."""
         return len(self._turns) + len(self._questions)
 
     def take(self, work: Callable[[], None], question: bool = False) -> None:
--- a/mesh/data_plane/peer_calls.py
+++ b/mesh/data_plane/peer_calls.py
@@ -60,6 +60,7 @@
     """One node's link, as the first hop has it."""
 
     def __init__(self, passage: Passage, node: str, address: Address) -> None:
+        """No link is open yet."""
         self.passage, self.node, self.address = passage, node, address
         self.link: Link | None = None
         self.transfer: BodyTransfer | None = None  # of bodies in pieces over that link
@@ -77,7 +78,8 @@
         self.left = False  # the node is elsewhere now, or gone
 
     def send(self, out: Out) -> None:
-        self.used = self.passage.loop.time()
+        """Writes a call, or keeps it until the link is up, or turns it away."""
+        self.used = out.sent = self.passage.loop.time()
         if self._may_write(out):
             self._write(out)
         elif self.down:
@@ -96,6 +98,7 @@
         return up and (self.known or not (out.call.effectful or len(out.call.body) > PIECE_BYTES))
 
     def open(self) -> None:
+        """Begins to open a link."""
         self.opened = self.passage.loop.time()
         self.coming = self.passage.loop.create_task(self._come_up())
 
@@ -153,6 +156,7 @@
         waiting, self.waiting = self.waiting, []
         for out in waiting:
             if self._may_write(out):
+                out.call.wait((self.passage.loop.time() - out.sent) * 1000.0)
                 self._write(out)
             elif self.link is not None and self.link.up:
                 self.waiting.append(out)
@@ -256,14 +260,12 @@
             self._ended(link, out, Unclear(f"memory does not bear its answer of {size} bytes"))
         elif message.size:
             self._asked(out)
-            link.owes += 1
             transfer.expect(number, size, hold, partial(self._answered, link, out, message))
         else:
             self._ended(link, out, read_end(message, body, hold))
 
     def _answered(self, link: Link, out: Out, message: EndHead, body: Octets, hold: Reservation) -> None:
         """The last piece of an answer has come."""
-        link.owes -= 1
         self._ended(link, out, read_end(message, body, hold))
 
     def _ended(self, link: Link, out: Out, end: End) -> None:
@@ -274,18 +276,18 @@
         state = FIRST.get((out.state, event_of(end)))
         if state is None:
             return
-        if out.state is SENDING:
-            self._stop_sending(out)
+        self._stop_sending(out)
         out.state = state
         out.ended(end)
 
     def _stop_sending(self, out: Out) -> None:
-        if self.transfer is not None:
+        """Also where all of its body is written: who turned the call away confirms none of it."""
+        if self.transfer is not None and len(out.call.body) > PIECE_BYTES:
             self.transfer.cancel_sending(out.number)
 
     def _stop_receiving(self, out: Out) -> None:
-        if self.transfer is not None and self.transfer.cancel_receiving(out.number) and self.link is not None:
-            self.link.owes -= 1
+        if self.transfer is not None:
+            self.transfer.cancel_receiving(out.number)
 
     # After a loss
 
@@ -335,12 +337,7 @@
         if why != IDLE and not self.left:
             self._again()
         for item in out.values():
-            partly = item.state is SENDING
-            if item.on(Event.LINK_LOST):
-                if partly:  # the rest of its body never leaves
-                    self.passage.turns.take(partial(item.ended, TurnedAway(Why.LOST)))
-                else:
-                    self._ask_back(item, why)
+            self._cut(item, why)
         if out:
             self.passage.event_log.tell(
                 events.CALLS_CUT, peer=self.node, calls=len(out), asked=len(self.asking), why=why
@@ -348,6 +345,16 @@
         if self.asking and self.coming is None and self.passage.loop.time() - self.opened > AGAIN_S:
             self.open()
 
+    def _cut(self, out: Out, why: str) -> None:
+        """The link that it was out on is lost."""
+        partly = out.state is SENDING
+        if not out.on(Event.LINK_LOST):
+            return
+        if partly:  # the rest of its body never leaves
+            self.passage.turns.take(partial(out.ended, TurnedAway(Why.LOST)))
+        else:
+            self._ask_back(out, why)
+
     def _ask_back(self, out: Out, why: str) -> None:
         """A call whose link is lost: asked after over the next one where that can tell anything in time."""
         now, out.life = self.passage.loop.time(), self.life
@@ -366,6 +373,7 @@
         self.asking.pop(out.number, None)
         if self.out.pop(out.number, None) is not None and self.link is not None:
             self.link.expects -= 1
+            self._stop_sending(out)
             self._stop_receiving(out)
         if out.on(Event.TIME_OVER):
             out.ended(Unclear(why))
@@ -396,6 +404,7 @@
             self.link.close(ELSEWHERE)
 
     def tick(self, now: float) -> None:
+        """Called every so often: signs of life, idle links, further tries."""
         if self.link is not None:
             self.link.tick(now)
             if not self.out and not self.asking and now - self.used > IDLE_S and self.link is not None:
--- a/mesh/data_plane/peer_links.py
+++ b/mesh/data_plane/peer_links.py
@@ -28,6 +28,7 @@
         reached: Callable[[str, bool], None],
         life: str = "",
     ) -> None:
+        """No link is open yet."""
         self.node, self.local, self.event_log, self.reached, self.life = node, local, event_log, reached, life
         self.loop = asyncio.get_running_loop()
         self.count = 0
@@ -59,6 +60,7 @@
         return out
 
     def drop(self, out: Out) -> None:
+        """Nobody waits for it any more."""
         if out.running is not None:
             self.local.drop(out.running)
         elif out.link is not None:
@@ -90,6 +92,7 @@
                 self._links.pop(node).leave()
 
     def tick(self, now: float) -> None:
+        """Called every so often."""
         self._leave()
         for link in list(self._links.values()):
             link.tick(now)
--- a/mesh/data_plane/upstream_connections.py
+++ b/mesh/data_plane/upstream_connections.py
@@ -73,22 +73,26 @@
     """Whole answers of one connection. What memory does not bear is refused once its length is known."""
 
     def __init__(self, answers: Holding) -> None:
+        """``answers`` bounds what is read."""
         super().__init__(httptools.HttpResponseParser, MOST_ANSWER)
         self._answers = answers
         self._hold = Reservation(answers)
         self._holds: list[Reservation] = []  # of those that are whole
 
     def on_headers_complete(self) -> None:
+        """Takes room for a body of known length."""
         super().on_headers_complete()
         if self._length:
             self._grow(self._length)
 
     def on_body(self, part: bytes) -> None:
+        """Takes room for a part of a body of unknown length."""
         if self._length is None:
             self._grow(len(part))
         super().on_body(part)
 
     def on_message_complete(self) -> None:
+        """Puts the room beside its answer."""
         before = len(self._whole)
         super().on_message_complete()
         self._body = bytearray()
@@ -112,7 +116,10 @@
 
 
 class TapConnection(http.Buffered):
+    """One connection to the upstream."""
+
     def __init__(self, tap: Tap) -> None:
+        """Not up yet."""
         self._tap = tap
         self._reader = AnswerReader(tap.answers)
         self._transport: asyncio.Transport | None = None
@@ -132,6 +139,7 @@
         return True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It is up."""
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -164,6 +172,7 @@
         self.close()
 
     def close(self) -> None:
+        """Ends it at once."""
         if self._transport is not None:
             self._transport.abort()
 
@@ -177,6 +186,7 @@
             ended(outcome)
 
     def data_received(self, data: bytes) -> None:
+        """An answer, or a part of one; when nobody has asked, it ends the connection."""
         if self.state is not SENT:  # nobody asked
             self.on(Event.STRAY)
             self.close()
@@ -192,6 +202,7 @@
         self._settle(self._reader.take_held(), True)
 
     def eof_received(self) -> None:
+        """Nothing more comes: an answer without a length is whole."""
         try:
             self._reader.end()
         except http.BadMessage:
@@ -220,6 +231,7 @@
             self._end(answered)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """A call that is out may have run."""
         self._tap.lost(self)
         self._reader.close()
         self._reader.let_go()
@@ -230,6 +242,7 @@
     """All connections to one address. ``most`` bounds them."""
 
     def __init__(self, address: Address, most: int, event_log: EventLog, drain_ms: float = math.inf) -> None:
+        """No connection is open yet."""
         self.address, self.most, self.event_log = address, most, event_log
         self.connect_s = min(CONNECT_S, DRAIN_PART * drain_ms / 1000.0)
         self.answers = Holding(UNSHARED_BYTES, UNSHARED_BYTES)  # the memory for answers, shared with others
@@ -282,6 +295,7 @@
             self._recent.discard(self._order.popleft())
 
     def rest(self, connection: TapConnection, answer: http.Message) -> None:
+        """Keeps a connection for the next call, as long as its answer says."""
         keeps = IDLE_S + MARGIN_S
         for part in (answer.get(b"keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
@@ -291,6 +305,7 @@
         self._idle.append(connection)
 
     def lost(self, connection: TapConnection) -> None:
+        """A connection has ended."""
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
@@ -303,5 +318,6 @@
             connection.close()
 
     def close(self) -> None:
+        """Ends all connections."""
         for connection in list(self._open):
             connection.close()
--- a/mesh/transport/body_pieces.py
+++ b/mesh/transport/body_pieces.py
@@ -42,16 +42,17 @@
 
 
 class OutgoingBodies:
-    """The bodies that one end sends. ``window`` is what the other end takes of each beyond what it has
-    confirmed."""
+    """The bodies that one end sends."""
 
     def __init__(self, window: int) -> None:
+        """``window``: what the other end takes of each beyond what it has confirmed."""
         self._window = window
         self._bodies: dict[int, _Body] = {}
         self._turns: deque[_Body] = deque()  # those that may send more, as far as their own window goes
         self._unconfirmed = 0  # bytes of all of them
 
     def __len__(self) -> int:
+        """Those of which the end has not arrived."""
         return len(self._bodies)
 
     def add(self, number: int, data: bytes | bytearray) -> None:
@@ -75,20 +76,23 @@
             self._turns.append(body)
         return Part(body.number, data, last)
 
-    def confirm(self, number: int, arrived: int) -> None:
-        """So many first bytes of a body have arrived. One that is not sent any more is passed over."""
+    def confirm(self, number: int, arrived: int) -> bool:
+        """So many first bytes of a body have arrived; whether that is all of it. One that is not sent any
+        more is passed over."""
         body = self._bodies.get(number)
         if body is None or arrived <= body.confirmed:
-            return
+            return False
         if arrived > body.sent:
             raise PieceError(f"{arrived} bytes are confirmed and {body.sent} were sent")
         self._unconfirmed -= arrived - body.confirmed
         body.confirmed, body.granted = arrived, arrived + self._window
         if arrived == len(body.data):
             del self._bodies[number]
-        elif not body.in_turn and body.sent < len(body.data):
+            return True
+        if not body.in_turn and body.sent < len(body.data):
             body.in_turn = True
             self._turns.append(body)
+        return False
 
     def cancel(self, number: int) -> bool:
         """Nobody wants it any more; False where it is not being sent."""
@@ -107,6 +111,7 @@
     __slots__ = ("_confirmed", "data", "size")
 
     def __init__(self, size: int) -> None:
+        """Nothing of its ``size`` bytes has come."""
         self.size = size
         self.data = bytearray()
         self._confirmed = 0
@@ -120,6 +125,7 @@
 
     @property
     def whole(self) -> bool:
+        """Whether all of it is here."""
         return len(self.data) == self.size
 
     def confirm(self) -> int:
--- a/mesh/transport/frames.py
+++ b/mesh/transport/frames.py
@@ -32,9 +32,11 @@
 class Room(Protocol):
     """What bounds the bytes of frames that are being read; `mesh.admission.buffer_budget` has it."""
 
-    def take(self, size: int) -> bool: ...
+    def take(self, size: int) -> bool:
+        """Whether so many bytes more find room, and are held."""
 
-    def give(self, size: int) -> None: ...
+    def give(self, size: int) -> None:
+        """So many are held no more."""
 
 
 class BadFrame(Exception):
@@ -66,6 +68,21 @@
     return head.body if isinstance(head, FrameHead) else head.get(BODY)
 
 
+def _check_body(head: Any, length: int) -> None:
+    if _body_length(head) != length:
+        raise BadFrame("a body of another length than was told")
+
+
+def _length(digits: bytearray) -> int:
+    """Of a netstring, within what one may have."""
+    if not digits.isdigit():
+        raise BadFrame("a length that is no number")
+    length = int(digits)
+    if length > MOST:
+        raise BadFrame(f"{length} bytes, over {MOST}")
+    return length
+
+
 class Frames:
     """Bytes in, whole frames out. ``decode`` reads a head and raises msgspec.DecodeError for what is none.
 
@@ -74,6 +91,7 @@
     """
 
     def __init__(self, room: Room | None = None) -> None:
+        """Nothing has come yet."""
         self.decode: Callable[[bytes], Any] = decode_object
         self._room = room
         self._held = bytearray()
@@ -97,49 +115,49 @@
                 if end - at > DIGITS:
                     raise BadFrame("a length without its colon")
                 break
-            digits = bytes(held[at:colon])
-            if not digits.isdigit():
-                raise BadFrame("a length that is no number")
-            length = int(digits)
-            if length > MOST:
-                raise BadFrame(f"{length} bytes, over {MOST}")
+            length = _length(held[at:colon])
             if length > UNCOUNTED and not self._counted and not self._count(length):
-                if self._head is None:
-                    raise BadFrame(f"memory does not bear a head of {length} bytes")
-                self._check_body(length)
-                found.append((self._head, RefusedBody()))
-                self._head = None
-                at, self._passing = colon + 1, length + 1
+                found.append(self._refuse(length))
+                at = colon + 1
                 continue
             close = colon + 1 + length
             if close >= end:
                 break
             if held[close] != COMMA:
                 raise BadFrame("no comma at the end")
-            part = bytes(held[colon + 1 : close])
+            whole = self._part(bytes(held[colon + 1 : close]))
+            if whole is not None:
+                found.append(whole)
             at = close + 1
-            if self._counted:
-                self.let_go()
-            if self._head is not None:
-                self._check_body(length)
-                found.append((self._head, part))
-                self._head = None
-                continue
-            try:
-                head = self.decode(part)
-            except (msgspec.DecodeError, RecursionError) as fault:
-                raise BadFrame(str(fault)) from None
-            if _body_length(head) is not None:
-                self._head = head
-            else:
-                found.append((head, b""))
         if at:
             del held[:at]
         return found
 
-    def _check_body(self, length: int) -> None:
-        if _body_length(self._head) != length:
-            raise BadFrame("a body of another length than was told")
+    def _part(self, part: bytes) -> tuple[Any, bytes] | None:
+        """The frame that one netstring makes whole, if any."""
+        if self._counted:
+            self.let_go()
+        head, self._head = self._head, None
+        if head is not None:
+            _check_body(head, len(part))
+            return head, part
+        try:
+            head = self.decode(part)
+        except (msgspec.DecodeError, RecursionError) as fault:
+            raise BadFrame(str(fault)) from None
+        if _body_length(head) is None:
+            return head, b""
+        self._head = head
+        return None
+
+    def _refuse(self, length: int) -> tuple[Any, bytes]:
+        """The frame whose body of so many bytes is passed over."""
+        head, self._head = self._head, None
+        if head is None:
+            raise BadFrame(f"memory does not bear a head of {length} bytes")
+        _check_body(head, length)
+        self._passing = length + 1
+        return head, RefusedBody()
 
     def _count(self, length: int) -> bool:
         """Whether there is room for a long netstring, which is then taken."""
--- a/mesh/transport/link.py
+++ b/mesh/transport/link.py
@@ -37,6 +37,7 @@
         on_lost: Callable[[Link, str], None],
         room: Room | None = None,
     ) -> None:
+        """Not up yet."""
         self._on_up, self._on_frame, self._on_lost = on_up, on_frame, on_lost
         self._loop = asyncio.get_running_loop()
         self._frames = Frames(room)
@@ -56,6 +57,7 @@
 
     @property
     def up(self) -> bool:
+        """Whether frames can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
     @property
@@ -68,13 +70,16 @@
         self._frames.decode = decode
 
     def pause_writing(self) -> None:
+        """The kernel takes no more for now."""
         self.choked = True
 
     def resume_writing(self) -> None:
+        """It takes more again."""
         self.choked = False
         self.on_writable()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It is up."""
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -82,6 +87,7 @@
         self._on_up(self)
 
     def data_received(self, data: bytes) -> None:
+        """Tells the frames that are whole."""
         self.heard_at = self._loop.time()
         try:
             frames = self._frames.feed(data)
@@ -130,11 +136,13 @@
             self.sent_at = now
 
     def close(self, why: str) -> None:
+        """Ends it at once; ``why`` is what its owner is told."""
         self._why = why
         if self._transport is not None:
             self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Tells its owner, once."""
         if exc is not None:
             self._why = str(exc)
         self._frames.let_go()
--- a/rigs/call_world.py
+++ b/rigs/call_world.py
@@ -21,8 +21,10 @@
 
 from anisestair.http import codec as http
 from mesh.configuration.routes import Route
+from mesh.data_plane.call_messages import Octets
 from mesh.data_plane.peer_calls import Outgoing
 from mesh.data_plane.upstream_connections import Answered, Broken, NotSent, Outcome
+from mesh.transport.body_pieces import PIECE_BYTES
 from mesh.transport.link import Link
 from simulation.mesh.wire import DELAY_S, End
 from simulation.mesh.world import Life, Machine, Script, World
@@ -36,6 +38,9 @@
     *("freeze here", "freeze there", "killed here", "killed there"),
 )
 CALLS, FRAMES = 14, 60  # of one play: requests, and frames among which troubles are drawn
+# Bodies: of a few bytes, or so long that they and their answers go in pieces.
+LONG, LONG_SHARE = 3 * PIECE_BYTES, 0.25
+PAD = b"."
 QUIET_S = 10.0  # after the last request: longer than any trouble and what is held after it
 
 
@@ -47,6 +52,7 @@
     home: str
     effectful: bool
     sent_at: float
+    asked: bytes = b""  # its body, the token first
     got: list[int] = field(default_factory=list)
     body: bytes = b""
     answered_at: float = 0.0
@@ -55,6 +61,10 @@
     ran_by_then: bool = False
 
 
+def token_of(body: Octets) -> str:
+    return bytes(body).partition(PAD)[0].decode()
+
+
 class _Work:
     """A request at an upstream, as `UpstreamDispatch` sees its connection."""
 
@@ -76,20 +86,22 @@
     def __init__(self, world: CallWorld, machine: Machine) -> None:
         self.world, self.machine, self.most = world, machine, 100
 
-    async def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> _Work | None:
+    async def ask(
+        self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None], body: Octets = b""
+    ) -> _Work | None:
         world, draw = self.world, self.world.draw
         chance = draw.random() if world.fails else 1.0
         if chance < 0.02:
             ended(NotSent(False))
             return None
-        token = payload.rpartition(b"\r\n\r\n")[2]
-        world.begun[token.decode()] += 1
+        asked = bytes(body) or payload.rpartition(b"\r\n\r\n")[2]
+        world.begun[token_of(asked)] += 1
         work = _Work(ended)
         if chance < 0.05:
             outcome: Outcome = Broken("the connection ended")
         else:
             headers = [(b"attempt-id", attempt), (b"response-seal", b"s")]
-            outcome = Answered(http.Message(status=200, headers=headers, body=b"of " + token))
+            outcome = Answered(http.Message(status=200, headers=headers, body=b"of " + asked))
         world.loop.call_later(draw.choice(world.works_s), work.end, outcome)
         return work
 
@@ -180,7 +192,7 @@
 
         def lost(outgoing: Outgoing, link: Link, why: str) -> None:
             if outgoing.link is link:
-                tokens = {out.call.body.decode() for out in outgoing.out.values()}
+                tokens = {token_of(out.call.body) for out in outgoing.out.values()}
                 for one in self.asked:
                     if one.token in tokens and one.effectful and one.cut_at is None:
                         one.cut_at, one.ran_by_then = self.loop.time(), self.begun[one.token] > 0
@@ -211,11 +223,14 @@
             (b"time-remaining", b"%d" % left_ms),
         ]
         target = b"/w/x" if effectful else b"/r/x"
-        message = http.Message(method=b"POST", target=target, headers=headers, body=one.token.encode())
+        one.asked = one.token.encode()
+        if self.draw.random() < LONG_SHARE:
+            one.asked = one.asked.ljust(LONG, PAD)
+        message = http.Message(method=b"POST", target=target, headers=headers, body=one.asked)
 
-        def reply(status: int, headers: http.Headers, body: bytes) -> None:
+        def reply(status: int, headers: http.Headers, body: Octets) -> None:
             one.got.append(status)
-            one.body, one.answered_at = body, self.loop.time()
+            one.body, one.answered_at = bytes(body), self.loop.time()
 
         def begin() -> None:
             program.intake.begin(program.tables.now(), message, reply)
@@ -262,8 +277,8 @@
             alive = one.life.alive
             if len(one.got) > 1 or not one.got and alive:
                 found.append(f"{one.token} at {one.home} got {one.got}")
-            if one.got[:1] == [200] and one.body != b"of " + one.token.encode():
-                found.append(f"another's: {one.token} got {one.body!r}")
+            if one.got[:1] == [200] and one.body != b"of " + one.asked:
+                found.append(f"another's: {one.token} got {one.body[:20]!r}, {len(one.body)} bytes")
             if one.got[:1] == [200] and not self.begun[one.token]:
                 found.append(f"another's: {one.token} was served and never begun")
             if one.effectful and self.begun[one.token] > 1:
@@ -292,8 +307,11 @@
         if one.out or one.asking or one.waiting or expects > (not one.proved):
             found.append(f"{name} to {node}: {len(one.out)} out, {len(one.asking)} asked, expects {expects}")
     for link in program._links:
-        if link.owes:
-            found.append(f"{name}: owes {link.owes} on a link")
+        if link.owes or link.expects:
+            found.append(f"{name}: owes {link.owes}, expects {link.expects} on a link")
+    held = {kind: told["held_bytes"] for kind, told in program.intake.buffers.told().items()}
+    if any(held.values()):
+        found.append(f"{name}: memory is still held: {held}")
     if program.sessions.bytes or any(one.calls for one in program.sessions.by_life.values()):
         found.append(f"{name}: ends are still held")
     return found
--- a/tests/mesh/test_data_plane_body_transfer.py
+++ b/tests/mesh/test_data_plane_body_transfer.py
@@ -240,6 +240,19 @@
     over(test)
 
 
+def test_what_was_turned_away_when_all_of_it_was_written_takes_nothing_of_the_window() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        bodies, far.second.bodies = far.second.bodies, Holding(0, 0)
+        for at in range(3):
+            out, end = bench.send(far, long_call(f"a{at}", body=bytes(WINDOW_BYTES)))
+            assert out.state is State.SENT and await soon(end) == TurnedAway(Why.FULL)
+        assert (link_of(bench).owes, link_of(bench).expects) == (0, 0)
+        far.second.bodies = bodies
+        assert (await served(bench, far))[1] == replace(SERVED, body=LONG)
+
+    over(test)
+
+
 def test_an_earlier_release_at_the_second_hop_gets_whole_frames_and_none_that_ends_its_link() -> None:
     async def test(bench: Bench, far: Far) -> None:
         give_room(bench, far)
