--- a/mesh/data_plane/call_messages.py
+++ b/mesh/data_plane/call_messages.py
@@ -55,6 +55,7 @@
     age_ms: float = 0.0
     anyway: bool = False
     effectful: bool = False
+    repeat: bool = False
 
 
 class CallHead(FrameHead, tag_field="t", tag="call"):
@@ -187,6 +188,7 @@
     anyway: bool = False  # it was turned away as of an old version once, and there is no newer one to be had
     effectful: bool = False  # it may run once at the most
     aim_ms: float = 0.0  # known at the first hop alone
+    repeat: bool = False  # another try has arrived before, or a repeat's run has made it
 
     def head(self, number: int, in_pieces: bool = False) -> CallHead:
         """Its frame's; ``in_pieces``: its body is not in that frame."""
@@ -201,10 +203,14 @@
             left_ms=round(self.left_ms, 1),
             rank=self.rank,
             patience=Patience(round(self.patience_ms, 1), round(self.longer_ms, 1)),
-            route=RouteUsed(self.route, self.version, round(self.age_ms), self.anyway, self.effectful),
+            route=self._route_used(),
             size=len(self.body) if in_pieces else 0,
         )
 
+    def _route_used(self) -> RouteUsed:
+        age_ms = round(self.age_ms)
+        return RouteUsed(self.route, self.version, age_ms, self.anyway, self.effectful, self.repeat)
+
     def wait(self, waited_ms: float) -> None:
         """Charges ``waited_ms`` of either hop, so that whoever has the call next knows what is left."""
         self.left_ms -= waited_ms
@@ -273,6 +279,7 @@
         age_ms=route.age_ms,
         anyway=route.anyway,
         effectful=route.effectful,
+        repeat=route.repeat,
     )
 
 
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -111,6 +111,7 @@
             lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
         )
         self.upstream_dispatch.share(self.intake.buffers)
+        self.intake.repeats = self.upstream_dispatch.repeats
         self.registry = Registry(
             self.upstream,
             self.roll,
--- a/mesh/data_plane/request_dispatch.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -10,6 +10,7 @@
 from anisestair.http import codec as http
 from anisestair.http.frontend import TARGET
 from mesh.admission.buffer_budget import BufferBudget
+from mesh.admission.repeat_runs import RepeatRuns
 from mesh.configuration.limits import Limits
 from mesh.configuration.routes import Route, pick
 from mesh.data_plane.call_messages import Octets, Returned
@@ -53,6 +54,7 @@
         self.budget = Budget(memory_mb)
         self.buffers = BufferBudget(self.budget.total)
         self.bodies = self.buffers.bodies
+        self.repeats = RepeatRuns()  # of the upstream beside this sidecar, whose calls come here, too
         self.limits = Limits()  # a request keeps to those that hold when it begins
         self._count = 0
         self._asks: dict[str, Ask] = {}
@@ -118,6 +120,7 @@
             deadline=taken + waits,
             answer=lambda final: self._answer(reply, ask, final),
             anyway=anyway,
+            repeat=left is not None and self.repeats.made(taken + float(left)),
         )
         self._asks[ask.id] = ask
         table, new = self.tables.of(service, route)
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -145,6 +145,7 @@
 
     def _over(self, ask: Ask) -> None:
         ask.over = True
+        ask.last = None  # its memory goes with it, not with the next collection of cycles
         if ask.guard is not None:
             ask.guard.cancel()
         self.asks.pop(ask.id, None)
@@ -246,7 +247,10 @@
             anyway=ask.anyway,
             effectful=ask.route.effectful,
             aim_ms=ask.route.aim_ms,
+            repeat=ask.repeat or ask.arrived > 0,
         )
+        if ask.repeat and number == 0:
+            self.budget.charge(now)
         ask.arrived += 1
         ended = False
 
