--- a/lab/clients.py
+++ b/lab/clients.py
@@ -5,62 +5,41 @@
 
 import math
 from itertools import accumulate
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import numpy as np
 
-from lab.scenario import Class
-from lab.streams import lognormal
-
-if TYPE_CHECKING:
-    from lab.market import Market
-    from lab.sidecars import Sidecar
-    from lab.streams import Stream
+from lab.calls import Call, Try
+from lab.checker import Checker
+from lab.clock import Clock
+from lab.measures import Measures
+from lab.scenario import Scenario
+from lab.sidecars import Sidecar
+from lab.streams import Stream, Streams, lognormal
 
 OVER_SHARE_WORTH = 0.1  # of a call beyond what its member is entitled to
 
 
-class Call:
-    """What a client wants, over all its tries; ``worth`` is what its answer in time earns."""
-
-    __slots__ = (
-        "klass",
-        "member",
-        "begun",
-        "worth",
-        "work",
-        "key",
-        "chance",
-        "tries",
-        "ignores",
-        "hasty",
-        "got",
-        "slowed",
-    )
-
-    def __init__(self, klass: Class, member: int, begun: float, worth: float, work: float, key: int) -> None:
-        self.klass, self.member, self.begun, self.worth = klass, member, begun, worth
-        self.work, self.key, self.tries = work, key, 0
-        self.chance, self.ignores, self.hasty = 0.0, False, False
-        self.got, self.slowed = 0.0, False  # worth that its answer earned; its sidecar lacked the CPU for it
-
-
-class Try:
-    """One request of a call."""
+class ClientsHost(Protocol):
+    """What clients need of the simulation that they are part of."""
 
-    __slots__ = ("name", "call", "sidecar", "life", "open", "marked")
+    scenario: Scenario
+    clock: Clock
+    streams: Streams
+    measures: Measures
+    checker: Checker
+    sidecars: list[Sidecar]
 
-    def __init__(self, name: str, call: Call, sidecar: Sidecar, marked: bool) -> None:
-        self.name, self.call, self.sidecar, self.marked = name, call, sidecar, marked
-        self.life, self.open = sidecar.life, True
+    def reached(self, number: int) -> Sidecar:
+        """The process that a call of this sidecar's application comes to."""
 
 
 class Clients:
     """``hot`` and ``loud`` hold the troubles of the moment: how many times its part a sidecar or member
     sends."""
 
-    def __init__(self, market: Market) -> None:
-        self.market, self.clock, scenario = market, market.clock, market.scenario
+    def __init__(self, simulation: ClientsHost) -> None:
+        self.simulation, self.clock, scenario = simulation, simulation.clock, simulation.scenario
         self.made, self.load, self.scenario = scenario.clients, scenario.load, scenario
         self.class_bounds = list(accumulate(item.share for item in scenario.classes))
         self.shares = [item.share for item in scenario.members]
@@ -78,14 +57,14 @@
         self.saved = [(1000.0 * rate, 0.0) for rate in self.entitled]
 
     def begin(self) -> None:
-        sidecars = self.market.sidecars
-        uneven, chance = self.scenario.sidecars.uneven, self.market.streams.of("uneven")
+        sidecars = self.simulation.sidecars
+        uneven, chance = self.scenario.sidecars.uneven, self.simulation.streams.of("uneven")
         parts = [lognormal(chance.random(), uneven) for _ in sidecars]
         rate = self.scenario.rate() * self.load.share / 1000.0
         for sidecar, part in zip(sidecars, parts, strict=True):
             own = rate * part / sum(parts)
             if own > 0 and sidecar.here:
-                stream = self.market.streams.of("calls", sidecar.number)
+                stream = self.simulation.streams.of("calls", sidecar.number)
                 first = stream.exponential(self.load.burst / own)
                 self.clock.at(first, self._arrive, sidecar.number, own, stream)
 
@@ -124,7 +103,7 @@
         call.hasty = stream.random() < self.made.impatient
         if not self._within(member):
             call.worth *= OVER_SHARE_WORTH
-        self.market.measures.asked(call)
+        self.simulation.measures.asked(call)
         self._try(number, call)
 
     def _within(self, member: int) -> bool:
@@ -137,11 +116,11 @@
 
     def _try(self, number: int, call: Call) -> None:
         """As clients of the platform do: a try is given up before the call is; the last has what is left."""
-        now, made, sidecar = self.clock.now, self.made, self.market.reached(number)
+        now, made, sidecar = self.clock.now, self.made, self.simulation.reached(number)
         call.tries += 1
         self.names += 1
         held = Try(f"c{self.prefix}{self.names}", call, sidecar, made.marked and call.tries > 1)
-        self.market.measures.bin().offered += 1
+        self.simulation.measures.bin().offered += 1
         if not sidecar.up:
             held.open = False
             self._again(held, "cut", 0.0)
@@ -158,7 +137,7 @@
         sidecar, until = held.sidecar, self.clock.now - self.scenario.allow.answer_slack_ms
         stood = sidecar.paused or until <= sidecar.resumed_at  # still, when its time was over
         if overdue and sidecar.up and not stood and held.life == sidecar.life:
-            self.market.checker.overdue(sidecar.number, held.name)
+            self.simulation.checker.overdue(sidecar.number, held.name)
         sidecar.gone(held)
         self.ended(held, "lost", 0.0)
 
@@ -167,7 +146,7 @@
         if not held.open:
             return
         held.open = False
-        call, measures = held.call, self.market.measures
+        call, measures = held.call, self.simulation.measures
         spent = self.clock.now - call.begun
         measures.outcome(what)
         if what == "served":
--- a/mesh/data_plane/peer_links.py
+++ b/mesh/data_plane/peer_links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from mesh.admission.final_check import Why
 from mesh.data_plane.call_messages import Call, End, TurnedAway
@@ -73,6 +73,10 @@
             link.used = self.loop.time()
             link.open()
 
+    def links(self) -> Iterable[Outgoing]:
+        """Those to all nodes that were called or will be soon."""
+        return self._links.values()
+
     def reaches(self, node: str) -> bool:
         """As far as is known."""
         link = self._links.get(node)
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -128,20 +128,38 @@
         if not ask.over:
             self._over(ask)
             self.tables.traces.ended(self.tables.now(), ask, None)
-            self._cut(ask)
             self.handle(api.ClientGone(ask.id))
+            self._cut(ask, Outcome.CANCELLED)
 
     def _overdue(self, ask: Ask) -> None:
         if not ask.over:
             final = Failed(True) if ask.may_have_run() else Refused(0.0)
-            self._cut(ask)  # first: the rest of a body that has not left whole must never leave
+            withdrawn = self._withdraw(ask)
             self._finish(ask, final)
             self.handle(api.ClientGone(ask.id))
+            self._tell_withdrawn(ask, withdrawn, Outcome.TIMEOUT)
 
-    def _cut(self, ask: Ask) -> None:
-        for out in ask.outs:
+    def _cut(self, ask: Ask, outcome: Outcome) -> None:
+        """Withdraws what is still out of a request that is over."""
+        self._tell_withdrawn(ask, self._withdraw(ask), outcome)
+
+    def _withdraw(self, ask: Ask) -> list[int]:
+        """Attempts that were out and are dropped. Done before its client is told anything: the rest of a body
+        that has not left whole must never leave, or what is refused could run."""
+        numbers = []
+        for number, out in enumerate(ask.outs):
             if out is not None:
+                ask.outs[number] = None
                 self.tables.passage.drop(out)
+                numbers.append(number)
+        return numbers
+
+    def _tell_withdrawn(self, ask: Ask, numbers: list[int], outcome: Outcome) -> None:
+        """The decisions hear of each end: they would count it as out, and its upstream as busy with it, for
+        good."""
+        now = self.tables.now()
+        for number in numbers:
+            self.handle(api.AttemptEnded(ask.id, number, outcome, now - ask.sent[number], False))
 
     def _over(self, ask: Ask) -> None:
         ask.over = True
@@ -185,6 +203,8 @@
                     ask = self.asks.get(getattr(event, "request", ""))
                     if ask is not None:
                         self._finish(ask, Failed(False))
+                        self.handle(api.ClientGone(ask.id))
+                        self._cut(ask, Outcome.CANCELLED)
         finally:
             self._handling = False
 
@@ -198,15 +218,16 @@
             self.loop.call_later(action.delay_ms / 1000.0, self.handle, api.Timer(action.token))
             return
         if isinstance(action, api.Cancel):
-            return  # what is out when a request is over has been cut with it
+            return  # what is out when a request is over is cut with it
         if isinstance(action, (api.Refuse, api.Fail)):
             ask = self.asks.get(action.request)
             if ask is None:
                 return
             wait_ms = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
-            final = ask.final(self.tables.now() >= ask.deadline - 2.0, wait_ms)
-            self._cut(ask)  # first, as in _overdue
+            late = self.tables.now() >= ask.deadline - 2.0
+            final, withdrawn = ask.final(late, wait_ms), self._withdraw(ask)
             self._finish(ask, final)
+            self._tell_withdrawn(ask, withdrawn, Outcome.TIMEOUT if late else Outcome.CANCELLED)
 
     def _may_retry(self, now: float) -> bool:
         """Whether the budget bears another retry; if not, that is told once a window."""
--- a/mesh/transport/link.py
+++ b/mesh/transport/link.py
@@ -54,6 +54,8 @@
         self.peer: Any = None  # whose it is, as its owner has it
         self.choked = False  # the kernel takes no more for now
         self.on_writable: Callable[[], None] = _nothing  # it takes more again
+        self.node = ""  # of the other end, where it has said so and its owner keeps it
+        self.sent_bytes = 0
 
     @property
     def up(self) -> bool:
@@ -113,6 +115,7 @@
         if len(payload) > LONG_BYTES:
             self._long = min(self._long + len(payload), LONG_MOST_BYTES)
         self._transport.write(payload)
+        self.sent_bytes += len(payload)
         self.sent_at = self._loop.time()
         return True
 
@@ -133,6 +136,7 @@
             self.close("silent")
         elif (self.owes or self.steady) and now - self.sent_at >= BEAT_S:
             self._transport.write(ALIVE)
+            self.sent_bytes += len(ALIVE)
             self.sent_at = now
 
     def close(self, why: str) -> None:
--- a/rigs/call_world.py
+++ b/rigs/call_world.py
@@ -331,7 +331,7 @@
         expects = one.link.expects if one.link is not None else 0
         if one.out or one.asking or one.waiting or expects > (not one.proved):
             found.append(f"{name} to {node}: {len(one.out)} out, {len(one.asking)} asked, expects {expects}")
-    for link in program._links:
+    for link in program.incoming_links:
         if link.owes or link.expects:
             found.append(f"{name}: owes {link.owes}, expects {link.expects} on a link")
     held = {kind: told["held_bytes"] for kind, told in program.intake.buffers.told().items()}
