--- a/rigs/answer_world.py
+++ b/rigs/answer_world.py
@@ -11,8 +11,9 @@
 
 from anisestair.http import codec as http
 from mesh.configuration.routes import Route
+from mesh.data_plane.call_messages import Octets
 from mesh.data_plane.upstream_connections import Answered, Outcome
-from rigs.call_world import READ, TROUBLES, WRITE, Asked, CallWorld, Tap, Work
+from rigs.call_world import READ, TROUBLES, WRITE, Asked, CallWorld, Tap, Work, token_of
 from simulation.mesh.wire import End
 from simulation.mesh.world import Life, Machine
 
@@ -35,11 +36,13 @@
 class AnsweringTap(Tap):
     """Stands in for the connections to an upstream that gives the world's answers in turn."""
 
-    async def ask(self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None]) -> Work | None:
+    async def ask(
+        self, attempt: bytes, payload: bytes, ended: Callable[[Outcome], None], body: Octets = b""
+    ) -> Work | None:
         """Begins the request unless the answer says that it did not, and ends it with that answer."""
         world = self.world
         assert isinstance(world, AnswerWorld)
-        token = payload.rpartition(b"\r\n\r\n")[2].decode()
+        token = token_of(body or payload.rpartition(b"\r\n\r\n")[2])
         given = world.next_answer()
         if given.executed:
             world.begin(token, self.machine.name)
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -16,7 +16,7 @@
 from mesh.configuration.routes import Route
 from mesh.data_plane import route_classes
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
-from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served
+from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served, State
 from mesh.data_plane.service_balancers import GUARD_MS, Table, Tables
 from mesh.event_log.log import EventLog
 from rigs.mesh_peers import move, play, soon, turns
@@ -36,6 +36,7 @@
     call: Call
     node: str
     ended: Callable[[End], None]
+    state: State = State.SENT
 
 
 @dataclass
