--- a/tests/mesh/test_days_played.py
+++ b/tests/mesh/test_days_played.py
@@ -108,6 +108,14 @@
     assert compose_site.with_seeds([OWN], []) == [OWN]
 
 
+@pytest.mark.parametrize("path", sorted((compose_site.ROOT / "benchmarks" / "days").glob("*.toml")))
+def test_an_own_day_bears_its_files_name_and_begins_within_the_traffic(path: Path) -> None:
+    own = read_day(path)
+    entries = own["plan"] + own["faults"]
+    assert own["name"] == path.stem and own["goal"] == {"floor": 0.0}
+    assert entries and all(0 < entry["at"] < 30 and entry["kind"] for entry in entries)
+
+
 def test_a_day_without_its_parts_and_a_folder_of_the_repository_are_refused(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
