Let a link for calls name what it needs of its siblings' owner

Cause: links and their owner imported one another for a type, a circle that the joined test of circles tells. Change: a protocol. Result: no circle but the known three; the peer calls' tests pass.

--- a/mesh/data_plane/peer_calls.py
+++ b/mesh/data_plane/peer_calls.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Mapping
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from mesh.admission.buffer_budget import Reservation
 from mesh.admission.final_check import Why
@@ -33,15 +34,15 @@
     read_end,
 )
 from mesh.data_plane.call_state import FIRST, Event, Out, State, asked_for_ms, event_of
+from mesh.data_plane.paced_turns import PacedTurns
+from mesh.data_plane.upstream_dispatch import UpstreamDispatch
 from mesh.event_log import events
+from mesh.event_log.log import EventLog
 from mesh.membership.rendezvous import few
 from mesh.transport.body_pieces import PIECE_BYTES, WINDOW_BYTES
 from mesh.transport.frames import MOST, RefusedBody
 from mesh.transport.link import Address, Link, connect
 
-if TYPE_CHECKING:
-    from mesh.data_plane.peer_links import Passage
-
 AGAIN_S, AGAIN_MOST_S = 0.1, 1.0  # pauses after a link that did not come up
 HOLD_S = 0.2  # calls wait so long for a first link; a connection to a dark machine hangs
 MOST_TOLD = 8  # control processes that the other end is told of
@@ -56,10 +57,24 @@
 ELSEWHERE = "its node has another address now, or is gone"
 
 
+class PeerLinks(Protocol):
+    """All links for calls of one process, as one of them sees its siblings."""
+
+    node: str
+    life: str
+    count: int
+    local: UpstreamDispatch
+    event_log: EventLog
+    loop: asyncio.AbstractEventLoop
+    turns: PacedTurns
+    reached: Callable[[str, bool], None]
+    core: Callable[[], Mapping[str, Address]]
+
+
 class Outgoing:
     """One node's link, as the first hop has it."""
 
-    def __init__(self, passage: Passage, node: str, address: Address) -> None:
+    def __init__(self, passage: PeerLinks, node: str, address: Address) -> None:
         """No link is open yet."""
         self.passage, self.node, self.address = passage, node, address
         self.link: Link | None = None
