Keep quorums' verdicts, draw zones for plays of orders and contact, and play them alike

Cause: a play asked a view for the same quorums tens of thousands of times, reckoned at each tick what loss would be borne, and ran simpy's loop for each timer; zones were not drawn; contact had its own program inside the simulation.

Change: View keeps up to 512 verdicts, with a test that reaches the bound; what is borne is reckoned anew only where the view or who is heard has changed; the virtual clock is set forward where nothing is due. Zones and the tolerance of a zone's loss are drawn beside a play's seed. benchmarks/drawn_plays runs both kinds, for a time or a number, in several processes, and writes seeds and counts as JSON.

--- /dev/null
+++ b/benchmarks/contact_plays.py
@@ -0,0 +1,35 @@
+"""Drawn plays of control machines that are cut off, in virtual time, their zones drawn too.
+
+    python -m benchmarks.contact_plays [--plays 20] [--from 0] [--at-once 1] [--seconds 3600] [--out FILE]
+
+Prints what was broken, and the total as JSON last. Ends with 1 where a rule was broken.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+
+from benchmarks.drawn_plays import Played, arguments, run, timed
+from simulation.mesh.cuts import drawn
+from simulation.mesh.zones import draw_zones
+
+SERIES = 64  # a play's draw is of this and its seed
+
+
+def _play(seed: int) -> tuple[list[str], Counter[str]]:
+    zones = draw_zones(f"{SERIES}/{seed}")
+    name, broken, world = drawn(SERIES, seed, zones)
+    counts = Counter({f"answered {status} while cut off": count for status, count in world.answers.items()})
+    counts[f"cut {name}"] += 1
+    counts[f"zones {zones.count}, of which lost {zones.tolerance.zones}"] += 1
+    return broken, counts
+
+
+def one(seed: int) -> Played:
+    """Runs in a process of the pool."""
+    return timed(seed, _play)
+
+
+if __name__ == "__main__":
+    sys.exit(run("contact", one, arguments(str(__doc__))))
--- a/mesh/control_plane/member_changes.py
+++ b/mesh/control_plane/member_changes.py
@@ -74,6 +74,7 @@
         self._stays: Mapping[str, str] = {}
         self._below: tuple[str, ...] = ()  # kinds of which fewer losses are borne than are asked, as told
         self._below_since: float | None = None
+        self._borne: tuple[View, frozenset[str], Borne] | None = None  # the last one, of what
 
     # Whose turn
 
@@ -267,7 +268,9 @@
     def borne(self) -> Borne:
         view = self._council.view()
         there = heard_whole(self.joining.known({}), view.names)
-        return borne(view, there, self._council.tolerance)
+        if self._borne is None or self._borne[:2] != (view, there):  # asked for at every tick
+            self._borne = view, there, borne(view, there, self._council.tolerance)
+        return self._borne[2]
 
     def losses(self) -> Told:
         found = self.borne()
--- a/mesh/replication/membership_epochs.py
+++ b/mesh/replication/membership_epochs.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from mesh.replication.quorum import Place, Tolerance, durable, overlaps
@@ -18,6 +18,7 @@
 VIEW, MEMBERS = "view", "members"  # kind and name of the one item that holds it
 MOST_EPOCH = 1 << 52
 MOST_MEMBERS = 64
+MOST_VERDICTS = 512  # of one view; its members hear of each other in far fewer combinations
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +29,9 @@
     epoch: int
     now: Mapping[str, Place]
     before: Mapping[str, Place] | None = None
+    _verdicts: dict[tuple[bool, frozenset[str], Tolerance], bool] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
 
     @property
     def joint(self) -> bool:
@@ -40,12 +44,28 @@
 
     def durable(self, have: Collection[str], tolerance: Tolerance) -> bool:
         """Whether what ``have`` hold is agreed on and outlives what is tolerated: a quorum to accept."""
-        return all(durable(have, members, tolerance) for members in self._all())
+        return self._verdict(True, have, tolerance)
 
     def overlaps(self, heard: Collection[str], tolerance: Tolerance) -> bool:
         """Whether every set that may have been durable under this view meets ``heard``: a quorum to prepare,
         and to read. False where nobody is known."""
-        return all(bool(members) and overlaps(heard, members, tolerance) for members in self._all())
+        return self._verdict(False, heard, tolerance)
+
+    def _verdict(self, to_accept: bool, among: Collection[str], tolerance: Tolerance) -> bool:
+        """Kept, since it is asked for the same sets many times a second."""
+        key = (to_accept, frozenset(among), tolerance)
+        found = self._verdicts.get(key)
+        if found is None:
+            found = all(
+                durable(among, members, tolerance)
+                if to_accept
+                else bool(members) and overlaps(among, members, tolerance)
+                for members in self._all()
+            )
+            if len(self._verdicts) >= MOST_VERDICTS:
+                self._verdicts.clear()
+            self._verdicts[key] = found
+        return found
 
     def _all(self) -> list[Mapping[str, Place]]:
         return [self.now] if self.before is None else [self.before, self.now]
--- a/simulation/mesh/clock.py
+++ b/simulation/mesh/clock.py
@@ -20,6 +20,7 @@
     coros: WeakSet[Any]
 
 
+NEVER = float("inf")
 LIFE: contextvars.ContextVar[Any] = contextvars.ContextVar("life")
 
 
@@ -27,22 +28,32 @@
     """Nothing is due, and the script has not ended."""
 
 
+class Clock(simpy.Environment):
+    """simpy's clock, which can also be set forward over a time in which nothing of simpy's is due."""
+
+    def advance(self, until: float) -> None:
+        if self.peek() < until:
+            raise ValueError(f"an event is due at {self.peek()}, before {until}")
+        self._now = until
+
+
 class _Waits(selectors.BaseSelector):
     """No descriptors: to wait is to let simpy's clock run to what is due next."""
 
-    def __init__(self, env: simpy.Environment) -> None:
+    def __init__(self, env: Clock) -> None:
         self._env = env
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         if timeout is not None and timeout <= 0.0:
             return []
-        until = float("inf") if timeout is None else self._env.now + timeout
-        if self._env.peek() <= until:
-            if until == float("inf") and self._env.peek() == until:
+        until = NEVER if timeout is None else self._env.now + timeout
+        due = self._env.peek()
+        if due <= until:
+            if due == NEVER:
                 raise Stuck("neither a timer nor an event of the world is due")
             self._env.step()
         elif until > self._env.now:
-            self._env.run(until=until)
+            self._env.advance(until)
         return []
 
     def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
@@ -61,7 +72,7 @@
     ``faults`` has what callbacks and tasks raised, which no property may pass over.
     """
 
-    def __init__(self, env: simpy.Environment) -> None:
+    def __init__(self, env: Clock) -> None:
         super().__init__(_Waits(env))
         self.env = env
         self.faults: list[str] = []
@@ -72,7 +83,7 @@
         self.faults.append(f"{told.get('message')}: {told.get('exception')!r}")
 
     def time(self) -> float:
-        return float(self.env.now)
+        return self.env._now
 
     def _make_self_pipe(self) -> None:
         """Nothing wakes this loop from outside."""
--- a/simulation/mesh/cuts.py
+++ b/simulation/mesh/cuts.py
@@ -1,14 +1,13 @@
 """Control machines that are cut off for 20 s, in virtual time, with orders and rivalled orders on both sides,
 lives that begin, and what contact must never allow.
 
-``python -m simulation.mesh.cuts PLAYS SEED`` plays so many drawn ones and tells how many broke something.
+Many drawn ones: ``python -m benchmarks.contact_plays``.
 """
 
 from __future__ import annotations
 
 import json
 import random
-import sys
 from collections.abc import Callable, Generator
 from typing import Any
 
@@ -23,6 +22,7 @@
 from simulation.mesh.clock import LIFE
 from simulation.mesh.wire import End
 from simulation.mesh.world import Life, Machine, Script, World
+from simulation.mesh.zones import ONE_ZONE, Zones
 
 BOUND_S = 3.0 * BOUND_SHARE  # of contact
 CUT_S = 20.0
@@ -52,8 +52,8 @@
 class Cuts(World):
     """``seeds_of``: other seeds than the founders, by machine; ``steps``: of the time of day, in seconds."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, zones: Zones = ONE_ZONE) -> None:
+        super().__init__(zones=zones)
         self.steps: dict[str, float] = {}
         self.seeds_of: dict[str, list[Machine]] = {}
         self.told: list[tuple[float, str, Event, dict[str, Any]]] = []
@@ -339,7 +339,9 @@
 }
 
 
-def play(name: str, cores: int, draw: random.Random, number: int = -1) -> tuple[list[str], Cuts]:
+def play(
+    name: str, cores: int, draw: random.Random, number: int = -1, zones: Zones = ONE_ZONE
+) -> tuple[list[str], Cuts]:
     """One play: the cut begins at the numbered point, or with the last acknowledgement (number below 0)."""
 
     def script(world: World) -> Script:
@@ -368,34 +370,14 @@
         yield from world.takes_the_newest()
         yield world.env.timeout(3.0)
 
-    with Cuts() as world:
+    with Cuts(zones) as world:
         broken = world.run(script)
         return broken, world
 
 
-def drawn(seed: int, number: int) -> tuple[str, list[str], Cuts]:
+def drawn(seed: int, number: int, zones: Zones = ONE_ZONE) -> tuple[str, list[str], Cuts]:
     """A play of its own for each pair; the cut's name, and as `play`."""
     draw = random.Random(f"{seed}/{number}")
     name = draw.choice(sorted(CUTS))
     cores = draw.choice((2, 4)) if name == "halves" else draw.choice((3, 3, 5))
-    return name, *play(name, cores, draw, draw.choice((-1, draw.randrange(400))))
-
-
-def main(plays: int, seed: int) -> int:
-    bad = 0
-    answered: dict[int, int] = {}
-    worst = 0.0
-    for number in range(plays):
-        name, broken, world = drawn(seed, number)
-        worst = max(worst, world.worst_newest_s)
-        for status, count in world.answers.items():
-            answered[status] = answered.get(status, 0) + count
-        if broken:
-            bad += 1
-            print(number, name, broken[:2], flush=True)
-    print(f"{plays} plays, {bad} broken; answers of the cut off {answered}; newest after {worst:.2f} s")
-    return bad
-
-
-if __name__ == "__main__":
-    sys.exit(bool(main(int(sys.argv[1]), int(sys.argv[2]))))
+    return name, *play(name, cores, draw, draw.choice((-1, draw.randrange(400))), zones)
--- a/simulation/mesh/plays.py
+++ b/simulation/mesh/plays.py
@@ -15,6 +15,7 @@
 from mesh.transport.http_calls import Answer
 from simulation.mesh import troubles
 from simulation.mesh.world import Machine, Script, World
+from simulation.mesh.zones import ONE_ZONE, Zones
 
 NAMES = ("r1", "r2", "r3")
 OPERATORS = 3
@@ -99,11 +100,11 @@
 )
 
 
-def play(seed: int) -> tuple[list[str], Counter[str]]:
+def play(seed: int, zones: Zones = ONE_ZONE) -> tuple[list[str], Counter[str]]:
     """What was broken, a line each, and what there was of each kind."""
     counts: Counter[str] = Counter(plays=1)
     draw = random.Random(seed)
-    with World() as world:
+    with World(zones=zones) as world:
         told = world.run(lambda world: _script(world, draw, counts))
         counts["acknowledged"], counts["reads"] = world.witness.acks, world.witness.reads
         counts["rivalled"] = len(world.witness.rivalled)
--- a/simulation/mesh/world.py
+++ b/simulation/mesh/world.py
@@ -26,10 +26,11 @@
 from mesh.replication.store import Store
 from mesh.runtime.settings import Bounds, MachineLimits, Ports, Settings
 from mesh.transport.http_calls import Answer
-from simulation.mesh.clock import LIFE, VirtualLoop, close_all, forget
+from simulation.mesh.clock import LIFE, Clock, VirtualLoop, close_all, forget
 from simulation.mesh.disk import Disk, Opens
 from simulation.mesh.wire import End, Wire
 from simulation.mesh.witness import Witness
+from simulation.mesh.zones import ONE_ZONE, Zones
 
 Script = Generator[simpy.Event, Any, Any]
 Fault = Callable[["World", "Life", End | None], float | None]
@@ -43,6 +44,7 @@
 class Machine:
     def __init__(self, world: World, name: str, ip: str, core: bool, counted: bool = True) -> None:
         self.name, self.ip, self.core, self.counted = name, ip, core, counted
+        self.number = len(world.machines)
         self.disk = Disk(world.env)
         self.life: Life | None = None
         self.beats = 0
@@ -73,11 +75,12 @@
     ``fault`` strikes at the point numbered ``at``.
     """
 
-    def __init__(self, tolerance: Tolerance | None = None) -> None:
-        self.env = simpy.Environment()
+    def __init__(self, tolerance: Tolerance | None = None, zones: Zones = ONE_ZONE) -> None:
+        self.env = Clock(0.0)
         self.loop = VirtualLoop(self.env)
         self.wire = Wire(self.loop, lambda end, _: self.point("send", end.life, end))
-        self.tolerance = tolerance if tolerance is not None else Tolerance(1, 0, 0)
+        self.placing = zones
+        self.tolerance = tolerance if tolerance is not None else zones.tolerance
         self.machines: dict[str, Machine] = {}
         self.founders: list[Machine] = []
         self.witness = Witness(self)
@@ -220,7 +223,7 @@
         return "p"
 
     def zone(self, machine: Machine) -> str:
-        return "z"
+        return self.placing.name(machine.number)
 
     def _upstream(self, life: Life) -> Script:
         """The upstream beside a sidecar: its id is of the machine, its count goes on over lives."""
--- a/tests/mesh/test_replication_membership_epochs.py
+++ b/tests/mesh/test_replication_membership_epochs.py
@@ -9,7 +9,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mesh.replication.membership_epochs import MOST_EPOCH, MOST_MEMBERS, NOBODY, View, read_view, write_view
+from mesh.replication.membership_epochs import (
+    MOST_EPOCH,
+    MOST_MEMBERS,
+    MOST_VERDICTS,
+    NOBODY,
+    View,
+    read_view,
+    write_view,
+)
 from mesh.replication.quorum import Place, Tolerance
 
 PLACES = st.sampled_from([Place("a", "r"), Place("b", "r"), Place("c", "q")])
@@ -36,6 +44,17 @@
         assert accepts and hears and all(some & another for some in accepts for another in hears)
 
 
+def test_verdicts_are_kept_up_to_a_bound_and_are_of_one_tolerance() -> None:
+    view = View(1, {str(number): Place("", "") for number in range(12)})
+    few, many = Tolerance(1, 0, 0), Tolerance(9, 0, 0)
+    for have in subsets(view.names)[:: 4096 // (2 * MOST_VERDICTS)]:
+        assert view.durable(have, few) is (len(have) > 6)
+        assert view.durable(have, many) is (len(have) > 9)
+        assert view.overlaps(have, few) is (len(have) > 5)
+        assert len(view._verdicts) <= MOST_VERDICTS
+    assert view == View(1, dict(view.now))
+
+
 def test_a_joint_epoch_wants_a_quorum_of_both() -> None:
     at, one = Place("z", "r"), Tolerance(1, 0, 0)
     joint = View(2, dict.fromkeys("bcde", at), dict.fromkeys("abc", at))
