--- a/mesh/data_plane/introspection.py
+++ b/mesh/data_plane/introspection.py
@@ -14,7 +14,7 @@
 from mesh.data_plane.membership import PROXY
 from mesh.data_plane.service_balancers import Table
 from mesh.data_plane.traces import First, Second
-from mesh.rollout.staged_activation import Order
+from mesh.rollout.staged_activation import RolloutCommand
 from mesh.runtime.introspection_calls import Handler, Refusal, Told, common, items
 
 if TYPE_CHECKING:
@@ -54,6 +54,7 @@
         "control": proxy.reach.told(now),
         "routes": len(proxy.routes),
         "in_hand": proxy.intake.in_hand,
+        "memory": proxy.intake.buffers.told(),
         "retry_ratio": settings.bounds.retry_ratio,
         "beat_ms": settings.beat_period_ms,
         "upstream": _upstream(proxy),
@@ -262,7 +263,7 @@
 
 def order(proxy: Proxy, name: str, word: str, at_next: bool) -> Told:
     """An operator's hold or go. ``obeyed``: that version was held back here; null where nothing was."""
-    one = proxy.stages.order(name, Order(word), at_next)
+    one = proxy.stages.order(name, RolloutCommand(word), at_next)
     standing = proxy.routes.named(name)
     return {
         "node": proxy.settings.node,
