Name the sidecar's contact with control and its word on instances plainly

Reach is ControlContact and its told status; Registry.mind is reconcile, again republish. No change in what is done.

--- a/mesh/admission/fair_share.py
+++ b/mesh/admission/fair_share.py
@@ -36,6 +36,7 @@
     """Of the calls for one upstream."""
 
     def __init__(self) -> None:
+        """No call has come."""
         self._kinds: dict[float, Kind] = {}  # by rank
         self._since = -math.inf
 
--- a/mesh/admission/retry_budget.py
+++ b/mesh/admission/retry_budget.py
@@ -19,6 +19,7 @@
     """Of one service at one sidecar. Instants in milliseconds."""
 
     def __init__(self, ratio: float, window_ms: float, slack: float) -> None:
+        """Nothing has been asked for, and nothing spent."""
         self._ratio, self._window, self._slack = ratio, max(window_ms, 1.0), slack
         self._slots: deque[list[float]] = deque(maxlen=SLOTS + 1)  # [index, requests, further]
         self.spent = self.denied = self.charged = 0
--- a/mesh/data_plane/control_contact.py
+++ b/mesh/data_plane/control_contact.py
@@ -16,8 +16,11 @@
 from mesh.replication.quorum_contact import BOUND_SHARE
 
 
-class Reach:
+class ControlContact:
+    """Of one sidecar: when one was last heard, and what the log has been told of that."""
+
     def __init__(self, contact_ms: float, channels: Channels, event_log: EventLog) -> None:
+        """Nothing has been heard yet."""
         self._channels, self._event_log = channels, event_log
         self._bound_s = BOUND_SHARE * contact_ms / 1000.0
         self._began = channels.loop.time()
@@ -55,7 +58,7 @@
                 behind_ms=round(behind_s * 1000.0) if behind_s is not None else None,
             )
 
-    def told(self, now: float) -> dict[str, Any]:
+    def status(self, now: float) -> dict[str, Any]:
         """For operators. ``without_ms``: since when no control process with contact has been in reach, null
         while there is one; ``behind_ms``: how old the configuration here may be, null where none was told."""
         behind_s = self.behind_s(now)
--- a/mesh/data_plane/introspection.py
+++ b/mesh/data_plane/introspection.py
@@ -40,7 +40,7 @@
 
 def status(proxy: Proxy, clock: float) -> Told:
     """How it stands. Times in milliseconds; ``whole_ms``: since one that holds all that was acknowledged was
-    last heard, null where none has been; ``control``: as `Reach.told`."""
+    last heard, null where none has been; ``control``: as `ControlContact.status`."""
     settings, now = proxy.settings, proxy.loop.time()
     tables = list(proxy.tables.by_service.items())[:MOST_SHOWN]
     proxy.channels.fresh(0.0)  # brings whole_at up to now
@@ -51,7 +51,7 @@
         "ready": proxy.configured() and not proxy.ending,
         "ending": proxy.ending,
         "whole_ms": round((now - whole_at) * 1000.0) if whole_at > 0.0 else None,
-        "control": proxy.reach.told(now),
+        "control": proxy.control_contact.status(now),
         "routes": len(proxy.routes),
         "in_hand": proxy.intake.in_hand,
         "retry_ratio": settings.bounds.retry_ratio,
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -16,7 +16,7 @@
 from mesh.configuration.routes import Route, Routes
 from mesh.data_plane.call_messages import End
 from mesh.data_plane.client_connection import Outlets
-from mesh.data_plane.control_contact import Reach
+from mesh.data_plane.control_contact import ControlContact
 from mesh.data_plane.incoming_calls import Incoming
 from mesh.data_plane.introspection import answers_of
 from mesh.data_plane.membership import NODE, PROXY, ROLE_NAMES, Membership
@@ -140,7 +140,7 @@
             ranks=True,
         )
         self.channels.silent = lambda role: ("charter",)  # an old copy here brings back nothing
-        self.reach = Reach(bounds.contact_ms, self.channels, event_log)
+        self.control_contact = ControlContact(bounds.contact_ms, self.channels, event_log)
         self.questions = Questions(answers_of(self, time.time))
         self.ending = False
         self.incoming_links: set[Link] = set()  # with calls from other sidecars
@@ -187,14 +187,14 @@
     def _say_again(self) -> None:
         """The others gave this sidecar up while they heard nothing of it, and may have forgotten that."""
         self._say_node()
-        self.registry.again()
+        self.registry.republish()
         self.stages.again()
 
     def _tick(self) -> None:
         self.loop.call_later(TICK_S, self._tick)  # first: signs of life go on whatever is raised below
         now = self.loop.time()
         self.channels.tick(now)
-        self.reach.tick(now)
+        self.control_contact.tick(now)
         self.stages.tick(now)
         self.passage.tick(now)
         self.tap.sweep()
@@ -214,7 +214,7 @@
             self._touched = now
         if dropped(self.roll.items.get((NODE, self.settings.node))):
             self._say_again()
-        self.registry.mind()
+        self.registry.reconcile()
 
     def _doubts(self, now: float) -> None:
         """Who heard of no whole control process for long may hold what was dropped, and forgotten since. It
@@ -354,7 +354,7 @@
         self.tables.tune(budget_of(settings.bounds))
         self.upstream.drain_ms = settings.bounds.drain_ms
         self.stages.tune(settings)
-        self.reach.tune(settings.bounds.contact_ms)
+        self.control_contact.tune(settings.bounds.contact_ms)
         self._know()
 
     # Links that others open
--- a/mesh/data_plane/upstream_registration.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -32,6 +32,7 @@
 
 
 def decode(message: http.Message) -> Command:
+    """The command of a call to the control address."""
     path = message.target.partition(b"?")[0]
     if not path.startswith(PATH):
         return Unknown(404)
@@ -47,6 +48,8 @@
 
 
 class Registry:
+    """Runs the upstream's commands, and keeps what the others are told of this machine's instances true."""
+
     def __init__(
         self,
         upstream: Upstream,
@@ -62,6 +65,7 @@
         self._began = now()
 
     async def handle(self, message: http.Message) -> Answer:
+        """The answer to a call of the upstream: at once, whatever the others know of it."""
         command = decode(message)
         if isinstance(command, Unknown):
             return Answer(command.status)
@@ -94,6 +98,7 @@
         return Answer(200, b"{}")
 
     def publish(self, told: list[Publish]) -> None:
+        """Makes what the others are to be told items of the roll."""
         items = []
         for one in told:
             item = self._roll.take(INSTANCE, one.instance, one.version, one.value)
@@ -102,7 +107,7 @@
         if items:
             self._changed(items)
 
-    def mind(self) -> None:
+    def reconcile(self) -> None:
         """What the membership says of this machine and is not so: of earlier lives, and of an upstream that
         ended while this sidecar was down."""
         mine = self._upstream.instance
@@ -120,7 +125,7 @@
                 told.append(Publish(instance, GONE_VERSION, None))
         self.publish(told)
 
-    def again(self) -> None:
+    def republish(self) -> None:
         """Says what holds once more, above what the roll has."""
         item = self._roll.items.get((INSTANCE, self._upstream.instance))
         self.publish(self._upstream.republish(item.version if item is not None else 0))
--- a/tests/mesh/test_contact_world.py
+++ b/tests/mesh/test_contact_world.py
@@ -102,7 +102,7 @@
         yield world.env.timeout(20.0)
         program = side.program
         assert program.configured() and program.charter.items["route", "last"].version == 1
-        shown = program.reach.told(world.env.now)
+        shown = program.control_contact.status(world.env.now)
         assert 18_000 < shown["without_ms"] < 20_100 and 0 < shown["behind_ms"] - shown["without_ms"] <= 1100
         assert told(world, "s1", 222, 223) == [events.CONTROL_LOST.number]
         world.heal()
@@ -110,7 +110,7 @@
         assert 0.0 < world.worst_newest_s <= NEWEST_S
         yield world.env.timeout(1.0)
         assert told(world, "s1", 222, 223) == [events.CONTROL_LOST.number, events.CONTROL_FOUND.number]
-        assert program.reach.told(world.env.now)["without_ms"] is None
+        assert program.control_contact.status(world.env.now)["without_ms"] is None
 
     assert played(script) == []
 
--- a/tests/mesh/test_data_plane_upstream_registration.py
+++ b/tests/mesh/test_data_plane_upstream_registration.py
@@ -46,7 +46,7 @@
         proxy = there.proxy
         told(proxy, "i-before", 5000, value())
         told(proxy, "i-elsewhere", 5000, value(node="n2"))
-        proxy.registry.mind()
+        proxy.registry.reconcile()
         assert state(proxy, "i-before") is None
         assert proxy.roll.items[INSTANCE, "i-before"].version == GONE_VERSION
         assert (state(proxy, "i-elsewhere"), state(proxy, "i-1")) == (SETTLED, SETTLED)
@@ -63,11 +63,11 @@
         proxy.upstream.beat = None  # as it is before the first beat
         told(proxy, "i-1", proxy.upstream.version + 1, value())
         told(proxy, "i-drains", 5000, value(state=DECAYING))
-        proxy.registry.mind()
+        proxy.registry.reconcile()
         assert (state(proxy, "i-1"), state(proxy, "i-drains")) == (SETTLED, DECAYING)
         assert proxy.upstream.said_decaying == {"i-drains"}
         move(SILENT_BEATS * proxy.upstream.beat_ms / 1000.0 + 0.01)
-        proxy.registry.mind()
+        proxy.registry.reconcile()
         assert (state(proxy, "i-1"), state(proxy, "i-drains")) == (None, None)
 
     beside(tmp_path, test)
@@ -77,7 +77,7 @@
     async def test(there: Beside) -> None:
         proxy = there.proxy
         told(proxy, "i-1", GONE_VERSION, None)
-        proxy.registry.mind()
+        proxy.registry.reconcile()
         assert state(proxy, "i-1") == SETTLED
         assert proxy.roll.items[INSTANCE, "i-1"].version > GONE_VERSION
 
@@ -111,7 +111,7 @@
     async def test(there: Beside) -> None:
         before = dict(there.proxy.roll.items)
         there.proxy.retune(replace(there.proxy.settings, seeds=(("127.0.0.8", 1),)))
-        there.proxy.registry.mind()
+        there.proxy.registry.reconcile()
         assert there.proxy.roll.items == before
 
     beside(tmp_path, test)
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -363,7 +363,7 @@
         item = proxy.roll.take("instance", "i-9", 5000, {**value, "cold_ms": 0.0})
         proxy.upstream.beat = None  # as it is before the first beat
         proxy._changed("roll", [item])  # type: ignore[list-item]
-        proxy.registry.mind()
+        proxy.registry.reconcile()
         ended: list[End] = []
         proxy.upstream_dispatch.take(replace(passing("b1", "/read/ok"), instance="i-9"), ended.append)
         assert ended == [TurnedAway(Why.LEAVING)]
--- a/tests/mesh/test_reaping_world.py
+++ b/tests/mesh/test_reaping_world.py
@@ -386,8 +386,8 @@
 
 
 def its_upstream_is_not_said_again(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Registry, "again", lambda self: None)
-    patch.setattr(Registry, "mind", lambda self: None)
+    patch.setattr(Registry, "republish", lambda self: None)
+    patch.setattr(Registry, "reconcile", lambda self: None)
 
 
 SEEDED: list[tuple[Callable[[pytest.MonkeyPatch], None], Play]] = [
