--- a/mesh/control_plane/member_messages.py
+++ b/mesh/control_plane/member_messages.py
@@ -64,6 +64,7 @@
 
 
 def write(frame: Frame) -> Head:
+    """As it goes over a link."""
     told: Head = msgspec.to_builtins(frame)
     return told
 
--- a/mesh/control_plane/member_silence.py
+++ b/mesh/control_plane/member_silence.py
@@ -48,6 +48,8 @@
 
 
 class MemberSilence:
+    """What the holder of the duty `members` learns of silent members, and what others answer it."""
+
     def __init__(
         self,
         node: str,
@@ -58,6 +60,7 @@
         duties: Duties,
         event_log: EventLog,
     ) -> None:
+        """``node``: this process; ``turn``: its turn at the duty, under which it asks."""
         self._loop = asyncio.get_running_loop()
         self._node, self.spans, self._turn = node, spans, turn
         self._early = Spans(spans.suspect_s, spans.suspect_s, spans.zone_s)
@@ -72,6 +75,7 @@
         self._judged_at = -1e18
 
     def tick(self, now: float, view: View) -> None:
+        """Notes which members have been heard; to be called every GAP_S at least."""
         self.watch.look(now, view.names | {self._council.me})
         self.watch.heard_over_link(now, self._council.me, self._began)
         for address, channel in self._council.peers().items():
--- a/mesh/data_plane/client_connection.py
+++ b/mesh/data_plane/client_connection.py
@@ -7,14 +7,17 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 
 import httptools
 
 from anisestair.flow.budget import Body
 from anisestair.http import codec as http
-from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend
-from mesh.configuration.limits import Limits
+from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend, unread
+from mesh.admission.buffer_budget import SHORT, Reservation
+from mesh.configuration.limits import InputLimits
+from mesh.data_plane.call_messages import Octets
 from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 
 AT_ONCE = 8  # requests of one connection that are in hand
@@ -28,6 +31,12 @@
         super().__init__(httptools.HttpRequestParser, intake.limits.body)
         self._intake = intake
         self.held = 0  # bytes of the body being read; a whole one's are its message's
+        self._head = Reservation(intake.buffers.heads)  # of the head being read, where it is long
+
+    def feed(self, data: bytes) -> None:
+        super().feed(data)
+        if self._in_head and self._spent > http.SLICE and not self._head.grow(self._spent - self._head.size):
+            raise http.BadMessage(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
@@ -46,6 +55,8 @@
     def on_message_complete(self) -> None:
         super().on_message_complete()
         self.held, self._body = 0, bytearray()
+        if self._head.size:
+            self._message.hold, self._head = self._head, Reservation(self._intake.buffers.heads)
 
     def _hold(self, size: int) -> None:
         if not self._intake.bodies.take(size, self.held):
@@ -54,7 +65,8 @@
         self.held += size
 
     def let_go(self) -> None:
-        """Of the body that was being read."""
+        """Of the message that was being read."""
+        self._head.release()
         self._intake.bodies.give(self.held)
         self.held = 0
 
@@ -62,12 +74,13 @@
 class Slot:
     """One request, in its place among those of its connection."""
 
-    __slots__ = ("closes", "id", "message", "payload", "taken")
+    __slots__ = ("closes", "id", "message", "payload", "ready", "taken")
 
     def __init__(self, taken: float, message: http.Message) -> None:
         self.taken, self.message = taken, message
         self.id: str | None = None  # while it is in hand
-        self.payload: bytes | None = None  # its answer, until those before it have theirs
+        self.payload: bytes | None = None  # its answer, until those before it have theirs; counted as held
+        self.ready = 0.0  # since when, where that is traced; seconds of the loop's clock
         self.closes = not message.keep_alive
 
 
@@ -75,18 +88,30 @@
     def __init__(self, frontend: Frontend) -> None:
         super().__init__(frontend)
         assert isinstance(frontend, Outlets)
-        self._intake = frontend.intake
+        self._outlets, self._intake = frontend, frontend.intake
         self.reader = self._inflow = Inflow(self._intake)
         self._slots: deque[Slot] = deque()
         self._advancing = False
         self._unsent = 0  # bytes of answers that the client had not taken at the last look
+        self._untaken = 0  # and those of them that count as held
 
     def taken(self) -> bool:
         """Whether its client has taken some of its answers since the last look."""
         assert self.transport is not None
         before, self._unsent = self._unsent, self.transport.get_write_buffer_size()
+        self._count(self._unsent)
         return self._unsent < before
 
+    def _count(self, unsent: int) -> None:
+        """Answers that wait for their client are in hand. A few bytes are the kernel's affair."""
+        held = unsent if unsent > SHORT else 0
+        self._intake.buffers.answers.charge(held - self._untaken)
+        self._untaken = held
+
+    def resume_writing(self) -> None:
+        self._count(0)
+        super().resume_writing()
+
     def advance(self) -> None:
         if self._advancing:  # an answer was given while a request was being taken
             return
@@ -131,18 +156,27 @@
         last = self._slots[-1]
         return not last.closes and (route is None or not route.effectful)
 
-    def _say(self, slot: Slot, status: int, headers: http.Headers, body: bytes) -> None:
+    def _say(self, slot: Slot, status: int, headers: http.Headers, body: Octets) -> None:
         if self.transport is None or slot.payload is not None:
             return
         slot.id = None
-        # At an end, what was read together with this request is answered first.
-        behind = len(self._slots) > 1 or bool(self.waiting) or bool(self.unread)
-        slot.closes = slot.closes or (self.frontend.closing and not behind)
+        slot.closes = slot.closes or (self.frontend.closing and not self._more_comes())
         slot.payload = http.write_response(status, headers, body, slot.closes)
+        self._intake.buffers.answers.charge(len(slot.payload))
+        if self._outlets.trace is not None:
+            slot.ready = self._outlets.loop.time()
         if not self._advancing:
             self._flush()
             self.advance()
 
+    def _more_comes(self) -> bool:
+        """At an end, what has come behind this request is answered first, also what the kernel still has:
+        closing on unread input would reset the connection, and the answer with it."""
+        assert self.transport is not None
+        if len(self._slots) > 1 or self.waiting or self.unread or self.reader.partial:
+            return True
+        return unread(self.transport.get_extra_info("socket"))
+
     def _flush(self) -> None:
         """The answers whose turn it is."""
         if self.transport is None or self.transport.is_closing():
@@ -152,6 +186,11 @@
             assert slot.payload is not None
             self._let_go_of(slot.message)
             self.transport.write(slot.payload)
+            if self._outlets.trace is not None:
+                attempt = slot.message.get(b"attempt-id") or ""
+                self._outlets.trace(attempt, self._outlets.loop.time() - slot.ready)
+            self._intake.buffers.answers.give(len(slot.payload))
+            self._count(self.transport.get_write_buffer_size())
             self.since = self.frontend.loop.time()
             if slot.closes:
                 self._leave_all()
@@ -166,6 +205,8 @@
         self.current = None
         for slot in slots:
             self._let_go_of(slot.message)
+            if slot.payload is not None:
+                self._intake.buffers.answers.give(len(slot.payload))
             if slot.id is not None:
                 self._intake.client_gone(slot.id)
 
@@ -176,6 +217,8 @@
 
     def _let_go_of(self, message: http.Message) -> None:
         self._intake.bodies.give(len(message.body))
+        if isinstance(message.hold, Reservation):
+            message.hold.release()
 
     def let_go(self) -> None:
         self._inflow.let_go()
@@ -195,6 +238,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._leave_all()
+        self._count(0)
         super().connection_lost(exc)
 
     def idle(self) -> bool:
@@ -206,6 +250,8 @@
 
     def __init__(self, intake: Intake, most: int) -> None:
         self.intake = intake
+        # Where calls are traced: told for each answer how many seconds it stood ready before it left.
+        self.trace: Callable[[str, float], None] | None = None
         super().__init__(intake, most)
 
     def _sweep(self) -> None:
@@ -215,7 +261,9 @@
                 connection.since = self.loop.time()
         super()._sweep()
 
-    def keep_to(self, limits: Limits) -> None:
+    def keep_to(self, limits: InputLimits) -> None:
         """The operators' limits from now on: of bytes for what begins now, of times for all."""
         self.intake.limits = limits
         self.request_s, self.quiescent_s = limits.request_s, limits.quiescent_s
+        # A change that leaves clients less time to send cuts off none that reads its answer slowly.
+        self.choked_s = max(self.choked_s, limits.request_s)
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -11,22 +12,21 @@
 
 from hareloom import Balancer
 from hareloom import interface as api
-from hareloom.interface import NEVER_RAN, Effect, ListKind, Outcome, ServerState
+from hareloom.interface import NEVER_RAN, ListKind, Outcome, ServerState
 from mesh.admission.final_check import Why
 from mesh.admission.retry_budget import Budget
 from mesh.configuration.routes import Route
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
 from mesh.data_plane.call_state import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
-from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.peer_links import Passage
+from mesh.data_plane.route_classes import RouteClasses, worth_of
 from mesh.data_plane.traces import FirstHop, words
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
 from mesh.transport.link import Address
 
 FURTHER = 2  # attempts of a request beyond its route's trials, for those that never reached an upstream
-LATE_WORTH = 0.3  # of an answer after its aim, as no configuration tells it
 RETRY_AFTER_MS = 10_000.0  # the longest advice; clients take a third of their time at the most
-CLASSES = 64  # routes with a class of their own; the rest share one by what they may do
 # Of its aim a request waits for a place, and is then told to come back: a quarter less the ways to its
 # client.
 # What is worth more for its work than others at the service waits longer: the next places are its own.
@@ -47,8 +47,9 @@
         self.tables, self.service = tables, service
         self.loop = tables.loop
         self.budget = Budget(tables.ratio, tables.window_ms, tables.slack)
-        self._classes: dict[str, api.RequestClass] = {}
-        self._add(first)
+        self._denied_told, self._denied_told_at = 0, -math.inf  # refused retries in the log; when, ms
+        self.classes = RouteClasses()
+        self.classes.take(first)
         self.balancer = Balancer(self._settings(), tables.seed(service))
         self.asks: dict[str, Ask] = {}
         self._events: deque[api.Event] = deque()
@@ -59,13 +60,12 @@
 
     def _settings(self) -> api.Settings:
         tables = self.tables
-        trials = max(tables.trials.get(name, 1) for name in self._classes)
         return api.Settings(
-            classes=tuple(self._classes.values()),
+            classes=self.classes.all(),
             peers=max(tables.sidecars, 1),
             zone=tables.zone,
             limits=api.Limits(
-                max_attempts=trials + FURTHER,
+                max_attempts=self.classes.trials + FURTHER,
                 paced=False,
                 may_cancel=True,
                 max_retry_after_ms=RETRY_AFTER_MS,
@@ -78,28 +78,9 @@
 
     def _add(self, route: Route) -> str:
         """The class of a route, made or renewed where it is not as the route says."""
-        name = route.name
-        if name not in self._classes and len(self._classes) >= CLASSES:
-            name = "effectful" if route.effectful else "idempotent"
-        aim = min(route.aim_ms, route.horizon_ms) if route.aim_ms > 0 else route.horizon_ms
-        known = self._classes.get(name)
-        if known is not None and name != route.name:
-            return name
-        effect = Effect.UNSAFE if route.effectful else Effect.SAFE
-        shape = (aim, route.horizon_ms, effect)
-        same = known is not None and (known.aim_ms, known.deadline_ms, known.effect) == shape
-        if not same or self.tables.trials[name] != route.trials:
-            self._classes[name] = api.RequestClass(
-                name,
-                aim_ms=aim,
-                deadline_ms=route.horizon_ms,
-                worth=2.0 ** -min(route.priority, 8),
-                late_worth=LATE_WORTH,
-                effect=effect,
-            )
-            self.tables.trials[name] = route.trials
-            if hasattr(self, "balancer"):
-                self.retune()
+        name, changed = self.classes.take(route)
+        if changed:
+            self.retune()
         return name
 
     def retune(self) -> None:
@@ -147,22 +128,42 @@
         if not ask.over:
             self._over(ask)
             self.tables.traces.ended(self.tables.now(), ask, None)
-            self._cut(ask)
             self.handle(api.ClientGone(ask.id))
+            self._cut(ask, Outcome.CANCELLED)
 
     def _overdue(self, ask: Ask) -> None:
         if not ask.over:
-            self._finish(ask, Failed(True) if ask.may_have_run() else Refused(0.0))
-            self._cut(ask)
+            final = Failed(True) if ask.may_have_run() else Refused(0.0)
+            withdrawn = self._withdraw(ask)
+            self._finish(ask, final)
             self.handle(api.ClientGone(ask.id))
+            self._tell_withdrawn(ask, withdrawn, Outcome.TIMEOUT)
+
+    def _cut(self, ask: Ask, outcome: Outcome) -> None:
+        """Withdraws what is still out of a request that is over."""
+        self._tell_withdrawn(ask, self._withdraw(ask), outcome)
 
-    def _cut(self, ask: Ask) -> None:
-        for out in ask.outs:
+    def _withdraw(self, ask: Ask) -> list[int]:
+        """Attempts that were out and are dropped. Done before its client is told anything: the rest of a body
+        that has not left whole must never leave, or what is refused could run."""
+        numbers = []
+        for number, out in enumerate(ask.outs):
             if out is not None:
+                ask.outs[number] = None
                 self.tables.passage.drop(out)
+                numbers.append(number)
+        return numbers
+
+    def _tell_withdrawn(self, ask: Ask, numbers: list[int], outcome: Outcome) -> None:
+        """The decisions hear of each end: they would count it as out, and its upstream as busy with it, for
+        good."""
+        now = self.tables.now()
+        for number in numbers:
+            self.handle(api.AttemptEnded(ask.id, number, outcome, now - ask.sent[number], False))
 
     def _over(self, ask: Ask) -> None:
         ask.over = True
+        ask.last = None  # its memory goes with it, not with the next collection of cycles
         if ask.guard is not None:
             ask.guard.cancel()
         self.asks.pop(ask.id, None)
@@ -179,6 +180,7 @@
     def _anew(self, ask: Ask) -> None:
         """Nothing of it has run or is out; whoever took it does so once more, by the route as it is now."""
         self._over(ask)
+        self.budget.withdraw(self.tables.now())
         self.handle(api.ClientGone(ask.id))
         ask.answer(Anew())
 
@@ -202,6 +204,8 @@
                     ask = self.asks.get(getattr(event, "request", ""))
                     if ask is not None:
                         self._finish(ask, Failed(False))
+                        self.handle(api.ClientGone(ask.id))
+                        self._cut(ask, Outcome.CANCELLED)
         finally:
             self._handling = False
 
@@ -215,14 +219,26 @@
             self.loop.call_later(action.delay_ms / 1000.0, self.handle, api.Timer(action.token))
             return
         if isinstance(action, api.Cancel):
-            return  # what is out when a request is over has been cut with it
+            return  # what is out when a request is over is cut with it
         if isinstance(action, (api.Refuse, api.Fail)):
             ask = self.asks.get(action.request)
             if ask is None:
                 return
             wait_ms = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
-            self._finish(ask, ask.final(self.tables.now() >= ask.deadline - 2.0, wait_ms))
-            self._cut(ask)
+            late = self.tables.now() >= ask.deadline - 2.0
+            final, withdrawn = ask.final(late, wait_ms), self._withdraw(ask)
+            self._finish(ask, final)
+            self._tell_withdrawn(ask, withdrawn, Outcome.TIMEOUT if late else Outcome.CANCELLED)
+
+    def _may_retry(self, now: float) -> bool:
+        """Whether the budget bears another retry; if not, that is told once a window."""
+        if self.budget.spend(now, self.tables.sidecars):
+            return True
+        if now - self._denied_told_at >= self.tables.window_ms:
+            refused = self.budget.denied - self._denied_told
+            self.tables.event_log.tell(events.BUDGET_SPENT, service=self.service, refused=refused)
+            self._denied_told, self._denied_told_at = self.budget.denied, now
+        return False
 
     def _send(self, ask: Ask, instance: str) -> None:
         tables, now = self.tables, self.tables.now()
@@ -230,7 +246,7 @@
         ask.outs.append(None)
         ask.sent.append(now)
         ask.tried.append((instance, "out", 0.0))
-        if ask.arrived and (ask.arrived >= ask.route.trials or not self.budget.spend(now, tables.sidecars)):
+        if ask.arrived and (ask.arrived >= ask.route.trials or not self._may_retry(now)):
             ask.tried[number] = (instance, "not sent: no budget for a further try", 0.0)
             self.handle(api.AttemptEnded(ask.id, number, Outcome.MOOT, 0.0, False))
             return
@@ -244,7 +260,7 @@
             instance,
             ask.caller,
             ask.deadline - now,
-            rank=2.0 ** -min(ask.route.priority, 8) / max(ask.route.aim_ms, 1.0),
+            rank=worth_of(ask.route) / max(ask.route.aim_ms, 1.0),
             patience_ms=PATIENCE * ask.route.aim_ms - (now - ask.taken),
             longer_ms=PATIENCE_OVER * ask.route.aim_ms - (now - ask.taken),
             route=ask.route.name,
@@ -253,7 +269,10 @@
             anyway=ask.anyway,
             effectful=ask.route.effectful,
             aim_ms=ask.route.aim_ms,
+            repeat=ask.repeat or ask.arrived > 0,
         )
+        if ask.repeat and number == 0:
+            self.budget.charge(now)
         ask.arrived += 1
         ended = False
 
@@ -310,7 +329,6 @@
         self.zone, self.event_log = zone, event_log
         self.ratio, self.window_ms, self.slack = bounds
         self._random = random.Random(seed)
-        self.trials: dict[str, int] = {}
         self.sidecars, self.many_zones = 3, False
         self.by_service: dict[str, Table] = {}
         self.traces = FirstHop()
@@ -334,6 +352,13 @@
         table = self.by_service[service] = Table(self, service, route)
         return table, True
 
+    def tune(self, bounds: tuple[float, float, float]) -> None:
+        """The budget of further tries is another: ratio, window in milliseconds and slack."""
+        if bounds != (self.ratio, self.window_ms, self.slack):
+            self.ratio, self.window_ms, self.slack = bounds
+            for table in self.by_service.values():
+                table.budget.tune(self.now(), *bounds)
+
     def people(self, sidecars: int, zones: int) -> None:
         """How many sidecars there are, and in how many zones."""
         if (sidecars, zones > 1) != (self.sidecars, self.many_zones):
--- a/mesh/transport/link.py
+++ b/mesh/transport/link.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from mesh.transport.frames import BadFrame, Frames, Head, frame
+from mesh.transport.frames import BadFrame, FrameHead, Frames, Head, Octets, Room, frame
 
 Address = tuple[str, int]
 
@@ -27,17 +27,20 @@
 
 
 class Link(asyncio.Protocol):
-    """Either end. ``on_frame(link, head, body)`` is called for each frame, ``on_lost(link, why)`` once."""
+    """Either end. ``on_frame(link, head, body)`` is called for each frame, ``on_lost(link, why)`` once; heads
+    are dicts until ``read_with`` sets a decoder of typed ones. ``room`` bounds frames that are being read."""
 
     def __init__(
         self,
         on_up: Callable[[Link], None],
-        on_frame: Callable[[Link, Head, bytes], None],
+        on_frame: Callable[[Link, Any, bytes], None],
         on_lost: Callable[[Link, str], None],
+        room: Room | None = None,
     ) -> None:
+        """Not up yet."""
         self._on_up, self._on_frame, self._on_lost = on_up, on_frame, on_lost
         self._loop = asyncio.get_running_loop()
-        self._frames = Frames()
+        self._frames = Frames(room)
         self._transport: asyncio.Transport | None = None
         self._why = "closed by the other end"
         self.sent_at = self.heard_at = self.since = self._loop.time()
@@ -49,9 +52,14 @@
         self._long = 0  # bytes of long frames since little was unsent
         self._unsent = 0  # at the last tick
         self.peer: Any = None  # whose it is, as its owner has it
+        self.choked = False  # the kernel takes no more for now
+        self.on_writable: Callable[[], None] = _nothing  # it takes more again
+        self.node = ""  # of the other end, where it has said so and its owner keeps it
+        self.sent_bytes = 0
 
     @property
     def up(self) -> bool:
+        """Whether frames can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
     @property
@@ -59,7 +67,21 @@
         """Bytes that the kernel has not taken."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
+    def read_with(self, decode: Callable[[bytes], Any]) -> None:
+        """Heads that come from now on are read by ``decode``, which raises msgspec.DecodeError."""
+        self._frames.decode = decode
+
+    def pause_writing(self) -> None:
+        """The kernel takes no more for now."""
+        self.choked = True
+
+    def resume_writing(self) -> None:
+        """It takes more again."""
+        self.choked = False
+        self.on_writable()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It is up."""
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -67,6 +89,7 @@
         self._on_up(self)
 
     def data_received(self, data: bytes) -> None:
+        """Tells the frames that are whole."""
         self.heard_at = self._loop.time()
         try:
             frames = self._frames.feed(data)
@@ -77,7 +100,7 @@
             if head and self.up:
                 self._on_frame(self, head, body)
 
-    def send(self, head: Head, body: bytes | None = None) -> bool:
+    def send(self, head: Head | FrameHead, body: Octets | None = None) -> bool:
         """False where the link is down, or its peer does not read."""
         if not self.up:
             return False
@@ -92,6 +115,7 @@
         if len(payload) > LONG_BYTES:
             self._long = min(self._long + len(payload), LONG_MOST_BYTES)
         self._transport.write(payload)
+        self.sent_bytes += len(payload)
         self.sent_at = self._loop.time()
         return True
 
@@ -112,19 +136,27 @@
             self.close("silent")
         elif (self.owes or self.steady) and now - self.sent_at >= BEAT_S:
             self._transport.write(ALIVE)
+            self.sent_bytes += len(ALIVE)
             self.sent_at = now
 
     def close(self, why: str) -> None:
+        """Ends it at once; ``why`` is what its owner is told."""
         self._why = why
         if self._transport is not None:
             self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Tells its owner, once."""
         if exc is not None:
             self._why = str(exc)
+        self._frames.let_go()
         self._on_lost(self, self._why)
 
 
+def _nothing() -> None:
+    return
+
+
 async def connect(address: Address, make: Callable[[], Link]) -> Link | None:
     """A link that is up, or None where the other end cannot be had within CONNECT_S."""
     loop = asyncio.get_running_loop()
--- a/rigs/silence_model.py
+++ b/rigs/silence_model.py
@@ -51,6 +51,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Size:
+    """What stands in the zone, and how often it is struck."""
+
     machines: tuple[str, ...] = ("member", "successor", "sidecar")
     members: tuple[str, ...] = ("member", "successor")
     dead: int = 3  # nodes of the store
@@ -59,17 +61,22 @@
 
 
 class Silence(Model):
+    """The zone, its two listeners and the judge."""
+
     def __init__(self, name: str, size: Size) -> None:
+        """``name`` is the model's, for its reports."""
         self.name, self.size = name, size
         self.nodes = {name: Known(ZONE, member=name in size.members) for name in size.machines}
         self.nodes |= {f"dead-{n}": Known(ZONE, stays=True) for n in range(size.dead)}
         self.nodes["judge"] = Known("a", member=True)
 
     def initial(self) -> Iterable[State]:
+        """All live and are heard."""
         machine = Machine((0, 0), (STOOD_TICKS, STOOD_TICKS), (0, 0), 0, False, True)
         yield (tuple(machine for _ in self.size.machines), None, (), self.size.deaths, self.size.cuts)
 
     def events(self, state: State) -> Sequence[Any]:
+        """Time passes, a machine dies, a cut begins or ends."""
         machines, cut, _, deaths, cuts = state
         found: list[Any] = [("tick", back) for back in self._returns(machines, cut)]
         if deaths:
@@ -92,6 +99,7 @@
         return _subsets(lacking)
 
     def step(self, state: State, event: Any) -> State:
+        """After each tick the judge has looked anew."""
         machines, cut, gone, deaths, cuts = state
         what = event[0]
         if what == "die":
@@ -143,7 +151,8 @@
 
     # What must hold
 
-    def violations(self, before: State | None, event: Any, after: State) -> Iterable[Violation]:
+    def violations(self, _: State | None, event: Any, after: State) -> Iterable[Violation]:
+        """No live machine is thrown out with its zone, no dead member is kept."""
         machines, cut, gone, _, _ = after
         if event is None or event[0] != "tick":
             return
--- a/simulation/mesh/replacements.py
+++ b/simulation/mesh/replacements.py
@@ -31,6 +31,7 @@
     """A world whose machines stand in several zones; a successor stands where its predecessor did."""
 
     def __init__(self, layout: Layout) -> None:
+        """``layout``: where machines stand, and what may be lost."""
         super().__init__(layout.tolerance)
         self.layout = layout
         self._zones: dict[str, str] = {}
@@ -38,20 +39,25 @@
         self.version = 0
 
     def zone(self, machine: Machine) -> str:
+        """In turn by number, or the predecessor's."""
         number = int(machine.name[1:])
         return self._zones.setdefault(machine.name, "abc"[(number - 1) % self.layout.zones])
 
     def confirmed(self) -> Script:
+        """A new order is acknowledged in time."""
         self.version += 1
         yield from confirms(self, self.version)
 
     def sidecars(self) -> list[Machine]:
+        """In the order in which they were added."""
         return [machine for machine in self.machines.values() if not machine.core]
 
     def standing(self, zone: str) -> list[Machine]:
+        """All machines of the zone."""
         return [machine for machine in self.machines.values() if self.zone(machine) == zone]
 
     def successor(self, number: int, old: Machine) -> Machine:
+        """Starts a machine in the zone of the old one."""
         self._zones[f"c{number}"] = self.zone(old)
         return begin(self, number)
 
@@ -235,6 +241,7 @@
 
 
 def zone_is_cut_one_way(world: ZonedWorld) -> Script:
+    """The same, and what the others say still arrives there."""
     yield from zone_is_cut(world, both=False)
 
 
--- a/tests/mesh/test_data_plane_client_connection.py
+++ b/tests/mesh/test_data_plane_client_connection.py
@@ -10,10 +10,11 @@
 import pytest
 
 from anisestair.http import codec as http
-from mesh.configuration.limits import Limits
+from anisestair.http.frontend import unread
+from mesh.configuration.limits import InputLimits
 from mesh.configuration.routes import Routes, read_route
-from mesh.data_plane.client_connection import AT_ONCE, Outlets
-from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.client_connection import AT_ONCE, Outlet, Outlets
+from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 from mesh.data_plane.service_balancers import GUARD_MS, Tables
 from mesh.data_plane.upstream_connections import Tap
@@ -271,7 +272,7 @@
 
 def test_a_body_beyond_the_bound_is_413_and_runs_nowhere() -> None:
     async def test(sidecar: Sidecar) -> None:
-        sidecar.outlets.keep_to(Limits(body=10))
+        sidecar.outlets.keep_to(InputLimits(body=10))
         client = await sidecar.client()
         assert (await client.ask("a1", body=b"x" * 10)).status == 200
         assert (await client.ask("a2", body=b"x" * 11)).status == 413
@@ -304,6 +305,23 @@
     beside(test, by_path)
 
 
+def test_an_answer_that_waits_its_turn_is_traced_with_its_wait() -> None:
+    async def test(sidecar: Sidecar) -> None:
+        waited: dict[str, float] = {}
+        sidecar.outlets.trace = waited.__setitem__
+        client = await sidecar.client()
+        client.send("a1", "/read/hold")
+        client.send("a2", "/read/ok")
+        await until(lambda: len(sidecar.upstream_dispatch.running) == 1)
+        assert not waited
+        move(0.3)
+        sidecar.upstream.release.set()
+        assert [await client.read() for _ in range(2)]
+        assert waited["a1"] < 0.1 <= 0.3 <= waited["a2"]
+
+    beside(test, by_path)
+
+
 def test_so_many_of_one_connection_are_in_hand_and_no_more() -> None:
     async def test(sidecar: Sidecar) -> None:
         client = await sidecar.client()
@@ -355,6 +373,25 @@
     beside(test, by_path)
 
 
+def test_behind_one_whose_answer_will_close_nothing_is_begun() -> None:
+    async def test(sidecar: Sidecar) -> None:
+        client = await sidecar.client()
+        client.send("a1", "/read/hold")
+        assert await sidecar.came() == "a1"
+        (connection,) = sidecar.outlets._connections
+        assert isinstance(connection, Outlet)
+        connection._slots[-1].closes = True
+        client.send("a2", "/read/ok")
+        await until(lambda: bool(connection.waiting))
+        sidecar.upstream.release.set()
+        answer = await client.read()
+        assert answer is not None and answer.get(b"connection") == "close"
+        assert await client.read() is None
+        assert [message.get(b"attempt-id") for message in sidecar.upstream.seen] == ["a1"]
+
+    beside(test, by_path)
+
+
 def test_what_cannot_be_read_behind_requests_is_answered_in_its_turn() -> None:
     async def test(sidecar: Sidecar) -> None:
         client = await sidecar.client()
@@ -402,3 +439,26 @@
         await soon(ends)
 
     beside(test, by_path)
+
+
+def test_at_an_end_what_stands_in_the_kernel_behind_an_answer_is_read_and_answered_too() -> None:
+    """Closing on unread input would reset the connection, and the answer with it."""
+
+    async def test(sidecar: Sidecar) -> None:
+        client = await sidecar.client()
+        client.send("a1", "/read/hold")
+        assert await sidecar.came() == "a1"
+        ends = asyncio.get_running_loop().create_task(sidecar.outlets.stop(accept_s=0.0))
+        await until(lambda: sidecar.outlets._listener is None)
+        (connection,) = sidecar.outlets._connections
+        assert connection.transport is not None
+        connection.transport.pause_reading()  # as if it came in the same turn of the loop as the answer
+        client.send("a2", "/read/ok")
+        await until(lambda: unread(connection.transport.get_extra_info("socket")))  # type: ignore[union-attr]
+        sidecar.upstream.release.set()
+        answers = [await client.read() for _ in range(2)]
+        assert [answer and answer.status for answer in answers] == [200, 200]
+        assert [answer and answer.get(b"connection") for answer in answers] == [None, "close"]
+        await soon(ends)
+
+    beside(test, by_path)
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -14,8 +14,9 @@
 from hareloom import interface as api
 from mesh.admission.final_check import Why
 from mesh.configuration.routes import Route
+from mesh.data_plane import route_classes
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
-from mesh.data_plane.call_state import Ask, Failed, Final, Refused, Served
+from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served, State
 from mesh.data_plane.service_balancers import GUARD_MS, Table, Tables
 from mesh.event_log.log import EventLog
 from rigs.mesh_peers import move, play, soon, turns
@@ -35,6 +36,7 @@
     call: Call
     node: str
     ended: Callable[[End], None]
+    state: State = State.SENT
 
 
 @dataclass
@@ -226,6 +228,7 @@
         bench.end(OK)
         assert final.result() == Served(OK)
         assert bench.table(READ).budget.spent == 1
+        assert [sent.call.repeat for sent in bench.passage.sent] == [False, True]
 
     at_table(test)
 
@@ -251,6 +254,7 @@
         ask, final = bench.ask(route)
         bench.end(FULL)
         assert len(bench.sends(ask)) == 2 and bench.table(READ).budget.spent == 0
+        assert not any(sent.call.repeat for sent in bench.passage.sent)
         bench.end(FULL_THERE)
         assert len(bench.sends(ask)) == 2
         assert isinstance(final.result(), Refused)
@@ -272,10 +276,45 @@
             assert tries == budget.spent <= 0.5 * (0.2 * requests + 4.0)
         assert tries >= 0.5 * (0.2 * 120 + 4.0) - 1.0  # and are not withheld below it
         assert budget.denied > 0
+        told = [line for line in bench.log.getvalue().splitlines() if " W502 " in line]
+        assert len(told) == 1 and "service=s refused=1" in told[0]  # once a window
 
     at_table(test, slack=4.0)
 
 
+def test_a_request_that_is_taken_anew_is_counted_by_whoever_takes_it_alone() -> None:
+    async def test(bench: Bench) -> None:
+        _, final = bench.ask(READ)
+        bench.end(TurnedAway(Why.OLD))
+        assert final.result() == Anew()
+        assert sum(slot[1] for slot in bench.table(READ).budget._slots) == 0.0
+
+    at_table(test)
+
+
+def test_three_are_taken_to_share_the_budget_until_the_membership_is_known() -> None:
+    def further(bench: Bench) -> int:
+        for _ in range(8):
+            _, final = bench.ask(READ)
+            while not final.done():
+                bench.end(UNCLEAR)
+        return bench.table(READ).budget.spent
+
+    async def test(bench: Bench) -> None:
+        bench.tables.sidecars = 3  # as it is made
+        assert further(bench) == 2  # half of 12, a third of it
+        bench.tables.people(0, 1)  # none is counted as one
+        assert further(bench) > 2
+
+    async def new(bench: Bench) -> None:
+        made = bench.tables
+        again = Tables(made.passage, Place(), made.node_of, "z", (0.0, 1.0, 12.0), 7, made.event_log)
+        assert again.sidecars == 3
+
+    at_table(test, slack=12.0, ratio=0.0)
+    at_table(new)
+
+
 def test_nothing_that_could_have_it_is_refused_with_a_time_to_come_back() -> None:
     async def test(bench: Bench) -> None:
         for route in (READ, PAY):
@@ -326,6 +365,26 @@
     at_table(test)
 
 
+@pytest.mark.parametrize("left", [True, False], ids=["the client leaves", "the deadline passes"])
+def test_what_is_withdrawn_is_no_longer_counted_as_out_and_its_upstream_is_tried_again(left: bool) -> None:
+    async def test(bench: Bench) -> None:
+        ask, _ = bench.ask(READ)  # the first is a trial of its upstream
+        balancer = bench.table(READ).balancer
+        assert balancer.limits.out == 1 and any(server.trial for server in balancer.servers.values())
+        if left:
+            bench.table(READ).gone(ask)
+        else:
+            move(1.0 + GUARD_MS / 1000.0 + 0.01)
+            await turns()
+        assert balancer.limits.out == 0 and not balancer.requests
+        assert [(server.held, server.trial) for server in balancer.servers.values()] == [(0, False)]
+        move(10.0)
+        bench.serve(3)
+        assert len(bench.passage.sent) == 4
+
+    at_table(test, upstreams=1)
+
+
 @pytest.mark.parametrize("event", [api.Request, api.AttemptEnded])
 def test_a_fault_in_the_decisions_costs_one_request(event: type) -> None:
     async def test(bench: Bench) -> None:
@@ -385,7 +444,7 @@
 def test_classes_are_bounded_and_what_a_route_may_do_is_kept_beyond_the_bound(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("mesh.data_plane.service_balancers.CLASSES", 3)
+    monkeypatch.setattr(route_classes, "OWN_MOST", 3)
 
     async def test(bench: Bench) -> None:
         for at in range(8):
@@ -396,9 +455,10 @@
             if not final.done():
                 bench.end(OK)
             bench.serve(5)
-        assert set(bench.table(READ)._classes) == {
+        assert {one.name for one in bench.table(READ).classes.all()} == {
             *("route-0", "route-1", "read"),
-            *("effectful", "idempotent"),
+            "effectful, worth 0.5, aim 512 ms, horizon 1024 ms",
+            "idempotent, worth 0.5, aim 512 ms, horizon 1024 ms",
         }
 
     at_table(test, upstreams=9)
@@ -414,3 +474,35 @@
         assert len(bench.sends(ask)) == 6
 
     at_table(test, upstreams=9)
+
+
+def test_a_route_that_came_late_has_its_trials_as_the_first_have() -> None:
+    async def test(bench: Bench) -> None:
+        for at in range(route_classes.OWN_MOST + 1):
+            bench.ask(replace(READ, name=f"r{at}", trials=1))
+            bench.end(OK)
+        ask, final = bench.ask(replace(READ, name="late", trials=6))
+        while not final.done():
+            bench.end(UNCLEAR)
+        assert len(bench.sends(ask)) == 6
+
+    at_table(test, upstreams=9)
+
+
+def test_four_thousand_late_routes_are_served_as_the_first_and_cost_a_bounded_number_of_retunes() -> None:
+    async def test(bench: Bench) -> None:
+        told, retunes = bench.table(READ).balancer.on_retune, []
+
+        def retune(settings: api.Settings) -> None:
+            retunes.append(settings)
+            told(settings)
+
+        bench.table(READ).balancer.on_retune = retune  # type: ignore[method-assign]
+        for at in range(4020):
+            shape = replace(READ, name=f"r{at}", aim_ms=100.0 + at, priority=at % 4)
+            _, final = bench.ask(shape, left_ms=900.0)
+            bench.end(OK)
+            assert final.result() == Served(OK), at
+        assert len(retunes) < 2 * route_classes.OWN_MOST + route_classes.SHARED_MOST
+
+    at_table(test)
--- a/tests/mesh/test_draw_days.py
+++ b/tests/mesh/test_draw_days.py
@@ -13,9 +13,11 @@
 import pytest
 import tomli_w
 
-from benchmarks import draw_days
-from benchmarks.day_kinds import BadKinds, Drawer, drawers, told, words
-from benchmarks.draw_days import Bench, Item, Result, items, of_items, records, reduced, result, same
+from benchmarks import bench_runs, day_files, draw_days
+from benchmarks.bench_runs import Bench, Result, records, result
+from benchmarks.day_drawer import Drawer, describe, drawers
+from benchmarks.reduce_days import Item, breaks_alike, day_with, minimized, removable_items
+from benchmarks.trouble_kinds import KindsTextError, parse_kinds_text
 
 KINDS = """Made-up words. for_s: how long (4). gap_s: a pause (2). share: a part, 0 to 1.
 For servers, 'how' may also hold everyone (of all) and lone. For machines, 'how' may also hold first or last.
@@ -62,6 +64,11 @@
         "length_s": 20.0,
         "zones": [{"name": "a"}, {"name": "b"}],
         "services": [{"name": "shop"}],
+        "machines": [
+            {"class": "side", "zone": "a", "app": "shop", "count": 6},
+            {"class": "side", "zone": "b", "app": "shop", "count": 4},
+            {"class": "core", "zone": "a", "count": 5},
+        ],
         "classes": [{"name": "read"}, {"name": "within", "inner": True}],
         "troubles": [{"kind": "more_news", "count": 100}],
         "day": [day],
@@ -74,28 +81,28 @@
 
 
 def test_kinds_variants_and_figures_are_read_from_what_is_printed() -> None:
-    said = words(KINDS)
-    assert {kind.name: {*kind.hows, *kind.added} for kind in said.kinds} == HOWS
+    said = parse_kinds_text(KINDS)
+    assert {kind.name: {*kind.variants, *kind.modifiers} for kind in said.kinds} == HOWS
     kinds = {kind.name: kind for kind in said.kinds}
-    assert kinds["srv_halt"].added == ("near",)
+    assert kinds["srv_halt"].modifiers == ("near",)
     assert kinds["srv_halt"].figures == {"share": 0.2, "x": 3.0}
     assert kinds["roll_all"].whole_x
-    assert [kinds[name].of for name in HOWS] == ["servers", "servers", "machines", "machines", *[""] * 5]
+    assert [kinds[name].target for name in HOWS] == ["servers", "servers", "machines", "machines", *[""] * 5]
     assert kinds["crowd"].places == ("zone", "class")
-    assert said.heads == {"machines": ("first", "last"), "servers": ("everyone", "lone")}
-    assert (said.after, said.after_kind, said.cuts) == (
+    assert said.selectors == {"machines": ("first", "last"), "servers": ("everyone", "lone")}
+    assert (said.machine_modifiers, said.kind_modifiers, said.cut_variants) == (
         ("again", "soon"),
         {"srv_halt": ("loud",)},
         ("noisy",),
     )
-    assert (said.closing, said.closing_hows) == (("dark_all", "lose_all"), ("late", "early"))
+    assert (said.closing_kinds, said.closing_variants) == (("dark_all", "lose_all"), ("late", "early"))
     assert said.figures == {"count": 1.0, "for_s": 4.0, "gap_s": 2.0}
 
 
 @pytest.mark.parametrize("text", ["", "unknown verb: kinds", "one\n\ntwo three\n"])
 def test_a_text_without_kinds_is_refused(text: str) -> None:
-    with pytest.raises(BadKinds):
-        words(text)
+    with pytest.raises(KindsTextError):
+        parse_kinds_text(text)
 
 
 def test_the_same_seed_gives_the_same_valid_day_inside_the_sites_bounds() -> None:
@@ -178,9 +185,9 @@
 
 def test_a_day_breaks_as_another_by_a_rule_before_a_fault_before_the_gate() -> None:
     lost, gate = Result("broken", ("LOST", "gate")), Result("broken", ("gate",))
-    assert same(lost, Result("broken", ("LOST",)))
-    assert not same(lost, gate) and same(gate, lost)
-    assert not same(lost, Result("unclear", ("LOST",)))
+    assert breaks_alike(lost, Result("broken", ("LOST",)))
+    assert not breaks_alike(lost, gate) and breaks_alike(gate, lost)
+    assert not breaks_alike(lost, Result("unclear", ("LOST",)))
 
 
 ENTRIES: list[Item] = [("faults", {"at": float(at), "kind": "k"}) for at in range(12)]
@@ -192,7 +199,7 @@
     def breaks(tried: Sequence[Sequence[Item]]) -> list[bool]:
         return [all(item in one for item in wanted) for one in tried]
 
-    left, asked, least = reduced(ENTRIES, breaks, 100)
+    left, asked, least = minimized(ENTRIES, breaks, 100)
     assert (left, least) == (wanted, True)
     assert 0 < asked < 100
 
@@ -205,16 +212,16 @@
         asked.extend(tried)
         return [False for _ in tried]
 
-    left, days, least = reduced(ENTRIES, breaks, most)
+    left, days, least = minimized(ENTRIES, breaks, most)
     assert (left, days, len(asked)) == (ENTRIES, min(most, 26), min(most, 26))  # 2, 4, 8, then 12 parts
     assert least == (most >= 26)
 
 
 def test_what_closes_a_day_can_be_taken_out_too() -> None:
     day = drawer().day("d", 0, "s") | {"closing": {"kind": "dark_all"}}
-    whole = items(day)
-    assert of_items(day, whole) == day
-    assert "closing" not in of_items(day, whole[:-1]) and of_items(day, [whole[-1]])["faults"] == []
+    whole = removable_items(day)
+    assert day_with(day, whole) == day
+    assert "closing" not in day_with(day, whole[:-1]) and day_with(day, [whole[-1]])["faults"] == []
 
 
 STAND_IN = """#!{python}
@@ -269,8 +276,8 @@
     assert (code, last["played"], last["broken"], last["unclear"]) == (1, 8, len(broken), 0)
     assert last["signs"] == {"LOST": len(broken), "gate": len(broken)}
     assert [row["reduced"]["kinds"] for row in rows if "reduced" in row] == [["crowd"]] * len(broken)
-    left = draw_days.read_day(out / f"{broken[0]['day']}-reduced.toml")
-    assert (told(left), left["seed"]) == (["crowd"], broken[0]["seed"])
+    left = day_files.read_day(out / f"{broken[0]['day']}-reduced.toml")
+    assert (describe(left), left["seed"]) == (["crowd"], broken[0]["seed"])
     code, last = called(
         monkeypatch, capsys, "reduce", *given[:2], out / f"{broken[0]['day']}.toml", *given[2:]
     )
@@ -278,7 +285,7 @@
 
 
 def test_a_day_that_takes_too_long_is_ended(bench: Path, tmp_path: Path) -> None:
-    day = draw_days.write_day(tmp_path / "hang.toml", site()["day"][0] | {"name": "hang"}, False)
+    day = day_files.write_day(tmp_path / "hang.toml", site()["day"][0] | {"name": "hang"}, False)
     found = Bench(bench, wall_s=0.5).play(tmp_path / "plain.toml", day)
     assert (found.state, found.seconds < 30) == ("given up", True)
 
@@ -286,7 +293,7 @@
 def test_drawn_days_stay_outside_the_repository(
     bench: Path, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    inside = draw_days.ROOT / "found"
+    inside = day_files.ROOT / "found"
     code, _ = called(
         monkeypatch, capsys, "draw", bench, tmp_path / "plain.toml", "--out", inside, "--seed", 1
     )
@@ -296,9 +303,9 @@
 def test_the_journals_entry_of_a_run_is_found_among_others(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(draw_days, "JOURNAL", tmp_path)
+    monkeypatch.setattr(bench_runs, "JOURNAL", tmp_path)
     for name, day in (("1", "day-1-1.toml"), ("2", "day-1-11.toml"), ("3", "day-1-1.toml")):
         entry = {"argv": [f".../{day}"], "days": [record(rules={"LOST": int(name)})]}
         (tmp_path / f"{name}.json").write_text(json.dumps(entry, indent=1))
-    found = draw_days.journalled(Path("/x/day-1-1.toml"), {"1.json"})
+    found = bench_runs.journalled(Path("/x/day-1-1.toml"), {"1.json"})
     assert found == ("3.json", [record(rules={"LOST": 3})])
--- a/tests/mesh/test_replacements_world.py
+++ b/tests/mesh/test_replacements_world.py
@@ -66,11 +66,11 @@
 
 
 def a_successor_counts_beside_the_dead_one(patch: Patch) -> None:
-    patch.setattr(reconfiguration, "_holds_without", lambda *args: True)
+    patch.setattr(reconfiguration, "_holds_without", lambda *_: True)
 
 
 def reasons_are_not_told(patch: Patch) -> None:
-    patch.setattr(MemberSilence, "why_it_stays", lambda *args: "")
+    patch.setattr(MemberSilence, "why_it_stays", lambda *_: "")
 
 
 SEEDED: list[tuple[Callable[[Patch], None], Layout, ZonedPlay]] = [
--- a/tests/mesh/test_silence_model.py
+++ b/tests/mesh/test_silence_model.py
@@ -39,7 +39,7 @@
 
 
 def the_first_that_returns_condemns_the_rest(patch: Patch) -> None:
-    patch.setattr(Silence, "_stood", lambda self, ticks: True)
+    patch.setattr(Silence, "_stood", lambda *_: True)
 
 
 SEEDED: list[tuple[Callable[[Patch], None], str, str]] = [
