--- a/mesh/cli/members.py
+++ b/mesh/cli/members.py
@@ -79,10 +79,10 @@
     return min(able, key=lambda process: not (process.told or {}).get("in_touch"))
 
 
-def _holder(view: , reply: object) -> Process | None:
+def _holder(snapshot: MeshSnapshot, reply: object) -> Process | None:
     """Of the duty `members`, where it answers as well."""
     name = text(reply.value, "holder") if isinstance(reply, Answered) else ""
-    return next((process for process in view.answering(CONTROLLER) if process.node == name), None)
+    return next((process for process in snapshot.answering(CONTROLLER) if process.node == name), None)
 
 
 def shown(told: Mapping[str, Any]) -> list[str]:
