--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -21,7 +21,8 @@
 
 from hareloom import Balancer
 from hareloom import interface as api
-from lab.scenario import Scenario, typed
+from lab.scenario import typed
+from lab.scenario_tables import Scenario
 from lab.simulation import Simulation
 
 SIZES = {"5 x 15": (5, 15, 120.0), "200 x 100": (200, 100, 30.0)}
--- a/lab/calls.py
+++ b/lab/calls.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from lab.scenario import Class
+from lab.scenario_tables import Class
 
 
 class TrySidecar(Protocol):
--- a/lab/checker.py
+++ b/lab/checker.py
@@ -16,7 +16,7 @@
 from hareloom.interface import NEVER_RAN, Effect, Group, ListKind, ServerState
 
 if TYPE_CHECKING:
-    from lab.scenario import Scenario
+    from lab.scenario_tables import Scenario
 
 RULES = ("lost", "twice", "drain", "fall")
 
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -13,7 +13,7 @@
 from lab.checker import Checker
 from lab.clock import Clock
 from lab.measures import Measures
-from lab.scenario import Scenario
+from lab.scenario_tables import Scenario
 from lab.sidecars import Sidecar
 from lab.streams import Stream, Streams, lognormal
 
--- a/lab/command.py
+++ b/lab/command.py
@@ -3,69 +3,22 @@
 
 from __future__ import annotations
 
-import os
-import sys
 import tempfile
-from collections.abc import Callable
-from functools import wraps
 from pathlib import Path
-from typing import Any, Literal, ParamSpec
+from typing import Literal
 
 import click
 import msgspec
-import tomli_w
-from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
-
-from lab import experiment, hunt, pool, report, running, scenario, statistics, tables
-from lab.experiment import Experiment, Plan, Play, Point
-from lab.policies import POLICIES, Unknown, policy
-from lab.reduce import RULES, Symptom, reduced
-from lab.results import Folder, Mixed, of_one_code
+
+from lab import experiment, report, running, scenario, statistics, tables
+from lab.command_options import FILE, FOLDER, SET, WORKERS, ProgressBar, changes_of, told
+from lab.experiment import Experiment, Plan, Point
+from lab.hunt_commands import hunt_worst, shrink
+from lab.policies import POLICIES, policy
+from lab.results import Folder, of_one_code
 from lab.revisions import Revisions, libraries
-from lab.scenario import Source, Wrong
+from lab.scenario import Wrong
 from lab.simulation import Simulation
-from lab.worker import Job, broken
-
-P = ParamSpec("P")
-FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
-FOLDER = click.Path(file_okay=False, path_type=Path)
-CORES = os.cpu_count() or 1
-
-
-def told(command: Callable[P, int | None]) -> Callable[P, None]:
-    """What cannot be used ends in one line and status 2."""
-
-    @wraps(command)
-    def call(*args: P.args, **kwargs: P.kwargs) -> None:
-        try:
-            sys.exit(command(*args, **kwargs) or 0)
-        except (Wrong, Unknown, Mixed) as fault:
-            click.echo(f"lab: {fault}", err=True)
-            sys.exit(2)
-
-    return call
-
-
-class _Bar:
-    """Progress on a terminal's standard error; nothing where there is none."""
-
-    def __init__(self) -> None:
-        self._bar = Progress(
-            *(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn()),
-            transient=True,
-            disable=not sys.stderr.isatty(),
-        )
-        self._task = self._bar.add_task("plays")
-
-    def __enter__(self) -> _Bar:
-        self._bar.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._bar.stop()
-
-    def __call__(self, done: int, of: int, last: str) -> None:
-        self._bar.update(self._task, completed=done, total=of)
 
 
 @click.group(help=__doc__, context_settings={"help_option_names": ["-h", "--help"]})
@@ -73,26 +26,6 @@
     pass
 
 
-def _changes(given: tuple[str, ...]) -> dict[str, Any]:
-    """PLACE=VALUE words; values as JSON, or as text. Raises Wrong."""
-    found: dict[str, Any] = {}
-    for word in given:
-        place, equals, value = word.partition("=")
-        if not equals:
-            raise Wrong(f"--set {word!r}: no value; write it as load.share=0.9")
-        try:
-            found[place] = msgspec.json.decode(value)
-        except msgspec.DecodeError:
-            found[place] = value
-    return found
-
-
-SET = click.option(
-    "--set", "settings", multiple=True, metavar="PLACE=VALUE", help="another value in the scenario"
-)
-WORKERS = click.option("--workers", type=click.IntRange(1, 256), default=CORES, show_default=True)
-
-
 @main.command("play")
 @click.argument("file", type=FILE)
 @click.option("--policy", "way", default="module", show_default=True)
@@ -106,7 +39,7 @@
     """
     decides, watched = policy(way)
     simulation = Simulation(
-        scenario.load(file).changed(_changes(settings)).play_of(seed), seed, decides, watched
+        scenario.load(file).changed(changes_of(settings)).play_of(seed), seed, decides, watched
     )
     row = simulation.run()
     click.echo(msgspec.json.format(msgspec.json.encode(msgspec.structs.asdict(row))).decode())
@@ -131,7 +64,7 @@
     """
     plan = experiment.load(file)
     folder = out or file.with_suffix("")
-    with _Bar() as bar:
+    with ProgressBar() as bar:
         loaded = running.make(plan, folder, workers=workers, part=shard, progress=bar, most_s=most_seconds)
     _print(tables.cells(loaded.rows, "score"), "score")
     asked = len(plan.points) * plan.experiment.seeds
@@ -197,7 +130,7 @@
     Example: python -m lab compare lab/scenarios/outage.toml --a module --b module@HEAD~20 --until 0.004
     """
     policy(first), policy(second)
-    changes = [_changes(set_a), _changes(set_b)]
+    changes = [changes_of(set_a), changes_of(set_b)]
     sources = {path.stem: scenario.load(path) for path in files}
     ways = dict.fromkeys((first, second))
     made = Experiment(
@@ -212,7 +145,7 @@
     with tempfile.TemporaryDirectory() as scratch:
         folder, count = out or Path(scratch), seeds
         while True:
-            with _Bar() as bar:
+            with ProgressBar() as bar:
                 loaded = running.make(plan, folder, workers=workers, seeds=range(1, count + 1), progress=bar)
             rows = [row for row in loaded.rows if row["seed"] <= count]
             with tempfile.TemporaryDirectory() as place:
@@ -285,108 +218,6 @@
     return 0
 
 
-def _all(jobs: list[tuple[Play, Job, Path]], workers: int) -> dict[int, Any]:
-    with _Bar() as bar:
-        found = {}
-        for done, (made, result) in enumerate(pool.run(jobs, workers), 1):
-            found[made.seed] = result.row
-            bar(done, len(jobs), "")
-    return found
-
-
-@main.command("hunt")
-@click.argument("file", type=FILE)
-@click.option("--policy", "way", default="module", show_default=True)
-@click.option("--rounds", type=click.IntRange(1, 64), default=4, show_default=True)
-@click.option("--plays", type=click.IntRange(1, 100_000), default=64, show_default=True, help="a round")
-@click.option("--first-seed", type=int, default=1, show_default=True)
-@click.option(
-    "--found", type=FOLDER, default=Path("found"), show_default=True, help="where the worst are kept"
-)
-@WORKERS
-@told
-def hunt_worst(
-    file: Path, way: str, rounds: int, plays: int, first_seed: int, found: Path, workers: int
-) -> int:
-    """Searches a scenario's ranges for the plays that break a rule or lose most."""
-    policy(way)
-    source = scenario.load(file)
-    search = hunt.Hunt(source, first_seed)
-    with tempfile.TemporaryDirectory() as scratch:
-        place = Revisions(Path(scratch)).place(way)
-        for turn in range(rounds):
-            proposed = search.propose(plays)
-            jobs = []
-            for values, seed in proposed:
-                point = Point(scenario=file.stem, policy=way, changes=values)
-                jobs.append(
-                    (
-                        Play(point=point, seed=seed, code=""),
-                        Job(source=source.changed(values), policy=way, seed=seed),
-                        place,
-                    )
-                )
-            rows = _all(jobs, workers)
-            search.told([hunt.Tried(values=values, seed=seed, row=rows[seed]) for values, seed in proposed])
-            worst = search.worst(1)[0]
-            broken = sum(item.breaks() for item in search.tried)
-            click.echo(
-                f"round {turn + 1}: {len(search.tried)} plays, {broken} broke a rule; worst score"
-                f" {worst.row.score:.3f}, seed {worst.seed}"
-            )
-    found.mkdir(parents=True, exist_ok=True)
-    for item in search.worst(3):
-        path = found / f"{file.stem}-{item.seed}.toml"
-        path.write_text(
-            _file(search.file_of(item), item.seed, f"score {item.row.score:.3f}"), encoding="utf-8"
-        )
-        click.echo(path)
-    return 1 if any(item.breaks() for item in search.tried) else 0
-
-
-def _file(tree: dict[str, Any], seed: int, words: str) -> str:
-    return f"# Seed {seed}: {words}.\n" + tomli_w.dumps(tree)
-
-
-@main.command("reduce")
-@click.argument("file", type=FILE)
-@click.option("--policy", "way", default="module", show_default=True)
-@click.option("--seed", type=int, required=True)
-@click.option("--rule", type=click.Choice(RULES), help="the symptom: this rule is broken")
-@click.option("--below", type=float, help="the symptom: a score below this")
-@click.option("--plays", type=click.IntRange(1, 100_000), default=200, show_default=True, help="at the most")
-@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), required=True)
-@told
-def shrink(
-    file: Path, way: str, seed: int, rule: str | None, below: float | None, plays: int, out: Path
-) -> int:
-    """Shrinks a scenario to the smallest that still shows a symptom, as a file."""
-    if (rule is None) == (below is None):
-        raise Wrong("--rule or --below: give one of them, as the symptom")
-    symptom = Symptom(rule=rule or "", below=below or 0.0)
-    decides, watched = policy(way)
-    source = scenario.load(file)
-
-    def shows(tree: dict[str, Any]) -> bool:
-        try:
-            made = Source(path=str(file), tree=tree, draws={}).play_of(seed)
-        except Wrong:
-            return False
-        return symptom.shows(Simulation(made, seed, decides, watched).run())
-
-    tree = hunt.Hunt(source).file_of(
-        hunt.Tried(values=hunt.draw(source.draws, seed), seed=seed, row=broken(""))
-    )
-    if not shows(tree):
-        raise Wrong(
-            f"{file}: seed {seed}: it does not show the symptom ({symptom.words()}); take another seed"
-        )
-    smaller, made = reduced(tree, shows, plays, lambda words: click.echo(f"kept: {words}", err=True))
-    out.write_text(_file(smaller, seed, symptom.words()), encoding="utf-8")
-    click.echo(f"{out}: after {made} plays")
-    return 0
-
-
 @main.command("sockets")
 @click.argument("file", type=FILE)
 @click.option("--seed", type=int, default=1, show_default=True)
@@ -412,7 +243,7 @@
     """
     from lab import many  # the sidecar's own packages are needed for this alone
 
-    source = scenario.load(file).changed(_changes(settings))
+    source = scenario.load(file).changed(changes_of(settings))
     try:
         found, up_s = many.play(source, seed, drivers, speaks)
     except many.Broken as fault:
@@ -443,3 +274,7 @@
 def policies() -> None:
     """The names of what can decide."""
     click.echo("\n".join(sorted(POLICIES)))
+
+
+main.add_command(hunt_worst)
+main.add_command(shrink)
--- a/lab/cpu.py
+++ b/lab/cpu.py
@@ -11,7 +11,7 @@
 from hareloom import interface as api
 from lab.calls import Call
 from lab.measures import Measures
-from lab.scenario import Cpu
+from lab.scenario_tables import Cpu
 
 SECOND_MS = 1000.0
 
--- a/lab/discovery.py
+++ b/lab/discovery.py
@@ -8,7 +8,7 @@
 from hareloom.interface import ListKind, ServerState
 from lab.clock import Clock
 from lab.evenness import Evenness
-from lab.scenario import Scenario
+from lab.scenario_tables import Scenario
 from lab.servers import Server
 from lab.sidecars import Sidecar
 from lab.streams import Streams
--- a/lab/experiment.py
+++ b/lab/experiment.py
@@ -24,8 +24,9 @@
 from msgspec import Meta
 
 from lab.policies import Unknown, policy
-from lab.scenario import Source, Table, Wrong
+from lab.scenario import Source, Wrong
 from lab.scenario import load as load_scenario
+from lab.scenario_tables import Table
 
 MOST_PLAYS = 1_000_000
 
--- a/lab/links.py
+++ b/lab/links.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from lab.scenario import LINK_KINDS, Trouble
+from lab.scenario_tables import LINK_KINDS, Trouble
 
 if TYPE_CHECKING:
     from lab.streams import Stream
--- a/lab/many.py
+++ b/lab/many.py
@@ -14,7 +14,8 @@
 
 from lab.driver import Part, read
 from lab.revisions import ROOT
-from lab.scenario import Scenario, Source
+from lab.scenario import Source
+from lab.scenario_tables import Scenario
 from lab.socket_sidecars import Speaks
 from lab.socket_simulation import Concluded
 from rigs.fleet import end_with_parent
--- a/lab/measures.py
+++ b/lab/measures.py
@@ -11,7 +11,7 @@
 from lab.calls import Call
 from lab.clock import Clock
 from lab.evenness import Evenness
-from lab.scenario import Scenario
+from lab.scenario_tables import Scenario
 
 BIN_MS = 250.0
 BACK = 0.95  # recovered: so much of the service before the first trouble
--- a/lab/revisions.py
+++ b/lab/revisions.py
@@ -16,17 +16,10 @@
 ROOT = Path(__file__).resolve().parent.parent
 DECIDES = ("hareloom", "anisestair/storms")
 MODEL = (
-    *("lab/streams.py", "lab/clock.py", "lab/scenario.py", "lab/servers.py", "lab/discovery.py"),
-    *("lab/sidecars.py", "lab/clients.py", "lab/checker.py", "lab/measures.py", "lab/troubles.py"),
-    *(
-        "lab/calls.py",
-        "lab/simulation.py",
-        "lab/policies",
-        "lab/cpu.py",
-        "lab/sight.py",
-        "lab/links.py",
-        "lab/versions.py",
-    ),
+    *("lab/streams.py", "lab/clock.py", "lab/scenario.py", "lab/scenario_tables.py", "lab/servers.py"),
+    *("lab/discovery.py", "lab/sidecars.py", "lab/calls.py", "lab/clients.py", "lab/checker.py"),
+    *("lab/measures.py", "lab/troubles.py", "lab/simulation.py", "lab/policies", "lab/cpu.py"),
+    *("lab/sight.py", "lab/links.py", "lab/versions.py"),
 )
 LIBRARIES = ("numpy", "xxhash", "msgspec", "pyarrow", "hdrhistogram", "matplotlib")
 
--- a/lab/servers.py
+++ b/lab/servers.py
@@ -16,7 +16,7 @@
 from lab.clock import Clock
 from lab.evenness import Evenness
 from lab.measures import Measures
-from lab.scenario import Kind, Scenario
+from lab.scenario_tables import Kind, Scenario
 from lab.streams import Streams
 
 UP, DEAD, SILENT = "up", "dead", "silent"
--- a/lab/sidecars.py
+++ b/lab/sidecars.py
@@ -15,7 +15,7 @@
 from lab.cpu import Bill
 from lab.links import Links
 from lab.measures import Measures
-from lab.scenario import Scenario
+from lab.scenario_tables import Scenario
 from lab.servers import DEAD, SILENT, UP, Attempt, Server
 from lab.sight import Sees, Sight
 from lab.streams import Streams, lognormal, turned
--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -20,7 +20,7 @@
 from lab.evenness import Evenness
 from lab.links import Links
 from lab.measures import Measures, Row
-from lab.scenario import Kind, Scenario
+from lab.scenario_tables import Kind, Scenario
 from lab.servers import Attempt, Server
 from lab.sidecars import Policy, Sidecar
 from lab.sight import Sight
--- a/lab/socket_sidecars.py
+++ b/lab/socket_sidecars.py
@@ -18,7 +18,7 @@
 from lab.clock import Clock
 from lab.discovery import Discovery
 from lab.launch import Launcher, Program
-from lab.scenario import Scenario
+from lab.scenario_tables import Scenario
 from lab.servers import Server
 from lab.socket_servers import BUSY, SocketServer, facts_of
 from lab.streams import Streams
--- a/lab/socket_simulation.py
+++ b/lab/socket_simulation.py
@@ -34,7 +34,8 @@
 from lab.launch import Launcher, cpu_s, memory_kb
 from lab.ledger import Notes, merged, told
 from lab.measures import Measures, Row
-from lab.scenario import Scenario, Wrong
+from lab.scenario import Wrong
+from lab.scenario_tables import Scenario
 from lab.servers import Attempt, Server
 from lab.simulation import Simulation
 from lab.socket_servers import Elsewhere, Peer, Shard, SocketAttempt, SocketServer
--- a/lab/troubles.py
+++ b/lab/troubles.py
@@ -16,7 +16,7 @@
 from lab.clients import Clients
 from lab.evenness import Evenness
 from lab.links import hit as hit_links
-from lab.scenario import Kind, Trouble
+from lab.scenario_tables import Kind, Trouble
 from lab.servers import DEAD, SILENT, UP, Server
 from lab.sidecars import Sidecar
 from lab.streams import Stream
--- /dev/null
+++ b/rigs/mesh_peers/messages.py
@@ -0,0 +1,26 @@
+"""Whole HTTP messages off a stream, as the stand-ins read them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from anisestair.http import codec as http
+
+Address = tuple[str, int]
+MOST_BODY = 16 * 1024 * 1024
+
+
+async def read_message(reader: http.Reader, stream: asyncio.StreamReader) -> http.Message | None:
+    """The next message of a connection; None at its end, or where it breaks."""
+    while True:
+        if reader._whole:
+            return reader._whole.pop(0)
+        try:
+            data = await stream.read(65536)
+        except ConnectionError:
+            return None
+        if data:
+            reader.feed(data)
+        else:
+            reader.end()
+            return reader._whole.pop(0) if reader._whole else None
--- /dev/null
+++ b/rigs/mesh_peers/settings_file.py
@@ -0,0 +1,90 @@
+"""Settings files of both programs, and ports for them."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Sequence
+from pathlib import Path
+
+from rigs.mesh_peers.messages import Address
+
+
+def free_ports(ips: Sequence[str], count: int) -> list[int]:
+    """Numbers that are free on 127.0.0.1 and on each of these."""
+    found: list[int] = []
+    held: list[socket.socket] = []
+    try:
+        while len(found) < count:
+            held.append(first := socket.create_server(("127.0.0.1", 0)))
+            number = first.getsockname()[1]
+            try:
+                held += [socket.create_server((ip, number)) for ip in ips if ip != "127.0.0.1"]
+            except OSError:
+                continue
+            found.append(number)
+    finally:
+        for one in held:
+            one.close()
+    return found
+
+
+def _toml(value: object) -> str:
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{key} = {_toml(part)}" for key, part in value.items()) + "}"
+    return json.dumps(value)  # texts, numbers, truths and lists of these are written alike
+
+
+def write_settings(
+    path: Path,
+    node: str,
+    ip: str,
+    serves: str,
+    ports: Sequence[int],
+    seeds: Sequence[str],
+    upstream: Address | None = None,
+    service: str = "",
+    state_dir: str = "",
+    machines: int = 1,
+    **bounds: float,
+) -> None:
+    """A settings file. ``ports``: of peers, control, outbound and readiness, in this order; the first is
+    where other processes are found, so it is one for all machines. ``machines``: that may be lost
+    at once; ``bounds`` go to ``envelope``."""
+    peers, control, outbound, readiness = ports
+    file: dict[str, object] = {
+        "node": node,
+        "role": f"my-{serves}",
+        "machine_class": "core" if serves == "supervisor" else serves,
+        "serves": [serves],
+        "ip": ip,
+        "zone": "z",
+        "region": "r",
+        "port_range": [peers, peers],
+        "seeds": [f"{host}:{control}" for host in seeds],
+        "cold_boot": True,
+        "counted": serves == "supervisor",
+        "state_dir": state_dir,
+        "beat_period_ms": 500,
+        "plant": service,
+        "zones": {"z": "r"},
+        "ports": {
+            "control": f"{ip}:{control}",
+            "outbound": f"{ip}:{outbound}",
+            "inbound": f"{ip}:{outbound}",
+            "readiness": f"{ip}:{readiness}",
+        },
+        "input_limits": {
+            "cpu_share": 1.0,
+            "cores": 1,
+            "memory_mb": 200,
+            "file_handles": 1000,
+            "link_mbps": 1000,
+            "disk_mb": 50,
+        },
+        "disturbance": {"machines": machines, "zones": 0, "regions": 0},
+        "envelope": bounds,
+    }
+    if upstream is not None:
+        file["upstream"] = f"{upstream[0]}:{upstream[1]}"
+    path.write_text("".join(f"{key} = {_toml(value)}\n" for key, value in file.items()), encoding="utf-8")
--- a/tests/test_lab_simulation.py
+++ b/tests/test_lab_simulation.py
@@ -19,7 +19,7 @@
 from lab.measures import Row
 from lab.policies import POLICIES, policy
 from lab.policies.choices import LeastOfTwo, Random
-from lab.scenario import Scenario, Trouble
+from lab.scenario_tables import Scenario, Trouble
 from lab.simulation import Simulation
 from lab.streams import Streams
 
--- a/tests/test_lint_exceptions.py
+++ b/tests/test_lint_exceptions.py
@@ -9,7 +9,7 @@
 from benchmarks.lint_exceptions import RULES, Violations, by_file, listed, rule_of, violations, written
 
 # Violations when the rules were switched on. Lower a bound when you have mended some; never raise one.
-MOST_VIOLATIONS = {"ARG": 500, "C901": 40, "D1": 1316, "N": 20, "PLR0915": 16}
+MOST_VIOLATIONS = {"ARG": 500, "C901": 40, "D1": 1302, "N": 20, "PLR0915": 16}
 
 
 @cache
