--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -18,7 +18,7 @@
 from mesh.configuration.routes import Route
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
 from mesh.data_plane.call_state import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
-from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.route_classes import RouteClasses, worth_of
 from mesh.data_plane.traces import FirstHop, words
 from mesh.event_log import events
@@ -133,22 +133,37 @@
 
     def _overdue(self, ask: Ask) -> None:
         if not ask.over:
-            self._finish(ask, Failed(True) if ask.may_have_run() else Refused(0.0))
+            final = Failed(True) if ask.may_have_run() else Refused(0.0)
+            withdrawn = self._withdraw(ask)
+            self._finish(ask, final)
             self.handle(api.ClientGone(ask.id))
-            self._cut(ask, Outcome.TIMEOUT)
+            self._tell_withdrawn(ask, withdrawn, Outcome.TIMEOUT)
 
     def _cut(self, ask: Ask, outcome: Outcome) -> None:
-        """Withdraws what is still out of a request that is over. The decisions hear of each end: they would
-        count it as out, and its upstream as busy with it, for good."""
-        now = self.tables.now()
+        """Withdraws what is still out of a request that is over."""
+        self._tell_withdrawn(ask, self._withdraw(ask), outcome)
+
+    def _withdraw(self, ask: Ask) -> list[int]:
+        """Attempts that were out and are dropped. Done before its client is told anything: the rest of a body
+        that has not left whole must never leave, or what is refused could run."""
+        numbers = []
         for number, out in enumerate(ask.outs):
             if out is not None:
                 ask.outs[number] = None
                 self.tables.passage.drop(out)
-                self.handle(api.AttemptEnded(ask.id, number, outcome, now - ask.sent[number], False))
+                numbers.append(number)
+        return numbers
+
+    def _tell_withdrawn(self, ask: Ask, numbers: list[int], outcome: Outcome) -> None:
+        """The decisions hear of each end: they would count it as out, and its upstream as busy with it, for
+        good."""
+        now = self.tables.now()
+        for number in numbers:
+            self.handle(api.AttemptEnded(ask.id, number, outcome, now - ask.sent[number], False))
 
     def _over(self, ask: Ask) -> None:
         ask.over = True
+        ask.last = None  # its memory goes with it, not with the next collection of cycles
         if ask.guard is not None:
             ask.guard.cancel()
         self.asks.pop(ask.id, None)
@@ -211,8 +226,9 @@
                 return
             wait_ms = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
             late = self.tables.now() >= ask.deadline - 2.0
-            self._finish(ask, ask.final(late, wait_ms))
-            self._cut(ask, Outcome.TIMEOUT if late else Outcome.CANCELLED)
+            final, withdrawn = ask.final(late, wait_ms), self._withdraw(ask)
+            self._finish(ask, final)
+            self._tell_withdrawn(ask, withdrawn, Outcome.TIMEOUT if late else Outcome.CANCELLED)
 
     def _may_retry(self, now: float) -> bool:
         """Whether the budget bears another retry; if not, that is told once a window."""
--- a/rigs/whole_sidecar.py
+++ b/rigs/whole_sidecar.py
@@ -8,11 +8,11 @@
 from pathlib import Path
 from typing import Any
 
-from mesh.data_plane.call_messages import Call, End, read_end
+from mesh.data_plane.call_messages import Call, End, EndHead, decode_from_second_hop, read_end
 from mesh.data_plane.program import Proxy
 from mesh.event_log.log import EventLog
 from mesh.runtime.settings import Settings, read
-from mesh.transport.frames import Frames, Head, frame
+from mesh.transport.frames import Frames, frame
 from rigs.mesh_peers import Client, Upstream, free_ports, play, route, soon, turns, until, write_settings
 
 
@@ -83,6 +83,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Says who it is."""
         self.reader, self.writer, self.frames = reader, writer, Frames()
+        self.frames.decode = decode_from_second_hop
         writer.write(frame({"t": "hello", "node": "n2", "for": "calls"}))
 
     @staticmethod
@@ -98,7 +99,7 @@
         """The next end of a call."""
         while True:
             data = await soon(self.reader.read(1 << 20))
-            found: list[tuple[Head, bytes]] = [one for one in self.frames.feed(data) if one[0].get("t")]
+            found = [one for one in self.frames.feed(data) if isinstance(one[0], EndHead)]
             if found:
                 return read_end(*found[0])
 
