--- a/benchmarks/long_bodies.py
+++ b/benchmarks/long_bodies.py
@@ -24,8 +24,8 @@
 
 import uvloop
 
-from benchmarks.mesh_request import WARM, Calls, _Messages
-from rigs.fleet import Load, head_value
+from benchmarks.mesh_request import WARM, Calls
+from rigs.fleet import HttpMessages, Load, head_value
 from rigs.mesh_demo import CORE, ROOT, SIDE, Mesh
 from rigs.mesh_peers import Address, Client, Operator, Upstream, change, polled, route
 
@@ -80,7 +80,7 @@
     )
 
 
-class ShortCaller(_Messages):
+class ShortCaller(HttpMessages):
     """Calls with a body of 4 KiB, the next when the last answer has come."""
 
     def __init__(self, calls: Calls) -> None:
@@ -102,7 +102,7 @@
         self._sent = time.perf_counter()
         self.transport.write(request(SHORT_BYTES) + self._body)
 
-    def message(self, head: bytes) -> None:
+    def message(self, head: bytes, _body: bytes) -> None:
         """Measures an answer and asks the next."""
         if head.startswith(b"HTTP/1.1 200"):
             self._calls.latencies.append(time.perf_counter() - self._sent)
--- a/benchmarks/mesh_request.py
+++ b/benchmarks/mesh_request.py
@@ -37,7 +37,7 @@
 from mesh.data_plane.program import Proxy
 from mesh.event_log.log import EventLog
 from mesh.runtime.settings import Settings, read
-from rigs.fleet import TICKS, Load, head_value
+from rigs.fleet import TICKS, HttpMessages, Load, head_value
 from rigs.mesh_demo import CORE, SIDE, Mesh
 from rigs.mesh_peers import Address, Operator, Upstream, change, polled, route
 
@@ -50,34 +50,10 @@
 TOP = 25
 
 
-class _Messages(asyncio.Protocol):
-    """Cuts a stream into heads and bodies; bodies here have a length."""
-
-    def __init__(self) -> None:
-        self.buffer = b""
-        self.transport: asyncio.Transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-
-    def data_received(self, data: bytes) -> None:
-        self.buffer += data
-        while (end := self.buffer.find(b"\r\n\r\n")) >= 0:
-            head = self.buffer[:end]
-            whole = end + 4 + int(head_value(head, b"content-length") or b"0")
-            if len(self.buffer) < whole:
-                return
-            self.buffer = self.buffer[whole:]
-            self.message(head)
-
-    def message(self, head: bytes) -> None:
-        raise NotImplementedError
-
-
-class Sealed(_Messages):
+class Sealed(HttpMessages):
     """An upstream that answers at once, with the seal and the id without which it is no success."""
 
-    def message(self, head: bytes) -> None:
+    def message(self, head: bytes, _body: bytes) -> None:
         self.transport.write(
             b"HTTP/1.1 200 OK\r\nattempt-id: %b\r\nresponse-seal: 3e1b.07\r\nplant-load: 1,0,64\r\n"
             b"keep-alive: timeout=30\r\ncontent-length: %d\r\n\r\n%b"
@@ -94,7 +70,7 @@
     others: int = 0
 
 
-class Caller(_Messages):
+class Caller(HttpMessages):
     """One connection of a closed loop: the next call goes out when the last answer has come."""
 
     def __init__(self, calls: Calls) -> None:
@@ -117,7 +93,7 @@
             % time.time_ns()
         )
 
-    def message(self, head: bytes) -> None:
+    def message(self, head: bytes, _body: bytes) -> None:
         if head.startswith(b"HTTP/1.1 200"):
             self.calls.latencies.append(time.perf_counter() - self.sent)
         else:
--- a/lab/socket_servers.py
+++ b/lab/socket_servers.py
@@ -148,11 +148,11 @@
     return found
 
 
-class HttpSide(Side, fleet._Messages):
+class HttpSide(Side, fleet.HttpMessages):
     """HTTP/1.1, one request at a time."""
 
     def __init__(self, server: SocketServer) -> None:
-        fleet._Messages.__init__(self)
+        fleet.HttpMessages.__init__(self)
         self.server = server
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/lab/socket_sidecars.py
+++ b/lab/socket_sidecars.py
@@ -51,7 +51,7 @@
         """A try was served; its latency counts."""
 
 
-class _ClientSide(fleet._Messages):
+class _ClientSide(fleet.HttpMessages):
     """A client's connection to its sidecar: one request at a time."""
 
     def __init__(self, sidecar: SocketSidecar) -> None:
@@ -96,7 +96,7 @@
             self.sidecar.cut(held)
 
 
-class _Agent(fleet._Messages):
+class _Agent(fleet.HttpMessages):
     """Discovery as one sidecar meets it: a watch is held until there is something new."""
 
     def __init__(self, sidecar: SocketSidecar) -> None:
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -59,17 +59,20 @@
     return found[1] if found else b""
 
 
-class _Messages(asyncio.Protocol):
+class HttpMessages(asyncio.Protocol):
     """Cuts a stream into messages of a head and a body of Content-Length."""
 
     def __init__(self) -> None:
+        """Nothing has come yet."""
         self.buffer = b""
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport to answer on."""
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Hand on each message that is whole."""
         self.buffer += data
         while True:
             end = self.buffer.find(b"\r\n\r\n")
@@ -83,17 +86,18 @@
             self.message(head, body)
 
     def message(self, head: bytes, body: bytes) -> None:
+        """A message has come whole."""
         raise NotImplementedError
 
 
-class OrderServer(_Messages):
+class OrderServer(HttpMessages):
     """Answers every request at once with a body of 64 bytes."""
 
     def message(self, head: bytes, body: bytes) -> None:
         self.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 64\r\n\r\n" + b"x" * 64)
 
 
-class Discovery(_Messages):
+class Discovery(HttpMessages):
     """Answers a call for the list at once, and a watch after its wait with no changes."""
 
     hosts: list[dict[str, Any]] = []
@@ -111,7 +115,7 @@
             self.transport.write(answer)
 
 
-class Caller(_Messages):
+class Caller(HttpMessages):
     """One connection of a closed loop: the next request goes out when the last answer has come."""
 
     def __init__(self, name: str, until: float, latencies: list[float], others: list[int]) -> None:
--- a/tests/mesh/test_benchmarks_mesh.py
+++ b/tests/mesh/test_benchmarks_mesh.py
@@ -226,11 +226,11 @@
     class Turns(mesh_request.Sealed):
         count = 0
 
-        def message(self, head: bytes) -> None:
+        def message(self, head: bytes, body: bytes) -> None:
             self.count += 1
             assert b"attempt-id: " in head
             if self.count % 4:
-                super().message(head)
+                super().message(head, body)
             else:
                 self.transport.write(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
 
