--- a/mesh/data_plane/request_dispatch.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -16,6 +16,7 @@
 from mesh.data_plane.call_messages import Octets, Returned
 from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served
 from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.upstream_dispatch import OURS
 
 UNREADY_S = 0.3  # after which a client may come back while no configuration is here
 OTHERS_S = 0.2  # and where nothing better is known
@@ -113,7 +114,7 @@
             route=route,
             service=service,
             message=message,
-            headers=message.end_to_end(),
+            headers=[item for item in message.end_to_end() if item[0] not in OURS],
             attempt=message.get(b"attempt-id") or "",
             caller=self.caller,
             taken=taken,
