--- a/tests/test_lint_exceptions.py
+++ b/tests/test_lint_exceptions.py
@@ -9,7 +9,7 @@
 from benchmarks.lint_exceptions import RULES, Violations, by_file, listed, rule_of, violations, written
 
 # Violations when the rules were switched on. Lower a bound when you have mended some; never raise one.
-MOST_VIOLATIONS = {"ARG": 472, "C901": 37, "D1": 1262, "N": 17, "PLR0915": 15}
+MOST_VIOLATIONS = {"ARG": 472, "C901": 37, "D1": 1254, "N": 17, "PLR0915": 15}
 
 
 @cache
