--- a/mesh/data_plane/call_trace.py
+++ b/mesh/data_plane/call_trace.py
@@ -13,7 +13,7 @@
 from mesh.data_plane.call_messages import Call, End
 from mesh.data_plane.call_state import Ask, Failed, Refused
 from mesh.data_plane.membership import Membership
-from mesh.data_plane.peer_calls import Passage
+from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.service_balancers import Tables
 from mesh.data_plane.traces import words
 from mesh.data_plane.upstream_dispatch import UpstreamDispatch
