Hear a second hop's life also when it comes late

Since bodies go in pieces a link took the other end's life only until it had waited 0.1 s for it. On a busy machine a life comes later: its calls could then not be asked back, and long bodies went as whole frames.

A life is taken whenever it comes; the window of a link is set once.

--- a/mesh/data_plane/peer_calls.py
+++ b/mesh/data_plane/peer_calls.py
@@ -308,9 +308,10 @@
 
     def _told(self, link: Link, message: Life) -> None:
         """The second hop's life, once a link."""
-        if self.link is not link or self.known:
+        if self.link is not link or self.transfer is None:
             return
-        self.transfer = BodyTransfer(link, message.window)
+        if not self.transfer.takes_pieces:  # it may come late, and a second one changes nothing
+            self.transfer = BodyTransfer(link, message.window)
         self.life, self.unproved, self.known = message.life, 0, True
         if self.proved:
             self._write_waiting()
--- a/tests/mesh/test_data_plane_body_transfer.py
+++ b/tests/mesh/test_data_plane_body_transfer.py
@@ -17,10 +17,11 @@
 from mesh.data_plane.call_messages import AskBack, End, Piece, TurnedAway, Unclear
 from mesh.data_plane.call_state import Out, State
 from mesh.data_plane.incoming_calls import Incoming
+from mesh.data_plane.peer_calls import LIFE_S
 from mesh.transport.body_pieces import PIECE_BYTES, WINDOW_BYTES
 from mesh.transport.frames import MOST
 from mesh.transport.link import Link
-from rigs.mesh_peers import soon, turns, until
+from rigs.mesh_peers import move, soon, turns, until
 
 LONG = bytes(range(256)) * (20 * WINDOW_BYTES // 256)
 ROOM = 256 * 1024 * 1024
@@ -320,6 +321,26 @@
     over_earlier(test)
 
 
+def test_a_life_that_comes_late_is_heard_all_the_same() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        far.window, far.deaf = WINDOW_BYTES, True
+        give_room(bench, far)
+        _, end = bench.send(far, call("a1", effectful=False))
+        await until(lambda: len(far.unread) == 2)
+        move(LIFE_S + 0.01)
+        await turns()
+        outgoing = bench.passage._links["there"]
+        assert outgoing.known and outgoing.life is None
+        far.hear()
+        await until(lambda: outgoing.life == far.life)
+        far.second.end(0, SERVED)
+        assert await soon(end) == SERVED
+        await served(bench, far)
+        assert "piece" in [kind_of(head) for head in far.heads]
+
+    over_earlier(test)
+
+
 def test_a_piece_beyond_the_window_ends_the_link() -> None:
     async def test(bench: Bench, far: Far) -> None:
         bench.send(far, long_call("a1"))
