--- /dev/null
+++ b/mesh/control_plane/accept_pages.py
@@ -0,0 +1,26 @@
+"""An accept's contents on the wire: rows in pages of bounded size."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from mesh.replication.acceptor import Number, Value
+
+PAGE_BYTES = 1 << 20  # of contents in one accept
+
+
+def pages_of(writes: Mapping[Number, Value], tags: Mapping[Number, str]) -> list[list[Any]]:
+    """An accept's rows, each content encoded once, in pages of bounded size."""
+    pages: list[list[Any]] = [[]]
+    room = PAGE_BYTES
+    for number, value in sorted(writes.items(), key=lambda one: one[0]):
+        packed = msgspec.Raw(msgspec.json.encode(value))
+        room -= len(packed)
+        if room < 0 and pages[-1]:
+            pages.append([])
+            room = PAGE_BYTES - len(packed)
+        pages[-1].append([*number, packed, tags[number]] if number in tags else [*number, packed])
+    return pages
--- a/mesh/control_plane/proposals.py
+++ b/mesh/control_plane/proposals.py
@@ -1,5 +1,4 @@
-"""The proposer's host: orders are decided by ballots, reads hear of charter and open votes from a quorum, and
-votes that nobody brings to an end are brought to it here."""
+"""The proposer's host: orders are decided by ballots, and votes that nobody brings to an end are taken up."""
 
 from __future__ import annotations
 
@@ -12,22 +11,22 @@
 
 import msgspec
 
+from mesh.control_plane.accept_pages import pages_of
 from mesh.control_plane.acceptor_host import (
     FULL,
     Acceptance,
     read_ballot,
-    read_number,
     read_state,
     write_ballot,
 )
 from mesh.control_plane.member_set import Council, address_of
+from mesh.control_plane.quorum_reads import QuorumReads, show_view
 from mesh.dissemination.peers import Channel
-from mesh.dissemination.pull_exchange import pack, unpack
+from mesh.dissemination.pull_exchange import unpack
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
 from mesh.membership.rendezvous import order
 from mesh.replication.acceptor import Ballot, Forgotten, Number, Promised, Refusal, Settled, Value, digest_of
-from mesh.replication.membership_epochs import View
 from mesh.replication.proposer import Accept, Again, Chosen, Decided, Prepare, Proposer, Rivalled, Unclear
 from mesh.replication.store import Store
 from mesh.transport.frames import Head
@@ -37,9 +36,7 @@
 HASTY = 3  # ballots begun at once, one after the other
 OPEN_S, RANK_S = 1.0, 0.3  # an open vote is left to its proposer for so long, and a rank longer
 GRACE_S = 0.03  # a read leaves an open vote to its proposer for so long
-PENDING = 256  # orders, and reads, under way at once; more are answered as busy
-PAGE_BYTES = 1 << 20  # of contents in one accept
-MOST_READ = 1000  # items of one page of an answer to a read
+PENDING = 256  # orders under way at once; more are answered as busy
 MOST_TAKEN_UP = 2000  # open votes, and
 TAKEN_UP_BYTES = 2 << 20  # bytes of them, brought to their decision at once
 RIVALS = 16  # rivalled numbers that are remembered for operators
@@ -61,19 +58,11 @@
     shown: set[str] = field(default_factory=set)  # those that were told of a newer view
 
     def over(self, step: Step) -> None:
+        """It ends so, unless it has ended."""
         if not self.done.done():
             self.done.set_result(step)
 
 
-@dataclass(eq=False, slots=True)
-class _Reading:
-    view: View
-    done: asyncio.Future[bool]  # False: another view came
-    heard: set[str] = field(default_factory=set)
-    asked: dict[str, Channel] = field(default_factory=dict)
-    open: set[Number] = field(default_factory=set)
-
-
 @dataclass(eq=False, slots=True)
 class _Order:
     proposer: Proposer
@@ -81,6 +70,8 @@
 
 
 class Voting:
+    """The orders of this process, its reads, and the open votes that it takes up."""
+
     def __init__(
         self,
         life: str,
@@ -96,9 +87,9 @@
         self._charter, self._council, self._event_log = charter, council, event_log
         self.acceptance, self._acceptor = acceptance, acceptance.acceptor
         acceptance.viewed = self._viewed
-        self._top = self._count = 0
+        self._reads = QuorumReads(charter, council, acceptance)
+        self._top = 0
         self._rounds: dict[Ballot, _Round] = {}
-        self._readings: dict[int, _Reading] = {}
         self._orders: dict[tuple[Any, ...], _Order] = {}
         self._since: dict[Number, float] = {}  # open votes, by when they were seen first, or taken up last
         # As well, but never counted anew; of those on disk nobody knows how long they have been open.
@@ -266,47 +257,17 @@
         for one in list(self._rounds.values()):
             if one.prepare.epoch < epoch:
                 one.over(Again(0, "another view came"))
-        for reading in list(self._readings.values()):
-            if reading.view.epoch < epoch and not reading.done.done():
-                reading.done.set_result(False)
+        self._reads.viewed()
 
     # Reads
 
     async def read(self, within_s: float) -> bool:
         """Until this store has all that was acknowledged before now; False where not enough answer."""
-        if len(self._readings) >= PENDING:
-            return False
         until = self._loop.time() + within_s
-        self._count += 1
-        number = self._count
-        try:
-            async with asyncio.timeout_at(until):
-                while True:
-                    reading = _Reading(self._council.view(), self._loop.create_future())
-                    self._readings[number] = reading
-                    for address, channel in self._council.peers().items():
-                        self._ask_read(number, reading, address, channel)
-                    self.acceptance.spawn(self._own_read(reading))
-                    if await reading.done:
-                        break
-        except TimeoutError:
+        opened = await self._reads.hear(until)
+        if opened is None:
             return False
-        finally:
-            self._readings.pop(number, None)
-        return await self._settle(reading.open | self._acceptor.votes.keys(), until)
-
-    def _ask_read(self, number: int, reading: _Reading, address: str, channel: Channel) -> None:
-        reading.asked[address] = channel
-        channel.link.send({"t": "read", "n": number, "e": reading.view.epoch, "v": self._charter.vector})
-
-    async def _own_read(self, reading: _Reading) -> None:
-        if await self.acceptance.stands(reading.view.epoch) is None:
-            reading.heard.add(self._council.me)
-            self._check(reading)
-
-    def _check(self, reading: _Reading) -> None:
-        if not reading.done.done() and reading.view.overlaps(reading.heard, self._council.tolerance):
-            reading.done.set_result(True)
+        return await self._settle(opened | self._acceptor.votes.keys(), until)
 
     def _unsettled(self, numbers: Collection[Number]) -> list[Number]:
         known = (Settled, Forgotten)
@@ -397,9 +358,7 @@
         for one in list(self._rounds.values()):
             if anew or one.asked.get(address) is not peer:
                 self._ask(one, address, peer)
-        for number, reading in self._readings.items():
-            if anew or reading.asked.get(address) is not peer:
-                self._ask_read(number, reading, address, peer)
+        self._reads.reach(address, peer, anew)
 
     def frame(self, channel: Channel, head: Head) -> bool:
         """Whether it was one of votes or reads. Raises KeyError, TypeError or ValueError for what cannot be
@@ -411,12 +370,8 @@
                 self._answered(one, channel, kind, head)
             elif kind == "refuse" and "view" in head:
                 self.acceptance.take([unpack(fields) for fields in head["view"]], {})
-        elif kind == "read":
-            self.acceptance.spawn(self._answer_read(channel, head))
-        elif kind == "have":
-            self._have(channel, head)
         else:
-            return self.acceptance.frame(channel, head)
+            return self._reads.frame(channel, head) or self.acceptance.frame(channel, head)
         return True
 
     def _answered(self, one: _Round, channel: Channel, kind: str, head: Head) -> None:
@@ -434,61 +389,7 @@
             self.acceptance.take([unpack(fields) for fields in head["view"]], {})
         elif epoch < one.prepare.epoch and who not in one.shown:
             one.shown.add(who)
-            self._show_view(channel)
+            show_view(self._council, channel)
             self._ask(one, who, channel)
         else:
             self._refused(one, who, Refusal(int(head["r"]), str(head["why"]), not head.get("now")))
-
-    def _show_view(self, channel: Channel) -> None:
-        channel.link.send(
-            {"t": "decided", "e": self._council.view().epoch, "items": self._council.view_item()}
-        )
-
-    async def _answer_read(self, channel: Channel, head: Head) -> None:
-        """Under this process's own epoch, which is on disk by then."""
-        epoch = self._council.view().epoch
-        whole = await self.acceptance.stands(epoch) is None
-        lack = self._charter.lacking(head["v"], MOST_READ)
-        channel.link.send(
-            {
-                "t": "have",
-                "n": int(head["n"]),
-                "e": epoch,
-                "items": [pack(item) for item in lack.items],
-                "v": lack.vector,
-                "open": list(self._acceptor.votes),
-                "whole": whole,
-                "complete": whole and not lack.more,
-            }
-        )
-
-    def _have(self, channel: Channel, head: Head) -> None:
-        who, epoch = address_of(channel), int(head["e"])
-        self.acceptance.take([unpack(fields) for fields in head["items"]], head["v"])
-        reading = self._readings.get(head["n"])
-        if reading is None:
-            return
-        if epoch < reading.view.epoch:
-            if reading.asked.pop(who, None) is not None:
-                self._show_view(channel)
-                self._ask_read(int(head["n"]), reading, who, channel)
-        elif head["complete"] and epoch == reading.view.epoch:
-            reading.heard.add(who)
-            reading.open.update(read_number(told) for told in head["open"])
-            self._check(reading)
-        elif head["whole"] and reading.asked.get(who) is channel:  # that was a page
-            self._ask_read(int(head["n"]), reading, who, channel)
-
-
-def pages_of(writes: Mapping[Number, Value], tags: Mapping[Number, str]) -> list[list[Any]]:
-    """An accept's rows, each content encoded once, in pages of bounded size."""
-    pages: list[list[Any]] = [[]]
-    room = PAGE_BYTES
-    for number, value in sorted(writes.items(), key=lambda one: one[0]):
-        packed = msgspec.Raw(msgspec.json.encode(value))
-        room -= len(packed)
-        if room < 0 and pages[-1]:
-            pages.append([])
-            room = PAGE_BYTES - len(packed)
-        pages[-1].append([*number, packed, tags[number]] if number in tags else [*number, packed])
-    return pages
--- /dev/null
+++ b/mesh/control_plane/quorum_reads.py
@@ -0,0 +1,150 @@
+"""Reads: what a quorum holds is heard before anything is said to hold all that was acknowledged.
+
+Both sides of the conversation: `read` asks with a vector, `have` answers with the items that it lacks, a page
+at a time, and with the numbers of the votes that are open.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from mesh.control_plane.acceptor_host import Acceptance, read_number
+from mesh.control_plane.member_set import Council, address_of
+from mesh.dissemination.peers import Channel
+from mesh.dissemination.pull_exchange import pack, unpack
+from mesh.replication.acceptor import Number
+from mesh.replication.membership_epochs import View
+from mesh.replication.store import Store
+from mesh.transport.frames import Head
+
+MOST_READS = 256  # under way at once; more are answered as busy
+MOST_ITEMS = 1000  # of one page of an answer
+
+
+@dataclass(eq=False, slots=True)
+class _Read:
+    """One read under way. ``done``: False where another view came."""
+
+    view: View
+    done: asyncio.Future[bool]
+    heard: set[str] = field(default_factory=set)
+    asked: dict[str, Channel] = field(default_factory=dict)
+    open: set[Number] = field(default_factory=set)
+
+
+class QuorumReads:
+    """The reads of this process, and its answers to those of others."""
+
+    def __init__(self, charter: Store, council: Council, acceptance: Acceptance) -> None:
+        """``charter``: what is heard comes into it, by way of ``acceptance``."""
+        self._loop = asyncio.get_running_loop()
+        self._charter, self._council, self._acceptance = charter, council, acceptance
+        self._count = 0
+        self._under_way: dict[int, _Read] = {}
+
+    @property
+    def under_way(self) -> int:
+        """How many reads wait for answers."""
+        return len(self._under_way)
+
+    async def hear(self, until: float) -> set[Number] | None:
+        """The numbers of the votes that are open at a quorum, once the store here has all that it holds; None
+        where not enough answer in time."""
+        if len(self._under_way) >= MOST_READS:
+            return None
+        self._count += 1
+        number = self._count
+        try:
+            async with asyncio.timeout_at(until):
+                while True:
+                    read = self._begin(number)
+                    if await read.done:
+                        return read.open
+        except TimeoutError:
+            return None
+        finally:
+            self._under_way.pop(number, None)
+
+    def _begin(self, number: int) -> _Read:
+        read = self._under_way[number] = _Read(self._council.view(), self._loop.create_future())
+        for address, channel in self._council.peers().items():
+            self._ask(number, read, address, channel)
+        self._acceptance.spawn(self._own(read))
+        return read
+
+    def _ask(self, number: int, read: _Read, address: str, channel: Channel) -> None:
+        read.asked[address] = channel
+        channel.link.send({"t": "read", "n": number, "e": read.view.epoch, "v": self._charter.vector})
+
+    async def _own(self, read: _Read) -> None:
+        if await self._acceptance.stands(read.view.epoch) is None:
+            read.heard.add(self._council.me)
+            self._check(read)
+
+    def _check(self, read: _Read) -> None:
+        if not read.done.done() and read.view.overlaps(read.heard, self._council.tolerance):
+            read.done.set_result(True)
+
+    def viewed(self) -> None:
+        """Another view is in force: reads under the one before begin anew."""
+        epoch = self._council.view().epoch
+        for read in list(self._under_way.values()):
+            if read.view.epoch < epoch and not read.done.done():
+                read.done.set_result(False)
+
+    def reach(self, address: str, channel: Channel, anew: bool) -> None:
+        """That one is reached by this link now: what waits is asked there; ``anew``: whatever was asked."""
+        for number, read in self._under_way.items():
+            if anew or read.asked.get(address) is not channel:
+                self._ask(number, read, address, channel)
+
+    def frame(self, channel: Channel, head: Head) -> bool:
+        """Whether it was one of reads. Raises KeyError, TypeError or ValueError for what cannot be read."""
+        if head["t"] == "read":
+            self._acceptance.spawn(self._answer(channel, head))
+        elif head["t"] == "have":
+            self._heard(channel, head)
+        else:
+            return False
+        return True
+
+    async def _answer(self, channel: Channel, head: Head) -> None:
+        """Under this process's own epoch, which is on disk by then."""
+        epoch = self._council.view().epoch
+        whole = await self._acceptance.stands(epoch) is None
+        lack = self._charter.lacking(head["v"], MOST_ITEMS)
+        channel.link.send(
+            {
+                "t": "have",
+                "n": int(head["n"]),
+                "e": epoch,
+                "items": [pack(item) for item in lack.items],
+                "v": lack.vector,
+                "open": list(self._acceptance.acceptor.votes),
+                "whole": whole,
+                "complete": whole and not lack.more,
+            }
+        )
+
+    def _heard(self, channel: Channel, head: Head) -> None:
+        who, epoch = address_of(channel), int(head["e"])
+        self._acceptance.take([unpack(fields) for fields in head["items"]], head["v"])
+        read = self._under_way.get(head["n"])
+        if read is None:
+            return
+        if epoch < read.view.epoch:
+            if read.asked.pop(who, None) is not None:
+                show_view(self._council, channel)
+                self._ask(int(head["n"]), read, who, channel)
+        elif head["complete"] and epoch == read.view.epoch:
+            read.heard.add(who)
+            read.open.update(read_number(told) for told in head["open"])
+            self._check(read)
+        elif head["whole"] and read.asked.get(who) is channel:  # that was a page
+            self._ask(int(head["n"]), read, who, channel)
+
+
+def show_view(council: Council, channel: Channel) -> None:
+    """Tells one that has an older view which one is in force."""
+    channel.link.send({"t": "decided", "e": council.view().epoch, "items": council.view_item()})
--- a/tests/mesh/test_orders_world.py
+++ b/tests/mesh/test_orders_world.py
@@ -8,10 +8,13 @@
 from typing import Any
 
 import pytest
+import simpy
 
+from mesh.control_plane import accept_pages, quorum_reads
 from mesh.control_plane import proposals as voting_module
 from mesh.control_plane.operator_api import HOLD_S
 from mesh.control_plane.proposals import HASTY, OPEN_S, PENDING, RANK_S, Voting
+from mesh.control_plane.quorum_reads import MOST_READS
 from mesh.replication.acceptor import Settled
 from mesh.replication.proposer import Again, Proposer, Unclear
 from simulation.mesh import troubles
@@ -148,7 +151,7 @@
 
 
 def test_an_order_of_several_pages_is_decided_whole(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(voting_module, "PAGE_BYTES", 600)
+    monkeypatch.setattr(accept_pages, "PAGE_BYTES", 600)
 
     def pages(world: World) -> Script:
         names = [f"r{n}" for n in range(40)]
@@ -179,6 +182,24 @@
     assert played(many) == []
 
 
+def test_more_reads_than_may_be_under_way_are_told_to_come_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(quorum_reads, "MOST_READS", 3)
+    assert MOST_READS == 256
+
+    def many(world: World) -> Script:
+        first = world.controllers()[0]
+        statuses: list[int] = []
+
+        def one() -> Script:
+            answer = yield from world.get(first)
+            statuses.append(answer.status)
+
+        yield simpy.AllOf(world.env, [world.env.process(one()) for _ in range(5)])
+        assert sorted(statuses) == [200, 200, 200, 503, 503]
+
+    assert played(many) == []
+
+
 def test_a_stalled_disk_holds_nobody_up() -> None:
     def stalled(world: World) -> Script:
         cores = world.controllers()
