--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -20,7 +20,7 @@
 from lab.evenness import Evenness
 from lab.links import Links
 from lab.measures import Measures, Row
-from lab.scenario import Kind, Scenario
+from lab.scenario_tables import Kind, Scenario
 from lab.servers import Attempt, Server
 from lab.sidecars import Policy, Sidecar
 from lab.sight import Sight
@@ -106,6 +106,7 @@
         limits = api.Limits(
             max_attempts=made.allow.max_attempts,
             may_cancel=made.allow.cancel,
+            second_copies=made.allow.second_copies,
             max_retry_after_ms=made.clients.max_retry_after_ms,
             connect_timeout_ms=made.network.connect_timeout_ms,
             idle_ms=made.servers.idle_ms,
