--- a/hareloom/ahead.py
+++ b/hareloom/ahead.py
@@ -10,11 +10,13 @@
 
 import os
 import sys
-from importlib.util import source_hash
-from pathlib import Path
+from typing import TYPE_CHECKING
 
-HERE = Path(__file__).resolve().parent
-ROOT = HERE.parent / ".compiled"
+if TYPE_CHECKING:
+    from pathlib import Path
+
+HERE = os.path.dirname(os.path.realpath(__file__))
+ROOT = os.path.join(os.path.dirname(HERE), ".compiled")
 COMPILED = (  # what a request passes through
     *("rules.py", "servers.py", "working.py", "activity.py", "pick.py", "work.py", "limits.py"),
     *("requests.py", "governor.py", "ring.py", "records.py", "beliefs.py", "wire.py", "host.py"),
@@ -24,22 +26,27 @@
 
 def folder() -> Path:
     """Where the modules compiled from the sources as they stand belong."""
-    text = b"\0".join((HERE / name).read_bytes() for name in (*COMPILED, *TYPED_BY))
-    return ROOT / f"{sys.implementation.cache_tag}-{source_hash(text).hex()}"
+    # Loaded where something was compiled alone: together 0.7 MB, in programs that count them.
+    from importlib.util import source_hash
+    from pathlib import Path
+
+    text = b"\0".join(Path(HERE, name).read_bytes() for name in (*COMPILED, *TYPED_BY))
+    return Path(ROOT) / f"{sys.implementation.cache_tag}-{source_hash(text).hex()}"
 
 
-def use(path: list[str], root: Path = ROOT) -> None:
+def use(path: list[str], root: str | Path = ROOT) -> None:
     """Lets the package's modules be found there first, if they are there and can be loaded."""
-    if os.environ.get("HARELOOM_PLAIN") or not root.is_dir():
+    if os.environ.get("HARELOOM_PLAIN") or not os.path.isdir(root):
         return
     found = folder()
     if not found.is_dir():
         return
-    path.insert(0, str(found / HERE.name))
+    compiled = str(found / os.path.basename(HERE))
+    path.insert(0, compiled)
     sys.path.append(str(found))  # what the modules share lies there, under a name of its own
     try:
         import hareloom.rules  # noqa: F401
     except ImportError as fault:  # built for another machine: the source does as well
-        path.remove(str(found / HERE.name))
+        path.remove(compiled)
         sys.path.remove(str(found))
         print(f"hareloom: {found.name} cannot be loaded ({fault}); running the source", file=sys.stderr)
--- a/hareloom/compile.py
+++ b/hareloom/compile.py
@@ -12,7 +12,10 @@
 import tempfile
 from pathlib import Path
 
-from hareloom.ahead import COMPILED, HERE, folder
+from hareloom import ahead
+from hareloom.ahead import COMPILED, folder
+
+HERE = Path(ahead.HERE)
 
 
 def build(into: Path, level: str = "3") -> Path:
--- a/mesh/admission/call_sessions.py
+++ b/mesh/admission/call_sessions.py
@@ -13,10 +13,11 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Generic, TypeVar
 
+from msgspec import Struct
+
 HELD_S = 3.0  # an end, after it was given
 HELD_MOST = 4096  # ends, of all sessions
 SESSIONS_MOST = 4096  # lives of first hops; those beyond it cannot ask back
@@ -37,8 +38,7 @@
     UNKNOWN = "it may have run; nothing more is known here"
 
 
-@dataclass(slots=True, eq=False)
-class Kept(Generic[End]):
+class Kept(Struct, Generic[End], eq=False):
     """One effectful call. ``run`` is its host's own; ``waits`` until it is passed on."""
 
     attempt: str
--- a/mesh/admission/final_check.py
+++ b/mesh/admission/final_check.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from mesh.membership.instance_lifecycle import Upstream
 
 DRAIN_SHARE = 0.5  # of drain_ms from the acknowledgement of a drain, calls still pass; then none does
@@ -30,13 +31,11 @@
     LOST = "lost"  # it had not been passed on when its lost link was asked after, and never will be
 
 
-@dataclass(frozen=True, slots=True)
-class Turned:
+class Turned(Struct, frozen=True):
     why: Why
 
 
-@dataclass(frozen=True, slots=True)
-class Passed:
+class Passed(Struct, frozen=True):
     """It goes on, or waits for a place."""
 
 
--- a/mesh/configuration/commands.py
+++ b/mesh/configuration/commands.py
@@ -8,10 +8,10 @@
 
 import re
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from mesh.configuration.routes import fold_host
 
@@ -37,8 +37,7 @@
 _REMOVED = (("routes", ROUTE), ("plants", PLANT), ("plant_groups", PLANT))
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
+class Write(Struct, frozen=True):
     """One item set or dropped. ``value`` is the item as sent, a route's with its ``host`` added; None says
     that the item is dropped."""
 
@@ -48,15 +47,13 @@
     value: dict[str, Any] | None
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(Struct, frozen=True):
     """A call that can be read whole: at most one write for each kind and name, at most ITEMS_MOST."""
 
     writes: tuple[Write, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Invalid:
+class Invalid(Struct, frozen=True):
     """Why nothing of a call comes into force: the item, its field, and what to mend."""
 
     item: str
--- a/mesh/configuration/limits.py
+++ b/mesh/configuration/limits.py
@@ -7,16 +7,16 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 MOST_HEAD = 1024 * 1024  # bytes of a head that are read at the most, whatever the operators say
 HEAD_BESIDE = 4096  # of the request's line and of a body's framing, which count here as its head
 LAG_BESIDE_S = 0.25  # the way from a client, and between two looks at the times
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(Struct, frozen=True):
     """What a figure that the operators do not give is, in bytes and seconds; no ``quiescent_s``: connections
     may rest as long as there is room for them."""
 
--- a/mesh/configuration/routes.py
+++ b/mesh/configuration/routes.py
@@ -8,9 +8,10 @@
 
 from bisect import insort
 from collections.abc import KeysView
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
+
 ROUTES_MOST = 100_000
 
 
@@ -18,8 +19,7 @@
     """A route more than the table may hold: whoever accepts routes has to refuse them first."""
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """A rule, ready to route by. ``horizon_ms`` is the longest a request is held, ``aim_ms`` the time within
     which an answer earns its full worth; ``priority`` 0 is the highest; ``split`` holds services and their
     shares, all above 0, which sum to 1 but for rounding."""
@@ -80,8 +80,7 @@
     return route.split[-1][0]  # shares that were rounded may sum to a little under 1
 
 
-@dataclass(slots=True)
-class _Node:
+class _Node(Struct):
     within: dict[str, _Node] = field(default_factory=dict)
     routes: list[Route] = field(default_factory=list)  # of this very prefix; the last is the one in force
 
--- a/mesh/control_plane/anti_entropy.py
+++ b/mesh/control_plane/anti_entropy.py
@@ -7,7 +7,8 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from mesh.control_plane.write_batches import Ledger
 from mesh.data_plane.membership import CONTROLLER, PROXY
@@ -39,8 +40,7 @@
 FRAMES = frozenset({"digest", "range", "mend", "mended"})
 
 
-@dataclass(slots=True)
-class Left:
+class Left(Struct):
     """A difference that could not be mended: the two roots, and comparisons since."""
 
     roots: tuple[str, str]
--- a/mesh/control_plane/backup.py
+++ b/mesh/control_plane/backup.py
@@ -5,9 +5,10 @@
 
 import os
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
+from msgspec import Struct
+
 from mesh.control_plane.write_batches import Ledger
 from mesh.replication.store import Store
 from mesh.runtime.introspection_calls import Handler, Refusal, Told
@@ -19,8 +20,7 @@
 MOST_PATH = 1024  # characters
 
 
-@dataclass(frozen=True, slots=True)
-class _Disk:
+class _Disk(Struct, frozen=True):
     findings: tuple[str, ...]
     items: int
     digest: str
--- a/mesh/control_plane/fencing.py
+++ b/mesh/control_plane/fencing.py
@@ -6,10 +6,10 @@
 import asyncio
 import sys
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 
 from mesh.control_plane.acceptor_host import Acceptance, read_ballot, read_number, write_ballot
 from mesh.control_plane.member_set import Council, address_of
@@ -28,8 +28,7 @@
 GIVEN = 4  # answers that are given in pages at once; the oldest makes room
 
 
-@dataclass(eq=False, slots=True)
-class _Asking:
+class _Asking(Struct, eq=False):
     """``round`` and ``generation``: of the fence; None where none is raised."""
 
     view: View
--- a/mesh/control_plane/introspection.py
+++ b/mesh/control_plane/introspection.py
@@ -5,7 +5,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from mesh.control_plane.contact_probes import Probing
 from mesh.control_plane.leases import Duties
@@ -23,8 +24,7 @@
 MOST_SHOWN = 20  # changes, or sidecars of a first part, of one answer
 
 
-@dataclass(slots=True)
-class Shown:
+class Shown(Struct):
     """The parts of a control process that are shown. ``steady``: the clock of its loop, in seconds."""
 
     settings: Settings
--- a/mesh/control_plane/joining.py
+++ b/mesh/control_plane/joining.py
@@ -5,9 +5,10 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from mesh.control_plane.acceptor_host import Acceptance
 from mesh.control_plane.fencing import Fencing
 from mesh.control_plane.member_set import Council, address_of
@@ -29,8 +30,7 @@
 LEAVE_SHARE = 0.5  # of grace_s: so long one that is told to end stays up for its leaving
 
 
-@dataclass(frozen=True, slots=True)
-class Said:
+class Said(Struct, frozen=True):
     """What a control process says of itself. ``epoch``: 0 where it knows no view; ``counts``: its settings
     want it to count, and it has caught up."""
 
--- a/mesh/control_plane/leases.py
+++ b/mesh/control_plane/leases.py
@@ -8,9 +8,10 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
+
 from mesh.control_plane.member_set import Council
 from mesh.data_plane.membership import CONTROLLER, INSTANCE, NODE, Membership
 from mesh.dissemination.peers import Channel, Channels
@@ -28,8 +29,7 @@
 MOST_DROPPED = 256  # nodes dropped at once; the rest with the next round
 
 
-@dataclass(eq=False, slots=True)
-class Round:
+class Round(Struct, eq=False):
     """One question to all that are heard, and what they answered: seconds of silence by node."""
 
     number: int
--- a/mesh/control_plane/operator_api.py
+++ b/mesh/control_plane/operator_api.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 import msgspec
+from msgspec import Struct
 
 from anisestair.http import codec as http
 from mesh.configuration.commands import Change, Invalid, decode_change, label
@@ -30,13 +30,11 @@
 PATH = b"/configuration"
 
 
-@dataclass(frozen=True, slots=True)
-class ReadAll:
+class ReadAll(Struct, frozen=True):
     """The newest configuration, whole."""
 
 
-@dataclass(frozen=True, slots=True)
-class Unknown:
+class Unknown(Struct, frozen=True):
     """No call of ours."""
 
     status: int
--- a/mesh/control_plane/proposals.py
+++ b/mesh/control_plane/proposals.py
@@ -7,10 +7,10 @@
 import random
 from collections import deque
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 
 from mesh.control_plane.acceptor_host import (
     FULL,
@@ -48,8 +48,7 @@
 Step = Decided | Rivalled | Unclear | Again
 
 
-@dataclass(eq=False, slots=True)
-class _Round:
+class _Round(Struct, eq=False):
     """One ballot under way. ``asked``: by address, the link that bears the question."""
 
     proposer: Proposer
@@ -65,8 +64,7 @@
             self.done.set_result(step)
 
 
-@dataclass(eq=False, slots=True)
-class _Reading:
+class _Reading(Struct, eq=False):
     view: View
     done: asyncio.Future[bool]  # False: another view came
     heard: set[str] = field(default_factory=set)
@@ -74,8 +72,7 @@
     open: set[Number] = field(default_factory=set)
 
 
-@dataclass(eq=False, slots=True)
-class _Order:
+class _Order(Struct, eq=False):
     proposer: Proposer
     task: asyncio.Task[Outcome]
 
--- a/mesh/control_plane/rollouts.py
+++ b/mesh/control_plane/rollouts.py
@@ -9,9 +9,10 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
+
 from mesh.configuration.commands import ROUTE, Write
 from mesh.configuration.routes import read_route
 from mesh.data_plane.membership import PROXY, Membership
@@ -33,8 +34,7 @@
 Standing = Callable[[str, str], "tuple[int, dict[str, object] | None] | None"]
 
 
-@dataclass(slots=True, eq=False)
-class Rollout:
+class Rollout(Struct, eq=False):
     """One change. ``needs``: by source, the number to which a vector that holds all of it has risen."""
 
     known: float
@@ -47,8 +47,7 @@
     sound: set[Key] = field(default_factory=set)
 
 
-@dataclass(slots=True, eq=False)
-class _Wait:
+class _Wait(Struct, eq=False):
     items: list[Item]
     done: asyncio.Future[None]
 
--- a/mesh/control_plane/tombstone_collection.py
+++ b/mesh/control_plane/tombstone_collection.py
@@ -10,7 +10,8 @@
 
 import asyncio
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from mesh.control_plane.acceptor_host import Acceptance, read_number
 from mesh.control_plane.member_set import Council, address_of
@@ -35,8 +36,7 @@
 Drop = tuple[Key, int]
 
 
-@dataclass(eq=False, slots=True)
-class _Asking:
+class _Asking(Struct, eq=False):
     view: View
     drops: Sequence[Drop]
     until: float
--- a/mesh/data_plane/__main__.py
+++ b/mesh/data_plane/__main__.py
@@ -1,7 +1,11 @@
 import sys
 
-from mesh.data_plane.program import Proxy
-from mesh.runtime.startup import run
+from mesh.runtime.absent_modules import keep_out
+
+keep_out()
+
+from mesh.data_plane.program import Proxy  # noqa: E402  (after what it must not load)
+from mesh.runtime.startup import run  # noqa: E402
 
 if __name__ == "__main__":
     sys.exit(run(Proxy))
--- a/mesh/data_plane/call_messages.py
+++ b/mesh/data_plane/call_messages.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from anisestair.http import codec as http
 from mesh.admission.final_check import Why
 from mesh.transport.frames import Head
 
 
-@dataclass(slots=True)
-class Call:
+class Call(Struct):
     """A request on its way to the sidecar beside ``instance``; ``left_ms`` is what its caller still waits."""
 
     attempt: str
@@ -57,8 +57,7 @@
         }
 
 
-@dataclass(frozen=True, slots=True)
-class Returned:
+class Returned(Struct, frozen=True):
     """The upstream's own answer, whole."""
 
     status: int
@@ -67,8 +66,7 @@
     ran: bool  # it says that it ran the call, or does not say that it did not
 
 
-@dataclass(frozen=True, slots=True)
-class TurnedAway:
+class TurnedAway(Struct, frozen=True):
     """It has not run and never will."""
 
     why: Why
@@ -76,8 +74,7 @@
     newer: list[Any] | None = None  # where its version is old, the item that holds, as news pack it
 
 
-@dataclass(frozen=True, slots=True)
-class Unclear:
+class Unclear(Struct, frozen=True):
     """No answer, and it may have run."""
 
     why: str
--- a/mesh/data_plane/call_state.py
+++ b/mesh/data_plane/call_state.py
@@ -8,10 +8,11 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from typing import Any
 
+from msgspec import Struct, field
+
 from anisestair.http import codec as http
 from hareloom.interface import Outcome
 from mesh.admission.final_check import Why
@@ -74,8 +75,7 @@
     TAP = "upstream's connection"
 
 
-@dataclass(frozen=True, slots=True)
-class Edge:
+class Edge(Struct, frozen=True):
     """``told``: what the client may be told where the call ends by this edge and nothing else is out."""
 
     hop: Hop
@@ -239,29 +239,25 @@
 # The request as its client sees it
 
 
-@dataclass(frozen=True, slots=True)
-class Served:
+class Served(Struct, frozen=True):
     """An upstream's own answer, to be passed on as it is."""
 
     answer: Returned
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(Struct, frozen=True):
     """It has not run and never will."""
 
     retry_after_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class Failed:
+class Failed(Struct, frozen=True):
     """It may have run; ``late``: its time is over."""
 
     late: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Anew:
+class Anew(Struct, frozen=True):
     """It has not run, and its route is another by now: it is to be taken anew."""
 
 
@@ -309,8 +305,7 @@
     return max(min(max(leaves, ASK_LEAST * call.aim_ms), call.left_ms - since_ms), 0.0)
 
 
-@dataclass(slots=True, eq=False)
-class Ask:
+class Ask(Struct, eq=False):
     """A client's request, from its whole arrival to its one answer."""
 
     id: str
--- a/mesh/data_plane/introspection.py
+++ b/mesh/data_plane/introspection.py
@@ -4,7 +4,6 @@
 
 import math
 from collections.abc import Callable, Iterable
-from statistics import median
 from typing import TYPE_CHECKING, Any
 
 from hareloom.records import Server
@@ -283,6 +282,8 @@
 
 
 def _times(pairs: Iterable[tuple[str, float]]) -> Told:
+    from statistics import median  # 0.3 MB that only a process of which this is asked needs
+
     found: dict[str, list[float]] = {}
     for name, took in pairs:
         found.setdefault(name, []).append(took)
--- a/mesh/data_plane/upstream_connections.py
+++ b/mesh/data_plane/upstream_connections.py
@@ -14,10 +14,10 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import cast
 
 import httptools
+from msgspec import Struct
 
 from anisestair.http import codec as http
 from mesh.data_plane.call_state import CONNECTIONS, Event, State, own
@@ -40,22 +40,19 @@
 AFTER_ANSWER = CONNECTIONS[SENT, Event.ANSWER]
 
 
-@dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(Struct, frozen=True):
     """A whole answer to this call."""
 
     message: http.Message
 
 
-@dataclass(frozen=True, slots=True)
-class NotSent:
+class NotSent(Struct, frozen=True):
     """Nothing has left: it has not run. ``refused``: nobody listens there."""
 
     refused: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Broken:
+class Broken(Struct, frozen=True):
     """No whole answer, and it may have run."""
 
     why: str
--- a/mesh/data_plane/upstream_registration.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -4,9 +4,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
+from msgspec import Struct
 
 from anisestair.http import codec as http
 from mesh.data_plane.membership import INSTANCE, Membership
@@ -21,8 +21,7 @@
 PATH = b"/instances/"
 
 
-@dataclass(frozen=True, slots=True)
-class Unknown:
+class Unknown(Struct, frozen=True):
     """No call of ours."""
 
     status: int
--- a/mesh/event_log/events.py
+++ b/mesh/event_log/events.py
@@ -4,9 +4,10 @@
 membership, 3 configuration, 4 disk, 5 calls, 6 duties, 7 repair.
 """
 
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
+
 
 class Level(IntEnum):
     """How urgent an event is; the initial stands in the line."""
@@ -17,8 +18,7 @@
     ERROR = 4
 
 
-@dataclass(frozen=True, slots=True)
-class Event:
+class Event(Struct, frozen=True):
     """A kind of event: its number, its level, what is said, and the names of the values that are told with
     it."""
 
--- a/mesh/event_log/log.py
+++ b/mesh/event_log/log.py
@@ -1,11 +1,14 @@
-"""The log: one line an event, on the stream that is given, at most so many a second of each kind."""
+"""The log: one line an event, on the stream that is given, at most so many a second of each kind.
+
+Lines go through the standard library's ``logging``, which asyncio loads anyway: ``logbook`` would add 0.7 MB
+to each process.
+"""
 
 import json
+import logging
 import time
 from collections.abc import Callable
-from typing import Any, TextIO
-
-import logbook
+from typing import TextIO
 
 from mesh.event_log.events import CATALOGUE, Event, Level
 
@@ -15,24 +18,24 @@
 """Characters of one value."""
 
 _LEVELS = {
-    Level.DEBUG: logbook.DEBUG,
-    Level.INFO: logbook.INFO,
-    Level.WARNING: logbook.WARNING,
-    Level.ERROR: logbook.ERROR,
+    Level.DEBUG: logging.DEBUG,
+    Level.INFO: logging.INFO,
+    Level.WARNING: logging.WARNING,
+    Level.ERROR: logging.ERROR,
 }
 _PLAIN = frozenset("!#$%&()*+,-./:;<>?@[]^_{|}~")  # stands without quotes beside letters and digits
 
 
-class _Lines(logbook.StreamHandler):  # type: ignore[misc]
-    """Writes records as they are. A stream that fails must not end the process that tells what goes on in
+class _Lines(logging.StreamHandler[TextIO]):
+    """Writes messages as they are. A stream that fails must not end the process that tells what goes on in
     it."""
 
-    def __init__(self, stream: TextIO) -> None:
-        super().__init__(stream)
-        self.formatter = lambda record, handler: record.msg
+    def format(self, record: logging.LogRecord) -> str:
+        """The message without more."""
+        return str(record.msg)
 
-    def handle_error(self, record: logbook.LogRecord, exc_info: Any) -> None:
-        pass
+    def handleError(self, record: logging.LogRecord) -> None:  # noqa: N802 - the library's name
+        """Leaves the line out."""
 
 
 class EventLog:
@@ -45,8 +48,8 @@
         level: Level = Level.INFO,
         clock: Callable[[], float] = time.time,
     ) -> None:
-        self._logger = logbook.Logger(node)
-        self._logger.handlers.append(_Lines(stream))
+        self._logger = logging.Logger(node, logging.DEBUG)  # of its own: no process-wide state
+        self._logger.addHandler(_Lines(stream))
         self._level = level
         self._clock = clock
         self._told = {
--- a/mesh/membership/failure_detection.py
+++ b/mesh/membership/failure_detection.py
@@ -11,7 +11,8 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from mesh.replication.items import Item
 
@@ -22,8 +23,7 @@
 MOST_ASKED = 1024  # nodes of one question
 
 
-@dataclass(frozen=True, slots=True)
-class Spans:
+class Spans(Struct, frozen=True):
     """Seconds of silence: from which a node counts as silent, as gone, and as gone with most of its zone."""
 
     suspect_s: float
@@ -31,16 +31,14 @@
     zone_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Known:
+class Known(Struct, frozen=True):
     """A node of the roll. ``stays``: silence never drops it."""
 
     zone: str
     stays: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
+class Verdict(Struct, frozen=True):
     """``gone``: nodes to drop; ``zones``: those of which nodes are kept though they are silent."""
 
     gone: tuple[str, ...]
--- a/mesh/membership/instance_commands.py
+++ b/mesh/membership/instance_commands.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from mesh.transport.link import Address
 
@@ -13,8 +13,7 @@
 SETTLED, DECAYING = "settled", "decaying"
 
 
-@dataclass(frozen=True, slots=True)
-class Beat:
+class Beat(Struct, frozen=True):
     instance: str
     plant: str
     address: Address
@@ -26,13 +25,11 @@
     sample_count: int
 
 
-@dataclass(frozen=True, slots=True)
-class Leave:
+class Leave(Struct, frozen=True):
     instance: str
 
 
-@dataclass(frozen=True, slots=True)
-class Unreadable:
+class Unreadable(Struct, frozen=True):
     field: str
     mend: str
 
--- a/mesh/membership/instance_lifecycle.py
+++ b/mesh/membership/instance_lifecycle.py
@@ -9,9 +9,11 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from mesh.membership.instance_commands import DECAYING, SETTLED, Beat
 
 STEP = 1000  # versions that one beat leaves room for
@@ -20,8 +22,7 @@
 GONE_VERSION = 1 << 52  # of an id that never comes back
 
 
-@dataclass(frozen=True, slots=True)
-class Publish:
+class Publish(Struct, frozen=True):
     """What the others are to be told of one instance; no value: it is gone."""
 
     instance: str
@@ -60,7 +61,7 @@
             if beat.sample_count <= known.sample_count:
                 return []
             if known.state == DECAYING and beat.state == SETTLED:  # no way leads back in one life
-                beat = Beat(**{**{f: getattr(beat, f) for f in Beat.__slots__}, "state": DECAYING})
+                beat = replace(beat, state=DECAYING)
             self.beat = beat
             if self.gone:  # it was only silent
                 self.gone, self._said = False, None
--- a/mesh/membership/lease.py
+++ b/mesh/membership/lease.py
@@ -10,9 +10,10 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from mesh.membership.rendezvous import order
 from mesh.replication.items import Item, outranks
 
@@ -23,30 +24,26 @@
 MOST_EPOCH = 1 << 52
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
+class Standing(Struct, frozen=True):
     """The highest claim known. Epoch 0: nobody has claimed it."""
 
     epoch: int
     holder: str
 
 
-@dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(Struct, frozen=True):
     """This process is to take the duty under that epoch."""
 
     epoch: int
 
 
-@dataclass(frozen=True, slots=True)
-class Hold:
+class Hold(Struct, frozen=True):
     """This process has it, and may act."""
 
     epoch: int
 
 
-@dataclass(frozen=True, slots=True)
-class Rest:
+class Rest(Struct, frozen=True):
     """It is another's, or nobody's yet."""
 
 
--- a/mesh/replication/acceptor.py
+++ b/mesh/replication/acceptor.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Mapping
-from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from mesh.replication.items import Key
 from mesh.replication.membership_epochs import View
@@ -28,16 +28,14 @@
 MOST_PAST = 64  # overtaken versions of one key whose contents are known
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Ballot:
+class Ballot(Struct, frozen=True, order=True):
     """``proposer``: one life of one process, which uses a round once."""
 
     round: int
     proposer: str
 
 
-@dataclass(frozen=True, slots=True)
-class Vote:
+class Vote(Struct, frozen=True):
     """Accepted here, not known to be decided. ``tag``: of the order of several items that it came with."""
 
     ballot: Ballot
@@ -45,8 +43,7 @@
     tag: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Settled:
+class Settled(Struct, frozen=True):
     """Decided, by the digest of its content. ``has``: and ``value`` is the content, which stands there.
     ``tag``: of the order of several items that it came with, where not all of them were decided with it."""
 
@@ -56,16 +53,14 @@
     tag: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Forgotten:
+class Forgotten(Struct, frozen=True):
     """Older than all that is known of its key: it may have been decided."""
 
 
 State = Vote | Settled | Forgotten
 
 
-@dataclass(frozen=True, slots=True)
-class Promised:
+class Promised(Struct, frozen=True):
     """No lower ballot is accepted here any more. ``states``: of the numbers of which anything is known;
     ``generation``: how often this acceptor's disk has been lost."""
 
@@ -73,8 +68,7 @@
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """``round``: a ballot above it may pass; 0 where it is not for its round. ``contended``: another proposer
     is at work, or the next ballot fares no better at once."""
 
--- a/mesh/replication/anti_entropy.py
+++ b/mesh/replication/anti_entropy.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from mesh.replication.digest import DEPTH, HEX, Digests, differing
 from mesh.replication.items import Item, content
 from mesh.replication.store import Store
@@ -21,22 +22,19 @@
 MOST_ITEMS = 2000  # that a peer may send at once; more is no answer to what it was told
 
 
-@dataclass(frozen=True, slots=True)
-class Deeper:
+class Deeper(Struct, frozen=True):
     """Digests of the children of each prefix that differs, to be told to the other side."""
 
     ranges: dict[str, dict[str, str]]
 
 
-@dataclass(frozen=True, slots=True)
-class Leaves:
+class Leaves(Struct, frozen=True):
     """Leaves that differ, with this side's digest of each ("" where it holds nothing there)."""
 
     digests: dict[str, str]
 
 
-@dataclass(frozen=True, slots=True)
-class Mending:
+class Mending(Struct, frozen=True):
     """``take``: newer at the other side; ``give``: newer here, or not there at all; ``split``: of those,
     items whose versions are equal and contents are not. ``odd``: leaves whose items are alike on both sides
     and whose digests are not: one side's tree is wrong."""
--- a/mesh/replication/items.py
+++ b/mesh/replication/items.py
@@ -1,16 +1,15 @@
 """One item of control state, its canonical bytes and the law by which two copies of it merge."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 Key = tuple[str, str]  # kind, name
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
+class Item(Struct, frozen=True):
     """What a store holds under ``(kind, name)``: a mapping of JSON values, or None where it was dropped.
 
     A dropped item stays as a tombstone, since only its version outlives the older copies of the set one.
--- a/mesh/replication/membership_epochs.py
+++ b/mesh/replication/membership_epochs.py
@@ -10,9 +10,10 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from mesh.replication.quorum import Place, Tolerance, durable, overlaps
 
 VIEW, MEMBERS = "view", "members"  # kind and name of the one item that holds it
@@ -20,8 +21,7 @@
 MOST_MEMBERS = 64
 
 
-@dataclass(frozen=True, slots=True)
-class View:
+class View(Struct, frozen=True):
     """``now``: members by address, with their places; ``before``: the members of the view before while the
     change is not over, else None. Epoch 0 and nobody: none is known."""
 
--- a/mesh/replication/proposer.py
+++ b/mesh/replication/proposer.py
@@ -6,10 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from hashlib import blake2b
 
 import msgspec
+from msgspec import Struct
 
 from mesh.replication.acceptor import (
     Ballot,
@@ -26,15 +26,13 @@
 from mesh.replication.quorum import Tolerance
 
 
-@dataclass(frozen=True, slots=True)
-class Prepare:
+class Prepare(Struct, frozen=True):
     ballot: Ballot
     epoch: int
     numbers: tuple[Number, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Accept:
+class Accept(Struct, frozen=True):
     ballot: Ballot
     epoch: int
     by: Mapping[str, int]
@@ -42,8 +40,7 @@
     tags: Mapping[Number, str]
 
 
-@dataclass(frozen=True, slots=True)
-class Chosen:
+class Chosen(Struct, frozen=True):
     """Decided by this proposer, and not told yet. ``whole``: with it, all of the order is."""
 
     ballot: Ballot
@@ -51,8 +48,7 @@
     whole: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Again:
+class Again(Struct, frozen=True):
     """This ballot leads no further; a new one, of a round above ``round``, may. ``at_once``: there is nobody
     to make room for."""
 
@@ -61,20 +57,17 @@
     at_once: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class Decided:
+class Decided(Struct, frozen=True):
     """Every item of the order stands, or was overtaken after it stood."""
 
 
-@dataclass(frozen=True, slots=True)
-class Rivalled:
+class Rivalled(Struct, frozen=True):
     """Another order has that number, and nothing of this one ever comes into force."""
 
     number: Number
 
 
-@dataclass(frozen=True, slots=True)
-class Unclear:
+class Unclear(Struct, frozen=True):
     """It may be in force, in part, or come into it."""
 
     reason: str
--- a/mesh/replication/quorum.py
+++ b/mesh/replication/quorum.py
@@ -6,19 +6,18 @@
 """
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
 
+from msgspec import Struct
 
-@dataclass(frozen=True, slots=True)
-class Place:
+
+class Place(Struct, frozen=True):
     """Where a machine stands, "" where that is unknown. Zones are told apart by name alone."""
 
     zone: str
     region: str
 
 
-@dataclass(frozen=True, slots=True)
-class Tolerance:
+class Tolerance(Struct, frozen=True):
     """What may be lost at once: so many machines, or zones, or regions; 0 asks nothing of that kind."""
 
     machines: int
--- a/mesh/replication/quorum_contact.py
+++ b/mesh/replication/quorum_contact.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
+
 from mesh.replication.membership_epochs import View
 from mesh.replication.quorum import Tolerance
 
@@ -33,8 +34,7 @@
     """Those heard can acknowledge by themselves: orders are taken. Half of an even view never can."""
 
 
-@dataclass(frozen=True, slots=True)
-class Heard:
+class Heard(Struct, frozen=True):
     """One member's answer to the latest question that it has answered."""
 
     number: int
--- a/mesh/replication/reconfiguration.py
+++ b/mesh/replication/reconfiguration.py
@@ -9,14 +9,14 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from mesh.replication.membership_epochs import MOST_MEMBERS, View
 from mesh.replication.quorum import Place, Tolerance
 
 
-@dataclass(frozen=True, slots=True)
-class Known:
+class Known(Struct, frozen=True):
     """One machine as the proposer knows it. ``heard``: lately, over a link of its own; ``whole``: its disk
     counts; ``level``: the epoch that it is level with (0: none); ``counts``: it wants to, and has caught up;
     ``leaves``: it was told to end, or its settings no longer count it; ``silent``, ``gone``: by the word of
@@ -33,8 +33,7 @@
     removed: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Borne:
+class Borne(Struct, frozen=True):
     """How many more losses of each kind leave orders going on, whichever they are; -1: they do not now."""
 
     machines: int
@@ -47,8 +46,7 @@
         return tuple(kind for kind, least in asked.items() if least and getattr(self, kind) < least)
 
 
-@dataclass(frozen=True, slots=True)
-class Plan:
+class Plan(Struct, frozen=True):
     """``view``: the epoch to propose, or None; ``stays``: by address, why one that is to leave does not now;
     ``waits``: why nothing is proposed though something is to change, else ""."""
 
--- a/mesh/replication/snapshot.py
+++ b/mesh/replication/snapshot.py
@@ -10,9 +10,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
 import msgspec
+from msgspec import Struct
 
 from mesh.replication.digest import hash_of
 from mesh.replication.items import Item
@@ -24,8 +24,7 @@
 TAKINGS = 4  # that a store takes at once
 
 
-@dataclass(frozen=True, slots=True)
-class Moment:
+class Moment(Struct, frozen=True):
     """``items`` by key; ``vector``: what it may rise to who holds all of them; ``arrivals``: of its store
     then. Costs the references, and what was replaced since."""
 
--- a/mesh/replication/store.py
+++ b/mesh/replication/store.py
@@ -2,11 +2,12 @@
 
 from bisect import bisect_left, bisect_right, insort
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
 from heapq import nsmallest
 from operator import itemgetter
 from typing import Any
 
+from msgspec import Struct
+
 from mesh.replication.digest import Digests
 from mesh.replication.items import Item, Key, outranks
 from mesh.replication.snapshot import PART, SNAP, Giving, Moment, Taking, cut
@@ -20,22 +21,19 @@
 PAGE = "page:"  # before a source's name: an entry that counts pages of that source's answer, see Store
 
 
-@dataclass(frozen=True, slots=True)
-class Full:
+class Full(Struct, frozen=True):
     """Nothing was taken, for the store would pass its bound; ``reason`` is one line."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class Mistaken:
+class Mistaken(Struct, frozen=True):
     """A snapshot's items do not have the digest that it was told with: its vector was not taken."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class Lack:
+class Lack(Struct, frozen=True):
     """What a peer lacks: items in the order of their arrival here, and what its vector may rise to with them.
 
     With ``more`` this is a page: the vector holds but the page's own entry, and the peer is to ask again.
--- a/mesh/rollout/bounds.py
+++ b/mesh/rollout/bounds.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # Of settle_ms, the rest of the sidecars wait for their first part; the remainder is the news' own. 0 switches
 # the hold off: every sidecar then takes every change at once.
@@ -11,8 +11,7 @@
 CALLER_S = 1.0  # an operator's caller goes elsewhere after that much silence
 
 
-@dataclass(frozen=True, slots=True)
-class Times:
+class Times(Struct, frozen=True):
     """Seconds. ``hold_s``: so long after the news a sidecar of the rest takes an item at the latest.
     ``news_s``: what is left of the settling time for the news. ``ack_wait_s``: an acknowledgement waits for
     the first part so long at most. ``newer_s``: after so long every sidecar in touch has an item that was
--- a/mesh/rollout/canary_verdict.py
+++ b/mesh/rollout/canary_verdict.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import comb
 
+from msgspec import Struct
+
 LOOKS = (8, 16, 32, 64)
 GOOD_LEAST, GOOD_MARGIN = 16, 0.05
 ALPHA = 1e-4
@@ -21,8 +22,7 @@
 MOST_WATCHED, WATCH_S = 64, 10.0  # new ways under watch, and for how long
 
 
-@dataclass(slots=True)
-class Tally:
+class Tally(Struct):
     n: int = 0
     bad: int = 0
 
@@ -50,8 +50,7 @@
     return new.bad / new.n <= old.bad / old.n + GOOD_MARGIN
 
 
-@dataclass(slots=True)
-class Watched:
+class Watched(Struct):
     """A new way since it came into force here."""
 
     name: str
--- a/mesh/rollout/report.py
+++ b/mesh/rollout/report.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from mesh.replication.items import Item, Key
 
 REPORTS, REPORT = "reports", "report"  # the store, and the kind of its items
@@ -18,8 +19,7 @@
 MOST_SOURCES = 256
 
 
-@dataclass(frozen=True, slots=True)
-class Count:
+class Count(Struct, frozen=True):
     """What the first part saw: calls and failures by the new way, and by the old one."""
 
     key: Key
@@ -28,8 +28,7 @@
     old: tuple[int, int]
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
+class Report(Struct, frozen=True):
     vector: Mapping[str, int]
     held: Mapping[Key, int]  # known here and not in force: the version that is known
     more: int  # items held back beyond those; the vector is older than them then
--- a/mesh/rollout/staged_activation.py
+++ b/mesh/rollout/staged_activation.py
@@ -11,9 +11,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from mesh.replication.items import Key
 from mesh.rollout.change_kinds import STAGED, Kind
 
@@ -37,8 +38,7 @@
     GO = "go"  # at once
 
 
-@dataclass(slots=True, eq=False)
-class Pass:
+class Pass(Struct, eq=False):
     """One version of one item on its way here. ``latest``: in force then at the latest; ``taken``: when it
     came into force, or was overtaken before; ``why`` it went when it did."""
 
--- a/mesh/runtime/introspection_calls.py
+++ b/mesh/runtime/introspection_calls.py
@@ -8,11 +8,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
 from heapq import nsmallest
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from mesh.replication.items import Key
 from mesh.replication.store import Store
@@ -26,8 +26,7 @@
 Told = dict[str, Any]
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """The question has no answer here; ``reason`` is one line."""
 
     reason: str
--- a/mesh/runtime/settings.py
+++ b/mesh/runtime/settings.py
@@ -4,13 +4,15 @@
 each.
 """
 
-import ipaddress
+import socket
 import tomllib
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass, fields
 from types import MappingProxyType
 from typing import Any
 
+from msgspec import Struct
+from msgspec.structs import asdict
+
 from mesh.replication.quorum import Tolerance
 
 Address = tuple[str, int]
@@ -27,15 +29,13 @@
 _UNUSED = frozenset({"observer", "ingress", "mode"})
 
 
-@dataclass(frozen=True, slots=True)
-class Wrong:
+class Wrong(Struct, frozen=True):
     """The file cannot be used. A finding is one line: the field, what is wrong, the mend."""
 
     findings: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Ports:
+class Ports(Struct, frozen=True):
     """Addresses of what the role serves; None where it does not serve that."""
 
     inbound: Address | None
@@ -44,8 +44,7 @@
     control: Address | None
 
 
-@dataclass(frozen=True, slots=True)
-class MachineLimits:
+class MachineLimits(Struct, frozen=True):
     """What the machine grants: cpu_share of a core that runs ``cores`` times as fast, memory and disk in MB,
     file descriptors, and the link in Mbit/s."""
 
@@ -57,8 +56,7 @@
     disk_mb: float
 
 
-@dataclass(frozen=True, slots=True)
-class Bounds:
+class Bounds(Struct, frozen=True):
     """The figures of the rules in force, in the unit that ends the name; a figure that the file lacks has the
     value here."""
 
@@ -82,8 +80,7 @@
 _DEFAULTS: dict[str, float] = asdict(Bounds())
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
+class Settings(Struct, frozen=True):
     """What a process is told. ``state_dir`` is "" where the machine has no disk; ``upstream`` is None where
     the machine has none; ``unknown`` names the fields of the file that this program does not know."""
 
@@ -147,7 +144,7 @@
         upstream=file.address("upstream"),
         plant=file.text("plant", ""),
         zones=MappingProxyType({zone: zones.text(zone) for zone in zones.values}),
-        ports=Ports(**{field.name: ports.address(field.name) for field in fields(Ports)}),
+        ports=Ports(**{name: ports.address(name) for name in Ports.__struct_fields__}),
         limits=MachineLimits(
             cpu_share=limits.number("cpu_share", above=0),
             cores=limits.number("cores", above=0),
@@ -156,7 +153,7 @@
             link_mbps=limits.number("link_mbps", above=0),
             disk_mb=limits.number("disk_mb"),
         ),
-        tolerance=Tolerance(**{field.name: disturbance.whole(field.name) for field in fields(Tolerance)}),
+        tolerance=Tolerance(**{name: disturbance.whole(name) for name in Tolerance.__struct_fields__}),
         bounds=Bounds(**{name: envelope.number(name, value) for name, value in _DEFAULTS.items()}),
         invariants=file.texts("invariants"),
         unknown=_unknown(file.values),
@@ -187,13 +184,12 @@
 
 def _unknown(values: Mapping[str, Any]) -> tuple[str, ...]:
     tables = {"ports": Ports, "input_limits": MachineLimits, "disturbance": Tolerance, "envelope": Bounds}
-    known = {field.name for field in fields(Settings)} - {"limits", "tolerance", "bounds", "unknown"}
+    known = set(Settings.__struct_fields__) - {"limits", "tolerance", "bounds", "unknown"}
     found = [name for name in values if name not in known and name not in tables and name not in _UNUSED]
     for table, part in tables.items():
-        ours = {field.name for field in fields(part)}
         inner = values.get(table)
         if isinstance(inner, dict):
-            found += [f"{table}.{name}" for name in inner if name not in ours]
+            found += [f"{table}.{name}" for name in inner if name not in part.__struct_fields__]
     return tuple(_line(name) for name in found)
 
 
@@ -320,8 +316,8 @@
 
 def _is_ip(text: str) -> bool:
     try:
-        ipaddress.IPv4Address(text)
-    except ValueError:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError):  # ValueError: characters that no address has
         return False
     return True
 
--- a/mesh/runtime/startup.py
+++ b/mesh/runtime/startup.py
@@ -7,7 +7,6 @@
 import signal
 import sys
 from collections.abc import Callable, Mapping
-from pathlib import Path
 from typing import Protocol
 
 import uvloop
@@ -40,7 +39,8 @@
     if not path:
         return Wrong((f"{VARIABLE}: not set; give the path of the settings file",))
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
     except (OSError, UnicodeDecodeError) as fault:
         return Wrong((f"{path}: cannot be read ({fault}); give a TOML file",))
     return read(text)
--- a/mesh/storage/layout.py
+++ b/mesh/storage/layout.py
@@ -7,11 +7,11 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 
 from mesh.replication.acceptor import Acceptor, Ballot, Number, Vote
 from mesh.replication.items import Item, Key
@@ -109,8 +109,7 @@
         return f"head row: {error}"
 
 
-@dataclass(frozen=True, slots=True)
-class Past:
+class Past(Struct, frozen=True):
     """Of one key: digests of decided versions below the one that stands, with /tag where they have one, and
     of that one its /tag alone; and the version up to which nobody can know, or -1."""
 
@@ -119,8 +118,7 @@
     digests: dict[int, str]
 
 
-@dataclass(frozen=True, slots=True)
-class Held:
+class Held(Struct, frozen=True):
     """What the rows of a disk say: the items, all decided; the vector (source to number); whether the disk is
     complete; and the acceptor's part: votes that are open, what is past, the ceiling of rounds, and how often
     whose disk was lost."""
--- a/mesh/storage/lmdb_store.py
+++ b/mesh/storage/lmdb_store.py
@@ -12,12 +12,12 @@
 
 import os
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 
 import lmdb
 from lmdb.verify import VerifyError
 from lmdb.verify import verify as walk
+from msgspec import Struct
 
 from mesh.storage.layout import (
     HEAD,
@@ -43,21 +43,18 @@
 _OUTSIDE = (lmdb.DiskError, lmdb.ReadonlyError, lmdb.MemoryError, lmdb.LockError, lmdb.InvalidParameterError)
 
 
-@dataclass(frozen=True, slots=True)
-class Kept:
+class Kept(Struct, frozen=True):
     """The rows are on the disk and outlast a loss of power."""
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(Struct, frozen=True):
     """The rows are not known to be on the disk: they may be there or not. Keep the same rows again before
     relying on them; what was kept before still stands."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class Opened:
+class Opened(Struct, frozen=True):
     """A store that holds every row that it said was kept. ``notes`` tell what opening it changed."""
 
     keeper: "Keeper"
@@ -65,15 +62,13 @@
     notes: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Fresh:
+class Fresh(Struct, frozen=True):
     """The folder held no store and none set aside: a first start, or a disk that came back empty."""
 
     keeper: "Keeper"
 
 
-@dataclass(frozen=True, slots=True)
-class SetAside:
+class SetAside(Struct, frozen=True):
     """The store was damaged and lies under ``moved_to``; the keeper's is empty. This disk has lost what it
     held."""
 
@@ -82,15 +77,13 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class Failed:
+class Failed(Struct, frozen=True):
     """No store could be opened, and none that was there was changed."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class Size:
+class Size(Struct, frozen=True):
     """``file`` bytes hold ``used`` bytes of rows and of their order; more than ``most`` never come."""
 
     file: int
@@ -98,8 +91,7 @@
     most: int
 
 
-@dataclass(frozen=True, slots=True)
-class _Damaged:
+class _Damaged(Struct, frozen=True):
     reason: str
 
 
--- a/mesh/transport/http_calls.py
+++ b/mesh/transport/http_calls.py
@@ -5,22 +5,22 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import cast
 
 import httptools
+from msgspec import Struct
 
 from anisestair.http import codec as http
-from mesh.transport.link import Address
+from mesh.transport.link import Address, listening_socket
 
 MOST_BODY = 16 * 1024 * 1024
 WAITING = 16  # calls read ahead on one connection; more, and it is closed
+CALLERS_BACKLOG = 256  # new callers that wait to be accepted
 MOST = 256  # connections; at it the longest idle is closed
 JSON = (b"content-type", b"application/json")
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(Struct, frozen=True):
     status: int
     body: bytes = b""
     location: str = ""
@@ -117,7 +117,10 @@
 
     async def listen(self, address: Address) -> Address:
         """Raises OSError where the address cannot be had."""
-        self._server = await self.loop.create_server(lambda: _Caller(self), *address, backlog=256)
+        listener = listening_socket(address, CALLERS_BACKLOG)
+        self._server = await self.loop.create_server(
+            lambda: _Caller(self), sock=listener, backlog=CALLERS_BACKLOG
+        )
         bound = self._server.sockets[0].getsockname()
         return str(bound[0]), int(bound[1])
 
--- a/mesh/transport/link.py
+++ b/mesh/transport/link.py
@@ -23,6 +23,7 @@
 BACKLOG_BYTES = 4 * 1024 * 1024  # unsent to a peer that does not read; more ends the link
 # Long frames are no sign of that: they come on top, up to so many bytes of them at once.
 LONG_BYTES, LONG_MOST_BYTES = 64 * 1024, 64 * 1024 * 1024
+LINK_BACKLOG = 512  # new links that wait to be accepted
 ALIVE = frame({})
 
 
@@ -138,4 +139,13 @@
 
 async def listen(address: Address, make: Callable[[], Link]) -> asyncio.Server:
     """Raises OSError where the address cannot be had."""
-    return await asyncio.get_running_loop().create_server(make, address[0], address[1], backlog=512)
+    listener = listening_socket(address, LINK_BACKLOG)
+    return await asyncio.get_running_loop().create_server(make, sock=listener, backlog=LINK_BACKLOG)
+
+
+def listening_socket(address: Address, backlog: int) -> socket.socket:
+    """A socket made here: uvloop would resolve the address on four threads that stay (0.4 MB). Raises
+    OSError where the address cannot be had."""
+    listener = socket.create_server(address, backlog=backlog)
+    listener.setblocking(False)
+    return listener
--- a/rigs/hollow/stores.py
+++ b/rigs/hollow/stores.py
@@ -16,14 +16,14 @@
 MOST_SHARED = 500_000  # items; then the pool is begun anew
 
 
-class Shared(Item):
+class Shared(Item, frozen=True):
     """One copy of an item, with its key made once."""
 
-    __slots__ = ("_key",)
+    key_made: Key = ("", "")
 
     @property
     def key(self) -> Key:
-        return self._key  # type: ignore[no-any-return, attr-defined]
+        return self.key_made
 
 
 class Pool:
@@ -39,8 +39,8 @@
             return known
         if len(self._items) >= MOST_SHARED:
             self._items.clear()
-        one = Shared(item.kind, item.name, item.version, item.value, intern(item.source), item.number)
-        object.__setattr__(one, "_key", (item.kind, item.name))
+        key = (item.kind, item.name)
+        one = Shared(*key, item.version, item.value, intern(item.source), item.number, key)
         self._items[at] = one
         return one
 
--- a/rigs/order_model.py
+++ b/rigs/order_model.py
@@ -362,7 +362,9 @@
 
 
 def _ended(step: Any) -> str:
-    return {Decided: "decided", Rivalled: "rivalled"}.get(type(step), "")
+    if isinstance(step, Decided):
+        return "decided"
+    return "rivalled" if isinstance(step, Rivalled) else ""
 
 
 def _kept(side: Side, memory: tuple[Any, ...], parts: Sequence[str]) -> Side:
--- a/tests/mesh/test_data_plane_lost.py
+++ b/tests/mesh/test_data_plane_lost.py
@@ -5,9 +5,9 @@
 import asyncio
 import io
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from mesh.admission.buffer_budget import Holding
 from mesh.admission.call_sessions import Sessions
--- a/tests/mesh/test_data_plane_peer_calls.py
+++ b/tests/mesh/test_data_plane_peer_calls.py
@@ -5,11 +5,11 @@
 import asyncio
 import io
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from mesh.admission.buffer_budget import Holding
 from mesh.admission.final_check import Why
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -5,10 +5,11 @@
 import asyncio
 import io
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from anisestair.http import codec as http
 from hareloom import interface as api
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -7,12 +7,12 @@
 import io
 import socket
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from anisestair.http.frontend import EXIT_S, IDLE_S
 from mesh.admission.buffer_budget import LONG_SHARE, SHORT, Holding
--- a/tests/mesh/test_pages_world.py
+++ b/tests/mesh/test_pages_world.py
@@ -68,7 +68,7 @@
         told = super().settings(machine, cold)
         if cold or not self.seeds:
             return told
-        fields: dict[str, Any] = {name: getattr(told, name) for name in Settings.__slots__}
+        fields: dict[str, Any] = {name: getattr(told, name) for name in Settings.__struct_fields__}
         return Settings(**{**fields, "seeds": tuple((host, 8146) for host in self.seeds)})
 
 
--- a/tests/mesh/test_reaping_world.py
+++ b/tests/mesh/test_reaping_world.py
@@ -5,9 +5,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from mesh.control_plane import program as controller_program
 from mesh.control_plane.contact_probes import Probing
--- a/tests/mesh/test_rollout.py
+++ b/tests/mesh/test_rollout.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from msgspec.structs import replace
 
 from mesh.configuration.routes import Route
 from mesh.replication.items import Item
--- /dev/null
+++ b/tests/mesh/test_runtime_imports.py
@@ -0,0 +1,114 @@
+"""What both programs load, started as the deploy file starts them, and what stands in for the rest."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shlex
+import shutil
+import subprocess
+import sys
+import sysconfig
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from mesh.runtime.import_policy import LIBRARIES, OURS, STANDARD
+from rigs.mesh_demo import SIDE, Mesh
+from rigs.mesh_peers import Upstream, polled
+
+ROOT = Path(__file__).parent.parent.parent
+START_S = 20.0
+LIBRARIES_PATH = sysconfig.get_path("purelib")
+
+
+def words(program: str) -> list[str]:
+    """How the deploy file starts it, without the interpreter's name, and with each import told."""
+    roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"].values()
+    runs = [shlex.split(role["run"]) for role in roles]
+    (run,) = [run for run in runs if run[-1] == f"mesh.{program}"]
+    return ["-X", "importtime", *run[1:]]
+
+
+def loaded(log: str) -> set[str]:
+    """The first parts of the names of all modules that were imported."""
+    lines = [line for line in log.splitlines() if line.startswith("import time:") and "[us]" not in line]
+    return {line.rpartition("|")[2].strip().partition(".")[0] for line in lines}
+
+
+def test_programs_load_what_they_may_and_nothing_else(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("PYTHONPATH", LIBRARIES_PATH)
+
+    async def start() -> dict[str, str]:
+        mesh = Mesh.of(tmp_path, 1, 1)
+        mesh.command = words
+        try:
+            await mesh.controller(0)
+            upstream = Upstream("i-0", "red", lambda _: "ok")
+            await upstream.start(f"{mesh.net}.{SIDE}")
+            await mesh.proxy(0, upstream)
+            logs = {"control_plane": tmp_path / "controller-0.log", "data_plane": tmp_path / "proxy-0.log"}
+
+            async def started() -> bool:
+                return all("started" in log.read_text() for log in logs.values())
+
+            await polled(started, START_S)
+            return {program: log.read_text() for program, log in logs.items()}
+        finally:
+            await mesh.stop()
+
+    for program, log in asyncio.run(start()).items():
+        found = {name for name in loaded(log) if not name.startswith("_")}
+        assert "asyncio" in found and "mesh" in found
+        assert sorted(found - OURS - LIBRARIES - STANDARD[program]) == [], program
+
+
+WITHOUT_TLS = """
+import sys
+from mesh.runtime.absent_modules import keep_out
+keep_out()
+import asyncio, hashlib
+try:
+    import uvloop
+    loop_factory = uvloop.new_event_loop
+except ImportError:
+    loop_factory = None
+async def echo(reader, writer):
+    writer.write(await reader.readline())
+    writer.close()
+async def main():
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    writer.write(b"line\\n")
+    assert await reader.read() == b"line\\n"
+    server.close()
+    try:
+        import ssl
+        ssl.create_default_context()
+    except ssl.AbsentError as fault:
+        print(fault)
+loop = loop_factory() if loop_factory else asyncio.new_event_loop()
+loop.run_until_complete(asyncio.wait_for(main(), 20.0))
+assert len(hashlib.blake2b(b"x", digest_size=8).digest()) == 8
+print(sorted(name for name in ("_ssl", "_hashlib", "email") if sys.modules.get(name)))
+"""
+
+
+@pytest.mark.parametrize("version", ["", "3.11", "3.12", "3.13", "3.14"])
+def test_loops_and_digests_work_without_tls_on_each_interpreter_that_is_here(version: str) -> None:
+    python = shutil.which(f"python{version}") if version else sys.executable
+    command = [str(python), "-S", "-c", WITHOUT_TLS]
+    libraries = {"PYTHONPATH": LIBRARIES_PATH} if not version else {"PYTHONPATH": ""}
+    if python is None or subprocess.run([python, "-c", ""], capture_output=True).returncode != 0:
+        pytest.skip(f"no interpreter {version} here")
+    ended = subprocess.run(
+        command, cwd=ROOT, env={**os.environ, **libraries}, capture_output=True, text=True, timeout=60
+    )
+    assert ended.returncode == 0, ended.stderr
+    assert ended.stdout.splitlines() == [
+        "ssl is left out of this program; see mesh/runtime/absent_ssl.py",
+        "[]",
+    ]
