--- a/anisestair/http/codec.py
+++ b/anisestair/http/codec.py
@@ -139,8 +139,7 @@
     # Called by httptools; whatever is raised in here reaches feed() as an HttpParserError.
 
     def on_message_begin(self) -> None:
-        self._message, self._body, self._in_head, self._carried = Message(), bytearray(), True, 0
-        self.partial = True
+        self._in_head, self._carried, self.partial = True, 0, True
 
     def on_url(self, part: bytes) -> None:
         self._message.target += part
@@ -221,6 +220,7 @@
     def on_message_complete(self) -> None:
         message, stream = self._message, self.stream
         message.body = bytes(self._body)
+        self._message, self._body = Message(), bytearray()  # an idle connection holds nothing of the last one
         message.keep_alive = self._parser.should_keep_alive() and not self.until_eof
         self.expects_continue = self.until_eof = self.partial = False
         self.keeps = message.keep_alive
--- a/simulation/mesh/cuts.py
+++ b/simulation/mesh/cuts.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import simpy
+from msgspec.structs import force_setattr
 
 from mesh.configuration.commands import Change, decode_change
 from mesh.event_log.events import Event
@@ -72,7 +73,7 @@
         settings = super().settings(machine, cold)
         seeds = self.seeds_of.get(machine.name)
         if seeds is not None:
-            object.__setattr__(settings, "seeds", tuple((seed.ip, 8146) for seed in seeds))
+            force_setattr(settings, "seeds", tuple((seed.ip, 8146) for seed in seeds))
         return settings
 
     def dress(self, life: Life) -> None:
--- /dev/null
+++ b/tests/test_codec_memory.py
@@ -0,0 +1,26 @@
+"""What a connection's reader holds of the messages that it has handed over."""
+
+import sys
+
+import pytest
+
+from anisestair.http import codec as http
+
+BODY = b"x" * 65536
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(BODY) + BODY
+REQUEST = b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % len(BODY) + BODY
+
+
+@pytest.mark.parametrize(
+    ("reader", "data"),
+    [(http.request_reader(), REQUEST), (http.response_reader(), ANSWER)],
+    ids=["request", "answer"],
+)
+def test_a_reader_holds_nothing_of_a_message_that_was_taken(reader: http.Reader, data: bytes) -> None:
+    for _ in range(2):
+        reader.feed(data)
+        (message,) = reader.take()
+        assert message.body == BODY
+        of_body = sys.getrefcount(message.body)
+        of_message = sys.getrefcount(message)
+        assert (of_message, of_body) == (2, 2), "held by whoever took it alone"
