--- a/mesh/control_plane/__main__.py
+++ b/mesh/control_plane/__main__.py
@@ -8,4 +8,4 @@
 from mesh.runtime.startup import run  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(run(Controller))
+    sys.exit(run(Controller, sys.argv[1:]))
--- a/mesh/control_plane/operator_api.py
+++ b/mesh/control_plane/operator_api.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from anisestair.http import codec as http
-from mesh.configuration.commands import Change, Invalid, decode_change, label
+from mesh.configuration.commands import ConfigurationWrite, Invalid, decode_change, label
 from mesh.configuration.read_back import render
 from mesh.configuration.validation import check
 from mesh.control_plane.contact_probes import Probing
@@ -40,7 +40,7 @@
     status: int
 
 
-Command = Change | ReadAll | Invalid | Unknown
+Command = ConfigurationWrite | ReadAll | Invalid | Unknown
 
 
 def decode(message: http.Message) -> Command:
@@ -109,7 +109,7 @@
             if item.value is not None and item.kind != VIEW
         )
 
-    async def _change(self, change: Change, within_s: float) -> Answer:
+    async def _change(self, change: ConfigurationWrite, within_s: float) -> Answer:
         until = self._loop.time() + within_s
         writes = {(w.kind, w.name, w.version): w.value for w in change.writes}
         invalid = check(change, self._standing)
--- a/mesh/data_plane/__main__.py
+++ b/mesh/data_plane/__main__.py
@@ -8,4 +8,4 @@
 from mesh.runtime.startup import run  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(run(Proxy))
+    sys.exit(run(Proxy, sys.argv[1:]))
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -17,7 +17,7 @@
 from mesh.configuration.routes import Route
 from mesh.data_plane import route_classes
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
-from mesh.data_plane.call_state import Ask, Failed, Final, Refused, Served
+from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served, State
 from mesh.data_plane.service_balancers import GUARD_MS, Table, Tables
 from mesh.event_log.log import EventLog
 from rigs.mesh_peers import move, play, soon, turns
@@ -37,6 +37,7 @@
     call: Call
     node: str
     ended: Callable[[End], None]
+    state: State = State.SENT
 
 
 @dataclass
@@ -282,6 +283,16 @@
     at_table(test, slack=4.0)
 
 
+def test_a_request_that_is_taken_anew_is_counted_by_whoever_takes_it_alone() -> None:
+    async def test(bench: Bench) -> None:
+        _, final = bench.ask(READ)
+        bench.end(TurnedAway(Why.OLD))
+        assert final.result() == Anew()
+        assert sum(slot[1] for slot in bench.table(READ).budget._slots) == 0.0
+
+    at_table(test)
+
+
 def test_three_are_taken_to_share_the_budget_until_the_membership_is_known() -> None:
     def further(bench: Bench) -> int:
         for _ in range(8):
@@ -355,6 +366,26 @@
     at_table(test)
 
 
+@pytest.mark.parametrize("left", [True, False], ids=["the client leaves", "the deadline passes"])
+def test_what_is_withdrawn_is_no_longer_counted_as_out_and_its_upstream_is_tried_again(left: bool) -> None:
+    async def test(bench: Bench) -> None:
+        ask, _ = bench.ask(READ)  # the first is a trial of its upstream
+        balancer = bench.table(READ).balancer
+        assert balancer.limits.out == 1 and any(server.trial for server in balancer.servers.values())
+        if left:
+            bench.table(READ).gone(ask)
+        else:
+            move(1.0 + GUARD_MS / 1000.0 + 0.01)
+            await turns()
+        assert balancer.limits.out == 0 and not balancer.requests
+        assert [(server.held, server.trial) for server in balancer.servers.values()] == [(0, False)]
+        move(10.0)
+        bench.serve(3)
+        assert len(bench.passage.sent) == 4
+
+    at_table(test, upstreams=1)
+
+
 @pytest.mark.parametrize("event", [api.Request, api.AttemptEnded])
 def test_a_fault_in_the_decisions_costs_one_request(event: type) -> None:
     async def test(bench: Bench) -> None:
