--- a/mesh/data_plane/client_connection.py
+++ b/mesh/data_plane/client_connection.py
@@ -52,10 +52,10 @@
         super().on_body(part)
 
     def on_message_complete(self) -> None:
-        super().on_message_complete()
-        self.held, self._body = 0, bytearray()
         if self._head.size:
             self._message.hold, self._head = self._head, Reservation(self._intake.buffers.heads)
+        super().on_message_complete()
+        self.held = 0
 
     def _hold(self, size: int) -> None:
         if not self._intake.bodies.take(size, self.held):
