--- a/mesh/control_plane/proposals.py
+++ b/mesh/control_plane/proposals.py
@@ -6,10 +6,10 @@
 import random
 from collections import deque
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 
 from mesh.control_plane.accept_pages import pages_of
 from mesh.control_plane.acceptor_host import (
@@ -45,8 +45,7 @@
 Step = Decided | Rivalled | Unclear | Again
 
 
-@dataclass(eq=False, slots=True)
-class _Round:
+class _Round(Struct, eq=False):
     """One ballot under way. ``asked``: by address, the link that bears the question."""
 
     proposer: Proposer
@@ -63,8 +62,7 @@
             self.done.set_result(step)
 
 
-@dataclass(eq=False, slots=True)
-class _Order:
+class _Order(Struct, eq=False):
     proposer: Proposer
     task: asyncio.Task[Outcome]
 
--- a/mesh/data_plane/upstream_connections.py
+++ b/mesh/data_plane/upstream_connections.py
@@ -14,11 +14,11 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import cast
 
 import httptools
+from msgspec import Struct
 
 from anisestair.http import codec as http
 from mesh.admission.buffer_budget import Holding, Reservation
@@ -44,23 +44,20 @@
 AFTER_ANSWER = CONNECTIONS[SENT, Event.ANSWER]
 
 
-@dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(Struct, frozen=True):
     """A whole answer to this call; ``hold`` is the memory that is taken for its body."""
 
     message: http.Message
     hold: Reservation | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class NotSent:
+class NotSent(Struct, frozen=True):
     """Nothing has left: it has not run. ``refused``: nobody listens there."""
 
     refused: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Broken:
+class Broken(Struct, frozen=True):
     """No whole answer, and it may have run."""
 
     why: str
--- a/tests/mesh/test_data_plane_body_transfer.py
+++ b/tests/mesh/test_data_plane_body_transfer.py
@@ -4,11 +4,12 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 from test_data_plane_lost import NOT_RUN, SERVED, Bench, Far, call, kind_of
 from test_data_plane_lost import over as over_earlier
 
@@ -71,14 +72,14 @@
     before = len(far.second.taken)
     await until(lambda: len(far.second.taken) > before)
     assert far.second.taken[-1].call.body == body
-    far.second.end(-1, replace(SERVED, body=answer))
+    far.second.end(-1, dataclasses.replace(SERVED, body=answer))
     return out, await soon(end)
 
 
 def test_a_long_body_and_its_long_answer_cross_the_link_in_pieces_unchanged() -> None:
     async def test(bench: Bench, far: Far) -> None:
         _, end = await served(bench, far)
-        assert end == replace(SERVED, body=LONG)
+        assert end == dataclasses.replace(SERVED, body=LONG)
         pieces = [head for head in far.heads if isinstance(head, Piece)]
         assert len(pieces) == len(LONG) // PIECE_BYTES
         assert (link_of(bench).owes, link_of(bench).expects) == (0, 0)
@@ -92,7 +93,7 @@
     async def test(bench: Bench, far: Far) -> None:
         body = bytes(MOST + 1)
         _, end = await served(bench, far, body, body)
-        assert end == replace(SERVED, body=body) and len(far.links) == 1
+        assert end == dataclasses.replace(SERVED, body=body) and len(far.links) == 1
 
     over(test)
 
@@ -195,13 +196,13 @@
         far.sessions._most = 2 * len(LONG)
         _, end = bench.send(far, long_call("a1", effectful, b"x"))
         await until(lambda: len(far.second.taken) == 2)
-        far.second.end(1, replace(SERVED, body=LONG))
+        far.second.end(1, dataclasses.replace(SERVED, body=LONG))
         outgoing = bench.passage._links["there"]
         await until(lambda: outgoing.transfer is not None and bool(outgoing.transfer._incoming))
         assert not end.done()
         link_of(bench).close("reset")
         told = await soon(end)
-        assert told == replace(SERVED, body=LONG) if effectful else isinstance(told, Unclear)
+        assert told == dataclasses.replace(SERVED, body=LONG) if effectful else isinstance(told, Unclear)
         await until(lambda: far.second.answers.held == 0)
 
     over(test)
@@ -211,7 +212,7 @@
     async def test(bench: Bench, far: Far) -> None:
         out, end = bench.send(far, long_call("a1", body=b"x"))
         await until(lambda: len(far.second.taken) == 2)
-        far.second.end(1, replace(SERVED, body=LONG * 4))
+        far.second.end(1, dataclasses.replace(SERVED, body=LONG * 4))
         outgoing = bench.passage._links["there"]
         await until(lambda: outgoing.transfer is not None and bool(outgoing.transfer._incoming))
         bench.passage.drop(out)
@@ -230,7 +231,7 @@
             _, end = bench.send(far, long_call(f"a{size}", body=b"x"))
             before = len(far.second.taken)
             await until(lambda before=before: len(far.second.taken) > before)  # type: ignore[misc]
-            far.second.end(-1, replace(SERVED, body=bytes(size)))
+            far.second.end(-1, dataclasses.replace(SERVED, body=bytes(size)))
             told = await soon(end)
             assert isinstance(told, Unclear) == (size > PIECE_BYTES)
         incoming = far.links[0].peer
@@ -266,7 +267,7 @@
             assert out.state is State.SENT and await soon(end) == TurnedAway(Why.FULL)
         assert (link_of(bench).owes, link_of(bench).expects) == (0, 0)
         far.second.bodies = bodies
-        assert (await served(bench, far))[1] == replace(SERVED, body=LONG)
+        assert (await served(bench, far))[1] == dataclasses.replace(SERVED, body=LONG)
 
     over(test)
 
@@ -276,7 +277,7 @@
         give_room(bench, far)
         await bench.known(far)
         _, end = await served(bench, far)
-        assert end == replace(SERVED, body=LONG)
+        assert end == dataclasses.replace(SERVED, body=LONG)
         assert "piece" not in [kind_of(head) for head in far.heads]
         _, end = bench.send(far, long_call("a2", body=bytes(MOST + 1)))  # type: ignore[assignment]
         assert end.result() == TurnedAway(Why.FULL)  # type: ignore[attr-defined]
--- a/tests/mesh/test_data_plane_lost.py
+++ b/tests/mesh/test_data_plane_lost.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import io
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from typing import Any
 
 import msgspec
 import pytest
+from msgspec.structs import replace
 
 from mesh.admission.buffer_budget import Holding
 from mesh.admission.call_sessions import Sessions
@@ -450,8 +451,10 @@
         far.links[0].close("reset")
         await until(lambda: [kind_of(head) for head in far.heads].count("ask") == 2)
         for at in (2, 1):
-            far.second.end(at, replace(SERVED, body=b"%d" % at))
-        assert [(await soon(end)) for end in ends] == [replace(SERVED, body=b"%d" % at) for at in (1, 2)]
+            far.second.end(at, dataclasses.replace(SERVED, body=b"%d" % at))
+        assert [(await soon(end)) for end in ends] == [
+            dataclasses.replace(SERVED, body=b"%d" % at) for at in (1, 2)
+        ]
 
     over(test)
 
--- a/tests/mesh/test_data_plane_repeats.py
+++ b/tests/mesh/test_data_plane_repeats.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from pathlib import Path
 
 import msgspec
+from msgspec.structs import replace
 
 from mesh.admission.repeat_runs import NEAR_MS, RepeatRuns
 from mesh.admission.retry_budget import KEPT, Budget
--- a/tests/mesh/test_data_plane_upstream_registration.py
+++ b/tests/mesh/test_data_plane_upstream_registration.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+from msgspec.structs import replace
+
 from mesh.data_plane.membership import INSTANCE
 from mesh.data_plane.program import NOTICE_S, Proxy
 from mesh.membership.instance_commands import DECAYING, SETTLED
