--- a/anisestair/http/codec.py
+++ b/anisestair/http/codec.py
@@ -141,8 +141,7 @@
     # Called by httptools; whatever is raised in here reaches feed() as an HttpParserError.
 
     def on_message_begin(self) -> None:
-        self._message, self._body, self._in_head, self._carried = Message(), bytearray(), True, 0
-        self.partial = True
+        self._in_head, self._carried, self.partial = True, 0, True
 
     def on_url(self, part: bytes) -> None:
         self._message.target += part
@@ -224,6 +223,7 @@
         message, stream = self._message, self.stream
         # A long one is not copied once more: nothing is added to it after this.
         message.body = bytes(self._body) if len(self._body) <= MAX_BODY else cast(bytes, self._body)
+        self._message, self._body = Message(), bytearray()  # an idle connection holds nothing of the last one
         message.keep_alive = self._parser.should_keep_alive() and not self.until_eof
         self.expects_continue = self.until_eof = self.partial = False
         self.keeps = message.keep_alive
--- a/mesh/admission/fair_share.py
+++ b/mesh/admission/fair_share.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # Of how often all are passed on. A kind may be served a quarter as often as all requests are; the rest is for
 # those of its calls that are lost behind this.
@@ -18,8 +19,7 @@
 KINDS = 64  # that are counted at once; one more takes the place of the rarest
 
 
-@dataclass(slots=True)
-class Kind:
+class Kind(Struct):
     """What became of one kind's calls; ``last`` is when one came."""
 
     came: float = 0.0
--- a/mesh/data_plane/call_messages.py
+++ b/mesh/data_plane/call_messages.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from anisestair.http import codec as http
 from mesh.admission.buffer_budget import Reservation
@@ -167,8 +168,7 @@
         raise ValueError(str(fault)) from None
 
 
-@dataclass(slots=True)
-class Call:
+class Call(Struct):
     """A request on its way to the sidecar beside ``instance``; ``left_ms`` is what its caller still waits."""
 
     attempt: str
@@ -219,7 +219,7 @@
         self.age_ms += waited_ms
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True)  # a Struct has no field that equality passes over
 class Returned:
     """The upstream's own answer, whole. ``hold``: the memory that is taken for its body."""
 
@@ -230,8 +230,7 @@
     hold: Reservation | None = field(default=None, compare=False, repr=False)
 
 
-@dataclass(frozen=True, slots=True)
-class TurnedAway:
+class TurnedAway(Struct, frozen=True):
     """It has not run and never will."""
 
     why: Why
@@ -239,8 +238,7 @@
     newer: list[Any] | None = None  # where its version is old, the item that holds, as news pack it
 
 
-@dataclass(frozen=True, slots=True)
-class Unclear:
+class Unclear(Struct, frozen=True):
     """No answer, and it may have run."""
 
     why: str
--- a/mesh/membership/failure_detection.py
+++ b/mesh/membership/failure_detection.py
@@ -15,7 +15,8 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct
 
 from mesh.replication.items import Item
 
@@ -29,8 +30,7 @@
 NEVER_S = float("inf")  # since a node was heard, where none that answered ever has
 
 
-@dataclass(frozen=True, slots=True)
-class Spans:
+class Spans(Struct, frozen=True):
     """Seconds of silence: from which a node counts as silent, as gone, and as gone with most of its zone."""
 
     suspect_s: float
@@ -43,8 +43,7 @@
         return APART_SHARE * self.suspect_s
 
 
-@dataclass(frozen=True, slots=True)
-class Known:
+class Known(Struct, frozen=True):
     """A node of the membership store. ``stays``: silence never drops it. ``member``: its disk counts; a zone
     in which no other machine was left counts then as one machine, since a member that is lost alone must not
     keep the next loss from being borne."""
@@ -54,17 +53,15 @@
     member: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
+class Report(Struct, frozen=True):
     """What one control process says of nodes, in seconds: for how long each has been ``silent`` there, and
     how long ago it was ``heard`` there over a link of its own that stood (left out: never)."""
 
     silent: Mapping[str, float]
-    heard: Mapping[str, float] = field(default_factory=dict)
+    heard: Mapping[str, float] = {}
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
+class Verdict(Struct, frozen=True):
     """``gone``: nodes to drop; ``zones``: those of which nodes are kept though they are silent."""
 
     gone: tuple[str, ...]
--- a/mesh/transport/body_pieces.py
+++ b/mesh/transport/body_pieces.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 PIECE_BYTES = 32 * 1024
 WINDOW_BYTES = 256 * 1024  # of one body that this end takes beyond what it has confirmed
@@ -20,8 +21,7 @@
     """The other end does not keep to a window or to a body's length."""
 
 
-@dataclass(slots=True, eq=False)
-class _Body:
+class _Body(Struct, eq=False):
     """One that is being sent."""
 
     number: int
@@ -32,8 +32,7 @@
     in_turn: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class Part:
+class Part(Struct, frozen=True):
     """The next piece to send; ``last``: with it the whole body is written."""
 
     number: int
--- a/rigs/answer_world.py
+++ b/rigs/answer_world.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+
+from msgspec.structs import replace
 
 from anisestair.http import codec as http
 from mesh.configuration.routes import Route
--- a/rigs/order_model/model.py
+++ b/rigs/order_model/model.py
@@ -350,4 +350,6 @@
 
 
 def _ended(step: Any) -> str:
-    return {Decided: "decided", Rivalled: "rivalled"}.get(type(step), "")
+    if isinstance(step, Decided):
+        return "decided"
+    return "rivalled" if isinstance(step, Rivalled) else ""
--- a/tests/mesh/test_data_plane_route_classes.py
+++ b/tests/mesh/test_data_plane_route_classes.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from hareloom.interface import Effect
 from mesh.configuration.routes import Route
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -5,11 +5,11 @@
 
 import asyncio
 import socket
-from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
+from msgspec.structs import replace
 
 from anisestair.http.frontend import EXIT_S, IDLE_S
 from mesh.admission.buffer_budget import LONG_SHARE, SHORT, Holding
--- a/tests/mesh/test_pages_world.py
+++ b/tests/mesh/test_pages_world.py
@@ -68,7 +68,7 @@
         told = super().settings(machine, cold)
         if cold or not self.seeds:
             return told
-        fields: dict[str, Any] = {name: getattr(told, name) for name in Settings.__slots__}
+        fields: dict[str, Any] = {name: getattr(told, name) for name in Settings.__struct_fields__}
         return Settings(**{**fields, "seeds": tuple((host, 8146) for host in self.seeds)})
 
 
@@ -163,7 +163,10 @@
         for _, program in world.programs(core=True):
             voting = program.voting
             assert not (
-                voting._orders or voting._rounds or voting._readings or voting.acceptance.acceptor.votes
+                voting._orders
+                or voting._rounds
+                or voting._reads.under_way
+                or voting.acceptance.acceptor.votes
             )
         yield from world.witness.finish()
 
