Let a successor join beside a silent member that others still hear

Change: a member that another of those asked hears is no dead predecessor (Known.reachable); nobody waits for it.

--- a/mesh/control_plane/joining.py
+++ b/mesh/control_plane/joining.py
@@ -225,6 +225,7 @@
                 absence.silent,
                 absence.gone,
                 address == removed,
+                address in absences and absence.silent_s <= LIVELY_S,
             )
         return found
 
--- a/mesh/replication/reconfiguration.py
+++ b/mesh/replication/reconfiguration.py
@@ -20,7 +20,8 @@
     """One machine as the proposer knows it. ``heard``: lately, over a link of its own; ``whole``: its disk
     counts; ``level``: the epoch that it is level with (0: none); ``counts``: it wants to, and has caught up;
     ``leaves``: it was told to end, or its settings no longer count it; ``silent``, ``gone``: by the word of
-    more than half, for the shorter and the longer bound; ``removed``: by an operator's word."""
+    more than half, for the shorter and the longer bound; ``removed``: by an operator's word; ``reachable``:
+    not heard by the proposer, but by another of those that it asked."""
 
     place: Place
     heard: bool = True
@@ -31,6 +32,7 @@
     silent: bool = False
     gone: bool = False
     removed: bool = False
+    reachable: bool = False
 
 
 class Absence(Struct, frozen=True):
@@ -149,8 +151,10 @@
 ) -> bool:
     """Whether those that join may be lost again at once, alone or with their zones, where a member is silent
     already and that loss would have been borne: a successor that counts beside its predecessor would make the
-    loss of their zone two losses. It waits until the predecessor goes in the same change."""
-    if all(known[name].heard for name in wanted if name in view.now and name in known):
+    loss of their zone two losses. It waits until the predecessor goes in the same change. A member that
+    another hears is no predecessor: it is not taken out, and nobody waits for that."""
+    members = [known[name] for name in wanted if name in view.now and name in known]
+    if all(one.heard or one.reachable for one in members):
         return True
     stay = heard_whole(known, wanted.keys() & view.now.keys())
     joins = [wanted[name] for name in wanted.keys() - view.now.keys()]
