Survive SIGHUP while a program starts, and take what changed meanwhile

Cause: the handler was set once the program had started and listened; before that the system's default ended the process, and its requests with it. The file was first looked at then too, so that a change between the reading of the settings and that look was never taken. Change: both programs set SIGHUP aside before they import anything and again when their loop is over; the file's stamp is taken before it is read, and compared at once.

--- a/mesh/control_plane/__main__.py
+++ b/mesh/control_plane/__main__.py
@@ -1,7 +1,9 @@
 import sys
 
 from mesh.runtime.absent_modules import keep_out
+from mesh.runtime.hangup import ignore_hangup
 
+ignore_hangup()
 keep_out()
 
 from mesh.control_plane.program import Controller  # noqa: E402  (after what it must not load)
--- a/mesh/runtime/startup.py
+++ b/mesh/runtime/startup.py
@@ -14,6 +14,7 @@
 from mesh.event_log import events
 from mesh.event_log.events import Level
 from mesh.event_log.log import EventLog
+from mesh.runtime.hangup import ignore_hangup
 from mesh.runtime.settings import Settings, Wrong, read
 
 VARIABLE = "ANISESTAIR_BOOT"
@@ -48,30 +49,37 @@
     return read(text)
 
 
+Stamp = tuple[int, int]  # of a file: when it was changed, in ns, and its length in bytes
+
+
+def stamp(environment: Mapping[str, str]) -> Stamp:
+    """Of the settings file; zeros where it cannot be looked at."""
+    try:
+        status = os.stat(environment.get(VARIABLE, ""))
+    except OSError:
+        return 0, 0
+    return status.st_mtime_ns, status.st_size
+
+
 class Following:
     """The settings file as it changes, by signal or silently. What cannot be used is told and left alone."""
 
-    def __init__(self, settings: Settings, event_log: EventLog, program: Program) -> None:
+    def __init__(self, settings: Settings, seen: Stamp, event_log: EventLog, program: Program) -> None:
+        """``seen``: of the file before ``settings`` were read from it. Looks at once: it may have changed
+        while the program started."""
         self._settings, self._event_log, self._program = settings, event_log, program
         self._loop = asyncio.get_running_loop()
-        self._seen = self._stamp()
+        self._seen = seen
         self._loop.add_signal_handler(signal.SIGHUP, self._read)
-        self._loop.call_later(LOOK_S, self._look)
-
-    def _stamp(self) -> tuple[int, int]:
-        try:
-            status = os.stat(os.environ[VARIABLE])
-        except OSError:
-            return 0, 0
-        return status.st_mtime_ns, status.st_size
+        self._look()
 
     def _look(self) -> None:
-        if self._stamp() != self._seen:
+        if stamp(os.environ) != self._seen:
             self._read()
         self._loop.call_later(LOOK_S, self._look)
 
     def _read(self) -> None:
-        self._seen = self._stamp()
+        self._seen = stamp(os.environ)
         settings = load(os.environ)
         if isinstance(settings, Wrong):
             self._event_log.tell(events.SETTINGS_REFUSED, findings="; ".join(settings.findings))
@@ -82,7 +90,7 @@
 
 
 async def _serve(
-    settings: Settings, event_log: EventLog, make: Callable[[Settings, EventLog], Program]
+    settings: Settings, seen: Stamp, event_log: EventLog, make: Callable[[Settings, EventLog], Program]
 ) -> None:
     loop, ends = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -91,7 +99,7 @@
     if settings.unknown:
         event_log.tell(events.SETTINGS_UNKNOWN, names=", ".join(settings.unknown[:MOST_NAMED]))
     await program.start()
-    following = Following(settings, event_log, program)
+    following = Following(settings, seen, event_log, program)
     await ends.wait()
     event_log.tell(events.STOPPING, open_calls=program.open_calls())
     await program.stop()
@@ -105,6 +113,8 @@
         print(f"arguments: {' '.join(arguments)!r} is not known; give none, or {DEBUG}", file=sys.stderr)
         return 2
     level = Level.DEBUG if arguments else Level.INFO
+    ignore_hangup()
+    seen = stamp(os.environ)
     settings = load(os.environ)
     if isinstance(settings, Wrong):
         for line in settings.findings:
@@ -112,8 +122,10 @@
         return 2
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(settings, EventLog(settings.node, sys.stderr, level), make))
+            runner.run(_serve(settings, seen, EventLog(settings.node, sys.stderr, level), make))
     except OSError as fault:
         print(f"{settings.node}: {fault}", file=sys.stderr)
         return 1
+    finally:
+        ignore_hangup()  # the loop that is over has put the system's default back
     return 0
--- a/tests/mesh/test_runtime_startup.py
+++ b/tests/mesh/test_runtime_startup.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import multiprocessing
 import os
 import signal
 from pathlib import Path
@@ -42,7 +43,40 @@
     monkeypatch.setenv(startup.VARIABLE, str(file))
     settings = read(file.read_text())
     assert isinstance(settings, Settings)
-    asyncio.run(startup._serve(settings, EventLog("n", log), lambda *_: program))
+    asyncio.run(startup._serve(settings, startup.stamp(os.environ), EventLog("n", log), lambda *_: program))
     unknown, stopping = log.getvalue().splitlines()
     assert "I102 unknown settings ignored" in unknown and "field_19" in unknown and "field_20" not in unknown
     assert stopping.endswith("I103 asked to end open_calls=3") and program.stopped
+
+
+class HungUp(Program):
+    """While it starts its settings change, with a SIGHUP, as they do again behind its end."""
+
+    def __init__(self, file: Path) -> None:
+        super().__init__()
+        self.file = file
+        self.taken: list[float] = []
+
+    async def start(self) -> None:
+        self.file.write_text(tomli_w.dumps(example() | {"envelope": {"grace_s": 77}}))
+        os.kill(os.getpid(), signal.SIGHUP)
+        await super().start()
+
+    def retune(self, settings: Settings) -> None:
+        self.taken.append(settings.bounds.grace_s)
+
+
+def started_under_hangups(file: str) -> int:
+    """In a process of its own: the status of a program that is told to hang up at each step of its life."""
+    os.environ[startup.VARIABLE] = file
+    Path(file).write_text(tomli_w.dumps(example()))
+    program = HungUp(Path(file))
+    status = startup.run(lambda *_: program)
+    os.kill(os.getpid(), signal.SIGHUP)
+    return status if program.stopped and program.taken == [77] else 9
+
+
+def test_a_change_with_sighup_while_a_program_starts_is_taken_and_ends_nothing(tmp_path: Path) -> None:
+    with multiprocessing.get_context("spawn").Pool(1) as pool:
+        ended = pool.apply_async(started_under_hangups, (str(tmp_path / "boot.toml"),))
+        assert ended.get(timeout=20.0) == 0  # a process that the signal ended gives no result
