Answer operators' calls to the end of a control process

Cause: an ending control process waited two seconds for orders in hand, though a large one may take longer, and then left them without an answer; an order whose body was still coming was cut; an answer in front of unread bytes could be reset. Change: calls in hand or coming in are waited for until shortly before the kill, then have a 503 that says that they are unclear; the last answer of a connection is followed by a half-close, and what still comes is passed over. Result: three new tests, two of which fail on the code before by their assertions, the third for want of the word.

--- a/mesh/control_plane/program.py
+++ b/mesh/control_plane/program.py
@@ -20,7 +20,7 @@
 from mesh.control_plane.leases import Duties
 from mesh.control_plane.member_changes import Minding
 from mesh.control_plane.member_set import Council, address_of
-from mesh.control_plane.operator_api import Clerk
+from mesh.control_plane.operator_api import Clerk, unclear
 from mesh.control_plane.proposals import Voting
 from mesh.control_plane.restore import Restoring
 from mesh.control_plane.rollouts import Rollouts
@@ -38,6 +38,7 @@
 from mesh.replication.quorum import Place
 from mesh.replication.store import Store
 from mesh.rollout.report import REPORT, REPORTS
+from mesh.runtime.grace import exit_after_s
 from mesh.runtime.introspection_calls import Asker, Questions
 from mesh.runtime.settings import Settings
 from mesh.storage.layout import Held, held
@@ -49,6 +50,7 @@
 MOST_CHARTER = 20_000  # items, dropped ones included
 MOST_ROLL = 20_000
 TICK_S = 0.1
+LOOK_S = 0.02  # between two looks at what is in hand, at an end
 ALL = 64  # control processes that each other one asks; beyond that, the first in its order
 
 
@@ -325,12 +327,16 @@
         return self.desk.busy
 
     async def stop(self) -> None:
+        """An orderly end: what operators have sent is answered, at the last as unclear."""
+        until = self.loop.time() + exit_after_s(self.settings.bounds.grace_s)
         await self.joining.leave()
         self.stopping.set()
         self.desk.stop()
-        until = self.loop.time() + min(self.settings.bounds.grace_s * 0.5, 2.0)
         while self.desk.busy and self.loop.time() < until:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(LOOK_S)
+        if self.desk.busy:
+            self.desk.give_up(unclear("this control process ends"))
+            await asyncio.sleep(LOOK_S)  # the answers leave
         if self._server is not None:
             self._server.close()
         self.event_log.tell(events.ENDED)
--- a/mesh/transport/http_calls.py
+++ b/mesh/transport/http_calls.py
@@ -16,6 +16,8 @@
 MOST_BODY = 16 * 1024 * 1024
 WAITING = 16  # calls read ahead on one connection; more, and it is closed
 CALLERS_BACKLOG = 256  # new callers that wait to be accepted
+LINGER_S = 1.0  # how long what a caller still sends is passed over, so that it gets its last answer
+COMING_S = 1.0  # between two pieces of a call, at an end
 MOST = 256  # connections; at it the longest idle is closed
 JSON = (b"content-type", b"application/json")
 
@@ -38,19 +40,27 @@
         self._waiting: deque[http.Message] = deque()
         self._task: asyncio.Task[None] | None = None
         self._fault: http.BadMessage | None = None  # what came last cannot be read
+        self._ended = False  # its last answer has been written
         self.used = desk.loop.time()
 
     @property
     def idle(self) -> bool:
+        """No call of it is worked on."""
         return self._task is None
 
+    @property
+    def resting(self) -> bool:
+        """Nor is one coming, as far as can be seen: the last bytes of half a call came a while ago."""
+        coming = self._reader.partial and self._desk.loop.time() - self.used < COMING_S
+        return self._task is None and not self._ended and not coming
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._desk.opened(self)
 
     def data_received(self, data: bytes) -> None:
         self.used = self._desk.loop.time()
-        if self._fault is not None:
+        if self._fault is not None or self._ended:
             return
         fault: http.BadMessage | None = None
         try:
@@ -87,20 +97,37 @@
                 self._transport.write(http.write_response(answer.status, headers, answer.body, close))
                 self.used = self._desk.loop.time()
                 if close:
-                    self._transport.close()
+                    self._linger()
                     return
             if self._fault is not None and self._transport is not None:
                 self._transport.write(http.write_response(self._fault.status, [], b"", close=True))
-                self._transport.close()
+                self._linger()
         finally:
             self._task = None
 
+    def _linger(self) -> None:
+        """Ends the connection behind its last answer. What still comes is passed over until its caller has
+        closed it too: closing on unread input would reset it, and the answer with it."""
+        assert self._transport is not None
+        self._ended = True
+        self._waiting.clear()
+        self._transport.write_eof()
+        self._desk.loop.call_later(LINGER_S, self._transport.abort)
+
+    def give_up(self, answer: Answer) -> None:
+        """A call in hand has that answer, and the connection ends."""
+        if self._task is not None and self._transport is not None and not self._ended:
+            self._task.cancel()
+            self._transport.write(http.write_response(answer.status, [JSON], answer.body, close=True))
+            self._linger()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._desk.lost(self)
         self._reader.close()
         self._waiting.clear()
 
     def close(self) -> None:
+        """Ends the connection, also where its last answer is still being waited for to be read."""
         if self._transport is not None:
             self._transport.close()
 
@@ -135,8 +162,13 @@
 
     @property
     def busy(self) -> int:
-        """How many calls are being worked on."""
-        return sum(not item.idle for item in self._callers)
+        """How many calls are being worked on, are coming in, or have their last answer still to be read."""
+        return sum(not item.resting for item in self._callers)
+
+    def give_up(self, answer: Answer) -> None:
+        """No time is left: calls in hand have ``answer``."""
+        for caller in list(self._callers):
+            caller.give_up(answer)
 
     def stop(self) -> None:
         """Takes no more connections; calls in hand are answered, idle connections end."""
@@ -144,5 +176,5 @@
         if self._server is not None:
             self._server.close()
         for caller in list(self._callers):
-            if caller.idle:
+            if caller.resting:
                 caller.close()
--- a/tests/mesh/test_transport_http_calls.py
+++ b/tests/mesh/test_transport_http_calls.py
@@ -12,7 +12,7 @@
 from mesh.transport import http_calls as module
 from mesh.transport.http_calls import Answer, Desk
 from mesh.transport.link import Address
-from rigs.mesh_peers import Client, play, read_message, soon, until
+from rigs.mesh_peers import Client, move, play, read_message, soon, until
 
 
 class Office:
@@ -219,3 +219,56 @@
         assert answer is None or answer.status == 500
 
     serve(test)
+
+
+def test_what_comes_behind_the_last_answer_does_not_reset_it() -> None:
+    async def test(desk: Desk, office: Office, address: Address) -> None:
+        client = await Client.to(address)
+        client.write(line(b"/a", b"connection: close"))
+        await until(lambda: any(caller._ended for caller in desk._callers))
+        client.write(b"x" * 100_000)
+        answer = await client.read()
+        assert answer is not None and (answer.status, answer.body) == (200, b"/a")
+        assert await client.read() is None and desk.busy == 1  # until it has closed as well, or a moment
+        move(module.LINGER_S)
+        await until(lambda: not desk.busy)
+
+    serve(test)
+
+
+def test_at_an_end_a_call_that_is_coming_in_is_waited_for_and_answered() -> None:
+    async def test(desk: Desk, office: Office, address: Address) -> None:
+        client, stuck = await Client.to(address), await Client.to(address)
+        for one in client, stuck:
+            one.write(line(b"/a", b"content-length: 2", body=b"x"))
+        await until(lambda: len(desk._callers) == 2 and all(one._reader.partial for one in desk._callers))
+        desk.stop()
+        client.write(b"y")
+        answer = await client.read()
+        assert answer is not None and (answer.body, answer.get(b"connection")) == (b"/axy", "close")
+        client.leave()
+        await until(lambda: desk.busy == 1)
+        move(module.COMING_S)
+        assert desk.busy == 0  # nor is the end held up by one that does not come
+
+    serve(test)
+
+
+def test_a_call_that_is_still_in_hand_at_the_exit_has_the_word_that_is_given_for_it() -> None:
+    async def test(desk: Desk, office: Office, address: Address) -> None:
+        client, done = await Client.to(address), await Client.to(address)
+        done.write(line(b"/b", b"connection: close"))
+        answer = await done.read()
+        assert answer is not None and answer.status == 200
+        assert await soon(office.begun.get()) == b"/b"
+        office.free.clear()
+        client.write(line(b"/a"))
+        assert await soon(office.begun.get()) == b"/a"
+        desk.stop()
+        desk.give_up(Answer(503, b"{}"))
+        answer = await client.read()
+        assert answer is not None and (answer.status, answer.get(b"connection")) == (503, "close")
+        assert await client.read() is None
+        assert await done.read() is None  # once answered, nothing more is said
+
+    serve(test)
