Lose no request from SIGTERM to the exit of a proxy

Cause (docs/incidents/cut-long-after-sigterm.md): whether an answer ends its connection was decided when it became ready. Of two requests one behind the other each took the other for the last, so the connection stayed open and took requests up to the exit, which cut them off. Connections in use were closed as idle 2.4 s after SIGTERM, across requests on their way; connections in the backlog were reset 0.1 s later; calls that waited for a place were left without a word. Change: mesh/data_plane/shutdown.py has the order of an end. Tests: the answers of an ending proxy now say close at once, where three tests held that they do not; these follow connection after connection to the refusal instead, and count and check the same answers.

--- a/anisestair/http/frontend.py
+++ b/anisestair/http/frontend.py
@@ -254,13 +254,29 @@
         if self.request:  # its body is not whole, and it has no other answer than this
             self.leave()
         self.let_go()
-        self.fault, self.refused, self.current, self.unread = fault, True, None, b""
+        self.fault, self.current = fault, None
         self.waiting.clear()
-        self.transport.resume_reading()
-        # Closing with unread input would reset the connection, and the answer with it.
         self.transport.write(http.write_response(fault.status, self.advice(fault), b"", close=True))
+        self.linger()
+
+    def linger(self) -> None:
+        """Ends a connection behind its last answer, and passes over what still comes until its client has
+        closed it too: closing with unread input would reset the connection, and the answer with it."""
+        assert self.transport is not None
+        self.refused, self.unread = True, b""
+        self.transport.resume_reading()
         self.transport.write_eof()
-        self.frontend.loop.call_later(REFUSED_LINGER_S, self.transport.abort)
+        loop = self.frontend.loop
+        loop.call_later(REFUSED_LINGER_S, self._end_linger, loop.time() + STILL_S)
+
+    def _end_linger(self, latest: float) -> None:
+        """A client that does not close is not waited for; one that still reads its answer is, for a while."""
+        assert self.transport is not None
+        loop = self.frontend.loop
+        if self.transport.get_write_buffer_size() and loop.time() < latest:
+            loop.call_later(REFUSED_LINGER_S, self._end_linger, latest)
+        else:
+            self.transport.abort()
 
     def advice(self, fault: http.BadMessage) -> http.Headers:
         """What such an answer tells besides its status."""
@@ -354,10 +370,7 @@
             message.stream.drop()
         self.current, self.request, self.since = None, "", time.monotonic()
         if unread:
-            self.refused, self.unread = True, b""
-            self.transport.resume_reading()
-            self.transport.write_eof()
-            self.frontend.loop.call_later(REFUSED_LINGER_S, self.transport.abort)
+            self.linger()
         elif close:
             self.transport.close()
         else:
@@ -476,7 +489,7 @@
         now, kept = time.monotonic(), []
         for connection in list(self._connections):
             age = now - connection.since
-            if connection.fault is not None or connection.transport is None:
+            if connection.fault is not None or connection.refused or connection.transport is None:
                 continue
             if connection.passing is not None:
                 if connection.choked and age > STILL_S:
--- a/mesh/data_plane/call_messages.py
+++ b/mesh/data_plane/call_messages.py
@@ -104,6 +104,12 @@
     attempt: str = msgspec.field(name="a")
 
 
+class Leaving(FrameHead, tag_field="t", tag="leaving"):
+    """The second hop ends. No call with a number above ``last`` has been taken over this link or will be."""
+
+    last: int
+
+
 class Drop(FrameHead, tag_field="t", tag="drop"):
     """Nobody waits for a call any more, or for the rest of its answer."""
 
@@ -124,8 +130,8 @@
 
 
 FirstHopMessage = Greeting | CallHead | AskBack | Drop | Piece | Arrived
-SecondHopMessage = Life | EndHead | Passed | Piece | Arrived
-KNOWN = frozenset({"hello", "life", "call", "end", "passed", "ask", "drop", "piece", "arrived"})
+SecondHopMessage = Life | EndHead | Passed | Leaving | Piece | Arrived
+KNOWN = frozenset({"hello", "life", "call", "end", "passed", "leaving", "ask", "drop", "piece", "arrived"})
 _decode_first: Callable[[bytes], FirstHopMessage] = msgspec.json.Decoder(FirstHopMessage).decode
 _decode_second: Callable[[bytes], SecondHopMessage] = msgspec.json.Decoder(SecondHopMessage).decode
 
--- a/mesh/data_plane/call_state.py
+++ b/mesh/data_plane/call_state.py
@@ -282,6 +282,7 @@
 
 
 CHOSEN, SENDING = State.CHOSEN, State.SENDING
+NOT_BEGUN = frozenset({State.READ, State.WAITING})  # of a call at the second hop
 
 
 class Out:
@@ -299,6 +300,13 @@
         self.running: Any = None  # where the second hop is this process
         self.asking: asyncio.TimerHandle | None = None  # when asking back is over
 
+    @property
+    def begun(self) -> bool:
+        """Whether it may have reached the upstream, or still may once nobody here waits for it."""
+        if self.running is not None:
+            return self.running.state not in NOT_BEGUN
+        return self.state not in (CHOSEN, SENDING)
+
     def on(self, event: Event) -> bool:
         """Takes the event; False where it has no effect in this state."""
         state = FIRST.get((self.state, event))
--- a/mesh/data_plane/client_connection.py
+++ b/mesh/data_plane/client_connection.py
@@ -6,21 +6,28 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
 
 import httptools
+from msgspec import Struct
 
 from anisestair.flow.budget import Body
 from anisestair.http import codec as http
-from anisestair.http.frontend import READ_AHEAD, ClientConnection, Frontend, unread
+from anisestair.http.frontend import ACCEPT_S, EXIT_S, READ_AHEAD, ClientConnection, Frontend, unread
 from mesh.admission.buffer_budget import SHORT, Reservation
 from mesh.configuration.limits import InputLimits
 from mesh.data_plane.call_messages import Octets
 from mesh.data_plane.request_dispatch import OTHERS_S, Intake
 
 AT_ONCE = 8  # requests of one connection that are in hand
+LOOK_S = 0.02  # between two looks at what is open, at an end
+FIRST_REQUEST_S = 0.5  # after which a connection that was opened shortly before an end brings no request
+CROSSING_S = 0.3  # a request may be so long on its way, from a client that began it in time
+REST_SHARE = 0.8  # of the time that a connection may rest by the operators' limits
 
 
 class Inflow(http.Reader):
@@ -71,15 +78,23 @@
         self.held = 0
 
 
+class Reply(Struct, frozen=True):
+    """An answer. Whether it ends its connection is known only when its turn comes."""
+
+    status: int
+    headers: http.Headers
+    body: Octets
+
+
 class Slot:
     """One request, in its place among those of its connection."""
 
-    __slots__ = ("closes", "id", "message", "payload", "ready", "taken")
+    __slots__ = ("closes", "id", "message", "ready", "reply", "taken")
 
     def __init__(self, taken: float, message: http.Message) -> None:
         self.taken, self.message = taken, message
         self.id: str | None = None  # while it is in hand
-        self.payload: bytes | None = None  # its answer, until those before it have theirs; counted as held
+        self.reply: Reply | None = None  # until those before it have theirs; its body counts as held
         self.ready = 0.0  # since when, where that is traced; seconds of the loop's clock
         self.closes = not message.keep_alive
 
@@ -94,6 +109,13 @@
         self._advancing = False
         self._unsent = 0  # bytes of answers that the client had not taken at the last look
         self._untaken = 0  # and those of them that count as held
+        self.rests_since = self._outlets.loop.time()  # its start, or its last answer
+
+    def may_close(self, now: float) -> bool:
+        """Whether its client sends nothing more on it, as far as can be known: it has rested for longer than
+        its client was told that it may, or has brought no request for long after it was opened."""
+        rest_s = self._outlets.rest_s + CROSSING_S if self.asked else FIRST_REQUEST_S
+        return now - self.rests_since >= rest_s and self.idle()
 
     def taken(self) -> bool:
         """Whether its client has taken some of its answers since the last look."""
@@ -124,7 +146,8 @@
     def _advance(self) -> None:
         if self.transport is None or self.transport.is_closing() or self.refused:
             return
-        self.parse()
+        if not (self._intake.closed and (self._slots or self.waiting)):
+            self.parse()  # once there is no time for more, nothing is read behind what has been read
         self.pace()
         while self.waiting and len(self._slots) < AT_ONCE and not self.choked and self._may_begin():
             taken, message = self.waiting.popleft()
@@ -140,7 +163,7 @@
                 self._leave_waiting()
                 break
             self._flush()
-            if self.transport.is_closing():
+            if self.transport.is_closing() or self.refused:
                 return
         if self.fault is not None and not self._slots and not self.waiting:
             self.refuse(self.fault)
@@ -157,23 +180,31 @@
         return not last.closes and (route is None or not route.effectful)
 
     def _say(self, slot: Slot, status: int, headers: http.Headers, body: Octets) -> None:
-        if self.transport is None or slot.payload is not None:
+        if self.transport is None or slot.reply is not None:
             return
-        slot.id = None
-        slot.closes = slot.closes or (self.frontend.closing and not self._more_comes())
-        slot.payload = http.write_response(status, headers, body, slot.closes)
-        self._intake.buffers.answers.charge(len(slot.payload))
+        slot.id, slot.reply = None, Reply(status, headers, body)
+        self._intake.buffers.answers.charge(len(body))
         if self._outlets.trace is not None:
             slot.ready = self._outlets.loop.time()
         if not self._advancing:
             self._flush()
             self.advance()
 
+    def _ends_with(self, slot: Slot) -> bool:
+        """Whether the connection ends with that answer, the slot being out of its place already. Asked when
+        the answer leaves: each of two that are ready one behind the other would take the other for the last.
+
+        At an end, what has come behind a request is answered first, also what the kernel still has. Once
+        there is no time for more, what has not been read counts as not taken: its client sends it again."""
+        if slot.closes or not self.frontend.closing:
+            return slot.closes
+        if self._slots or self.waiting:
+            return False
+        return self._intake.closed or not self._more_comes()
+
     def _more_comes(self) -> bool:
-        """At an end, what has come behind this request is answered first, also what the kernel still has:
-        closing on unread input would reset the connection, and the answer with it."""
         assert self.transport is not None
-        if len(self._slots) > 1 or self.waiting or self.unread or self.reader.partial:
+        if self.unread or self.reader.partial:
             return True
         return unread(self.transport.get_extra_info("socket"))
 
@@ -181,20 +212,25 @@
         """The answers whose turn it is."""
         if self.transport is None or self.transport.is_closing():
             return
-        while self._slots and self._slots[0].payload is not None:
+        while self._slots and (reply := self._slots[0].reply) is not None:
             slot = self._slots.popleft()
-            assert slot.payload is not None
             self._let_go_of(slot.message)
-            self.transport.write(slot.payload)
+            closes = self._ends_with(slot)
+            headers = reply.headers if closes else reply.headers + self._outlets.keep_alive
+            self.transport.write(http.write_response(reply.status, headers, reply.body, closes))
             if self._outlets.trace is not None:
                 attempt = slot.message.get(b"attempt-id") or ""
                 self._outlets.trace(attempt, self._outlets.loop.time() - slot.ready)
-            self._intake.buffers.answers.give(len(slot.payload))
+            self._intake.buffers.answers.give(len(reply.body))
             self._count(self.transport.get_write_buffer_size())
-            self.since = self.frontend.loop.time()
-            if slot.closes:
+            self.since = self.rests_since = self.frontend.loop.time()
+            if closes:
                 self._leave_all()
-                self.transport.close()
+                self._leave_waiting()
+                if self.frontend.closing:
+                    self.linger()  # its client did not know, and may have sent more
+                else:
+                    self.transport.close()
                 return
         self.current = self._slots[0].message if self._slots else None
         if self.current is None:
@@ -205,8 +241,8 @@
         self.current = None
         for slot in slots:
             self._let_go_of(slot.message)
-            if slot.payload is not None:
-                self._intake.buffers.answers.give(len(slot.payload))
+            if slot.reply is not None:
+                self._intake.buffers.answers.give(len(slot.reply.body))
             if slot.id is not None:
                 self._intake.client_gone(slot.id)
 
@@ -250,6 +286,9 @@
 
     def __init__(self, intake: Intake, most: int) -> None:
         self.intake = intake
+        self.rest_s = 0  # whole seconds for which clients are told that a connection may rest
+        self.keep_alive: http.Headers = []  # the header that tells them
+        self._rest_most_s = 0.0
         # Where calls are traced: told for each answer how many seconds it stood ready before it left.
         self.trace: Callable[[str, float], None] | None = None
         super().__init__(intake, most)
@@ -267,3 +306,44 @@
         self.request_s, self.quiescent_s = limits.request_s, limits.quiescent_s
         # A change that leaves clients less time to send cuts off none that reads its answer slowly.
         self.choked_s = max(self.choked_s, limits.request_s)
+        self._tell_rest()
+
+    def rest(self, most_s: float) -> None:
+        """Clients are told that a connection may rest for ``most_s`` seconds, or less where the operators'
+        limits say so: an orderly end can wait for so long, and close what rests under no request."""
+        self._rest_most_s = most_s
+        self._tell_rest()
+
+    def _tell_rest(self) -> None:
+        quiescent_s = self.quiescent_s if self.quiescent_s is not None else math.inf
+        self.rest_s = int(min(self._rest_most_s, REST_SHARE * quiescent_s))
+        self.keep_alive = [(b"keep-alive", b"timeout=%d" % self.rest_s)] if self.rest_s else []
+
+    async def stop(self, accept_s: float = ACCEPT_S, exit_s: float | None = None) -> None:
+        """Ends in order. From now on each connection ends with its next answer. New ones are taken for
+        ``accept_s`` seconds; then each ends once its client sends nothing more on it. What is still open
+        ``exit_s`` seconds from now, or EXIT_S, is given up; what has not been sent on is refused before."""
+        ends = self.loop.time() + (EXIT_S if exit_s is None else exit_s)
+        self.stopping = self.closing = True
+        await asyncio.sleep(accept_s)
+        self._stop_listening()
+        while self._connections and self.loop.time() < ends:
+            now = self.loop.time()
+            for connection in list(self._connections):
+                if isinstance(connection, Outlet) and connection.may_close(now):
+                    connection.close()
+            await asyncio.sleep(LOOK_S)
+        if self._connections:
+            self.intake.give_up()
+            await asyncio.sleep(LOOK_S)  # the answers leave
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+
+    def _stop_listening(self) -> None:
+        """Takes what has come, and nothing more, in one turn: what would come between the two would be
+        reset."""
+        self._accept()
+        if self._listener is not None:
+            self._pause()
+            self._listener.close()
+            self._listener = None
--- a/mesh/data_plane/incoming_calls.py
+++ b/mesh/data_plane/incoming_calls.py
@@ -18,6 +18,7 @@
     CallHead,
     Drop,
     End,
+    Leaving,
     Octets,
     Passed,
     Piece,
@@ -73,12 +74,16 @@
         self._sending: dict[int, Returned] = {}  # answers in pieces that are not written whole
         self._loop = asyncio.get_running_loop()
         self._transfer = BodyTransfer(link, window)
+        self._last = 0  # the highest number that has come over this link
+        self._left = False  # nothing more is taken
         link.read_with(decode_from_first_hop)
 
     def frame(self, message: Any, body: bytes) -> None:
         """A `FirstHopMessage`, or the object of one right behind the greeting. Raises ValueError."""
         if isinstance(message, dict):
             message = from_first_hop(message)
+        if self._left:
+            return
         if isinstance(message, CallHead):
             self._called(message, body)
         elif isinstance(message, Piece):
@@ -93,6 +98,7 @@
     def _called(self, message: CallHead, body: bytes) -> None:
         number, session = message.number, self._session
         call = read_call(message, body)
+        self._last = max(self._last, number)
         if session is not None and not session.take(number):
             return  # a second copy, or barred: whoever sent it waits for no answer over this link
         self._link.owes += 1
@@ -201,6 +207,7 @@
 
     def _asked(self, session: Session[End], number: int, attempt: str) -> None:
         self._link.owes += 1
+        self._last = max(self._last, number)
         verdict, kept = session.ask(number, attempt)
         if verdict is Verdict.PASSED and kept is not None:
             running, before = kept.run
@@ -225,6 +232,25 @@
         else:
             self._end(number, Unclear("it was here; its end is held no more"))
 
+    @property
+    def receiving(self) -> bool:
+        """Whether the body of some call is still coming."""
+        return bool(self._receiving)
+
+    def leave(self) -> None:
+        """This process ends. What is not whole never runs, and nothing more is taken: the first hop learns
+        both, and may send those calls elsewhere. What the upstream has goes on for as long as there is
+        time."""
+        for number in list(self._receiving):
+            kept = self._receiving[number].kept
+            self._withdraw(number, Event.GIVEN_UP)
+            self._link.owes += 1  # for the word that comes now
+            if kept is not None and self._session is not None and self._sessions is not None:
+                self._sessions.end(self._session, number, TurnedAway(Why.LEAVING), 0, self._loop.time())
+            self._end(number, TurnedAway(Why.LEAVING))
+        self._left = True
+        self._link.send(Leaving(last=max(self._last, self._session.highest if self._session else 0)))
+
     def _leave(self, number: int) -> None:
         """Its first hop waits for it over another link now."""
         if self._running.pop(number, None) is not None:
--- a/mesh/data_plane/peer_calls.py
+++ b/mesh/data_plane/peer_calls.py
@@ -23,6 +23,7 @@
     End,
     EndHead,
     Greeting,
+    Leaving,
     Life,
     Octets,
     Passed,
@@ -54,6 +55,7 @@
 REFUSED_S = 0.3  # a connection that fails sooner was refused, or broke as it came up
 SENDING = State.SENDING  # members of an enumeration are found slowly
 AFTER_LINK_UP = FIRST[State.CHOSEN, Event.LINK_UP]
+LEFT = "the other end has ended"
 ELSEWHERE = "its node has another address now, or is gone"
 
 
@@ -257,6 +259,8 @@
                     self._asked(out)
             elif isinstance(message, Life):
                 self._told(link, message)
+            elif isinstance(message, Leaving):
+                self._left_alone(link, message)
         except ValueError as fault:
             link.close(f"unreadable {type(message).__name__}: {fault}")
 
@@ -279,6 +283,15 @@
         else:
             self._ended(link, out, read_end(message, body, hold))
 
+    def _left_alone(self, link: Link, message: Leaving) -> None:
+        """The other end has taken its last call, and all its ends have come before this word. What was
+        written behind that call has not run and never will. What was asked after may have come over an
+        earlier link, and stays unclear."""
+        for number, out in list(self.out.items()):
+            if number > message.last and out.state is not State.UNCLEAR:
+                self._ended(link, out, TurnedAway(Why.LEAVING))
+        link.close(LEFT)
+
     def _answered(self, link: Link, out: Out, message: EndHead, body: Octets, hold: Reservation) -> None:
         """The last piece of an answer has come."""
         self._ended(link, out, read_end(message, body, hold))
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -24,6 +24,7 @@
 from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.request_dispatch import Intake
 from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.shutdown import Shutdown, rest_s
 from mesh.data_plane.staged_routes import Stages
 from mesh.data_plane.upstream_connections import Tap
 from mesh.data_plane.upstream_dispatch import UpstreamDispatch
@@ -54,9 +55,7 @@
 MOST_HEARD = 64  # control processes that other proxies tell of
 TAP_SHARE = 0.9  # of what an upstream accepts, this sidecar opens; it is the only one that can
 TAP_MOST = 100  # where the operator does not say
-NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
 HELD_SHARE = 1 / 32  # of the memory, for ends that may be asked after
-EXIT_S = 0.4  # before the kill, what is left is given up
 
 
 def budget_of(bounds: Bounds) -> tuple[float, float, float]:
@@ -127,6 +126,7 @@
         )
         most = max((settings.limits.file_handles - SPARE_FILES) // 2, 16)
         self.outlets = Outlets(self.intake, most)
+        self.outlets.rest(rest_s(bounds.grace_s))
         self.control = Desk(self.registry.handle)
         self.readiness = Desk(self._ready)
         self.channels = Channels(
@@ -240,29 +240,15 @@
         return Answer(200 if self.configured() and not self.ending else 503)
 
     async def stop(self) -> None:
-        """Readiness first, then word to the others that this upstream cannot be reached; what is in hand
-        ends."""
-        began = self.loop.time()
-        until = began + self.settings.bounds.grace_s - EXIT_S
-        self.ending = True
-        self.registry.publish(self.upstream.end(self.tables.now()))
-        notice = min(NOTICE_S, self.settings.bounds.grace_s * 0.4)
-        await asyncio.sleep(notice)
-        ends = self.loop.create_task(self.outlets.stop(accept_s=0.1, exit_s=until - self.loop.time()))
-        while self.loop.time() < until and not (ends.done() and self._said_all()):
-            await asyncio.sleep(0.02)
-        self.control.stop()
-        self.readiness.stop()
+        """An orderly end."""
+        self.ending = True  # readiness says so from now on
+        await Shutdown(self).run()
         self.event_log.tell(events.ENDED)
 
     def open_calls(self) -> int:
         """Of clients on this machine, and of other proxies at the upstream beside it."""
         return self.intake.in_hand + len(self.upstream_dispatch.running) + len(self.upstream_dispatch.line)
 
-    def _said_all(self) -> bool:
-        """Nothing runs here for other sidecars, and what they were answered has left."""
-        return not self.upstream_dispatch.running and not any(link.unsent for link in self.incoming_links)
-
     # News
 
     def _changed(self, name: str, items: list[Item]) -> None:
@@ -357,6 +343,7 @@
         self.settings = settings
         self.tables.tune(budget_of(settings.bounds))
         self.upstream.drain_ms = settings.bounds.drain_ms
+        self.outlets.rest(rest_s(settings.bounds.grace_s))
         self.stages.tune(settings)
         self.control_contact.tune(settings.bounds.contact_ms)
         self._know()
--- a/mesh/data_plane/request_dispatch.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -57,6 +57,7 @@
         self.bodies = self.buffers.bodies
         self.repeats = RepeatRuns()  # of the upstream beside this sidecar, whose calls come here, too
         self.limits = InputLimits()  # a request keeps to those that hold when it begins
+        self.closed = False  # at an end: there is no time left for what comes now
         self._count = 0
         self._asks: dict[str, Ask] = {}
 
@@ -72,6 +73,13 @@
         if ask is not None:
             self.tables.by_service[ask.service].gone(ask)
 
+    def give_up(self) -> int:
+        """The end of the process is here. What no upstream has, and none ever will, is refused, so that its
+        client learns that; the rest has no answer. Gives how many those are."""
+        for ask in list(self._asks.values()):
+            self.tables.by_service[ask.service].give_up(ask)
+        return len(self._asks)
+
     def route_of(self, message: http.Message) -> Route | None:
         """Where a whole request goes, as things stand now."""
         path = message.target.partition(b"?")[0].decode("latin-1")
@@ -87,6 +95,9 @@
         if not ID.fullmatch(attempt) or left is not None and not WHOLE.fullmatch(left):
             reply(HTTPStatus.BAD_REQUEST, [], b"")
             return None
+        if self.closed:
+            reply(HTTPStatus.SERVICE_UNAVAILABLE, [(b"retry-after", b"%.3f" % OTHERS_S)], b"")
+            return None
         route = self.route_of(message)
         if route is None:
             if self._known():
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -131,6 +131,16 @@
             self.handle(api.ClientGone(ask.id))
             self._cut(ask, Outcome.CANCELLED)
 
+    def give_up(self, ask: Ask) -> None:
+        """This process ends. What an upstream is at work on, or may be, is left as it is: an answer of our
+        own in the place of the upstream's would say more than is known."""
+        if any(out is not None and out.begun for out in ask.outs):
+            return
+        withdrawn = self._withdraw(ask)
+        self._finish(ask, ask.final(False, 0.0))  # nothing is out any more
+        self.handle(api.ClientGone(ask.id))
+        self._tell_withdrawn(ask, withdrawn, Outcome.CANCELLED)
+
     def _overdue(self, ask: Ask) -> None:
         if not ask.over:
             final = Failed(True) if ask.may_have_run() else Refused(0.0)
--- /dev/null
+++ b/mesh/data_plane/shutdown.py
@@ -0,0 +1,110 @@
+"""The orderly end of a proxy, from SIGTERM to its exit: nothing that was taken is lost, and what is not taken
+is told so.
+
+1. At once the platform and the other sidecars are told that nothing new is to come here, and each answer to a
+   client ends its connection. Until they know, what comes is taken as before.
+2. After ``notice_s`` no new connection is taken, and each that rests ends once its client may not use it
+   again.
+3. After ``last_request_s`` a request that still comes is refused: it could be cut off at the exit.
+4. Once nothing is in hand, or at ``exit_s``, what no upstream has is refused, the other sidecars learn which
+   of their calls were taken, and the process ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from mesh.data_plane.client_connection import FIRST_REQUEST_S
+from mesh.data_plane.incoming_calls import Incoming
+from mesh.event_log import events
+from mesh.runtime.grace import exit_after_s
+
+if TYPE_CHECKING:
+    from mesh.data_plane.program import Proxy
+
+NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
+NOTICE_SHARE = 0.4  # of the grace, at the most
+LEAVE_S = 0.2  # the other sidecars' links are waited for so long, each to have read the last word
+LOOK_S = 0.02  # between two looks at what is in hand
+
+
+class ShutdownTimes(Struct, frozen=True):
+    """Seconds since SIGTERM."""
+
+    notice_s: float
+    last_request_s: float
+    exit_s: float
+
+
+def shutdown_times(grace_s: float) -> ShutdownTimes:
+    """``grace_s``: seconds from SIGTERM to the kill."""
+    notice_s = min(NOTICE_S, NOTICE_SHARE * grace_s)
+    return ShutdownTimes(
+        notice_s=notice_s,
+        last_request_s=min(notice_s + FIRST_REQUEST_S, grace_s / 2.0),
+        exit_s=exit_after_s(grace_s),
+    )
+
+
+def rest_s(grace_s: float) -> float:
+    """For how many seconds a client's connection may rest: an end can wait for so long without holding the
+    process up, since new connections are taken meanwhile."""
+    return max(shutdown_times(grace_s).notice_s, 1.0)
+
+
+class Shutdown:
+    """Of one proxy, once."""
+
+    def __init__(self, proxy: Proxy) -> None:
+        """Nothing has been told yet."""
+        self._proxy = proxy
+        self._loop = proxy.loop
+        self._times = shutdown_times(proxy.settings.bounds.grace_s)
+
+    async def run(self) -> None:
+        """Returns when the process may exit."""
+        proxy, times, began = self._proxy, self._times, self._loop.time()
+        proxy.registry.publish(proxy.upstream.end(proxy.tables.now()))
+        late = self._loop.call_later(times.last_request_s, self._refuse_requests)
+        clients = self._loop.create_task(proxy.outlets.stop(accept_s=times.notice_s, exit_s=times.exit_s))
+        while self._loop.time() < began + times.exit_s and not (clients.done() and self._all_answered()):
+            await asyncio.sleep(LOOK_S)
+        await clients
+        late.cancel()
+        self._tell_given_up()
+        await self._leave_links()
+        proxy.control.stop()
+        proxy.readiness.stop()
+
+    def _refuse_requests(self) -> None:
+        self._proxy.intake.closed = True
+
+    def _all_answered(self) -> bool:
+        """Nothing is in hand here for other sidecars, and what they were answered has left."""
+        proxy = self._proxy
+        if proxy.upstream_dispatch.running or len(proxy.upstream_dispatch.line):
+            return False
+        return not any(self._owes(link.peer) or link.unsent for link in proxy.incoming_links)
+
+    @staticmethod
+    def _owes(peer: object) -> bool:
+        return isinstance(peer, Incoming) and peer.receiving
+
+    def _tell_given_up(self) -> None:
+        proxy = self._proxy
+        requests, calls = proxy.intake.in_hand, len(proxy.upstream_dispatch.running)
+        if requests or calls:
+            proxy.event_log.tell(events.GIVEN_UP, requests=requests, calls=calls)
+
+    async def _leave_links(self) -> None:
+        """Each other end closes its link on the last word here, which it then has read."""
+        proxy, until = self._proxy, self._loop.time() + LEAVE_S
+        proxy.upstream_dispatch.leave()
+        for link in list(proxy.incoming_links):
+            if isinstance(link.peer, Incoming):
+                link.peer.leave()
+        while proxy.incoming_links and self._loop.time() < until:
+            await asyncio.sleep(LOOK_S)
--- a/mesh/data_plane/upstream_dispatch.py
+++ b/mesh/data_plane/upstream_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -169,6 +170,12 @@
             self._turn_away(running, Why.FULL)
         self._wake(now)
 
+    def leave(self) -> None:
+        """This process ends: what still waits for a place never runs."""
+        for running in self.line.over(math.inf):
+            assert isinstance(running, Running)
+            self._turn_away(running, Why.LEAVING)
+
     def drop(self, running: Running, event: Event = Event.GIVEN_UP) -> None:
         """The first hop waits no more, or asks back after a call that waits here."""
         if not running.on(event) or self.line.drop(running):
--- a/mesh/event_log/events.py
+++ b/mesh/event_log/events.py
@@ -110,6 +110,7 @@
 CALLS_CUT = _event(503, Level.WARNING, "link lost with calls out", "peer", "calls", "asked", "why")
 WRONG_ANSWER = _event(504, Level.ERROR, "wrong answer dropped", "wanted", "got")
 UNCLEAR = _event(505, Level.WARNING, "effectful call unclear", "attempt", "why")
+GIVEN_UP = _event(506, Level.WARNING, "calls given up at the end", "requests", "calls")
 CALL_AT_FIRST_HOP = _event(
     *(510, Level.DEBUG, "call over at its first hop", "attempt", "route", "service", "aim_ms", "took_ms"),
     *("end", "tries"),
--- a/rigs/lost_links/hop.py
+++ b/rigs/lost_links/hop.py
@@ -85,7 +85,7 @@
     flush = client_connection.Outlet._flush
 
     def as_they_come(self: client_connection.Outlet) -> None:
-        self._slots = type(self._slots)(sorted(self._slots, key=lambda slot: slot.payload is None))
+        self._slots = type(self._slots)(sorted(self._slots, key=lambda slot: slot.reply is None))
         flush(self)
 
     return [(client_connection.Outlet, "_flush", as_they_come)]
--- a/tests/mesh/test_data_plane_lost.py
+++ b/tests/mesh/test_data_plane_lost.py
@@ -16,7 +16,7 @@
 from mesh.admission.call_sessions import Sessions
 from mesh.admission.final_check import Why
 from mesh.data_plane import peer_calls as module
-from mesh.data_plane.call_messages import Call, End, Life, Returned, TurnedAway, Unclear, end_head
+from mesh.data_plane.call_messages import Call, End, Leaving, Life, Returned, TurnedAway, Unclear, end_head
 from mesh.data_plane.call_state import ASK_LEAST, Event, Out, State
 from mesh.data_plane.incoming_calls import Incoming
 from mesh.data_plane.paced_turns import AT_ONCE, PACE_S
@@ -498,3 +498,56 @@
 
     assert ASK_LEAST * 400.0 == 100.0
     over(test)
+
+
+# The second hop ends in order
+
+
+@pytest.mark.parametrize("effectful", [True, False])
+def test_what_an_ending_second_hop_had_not_read_has_not_run_and_may_go_elsewhere(effectful: bool) -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        _, taken = bench.send(far, call("a1", effectful))
+        await until(lambda: len(far.second.taken) == 2)
+        far.deaf = True
+        _, unread = bench.send(far, call("a2", effectful))
+        await until(lambda: len(far.unread) == 1)
+        (link,) = far.links
+        link.peer.leave()
+        assert await soon(unread) == TurnedAway(Why.LEAVING)
+        assert not bench.passage.reaches("there")
+        far.hear()  # the late copy
+        assert [running.call.attempt for running in far.second.taken] == ["warm", "a1"]
+        await until(lambda: not link.up)  # the first hop has read the word, and closes
+        if effectful:  # asked after over the next link, as its end may still come
+            await bench.runs(0.1, far)
+            far.second.end(1, SERVED)
+            assert await soon(taken) == SERVED
+        else:
+            assert isinstance(await soon(taken), Unclear)
+
+    over(test)
+
+
+def test_a_call_of_an_earlier_link_is_not_taken_for_one_that_never_came() -> None:
+    """Its number says nothing of what came over the link that it is asked after on."""
+
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        out, end = bench.send(far, call("a1"))
+        await until(lambda: len(far.second.taken) == 2)
+        far.deaf = True
+        far.links[0].close("reset")
+        await until(lambda: len(far.unread) == 1)  # the greeting
+        far.links[-1].send(Life(life="s1"))
+        await until(lambda: out.number in bench.passage._links["there"].out)  # it is asked after
+        far.links[-1].send(Leaving(last=0))
+        await until(lambda: not far.links[-1].up)
+        assert not end.done()
+        far.unread.clear()
+        far.deaf = False
+        await bench.runs(0.2, far)
+        far.second.end(1, SERVED)
+        assert await soon(end) == SERVED
+
+    over(test)
--- a/tests/mesh/test_data_plane_rollouts.py
+++ b/tests/mesh/test_data_plane_rollouts.py
@@ -11,7 +11,7 @@
 import pytest
 from msgspec.structs import replace
 
-from mesh.data_plane.program import NOTICE_S
+from mesh.data_plane.shutdown import NOTICE_S
 from rigs.mesh_peers import Client, move, route, soon, turns, until
 from rigs.whole_sidecar import Beside, beside
 
@@ -21,7 +21,8 @@
 
 
 class Traffic:
-    """Clients that send on until they are told to stop or their connection ends; some send ahead."""
+    """Clients that send on until they are told to stop or no connection is taken; some send ahead. Where an
+    answer ends their connection they open the next."""
 
     def __init__(self, there: Beside, paths: tuple[str, ...]) -> None:
         self.there, self.paths = there, paths
@@ -31,16 +32,20 @@
         self.failed: list[tuple[str, int]] = []
 
     async def client(self, name: str, ahead: int) -> None:
-        connection = await self.there.client()
+        connection: Client | None = None
         number = 0
         while not self.stopped:
+            try:
+                connection = connection or await self.there.client()
+            except OSError:
+                return
             burst = [f"{name}-{number + at}" for at in range(ahead)]
             number += ahead
             for at, attempt in enumerate(burst):
                 connection.send(attempt, self.paths[at % len(self.paths)])
             self.sent += ahead
             if not await self._answers(connection, burst):
-                return
+                connection = None
 
     async def _answers(self, connection: Client, burst: list[str]) -> bool:
         """Whether the connection goes on."""
@@ -57,6 +62,8 @@
             if answer.status != 200:
                 self.failed.append((attempt, answer.status))
             if answer.get(b"connection") == "close":
+                ran = {message.get(b"attempt-id") for message in self.there.upstream.seen}
+                self.lost += [one for one in burst[at + 1 :] if one in ran]
                 return False
         return True
 
@@ -127,7 +134,8 @@
         before = traffic.answered
         await until(lambda: traffic.answered > before + 50)
         move(NOTICE_S)
-        await soon(asyncio.gather(*clients))  # each connection has ended
+        await soon(asyncio.gather(*clients))  # no connection is taken any more
+        move(2.0)
         await soon(ends)
         assert traffic.lost == []
         assert {status for _, status in traffic.failed} <= {503}  # its own upstream takes nothing new
--- a/tests/mesh/test_data_plane_upstream_registration.py
+++ b/tests/mesh/test_data_plane_upstream_registration.py
@@ -9,7 +9,8 @@
 from msgspec.structs import replace
 
 from mesh.data_plane.membership import INSTANCE
-from mesh.data_plane.program import NOTICE_S, Proxy
+from mesh.data_plane.program import Proxy
+from mesh.data_plane.shutdown import NOTICE_S
 from mesh.membership.instance_commands import DECAYING, SETTLED
 from mesh.membership.instance_lifecycle import GONE_VERSION, SILENT_BEATS
 from rigs.mesh_peers import call, move, soon, turns, until
@@ -94,14 +95,15 @@
         await turns()
         assert told_in_turn and told_in_turn[-1] == DECAYING
         assert (await call(there.readiness, b"GET", b"/"))[0] == 503
-        client = await there.client()
-        answer = await client.ask(
-            "a1", "/read/ok"
-        )  # its own upstream takes nothing new, and there is no other
-        assert (answer.status, answer.get(b"connection")) == (503, None)
-        assert not proxy.outlets.stopping
+        for attempt in ("a1", "a2"):  # new connections are taken, and end with their answer
+            client = await there.client()
+            answer = await client.ask(attempt, "/read/ok")
+            # its own upstream takes nothing new, and there is no other
+            assert (answer.status, answer.get(b"connection")) == (503, "close")
+            assert await client.read() is None
+        assert proxy.outlets._listener is not None
         move(NOTICE_S)
-        await until(lambda: proxy.outlets.stopping)
+        await until(lambda: proxy.outlets._listener is None)
         move(1.0)
         await soon(ends)
 
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -16,8 +16,8 @@
 from mesh.admission.final_check import DRAIN_SHARE, Why
 from mesh.configuration.limits import HEAD_BESIDE, MOST_HEAD, InputLimits, read_limits
 from mesh.data_plane.call_messages import End, Returned, TurnedAway
-from mesh.data_plane.program import EXIT_S as BEFORE_KILL_S
-from mesh.data_plane.program import NOTICE_S
+from mesh.data_plane.shutdown import NOTICE_S
+from mesh.runtime.grace import EXIT_S as BEFORE_KILL_S
 from rigs.mesh_peers import Client, call, move, route, soon, turns, until
 from rigs.whole_sidecar import Beside, Other, beside, passing
 
@@ -251,19 +251,19 @@
         client = await there.client()
         client.send("a1", "/read/hold", left_ms=30_000)
         await soon(there.upstream.comes.get())
-        given, stop = [], proxy.outlets.stop
+        given: list[tuple[float, float | None]] = []
+        stop = proxy.outlets.stop
 
-        async def noted(accept_s: float, exit_s: float) -> None:
-            given.append(exit_s)
+        async def noted(accept_s: float, exit_s: float | None = None) -> None:
+            given.append((accept_s, exit_s))
             await stop(accept_s, exit_s)
-            given.append(-1.0)  # no more is waited
+            given.append((-1.0, None))  # no more is waited
 
         monkeypatch.setattr(proxy.outlets, "stop", noted)
         ends = loop.create_task(proxy.stop())
         await turns()
+        assert given == [(NOTICE_S, 20.0 - BEFORE_KILL_S)]
         move(NOTICE_S)
-        await until(lambda: bool(given))
-        assert 20.0 - NOTICE_S - BEFORE_KILL_S - 1.0 < given[0] <= 20.0 - NOTICE_S - BEFORE_KILL_S
         for _ in range(4):
             move(EXIT_S / 2.0)
             await turns()
--- a/tests/mesh/test_mesh_process.py
+++ b/tests/mesh/test_mesh_process.py
@@ -275,6 +275,22 @@
     play(tmp_path, test)
 
 
+async def until_refused(there: Mesh) -> int:
+    """Asks one request after another, on a new connection where the last answer ends the one before,
+    until none is taken any more; gives how many were answered."""
+    client = await there.client(2)
+    for count in range(1, 100_000):
+        answer = await client.ask(there.id(), "/read/ok")
+        assert answer.status == 200, answer
+        if answer.get(b"connection") == "close":
+            assert await client.read() is None
+            try:
+                client = await there.client(2)
+            except OSError:
+                return count
+    raise AssertionError("it does not end")
+
+
 def test_a_proxy_that_is_told_to_end_loses_no_call_on_either_hop(tmp_path: Path) -> None:
     async def test(there: Mesh, operator: Operator) -> None:
         program, upstreams = there.programs["side-2"], there.upstreams
@@ -284,7 +300,7 @@
             client.send(attempt, path)
             held[attempt] = client
         await until(lambda: sum(there.runs[attempt] for attempt in held) == len(held), START_S)
-        busy = asyncio.get_running_loop().create_task(until_closed(there, await there.client(2)))
+        busy = asyncio.get_running_loop().create_task(until_refused(there))
 
         program.process.send_signal(signal.SIGTERM)
 
@@ -306,13 +322,4 @@
             assert (await there.ask(at, "/read/ok")).status == 200
             assert (await there.ask(at, "/pay/ok")).status == 503  # nobody is left that it can be reached by
 
-    async def until_closed(there: Mesh, client: Client) -> int:
-        """Asks one request after another, as long as the connection lasts; gives how many."""
-        for count in range(1, 100_000):
-            answer = await client.ask(there.id(), "/read/ok")
-            assert answer.status == 200, answer
-            if answer.get(b"connection") == "close":
-                return count
-        raise AssertionError("it does not end")
-
     play(tmp_path, test)
