--- a/tests/mesh/test_data_plane_shutdown.py
+++ b/tests/mesh/test_data_plane_shutdown.py
@@ -11,14 +11,16 @@
 from msgspec.structs import replace
 
 from mesh.admission.final_check import Why
-from mesh.data_plane.call_messages import Leaving, Returned, TurnedAway, decode_from_second_hop
+from mesh.data_plane.call_messages import Leaving, Piece, Returned, TurnedAway, decode_from_second_hop
 from mesh.data_plane.client_connection import CROSSING_S, FIRST_REQUEST_S, REST_SHARE
+from mesh.data_plane.incoming_calls import Incoming
 from mesh.data_plane.request_dispatch import OTHERS_S
 from mesh.data_plane.shutdown import NOTICE_S, Shutdown, rest_s, shutdown_times
 from mesh.event_log import events
 from mesh.runtime.grace import EXIT_S, EXIT_SHARE, exit_after_s
+from mesh.transport.frames import frame
 from rigs.mesh_peers import Client, move, soon, turns, until
-from rigs.whole_sidecar import Beside, Other, beside
+from rigs.whole_sidecar import Beside, Other, beside, passing
 
 GRACE_S = 6.0
 
@@ -343,5 +345,25 @@
     beside(tmp_path, test, grace_s=GRACE_S)
 
 
+def test_a_call_whose_body_is_not_whole_at_the_exit_is_turned_away(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        other = await Other.to(there)
+        head = passing("b1", "/read/ok", b"x" * 100_000).head(1, in_pieces=True)
+        other.writer.write(frame(head) + frame(Piece(number=1), b"x" * 1000))
+        await until(lambda: bool(there.proxy.incoming_links))
+        (link,) = there.proxy.incoming_links
+        await until(lambda: isinstance(link.peer, Incoming) and link.peer.receiving)
+        assert isinstance(link.peer, Incoming)
+        link.peer.leave()
+        assert await other.end() == TurnedAway(Why.LEAVING)
+        other.writer.write(frame(Piece(number=1), b"x" * 99_000))  # the rest, too late
+        await turns()
+        assert there.upstream.seen == [] and not link.peer.receiving and link.owes == 0
+        assert there.proxy.request_dispatcher.bodies.held == 0
+        other.writer.close()
+
+    beside(tmp_path, test, grace_s=GRACE_S)
+
+
 def test_the_word_that_an_end_is_near_is_read_as_what_it_is() -> None:
     assert decode_from_second_hop(b'{"t":"leaving","last":7}') == Leaving(last=7)
