Wait for the last word on links no longer than half of what is left until the kill

Cause: with a grace of a second or so the fixed wait of 0.2 s reached beyond the kill. Change: the lesser of that and half of what is left.

--- a/mesh/data_plane/shutdown.py
+++ b/mesh/data_plane/shutdown.py
@@ -27,7 +27,9 @@
 
 NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
 NOTICE_SHARE = 0.4  # of the grace, at the most
-LEAVE_S = 0.2  # the other sidecars' links are waited for so long, each to have read the last word
+# The other sidecars' links are waited for so long, each to have read the last word: seconds, and as a share
+# of what is left until the kill; the lesser counts.
+LEAVE_S, LEAVE_SHARE = 0.2, 0.5
 LOOK_S = 0.02  # between two looks at what is in hand
 
 
@@ -62,7 +64,8 @@
         """Nothing has been told yet."""
         self._proxy = proxy
         self._loop = proxy.loop
-        self._times = shutdown_times(proxy.settings.bounds.grace_s)
+        self._grace_s = proxy.settings.bounds.grace_s
+        self._times = shutdown_times(self._grace_s)
 
     async def run(self) -> None:
         """Returns when the process may exit."""
@@ -103,7 +106,8 @@
 
     async def _leave_links(self) -> None:
         """Each other end closes its link on the last word here, which it then has read."""
-        proxy, until = self._proxy, self._loop.time() + LEAVE_S
+        proxy, left_s = self._proxy, self._grace_s - self._times.exit_s
+        until = self._loop.time() + min(LEAVE_S, LEAVE_SHARE * left_s)
         proxy.upstream_dispatch.leave()
         for link in list(proxy.incoming_links):
             if isinstance(link.peer, Incoming):
