Let a control process that starts over read what it had decided itself

Cause (docs/incidents/started-over-without-its-own.md): a store that starts over kept its own entry of the vector, and so claimed what it had forgotten; its peers never tell a process items of its own name. One that was taken out while it ran became whole, and a member, without orders that it had acknowledged itself, until repair six seconds later. Change: it goes on under a new name, as a new life would. Worlds of members, replacements, orders, contact, repair and catching up pass.

--- a/mesh/control_plane/catch_up.py
+++ b/mesh/control_plane/catch_up.py
@@ -49,6 +49,7 @@
         self._loop = asyncio.get_running_loop()
         self._charter, self._acceptor, self._ledger, self._council = charter, acceptor, ledger, council
         self._channels, self._acceptance, self._event_log = channels, acceptance, event_log
+        self._life, self._lives_here = charter.source, 1  # of the process; as what it counts since it began
         self._read = False  # the disk is one of a reader; its view may be older than its own joining
         self._counted = False  # this start is on disk
         self._settled = False  # there has been contact in this life
@@ -113,7 +114,8 @@
         if known[0] >= self._starts() and known[1] != mine:
             if self._ledger.whole:
                 self._start_over(f"{channel.node} knows of a later start than its disk")
-            self._lived(self._council.me, known[0] + 1, mine)
+            starts = max(known[0], self._starts()) + 1
+            self._lived(self._council.me, starts, self._charter.source)
         theirs = lives.get(who, (0, ""))
         if theirs[0] > self._ledger.lives.get(who, (0, ""))[0]:
             self._lived(who, *theirs)
@@ -143,8 +145,12 @@
         self._event_log.tell(events.DISK_OLDER, reason=reason, items=len(self._charter.items))
         view = self._charter.items.get((VIEW, MEMBERS))
         self._ledger.whole, self._settled, self._read = False, False, False
-        self._charter.start_over()
+        # As a new life of this process: what the one before stamped, others hold and this one lacks.
+        self._lives_here += 1
+        self._charter.start_over(f"{self._life}/{self._lives_here}")
+        self._channels.hello["source"] = self._charter.source
         self._acceptor.start_over()
+        self._lived(self._council.me, self._starts() + 1, self._charter.source)
         if view is not None:
             self._charter.merge([view], {})
         self._acceptance.spawn(self._rewritten())
--- a/mesh/replication/store.py
+++ b/mesh/replication/store.py
@@ -315,14 +315,16 @@
             self._drop(item)
         return buckets, [item.key for item in stale]
 
-    def start_over(self) -> list[Key]:
+    def start_over(self, source: str) -> list[Key]:
         """Forgets all that it holds, this store's own too, and its record of drops; the keys that are gone.
-        For a process that is told that its copy counts for nothing."""
+        For a process that is told that its copy counts for nothing.
+
+        It goes on as ``source``, never used before: what it stamped until now it lacks like all else, and
+        under the old name its vector would have to claim it, or its peers would take it for held."""
         gone = list(self.items.values())
         for item in gone:
             self._drop(item)
-        own = self.vector.get(self.source)
-        self.vector = {self.source: own} if own else {}
+        self.source, self.vector = source, {}
         self._unborne.clear()
         self._taking.clear()
         self.forgotten = Forgotten()
--- a/tests/mesh/test_catching_up_world.py
+++ b/tests/mesh/test_catching_up_world.py
@@ -262,6 +262,35 @@
     assert played(script) == []
 
 
+@pytest.mark.parametrize("own", [True, False])
+def test_one_that_was_taken_out_while_it_ran_counts_only_with_what_it_decided_itself(own: bool) -> None:
+    """It starts over within its life. What it had decided and told bears its own name, by which the others
+    must not take it for held (docs/incidents/started-over-without-its-own.md)."""
+
+    def script(world: World) -> Script:
+        yield from begun(world)
+        one, others = world.controllers()[2], world.controllers()[:2]
+        yield from world.patch(one if own else others[0], change(2))
+        yield world.env.timeout(0.5)
+        world.cut([one], [machine for machine in world.machines.values() if machine is not one])
+        yield world.env.timeout(1.0)
+        yield from taken_out(world, one)
+        world.heal()
+        while not world.tellers(events.DISK_OLDER):
+            yield world.env.timeout(0.001)
+        assert not one.program.ledger.whole
+        while not one.program.ledger.whole:
+            yield world.env.timeout(0.001)
+        held = {item.key: item.version for item in one.program.charter.items.values()}
+        assert {key: held.get(key) for key in world.witness.acked} == {
+            key: version for key, (version, _) in world.witness.acked.items()
+        }
+        yield from world.joined([one])
+        yield from ends(world, gone=False)
+
+    assert played(script) == []
+
+
 @pytest.mark.parametrize("seconds", [0.7 * ANEW_S, 4 * KEPT_S])
 def test_a_sidecar_that_was_cut_off_lets_go_what_was_dropped_and_forgotten(seconds: float) -> None:
     def script(world: World) -> Script:
--- a/tests/mesh/test_replication_tombstones.py
+++ b/tests/mesh/test_replication_tombstones.py
@@ -67,15 +67,21 @@
         read_rows(told)
 
 
-def test_a_store_that_starts_over_holds_nothing_and_goes_on_counting() -> None:
+def test_a_store_that_starts_over_holds_nothing_and_lacks_what_it_stamped_itself() -> None:
     store = Store("s", 10)
     store.take("k", "x", 5, {})
     store.merge([Item("k", "y", 1, {}, "t", 4)], {"t": 4})
     forgotten = Forgotten()
     forgotten.note(("k", "z"), 9)
     store.forget_all(forgotten.rows())
-    assert sorted(store.start_over()) == [("k", "x"), ("k", "y")]
-    assert store.items == {} and store.vector == {"s": 1} and store.digests.root() == "0" * 16
+    peer = Store("p", 10)
+    peer.merge(list(store.items.values()), store.vector)
+    assert sorted(store.start_over("s/2")) == [("k", "x"), ("k", "y")]
+    assert store.items == {} and store.vector == {} and store.digests.root() == "0" * 16
     assert store.forgotten.root() == ""
-    taken = store.take("k", "x", 1, {})
-    assert isinstance(taken, Item) and taken.number == 2
+    lack = peer.lacking(store.vector, 10)
+    assert {item.key for item in lack.items} == {("k", "x"), ("k", "y")}
+    store.merge(lack.items, lack.vector)
+    taken = store.take("k", "z", 1, {})
+    assert isinstance(taken, Item) and (taken.source, taken.number) == ("s/2", 1)
+    assert peer.has_news(store.vector) is False and store.has_news(peer.vector)
