Take no more links once the last word on those that stand has been said

Cause: with a grace under 2.5 s a first hop could open the next link before the exit, and calls on it would still pass. Change: the address for peers is closed first.

--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -245,6 +245,11 @@
         await Shutdown(self).run()
         self.event_log.tell(events.ENDED)
 
+    def stop_listening(self) -> None:
+        """Other processes open no more links to this one; those that stand go on."""
+        if self._server is not None:
+            self._server.close()
+
     def open_calls(self) -> int:
         """Of clients on this machine, and of other proxies at the upstream beside it."""
         return (
--- a/mesh/data_plane/shutdown.py
+++ b/mesh/data_plane/shutdown.py
@@ -105,9 +105,11 @@
             proxy.event_log.tell(events.GIVEN_UP, requests=requests, calls=calls)
 
     async def _leave_links(self) -> None:
-        """Each other end closes its link on the last word here, which it then has read."""
+        """Each other end closes its link on the last word here, which it then has read. It finds nobody to
+        open the next one to."""
         proxy, left_s = self._proxy, self._grace_s - self._times.exit_s
         until = self._loop.time() + min(LEAVE_S, LEAVE_SHARE * left_s)
+        proxy.stop_listening()
         proxy.upstream_dispatch.leave()
         for link in list(proxy.incoming_links):
             if isinstance(link.peer, Incoming):
--- a/tests/mesh/test_data_plane_shutdown.py
+++ b/tests/mesh/test_data_plane_shutdown.py
@@ -319,6 +319,8 @@
         await passed(NOTICE_S + 0.1)
         words = await last_words(other)
         assert [one.last for one in words if isinstance(one, Leaving)] == [2]
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(there.peers)
         other.send(3, "/read/ok")  # crosses it
         await turns()
         assert len(there.upstream.seen) == 2 and link.owes == 0
