Judge what an end cost in one place, and give a client's answer the field's name

Need: plays in virtual time and on real processes judged requests by two copies of the same rules; client_connection had a Reply of its own beside request_dispatch's. Change: rigs/shutdown_world/judgement.py for both; Reply in client_connection is Response.

--- a/mesh/data_plane/client_connection.py
+++ b/mesh/data_plane/client_connection.py
@@ -78,7 +78,7 @@
         self.held = 0
 
 
-class Reply(Struct, frozen=True):
+class Response(Struct, frozen=True):
     """An answer. Whether it ends its connection is known only when its turn comes."""
 
     status: int
@@ -94,7 +94,7 @@
     def __init__(self, taken: float, message: http.Message) -> None:
         self.taken, self.message = taken, message
         self.id: str | None = None  # while it is in hand
-        self.reply: Reply | None = None  # until those before it have theirs; its body counts as held
+        self.reply: Response | None = None  # until those before it have theirs; its body counts as held
         self.ready = 0.0  # since when, where that is traced; seconds of the loop's clock
         self.closes = not message.keep_alive
 
@@ -185,7 +185,7 @@
     def _say(self, slot: Slot, status: int, headers: http.Headers, body: Octets) -> None:
         if self.transport is None or slot.reply is not None:
             return
-        slot.id, slot.reply = None, Reply(status, headers, body)
+        slot.id, slot.reply = None, Response(status, headers, body)
         self._dispatcher.buffers.answers.charge(len(body))
         if self._client_listener.trace is not None:
             slot.ready = self._client_listener.loop.time()
--- a/rigs/shutdown_world/processes.py
+++ b/rigs/shutdown_world/processes.py
@@ -11,13 +11,12 @@
 
 from msgspec import Struct
 
-from mesh.data_plane.call_state import PROMISES
 from rigs.mesh_demo import SIDE, Mesh
 from rigs.mesh_peers import Client, Operator, change, polled, route
 from rigs.shutdown_world.client import BEHIND, CUT, PlayedClient, Sent
+from rigs.shutdown_world.judgement import LAST_SIXTH, Finding, Run, findings
 from rigs.shutdown_world.plan import GRACE_S, NEVER, ClientPlan, Kind
 from rigs.shutdown_world.upstream import WorkingUpstream
-from rigs.shutdown_world.world import EXCUSED_S, LAST_SIXTH, Finding
 
 CONTROLLERS = 3
 START_S = 15.0
@@ -137,27 +136,12 @@
         tally.lives += 1
         tally.sent += len(life.sent)
         for request in life.sent:
-            ran, told = self._runs[request.attempt], self._wrong(life, request)
-            if told:
-                tally.findings.append(Finding("LOST", request.attempt, told))
-            if request.effectful and (ran > 1 or ran and request.status in PROMISES):
-                tally.findings.append(Finding("TWICE", request.attempt, f"ran {ran}, told {request.status}"))
+            worked_until = max(one.ended_at.get(request.attempt, 0.0) for one in self._upstreams)
+            run = Run(self._runs[request.attempt], worked_until)
+            tally.findings += findings(request, run, life.term_at)
             name = {CUT: "cut", BEHIND: "behind a close", None: "none"}.get(request.status)
             tally.counts[name or str(request.status)] += 1
 
-    def _wrong(self, life: Life, request: Sent) -> str:
-        ran, since = self._runs[request.attempt], request.at - life.term_at
-        if request.status is None:
-            return "neither an answer nor an end of its connection"
-        if request.status == BEHIND and ran:
-            return "ran behind an answer that closed its connection"
-        if request.status != CUT or not ran:
-            return ""
-        worked = max(one.ended_at.get(request.attempt, 0.0) for one in self._upstreams)
-        if since <= EXCUSED_S and worked > life.term_at + GRACE_S * (1 - LAST_SIXTH):
-            return ""
-        return f"sent {since:.3f} s after SIGTERM, ran, and its connection was cut"
-
 
 async def attack(seconds: float, proxies: int, seed: int) -> Tally:
     """Starts the processes, plays for so long, and ends them."""
--- a/rigs/shutdown_world/world.py
+++ b/rigs/shutdown_world/world.py
@@ -26,27 +26,18 @@
 from mesh.replication.items import Item
 from mesh.runtime.settings import Settings, read
 from rigs.mesh_peers import Client, free_ports, route, write_settings
-from rigs.shutdown_world.client import BEHIND, CUT, PlayedClient, Sent
+from rigs.shutdown_world.client import CUT, PlayedClient, Sent
 from rigs.shutdown_world.clock import SkippingLoop
+from rigs.shutdown_world.judgement import Finding, Run, crossed, excused, findings
 from rigs.shutdown_world.plan import GRACE_S, NEVER, Plan
 from rigs.shutdown_world.upstream import WorkingUpstream
 
-EXCUSED_S = 3.0  # a request that was sent later after SIGTERM is never excused
-LAST_SIXTH = 1 / 6  # of the grace: an upstream still at work then excuses a request that was sent in time
 NEWS_EACH_S = 0.02
 # Of this process alone: another play on the same machine has other addresses.
 NET = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
 HEADS = {"header_bytes": 65536, "body_bytes": 1 << 20, "header_lag_ms": 3000}
 
 
-class Finding(Struct, frozen=True):
-    """A rule that a play broke, and the request that shows it."""
-
-    rule: str
-    attempt: str
-    told: str
-
-
 class Result(Struct):
     """What a play came to. ``failed``: an answer that promises nothing, as 502. ``crossed``: requests that
     were cut and had not been taken; they are lost to nobody, but cost their client a try."""
@@ -226,45 +217,21 @@
     def _judge(self) -> Result:
         result = Result([], len(self.sent), 0, 0, 0, 0, 0, self.exit_at - self.term_at)
         for request in self.sent:
-            self._judge_one(request, result)
+            run, status = self._run(request), request.status
+            result.findings += findings(request, run, self.term_at)
+            if status == CUT:
+                result.crossed += crossed(request, run)
+                result.excused += excused(request, run, self.term_at)
+            elif status is not None and status > 0:
+                result.answered += status == 200
+                result.refused += status in PROMISES
+                result.failed += status != 200 and status not in PROMISES
         return result
 
-    def _judge_one(self, request: Sent, result: Result) -> None:
-        def found(rule: str, told: str) -> None:
-            result.findings.append(Finding(rule, request.attempt, told))
-
-        ran, status = self.runs[request.attempt], request.status
-        if request.effectful and ran > 1:
-            found("TWICE", f"ran {ran} times")
-        if status in PROMISES and ran and request.effectful:
-            found("REFUSED", f"{status}, and it ran")
-        if status is None:
-            found("LOST", "neither an answer nor an end of its connection")
-        elif status == BEHIND and ran:
-            found("LOST", "ran behind an answer that closed its connection")
-        elif status == CUT:
-            self._judge_cut(request, ran, result, found)
-        elif status is not None and status > 0:
-            result.answered += status == 200
-            result.refused += status in PROMISES
-            result.failed += status != 200 and status not in PROMISES
-
-    def _judge_cut(self, request: Sent, ran: int, result: Result, found: Callable[[str, str], None]) -> None:
-        since_term = request.at - self.term_at
-        if not ran and not (request.first and request.attempt in self.first.began):
-            result.crossed += 1
-        elif not ran:
-            found("LOST", f"taken {since_term:.3f} s after SIGTERM, sent on nowhere and not answered")
-        elif since_term <= EXCUSED_S and self._at_work_until(request) > self.term_at + GRACE_S * (
-            1 - LAST_SIXTH
-        ):
-            result.excused += 1
-        else:
-            found("LOST", f"sent {since_term:.3f} s after SIGTERM, ran, and its connection was cut")
-
-    def _at_work_until(self, request: Sent) -> float:
+    def _run(self, request: Sent) -> Run:
         ends = [side.upstream.ended_at.get(request.attempt, 0.0) for side in (self.first, self.second)]
-        return max(ends)
+        taken = request.attempt in self.first.began
+        return Run(self.runs[request.attempt], max(ends), taken)
 
 
 def play(plan: Plan) -> Result:
