Write no call to a link whose other end has said its last word

Cause: a call that is turned away by that word may be sent again before the link is closed, to the same node where news of its end has not come; it was written there, never read, and unclear. Change: the link takes no more calls once the word has come.

--- a/mesh/data_plane/peer_calls.py
+++ b/mesh/data_plane/peer_calls.py
@@ -93,13 +93,14 @@
         self.used = self.opened = 0.0
         self.down = False  # the last link was lost, or did not come up
         self.left = False  # the node is elsewhere now, or gone
+        self.leaving = False  # the other end of the link has said its last word
 
     def send(self, out: Out) -> None:
         """Writes a call, or keeps it until the link is up, or turns it away."""
         self.used = out.sent = self.passage.loop.time()
         if self._may_write(out):
             self._write(out)
-        elif self.down:
+        elif self.down or self.leaving:
             self._turn_away(out)
         else:
             if not self.waiting:
@@ -111,7 +112,7 @@
     def _may_write(self, out: Out) -> bool:
         """What is effectful waits until it is known of whom it could be asked for, and a long body until it
         is known whether the other end takes pieces."""
-        up = self.proved and self.link is not None and self.link.up
+        up = self.proved and not self.leaving and self.link is not None and self.link.up
         return up and (self.known or not (out.call.effectful or len(out.call.body) > PIECE_BYTES))
 
     def open(self) -> None:
@@ -287,6 +288,7 @@
         """The other end has taken its last call, and all its ends have come before this word. What was
         written behind that call has not run and never will. What was asked after may have come over an
         earlier link, and stays unclear."""
+        self.leaving = True  # whoever is turned away may be sent again before this returns
         for number, out in list(self.out.items()):
             if number > message.last and out.state is not State.UNCLEAR:
                 self._ended(link, out, TurnedAway(Why.LEAVING))
@@ -357,7 +359,7 @@
             self.unproved += 1
             if self.unproved >= UNPROVED_MOST:
                 self.life = None
-        self.link, self.proved = None, False
+        self.link, self.proved, self.leaving = None, False, False
         if self.transfer is not None:
             self.transfer.close()
             self.transfer = None
--- a/tests/mesh/test_data_plane_lost.py
+++ b/tests/mesh/test_data_plane_lost.py
@@ -529,6 +529,25 @@
     over(test)
 
 
+def test_what_is_sent_again_at_once_is_not_written_to_the_one_that_ends() -> None:
+    async def test(bench: Bench, far: Far) -> None:
+        await bench.known(far)
+        far.deaf = True
+        again: asyncio.Future[End] = asyncio.get_running_loop().create_future()
+
+        def ended(_: End) -> None:
+            bench.passage.send(call("a1"), "there", far.address, again.set_result)
+
+        bench.passage.send(call("a1"), "there", far.address, ended)
+        await until(lambda: len(far.unread) == 1)
+        far.links[0].peer.leave()
+        assert await soon(again) == TurnedAway(Why.DOWN)
+        await turns()
+        assert len(far.unread) == 1
+
+    over(test)
+
+
 def test_a_call_of_an_earlier_link_is_not_taken_for_one_that_never_came() -> None:
     """Its number says nothing of what came over the link that it is asked after on."""
 
