Let the end of a proxy say what it needs of it, without an import circle

Cause: shutdown named Proxy in its types, and program imports shutdown; the check of import circles failed. Change: a protocol of what an end uses. Nothing else. Result: tests/test_imports.py and the tests of the end pass.

--- a/mesh/data_plane/shutdown.py
+++ b/mesh/data_plane/shutdown.py
@@ -13,17 +13,23 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from msgspec import Struct
 
-from mesh.data_plane.client_connection import FIRST_REQUEST_S
+from mesh.data_plane.client_connection import FIRST_REQUEST_S, ClientListener
 from mesh.data_plane.incoming_calls import Incoming
+from mesh.data_plane.request_dispatch import RequestDispatcher
+from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.upstream_dispatch import UpstreamDispatch
+from mesh.data_plane.upstream_registration import Registry
 from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.instance_lifecycle import Upstream
 from mesh.runtime.grace import exit_after_s
-
-if TYPE_CHECKING:
-    from mesh.data_plane.program import Proxy
+from mesh.runtime.settings import Settings
+from mesh.transport.http_calls import HttpServer
+from mesh.transport.link import Link
 
 NOTICE_S = 2.2  # the platform has missed two looks at readiness by then, and sends its clients elsewhere
 NOTICE_SHARE = 0.4  # of the grace, at the most
@@ -57,10 +63,30 @@
     return max(shutdown_times(grace_s).notice_s, 1.0)
 
 
+class RunningProxy(Protocol):
+    """What an end needs of a proxy."""
+
+    loop: asyncio.AbstractEventLoop
+    settings: Settings
+    event_log: EventLog
+    upstream: Upstream
+    registry: Registry
+    tables: Tables
+    client_listener: ClientListener
+    request_dispatcher: RequestDispatcher
+    upstream_dispatch: UpstreamDispatch
+    incoming_links: set[Link]
+    control: HttpServer
+    readiness: HttpServer
+
+    def stop_listening(self) -> None:
+        """Other processes open no more links to this one."""
+
+
 class Shutdown:
     """Of one proxy, once."""
 
-    def __init__(self, proxy: Proxy) -> None:
+    def __init__(self, proxy: RunningProxy) -> None:
         """Nothing has been told yet."""
         self._proxy = proxy
         self._loop = proxy.loop
