--- a/mesh/control_plane/acceptor_host.py
+++ b/mesh/control_plane/acceptor_host.py
@@ -221,7 +221,7 @@
         decided = sorted(self.acceptor.at(read_ballot(head["b"])).items(), key=lambda one: one[0])
         if len(decided) == head["of"]:
             items = [Item(*number, value, source, first + at) for at, (number, value) in enumerate(decided)]
-            self.take(items, {}, bool(head.get("whole")))
+            self.take(items, self._charter.following(source, first, len(items)), bool(head.get("whole")))
         elif decided:  # some were decided otherwise meanwhile, or were so before
             self.take(*self.stamped(decided))
 
--- a/mesh/dissemination/peers.py
+++ b/mesh/dissemination/peers.py
@@ -26,9 +26,10 @@
 
 AGAIN_S, AGAIN_MOST_S = 0.15, 1.5
 BATCH_S = 0.01  # what changes within this goes out together
-# Each but the first of those that a process asks holds its news back by this for its rank: by then the first
-# has told them, and the question has been renewed. It costs this where the first is slow but not silent.
-RANK_S = 0.2
+# Each but the first of those that a process asks holds its news back by this for its rank, counted from the
+# last question that told of something new: while the first tells, the question is renewed with each page.
+# It costs this where the first is slow but not silent.
+RANK_S = 0.35
 PACKED_FROM = 24  # items of one answer, from which it goes packed: routes are much alike
 PACKED_MOST = 32 * 1024 * 1024  # bytes of one answer unpacked
 PACKED_KEPT = 4  # the last of them, since many ask for the same
@@ -54,8 +55,10 @@
         link.steady = True
         link.peer = self
 
-    def begin(self) -> None:
+    def begin(self, rank: int = 0) -> None:
+        """Its first words; ``rank`` comes before the question, which would be answered at once."""
         self.link.send({**self.channels.hello, "for": "news"})
+        self.ranked(rank)
         self.link.send(self.exchange.question())
 
     def frame(self, head: Head) -> bool:
@@ -64,6 +67,8 @@
         if kind == "rank":
             self.peer_rank = max(int(head["r"]), 0)
         elif kind == "pull":
+            if head["v"]:
+                self._lacked_since = None  # it has been told something, here or by another
             self._due.update(self.exchange.asked(head, self.peer_source))
             self.answer(self.channels.whole())
         elif kind == "news":
@@ -122,7 +127,7 @@
 
     def renew(self) -> None:
         """What has come by another link is not asked for on this one."""
-        if self.opened_here and self.exchange.pulled and (head := self.exchange.update()) is not None:
+        if self.opened_here and (head := self.exchange.update()) is not None:
             self.link.send(head)
 
 
@@ -235,6 +240,13 @@
                 asked.coming = self.loop.create_task(self._come_up(asked))
                 wanted += 1
 
+    def _standing_before(self, name: str) -> int:
+        """How many of those that come before it in the order of this process are linked and count."""
+        assert self._order is not None
+        names = self._order[: self._order.index(name)]
+        linked = [self._asked[other].channel for other in names]
+        return sum(one is not None and (one.whole or not one.told) for one in linked)
+
     async def _come_up(self, asked: Asked) -> None:
         link = await connect(asked.address, lambda: Link(lambda _: None, self._frame, self._lost))
         asked.coming = None
@@ -247,7 +259,7 @@
         asked.pause = AGAIN_S
         asked.channel = channel = Channel(self, link, asked.name, True)
         self.open.add(channel)
-        channel.begin()
+        channel.begin(self._standing_before(asked.name) if self.ranks else 0)
         self._choose()
 
     # Links that others open
--- a/mesh/replication/store.py
+++ b/mesh/replication/store.py
@@ -181,6 +181,13 @@
             found += [key for _, key in above]
         return [self._restamp(key) for key in found]
 
+    def following(self, source: str, first: int, count: int) -> dict[str, int]:
+        """The vector that may be raised with ``count`` items which that source stamped from ``first`` on: they
+        follow what this store claims of it already, or nothing may be claimed by them.
+
+        Without this who holds a large order would be told all of it once more, for its vector's sake."""
+        return {source: first + count - 1} if self.vector.get(source, 0) >= first - 1 else {}
+
     def clear(self) -> list[Item]:
         """Forgets all that others stamped, so that it is asked for anew; what has gone, as tombstones. For a
         process that was out of touch for so long that tombstones it never heard of may be forgotten."""
@@ -215,8 +222,9 @@
                 if self._arrived[key] > after:
                     found.append((self._arrived[key], key))
         if snapshots and len(found) > most and PART * len(found) > len(self.items):
-            moment = self._giving.latest(self._arrivals, most) or self._moment()
-            return self._page(moment, 0, vector, most, most_bytes)
+            moment = self._helpful([key for _, key in found], most)
+            if moment is not None:
+                return self._page(moment, 0, vector, most, most_bytes)
         first = nsmallest(most, found)
         items = cut((self.items[key] for _, key in first), most_bytes)
         if len(found) > len(items):
@@ -224,6 +232,17 @@
         risen = {source: self.vector[source] for source in self._risen(vector)}
         return Lack(items, risen | ({page: 0} if page in vector else {}), False)
 
+    def _helpful(self, lacked: Sequence[Key], most: int) -> Moment | None:
+        """A moment after which its taker lacks no more than ``most`` of these. A moment holds items above
+        its vector, too: whoever took it would lack them as before, and be told it again for ever."""
+        for moment in (self._giving.latest(self._arrivals, most), None):
+            moment = moment or self._moment()
+            vector = moment.vector
+            items = (self.items[key] for key in lacked)
+            if sum(item.number > vector.get(item.source, 0) for item in items) <= most:
+                return moment
+        return None
+
     def _known(self, root: str) -> Moment | None:
         """A moment with that root: one that is kept, or now."""
         return self._giving.find(root) or (self._moment() if root == self.digests.root() else None)
--- a/tests/mesh/test_replication_snapshot.py
+++ b/tests/mesh/test_replication_snapshot.py
@@ -59,6 +59,34 @@
     assert not any(entry.startswith(SNAP) for entry in giver.lacking({}, PAGE).vector)
 
 
+def test_what_the_giver_holds_and_does_not_claim_is_not_told_as_a_snapshot_again_and_again() -> None:
+    giver, taker, author = filled("g", 5), Store("t", 100), filled("a", 60)
+    giver.merge(author.items.values(), {})  # all of it, by another way than news
+    giver.take("k", "last", 1, {"v": "last"})
+    for _ in range(2 * len(author.items) // PAGE):
+        if not asks(taker, giver):
+            break
+    assert ("k", "last") in taker.items and taker.vector["g"] == giver.vector["g"]
+    giver.take("k", "later", 1, {})
+    asked = 0
+    while ("k", "later") not in taker.items:
+        asks(taker, giver)
+        asked += 1
+        assert asked < 2 * len(author.items) // PAGE
+
+
+def test_items_that_follow_what_is_claimed_are_claimed_with_them_and_others_are_not() -> None:
+    store, author = Store("s", 100), filled("a", 9)
+    items = list(author.items.values())
+    assert store.following("a", 4, 3) == {}
+    store.merge(items[:3], store.following("a", 1, 3))
+    assert store.vector == {"a": 3}
+    store.merge(items[5:], store.following("a", 6, 4))
+    assert store.vector == {"a": 3}
+    store.merge(items[3:6], store.following("a", 4, 3))
+    assert store.vector == {"a": 6}
+
+
 def test_what_changes_meanwhile_comes_after_the_moment() -> None:
     giver, taker = filled("g", 40), Store("t", 100)
     number = 0
