--- a/benchmarks/architecture.py
+++ b/benchmarks/architecture.py
@@ -25,6 +25,7 @@
     "transport": "links and log",
     "admission": "decisions without I/O: calls and changes",
     "membership": "decisions without I/O: who is there",
+    "ownership": "decisions without I/O: keys",
     "replication": "decisions without I/O: state",
 }
 Layer = tuple[str, ...]
--- /dev/null
+++ b/mesh/control_plane/key_assignment.py
@@ -0,0 +1,267 @@
+"""A control process's part in keys: it answers proxies which map holds, and one of all proposes the next.
+
+Each control process keeps what is needed to go on at once where another stops: since when a row is known to
+leave, the proxies' words, and the load. Who proposes is the first live one in an order that all work out
+alike; two that both find themselves first propose for one version, and one of the two is voted for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from mesh.configuration.commands import PLANT
+from mesh.control_plane.member_set import Council
+from mesh.control_plane.proposals import Voting
+from mesh.data_plane.membership import CONTROLLER, Membership
+from mesh.dissemination.peers import Channel
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.membership.instance_commands import SETTLED
+from mesh.membership.lease import first
+from mesh.ownership.assignment import Candidate, Word, first_map, next_map
+from mesh.ownership.key_load import KeyLoad
+from mesh.ownership.key_map import OWNERSHIP, KeyMap, Row, read_map, write_map
+from mesh.ownership.key_report import KeyReport, read_report
+from mesh.ownership.lease_terms import terms_of
+from mesh.replication.items import Item
+from mesh.replication.proposer import Decided
+from mesh.replication.store import Store
+from mesh.transport.frames import Head
+
+DUTY_NAME = "keys"  # in whose order the proposer is found
+LOOK_S = 0.1  # between two looks at what is to change
+FIRST_AFTER_S = 1.5  # after the first upstream is known: the others have come by then
+BALANCE_S = 0.6  # between two versions for the load's sake
+UNHEARD_S = 4.5  # a proxy without a report for so long cannot renew its upstream's holds much longer
+HEARD_SHARE = 0.6  # of a service's proxies; where fewer are heard, it is this process that does not hear
+STOOD_S = 1.0  # between two looks: this process stood still, and what came meanwhile is still unread
+DECIDE_S = 1.0  # a proposal is waited for so long
+READ_S = 0.6
+GATHER_S = 0.02  # questions that come within it are answered by one read
+QUESTIONS_MOST = 4096
+
+RowKey = tuple[str, str, int, int, int]  # service, holder, first and last key, fence
+
+
+class KeyAssignment:
+    """Of one control process."""
+
+    def __init__(
+        self,
+        node: str,
+        hold_max_ms: float,
+        charter: Store,
+        membership: Membership,
+        council: Council,
+        voting: Voting,
+        acts: Callable[[], bool],
+        live: Callable[[float, float], set[str]],
+        event_log: EventLog,
+    ) -> None:
+        """``acts``: contact with enough members to decide; ``live``: control processes that can act, by the
+        time and how long they must have been awake."""
+        self._loop = asyncio.get_running_loop()
+        self._node, self._terms = node, terms_of(hold_max_ms)
+        self._charter, self._membership, self._council = charter, membership, council
+        self._voting, self._acts, self._live, self._event_log = voting, acts, live, event_log
+        self._divided: dict[str, float] = {}  # services, by when their first upstream was seen; 0: none yet
+        self._maps: dict[str, KeyMap] = {}
+        self._leaving: dict[RowKey, float] = {}  # since when a row is known to leave
+        self._reports: dict[str, KeyReport] = {}  # by node
+        self._heard: dict[str, float] = {}  # when each last came
+        self._loads: dict[str, KeyLoad] = {}
+        self._balanced_at: dict[str, float] = {}
+        self._proposing: set[str] = set()
+        self._questions: list[tuple[Channel, int]] = []
+        self._answering: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._look_at = self._ticked_at = self._awake_since = self._loop.time()
+
+    # What comes in
+
+    def changed(self, items: Iterable[Item]) -> None:
+        """Items of the configuration have come."""
+        for item in items:
+            if item.kind == PLANT:
+                if item.value is not None and item.value.get("sharded") is True:
+                    self._divided.setdefault(item.name, 0.0)
+                else:
+                    self._divided.pop(item.name, None)
+            elif item.kind == OWNERSHIP:
+                self._take(item)
+
+    def restored(self) -> None:
+        """What the disk held is in the store."""
+        self.changed(list(self._charter.items.values()))
+
+    def _take(self, item: Item) -> None:
+        if item.value is None:
+            return
+        try:
+            key_map = read_map(item.version, item.value)
+        except (KeyError, TypeError, ValueError) as fault:
+            self._event_log.tell(events.FAULT, where=f"keys of {item.name}", what=str(fault))
+            return
+        now = self._loop.time()
+        self._maps[item.name] = key_map
+        known = self._leaving
+        leaving = {_key(item.name, row): row for row in key_map.rows if row.leaving}
+        self._leaving = {key: at for key, at in known.items() if key[0] != item.name}
+        self._leaving.update({key: known.get(key, now) for key in leaving})
+
+    def reported(self, items: Iterable[Item]) -> None:
+        """Proxies' reports have come, or (without a value) those of proxies that are gone."""
+        now = self._loop.time()
+        for item in items:
+            try:
+                report = read_report(item.value) if item.value is not None else None
+            except (KeyError, TypeError, ValueError):
+                report = None  # of a newer program
+            if report is None:
+                self._reports.pop(item.name, None)
+                self._heard.pop(item.name, None)
+                continue
+            self._reports[item.name], self._heard[item.name] = report, now
+            for service, counts in report.counts.items():
+                if service in self._divided:
+                    self._loads.setdefault(service, KeyLoad()).add(now, counts.items())
+
+    # Which map holds
+
+    def frame(self, channel: Channel, head: Head) -> bool:
+        """Whether it was a proxy's question. Raises KeyError, TypeError or ValueError."""
+        if head["t"] != "keys":
+            return False
+        if len(self._questions) < QUESTIONS_MOST:
+            self._questions.append((channel, int(head["n"])))
+        if self._answering is None:
+            self._answering = self._loop.create_task(self._answer())
+        return True
+
+    async def _answer(self) -> None:
+        """By a read that begins after the questions came; what comes meanwhile waits for the next."""
+        try:
+            while self._questions:
+                await asyncio.sleep(GATHER_S)
+                asked, self._questions = self._questions, []
+                if not await self._voting.read_kind(OWNERSHIP, READ_S):
+                    continue  # who asked asks again, elsewhere
+                versions = {service: key_map.version for service, key_map in self._maps.items()}
+                for channel, number in asked:
+                    if channel.link.up:
+                        channel.link.send({"t": "keys_at", "n": number, "v": versions})
+        finally:
+            self._answering = None
+
+    # The next map
+
+    def tick(self, now: float) -> None:
+        """Called several times a second."""
+        if now - self._ticked_at > STOOD_S:
+            self._awake_since = now
+        self._ticked_at = now
+        if not self._divided or now < self._look_at:
+            return
+        self._look_at = now + LOOK_S
+        if not self._acts() or not self._proposes(now):
+            return
+        for service in sorted(self._divided):
+            if service not in self._proposing:
+                self._look(now, service)
+
+    def _proposes(self, now: float) -> bool:
+        names = {name for name, told in self._membership.nodes.items() if told.get("role") == CONTROLLER}
+        return first(DUTY_NAME, names | {self._node}, self._live(now, 0.0)) == self._node
+
+    def _look(self, now: float, service: str) -> None:
+        candidates = self._candidates(now, service)
+        key_map = self._maps.get(service)
+        if key_map is None:
+            if not candidates:
+                return
+            seen = self._divided[service] = self._divided[service] or now
+            if now - seen < FIRST_AFTER_S:
+                return
+            key_map = first_map()
+        load = self._loads.setdefault(service, KeyLoad())
+        balanced = load.known() and now - self._balanced_at.get(service, -1e9) >= BALANCE_S
+        found = next_map(
+            key_map,
+            candidates,
+            load.sums(),
+            self._words(),
+            lambda row: self._waited(now, service, row),
+            balanced,
+        )
+        if balanced:
+            self._balanced_at[service] = now
+        if found is not None:
+            self._propose(service, key_map.version + 1, write_map(*found))
+
+    def _candidates(self, now: float, service: str) -> Mapping[str, Candidate]:
+        silent = {report.silent for report in self._reports.values() if report.silent}
+        known = {instance: told for instance, told in self._membership.of(service) if told is not None}
+        heard = {name for name, told in known.items() if self._hears(now, str(told.get("node", "")))}
+        hears = len(heard) >= HEARD_SHARE * len(known)
+        # After a start the roll comes bit by bit: who is not in it yet is not gone for that.
+        key_map = self._maps.get(service)
+        just_awake = now - self._awake_since < UNHEARD_S
+        holders = {row.holder for row in key_map.rows if row.holder} if key_map and just_awake else set()
+        unknown = {name: Candidate(1.0, stays=True) for name in holders - known.keys()}
+        return unknown | {
+            name: Candidate(
+                capacity=max(float(told.get("capacity", 1)), 1.0),
+                stays=told.get("state") == SETTLED and name not in silent and (name in heard or not hears),
+            )
+            for name, told in known.items()
+        }
+
+    def _hears(self, now: float, node: str) -> bool:
+        """Whether that proxy has reported lately, or could not have been heard."""
+        return now - max(self._heard.get(node, 0.0), self._awake_since) < UNHEARD_S
+
+    def _words(self) -> list[Word]:
+        return [word for report in self._reports.values() for word in report.words]
+
+    def _waited(self, now: float, service: str, row: Row) -> bool:
+        since = self._leaving.get(_key(service, row))
+        return since is not None and now - since > self._terms.wait_s
+
+    def _propose(self, service: str, version: int, value: dict[str, Any]) -> None:
+        self._proposing.add(service)
+        task = self._loop.create_task(self._decide(service, version, value))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _decide(self, service: str, version: int, value: dict[str, Any]) -> None:
+        try:
+            outcome = await self._voting.decide({(OWNERSHIP, service, version): value}, DECIDE_S)
+            if isinstance(outcome, Decided):
+                self._event_log.tell(
+                    events.KEYS_ASSIGNED, service=service, version=version, rows=len(value["rows"])
+                )
+        finally:
+            self._proposing.discard(service)
+
+    def told(self) -> dict[str, Any]:
+        """For operators: of each divided service its rows, those in motion and without a holder."""
+        now = self._loop.time()
+        return {
+            service: {
+                "version": key_map.version,
+                "rows": len(key_map.rows),
+                "vacant": sum(row.keys for row in key_map.rows if row.vacant),
+                "leaving": {
+                    f"{row.first}-{row.last}": [row.holder, row.next, round(now - since, 1)]
+                    for row in key_map.rows
+                    if (since := self._leaving.get(_key(service, row))) is not None
+                },
+            }
+            for service, key_map in sorted(self._maps.items())
+        }
+
+
+def _key(service: str, row: Row) -> RowKey:
+    return service, row.holder, row.first, row.last, row.fence
--- a/mesh/control_plane/program.py
+++ b/mesh/control_plane/program.py
@@ -17,6 +17,7 @@
 from mesh.control_plane.fencing import Fencing
 from mesh.control_plane.introspection import Shown, answers_of
 from mesh.control_plane.joining import Joining
+from mesh.control_plane.key_assignment import KeyAssignment
 from mesh.control_plane.leases import Duties
 from mesh.control_plane.member_changes import Minding
 from mesh.control_plane.member_set import Council, address_of
@@ -32,6 +33,7 @@
 from mesh.event_log.log import EventLog
 from mesh.membership.failure_detection import above, dropped, spans
 from mesh.membership.tombstones import ASKS_ANEW_S, Tombs
+from mesh.ownership.key_report import KEY_REPORT
 from mesh.replication.acceptor import Acceptor
 from mesh.replication.items import Item, Key
 from mesh.replication.membership_epochs import MEMBERS, VIEW, View, write_view
@@ -62,7 +64,7 @@
         self.peer_address = (settings.ip, settings.port_range[0])
         life = f"{settings.node}.{os.urandom(4).hex()}"
         self.charter, self.roll = Store(life, MOST_CHARTER, decided=True), Store(life, MOST_ROLL)
-        self.reports = Store(life, MOST_ROLL)  # one a sidecar, which the roll has an item of as well
+        self.reports = Store(life, 2 * MOST_ROLL)  # two a sidecar, which the roll has an item of as well
         self.membership = Membership()
         self.tombs = Tombs()
         self.ledger = self._open_disk()
@@ -148,6 +150,18 @@
             event_log,
             lambda items: self._changed(ROLL, items),
         )
+        self.key_assignment = KeyAssignment(
+            settings.node,
+            bounds.hold_max_ms,
+            self.charter,
+            self.membership,
+            self.council,
+            self.voting,
+            self.probing.acts,
+            self.duties.live,
+            event_log,
+        )
+        self.key_assignment.restored()
         self.repairing = Repairing(
             seed,
             {CHARTER: self.charter, ROLL: self.roll},
@@ -307,6 +321,7 @@
         self.voting.tick(now)
         self.duties.tick(now)
         self.minding.tick(now)
+        self.key_assignment.tick(now)
         self.repairing.tick(now)
         self.forgetting.tick(now)
         self.catching_up.tick(now)
@@ -356,8 +371,10 @@
             if any(item.kind == VIEW for item in items):
                 self.probing.viewed()
             self.rollouts.changed(items)
+            self.key_assignment.changed(items)
         elif name == REPORTS:
-            self.rollouts.reported(items)
+            self.rollouts.reported([item for item in items if item.kind == REPORT])
+            self.key_assignment.reported([item for item in items if item.kind == KEY_REPORT])
             self.tombs.note(self.loop.time(), [item for item in items if item.value is None])
         else:
             self.membership.take(items)
@@ -371,16 +388,16 @@
 
     def _unreport(self, nodes: list[str]) -> None:
         """Sidecars that the membership has no more say nothing more."""
-        for node in nodes:
-            known = self.reports.items.get((REPORT, node))
+        for key in [(kind, node) for node in nodes for kind in (REPORT, KEY_REPORT)]:
+            known = self.reports.items.get(key)
             if known is not None and known.value is not None:
-                gone = self.reports.take(REPORT, node, known.version + 1, None)
+                gone = self.reports.take(*key, known.version + 1, None)
                 if isinstance(gone, Item):
                     self._changed(REPORTS, [gone])
 
     def _frame(self, channel: Channel, head: Head) -> None:
         """Raises KeyError, TypeError or ValueError for what cannot be read."""
-        known = (self.probing.frame, self.duties.frame, self.repairing.frame)
+        known = (self.key_assignment.frame, self.probing.frame, self.duties.frame, self.repairing.frame)
         if any(takes(channel, head) for takes in known) or channel.extra.get("role") != CONTROLLER:
             return
         if head["t"] == "complete":
--- a/mesh/control_plane/proposals.py
+++ b/mesh/control_plane/proposals.py
@@ -267,6 +267,20 @@
             return False
         return await self._settle(opened | self._acceptor.votes.keys(), until)
 
+    async def read_kind(self, kind: str, within_s: float) -> bool:
+        """As `read`, for the items of one kind; open votes on them are left to those who brought them, so
+        that no order under way is cut short by a read. False as well where these take too long."""
+        until = self._loop.time() + within_s
+        opened = await self._reads.hear(until, kind)
+        if opened is None:
+            return False
+        numbers = opened | {number for number in self._acceptor.votes if number[0] == kind}
+        while self._unsettled(numbers):
+            if self._loop.time() >= until:
+                return False
+            await asyncio.sleep(GRACE_S)
+        return True
+
     def _unsettled(self, numbers: Collection[Number]) -> list[Number]:
         known = (Settled, Forgotten)
         return [number for number in numbers if not isinstance(self._acceptor.state(number), known)]
--- a/mesh/control_plane/quorum_reads.py
+++ b/mesh/control_plane/quorum_reads.py
@@ -28,6 +28,7 @@
 
     view: View
     done: asyncio.Future[bool]
+    of: str = ""  # the kind of the votes that are asked for; "": all
     heard: set[str] = field(default_factory=set)
     asked: dict[str, Channel] = field(default_factory=dict)
     open: set[Number] = field(default_factory=set)
@@ -48,9 +49,9 @@
         """How many reads wait for answers."""
         return len(self._under_way)
 
-    async def hear(self, until: float) -> set[Number] | None:
+    async def hear(self, until: float, of: str = "") -> set[Number] | None:
         """The numbers of the votes that are open at a quorum, once the store here has all that it holds; None
-        where not enough answer in time."""
+        where not enough answer in time. ``of``: only votes on items of that kind."""
         if len(self._under_way) >= MOST_READS:
             return None
         self._count += 1
@@ -58,7 +59,7 @@
         try:
             async with asyncio.timeout_at(until):
                 while True:
-                    read = self._begin(number)
+                    read = self._begin(number, of)
                     if await read.done:
                         return read.open
         except TimeoutError:
@@ -66,8 +67,8 @@
         finally:
             self._under_way.pop(number, None)
 
-    def _begin(self, number: int) -> _Read:
-        read = self._under_way[number] = _Read(self._council.view(), self._loop.create_future())
+    def _begin(self, number: int, of: str) -> _Read:
+        read = self._under_way[number] = _Read(self._council.view(), self._loop.create_future(), of)
         for address, channel in self._council.peers().items():
             self._ask(number, read, address, channel)
         self._acceptance.spawn(self._own(read))
@@ -75,7 +76,8 @@
 
     def _ask(self, number: int, read: _Read, address: str, channel: Channel) -> None:
         read.asked[address] = channel
-        channel.link.send({"t": "read", "n": number, "e": read.view.epoch, "v": self._charter.vector})
+        told = {"t": "read", "n": number, "e": read.view.epoch, "v": self._charter.vector}
+        channel.link.send({**told, "of": read.of} if read.of else told)
 
     async def _own(self, read: _Read) -> None:
         if await self._acceptance.stands(read.view.epoch) is None:
@@ -113,6 +115,7 @@
         """Under this process's own epoch, which is on disk by then."""
         epoch = self._council.view().epoch
         whole = await self._acceptance.stands(epoch) is None
+        of = str(head.get("of", ""))
         lack = self._charter.lacking(head["v"], MOST_ITEMS)
         channel.link.send(
             {
@@ -121,7 +124,7 @@
                 "e": epoch,
                 "items": [pack(item) for item in lack.items],
                 "v": lack.vector,
-                "open": list(self._acceptance.acceptor.votes),
+                "open": [number for number in self._acceptance.acceptor.votes if not of or number[0] == of],
                 "whole": whole,
                 "complete": whole and not lack.more,
             }
--- a/mesh/data_plane/call_state.py
+++ b/mesh/data_plane/call_state.py
@@ -352,6 +352,7 @@
     over: bool = False
     anyway: bool = False  # its version was said to be old: the newest known here is what it goes by
     repeat: bool = False  # made by a run that was itself a repeat, as far as can be known
+    key: int | None = None  # of a divided service, the key that it is on
 
     def may_have_run(self) -> bool:
         """One whose body has not left whole has not run, and never does once it is dropped."""
--- a/mesh/data_plane/introspection.py
+++ b/mesh/data_plane/introspection.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
+from hareloom import Balancer
 from hareloom.records import Server
 from mesh.configuration.commands import ROUTE
 from mesh.configuration.routes import Route
@@ -94,7 +95,8 @@
 
 
 def _standings(proxy: Proxy, table: Table | None, known: dict[str, Any]) -> list[Told]:
-    servers = table.balancer.servers if table is not None else {}
+    balancer = table.balancer if table is not None else None
+    servers = balancer.servers if isinstance(balancer, Balancer) else {}
     told = []
     for instance in sorted({*known, *list(servers)[:MOST_SHOWN]}):
         value, server = known.get(instance) or {}, servers.get(instance)
@@ -105,7 +107,8 @@
             "state": value.get("state", "gone"),
         }
         if table is not None and server is not None:
-            one |= _standing(proxy, table, server)
+            assert isinstance(balancer, Balancer)
+            one |= _standing(proxy, balancer, server)
             if value and not proxy.passage.reaches(str(value.get("node"))):
                 one["why"] = "its node cannot be reached from here"
         else:
@@ -114,14 +117,14 @@
     return told
 
 
-def _standing(proxy: Proxy, table: Table, server: Server) -> Told:
+def _standing(proxy: Proxy, balancer: Balancer, server: Server) -> Told:
     return {
         "w": None if server.w is None else round(server.w, 3),
         "deficit": round(server.deficit, 3),
         "active": server.active,
         "held": server.held,
         "samples": server.samples,
-        "why": why(proxy.tables.now(), server, server in table.balancer.working.set),
+        "why": why(proxy.tables.now(), server, server in balancer.working.set),
     }
 
 
--- /dev/null
+++ b/mesh/data_plane/key_holds.py
@@ -0,0 +1,157 @@
+"""A proxy's part in keys: it asks control processes which map holds, answers its upstream's beats by it, and
+tells what was let go and how much traffic there is. The decisions are `mesh.ownership`'s.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from mesh.configuration.commands import PLANT
+from mesh.data_plane.key_maps import KeyMaps
+from mesh.dissemination.peers import Channels
+from mesh.membership.instance_commands import DECAYING, Beat
+from mesh.ownership.key_map import OWNERSHIP, KeyMap
+from mesh.ownership.key_report import KEY_REPORT, write_report
+from mesh.ownership.lease_terms import terms_of
+from mesh.ownership.server_holds import BeatKeys, ServerHolds
+from mesh.replication.items import Item
+from mesh.replication.store import Store
+from mesh.transport.frames import Head
+
+ASK_S = 0.8  # between two questions for the map that holds
+ASK_AGAIN_S = 0.35  # an unanswered one goes to all control processes that are linked
+REPORT_S = 1.5  # between two reports
+LOOK_S = 0.02  # between two looks for another map, while a beat waits for it
+DRAIN_WAIT_S = 0.3  # a first beat that drains waits so long for a map without its keys
+COMING_WAIT_S = 0.7  # a beat waits so long for keys that are to come; it must be answered within a second
+
+
+class KeyHolds:
+    """Of one proxy."""
+
+    def __init__(
+        self,
+        node: str,
+        service: str,
+        hold_max_ms: float,
+        beat_ms: float,
+        maps: KeyMaps,
+        reports: Store,
+        version: int,
+        channels: Callable[[], Channels],
+    ) -> None:
+        """``service``: of the upstream beside it; ``version``: above those of its earlier lives' reports."""
+        self._loop = asyncio.get_running_loop()
+        self._node, self._service, self._beat_s = node, service, beat_ms / 1000.0
+        self._maps, self._reports, self._version, self._channels = maps, reports, version, channels
+        self.holds = ServerHolds(terms_of(hold_max_ms), self._loop.time())
+        self._questions: dict[int, float] = {}  # when each was sent, the newest last
+        self._number = 0
+        self._ask_at = self._again_at = 0.0
+        self._report_at = 0.0
+        self._told: dict[str, Any] | None = None
+        self._counts: dict[str, Counter[int]] = {}
+
+    @property
+    def _map(self) -> KeyMap | None:
+        return self._maps.by_service.get(self._service)
+
+    # The configuration
+
+    def take(self, item: Item) -> None:
+        """An item of the configuration has come."""
+        if item.kind == PLANT:
+            self._maps.plant(item.name, item.value)
+        elif item.kind == OWNERSHIP:
+            self._maps.take(item)
+            if item.name == self._service:
+                self.holds.changed(self._map)
+                self._report_at = 0.0
+
+    # Which map holds
+
+    def tick(self, now: float) -> None:
+        """Called several times a second."""
+        if self._maps.divided(self._service):
+            if now >= self._ask_at:
+                self._ask(now, first_only=True)
+            elif self._questions and now >= self._again_at:
+                self._ask(now, first_only=False)
+        if now >= self._report_at and (self._maps.divided(self._service) or self._maps.by_service):
+            self._report(now)
+
+    def _ask(self, now: float, first_only: bool) -> None:
+        self._number += 1
+        self._questions[self._number] = now
+        while len(self._questions) > 16:
+            del self._questions[next(iter(self._questions))]
+        self._ask_at, self._again_at = now + ASK_S, now + ASK_AGAIN_S
+        linked = [one for one in self._channels().open if one.opened_here and one.link.up and one.told]
+        linked.sort(key=lambda one: (not one.whole, one.rank, one.name))
+        for channel in linked[:1] if first_only else linked:
+            channel.link.send({"t": "keys", "n": self._number})
+
+    def frame(self, head: Head) -> bool:
+        """Whether it was an answer. Raises KeyError, TypeError or ValueError for what cannot be read."""
+        if head["t"] != "keys_at":
+            return False
+        number = int(head["n"])
+        asked_at = self._questions.pop(number, None)
+        if asked_at is not None and self._service in head["v"]:
+            for older in [older for older in self._questions if older < number]:
+                del self._questions[older]
+            self.holds.current(asked_at, int(head["v"][self._service]), self._map)
+        return True
+
+    # Beats
+
+    async def answer(self, beat: Beat) -> dict[str, Any]:
+        """The answer's fields. May wait a moment for a map that is on its way."""
+        if not self._maps.divided(beat.plant) or beat.plant != self._service:
+            return {}
+        if beat.state == DECAYING:
+            await self._wait(DRAIN_WAIT_S, lambda: self._all_leave(beat.instance))
+        else:
+            await self._wait(COMING_WAIT_S, lambda: not self._coming(beat.instance))
+        told = BeatKeys(beat.instance, beat.sample_count, beat.holds, beat.released)
+        grant = self.holds.beat(self._loop.time(), told, self._map)
+        if beat.released or beat.holds:
+            self._report_soon()
+        return grant.told() if grant is not None else {}
+
+    async def _wait(self, most_s: float, done: Callable[[], bool]) -> None:
+        until = self._loop.time() + most_s
+        while not done() and self._loop.time() < until:
+            await asyncio.sleep(LOOK_S)
+
+    def _all_leave(self, instance: str) -> bool:
+        key_map = self._map
+        return key_map is None or all(row.leaving for row in key_map.of(instance))
+
+    def _coming(self, instance: str) -> bool:
+        key_map = self._map
+        return key_map is not None and key_map.coming_to(instance)
+
+    # The word to the control processes
+
+    def _report_soon(self) -> None:
+        words = self.holds.words(self._loop.time(), self._map)
+        if words and (self._told is None or len(words) != len(self._told.get("w", []))):
+            self._report(self._loop.time())
+
+    def _report(self, now: float) -> None:
+        self._report_at = now + REPORT_S
+        words = self.holds.words(now, self._map)
+        told = write_report(words, self.holds.silent(now, self._beat_s), self._maps.counted())
+        self._told = told
+        self._version += 1
+        self._reports.take(KEY_REPORT, self._node, self._version, told)
+        self._channels().poke()
+
+    def again(self) -> None:
+        """The others gave this proxy up and dropped its report by its next version: this is above."""
+        self._version += 1
+        self._report_at = 0.0
--- /dev/null
+++ b/mesh/data_plane/key_maps.py
@@ -0,0 +1,59 @@
+"""The maps of divided services as they are here, and what the first hop counts by key. No I/O."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+from mesh.ownership.key_map import BUCKET, KeyMap, read_map
+from mesh.replication.items import Item
+
+COUNTED_MOST = 4096  # requests between two reports that are counted
+
+
+class KeyMaps:
+    """Of all services of this proxy."""
+
+    def __init__(self) -> None:
+        """None yet."""
+        self._divided: set[str] = set()
+        self.by_service: dict[str, KeyMap] = {}
+        self._counts: dict[str, Counter[int]] = {}
+
+    def plant(self, name: str, value: Mapping[str, Any] | None) -> None:
+        """A service's item has come."""
+        if value is not None and value.get("sharded") is True:
+            self._divided.add(name)
+        else:
+            self._divided.discard(name)
+
+    def take(self, item: Item) -> None:
+        """A map has come; one that cannot be read is of a later program and changes nothing."""
+        if item.value is None:
+            self.by_service.pop(item.name, None)
+            return
+        try:
+            self.by_service[item.name] = read_map(item.version, item.value)
+        except (KeyError, TypeError, ValueError):
+            return
+
+    def divided(self, service: str) -> bool:
+        """Whether that service is divided by key."""
+        return service in self._divided
+
+    def holder(self, service: str, key: int) -> str:
+        """The upstream that holds the key, as far as is known here; "" where nobody does."""
+        key_map = self.by_service.get(service)
+        return key_map.row_of(key).holder if key_map is not None else ""
+
+    def count(self, service: str, key: int) -> None:
+        """A client's request on that key."""
+        counts = self._counts.setdefault(service, Counter())
+        if counts.total() < COUNTED_MOST:
+            counts[key // BUCKET] += 1
+
+    def counted(self) -> dict[str, Counter[int]]:
+        """The requests since the last call, by service and bucket."""
+        counts, self._counts = self._counts, {}
+        return counts
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -14,15 +14,16 @@
 from mesh.configuration.commands import INPUT_LIMITS, PLANT, ROUTE
 from mesh.configuration.limits import read_limits
 from mesh.configuration.routes import Route, Routes
-from mesh.data_plane.call_messages import End, Life
+from mesh.data_plane.call_messages import Call, End, Life
 from mesh.data_plane.client_connection import ClientListener
 from mesh.data_plane.control_contact import ControlContact
 from mesh.data_plane.incoming_calls import Incoming
 from mesh.data_plane.introspection import answers_of
+from mesh.data_plane.key_holds import KeyHolds
 from mesh.data_plane.membership import NODE, PROXY, ROLE_NAMES, Membership
 from mesh.data_plane.peer_calls import MOST_TOLD
 from mesh.data_plane.peer_links import Passage
-from mesh.data_plane.request_dispatch import RequestDispatcher
+from mesh.data_plane.request_dispatch import KEY, RequestDispatcher
 from mesh.data_plane.service_balancers import Tables
 from mesh.data_plane.shutdown import Shutdown, rest_s
 from mesh.data_plane.staged_routes import Stages
@@ -38,6 +39,7 @@
 from mesh.membership.instance_lifecycle import Upstream
 from mesh.membership.rendezvous import few
 from mesh.membership.tombstones import ASKS_ANEW_S, Tombs
+from mesh.ownership.key_map import OWNERSHIP, read_key
 from mesh.replication.items import Item
 from mesh.replication.store import Full, Store
 from mesh.rollout.report import REPORTS
@@ -70,7 +72,7 @@
         self.peer_address = (settings.ip, settings.port_range[0])
         self.life = f"{settings.node}.{os.urandom(4).hex()}"
         self.charter, self.roll = Store(self.life, MOST_CHARTER, decided=True), Store(self.life, MOST_ROLL)
-        self.reports = Store(self.life, 1)  # what this sidecar says of itself; nobody else's comes here
+        self.reports = Store(self.life, 2)  # what this sidecar says of itself; nobody else's comes here
         self.membership, self.routes, self.tombs = Membership(), Routes(), Tombs()
         self._dropped = Tombs()  # of the charter
         bounds = settings.bounds
@@ -104,6 +106,7 @@
             int(time.time() * 1000),
             event_log,
         )
+        self.key_holds = self._make_key_holds()
         self.tables.watch, self.tables.renew = self.stages.ended, self._renew
         self.upstream_dispatch.newer = self.stages.newer
         self.request_dispatcher = RequestDispatcher(
@@ -114,8 +117,7 @@
             self.configured,
             lambda service: self.tables.by_service[service].tell(self.membership.of(service), whole=True),
         )
-        self.upstream_dispatch.share(self.request_dispatcher.buffers)
-        self.request_dispatcher.repeats = self.upstream_dispatch.repeats
+        self._join_hops()
         self.registry = Registry(
             self.upstream,
             self.roll,
@@ -123,6 +125,7 @@
             event_log,
             self.tables.now,
             lambda items: self._changed("roll", items),
+            self.key_holds.answer,
         )
         most = max((settings.limits.file_handles - SPARE_FILES) // 2, 16)
         self.client_listener = ClientListener(self.request_dispatcher, most)
@@ -136,7 +139,7 @@
             settings.tolerance.machines + ASKED_BEYOND,
             event_log,
             self._changed,
-            extra=lambda channel, head, _: self.stages.told(head, channel.whole),
+            extra=lambda channel, head, _: self._told(channel, head),
             up=(REPORTS,),
             ranks=True,
         )
@@ -150,6 +153,25 @@
         self._doubted_at: float | None = None  # what is held of the charter is to be told anew since then
         self._node_version = int(time.time() * 1000)
 
+    def _join_hops(self) -> None:
+        """What the clients' side and the upstream's have together: memory, and which runs are repeats."""
+        self.upstream_dispatch.share(self.request_dispatcher.buffers)
+        self.request_dispatcher.repeats = self.upstream_dispatch.repeats
+
+    def _make_key_holds(self) -> KeyHolds:
+        settings = self.settings
+        self.upstream_dispatch.holds = self._holds
+        return KeyHolds(
+            settings.node,
+            settings.plant,
+            settings.bounds.hold_max_ms,
+            settings.beat_period_ms,
+            self.tables.keys,
+            self.reports,
+            int(time.time() * 1000),
+            lambda: self.channels,
+        )
+
     # Start and end
 
     async def start(self) -> None:
@@ -193,6 +215,7 @@
         self._say_node()
         self.registry.republish()
         self.stages.again()
+        self.key_holds.again()
 
     def _tick(self) -> None:
         self.loop.call_later(TICK_S, self._tick)  # first: signs of life go on whatever is raised below
@@ -200,6 +223,7 @@
         self.channels.tick(now)
         self.control_contact.tick(now)
         self.stages.tick(now)
+        self.key_holds.tick(now)
         self.passage.tick(now)
         self.tap.sweep()
         self.sessions.sweep(now)
@@ -282,6 +306,20 @@
             self.tables.people(self.membership.proxies(), self.membership.zones())
         self.channels.poke()
 
+    def _told(self, channel: Channel, head: Any) -> None:
+        """A frame of a control process beside news. Raises KeyError, TypeError or ValueError."""
+        if not self.key_holds.frame(head):
+            self.stages.told(head, channel.whole)
+
+    def _holds(self, call: Call) -> bool:
+        """Whether the upstream here may run it, where its service is divided by key."""
+        key_map = self.tables.keys.by_service.get(self.settings.plant)
+        if key_map is None or not self.tables.keys.divided(self.settings.plant):
+            return True
+        told = next((value for name, value in call.headers if name == KEY), None)
+        key = read_key(told.decode("latin-1")) if told is not None else None
+        return key is None or self.key_holds.holds.may_hold(key_map, key)
+
     def _reached(self, node: str, up: bool) -> None:
         """What cannot be reached from here takes no calls from here, whatever others say of it."""
         self.event_log.tell(events.REACHED if up else events.UNREACHED, peer=node)
@@ -292,6 +330,11 @@
                 table.tell([(instance, value)])
 
     def _configure(self, item: Item) -> None:
+        if item.kind in (PLANT, OWNERSHIP):
+            self.key_holds.take(item)
+            table = self.tables.by_service.get(item.name)
+            if item.kind == PLANT and table is not None:
+                table.divide()
         if item.kind == ROUTE:
             self.stages.route(item)
         elif item.kind == INPUT_LIMITS:
--- a/mesh/data_plane/request_dispatch.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -17,6 +17,7 @@
 from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served
 from mesh.data_plane.service_balancers import Tables
 from mesh.data_plane.upstream_dispatch import OURS
+from mesh.ownership.key_map import read_key
 
 UNREADY_S = 0.3  # after which a client may come back while no configuration is here
 OTHERS_S = 0.2  # and where nothing better is known
@@ -24,7 +25,8 @@
 WHOLE = re.compile(rb"[0-9]{1,9}")
 Reply = Callable[[int, http.Headers, Octets], None]
 
-ONCE = frozenset({b"host", b"attempt-id", b"time-remaining"})
+KEY = b"shard-key"
+ONCE = frozenset({b"host", b"attempt-id", b"time-remaining", KEY})
 
 
 def fields_of(message: http.Message) -> dict[bytes, bytes] | None:
@@ -120,6 +122,9 @@
         left = message.get(b"time-remaining")
         waits = min(float(left), route.horizon_ms) if left is not None else route.horizon_ms
         service = pick(route, self.tables.draw())
+        key = read_key(message.get(KEY)) if self.tables.keys.divided(service) else None
+        if key is not None:
+            self.tables.keys.count(service, key)
         ask = Ask(
             id=number,
             route=route,
@@ -133,6 +138,7 @@
             answer=lambda final: self._answer(reply, ask, final),
             anyway=anyway,
             repeat=left is not None and self.repeats.made(taken + float(left)),
+            key=key,
         )
         self._asks[ask.id] = ask
         table, new = self.tables.of(service, route)
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -18,6 +18,8 @@
 from mesh.configuration.routes import Route
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
 from mesh.data_plane.call_state import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
+from mesh.data_plane.key_maps import KeyMaps
+from mesh.data_plane.keyed_balancer import KeyedBalancer
 from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.route_classes import RouteClasses, worth_of
 from mesh.data_plane.traces import FirstHop, words
@@ -50,7 +52,7 @@
         self._denied_told, self._denied_told_at = 0, -math.inf  # refused retries in the log; when, ms
         self.classes = RouteClasses()
         self.classes.take(first)
-        self.balancer = Balancer(self._settings(), tables.seed(service))
+        self.balancer = self._balancer()
         self.asks: dict[str, Ask] = {}
         self._events: deque[api.Event] = deque()
         self._handling = False
@@ -86,6 +88,33 @@
     def retune(self) -> None:
         self.handle(api.Retune(self._settings()))
 
+    # A divided service
+
+    @property
+    def divided(self) -> bool:
+        """Whether its requests go by their keys."""
+        return isinstance(self.balancer, KeyedBalancer)
+
+    def _balancer(self) -> Balancer | KeyedBalancer:
+        seed = self.tables.seed(self.service)
+        if self.tables.keys.divided(self.service):
+            return KeyedBalancer(self._settings(), self._holder)
+        return Balancer(self._settings(), seed)
+
+    def _holder(self, request: str) -> str:
+        """The upstream that holds a request's key; "" where nobody is known to."""
+        ask = self.asks.get(request)
+        return (
+            self.tables.keys.holder(self.service, ask.key) if ask is not None and ask.key is not None else ""
+        )
+
+    def divide(self) -> None:
+        """The service's item has come: its requests go by their keys from now on, or do no more. Requests
+        that are open end by what is out, or at their deadlines."""
+        if self.divided is not self.tables.keys.divided(self.service):
+            self.balancer = self._balancer()
+            self.handle(api.ServerList(ListKind.FULL, 0, tuple(self._entries.values())))
+
     # Membership
 
     def tell(self, entries: list[tuple[str, Mapping[str, Any] | None]], whole: bool = False) -> None:
@@ -341,6 +370,7 @@
         self._random = random.Random(seed)
         self.sidecars, self.many_zones = 3, False
         self.by_service: dict[str, Table] = {}
+        self.keys = KeyMaps()
         self.traces = FirstHop()
         self.watch: Callable[[Ask, int | Refused | Failed], None] = lambda ask, told: None  # each call's end
         self.renew: Callable[[list[Any] | None], None] = lambda item: None  # a second hop knows a newer item
--- a/mesh/data_plane/upstream_dispatch.py
+++ b/mesh/data_plane/upstream_dispatch.py
@@ -11,7 +11,7 @@
 from mesh.admission.buffer_budget import SHORT, BufferBudget, Reservation
 from mesh.admission.call_sessions import Kept
 from mesh.admission.fair_share import Shares
-from mesh.admission.final_check import Turned, Why, judge, places
+from mesh.admission.final_check import Passed, Turned, Why, judge, places
 from mesh.admission.repeat_runs import RepeatRuns
 from mesh.admission.wait_queue import Line, Lowest
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
@@ -78,6 +78,7 @@
         self.newer: Callable[[Call], list[Any] | None] = (
             lambda call: None
         )  # what its route should be, if not so
+        self.holds: Callable[[Call], bool] = lambda call: True  # whether its upstream holds the call's key
 
     def share(self, buffers: BufferBudget) -> None:
         """The memory for bodies, answers and frames, which the clients' side uses as well."""
@@ -96,6 +97,8 @@
             ended(end)
             return None
         verdict = judge(now, self.upstream, call.instance, call.left_ms)
+        if isinstance(verdict, Passed) and not self.holds(call):
+            verdict = Turned(Why.OTHER)
         if isinstance(verdict, Turned):
             self.traces.ended(now, call, now, 0.0, TurnedAway(verdict.why))
             ended(TurnedAway(verdict.why))
--- a/mesh/data_plane/upstream_registration.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -3,7 +3,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 from msgspec import Struct
@@ -57,14 +58,18 @@
         event_log: EventLog,
         now: Callable[[], float],
         changed: Callable[[list[Item]], None],
+        keys: Callable[[Beat], Awaitable[dict[str, Any]]] | None = None,
     ) -> None:
-        """``now`` gives milliseconds; ``changed`` is told of items written here."""
+        """``now`` gives milliseconds; ``changed`` is told of items written here; ``keys`` gives the fields of
+        a beat's answer that say which keys its upstream is to hold."""
         self._upstream, self._roll, self._membership = upstream, roll, membership
         self._event_log, self._now, self._changed = event_log, now, changed
         self._began = now()
+        self._keys = keys if keys is not None else _no_keys
 
     async def handle(self, message: http.Message) -> Answer:
-        """The answer to a call of the upstream: at once, whatever the others know of it."""
+        """The answer to a call of the upstream: whatever the others know of it, and at once but where keys of
+        a divided service are on their way."""
         command = decode(message)
         if isinstance(command, Unknown):
             return Answer(command.status)
@@ -94,7 +99,7 @@
                 instance=command.instance,
             )
         self.publish(self._upstream.take(self._now(), command))
-        return Answer(200, b"{}")
+        return Answer(200, msgspec.json.encode(await self._keys(command)))
 
     def publish(self, told: list[Publish]) -> None:
         """Makes what the others are to be told items of the roll."""
@@ -128,3 +133,7 @@
         """Says what holds once more, above what the roll has."""
         item = self._roll.items.get((INSTANCE, self._upstream.instance))
         self.publish(self._upstream.republish(item.version if item is not None else 0))
+
+
+async def _no_keys(_: Beat) -> dict[str, Any]:
+    return {}
--- a/mesh/event_log/events.py
+++ b/mesh/event_log/events.py
@@ -91,6 +91,7 @@
 CHANGE_RIVALLED = _event(
     313, Level.WARNING, "change refused, another has its number", "kind", "name", "version"
 )
+KEYS_ASSIGNED = _event(315, Level.INFO, "keys assigned", "service", "version", "rows")
 VOTES_TAKEN_UP = _event(314, Level.INFO, "open votes brought to their decision", "items")
 
 DISK_OPENED = _event(401, Level.INFO, "store opened", "items", "whole")
--- a/mesh/membership/instance_commands.py
+++ b/mesh/membership/instance_commands.py
@@ -7,10 +7,12 @@
 import msgspec
 from msgspec import Struct
 
+from mesh.ownership.server_holds import HeldRow, ReleasedRow
 from mesh.transport.link import Address
 
 NAME = 128  # characters of an instance's id at the most
 SETTLED, DECAYING = "settled", "decaying"
+ROWS_MOST = 1024  # of keys in one beat
 
 
 class Beat(Struct, frozen=True):
@@ -23,6 +25,8 @@
     state: str
     warmup_left_ms: float
     sample_count: int
+    holds: tuple[HeldRow, ...] = ()  # keys that it holds or still works on
+    released: tuple[ReleasedRow, ...] = ()  # and those that it let go since its last acknowledged beat
 
 
 class Leave(Struct, frozen=True):
@@ -74,6 +78,13 @@
             return Unreadable(field, "give text of 256 characters at the most")
     if not told.get("plant"):
         return Unreadable("plant", "give the service's name")
+    try:
+        holds = msgspec.convert(told.get("holds") or [], tuple[HeldRow, ...])
+        released = msgspec.convert(told.get("released") or [], tuple[ReleasedRow, ...])
+    except msgspec.ValidationError as fault:
+        return Unreadable("holds, released", f"give rows of keys: {fault}")
+    if len(holds) > ROWS_MOST or len(released) > ROWS_MOST:
+        return Unreadable("holds, released", f"give {ROWS_MOST} rows at the most")
     return Beat(
         instance=instance,
         plant=told["plant"],
@@ -84,4 +95,6 @@
         state=told["state"],
         warmup_left_ms=float(told.get("warmup_left_ms", 0.0)),
         sample_count=int(told["sample_count"]),
+        holds=holds,
+        released=released,
     )
--- /dev/null
+++ b/mesh/ownership/assignment.py
@@ -0,0 +1,255 @@
+"""The next version of a service's map: what was let go is given on, what has no holder is given out, what
+drains leaves, and the busiest give keys to the least busy. No I/O; the caller votes on what comes out.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Collection, Mapping, Sequence
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from mesh.ownership.key_map import BUCKET, KEYS, ROWS_MOST, KeyMap, Row
+
+EVEN = 1.25  # times its share, beyond which the busiest gives keys away
+MOVES_SHARE, MOVES_LEAST = 0.35, 6  # rows in motion for the load's sake, by upstreams
+WORTH_MOVING = 0.08  # of an upstream's share of the load; a smaller piece stays
+ROWS_EACH = 12  # rows by upstreams; beyond that nothing is split
+PIECE_KEYS = 1.5  # times its share of the keys: a vacant row that is longer is given out in pieces
+
+
+class Candidate(Struct, frozen=True):
+    """An upstream of the service. ``stays``: it may be given keys and keeps what it has."""
+
+    capacity: float
+    stays: bool
+
+
+class Word(Struct, frozen=True):
+    """An upstream has let those keys go, which it held under that fence."""
+
+    instance: str
+    first: int
+    last: int
+    fence: int
+    handover: str
+
+    def covers(self, row: Row) -> bool:
+        """Whether the row is free by this."""
+        return (
+            row.leaving
+            and self.instance == row.holder
+            and self.fence == row.fence
+            and self.first <= row.first
+            and row.last <= self.last
+        )
+
+
+class Plan:
+    """One version in the making."""
+
+    def __init__(self, key_map: KeyMap, candidates: Mapping[str, Candidate], sums: Sequence[float]) -> None:
+        """``sums``: shares of the traffic up to each bucket (`KeyLoad.sums`)."""
+        self.rows, self.counter = list(key_map.rows), key_map.counter
+        self._candidates = candidates
+        self._staying = sorted(name for name, one in candidates.items() if one.stays)
+        self._sums = sums
+        capacity = sum(candidates[name].capacity for name in self._staying)
+        self._share = {name: candidates[name].capacity / capacity for name in self._staying}
+        self._loads = dict.fromkeys(self._staying, 0.0)  # of what each has or is to have
+        for row in self.rows:
+            if row.wanted in self._loads:
+                self._loads[row.wanted] += self.load(row)
+
+    def load(self, row: Row) -> float:
+        """Share of the service's traffic."""
+        return self._sums[(row.last + 1) // BUCKET] - self._sums[row.first // BUCKET]
+
+    # What was let go
+
+    def settle(self, words: Collection[Word], waited: Callable[[Row], bool]) -> None:
+        """Rows that their holders have let go, or must have by now, go on to the next."""
+        by_holder: dict[str, list[Word]] = {}
+        for word in words:
+            by_holder.setdefault(word.instance, []).append(word)
+        for at, row in enumerate(self.rows):
+            if not row.leaving:
+                continue
+            found = [word for word in by_holder.get(row.holder, ()) if word.covers(row)]
+            if not found and not waited(row):
+                continue
+            freed = replace(row, holder="", next=None, handover=found[0].handover if found else "")
+            self.rows[at] = self._given(freed, row.next) if row.next in self._share else freed
+
+    def _given(self, row: Row, instance: str | None) -> Row:
+        assert instance is not None
+        self.counter += 1
+        return replace(row, holder=instance, fence=self.counter, next=None)
+
+    # Who cannot keep what it has
+
+    def empty(self) -> None:
+        """Rows of upstreams that drain, are gone or silent leave; so does what was meant for such a one."""
+        for at, row in enumerate(self.rows):
+            if row.vacant:
+                continue
+            if row.next is None and row.holder not in self._share:
+                self.rows[at] = self._leave(row)
+            elif row.leaving and row.next not in self._share:
+                self.rows[at] = self._leave(row)
+
+    def _leave(self, row: Row) -> Row:
+        to = self._least_busy()
+        if to:
+            self._loads[to] += self.load(row)
+        return replace(row, next=to)
+
+    def _least_busy(self) -> str:
+        """By what it has for its capacity; "" where there is none."""
+        return min(self._staying, key=lambda name: (self._loads[name] / self._share[name], name), default="")
+
+    # What nobody has
+
+    def place(self) -> None:
+        """Vacant rows are given out, long or busy ones in pieces."""
+        if not self._staying:
+            return
+        rows: list[Row] = []
+        for row in self.rows:
+            if not row.vacant:
+                rows.append(row)
+                continue
+            for piece in self._pieces(row, ROWS_MOST - len(self.rows) - len(rows)):
+                to = self._least_busy()
+                self._loads[to] += self.load(piece)
+                rows.append(self._given(piece, to))
+        self.rows = rows
+
+    def _pieces(self, row: Row, room: int) -> list[Row]:
+        """Of about the same load, and not over `PIECE_KEYS` of an upstream's share of the keys."""
+        count = len(self._staying)
+        by_load = self.load(row) * count
+        by_keys = row.keys * count / KEYS / PIECE_KEYS if row.keys * count > PIECE_KEYS * KEYS else 1.0
+        wanted = min(math.ceil(max(by_load, by_keys)), max(room, 1), row.keys // BUCKET)
+        pieces, left = [], row
+        for number in range(wanted, 1, -1):
+            cut = self._cut_after(left, self.load(left) / number)
+            if cut is None:
+                break
+            pieces.append(replace(left, last=cut - 1))
+            left = replace(left, first=cut)
+        return [*pieces, left]
+
+    def _cut_after(self, row: Row, load: float) -> int | None:
+        """The first key of the bucket before which the row has about that load; None where it is one."""
+        first, last = row.first // BUCKET, (row.last + 1) // BUCKET
+        if last - first < 2:
+            return None
+        wanted = self._sums[first] + load
+        low, high = first + 1, last - 1
+        while low < high:
+            middle = (low + high) // 2
+            if self._sums[middle] < wanted:
+                low = middle + 1
+            else:
+                high = middle
+        if low - 1 > first and wanted - self._sums[low - 1] < self._sums[low] - wanted:
+            low -= 1
+        return low * BUCKET
+
+    # The load
+
+    def balance(self) -> None:
+        """The busiest gives the piece with the fewest keys that helps to the least busy, again and again, as
+        far as moves may be under way at once."""
+        if len(self._staying) < 2:
+            return
+        moving = sum(row.leaving for row in self.rows)
+        room = max(MOVES_LEAST, int(MOVES_SHARE * len(self._staying))) - moving
+        stuck: set[str] = set()
+        while room > 0:
+            busy = max(
+                (name for name in self._staying if name not in stuck),
+                key=lambda name: (self._loads[name] / self._share[name], name),
+                default="",
+            )
+            if not busy or self._loads[busy] <= EVEN * self._share[busy]:
+                return
+            if self._give_from(busy):
+                room -= 1
+            else:
+                stuck.add(busy)
+
+    def _give_from(self, busy: str) -> bool:
+        idle = self._least_busy()
+        wanted = min(
+            self._loads[busy] - self._share[busy],
+            max(self._share[idle] - self._loads[idle], 0.5 * (self._loads[busy] - self._loads[idle])),
+        )
+        if wanted < WORTH_MOVING * self._share[busy]:
+            return False
+        found: tuple[float, int, Row] | None = None
+        for at, row in enumerate(self.rows):
+            if row.holder != busy or row.leaving:
+                continue
+            for piece in self._edges(row, wanted):
+                load = self.load(piece)
+                if load > 1.2 * wanted or load < WORTH_MOVING * self._share[busy]:
+                    continue
+                if self._loads[idle] + load >= self._loads[busy]:
+                    continue
+                cost = piece.keys / KEYS + 0.05 * self._share[busy] * (load < 0.4 * wanted)
+                if found is None or cost / load < found[0]:
+                    found = (cost / load, at, piece)
+        if found is None:
+            return False
+        _, at, piece = found
+        self._move(at, piece, idle)
+        return True
+
+    def _edges(self, row: Row, load: float) -> list[Row]:
+        """The row, or its beginning and its end with about that load."""
+        if self.load(row) <= 1.1 * load or len(self.rows) >= ROWS_EACH * len(self._staying):
+            return [row]
+        head, tail = self._cut_after(row, load), self._cut_after(row, self.load(row) - load)
+        edges = [replace(row, last=head - 1)] if head is not None else []
+        return edges + ([replace(row, first=tail)] if tail is not None else [])
+
+    def _move(self, at: int, piece: Row, to: str) -> None:
+        row, load = self.rows[at], self.load(piece)
+        self._loads[row.holder] -= load
+        self._loads[to] += load
+        parts = [replace(piece, next=to)]
+        if row.first < piece.first:
+            parts.insert(0, replace(row, last=piece.first - 1))
+        if piece.last < row.last:
+            parts.append(replace(row, first=piece.last + 1))
+        self.rows[at : at + 1] = parts
+
+
+def first_map() -> KeyMap:
+    """Before anybody holds anything."""
+    return KeyMap(0, 0, [Row(0, KEYS - 1)])
+
+
+def next_map(
+    key_map: KeyMap,
+    candidates: Mapping[str, Candidate],
+    sums: Sequence[float],
+    words: Collection[Word],
+    waited: Callable[[Row], bool],
+    balanced: bool,
+) -> tuple[int, list[Row]] | None:
+    """The counter of fences and the rows of the next version; None where nothing is to change.
+    ``waited``: a row that is leaving has been known to for so long that nobody can hold it any more.
+    ``balanced``: the load is known and may move keys."""
+    plan = Plan(key_map, candidates, sums)
+    plan.settle(words, waited)
+    plan.empty()
+    plan.place()
+    if balanced:
+        plan.balance()
+    if tuple(plan.rows) == key_map.rows:
+        return None
+    return plan.counter, plan.rows
--- /dev/null
+++ b/mesh/ownership/server_holds.py
@@ -0,0 +1,160 @@
+"""What the proxy beside an upstream of a divided service answers to its beats, and the word that it gives of
+keys that were let go. No I/O; instants are seconds of the proxy's steady clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from msgspec import Struct
+
+from mesh.ownership.assignment import Word
+from mesh.ownership.key_map import KeyMap, Row
+from mesh.ownership.lease_terms import SLOW_CLOCK, LeaseTerms
+
+RowKey = tuple[str, int, int, int]  # holder, first and last key, fence
+SILENT_BEATS = 2.2  # periods without a beat after which an upstream is told to be silent
+WORDS_MOST = 512
+GRANT_ROWS_MOST = 56  # an answer to a beat holds 4 KiB at most
+
+
+class HeldRow(Struct, frozen=True, array_like=True):
+    """A row of a beat's ``holds``."""
+
+    first: int
+    last: int
+    fence: int
+
+
+class ReleasedRow(Struct, frozen=True, array_like=True):
+    """A row of a beat's ``released``."""
+
+    first: int
+    last: int
+    handover: str = ""
+
+
+class BeatKeys(Struct, frozen=True):
+    """What a beat says of keys; ``count`` is its sample_count."""
+
+    instance: str
+    count: int
+    holds: Sequence[HeldRow]
+    released: Sequence[ReleasedRow]
+
+
+class Grant(Struct, frozen=True):
+    """The answer's part: all that the upstream is to hold, for so long from the sending of its beat."""
+
+    rows: Sequence[Row]
+    hold_ms: int
+
+    def told(self) -> dict[str, Any]:
+        """As it stands in the answer."""
+        rows = [[row.first, row.last, row.fence, row.handover] for row in self.rows]
+        return {"holds": rows, "hold_ms": self.hold_ms}
+
+
+class ServerHolds:
+    """Of the upstream beside this proxy, over its lives."""
+
+    def __init__(self, terms: LeaseTerms, began: float) -> None:
+        """What an earlier life of this proxy granted has ended a lease after ``began``."""
+        self.terms = terms
+        self._asked_at: float | None = None  # of the newest question whose answer is held here
+        self._current_to = 0  # the version that it named
+        self._pending: list[tuple[int, float]] = []  # versions that are not here yet, and their questions
+        self._until = began + terms.lease_s  # when all that was granted has ended, by any clock
+        self._instance, self._count, self._beat_at = "", -1, began
+        self._former: set[str] = set()  # lives that are over
+        self._omitted: dict[RowKey, int] = {}  # rows left out, by the beat that was first answered so
+        self._words: dict[RowKey, Word] = {}
+
+    def current(self, asked_at: float, version: int, key_map: KeyMap | None) -> None:
+        """A control process has answered a question sent then: that version held when it came."""
+        self._pending = [*self._pending[-8:], (version, asked_at)]
+        self.changed(key_map)
+
+    def changed(self, key_map: KeyMap | None) -> None:
+        """Another version of the map may be here."""
+        held = key_map.version if key_map is not None else 0
+        for version, asked_at in self._pending:
+            if version <= held and (self._asked_at is None or asked_at > self._asked_at):
+                self._asked_at = asked_at
+        self._pending = [one for one in self._pending if one[0] > held]
+        if key_map is None:
+            return
+        standing = {_key(row) for row in key_map.rows if row.leaving}
+        self._omitted = {key: count for key, count in self._omitted.items() if key in standing}
+        self._words = {key: word for key, word in self._words.items() if key in standing}
+
+    def beat(self, now: float, beat: BeatKeys, key_map: KeyMap | None) -> Grant | None:
+        """The grant with which a beat is answered now; None: the answer renews nothing."""
+        if beat.instance != self._instance:
+            if self._instance:
+                self._former.add(self._instance)
+            self._instance, self._count = beat.instance, -1
+        if beat.count <= self._count or beat.instance in self._former:
+            return None
+        self._count, self._beat_at = beat.count, now
+        if key_map is None:
+            return None
+        self._hear(beat, key_map)
+        hold_s = self.terms.hold_s(now, self._asked_at) if self._asked_at is not None else 0.0
+        if not hold_s:
+            return None
+        rows = []
+        for row in key_map.of(beat.instance):
+            if row.leaving:
+                self._omitted.setdefault(_key(row), beat.count)
+            else:
+                rows.append(row)
+        if rows:
+            self._until = max(self._until, now + hold_s / (1.0 - SLOW_CLOCK))
+        return Grant(rows[:GRANT_ROWS_MOST], int(hold_s * 1000.0))
+
+    def _hear(self, beat: BeatKeys, key_map: KeyMap) -> None:
+        """Rows that an earlier answer left out, and that it has no more."""
+        for row in key_map.of(beat.instance):
+            key = _key(row)
+            omitted = self._omitted.get(key)
+            if not row.leaving or omitted is None or omitted >= beat.count or key in self._words:
+                continue
+            if any(row.overlaps(held.first, held.last) for held in beat.holds):
+                continue
+            told = [one for one in beat.released if row.overlaps(one.first, one.last)]
+            self._give_word(row, told[0].handover if told else "")
+
+    def _give_word(self, row: Row, handover: str) -> None:
+        if len(self._words) < WORDS_MOST:
+            word = Word(row.holder, row.first, row.last, row.fence, handover)
+            self._words[_key(row)] = word
+
+    def words(self, now: float, key_map: KeyMap | None) -> list[Word]:
+        """All that can be said now of rows that are leaving; those of lives that are over, and of one whose
+        holds have run out, too."""
+        if key_map is None:
+            return []
+        for instance in (*self._former, self._instance):
+            over = instance in self._former or now > self._until
+            for row in key_map.of(instance) if over else ():
+                if row.leaving:
+                    self._give_word(row, "")
+        return list(self._words.values())
+
+    def silent(self, now: float, beat_s: float) -> str:
+        """The upstream that has not been heard for some beats; "" where there is none."""
+        return self._instance if self._instance and now - self._beat_at > SILENT_BEATS * beat_s else ""
+
+    def may_hold(self, key_map: KeyMap, key: int) -> bool:
+        """Whether the upstream beside this proxy may run a request on that key, as far as is known here; one
+        whose beats have not come here yet is let judge by itself."""
+        if not self._instance:
+            return True
+        row = key_map.row_of(key)
+        return row.holder == self._instance and not (row.leaving and _key(row) in self._omitted)
+
+
+def _key(row: Row) -> RowKey:
+    return row.holder, row.first, row.last, row.fence
--- a/mesh/replication/store.py
+++ b/mesh/replication/store.py
@@ -182,8 +182,8 @@
         return [self._restamp(key) for key in found]
 
     def following(self, source: str, first: int, count: int) -> dict[str, int]:
-        """The vector that may be raised with ``count`` items which that source stamped from ``first`` on: they
-        follow what this store claims of it already, or nothing may be claimed by them.
+        """The vector that may be raised with ``count`` items which that source stamped from ``first`` on:
+        they follow what this store claims of it already, or nothing may be claimed by them.
 
         Without this who holds a large order would be told all of it once more, for its vector's sake."""
         return {source: first + count - 1} if self.vector.get(source, 0) >= first - 1 else {}
--- a/mesh/runtime/settings.py
+++ b/mesh/runtime/settings.py
@@ -26,7 +26,7 @@
 _MOST_LINE = 300
 
 # Fields of the file that the mesh has no use for: known, so that they are not told as new.
-_UNUSED = frozenset({"observer", "ingress", "mode"})
+_UNUSED = frozenset({"observer", "ingress", "mode", "grants"})
 
 
 class Wrong(Struct, frozen=True):
@@ -75,6 +75,8 @@
     retry_window_s: float = 10
     retry_slack: float = 62
     recovery_s: float = 15
+    hold_max_ms: float = 10000
+    thaw_slack_ms: float = 300
 
 
 _DEFAULTS: dict[str, float] = asdict(Bounds())
--- a/simulation/mesh/key_servers.py
+++ b/simulation/mesh/key_servers.py
@@ -1,7 +1,7 @@
-"""Upstreams of a divided service, as the operators' pages describe them, and a ledger of who holds which keys.
+"""Upstreams of a divided service, as the operators' pages describe them, and a ledger of who holds which key.
 
-Each upstream takes holds from the answers to its beats, lets go what an answer leaves out, and measures holds by
-a clock of its own that may run slow. The ledger notes every moment at which two that are up hold one key.
+Each upstream takes holds from the answers to its beats, lets go what an answer leaves out, and measures holds
+by a clock of its own that may run slow. The ledger notes every moment at which two that are up hold one key.
 """
 
 from __future__ import annotations
@@ -28,6 +28,7 @@
     """One life of an upstream: an id, and the keys that it holds."""
 
     def __init__(self, world: OwnersWorld, machine: Machine, name: str) -> None:
+        """Holds nothing."""
         self.world, self.machine, self.name, self.up = world, machine, name, True
         self.state = "settled"
         self.rate = 1.0 - SLOW_CLOCK * (machine.number % 3) / 2.0  # of its clock
@@ -97,6 +98,7 @@
     """A mesh whose upstreams are all of one divided service. ``servers``: those that are up, by machine."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
+        """As `World`."""
         super().__init__(*args, **kwargs)
         self.servers: dict[str, KeyServer] = {}
         self.deaf: set[str] = set()  # machines whose upstream's beats are not answered
--- /dev/null
+++ b/simulation/mesh/key_troubles.py
@@ -0,0 +1,152 @@
+"""What befalls a divided service in drawn plays: upstreams, proxies and control processes end, freeze, are
+cut off, drain and come back, alone and at once. Deterministic by the seed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from simulation.mesh.key_servers import OwnersWorld
+from simulation.mesh.world import Machine, Script
+
+Trouble = Callable[[OwnersWorld, random.Random], Script]
+DRAIN_S, BACK_S = 2.5, 1.5
+
+
+def _side(world: OwnersWorld, draw: random.Random) -> Machine:
+    return draw.choice([machine for machine in world.machines.values() if not machine.core])
+
+
+def _core(world: OwnersWorld, draw: random.Random) -> Machine:
+    return draw.choice(world.controllers())
+
+
+def upstream_crashes(world: OwnersWorld, draw: random.Random) -> Script:
+    """Without a word; another life begins there."""
+    machine = _side(world, draw)
+    world.end_server(machine)
+    yield world.env.timeout(draw.choice((0.05, BACK_S)))
+    world.start_server(machine)
+
+
+def upstream_drains(world: OwnersWorld, draw: random.Random) -> Script:
+    """It says that it leaves, serves on and ends; another one comes there later."""
+    machine = _side(world, draw)
+    server = world.servers.get(machine.name)
+    if server is None:
+        return
+    server.state = "decaying"
+    yield world.env.timeout(DRAIN_S)
+    if world.servers.get(machine.name) is server:
+        world.end_server(machine)
+        yield world.env.timeout(0.5)
+        world.start_server(machine)
+
+
+def upstream_unheard(world: OwnersWorld, draw: random.Random) -> Script:
+    """Its beats are not answered for a while; it goes on."""
+    machine = _side(world, draw)
+    world.deaf.add(machine.name)
+    yield world.env.timeout(draw.uniform(1.0, 8.0))
+    world.deaf.discard(machine.name)
+
+
+def proxy_killed(world: OwnersWorld, draw: random.Random) -> Script:
+    """Its upstream goes on."""
+    machine = _side(world, draw)
+    world.kill(machine)
+    world.restart(machine)
+    yield world.env.timeout(0.0)
+
+
+def proxy_frozen(world: OwnersWorld, draw: random.Random) -> Script:
+    """And wakes as if nothing had passed."""
+    world.freeze(_side(world, draw), draw.uniform(0.5, 7.0))
+    yield world.env.timeout(0.0)
+
+
+def proxy_cut_off(world: OwnersWorld, draw: random.Random) -> Script:
+    """From all control processes, not from its upstream."""
+    world.cut([_side(world, draw)], world.controllers())
+    yield world.env.timeout(draw.uniform(0.5, 7.0))
+    world.heal()
+
+
+def machine_dark(world: OwnersWorld, draw: random.Random) -> Script:
+    """Proxy and upstream lose power together."""
+    machine = _side(world, draw)
+    world.end_server(machine)
+    world.power_off(machine)
+    yield world.env.timeout(draw.uniform(0.5, 6.0))
+    world.restart(machine, 0.0)
+    yield world.env.timeout(0.2)
+    world.start_server(machine)
+
+
+def controller_killed(world: OwnersWorld, draw: random.Random) -> Script:
+    """Its disk stays."""
+    machine = _core(world, draw)
+    world.kill(machine)
+    world.restart(machine)
+    yield world.env.timeout(0.0)
+
+
+def controller_frozen(world: OwnersWorld, draw: random.Random) -> Script:
+    """Whoever it is, also the one that proposes."""
+    world.freeze(_core(world, draw), draw.uniform(0.5, 7.0))
+    yield world.env.timeout(0.0)
+
+
+def controllers_halved(world: OwnersWorld, draw: random.Random) -> Script:
+    """One is cut off from the others, and reaches the proxies still."""
+    one = _core(world, draw)
+    world.cut([one], [machine for machine in world.controllers() if machine is not one])
+    yield world.env.timeout(draw.uniform(0.5, 6.0))
+    world.heal()
+
+
+def all_controllers_killed(world: OwnersWorld, draw: random.Random) -> Script:
+    """At one moment; their disks stay."""
+    for machine in world.controllers():
+        world.kill(machine)
+        world.restart(machine, draw.uniform(0.1, 0.9))
+    yield world.env.timeout(0.0)
+
+
+TROUBLES: tuple[Trouble, ...] = (
+    upstream_crashes,
+    upstream_drains,
+    upstream_unheard,
+    proxy_killed,
+    proxy_frozen,
+    proxy_cut_off,
+    machine_dark,
+    controller_killed,
+    controller_frozen,
+    controllers_halved,
+    all_controllers_killed,
+)
+
+
+def drawn(world: OwnersWorld, seed: int, count: int = 5) -> Script:
+    """So many troubles, some of them at one moment, others while those before last."""
+    draw = random.Random(seed)
+    for _ in range(count):
+        for _ in range(draw.choice((1, 1, 2, 3))):
+            world.env.process(draw.choice(TROUBLES)(world, draw))
+        yield world.env.timeout(draw.choice((0.02, 0.3, 2.0, 5.0)))
+
+
+def traffic(world: OwnersWorld, seed: int, per_s: float = 40.0) -> Script:
+    """Requests that first hops count, most of them on a few keys that lie together; their place moves."""
+    draw = random.Random(seed)
+    hot = draw.randrange(65536)
+    while True:
+        yield world.env.timeout(0.25)
+        if draw.random() < 0.02:
+            hot = draw.randrange(65536)
+        for _, program in world.programs(core=False):
+            for _ in range(int(per_s * 0.25)):
+                near = int(draw.paretovariate(0.6)) - 1
+                program.tables.keys.count("p", (hot + near) % 65536)
--- a/tests/mesh/test_data_plane_request_dispatch.py
+++ b/tests/mesh/test_data_plane_request_dispatch.py
@@ -8,6 +8,7 @@
 from anisestair.http import codec as http
 from mesh.configuration.routes import Route
 from mesh.data_plane.call_messages import Call
+from mesh.data_plane.key_maps import KeyMaps
 from mesh.data_plane.request_dispatch import RequestDispatcher
 from mesh.data_plane.upstream_dispatch import OURS
 from mesh.transport.frames import frame
@@ -29,7 +30,9 @@
 def test_what_the_second_hop_writes_anew_does_not_go_between_the_hops() -> None:
     taken: list[Any] = []
     table = SimpleNamespace(take=taken.append)
-    tables: Any = SimpleNamespace(draw=lambda: 0.5, now=lambda: 0.0, of=lambda *_: (table, False))
+    tables: Any = SimpleNamespace(
+        draw=lambda: 0.5, now=lambda: 0.0, of=lambda *_: (table, False), keys=KeyMaps()
+    )
     request_dispatcher = RequestDispatcher(
         tables, "caller", 256.0, lambda *_: ROUTE, lambda: True, lambda *_: None
     )
--- a/tests/mesh/test_large_orders_world.py
+++ b/tests/mesh/test_large_orders_world.py
@@ -1,12 +1,11 @@
-"""Large orders on thin links, in virtual time: what is acknowledged is in force at every proxy in touch within
-the operators' time, whoever starts over meanwhile and whatever small orders come beside it."""
+"""Large orders on thin links, in virtual time: what is acknowledged is in force at every proxy in touch
+within the operators' time, whoever starts over meanwhile and whatever small orders come beside it."""
 
 import json
 import random
 import zlib
 from collections.abc import Callable
 
-
 from mesh.replication.quorum import Tolerance
 from simulation.mesh.world import Machine, Script, World
 
