--- a/mesh/cli/command.py
+++ b/mesh/cli/command.py
@@ -32,6 +32,7 @@
     heard,
     tell,
 )
+from mesh.cli.ownership import ownership
 from mesh.cli.rollout import rollout
 from mesh.cli.state import state
 from mesh.cli.text import names
@@ -51,6 +52,7 @@
 app.add_typer(config, name="config")
 app.add_typer(state, name="state")
 app.add_typer(members, name="members")
+app.add_typer(ownership, name="ownership")
 app.add_typer(rollout, name="rollout")
 
 Where = Annotated[str, typer.Option("--from", metavar="NODE", help="The sidecar to ask; else any.")]
--- a/mesh/cli/members.py
+++ b/mesh/cli/members.py
@@ -36,7 +36,7 @@
 def _show(at: At = None, settings: SettingsFile = None, wait: Wait = WAIT_S, as_json: AsJson = False) -> None:
     """Who counts, under which epoch, what each lacks, and how many more losses are borne."""
     view = heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json)
-    process = _first(view, as_json)
+    process = first_able(view, as_json)
     reply = asyncio.run(ask(process.address, "members", wait))
     holder = _holder(view, reply)
     if holder is not None and holder.node != process.node:  # it alone knows what keeps a silent member
@@ -60,7 +60,7 @@
 ) -> None:
     """Says that a machine which counts is gone for good; refused where taking it out is not safe."""
     snapshot = heard(look(found(at, settings, as_json), min(wait, WAIT_S), (CONTROLLER,)), as_json)
-    process = _first(snapshot, as_json)
+    process = first_able(snapshot, as_json)
     reply = asyncio.run(ask(process.address, "members remove", wait, node=node))
     if isinstance(reply, Unreachable):
         fail(NOBODY, f"{process.node}: {reply.why}; it may be under way: look with members show", as_json)
@@ -71,7 +71,7 @@
     tell({"node": process.node, **reply.value}, lines, as_json, FINE)
 
 
-def _first(snapshot: MeshSnapshot, as_json: bool) -> Process:
+def first_able(snapshot: MeshSnapshot, as_json: bool) -> Process:
     """One that can act where there is one."""
     able = snapshot.answering(CONTROLLER)
     if not able:
--- /dev/null
+++ b/mesh/cli/ownership.py
@@ -0,0 +1,98 @@
+"""`ownership`: which upstream holds which keys of a divided service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from typing import Annotated, Any
+
+import typer
+
+from mesh.cli.client import Answered, Unreachable, ask, look
+from mesh.cli.members import first_able
+from mesh.cli.mesh_snapshot import number, part
+from mesh.cli.options import (
+    FINE,
+    NOBODY,
+    REFUSED,
+    WAIT_S,
+    AsJson,
+    At,
+    SettingsFile,
+    Wait,
+    fail,
+    found,
+    heard,
+    tell,
+)
+from mesh.cli.text import line, table
+from mesh.data_plane.membership import CONTROLLER
+
+ownership = typer.Typer(rich_markup_mode=None, no_args_is_help=True, help="Who holds the keys of a service.")
+
+Service = Annotated[str, typer.Option(help="Only this service.")]
+Key = Annotated[int | None, typer.Option(min=0, max=65535, help="Only the row with this key.")]
+
+
+@ownership.callback()
+def _ownership() -> None:
+    """Who holds the keys of a service."""
+
+
+@ownership.command("show")
+def _show(
+    service: Service = "",
+    key: Key = None,
+    at: At = None,
+    settings: SettingsFile = None,
+    wait: Wait = WAIT_S,
+    as_json: AsJson = False,
+) -> None:
+    """The map of each divided service: rows, holders, what is in motion, and each row's share of traffic."""
+    process = first_able(heard(look(found(at, settings, as_json), wait, (CONTROLLER,)), as_json), as_json)
+    reply = asyncio.run(ask(process.address, "ownership", wait))
+    if isinstance(reply, Unreachable):
+        fail(NOBODY, f"{process.node}: {reply.why}; ask another with --at", as_json)
+    if not isinstance(reply, Answered):
+        fail(REFUSED, f"{process.node}: {reply.reason}", as_json)
+    services = {
+        name: narrowed(told, key)
+        for name, told in part(reply.value, "services").items()
+        if isinstance(told, dict) and service in ("", name)
+    }
+    if service and not services:
+        fail(
+            REFUSED,
+            f"service {service[:80]!r}: it has no map; it is not divided, or has no upstream",
+            as_json,
+        )
+    tell({"node": process.node, "services": services}, shown(services), as_json, FINE)
+
+
+def narrowed(told: Mapping[str, Any], key: int | None) -> dict[str, Any]:
+    """The map, or its row with that key alone."""
+    rows = [row for row in told.get("rows", []) if key is None or row[0] <= key <= row[1]]
+    return {**told, "rows": rows}
+
+
+def shown(services: Mapping[str, Mapping[str, Any]]) -> list[str]:
+    """As lines."""
+    lines: list[str] = []
+    for name, told in services.items():
+        rows = told.get("rows", [])
+        vacant = sum(row[1] - row[0] + 1 for row in rows if not row[2])
+        moving = sum(row[4] is not None for row in rows)
+        head = f"{name}: map {number(told, 'version'):.0f}, {len(rows)} rows, {moving} in motion"
+        lines += [line(head + (f", {vacant} keys without a holder" if vacant else "")), ""]
+        cells = [
+            (
+                f"{first}-{last}",
+                holder or "nobody",
+                str(fence),
+                "-" if to is None else f"to {to or 'whoever is least busy'}, {for_s or 0:.1f} s",
+                f"{100.0 * share:.1f}%",
+            )
+            for first, last, holder, fence, to, for_s, share in rows
+        ]
+        lines += [*table(("keys", "holder", "fence", "leaves", "traffic"), cells), ""]
+    return lines or ["no service is divided by key"]
--- a/mesh/control_plane/introspection.py
+++ b/mesh/control_plane/introspection.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from mesh.control_plane.contact_probes import Probing
+from mesh.control_plane.key_assignment import KeyAssignment
 from mesh.control_plane.leases import Duties
 from mesh.control_plane.member_changes import Minding
 from mesh.control_plane.member_set import Council
@@ -38,6 +39,7 @@
     minding: Minding
     probing: Probing
     voting: Voting
+    key_assignment: KeyAssignment
     control: str
     stopping: asyncio.Event
     steady: Callable[[], float]
@@ -51,6 +53,7 @@
         "items": lambda head: items(stores, head),
         "members": lambda head: shown.minding.show(),
         "members remove": shown.minding.remove,
+        "ownership": lambda head: shown.key_assignment.told(),
         "rollouts": lambda head: rollouts(shown),
         "rollout": lambda head: rollout(shown, str(head["kind"]), str(head["name"])),
     }
--- a/mesh/control_plane/key_assignment.py
+++ b/mesh/control_plane/key_assignment.py
@@ -22,7 +22,7 @@
 from mesh.membership.lease import first
 from mesh.ownership.assignment import Candidate, Word, first_map, next_map
 from mesh.ownership.key_load import KeyLoad
-from mesh.ownership.key_map import OWNERSHIP, KeyMap, Row, read_map, write_map
+from mesh.ownership.key_map import BUCKET, OWNERSHIP, KeyMap, Row, read_map, write_map
 from mesh.ownership.key_report import KeyReport, read_report
 from mesh.ownership.lease_terms import terms_of
 from mesh.replication.items import Item
@@ -246,21 +246,21 @@
             self._proposing.discard(service)
 
     def told(self) -> dict[str, Any]:
-        """For operators: of each divided service its rows, those in motion and without a holder."""
+        """For operators: of each divided service its map, as this process has it. A row is first and last
+        key, holder, fence, next holder, for how many seconds it is known to leave (null where it does not),
+        and its share of the traffic. ``proposer``: whether this process proposes the next map."""
         now = self._loop.time()
-        return {
-            service: {
-                "version": key_map.version,
-                "rows": len(key_map.rows),
-                "vacant": sum(row.keys for row in key_map.rows if row.vacant),
-                "leaving": {
-                    f"{row.first}-{row.last}": [row.holder, row.next, round(now - since, 1)]
-                    for row in key_map.rows
-                    if (since := self._leaving.get(_key(service, row))) is not None
-                },
-            }
-            for service, key_map in sorted(self._maps.items())
-        }
+        services = {}
+        for service, key_map in sorted(self._maps.items()):
+            sums = self._loads.setdefault(service, KeyLoad()).sums()
+            rows = []
+            for row in key_map.rows:
+                since = self._leaving.get(_key(service, row))
+                for_s = round(now - since, 1) if since is not None else None
+                share = sums[(row.last + 1) // BUCKET] - sums[row.first // BUCKET]
+                rows.append([row.first, row.last, row.holder, row.fence, row.next, for_s, round(share, 4)])
+            services[service] = {"version": key_map.version, "rows": rows}
+        return {"proposer": self._acts() and self._proposes(now), "services": services}
 
 
 def _key(service: str, row: Row) -> RowKey:
--- a/mesh/control_plane/program.py
+++ b/mesh/control_plane/program.py
@@ -214,6 +214,7 @@
             self.minding,
             self.probing,
             self.voting,
+            self.key_assignment,
             control_address(settings),
             self.stopping,
             self.loop.time,
