--- a/mesh/control_plane/key_assignment.py
+++ b/mesh/control_plane/key_assignment.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
 
 from mesh.configuration.commands import PLANT
@@ -34,6 +34,7 @@
 LOOK_S = 0.1  # between two looks at what is to change
 FIRST_AFTER_S = 1.5  # after the first upstream is known: the others have come by then
 BALANCE_S = 0.6  # between two versions for the load's sake
+UNKNOWN_S = 3.0  # after a start the roll comes within this; who is not in it then is gone
 UNHEARD_S = 4.5  # a proxy without a report for so long cannot renew its upstream's holds much longer
 HEARD_SHARE = 0.6  # of a service's proxies; where fewer are heard, it is this process that does not hear
 STOOD_S = 1.0  # between two looks: this process stood still, and what came meanwhile is still unread
@@ -198,19 +199,20 @@
         if balanced:
             self._balanced_at[service] = now
         if found is not None:
-            self._propose(service, key_map.version + 1, write_map(*found))
+            nodes = key_map.nodes | {
+                name: str(told.get("node", ""))
+                for name, told in self._membership.of(service)
+                if told is not None
+            }
+            self._propose(service, key_map.version + 1, write_map(*found, nodes))
 
     def _candidates(self, now: float, service: str) -> Mapping[str, Candidate]:
         silent = {report.silent for report in self._reports.values() if report.silent}
         known = {instance: told for instance, told in self._membership.of(service) if told is not None}
         heard = {name for name, told in known.items() if self._hears(now, str(told.get("node", "")))}
         hears = len(heard) >= HEARD_SHARE * len(known)
-        # After a start the roll comes bit by bit: who is not in it yet is not gone for that.
-        key_map = self._maps.get(service)
-        just_awake = now - self._awake_since < UNHEARD_S
-        holders = {row.holder for row in key_map.rows if row.holder} if key_map and just_awake else set()
-        unknown = {name: Candidate(1.0, stays=True) for name in holders - known.keys()}
-        return unknown | {
+        followed = {str(told.get("node", "")) for told in known.values()}
+        return self._not_heard_of(now, service, known.keys(), followed) | {
             name: Candidate(
                 capacity=max(float(told.get("capacity", 1)), 1.0),
                 stays=told.get("state") == SETTLED and name not in silent and (name in heard or not hears),
@@ -218,6 +220,18 @@
             for name, told in known.items()
         }
 
+    def _not_heard_of(
+        self, now: float, service: str, known: Collection[str], followed: Collection[str]
+    ) -> dict[str, Candidate]:
+        """Holders that are not in the roll and keep their keys: after a start it comes bit by bit. Not those
+        at whose machine (``followed``) another one is known by now."""
+        key_map = self._maps.get(service)
+        if key_map is None or now - self._awake_since >= UNKNOWN_S:
+            return {}
+        holders = {row.holder for row in key_map.rows if row.holder and row.holder not in known}
+        kept = [name for name in holders if key_map.nodes.get(name) not in followed]
+        return {name: Candidate(1.0, stays=True) for name in kept}
+
     def _hears(self, now: float, node: str) -> bool:
         """Whether that proxy has reported lately, or could not have been heard."""
         return now - max(self._heard.get(node, 0.0), self._awake_since) < UNHEARD_S
--- a/mesh/data_plane/key_holds.py
+++ b/mesh/data_plane/key_holds.py
@@ -79,7 +79,7 @@
     def tick(self, now: float) -> None:
         """Called several times a second."""
         if self._maps.divided(self._service):
-            for instance in self._known_here():
+            for instance in (*self._known_here(), *self._held_here()):
                 self.holds.known_here(instance)
             if now >= self._ask_at:
                 self._ask(now, first_only=True)
@@ -88,6 +88,11 @@
         if now >= self._report_at and (self._maps.divided(self._service) or self._maps.by_service):
             self._report(now)
 
+    def _held_here(self) -> list[str]:
+        """Upstreams that held keys beside this proxy, by the map."""
+        key_map = self._map
+        return [name for name, node in key_map.nodes.items() if node == self._node] if key_map else []
+
     def _ask(self, now: float, first_only: bool) -> None:
         self._number += 1
         self._questions[self._number] = now
--- a/mesh/ownership/key_map.py
+++ b/mesh/ownership/key_map.py
@@ -57,11 +57,15 @@
 
 
 class KeyMap:
-    """One version of a service's map. ``counter``: the highest fence that was ever given."""
+    """One version of a service's map. ``counter``: the highest fence that was ever given; ``nodes``: the
+    machines of its holders, so that a proxy that has lost all knows who held keys beside it."""
 
-    def __init__(self, version: int, counter: int, rows: Sequence[Row]) -> None:
+    def __init__(
+        self, version: int, counter: int, rows: Sequence[Row], nodes: Mapping[str, str] | None = None
+    ) -> None:
         """``rows`` in the order of their keys, all keys covered; see `read_map`."""
         self.version, self.counter, self.rows = version, counter, tuple(rows)
+        self.nodes = dict(nodes or {})
         self._firsts = [row.first for row in self.rows]
         self._of: dict[str, list[Row]] = {}
         for row in self.rows:
@@ -81,10 +85,12 @@
         return any(row.leaving and row.next == instance for row in self.rows)
 
 
-def write_map(counter: int, rows: Sequence[Row]) -> dict[str, Any]:
-    """As the item's value."""
+def write_map(counter: int, rows: Sequence[Row], nodes: Mapping[str, str] | None = None) -> dict[str, Any]:
+    """As the item's value; of ``nodes`` those of its holders."""
+    holders = {row.holder for row in rows if row.holder}
     return {
         "fence": counter,
+        "nodes": {name: node for name, node in sorted((nodes or {}).items()) if name in holders},
         "rows": [[row.first, row.last, row.holder, row.fence, row.next, row.handover] for row in rows],
     }
 
@@ -103,7 +109,8 @@
         first = row.last + 1
     if first != KEYS:
         raise ValueError("rows: they do not cover all keys")
-    return KeyMap(version, int(value["fence"]), rows)
+    nodes = {str(name): str(node) for name, node in dict(value.get("nodes", {})).items()}
+    return KeyMap(version, int(value["fence"]), rows, nodes)
 
 
 def read_key(text: str | None) -> int | None:
--- a/tests/mesh/test_owners_world.py
+++ b/tests/mesh/test_owners_world.py
@@ -138,3 +138,23 @@
 @pytest.mark.parametrize("scene", key_troubles.SCENES, ids=lambda one: one.__name__)
 def test_scenes_that_need_one_clause_each_break_nothing(scene: Callable[[OwnersWorld], Script]) -> None:
     assert not any("OWNER" in line for line in played(scene))
+
+
+def test_after_a_loss_of_all_keys_are_held_again_by_the_next_lives_words() -> None:
+    """No lease is waited for where the proxy beside it knows that the last holder is over."""
+
+    def day(world: OwnersWorld) -> Script:
+        machines = list(world.machines.values())
+        for machine in machines:
+            world.end_server(machine)
+            world.power_off(machine)
+        yield world.env.timeout(1.0)
+        for machine in machines:
+            world.restart(machine, 0.1)
+        yield world.env.timeout(0.3)
+        for machine in machines:
+            if not machine.core:
+                world.start_server(machine)
+        yield from all_held(world, 7.0)
+
+    assert played(day) == []
