Put the opening of the disk, the tables of services and what a store answers into modules of their own

Change: control_plane/disk_opening.py, data_plane/service_tables.py and service_parts.py (no circle of imports between them), route_preparation.py, replication/store_answers.py; Delta, StoreFull and DigestMismatch bear the glossary's names; reads of one kind stand with the other quorum reads.

--- a/mesh/control_plane/acceptor_host.py
+++ b/mesh/control_plane/acceptor_host.py
@@ -30,7 +30,8 @@
 )
 from mesh.replication.items import Item
 from mesh.replication.membership_epochs import VIEW
-from mesh.replication.store import Full, Store
+from mesh.replication.store import Store
+from mesh.replication.store_answers import StoreFull
 from mesh.storage.layout import pack_ceiling, pack_generations
 from mesh.transport.frames import Head
 
@@ -139,7 +140,7 @@
     def take(self, items: Sequence[Item], vector: Mapping[str, int], whole: bool = False) -> None:
         """Decided items, whoever stamped them. ``whole``: with all of the order that they came with."""
         changed = self._charter.merge(items, vector)
-        if isinstance(changed, Full):
+        if isinstance(changed, StoreFull):
             self._event_log.tell(events.STATE_FULL, reason=changed.reason)
             return
         self._settle([item for item in items if item.key in self._charter.items], whole)  # not the forgotten
--- a/mesh/control_plane/anti_entropy.py
+++ b/mesh/control_plane/anti_entropy.py
@@ -26,7 +26,8 @@
     under,
 )
 from mesh.replication.items import Item
-from mesh.replication.store import Full, Store
+from mesh.replication.store import Store
+from mesh.replication.store_answers import StoreFull
 from mesh.storage.lmdb_store import Kept
 from mesh.transport.frames import Head
 
@@ -170,7 +171,7 @@
 
     def _take(self, channel: Channel, name: str, items: list[Item]) -> None:
         taken = self._stores[name].mend(items)
-        if isinstance(taken, Full):
+        if isinstance(taken, StoreFull):
             self._event_log.tell(events.STATE_FULL, reason=taken.reason)
         elif taken:
             self._event_log.tell(events.REPAIR_DONE, peer=channel.node, items=len(taken))
--- /dev/null
+++ b/mesh/control_plane/disk_opening.py
@@ -0,0 +1,85 @@
+"""A control process begins with what its disk holds: the configuration, its votes, and whether they count."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from mesh.control_plane.write_batches import Ledger
+from mesh.event_log import events
+from mesh.event_log.log import EventLog
+from mesh.replication.acceptor import Acceptor
+from mesh.replication.items import Item, Key
+from mesh.replication.membership_epochs import MEMBERS, VIEW, View, write_view
+from mesh.replication.quorum import Place
+from mesh.replication.store import Store
+from mesh.runtime.settings import Settings
+from mesh.storage.layout import Held, held
+from mesh.storage.lmdb_store import Failed, Fresh, Keeper, Opened, SetAside, room
+
+
+def open_disk(settings: Settings, charter: Store, event_log: EventLog) -> tuple[Ledger, Acceptor]:
+    """Fills the store ``charter``. Raises OSError where the disk cannot be used at all."""
+    folder = Path(settings.state_dir) / "charter"
+    outcome = Keeper.open(folder, room(settings.limits.disk_mb))
+    if isinstance(outcome, Failed):
+        event_log.tell(events.DISK_FAILED, reason=outcome.reason)
+        raise OSError(outcome.reason)
+    kept = _restored(settings, charter, event_log, outcome)
+    acceptor = acceptor_of(settings.ip, kept, lambda key: forgotten_to(charter, key))
+    ledger = Ledger(charter, acceptor, outcome.keeper, event_log, kept.whole)
+    ledger.lives = dict(kept.lives)
+    if isinstance(outcome, Fresh) and settings.cold_boot:
+        _found(settings, charter, acceptor, ledger)
+    else:
+        claimed = charter.claim()
+        if claimed:
+            ledger.mark(claimed)
+    return ledger, acceptor
+
+
+def _restored(
+    settings: Settings, charter: Store, event_log: EventLog, outcome: Opened | Fresh | SetAside
+) -> Held:
+    """What the disk held; its items are in the store."""
+    if isinstance(outcome, SetAside):
+        event_log.tell(events.DISK_SET_ASIDE, moved_to=str(outcome.moved_to), reason=outcome.reason)
+        return Held()
+    if isinstance(outcome, Fresh):
+        event_log.tell(events.DISK_FRESH, first=settings.cold_boot)
+        return Held()
+    for note in outcome.notes:
+        event_log.tell(events.DISK_MOVED_ON, note=note)
+    kept = held(outcome.rows)
+    charter.forgotten.merge(kept.forgotten)
+    charter.restore(kept.items, kept.vector)
+    event_log.tell(events.DISK_OPENED, items=len(kept.items), whole=kept.whole)
+    return kept
+
+
+def _found(settings: Settings, charter: Store, acceptor: Acceptor, ledger: Ledger) -> None:
+    """The machines that every process is told of at the very first start are the first view: the same item
+    in all of them, decided from the start."""
+    founders = {host: Place("", "") for host, _ in settings.seeds}
+    first = charter.take(VIEW, MEMBERS, 1, write_view(View(1, founders)))
+    assert isinstance(first, Item)
+    acceptor.settle((VIEW, MEMBERS, 1), first.value)
+    if settings.ip in founders:
+        ledger.founded()
+    ledger.mark([first])
+
+
+def forgotten_to(charter: Store, key: Key) -> int:
+    """Versions of that key up to this are older than a drop that is forgotten, or may be."""
+    known = charter.forgotten
+    return known.version(key) if key in charter.items else known.watermark(key)
+
+
+def acceptor_of(me: str, kept: Held, forgotten: Callable[[Key], int]) -> Acceptor:
+    """As its disk has it: all that its last life may have promised is refused."""
+    acceptor = Acceptor(me, kept.ceiling, forgotten)
+    acceptor.generations = dict(kept.generations)
+    kept.fill(acceptor)
+    for item in kept.items:
+        acceptor.settle((item.kind, item.name, item.version), item.value)
+    return acceptor
--- a/mesh/control_plane/key_assignment.py
+++ b/mesh/control_plane/key_assignment.py
@@ -147,7 +147,7 @@
             while self._questions:
                 await asyncio.sleep(GATHER_S)
                 asked, self._questions = self._questions, []
-                if not await self._voting.read_kind(OWNERSHIP, READ_S):
+                if not await self._voting.reads.current(OWNERSHIP, self._loop.time() + READ_S):
                     continue  # who asked asks again, elsewhere
                 versions = {service: key_map.version for service, key_map in self._maps.items()}
                 for channel, number in asked:
--- a/mesh/control_plane/leases.py
+++ b/mesh/control_plane/leases.py
@@ -20,7 +20,8 @@
 from mesh.membership import failure_detection
 from mesh.membership.lease import DUTY, REAPING, Claim, Hold, Standing, Turn, read_standing, value
 from mesh.replication.items import Item
-from mesh.replication.store import Full, Store
+from mesh.replication.store import Store
+from mesh.replication.store_answers import StoreFull
 from mesh.transport.frames import Head
 
 LOOK_S = 1.0
@@ -231,7 +232,7 @@
         keys = [(NODE, name), *((INSTANCE, instance) for instance in instances)]
         held = [self._roll.items[key] for key in keys if key in self._roll.items]
         taken = self._roll.take_all(failure_detection.drops(held))
-        if isinstance(taken, Full):
+        if isinstance(taken, StoreFull):
             self._event_log.tell(events.STATE_FULL, reason=taken.reason)
             return
         self._event_log.tell(
--- a/mesh/control_plane/program.py
+++ b/mesh/control_plane/program.py
@@ -6,8 +6,6 @@
 import os
 import time
 import zlib
-from collections.abc import Callable
-from pathlib import Path
 
 from mesh.control_plane.acceptor_host import Acceptance
 from mesh.control_plane.anti_entropy import CHARTER, ROLL, Repairing
@@ -15,6 +13,7 @@
 from mesh.control_plane.catch_up import CatchingUp
 from mesh.control_plane.confirmations import Confirmations
 from mesh.control_plane.contact_probes import Probing
+from mesh.control_plane.disk_opening import open_disk
 from mesh.control_plane.fencing import Fencing
 from mesh.control_plane.introspection import Shown, answers_of
 from mesh.control_plane.joining import Joining
@@ -27,7 +26,6 @@
 from mesh.control_plane.restore import Restoring
 from mesh.control_plane.rollouts import Rollouts
 from mesh.control_plane.tombstone_collection import Forgetting
-from mesh.control_plane.write_batches import Ledger
 from mesh.data_plane.membership import CONTROLLER, NODE, ROLE_NAMES, Membership
 from mesh.dissemination.peers import Channel, Channels
 from mesh.event_log import events
@@ -35,17 +33,13 @@
 from mesh.membership.failure_detection import above, dropped, spans
 from mesh.membership.tombstones import ASKS_ANEW_S, Tombs
 from mesh.ownership.key_report import KEY_REPORT
-from mesh.replication.acceptor import Acceptor
-from mesh.replication.items import Item, Key
-from mesh.replication.membership_epochs import MEMBERS, VIEW, View, write_view
-from mesh.replication.quorum import Place
+from mesh.replication.items import Item
+from mesh.replication.membership_epochs import VIEW
 from mesh.replication.store import Store
 from mesh.rollout.report import REPORT, REPORTS
 from mesh.runtime.grace import exit_after_s
 from mesh.runtime.introspection_calls import Asker, Questions
 from mesh.runtime.settings import Settings
-from mesh.storage.layout import Held, held
-from mesh.storage.lmdb_store import Failed, Fresh, Keeper, Opened, SetAside, room
 from mesh.transport.frames import Head
 from mesh.transport.http_calls import HttpServer
 from mesh.transport.link import Link, listen
@@ -68,7 +62,7 @@
         self.reports = Store(life, 2 * MOST_ROLL)  # two a sidecar, which the roll has an item of as well
         self.membership = Membership()
         self.tombs = Tombs()
-        self.ledger = self._open_disk()
+        self.ledger, self.acceptor = open_disk(settings, self.charter, event_log)
         self.channels = Channels(
             settings.node,
             {
@@ -256,51 +250,6 @@
         assignment.restored()
         return assignment
 
-    def _open_disk(self) -> Ledger:
-        """Raises OSError where the disk cannot be used at all."""
-        settings = self.settings
-        folder = Path(settings.state_dir) / "charter"
-        outcome = Keeper.open(folder, room(settings.limits.disk_mb))
-        kept = Held()
-        if isinstance(outcome, Failed):
-            self.event_log.tell(events.DISK_FAILED, reason=outcome.reason)
-            raise OSError(outcome.reason)
-        if isinstance(outcome, SetAside):
-            self.event_log.tell(events.DISK_SET_ASIDE, moved_to=str(outcome.moved_to), reason=outcome.reason)
-        elif isinstance(outcome, Opened):
-            for note in outcome.notes:
-                self.event_log.tell(events.DISK_MOVED_ON, note=note)
-            kept = held(outcome.rows)
-            self.charter.forgotten.merge(kept.forgotten)
-            self.charter.restore(kept.items, kept.vector)
-            self.event_log.tell(events.DISK_OPENED, items=len(kept.items), whole=kept.whole)
-        else:
-            assert isinstance(outcome, Fresh)
-            self.event_log.tell(events.DISK_FRESH, first=settings.cold_boot)
-        self.acceptor = acceptor_of(self.me, kept, self._forgotten_to)
-        ledger = Ledger(self.charter, self.acceptor, outcome.keeper, self.event_log, kept.whole)
-        ledger.lives = dict(kept.lives)
-        if isinstance(outcome, Fresh) and settings.cold_boot:
-            # The machines that every process is told of at the very first start are the first view: the same
-            # item in all of them, decided from the start.
-            founders = {host: Place("", "") for host, _ in settings.seeds}
-            first = self.charter.take(VIEW, MEMBERS, 1, write_view(View(1, founders)))
-            assert isinstance(first, Item)
-            self.acceptor.settle((VIEW, MEMBERS, 1), first.value)
-            if self.me in founders:
-                ledger.founded()
-            ledger.mark([first])
-        else:
-            claimed = self.charter.claim()
-            if claimed:
-                ledger.mark(claimed)
-        return ledger
-
-    def _forgotten_to(self, key: Key) -> int:
-        """Versions of that key up to this are older than a drop that is forgotten, or may be."""
-        known = self.charter.forgotten
-        return known.version(key) if key in self.charter.items else known.watermark(key)
-
     # Start and end
 
     async def start(self) -> None:
@@ -504,13 +453,3 @@
     """Where operators call this process: others name it to a caller whom they can't serve."""
     control = settings.ports.control
     return f"{control[0]}:{control[1]}" if control is not None else ""
-
-
-def acceptor_of(me: str, kept: Held, forgotten_to: Callable[[Key], int]) -> Acceptor:
-    """As its disk has it: all that its last life may have promised is refused."""
-    acceptor = Acceptor(me, kept.ceiling, forgotten_to)
-    acceptor.generations = dict(kept.generations)
-    kept.fill(acceptor)
-    for item in kept.items:
-        acceptor.settle((item.kind, item.name, item.version), item.value)
-    return acceptor
--- a/mesh/control_plane/proposals.py
+++ b/mesh/control_plane/proposals.py
@@ -85,7 +85,7 @@
         self._charter, self._council, self._event_log = charter, council, event_log
         self.acceptance, self._acceptor = acceptance, acceptance.acceptor
         acceptance.viewed = self._viewed
-        self._reads = QuorumReads(charter, council, acceptance)
+        self.reads = QuorumReads(charter, council, acceptance)
         self._top = 0
         self._rounds: dict[Ballot, _Round] = {}
         self._orders: dict[tuple[Any, ...], _Order] = {}
@@ -255,32 +255,18 @@
         for one in list(self._rounds.values()):
             if one.prepare.epoch < epoch:
                 one.over(Again(0, "another view came"))
-        self._reads.viewed()
+        self.reads.viewed()
 
     # Reads
 
     async def read(self, within_s: float) -> bool:
         """Until this store has all that was acknowledged before now; False where not enough answer."""
         until = self._loop.time() + within_s
-        opened = await self._reads.hear(until)
+        opened = await self.reads.hear(until)
         if opened is None:
             return False
         return await self._settle(opened | self._acceptor.votes.keys(), until)
 
-    async def read_kind(self, kind: str, within_s: float) -> bool:
-        """As `read`, for the items of one kind; open votes on them are left to those who brought them, so
-        that no order under way is cut short by a read. False as well where these take too long."""
-        until = self._loop.time() + within_s
-        opened = await self._reads.hear(until, kind)
-        if opened is None:
-            return False
-        numbers = opened | {number for number in self._acceptor.votes if number[0] == kind}
-        while self._unsettled(numbers):
-            if self._loop.time() >= until:
-                return False
-            await asyncio.sleep(GRACE_S)
-        return True
-
     def _unsettled(self, numbers: Collection[Number]) -> list[Number]:
         known = (Settled, Forgotten)
         return [number for number in numbers if not isinstance(self._acceptor.state(number), known)]
@@ -370,7 +356,7 @@
         for one in list(self._rounds.values()):
             if anew or one.asked.get(address) is not peer:
                 self._ask(one, address, peer)
-        self._reads.reach(address, peer, anew)
+        self.reads.reach(address, peer, anew)
 
     def frame(self, channel: Channel, head: Head) -> bool:
         """Whether it was one of votes or reads. Raises KeyError, TypeError or ValueError for what cannot be
@@ -383,7 +369,7 @@
             elif kind == "refuse" and "view" in head:
                 self.acceptance.take([unpack(fields) for fields in head["view"]], {})
         else:
-            return self._reads.frame(channel, head) or self.acceptance.frame(channel, head)
+            return self.reads.frame(channel, head) or self.acceptance.frame(channel, head)
         return True
 
     def _answered(self, one: _Round, channel: Channel, kind: str, head: Head) -> None:
--- a/mesh/control_plane/quorum_reads.py
+++ b/mesh/control_plane/quorum_reads.py
@@ -13,12 +13,13 @@
 from mesh.control_plane.member_set import Council, address_of
 from mesh.dissemination.peers import Channel
 from mesh.dissemination.pull_exchange import pack, unpack
-from mesh.replication.acceptor import Number
+from mesh.replication.acceptor import Forgotten, Number, Settled
 from mesh.replication.membership_epochs import View
 from mesh.replication.store import Store
 from mesh.transport.frames import Head
 
 MOST_READS = 256  # under way at once; more are answered as busy
+OPEN_LOOK_S = 0.03  # between two looks at votes that others bring to their decision
 MOST_ITEMS = 1000  # of one page of an answer
 
 
@@ -67,6 +68,21 @@
         finally:
             self._under_way.pop(number, None)
 
+    async def current(self, kind: str, until: float) -> bool:
+        """Until the store here has all items of that kind that were decided before now. Open votes on them
+        are left to those who brought them, so that no order under way is cut short by a read; False where
+        these, or the answers, take too long."""
+        opened = await self.hear(until, kind)
+        if opened is None:
+            return False
+        acceptor = self._acceptance.acceptor
+        numbers = opened | {number for number in acceptor.votes if number[0] == kind}
+        while any(not isinstance(acceptor.state(number), Settled | Forgotten) for number in numbers):
+            if self._loop.time() >= until:
+                return False
+            await asyncio.sleep(OPEN_LOOK_S)
+        return True
+
     def _begin(self, number: int, of: str) -> _Read:
         read = self._under_way[number] = _Read(self._council.view(), self._loop.create_future(), of)
         for address, channel in self._council.peers().items():
--- a/mesh/control_plane/restore.py
+++ b/mesh/control_plane/restore.py
@@ -17,7 +17,8 @@
 from mesh.replication.membership_epochs import MEMBERS, NOBODY, VIEW, View, read_view, write_view
 from mesh.replication.proposer import Decided
 from mesh.replication.restore import restored
-from mesh.replication.store import Full, Store
+from mesh.replication.store import Store
+from mesh.replication.store_answers import StoreFull
 from mesh.runtime.introspection_calls import Handler, Refusal, Told
 from mesh.storage.layout import Held, StorageError, held
 from mesh.storage.lmdb_store import Failed, look, room
@@ -131,7 +132,7 @@
         self._ledger.forget(keys, buckets)
         items = [item for item in kept.items if item.kind != VIEW]
         taken = self._charter.mend(items)
-        if isinstance(taken, Full):
+        if isinstance(taken, StoreFull):
             return Refusal(taken.reason)
         self._acceptance.took(taken)
         kept.fill(self._acceptor)
--- a/mesh/data_plane/call_trace.py
+++ b/mesh/data_plane/call_trace.py
@@ -15,7 +15,7 @@
 from mesh.data_plane.client_connection import ClientListener
 from mesh.data_plane.membership import Membership
 from mesh.data_plane.peer_links import Passage
-from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.service_tables import Tables
 from mesh.data_plane.traces import words
 from mesh.data_plane.upstream_dispatch import UpstreamDispatch
 from mesh.dissemination.peers import Channels
--- a/mesh/data_plane/key_holds.py
+++ b/mesh/data_plane/key_holds.py
@@ -10,10 +10,11 @@
 from typing import Any
 
 from mesh.configuration.commands import PLANT
-from mesh.data_plane.key_maps import KeyMaps
+from mesh.data_plane.call_messages import Call
+from mesh.data_plane.key_maps import KEY, KeyMaps
 from mesh.dissemination.peers import Channels
 from mesh.membership.instance_commands import DECAYING, Beat
-from mesh.ownership.key_map import OWNERSHIP, KeyMap
+from mesh.ownership.key_map import OWNERSHIP, KeyMap, read_key
 from mesh.ownership.key_report import KEY_REPORT, write_report
 from mesh.ownership.lease_terms import terms_of
 from mesh.ownership.server_holds import BeatKeys, ServerHolds
@@ -145,6 +146,15 @@
         key_map = self._map
         return key_map is not None and key_map.coming_to(instance)
 
+    def may_run(self, call: Call) -> bool:
+        """Whether the upstream here may run that call, as far as keys go and as far as is known here."""
+        key_map = self._map
+        if key_map is None or not self._maps.divided(self._service):
+            return True
+        told = next((value for name, value in call.headers if name == KEY), None)
+        key = read_key(told.decode("latin-1")) if told is not None else None
+        return key is None or self.holds.may_hold(key_map, key)
+
     # The word to the control processes
 
     def _report_soon(self) -> None:
--- a/mesh/data_plane/key_maps.py
+++ b/mesh/data_plane/key_maps.py
@@ -9,6 +9,7 @@
 from mesh.ownership.key_map import BUCKET, KeyMap, read_map
 from mesh.replication.items import Item
 
+KEY = b"shard-key"  # the header that names a request's key
 COUNTED_MOST = 4096  # requests between two reports that are counted
 
 
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -13,8 +13,8 @@
 from mesh.admission.call_sessions import Sessions
 from mesh.configuration.commands import INPUT_LIMITS, PLANT, ROUTE
 from mesh.configuration.limits import read_limits
-from mesh.configuration.routes import Route, Routes
-from mesh.data_plane.call_messages import Call, End, Life
+from mesh.configuration.routes import Routes
+from mesh.data_plane.call_messages import End, Life
 from mesh.data_plane.client_connection import ClientListener
 from mesh.data_plane.control_contact import ControlContact
 from mesh.data_plane.incoming_calls import Incoming
@@ -23,8 +23,9 @@
 from mesh.data_plane.membership import NODE, PROXY, ROLE_NAMES, Membership
 from mesh.data_plane.peer_calls import MOST_TOLD
 from mesh.data_plane.peer_links import Passage
-from mesh.data_plane.request_dispatch import KEY, RequestDispatcher
-from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.request_dispatch import RequestDispatcher
+from mesh.data_plane.route_preparation import prepare
+from mesh.data_plane.service_tables import Tables
 from mesh.data_plane.shutdown import Shutdown, rest_s
 from mesh.data_plane.staged_routes import Stages
 from mesh.data_plane.upstream_connections import Tap
@@ -35,13 +36,13 @@
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
 from mesh.membership.failure_detection import above, dropped
-from mesh.membership.instance_commands import SETTLED, read_address
+from mesh.membership.instance_commands import read_address
 from mesh.membership.instance_lifecycle import Upstream
-from mesh.membership.rendezvous import few
 from mesh.membership.tombstones import ASKS_ANEW_S, Tombs
-from mesh.ownership.key_map import OWNERSHIP, read_key
+from mesh.ownership.key_map import OWNERSHIP
 from mesh.replication.items import Item
-from mesh.replication.store import Full, Store
+from mesh.replication.store import Store
+from mesh.replication.store_answers import StoreFull
 from mesh.rollout.report import REPORTS
 from mesh.runtime.introspection_calls import Asker, Questions
 from mesh.runtime.settings import Bounds, Settings
@@ -101,7 +102,7 @@
             self.reports,
             self.routes,
             self.membership,
-            self._prepare,
+            lambda route: prepare(route, settings.node, self.tables, self.membership, self.passage),
             lambda: self.channels,
             int(time.time() * 1000),
             event_log,
@@ -160,8 +161,7 @@
 
     def _make_key_holds(self) -> KeyHolds:
         settings = self.settings
-        self.upstream_dispatch.holds = self._holds
-        return KeyHolds(
+        holds = KeyHolds(
             settings.node,
             settings.plant,
             settings.bounds.hold_max_ms,
@@ -172,6 +172,8 @@
             lambda: self.channels,
             lambda: self.membership.at(settings.node),
         )
+        self.upstream_dispatch.holds = holds.may_run
+        return holds
 
     # Start and end
 
@@ -312,15 +314,6 @@
         if not self.key_holds.frame(head):
             self.stages.told(head, channel.whole)
 
-    def _holds(self, call: Call) -> bool:
-        """Whether the upstream here may run it, where its service is divided by key."""
-        key_map = self.tables.keys.by_service.get(self.settings.plant)
-        if key_map is None or not self.tables.keys.divided(self.settings.plant):
-            return True
-        told = next((value for name, value in call.headers if name == KEY), None)
-        key = read_key(told.decode("latin-1")) if told is not None else None
-        return key is None or self.key_holds.holds.may_hold(key_map, key)
-
     def _reached(self, node: str, up: bool) -> None:
         """What cannot be reached from here takes no calls from here, whatever others say of it."""
         self.event_log.tell(events.REACHED if up else events.UNREACHED, peer=node)
@@ -344,24 +337,6 @@
             most = item.value.get("conn_saturation")
             self.tap.most = max(int(TAP_SHARE * most), 1) if most else TAP_MOST
 
-    def _prepare(self, route: Route) -> list[str]:
-        """Before the services of a route are used: tables for those new here, and a link to one upstream of
-        each to which there is none. Gives those without a live upstream."""
-        dry = []
-        for service, _ in route.split:
-            table, new = self.tables.of(service, route)
-            live = [(i, v) for i, v in self.membership.of(service) if v is not None and v["state"] == SETTLED]
-            if new:
-                table.tell(self.membership.of(service), whole=True)
-                nodes = few(self.settings.node, {str(value["node"]) for _, value in live}, 1)
-                for node in nodes:
-                    address = self.membership.address(node)
-                    if address is not None:
-                        self.passage.warm(node, address)
-            if not live:
-                dry.append(service)
-        return dry
-
     def _renew(self, packed: list[Any] | None) -> None:
         """A second hop goes by a newer version of a route, which it sent along."""
         try:
@@ -370,7 +345,7 @@
             return
         if item is not None and item.kind == ROUTE:
             changed = self.charter.merge([item], {})
-            if not isinstance(changed, Full) and changed:
+            if not isinstance(changed, StoreFull) and changed:
                 self.stages.route(item, late=True)
                 self.stages.changed()
 
--- a/mesh/data_plane/request_dispatch.py
+++ b/mesh/data_plane/request_dispatch.py
@@ -15,7 +15,8 @@
 from mesh.configuration.routes import Route, pick
 from mesh.data_plane.call_messages import Octets, Returned
 from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served
-from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.key_maps import KEY
+from mesh.data_plane.service_tables import Tables
 from mesh.data_plane.upstream_dispatch import OURS
 from mesh.ownership.key_map import read_key
 
@@ -25,7 +26,6 @@
 WHOLE = re.compile(rb"[0-9]{1,9}")
 Reply = Callable[[int, http.Headers, Octets], None]
 
-KEY = b"shard-key"
 ONCE = frozenset({b"host", b"attempt-id", b"time-remaining", KEY})
 
 
--- /dev/null
+++ b/mesh/data_plane/route_preparation.py
@@ -0,0 +1,29 @@
+"""Before the services of a route are used: tables for those that are new here, and a link to one upstream."""
+
+from __future__ import annotations
+
+from mesh.configuration.routes import Route
+from mesh.data_plane.membership import Membership
+from mesh.data_plane.peer_links import Passage
+from mesh.data_plane.service_tables import Tables
+from mesh.membership.instance_commands import SETTLED
+from mesh.membership.rendezvous import few
+
+
+def prepare(route: Route, node: str, tables: Tables, membership: Membership, passage: Passage) -> list[str]:
+    """Makes ready for the services of a route at this ``node``; gives those without a live upstream. Of each
+    new one a link to one upstream's sidecar is opened where there is none."""
+    dry = []
+    for service, _ in route.split:
+        table, new = tables.of(service, route)
+        known = membership.of(service)
+        live = [value for _, value in known if value is not None and value["state"] == SETTLED]
+        if new:
+            table.tell(known, whole=True)
+            for other in few(node, {str(value["node"]) for value in live}, 1):
+                address = membership.address(other)
+                if address is not None:
+                    passage.warm(other, address)
+        if not live:
+            dry.append(service)
+    return dry
--- a/mesh/data_plane/service_balancers.py
+++ b/mesh/data_plane/service_balancers.py
@@ -3,12 +3,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
-import random
 from collections import deque
-from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from collections.abc import Mapping
+from typing import Any
 
 from hareloom import Balancer
 from hareloom import interface as api
@@ -18,14 +16,11 @@
 from mesh.configuration.routes import Route
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway
 from mesh.data_plane.call_state import PROMISES, Anew, Ask, Failed, Final, Refused, Served, outcome_of
-from mesh.data_plane.key_maps import KeyMaps
 from mesh.data_plane.keyed_balancer import KeyedBalancer
-from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.route_classes import RouteClasses, worth_of
-from mesh.data_plane.traces import FirstHop, words
+from mesh.data_plane.service_parts import ServiceParts
+from mesh.data_plane.traces import words
 from mesh.event_log import events
-from mesh.event_log.log import EventLog
-from mesh.transport.link import Address
 
 FURTHER = 2  # attempts of a request beyond its route's trials, for those that never reached an upstream
 RETRY_AFTER_MS = 10_000.0  # the longest advice; clients take a third of their time at the most
@@ -36,16 +31,10 @@
 GUARD_MS = 40.0  # after its deadline a request without a decision is answered all the same
 
 
-class Place(Protocol):
-    """Where an instance is, as the membership has it."""
-
-    def address(self, node: str) -> Address | None: ...
-
-
 class Table:
     """Of one service."""
 
-    def __init__(self, tables: Tables, service: str, first: Route) -> None:
+    def __init__(self, tables: ServiceParts, service: str, first: Route) -> None:
         self.tables, self.service = tables, service
         self.loop = tables.loop
         self.budget = Budget(tables.ratio, tables.window_ms, tables.slack)
@@ -96,7 +85,7 @@
         return isinstance(self.balancer, KeyedBalancer)
 
     def _balancer(self) -> Balancer | KeyedBalancer:
-        seed = self.tables.seed(self.service)
+        seed = self.tables.seed()
         if self.tables.keys.divided(self.service):
             return KeyedBalancer(self._settings(), self._holder)
         return Balancer(self._settings(), seed)
@@ -347,61 +336,3 @@
             elif end.status not in PROMISES:
                 ask.last = end
         self.handle(api.AttemptEnded(ask.id, number, outcome, latency, closed))
-
-
-class Tables:
-    """All services' tables of this sidecar, and what they share."""
-
-    def __init__(
-        self,
-        passage: Passage,
-        place: Place,
-        node_of: Callable[[str], str],
-        zone: str,
-        bounds: tuple[float, float, float],
-        seed: int,
-        event_log: EventLog,
-    ) -> None:
-        """``bounds``: ratio, window in milliseconds and slack of the budget of further tries."""
-        self.loop = asyncio.get_running_loop()
-        self.passage, self.node_of, self.address_of = passage, node_of, place.address
-        self.zone, self.event_log = zone, event_log
-        self.ratio, self.window_ms, self.slack = bounds
-        self._random = random.Random(seed)
-        self.sidecars, self.many_zones = 3, False
-        self.by_service: dict[str, Table] = {}
-        self.keys = KeyMaps()
-        self.traces = FirstHop()
-        self.watch: Callable[[Ask, int | Refused | Failed], None] = lambda ask, told: None  # each call's end
-        self.renew: Callable[[list[Any] | None], None] = lambda item: None  # a second hop knows a newer item
-
-    def now(self) -> float:
-        return self.loop.time() * 1000.0
-
-    def seed(self, service: str) -> int:
-        return self._random.getrandbits(32)
-
-    def draw(self) -> float:
-        return self._random.random()
-
-    def of(self, service: str, route: Route) -> tuple[Table, bool]:
-        """The table of a service, and whether it has just been made and knows no instance yet."""
-        table = self.by_service.get(service)
-        if table is not None:
-            return table, False
-        table = self.by_service[service] = Table(self, service, route)
-        return table, True
-
-    def tune(self, bounds: tuple[float, float, float]) -> None:
-        """The budget of further tries is another: ratio, window in milliseconds and slack."""
-        if bounds != (self.ratio, self.window_ms, self.slack):
-            self.ratio, self.window_ms, self.slack = bounds
-            for table in self.by_service.values():
-                table.budget.tune(self.now(), *bounds)
-
-    def people(self, sidecars: int, zones: int) -> None:
-        """How many sidecars there are, and in how many zones."""
-        if (sidecars, zones > 1) != (self.sidecars, self.many_zones):
-            self.sidecars, self.many_zones = max(sidecars, 1), zones > 1
-            for table in self.by_service.values():
-                table.retune()
--- a/mesh/data_plane/shutdown.py
+++ b/mesh/data_plane/shutdown.py
@@ -20,7 +20,7 @@
 from mesh.data_plane.client_connection import FIRST_REQUEST_S, ClientListener
 from mesh.data_plane.incoming_calls import Incoming
 from mesh.data_plane.request_dispatch import RequestDispatcher
-from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.service_tables import Tables
 from mesh.data_plane.upstream_dispatch import UpstreamDispatch
 from mesh.data_plane.upstream_registration import Registry
 from mesh.event_log import events
--- a/mesh/dissemination/pull_exchange.py
+++ b/mesh/dissemination/pull_exchange.py
@@ -19,7 +19,8 @@
 
 from mesh.replication.items import Item
 from mesh.replication.snapshot import SNAPSHOTS
-from mesh.replication.store import Full, Mistaken, Store
+from mesh.replication.store import Store
+from mesh.replication.store_answers import DigestMismatch, StoreFull
 from mesh.transport.frames import Head
 
 PAGE = 500  # items of one answer
@@ -168,7 +169,7 @@
         changed: dict[str, list[Item]] = {}
         for name, (items, vector) in told.items():
             taken = self._stores[name].hear(items, vector)
-            if isinstance(taken, Full | Mistaken):
+            if isinstance(taken, StoreFull | DigestMismatch):
                 self.full = taken.reason
             else:
                 changed[name] = taken
--- a/mesh/replication/store.py
+++ b/mesh/replication/store.py
@@ -6,11 +6,10 @@
 from operator import itemgetter
 from typing import Any
 
-from msgspec import Struct
-
 from mesh.replication.digest import Digests
 from mesh.replication.items import Item, Key, outranks
 from mesh.replication.snapshot import PART, SNAP, Giving, Moment, Taking, cut
+from mesh.replication.store_answers import Delta, DigestMismatch, StoreFull
 from mesh.replication.tombstones import Forgotten, Row, digest_of
 
 Write = tuple[str, str, int, Mapping[str, Any] | None]  # kind, name, version, value
@@ -21,29 +20,6 @@
 PAGE = "page:"  # before a source's name: an entry that counts pages of that source's answer, see Store
 
 
-class Full(Struct, frozen=True):
-    """Nothing was taken, for the store would pass its bound; ``reason`` is one line."""
-
-    reason: str
-
-
-class Mistaken(Struct, frozen=True):
-    """A snapshot's items do not have the digest that it was told with: its vector was not taken."""
-
-    reason: str
-
-
-class Lack(Struct, frozen=True):
-    """What a peer lacks: items in the order of their arrival here, and what its vector may rise to with them.
-
-    With ``more`` this is a page: the vector holds but the page's own entry, and the peer is to ask again.
-    """
-
-    items: list[Item]
-    vector: dict[str, int]
-    more: bool
-
-
 class Store:
     """Items by key, and a vector by source.
 
@@ -87,14 +63,16 @@
         self._doubted: set[Key] = set()  # what is to be told anew
         self._unborne: dict[str, None] = {}  # sources in the vector that no item bears, oldest first
 
-    def take(self, kind: str, name: str, version: int, value: Mapping[str, Any] | None) -> Item | Full | None:
+    def take(
+        self, kind: str, name: str, version: int, value: Mapping[str, Any] | None
+    ) -> Item | StoreFull | None:
         """A write at this node, stamped with its source; None where the held item is not outranked."""
         taken = self.take_all([(kind, name, version, value)])
-        if isinstance(taken, Full):
+        if isinstance(taken, StoreFull):
             return taken
         return taken[0] if taken else None
 
-    def take_all(self, writes: Sequence[Write]) -> list[Item] | Full:
+    def take_all(self, writes: Sequence[Write]) -> list[Item] | StoreFull:
         """Writes in their order, all or (past the bound) none; the items that changed something."""
         if (full := self._full({(kind, name) for kind, name, _, _ in writes}, self.most)) is not None:
             return full
@@ -106,13 +84,15 @@
                 taken.append(item)
         return taken
 
-    def merge(self, items: Iterable[Item], vector: Mapping[str, int]) -> list[Item] | Full:
+    def merge(self, items: Iterable[Item], vector: Mapping[str, int]) -> list[Item] | StoreFull:
         """As `hear`, for what is no page of a snapshot."""
         changed = self.hear(items, vector)
-        assert not isinstance(changed, Mistaken)
+        assert not isinstance(changed, DigestMismatch)
         return changed
 
-    def hear(self, items: Iterable[Item], vector: Mapping[str, int]) -> list[Item] | Full | Mistaken:
+    def hear(
+        self, items: Iterable[Item], vector: Mapping[str, int]
+    ) -> list[Item] | StoreFull | DigestMismatch:
         """A peer's answer, whole or a page, to a question that this store asked; the items that changed it.
 
         Items from elsewhere (repair) come with an empty vector. An item of equal content keeps the stamp it
@@ -134,7 +114,7 @@
 
     def _snapshot(
         self, entry: str, place: int, told: Sequence[Item], vector: Mapping[str, int]
-    ) -> Mistaken | None:
+    ) -> DigestMismatch | None:
         """A page of one has come; the last one (its place is told below 0) has more in its vector."""
         root = entry.removeprefix(SNAP)
         if place > 0:
@@ -150,7 +130,7 @@
             return None
         self.vector.pop(entry, None)
         if not ends:
-            return Mistaken(f"snapshot {root}: what came has another digest")
+            return DigestMismatch(f"snapshot {root}: what came has another digest")
         self._raise({source: number for source, number in vector.items() if source != entry})
         self._snapped()
         return None
@@ -160,11 +140,11 @@
             del self.vector[entry]
         self._taking.clear()
 
-    def mend(self, items: Iterable[Item]) -> list[Item] | Full:
+    def mend(self, items: Iterable[Item]) -> list[Item] | StoreFull:
         """Merges copies that repair found to be newer elsewhere. What changed by them is stamped anew, as
         this store's own: its stamp may be within this vector already, and it would be news to nobody."""
         changed = self.merge(items, {})
-        return changed if isinstance(changed, Full) else [self._restamp(item.key) for item in changed]
+        return changed if isinstance(changed, StoreFull) else [self._restamp(item.key) for item in changed]
 
     def claim(self, source: str | None = None) -> list[Item]:
         """Stamps anew, as this store's own, what it holds above its vector: of that source, or of any.
@@ -201,7 +181,7 @@
 
     def lacking(
         self, vector: Mapping[str, int], most: int, most_bytes: int = PAGE_BYTES, snapshots: bool = False
-    ) -> Lack:
+    ) -> Delta:
         """What a peer with this vector lacks: at most ``most`` (>= 1) items and so many bytes, one item at
         least, then ``more``. ``snapshots``: it takes them.
 
@@ -228,9 +208,9 @@
         first = nsmallest(most, found)
         items = cut((self.items[key] for _, key in first), most_bytes)
         if len(found) > len(items):
-            return Lack(items, {page: first[len(items) - 1][0]}, True)
+            return Delta(items, {page: first[len(items) - 1][0]}, True)
         risen = {source: self.vector[source] for source in self._risen(vector)}
-        return Lack(items, risen | ({page: 0} if page in vector else {}), False)
+        return Delta(items, risen | ({page: 0} if page in vector else {}), False)
 
     def _helpful(self, lacked: Sequence[Key], most: int) -> Moment | None:
         """A moment after which its taker lacks no more than ``most`` of these. A moment holds items above
@@ -260,14 +240,14 @@
 
     def _page(
         self, moment: Moment, place: int, vector: Mapping[str, int], most: int, most_bytes: int
-    ) -> Lack:
+    ) -> Delta:
         items, entry = moment.page(place, most, most_bytes), SNAP + moment.root
         place += len(items)
         if place < len(moment.items):
-            return Lack(items, {entry: place}, True)
+            return Delta(items, {entry: place}, True)
         risen = {source: number for source, number in moment.vector.items() if number > vector.get(source, 0)}
         # What came since is asked for next.
-        return Lack(items, {entry: -place, **risen}, self.has_news({**vector, **risen}))
+        return Delta(items, {entry: -place, **risen}, self.has_news({**vector, **risen}))
 
     def replaces(self, item: Item, held: Item) -> bool:
         """Whether the one takes the place of the other, of the same key."""
@@ -359,11 +339,11 @@
             self._put(item)
         self._raise({source: number for source, number in vector.items() if not paging(source)})
 
-    def _full(self, keys: set[Key], most: int) -> Full | None:
+    def _full(self, keys: set[Key], most: int) -> StoreFull | None:
         count = len(self.items) + sum(key not in self.items for key in keys)
         if count <= most or count == len(self.items):  # what is held may change at the bound, too
             return None
-        return Full(
+        return StoreFull(
             f"state: {count} items with these, at most {most}: drop some and wait till they are forgotten"
         )
 
--- a/simulation/mesh/key_seeds.py
+++ b/simulation/mesh/key_seeds.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from mesh.control_plane.key_assignment import KeyAssignment
-from mesh.control_plane.proposals import Voting
+from mesh.control_plane.quorum_reads import QuorumReads
 from mesh.data_plane.key_holds import KeyHolds
 from mesh.ownership.assignment import Word
 from mesh.ownership.key_map import KeyMap, Row
@@ -45,7 +45,7 @@
     async def read(*_: Any) -> bool:
         return True
 
-    return mock.patch.object(Voting, "read_kind", read)
+    return mock.patch.object(QuorumReads, "current", read)
 
 
 def old_maps_are_current() -> Patch:
--- a/tests/mesh/test_data_plane_client_connection.py
+++ b/tests/mesh/test_data_plane_client_connection.py
@@ -16,7 +16,8 @@
 from mesh.data_plane.client_connection import AT_ONCE, ClientListener, PipelinedConnection
 from mesh.data_plane.peer_links import Passage
 from mesh.data_plane.request_dispatch import OTHERS_S, RequestDispatcher
-from mesh.data_plane.service_balancers import GUARD_MS, Tables
+from mesh.data_plane.service_balancers import GUARD_MS
+from mesh.data_plane.service_tables import Tables
 from mesh.data_plane.upstream_connections import Tap
 from mesh.data_plane.upstream_dispatch import UpstreamDispatch
 from mesh.event_log.log import EventLog
--- a/tests/mesh/test_data_plane_repeats.py
+++ b/tests/mesh/test_data_plane_repeats.py
@@ -10,7 +10,7 @@
 from mesh.admission.repeat_runs import NEAR_MS, RepeatRuns
 from mesh.admission.retry_budget import KEPT, Budget
 from mesh.data_plane.call_messages import Call, CallHead, read_call
-from mesh.data_plane.service_balancers import Tables
+from mesh.data_plane.service_tables import Tables
 from rigs.mesh_peers import soon, turns, until
 from rigs.whole_sidecar import Beside, beside, passing
 
--- a/tests/mesh/test_data_plane_service_balancers.py
+++ b/tests/mesh/test_data_plane_service_balancers.py
@@ -18,7 +18,8 @@
 from mesh.data_plane import route_classes
 from mesh.data_plane.call_messages import Call, End, Returned, TurnedAway, Unclear
 from mesh.data_plane.call_state import Anew, Ask, Failed, Final, Refused, Served, State
-from mesh.data_plane.service_balancers import GUARD_MS, Table, Tables
+from mesh.data_plane.service_balancers import GUARD_MS, Table
+from mesh.data_plane.service_tables import Tables
 from mesh.event_log.log import EventLog
 from rigs.mesh_peers import move, play, soon, turns
 
--- a/tests/mesh/test_dissemination_pull_exchange.py
+++ b/tests/mesh/test_dissemination_pull_exchange.py
@@ -15,7 +15,8 @@
 from mesh.dissemination.pull_exchange import Exchange, pack, unpack
 from mesh.replication.items import Item, same_content
 from mesh.replication.snapshot import SNAPSHOTS
-from mesh.replication.store import Lack, Store
+from mesh.replication.store import Store
+from mesh.replication.store_answers import Delta
 from mesh.transport.frames import Head
 
 PAGE = 3
@@ -184,9 +185,9 @@
 class ClaimsPastGaps(Store):
     """The fault: each page raises the vector to all that the sender has."""
 
-    def lacking(self, vector: Mapping[str, int], most: int, *_: object, **__: object) -> Lack:
+    def lacking(self, vector: Mapping[str, int], most: int, *_: object, **__: object) -> Delta:
         lack = super().lacking(vector, most)
-        return Lack(lack.items, dict(self.vector), False) if lack.more else lack
+        return Delta(lack.items, dict(self.vector), False) if lack.more else lack
 
 
 class AlwaysNews(Store):
--- a/tests/mesh/test_pages_world.py
+++ b/tests/mesh/test_pages_world.py
@@ -163,10 +163,7 @@
         for _, program in world.programs(core=True):
             voting = program.voting
             assert not (
-                voting._orders
-                or voting._rounds
-                or voting._reads.under_way
-                or voting.acceptance.acceptor.votes
+                voting._orders or voting._rounds or voting.reads.under_way or voting.acceptance.acceptor.votes
             )
         yield from world.witness.finish()
 
--- a/tests/mesh/test_replication_exchange.py
+++ b/tests/mesh/test_replication_exchange.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from mesh.replication.items import Item, Key, outranks, same_content
-from mesh.replication.store import PAGE, Lack, Store
+from mesh.replication.store import PAGE, Store
+from mesh.replication.store_answers import Delta
 
 NODES = 3
 Taken = dict[tuple[str, int], Item]
@@ -28,7 +29,7 @@
 class ClaimsWhatThePageBears(Store):
     """The fault: a page raises each source to its last number in it, past gaps whose items come later."""
 
-    def lacking(self, vector: Mapping[str, int], most: int) -> Lack:
+    def lacking(self, vector: Mapping[str, int], most: int) -> Delta:
         stamps = sorted(
             (item.source, item.number)
             for item in self.items.values()
@@ -37,16 +38,16 @@
         by_stamp = {(item.source, item.number): item for item in self.items.values()}
         if len(stamps) <= most:
             return super().lacking(vector, most)
-        return Lack([by_stamp[stamp] for stamp in stamps[:most]], dict(stamps[:most]), True)
+        return Delta([by_stamp[stamp] for stamp in stamps[:most]], dict(stamps[:most]), True)
 
 
 class HidesWhatItDoesNotClaim(Store):
     """The fault: items above the own vector are not answered, though they may have replaced claimed ones."""
 
-    def lacking(self, vector: Mapping[str, int], most: int) -> Lack:
+    def lacking(self, vector: Mapping[str, int], most: int) -> Delta:
         lack = super().lacking(vector, most)
         claimed = [item for item in lack.items if item.number <= self.vector.get(item.source, 0)]
-        return Lack(claimed, lack.vector, lack.more)
+        return Delta(claimed, lack.vector, lack.more)
 
 
 class PageForgetsWhatMoved(Store):
@@ -69,7 +70,7 @@
         self.taken: Taken = {}
         self.stores = [self.begin() for _ in range(NODES)]
         self.disks: list[tuple[list[Item], dict[str, int]]] = [([], {}) for _ in range(NODES)]
-        self.answers: list[tuple[Store, Lack]] = []
+        self.answers: list[tuple[Store, Delta]] = []
 
     def begin(self) -> Store:
         self.lives += 1
--- a/tests/mesh/test_replication_snapshot.py
+++ b/tests/mesh/test_replication_snapshot.py
@@ -6,7 +6,8 @@
 
 from mesh.replication.items import Item
 from mesh.replication.snapshot import MOMENTS, SNAP, TAKINGS, Taking, cut
-from mesh.replication.store import Mistaken, Store
+from mesh.replication.store import Store
+from mesh.replication.store_answers import DigestMismatch
 
 PAGE = 7
 
@@ -174,7 +175,7 @@
     asks(taker, giver)
     last = giver.lacking(taker.vector, PAGE, snapshots=True)
     harmed = [*last.items[:-1], Item("k", last.items[-1].name, 1, {"v": "?"}, "g", 3 * PAGE)]
-    assert isinstance(taker.hear(harmed, last.vector), Mistaken)
+    assert isinstance(taker.hear(harmed, last.vector), DigestMismatch)
     assert "g" not in taker.vector and not snaps(taker)
     assert giver.has_news(taker.vector)
 
--- a/tests/mesh/test_replication_store.py
+++ b/tests/mesh/test_replication_store.py
@@ -1,7 +1,8 @@
 """One store: what writes and merges change, what is answered, and every bound."""
 
 from mesh.replication.items import Item
-from mesh.replication.store import PAGE, PAGINGS, SPARE_SOURCES, Full, Lack, Store
+from mesh.replication.store import PAGE, PAGINGS, SPARE_SOURCES, Store
+from mesh.replication.store_answers import Delta, StoreFull
 
 
 def pull(asker: Store, sender: Store) -> list[Item]:
@@ -47,32 +48,34 @@
     b.take("k", "w", 1, {})
     pull(b, a)
     assert [item.name for item in b.lacking({"a": 2}, 10).items] == ["w", "z"]
-    assert b.lacking({"b": 1}, 10) == Lack([a.items["k", n] for n in "xyz"], {"a": 3}, False)
-    assert b.lacking(b.vector, 10) == Lack([], {}, False)
+    assert b.lacking({"b": 1}, 10) == Delta([a.items["k", n] for n in "xyz"], {"a": 3}, False)
+    assert b.lacking(b.vector, 10) == Delta([], {}, False)
 
 
 def test_what_came_by_repair_is_answered_but_neither_claimed_nor_news() -> None:
     a, b = Store("a", 10), Store("b", 10)
     a.merge([Item("k", "x", 1, {}, "dead", 7)], {})
-    assert a.lacking(b.vector, 10) == Lack([a.items["k", "x"]], {}, False)
+    assert a.lacking(b.vector, 10) == Delta([a.items["k", "x"]], {}, False)
     assert not a.has_news(b.vector)
 
 
 def test_writes_stop_at_the_bound_whole_batches_and_merges_at_twice_it() -> None:
     store = Store("s", 2)
     assert store.take("k", "a", 1, None) is not None
-    assert isinstance(store.take_all([("k", "b", 1, {}), ("k", "c", 1, {})]), Full)
+    assert isinstance(store.take_all([("k", "b", 1, {}), ("k", "c", 1, {})]), StoreFull)
     assert set(store.items) == {("k", "a")} and store.vector == {"s": 1}
     assert isinstance(store.take_all([("k", "b", 1, {}), ("k", "b", 2, {})]), list)
-    assert isinstance(store.take("k", "c", 1, {}), Full)
+    assert isinstance(store.take("k", "c", 1, {}), StoreFull)
     assert isinstance(store.take("k", "b", 3, None), Item)  # what is held may change
 
     others = [Item("k", name, 1, {}, "t", number) for number, name in enumerate("cdef", 1)]
     full = store.merge(others, {"t": 4})
-    assert full == Full("state: 6 items with these, at most 4: drop some and wait till they are forgotten")
+    assert full == StoreFull(
+        "state: 6 items with these, at most 4: drop some and wait till they are forgotten"
+    )
     assert len(store.items) == 2 and "t" not in store.vector
     assert store.merge(others[:2], {"t": 2}) == others[:2]
-    assert isinstance(store.merge(others[2:], {"t": 4}), Full)
+    assert isinstance(store.merge(others[2:], {"t": 4}), StoreFull)
     store.forget(("k", "a"))
     assert store.merge(others[2:3], {"t": 3}) == others[2:3]
 
@@ -141,7 +144,7 @@
     store.merge([], {"t": 3})
     assert store.vector["t"] == 5
     asked = {"t": 5, PAGE + "t": 2}
-    assert not store.has_news(asked) and store.lacking(asked, 10) == Lack([], {}, False)
+    assert not store.has_news(asked) and store.lacking(asked, 10) == Delta([], {}, False)
 
 
 def test_pages_under_way_are_bounded_and_the_latest_stay() -> None:
