--- a/mesh/control_plane/confirmations.py
+++ b/mesh/control_plane/confirmations.py
@@ -21,7 +21,7 @@
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
 from mesh.replication.items import Item
-from mesh.rollout.report import RolloutReport
+from mesh.rollout.report import RolloutReport, needs_of
 
 LARGE = 64  # items, from which an order waits
 JAM_S = 0.5  # an order that is not confirmed for so long holds up what comes behind it
@@ -44,14 +44,6 @@
     known: float
 
 
-def needs_of(items: Collection[Item]) -> dict[str, int]:
-    """What confirms these items."""
-    needs: dict[str, int] = {}
-    for item in items:
-        needs[item.source] = max(item.number, needs.get(item.source, 0))
-    return needs
-
-
 class Confirmations:
     """Of one control process; ``reports`` by node are kept up by their owner."""
 
--- a/mesh/control_plane/rollouts.py
+++ b/mesh/control_plane/rollouts.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any
 
 from msgspec import Struct, field
 
@@ -24,7 +23,7 @@
 from mesh.rollout.bounds import derive
 from mesh.rollout.canary_verdict import Tally, sound, worse
 from mesh.rollout.change_kinds import STAGED, kind_of
-from mesh.rollout.report import CanaryCounts, RolloutReport, read
+from mesh.rollout.report import CanaryCounts, RolloutReport, needs_of, read
 
 KEPT = 64  # changes, each the items that came at once
 OPEN_S = 60.0  # a change that nobody confirms is looked after for so long
@@ -94,14 +93,14 @@
                 self._counts.pop(item.key, None)
             versions = {item.key: item.version for item in told}
             nodes = set(self._membership.draw().nodes)
-            self.rollouts.append(Rollout(self._loop.time(), versions, _needs(told), nodes))
+            self.rollouts.append(Rollout(self._loop.time(), versions, needs_of(told), nodes))
 
     def restamped(self, items: Iterable[Item]) -> None:
         """Items bear another stamp, their content being the same."""
         keys = {item.key for item in items}
         for one in self.rollouts:
             if one.done is None and keys & one.versions.keys():
-                one.needs = _needs(self._charter.items[key] for key in one.versions)
+                one.needs = needs_of(self._charter.items[key] for key in one.versions)
 
     def reported(self, items: Iterable[Item]) -> None:
         """Reports have come, or (without a value) those of sidecars that are gone."""
@@ -231,13 +230,6 @@
         )
 
 
-def _needs(items: Iterable[Any]) -> dict[str, int]:
-    needs: dict[str, int] = {}
-    for item in items:
-        needs[item.source] = max(item.number, needs.get(item.source, 0))
-    return needs
-
-
 def _has(report: RolloutReport, rollout: Rollout) -> bool:
     return all(report.vector.get(s, 0) >= n for s, n in rollout.needs.items()) and not any(
         key in rollout.versions for key in report.held
--- a/mesh/rollout/report.py
+++ b/mesh/rollout/report.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from msgspec import Struct
@@ -39,6 +39,14 @@
         return self.vector.get(item.source, 0) >= item.number and item.key not in self.held
 
 
+def needs_of(items: Iterable[Item]) -> dict[str, int]:
+    """What confirms these items: by source, the number to which a vector that holds all of them has risen."""
+    needs: dict[str, int] = {}
+    for item in items:
+        needs[item.source] = max(item.number, needs.get(item.source, 0))
+    return needs
+
+
 def pack(report: RolloutReport) -> dict[str, Any]:
     told: dict[str, Any] = {"v": dict(report.vector)}
     if report.held:
