--- a/simulation/mesh/key_troubles.py
+++ b/simulation/mesh/key_troubles.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from simulation.mesh.key_servers import OwnersWorld
 from simulation.mesh.world import Machine, Script
@@ -23,6 +23,21 @@
     return draw.choice(world.controllers())
 
 
+def _named_for_a_while(world: OwnersWorld, names: set[str], draw: random.Random) -> Script:
+    machine = _side(world, draw)
+    names.add(machine.name)
+    yield world.env.timeout(draw.uniform(1.0, 8.0))
+    names.discard(machine.name)
+
+
+def _cut_for_a_while(
+    world: OwnersWorld, ones: Sequence[Machine], others: Sequence[Machine], seconds: float
+) -> Script:
+    world.cut(ones, others)
+    yield world.env.timeout(seconds)
+    world.heal()
+
+
 def upstream_crashes(world: OwnersWorld, draw: random.Random) -> Script:
     """Without a word; another life begins there."""
     machine = _side(world, draw)
@@ -47,18 +62,12 @@
 
 def upstream_unheard(world: OwnersWorld, draw: random.Random) -> Script:
     """Its beats are not answered for a while; it goes on."""
-    machine = _side(world, draw)
-    world.deaf.add(machine.name)
-    yield world.env.timeout(draw.uniform(1.0, 8.0))
-    world.deaf.discard(machine.name)
+    yield from _named_for_a_while(world, world.deaf, draw)
 
 
 def answers_lost(world: OwnersWorld, draw: random.Random) -> Script:
     """The proxy has its upstream's beats, and its answers are lost."""
-    machine = _side(world, draw)
-    world.mute.add(machine.name)
-    yield world.env.timeout(draw.uniform(1.0, 8.0))
-    world.mute.discard(machine.name)
+    yield from _named_for_a_while(world, world.mute, draw)
 
 
 def proxy_killed(world: OwnersWorld, draw: random.Random) -> Script:
@@ -77,18 +86,15 @@
 
 def proxy_cut_off(world: OwnersWorld, draw: random.Random) -> Script:
     """From all control processes, not from its upstream."""
-    world.cut([_side(world, draw)], world.controllers())
-    yield world.env.timeout(draw.uniform(0.5, LONG_CUT_S))
-    world.heal()
+    one = _side(world, draw)
+    yield from _cut_for_a_while(world, [one], world.controllers(), draw.uniform(0.5, LONG_CUT_S))
 
 
 def island(world: OwnersWorld, draw: random.Random) -> Script:
     """A proxy reaches one control process, and that one no other."""
     machine, one = _side(world, draw), _core(world, draw)
     others = [other for other in world.controllers() if other is not one]
-    world.cut([machine, one], others)
-    yield world.env.timeout(draw.uniform(3.0, LONG_CUT_S))
-    world.heal()
+    yield from _cut_for_a_while(world, [machine, one], others, draw.uniform(3.0, LONG_CUT_S))
 
 
 def machine_dark(world: OwnersWorld, draw: random.Random) -> Script:
@@ -119,9 +125,8 @@
 def controllers_halved(world: OwnersWorld, draw: random.Random) -> Script:
     """One is cut off from the others, and reaches the proxies still."""
     one = _core(world, draw)
-    world.cut([one], [machine for machine in world.controllers() if machine is not one])
-    yield world.env.timeout(draw.uniform(0.5, 6.0))
-    world.heal()
+    others = [other for other in world.controllers() if other is not one]
+    yield from _cut_for_a_while(world, [one], others, draw.uniform(0.5, 6.0))
 
 
 def all_controllers_killed(world: OwnersWorld, draw: random.Random) -> Script:
