Let no late beat of a dead upstream end the living one

Change: a life is over once another one has beaten twice with none of its own between; beats of lives that are over switch nothing, counts are kept by life.

--- a/mesh/ownership/server_holds.py
+++ b/mesh/ownership/server_holds.py
@@ -67,10 +67,11 @@
         self._current_to = 0  # the version that it named
         self._pending: list[tuple[int, float]] = []  # versions that are not here yet, and their questions
         self._until = began + terms.lease_s  # when all that was granted has ended, by any clock
-        self._instance, self._count, self._beat_at = "", -1, began
+        self._instance, self._beat_at = "", began
+        self._counts: dict[str, int] = {}  # by life, of its newest beat
         self._former: set[str] = set()  # lives that are over
-        self._earlier: set[str] = set()  # that others know of here, and that are over if another one beats on
-        self._steady = 0  # beats of this life that were heard here
+        self._earlier: set[str] = set()  # that were here, and that are over if another one beats on
+        self._steady = 0  # beats of this life that were heard here with no other life's between
         self._omitted: dict[RowKey, int] = {}  # rows left out, by the beat that was first answered so
         self._words: dict[RowKey, Word] = {}
 
@@ -94,17 +95,10 @@
 
     def beat(self, now: float, beat: BeatKeys, key_map: KeyMap | None) -> Grant | None:
         """The grant with which a beat is answered now; None: the answer renews nothing."""
-        if beat.instance != self._instance:
-            if self._instance:
-                self._former.add(self._instance)
-            self._instance, self._count, self._steady = beat.instance, -1, 0
-        if beat.count <= self._count or beat.instance in self._former:
+        if beat.instance in self._former or beat.count <= self._counts.get(beat.instance, -1):
             return None
-        self._count, self._beat_at = beat.count, now
-        self._steady += 1
-        if self._steady >= STEADY_BEATS:
-            self._former |= self._earlier - {beat.instance}
-            self._earlier.clear()
+        self._counts[beat.instance], self._beat_at = beat.count, now
+        self._follow(beat.instance)
         if key_map is None:
             return None
         self._hear(beat, key_map)
@@ -121,6 +115,19 @@
             self._until = max(self._until, now + hold_s / (1.0 - SLOW_CLOCK))
         return Grant(rows[:GRANT_ROWS_MOST], int(hold_s * 1000.0))
 
+    def _follow(self, instance: str) -> None:
+        """That life beats here. The one before it is over once this one has beaten on: beats may be read in
+        another order than they were sent in, and a late one of the dead must not end the living."""
+        if instance != self._instance:
+            if self._instance:
+                self._earlier.add(self._instance)
+            self._instance, self._steady = instance, 0
+        self._earlier.discard(instance)
+        self._steady += 1
+        if self._steady >= STEADY_BEATS:
+            self._former |= self._earlier
+            self._earlier.clear()
+
     def _hear(self, beat: BeatKeys, key_map: KeyMap) -> None:
         """Rows that an earlier answer left out, and that it has no more."""
         for row in key_map.of(beat.instance):
@@ -143,7 +150,7 @@
         holds have run out, too."""
         if key_map is None:
             return []
-        for instance in (*self._former, self._instance):
+        for instance in (*self._former, *self._earlier, self._instance):
             over = instance in self._former or now > self._until
             for row in key_map.of(instance) if over else ():
                 if row.leaving:
--- a/rigs/key_model.py
+++ b/rigs/key_model.py
@@ -96,7 +96,7 @@
         tuple(holds._pending),
         holds._until,
         holds._instance,
-        holds._count,
+        tuple(sorted(holds._counts.items())),
         tuple(sorted(holds._omitted.items())),
         tuple(sorted(holds._words.items(), key=lambda item: item[0])),
     )
@@ -105,9 +105,10 @@
 def load(fields: tuple[Any, ...]) -> ServerHolds:
     """As `dump` has it."""
     holds = ServerHolds(TERMS, 0.0)
-    holds._asked_at, pending, holds._until, holds._instance, holds._count = fields[:5]
+    holds._asked_at, pending, holds._until, holds._instance, counts = fields[:5]
     omitted, words = fields[5:]
     holds._pending, holds._omitted, holds._words = list(pending), dict(omitted), dict(words)
+    holds._counts = dict(counts)
     return holds
 
 
