List what a late beat of a dead upstream does to the membership, with its failing test

Upstream.take lets a late beat of an earlier life, read behind the next one's first, end the living one for good.

--- a/tests/mesh/test_membership_instance_lifecycle.py
+++ b/tests/mesh/test_membership_instance_lifecycle.py
@@ -147,6 +147,16 @@
     assert upstream.instance == "i-2"
 
 
+def test_a_late_beat_of_a_life_that_was_never_heard_does_not_end_the_one_that_beats_on() -> None:
+    """Read in another order than they were sent in, as by a sidecar that wakes or starts."""
+    upstream = make()
+    upstream.take(0.0, beat(1, "i-2"))
+    upstream.take(1.0, beat(9, "i-1"))  # of the life before
+    upstream.take(1500.0, beat(2, "i-2"))
+    upstream.take(3000.0, beat(3, "i-2"))
+    assert upstream.instance == "i-2" and not upstream.gone
+
+
 def test_a_beat_that_comes_behind_the_signing_off_changes_nothing() -> None:
     upstream = make()
     upstream.take(0.0, beat(7))
