--- a/mesh/ownership/server_holds.py
+++ b/mesh/ownership/server_holds.py
@@ -16,7 +16,8 @@
 RowKey = tuple[str, int, int, int]  # holder, first and last key, fence
 SILENT_BEATS = 2.2  # periods without a beat after which an upstream is told to be silent
 WORDS_MOST = 512
-STEADY_BEATS = 2  # by which a life is known to be the one that is here: a late beat of another comes once
+STEADY_BEATS = 2  # by which a life is known to be the one that is here, and
+STEADY_GAP_S = 1.0  # the least time between these: late beats of a dead one are read at one moment
 GRANT_ROWS_MOST = 56  # an answer to a beat holds 4 KiB at most
 
 
@@ -72,6 +73,7 @@
         self._former: set[str] = set()  # lives that are over
         self._earlier: set[str] = set()  # that were here, and that are over if another one beats on
         self._steady = 0  # beats of this life that were heard here with no other life's between
+        self._steady_at = began  # when the last of them came
         self._omitted: dict[RowKey, int] = {}  # rows left out, by the beat that was first answered so
         self._words: dict[RowKey, Word] = {}
 
@@ -98,7 +100,7 @@
         if beat.instance in self._former or beat.count <= self._counts.get(beat.instance, -1):
             return None
         self._counts[beat.instance], self._beat_at = beat.count, now
-        self._follow(beat.instance)
+        self._follow(now, beat.instance)
         if key_map is None:
             return None
         self._hear(beat, key_map)
@@ -115,7 +117,7 @@
             self._until = max(self._until, now + hold_s / (1.0 - SLOW_CLOCK))
         return Grant(rows[:GRANT_ROWS_MOST], int(hold_s * 1000.0))
 
-    def _follow(self, instance: str) -> None:
+    def _follow(self, now: float, instance: str) -> None:
         """That life beats here. The one before it is over once this one has beaten on: beats may be read in
         another order than they were sent in, and a late one of the dead must not end the living."""
         if instance != self._instance:
@@ -123,7 +125,8 @@
                 self._earlier.add(self._instance)
             self._instance, self._steady = instance, 0
         self._earlier.discard(instance)
-        self._steady += 1
+        if not self._steady or now - self._steady_at >= STEADY_GAP_S:
+            self._steady, self._steady_at = self._steady + 1, now
         if self._steady >= STEADY_BEATS:
             self._former |= self._earlier
             self._earlier.clear()
