--- a/mesh/ownership/server_holds.py
+++ b/mesh/ownership/server_holds.py
@@ -65,7 +65,6 @@
         """What an earlier life of this proxy granted has ended a lease after ``began``."""
         self.terms = terms
         self._asked_at: float | None = None  # of the newest question whose answer is held here
-        self._current_to = 0  # the version that it named
         self._pending: list[tuple[int, float]] = []  # versions that are not here yet, and their questions
         self._until = began + terms.lease_s  # when all that was granted has ended, by any clock
         self._instance, self._beat_at = "", began
