Build a soak of real processes, with a ledger for the configuration first

Cause: CONFIG was reported on real processes without logs; no rig let writes, ends, starts, settings and link troubles overlap on real processes, and none judged writes and requests together.

Relays cut one direction between two processes, and narrow links.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -102,7 +102,7 @@
 async def stages(folder: Path) -> dict[str, dict[str, dict[str, float]]]:
     """Anonymous megabytes and threads of each program at each stage."""
     mesh = Mesh.of(folder, 1, 1)
-    mesh.command = lambda program: (
+    mesh.command = lambda program, _: (
         *("-S", "-m", "rigs.import_trace", str(folder / program), f"mesh.{program}"),
     )
     found: dict[str, dict[str, dict[str, float]]] = {}
--- a/rigs/lost_links/hop.py
+++ b/rigs/lost_links/hop.py
@@ -19,31 +19,15 @@
 from mesh.admission.call_sessions import Session
 from mesh.admission.final_check import Why
 from mesh.control_plane.program import Controller
-from mesh.data_plane import client_connection, peer_calls, program, upstream_connections, upstream_dispatch
+from mesh.data_plane import client_connection, peer_calls, upstream_connections, upstream_dispatch
 from mesh.data_plane.call_messages import TurnedAway
 from mesh.data_plane.program import Proxy
 from mesh.runtime.startup import run
-from mesh.transport import link
+from rigs.relayed_process import listen_at, replace
 
 Replaced = list[tuple[Any, str, Any]]  # whose, its name, what stands there instead
 
 
-def replace(whose: Any, name: str, value: Any) -> None:
-    """Raises AttributeError where it is not there: without it the run would be an ordinary one."""
-    getattr(whose, name)
-    setattr(whose, name, value)
-
-
-def behind(port: int) -> None:
-    """The relay has the address that is told; this process listens beside it."""
-    listen = link.listen
-
-    async def listen_beside(address: tuple[str, int], *rest: Any) -> Any:
-        return await listen((address[0], port), *rest)
-
-    replace(program, "listen", listen_beside)
-
-
 def tell_lost(folder: Path) -> None:
     """Writes the key, the other hop, the time, whether it is asked after, and why the link was lost."""
     ask_back = peer_calls.Outgoing._ask_back
@@ -120,7 +104,7 @@
     name, port, folder, *without = arguments
     if name == "control_plane":
         return run(Controller)
-    behind(int(port))
+    listen_at(int(port))
     tell_lost(Path(folder))
     for guard in without:
         for replaced in GUARDS[guard]():
--- a/rigs/lost_links/play.py
+++ b/rigs/lost_links/play.py
@@ -68,7 +68,7 @@
         self.ledger = Ledger()
         self.mesh = Mesh.of(folder, 1, size.proxies)
         (self.beside,) = free_ports([f"{self.mesh.net}.{SIDE + at}" for at in range(size.proxies)], 1)
-        self.mesh.command = lambda program: (
+        self.mesh.command = lambda program, _: (
             *("-m", "rigs.lost_links.hop", program, str(self.beside), str(folder)),
             *size.without,
         )
--- a/rigs/mesh_demo.py
+++ b/rigs/mesh_demo.py
@@ -61,7 +61,7 @@
     seeds: Sequence[str]
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     beating: set[asyncio.Task[None]] = field(default_factory=set)
-    command: Callable[[str], Sequence[str]] = lambda program: ("-m", f"mesh.{program}")
+    command: Callable[[str, str], Sequence[str]] = lambda program, _: ("-m", f"mesh.{program}")  # and node
 
     @staticmethod
     def of(folder: Path, controllers: int, proxies: int) -> Mesh:
@@ -133,7 +133,7 @@
     async def _start(self, node: str, program: str) -> None:
         with (self.folder / f"{node}.log").open("ab") as log:
             self.processes[node] = await asyncio.create_subprocess_exec(
-                *(sys.executable, *self.command(program)),
+                *(sys.executable, *self.command(program, node)),
                 cwd=ROOT,
                 env={**os.environ, "ANISESTAIR_BOOT": str(self.folder / f"{node}.toml")},
                 stdout=asyncio.subprocess.DEVNULL,
--- a/rigs/mesh_peers/settings_file.py
+++ b/rigs/mesh_peers/settings_file.py
@@ -46,6 +46,8 @@
     service: str = "",
     state_dir: str = "",
     machines: int = 1,
+    cold_boot: bool = True,
+    beat_period_ms: int = 500,
     **bounds: float,
 ) -> None:
     """A settings file. ``ports``: of peers, control, outbound and readiness, in this order; the first is
@@ -62,10 +64,10 @@
         "region": "r",
         "port_range": [peers, peers],
         "seeds": [f"{host}:{control}" for host in seeds],
-        "cold_boot": True,
+        "cold_boot": cold_boot,
         "counted": serves == "supervisor",
         "state_dir": state_dir,
-        "beat_period_ms": 500,
+        "beat_period_ms": beat_period_ms,
         "plant": service,
         "zones": {"z": "r"},
         "ports": {
--- a/rigs/mesh_peers/upstream.py
+++ b/rigs/mesh_peers/upstream.py
@@ -103,7 +103,7 @@
                 self.came(message)
                 if not await self._serve(message, reader, writer):
                     break
-        except (ConnectionError, http.BadMessage, asyncio.CancelledError):
+        except (OSError, http.BadMessage, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
--- a/rigs/relay.py
+++ b/rigs/relay.py
@@ -33,6 +33,7 @@
     loss: float = 0.0
     reset: float = 0.0
     twice: float = 0.0  # datagrams that arrive twice; a connection's bytes never do
+    bytes_s: float = 0.0  # what a connection carries each way in a second; 0: as much as comes
 
 
 class Door:
@@ -82,6 +83,7 @@
         self.transport: asyncio.Transport | None = None
         self.queue: deque[tuple[float, bytes | None]] = deque()  # to write here, and when; None: the end
         self.size = 0
+        self.free_at = 0.0  # when what was pushed here has passed a narrow link
         self.alarm: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -134,8 +136,14 @@
 
     def __init__(self, relay: TcpRelay) -> None:
         self.relay, self.dead = relay, False
+        self.source = ""  # the host that dialled
         self.front, self.behind = End(self, True), End(self, False)
 
+    @property
+    def faults(self) -> Faults:
+        """What this connection's link does now."""
+        return self.relay.faults_of(self.source)
+
     def up(self) -> None:
         for end in (self.front, self.behind):
             if end.transport is not None:
@@ -143,13 +151,13 @@
 
     def passes(self, end: End) -> bool:
         """Whether what is to be written at this end may be."""
-        faults = self.relay.faults
+        faults = self.faults
         return not self.dead and (faults.there if end is self.behind else faults.back)
 
     def pass_on(self, end: End, data: bytes | None) -> None:
         if self.dead:
             return  # half open: nobody is there to take it, and nobody to say so
-        faults, chance, late = self.relay.faults, self.relay.chance, 0.0
+        faults, chance, late = self.faults, self.relay.chance, 0.0
         if data is not None:
             if faults.reset and chance.random() < faults.reset:
                 self.abort()
@@ -159,7 +167,10 @@
             while faults.loss and again < 10_000.0 and chance.random() < faults.loss:
                 late, again = late + again, 2.0 * again
         other = self.behind if end is self.front else self.front
-        other.push(asyncio.get_running_loop().time() + late / 1000.0, data)
+        passes_at = asyncio.get_running_loop().time()
+        if faults.bytes_s:
+            passes_at = other.free_at = max(passes_at, other.free_at) + len(data or b"") / faults.bytes_s
+        other.push(passes_at + late / 1000.0, data)
         if other.size > HELD_MOST and end.transport is not None:
             end.transport.pause_reading()
 
@@ -197,6 +208,7 @@
     def __init__(self, host: str, port: int, seed: int, at: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         self._target, self.chance = (host, port), random.Random(seed)
         self.faults = Faults()
+        self._by_source: dict[str, Faults] = {}
         self.pairs: set[Pair] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._door = Door(self._accepted, at[1], at[0])
@@ -211,6 +223,19 @@
         for pair in list(self.pairs):
             pair.up()
 
+    def faults_of(self, source: str) -> Faults:
+        """What the link from that host does now."""
+        return self._by_source.get(source, self.faults)
+
+    def set_from(self, source: str, faults: Faults | None) -> None:
+        """From now on, for connections from that host alone; None: as for all others."""
+        if faults is None:
+            self._by_source.pop(source, None)
+        else:
+            self._by_source[source] = faults
+        for pair in list(self.pairs):
+            pair.up()
+
     def half_open(self) -> None:
         """Those behind are gone for all connections that are open now, and nothing says so."""
         for pair in self.pairs:
@@ -224,6 +249,7 @@
     async def _connect(self, found: socket.socket) -> None:
         loop, pair = asyncio.get_running_loop(), self.pair(self)
         try:
+            pair.source = found.getpeername()[0]
             await loop.create_connection(lambda: pair.behind, *self._target)
         except OSError:  # refused behind: the one that dialled is reset
             found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
--- /dev/null
+++ b/rigs/soak/node.py
@@ -0,0 +1,31 @@
+"""One process of a soak: a shipped program, behind a relay where it has one, less a guard where one is named.
+
+    python -m rigs.soak.node PROGRAM IP PORT [FAULT ...]
+
+PORT 0: no relay. Without a guard the ledgers have to see it.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from mesh.control_plane.program import Controller
+from mesh.data_plane.program import Proxy
+from mesh.runtime.startup import run
+from rigs.relayed_process import dial_from, listen_at
+from rigs.soak.faults import FAULTS
+
+
+def main(arguments: list[str]) -> int:
+    """The exit status of the program."""
+    program, ip, port, *faults = arguments
+    dial_from(ip)
+    if int(port):
+        listen_at(int(port))
+    for name in faults:
+        FAULTS[name]()
+    return run(Controller if program == "control_plane" else Proxy)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
