--- a/rigs/soak/play.py
+++ b/rigs/soak/play.py
@@ -76,6 +76,7 @@
         )
         self._takers: list[events.KillTaker] = []
         self._clients: list[SoakClient] = []
+        self._asking: list[asyncio.Task[None]] = []  # the clients' turns
         self._upstreams: dict[str, SoakUpstream] = {}
         self._beats: dict[str, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -169,7 +170,7 @@
         await self._last_reads()
         for client in self._clients:
             client.stopped = True
-        await asyncio.sleep(CLIENT_STOPS_S)
+        await asyncio.wait(self._asking, timeout=CLIENT_STOPS_S)
 
     def _begin_clients(self) -> None:
         for node in self.proxies.values():
@@ -185,7 +186,7 @@
                     self.configuration,
                 )
                 self._clients.append(client)
-                self._spawn(client.run())
+                self._asking.append(self._spawn(client.run()))
 
     def _pick(self, choose: random.Random) -> Picked:
         if self._recent and choose.random() < 0.6:
