Let no late beat of a former upstream end for good the one that is here

Cause: whatever life beat last was taken for the next one, and the one before was told gone for good.

Change: beside a life that is heard, another has to prove itself by a second beat unless it has counted no further (lives count from their own start); a place that was taken is given back by the same proof, since the former is told gone for good only once the next has beaten on. What this machine has said is over proves itself too, and is not acknowledged before.

--- a/mesh/data_plane/upstream_registration.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -85,21 +85,34 @@
             self.publish(self._upstream.leave(command.instance))
             return Answer(200, b"{}")
         known = self._upstream.beat
-        if known is None or known.instance != command.instance:
+        self.publish(self._upstream.take(self._now(), command, self._is_over(command.instance)))
+        if self._upstream.unproven == command.instance:  # what is not taken is not acknowledged
+            return Answer(503)
+        self._tell(known, command)
+        return Answer(200, msgspec.json.encode(await self._keys(command)))
+
+    def _is_over(self, instance: str) -> bool:
+        """Whether this machine has said so, in an earlier life of this process too."""
+        item = self._roll.items.get((INSTANCE, instance))
+        return item is not None and item.value is None and item.version >= GONE_VERSION
+
+    def _tell(self, known: Beat | None, beat: Beat) -> None:
+        """What a beat has changed, for the log. ``known``: the newest before it."""
+        if self._upstream.instance != beat.instance:
+            return
+        if known is None or known.instance != beat.instance:
             self._event_log.tell(
                 events.INSTANCE_NEW,
-                service=command.plant,
-                instance=command.instance,
-                address=f"{command.address[0]}:{command.address[1]}",
+                service=beat.plant,
+                instance=beat.instance,
+                address=f"{beat.address[0]}:{beat.address[1]}",
             )
-        elif known.state != command.state:
+        elif known.state != beat.state:
             self._event_log.tell(
-                events.INSTANCE_DECAYING if command.state == DECAYING else events.INSTANCE_SETTLED,
-                service=command.plant,
-                instance=command.instance,
+                events.INSTANCE_DECAYING if beat.state == DECAYING else events.INSTANCE_SETTLED,
+                service=beat.plant,
+                instance=beat.instance,
             )
-        self.publish(self._upstream.take(self._now(), command))
-        return Answer(200, msgspec.json.encode(await self._keys(command)))
 
     def publish(self, told: list[Publish]) -> None:
         """Makes what the others are to be told items of the roll."""
@@ -126,7 +139,9 @@
             told += self._upstream.republish(item.version)
         for instance in self._membership.at(self._upstream.node):
             if instance != mine and (mine or silent):
-                told.append(Publish(instance, GONE_VERSION, None))
+                # above what was said of it once more while it was taken for the one that is here
+                version = max(GONE_VERSION, self._roll.items[INSTANCE, instance].version + 1)
+                told.append(Publish(instance, version, None))
         self.publish(told)
 
     def republish(self) -> None:
--- a/mesh/membership/instance_lifecycle.py
+++ b/mesh/membership/instance_lifecycle.py
@@ -1,7 +1,7 @@
 """The upstream beside this sidecar: which life it is in, and what of it the others are to know. No I/O.
 
 Instants are milliseconds of the caller's steady clock. A life is told by its id; within one, `sample_count`
-tells a late beat from a new one. What is published as an item carries the version ``sample_count`` times
+tells a late beat from a new one, and a beat of a life before from one of the next. What is published as an item carries the version ``sample_count`` times
 `STEP`, so that a sidecar that starts anew and knows nothing goes on above what it published before, and has
 room for what it says between two beats.
 """
@@ -20,6 +20,7 @@
 SILENT_BEATS = 2.6  # periods without a beat, and a connection refused as well, tell of an end without a word
 ENDED = 64  # lives that are over and known to be
 GONE_VERSION = 1 << 52  # of an id that never comes back
+STEADY_MS = 1000.0  # a life that beats for so long, with no other's beat between, is the one that is here
 
 
 class Publish(Struct, frozen=True):
@@ -30,6 +31,13 @@
     value: dict[str, Any] | None
 
 
+class Unproven(Struct, frozen=True):
+    """A life that beats beside the one that is here, and since when."""
+
+    instance: str
+    since: float
+
+
 class Upstream:
     """The one upstream of this machine, as its beats and its connections show it."""
 
@@ -46,35 +54,81 @@
         self.version = 0
         self._said: dict[str, Any] | None = None
         self._ended: dict[str, None] = {}  # lives that are over here, the oldest first
+        self._former: dict[str, None] = {}  # that were here, and are over once the next has beaten on
+        self._unproven: Unproven | None = None
+        self._placed_at = 0.0  # when the life that is here took its place
 
     @property
     def instance(self) -> str:
         return self.beat.instance if self.beat is not None else ""
 
-    def take(self, now: float, beat: Beat) -> list[Publish]:
-        """A beat. A late one of the same life, and any of a life that has ended here, changes nothing."""
-        known = self.beat
+    def take(self, now: float, beat: Beat, over: bool = False) -> list[Publish]:
+        """A beat. A late one of the same life, and any of a life that has ended here, changes nothing; one of
+        another life may have to prove itself (`unproven`). ``over``: this machine has said before that this
+        life is over."""
         if beat.instance in self._ended:
             return []
-        if known is not None and known.instance == beat.instance:
-            self.heard = now
-            if beat.sample_count <= known.sample_count:
-                return []
-            if known.state == DECAYING and beat.state == SETTLED:  # no way leads back in one life
-                beat = replace(beat, state=DECAYING)
-            self.beat = beat
-            if self.gone:  # it was only silent
-                self.gone, self._said = False, None
-        else:
-            published = self._end() if known is not None and not self.gone else []
-            self.beat, self.heard, self.drains_since = beat, now, None
-            self.gone, self._said, self.version = False, None, 0
-            if beat.state == DECAYING:  # an earlier life of this sidecar may have acknowledged that long ago
-                self.drains_since = -math.inf if beat.instance in self.said_decaying else now
-            return published + self._publish()
+        if self.beat is not None and self.beat.instance == beat.instance:
+            return self._beats_on(now, beat)
+        if not self._proven(now, beat, over):
+            return []
+        return self._take_place(now, beat)
+
+    def _beats_on(self, now: float, beat: Beat) -> list[Publish]:
+        known = self.beat
+        assert known is not None
+        self.heard, self._unproven = now, None
+        published = self._end_former() if now - self._placed_at >= STEADY_MS else []
+        if beat.sample_count <= known.sample_count:
+            return published
+        if known.state == DECAYING and beat.state == SETTLED:  # no way leads back in one life
+            beat = replace(beat, state=DECAYING)
+        self.beat = beat
+        if self.gone:  # it was only silent
+            self.gone, self._said = False, None
         if beat.state == DECAYING and self.drains_since is None:
             self.drains_since = now
-        return self._publish()
+        return published + self._publish()
+
+    def _proven(self, now: float, beat: Beat, over: bool) -> bool:
+        """Whether a life that is not the one here may take its place. Beats may be read in another order than
+        they were sent in, as by a process that wakes or starts: one that may be late takes nobody's place
+        before it is followed by another."""
+        known = self.beat
+        if not over and beat.instance not in self._former:
+            present = known is not None and not self.gone and now - self.heard < self.beat_ms
+            # Lives count from their own start: the next one has counted no further than the one before.
+            if not present or known is None or beat.sample_count <= known.sample_count:
+                return True
+        if self._unproven is None or self._unproven.instance != beat.instance:
+            self._unproven = Unproven(beat.instance, now)
+        return now - self._unproven.since >= STEADY_MS
+
+    def _take_place(self, now: float, beat: Beat) -> list[Publish]:
+        known, published = self.beat, list[Publish]()
+        if known is not None and known.instance not in self._ended:
+            self._former[known.instance] = None
+            if not self.gone:
+                published.append(Publish(known.instance, self._next_version(known), None))
+        self._former.pop(beat.instance, None)
+        self.beat, self.heard, self._placed_at, self._unproven = beat, now, now, None
+        self.gone, self._said, self.version, self.drains_since = False, None, 0, None
+        if beat.state == DECAYING:  # an earlier life of this sidecar may have acknowledged that long ago
+            self.drains_since = -math.inf if beat.instance in self.said_decaying else now
+        return published + self._publish()
+
+    def _end_former(self) -> list[Publish]:
+        """The life that is here has beaten on, with no beat of a former one between: those are over."""
+        former = list(self._former)
+        self._former.clear()
+        for instance in former:
+            self._note_ended(instance)
+        return [Publish(instance, GONE_VERSION, None) for instance in former]
+
+    @property
+    def unproven(self) -> str:
+        """The life whose beat came here, and that is not taken for the one that is here; "" where none is."""
+        return self._unproven.instance if self._unproven is not None else ""
 
     def leave(self, instance: str) -> list[Publish]:
         """The upstream has signed off."""
@@ -87,7 +141,7 @@
         if self.beat is None or self.gone or now - self.heard < SILENT_BEATS * self.beat_ms:
             return []
         self.gone = True  # it may still come back in this life: the item's version stays below the last
-        self.version = max(self.version + 1, self.beat.sample_count * STEP)
+        self.version = self._next_version(self.beat)
         return [Publish(self.beat.instance, self.version, None)]
 
     def end(self, now: float) -> list[Publish]:
@@ -107,10 +161,17 @@
     def _end(self) -> list[Publish]:
         self.gone = True
         assert self.beat is not None
-        self._ended[self.beat.instance] = None
+        self._note_ended(self.beat.instance)
+        return [Publish(self.beat.instance, GONE_VERSION, None)]
+
+    def _note_ended(self, instance: str) -> None:
+        self._ended[instance] = None
         while len(self._ended) > ENDED:
             del self._ended[next(iter(self._ended))]
-        return [Publish(self.beat.instance, GONE_VERSION, None)]
+
+    def _next_version(self, beat: Beat) -> int:
+        """Above all that was said of this life so far, with room below what its next beat brings."""
+        return max(self.version + 1, beat.sample_count * STEP)
 
     def _publish(self) -> list[Publish]:
         beat = self.beat
@@ -127,5 +188,5 @@
             return []
         value["cold_ms"] = beat.warmup_left_ms
         self._said = value
-        self.version = max(self.version + 1, beat.sample_count * STEP)
+        self.version = self._next_version(beat)
         return [Publish(beat.instance, self.version, value)]
--- a/tests/mesh/test_data_plane_upstream_registration.py
+++ b/tests/mesh/test_data_plane_upstream_registration.py
@@ -13,7 +13,7 @@
 from mesh.data_plane.shutdown import NOTICE_S
 from mesh.membership.instance_commands import DECAYING, SETTLED
 from mesh.membership.instance_lifecycle import GONE_VERSION, SILENT_BEATS
-from rigs.mesh_peers import call, move, soon, turns, until
+from rigs.mesh_peers import Upstream, call, move, soon, turns, until
 from rigs.whole_sidecar import Beside, beside
 
 
@@ -86,6 +86,28 @@
     beside(tmp_path, test)
 
 
+def test_a_beat_of_a_life_that_is_over_is_not_acknowledged_and_nothing_is_said_of_it(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        proxy, upstream = there.proxy, Upstream("i-dead", "s")
+        upstream.address = there.upstream.address
+        told(proxy, "i-dead", GONE_VERSION, None)
+        assert await upstream.tell(there.control) == 503
+        assert (state(proxy, "i-dead"), state(proxy, "i-1")) == (None, SETTLED)
+        assert await there.upstream.tell(there.control) == 200
+
+    beside(tmp_path, test)
+
+
+def test_what_was_said_of_the_dead_once_more_above_its_end_is_taken_back(tmp_path: Path) -> None:
+    async def test(there: Beside) -> None:
+        proxy = there.proxy
+        told(proxy, "i-dead", GONE_VERSION + 1, value())
+        proxy.registry.reconcile()
+        assert (state(proxy, "i-dead"), state(proxy, "i-1")) == (None, SETTLED)
+
+    beside(tmp_path, test)
+
+
 def test_at_an_end_the_others_are_told_first_and_clients_answered_until_they_know(tmp_path: Path) -> None:
     async def test(there: Beside) -> None:
         proxy, loop = there.proxy, asyncio.get_running_loop()
