Count a proxy as knowing all with the last page of a whole telling, not with its first

Cause: a proxy took a controller for one that had told all where that held all acknowledged and had ever answered whole. A controller without contact answers whole, and leaves the configuration out; once it has contact it tells it in pages. From the first page of 500 on the proxy was ready, and refused all other routes with 404. The bound in time (configuration age) and what is let go after long doubt went by the same mark.

Change: a channel is complete with an answer that has no more to come from one that holds all; who leaves a store out does not say that it holds all. Staged rollouts go by the same mark.

--- a/mesh/data_plane/staged_routes.py
+++ b/mesh/data_plane/staged_routes.py
@@ -195,10 +195,7 @@
         channels = self._channels()
         self.contact.look(
             now,
-            any(
-                one.whole and one.exchange.pulled and now - one.link.heard_at <= GAP_S
-                for one in channels.open
-            ),
+            any(one.complete and now - one.link.heard_at <= GAP_S for one in channels.open),
         )
         if self._vector() != self._floor and not self.chamber.held and self._said is not None:
             self.changed()  # a vector may rise without an item
--- a/mesh/dissemination/peers.py
+++ b/mesh/dissemination/peers.py
@@ -48,6 +48,7 @@
         self.said_whole: bool | None = None  # as we told it last
         self.whole = False  # as the peer told us last
         self.told = False  # the peer has told us anything
+        self.complete = False  # the peer has told us all, as one that holds all that was acknowledged
         self.rank = 0  # of the peer among those that we ask, as it knows; 0 is the first
         self.peer_rank = 0  # of us among those that it asks
         self._lacked_since: float | None = None
@@ -73,6 +74,8 @@
             self.answer(self.channels.whole())
         elif kind == "news":
             self.whole, self.told = bool(head["whole"]), True
+            # Not by any earlier answer: one that did not hold all may have told nothing of a store.
+            self.complete = self.whole and (self.complete or not head["more"])
             changed = self.exchange.answered(head)
             for name, items in changed.items():
                 if items:
@@ -91,6 +94,7 @@
     def answer(self, whole: bool) -> None:
         """``whole``: this process holds all that was acknowledged, as far as can be known now."""
         silent = self.channels.silent(str(self.extra.get("role", "")))
+        whole = whole and not silent  # who leaves something out does not tell all
         if self.peer_rank and self._holds_back(silent):
             return
         self._lacked_since = None
@@ -319,7 +323,7 @@
     # News
 
     def heard(self, channel: Channel) -> None:
-        if channel.whole and channel.exchange.pulled:
+        if channel.complete:
             self.whole_at = self.loop.time()
 
     def poke(self) -> None:
@@ -371,7 +375,7 @@
         """Whether somebody that holds all that was acknowledged has been heard so lately."""
         now = self.loop.time()
         for channel in self.open:
-            if channel.whole and channel.exchange.pulled:
+            if channel.complete:
                 self.whole_at = max(self.whole_at, channel.link.heard_at)
         return now - self.whole_at <= within_s
 
--- a/tests/mesh/test_dissemination_peers.py
+++ b/tests/mesh/test_dissemination_peers.py
@@ -214,3 +214,18 @@
         assert channels.whole_at > 0.0
 
     asyncio.run(run())
+
+
+def test_who_leaves_a_store_out_does_not_say_that_it_tells_all() -> None:
+    def script(middle: Middle) -> None:
+        middle.channels.whole = lambda: True
+        said = []
+        for version, silent in enumerate((("charter",), ()), 1):
+            middle.channels.silent = lambda _, silent=silent: silent  # type: ignore[misc]
+            middle.roll.take("node", "n", version, {})
+            middle.channels.tick(0.0)
+            said.append([head["whole"] for head in middle.lines[0].sent if head["t"] == "news"][-1])
+            middle.ask(middle.peers[0], roll={"c1": version})
+        assert said == [False, True]
+
+    played(script)
