--- a/rigs/soak/node.py
+++ b/rigs/soak/node.py
@@ -9,11 +9,15 @@
 
 import sys
 
-from mesh.control_plane.program import Controller
-from mesh.data_plane.program import Proxy
-from mesh.runtime.startup import run
-from rigs.relayed_process import dial_from, listen_at
-from rigs.soak.faults import FAULTS
+from mesh.runtime.hangup import ignore_hangup
+
+ignore_hangup()  # as the shipped programs do before all else
+
+from mesh.control_plane.program import Controller  # noqa: E402
+from mesh.data_plane.program import Proxy  # noqa: E402
+from mesh.runtime.startup import run  # noqa: E402
+from rigs.relayed_process import dial_from, listen_at  # noqa: E402
+from rigs.soak.faults import FAULTS  # noqa: E402
 
 
 def main(arguments: list[str]) -> int:
--- a/rigs/soak/nodes.py
+++ b/rigs/soak/nodes.py
@@ -268,12 +268,12 @@
         if self.retired or signal.SIGKILL in self._signalled:
             return
         young = now - self._started_at < YOUNG_S
+        if young and -status in self._signalled & {signal.SIGTERM, signal.SIGHUP}:
+            return
         if signal.SIGTERM in self._signalled:
-            if status and not (young and status == -signal.SIGTERM):
+            if status:
                 self._tell("Fault", f"ended with status {status} after SIGTERM")
             return
-        if signal.SIGHUP in self._signalled and young and status == -signal.SIGHUP:
-            return
         self._touch(planned=False)
         self._tell("Fault", f"ended by itself with status {status}")
 
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -17,6 +17,7 @@
 from mesh.configuration.limits import HEAD_BESIDE, MOST_HEAD, InputLimits, read_limits
 from mesh.data_plane.call_messages import End, Returned, TurnedAway
 from mesh.data_plane.shutdown import NOTICE_S
+from mesh.replication.membership_epochs import MEMBERS, VIEW
 from mesh.runtime.grace import EXIT_S as BEFORE_KILL_S
 from rigs.mesh_peers import Client, call, move, route, soon, turns, until
 from rigs.whole_sidecar import Beside, Other, beside, passing
@@ -383,6 +384,28 @@
     beside(tmp_path, test)
 
 
+def test_who_knows_the_members_alone_has_no_configuration_yet(tmp_path: Path) -> None:
+    """Seen: in seed 39 of the soak a proxy refused the first routes with 404 as they were added. How: in a
+    first start the members come before the operators' first call is decided. Cause: any item counted as the
+    configuration, that of the members too. Proof: that proxy's log has one item in force before the first
+    six."""
+
+    async def test(there: Beside) -> None:
+        proxy = there.proxy
+        proxy.charter.start_over("n1.again")
+        proxy.routes.drop("read")
+        there.take(VIEW, MEMBERS, {"members": {}})
+        proxy.channels.whole_at = asyncio.get_running_loop().time()
+        client = await there.client()
+        assert (await call(there.readiness, b"GET", b"/"))[0] == 503
+        assert (await client.ask("a1", "/read/ok")).status == 503
+        there.take("plant", "s", {"name": "s", "epoch": "r1"})
+        assert (await call(there.readiness, b"GET", b"/"))[0] == 200
+        assert (await client.ask("a2", "/none/ok")).status == 404
+
+    beside(tmp_path, test)
+
+
 # What the upstream beside it is told
 
 
--- a/tests/mesh/test_runtime_startup.py
+++ b/tests/mesh/test_runtime_startup.py
@@ -5,6 +5,8 @@
 import multiprocessing
 import os
 import signal
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -15,6 +17,8 @@
 from mesh.runtime.settings import Settings, read
 from tests.mesh.test_runtime_settings import example
 
+ROOT = Path(__file__).resolve().parent.parent.parent
+
 
 class Program:
     """Asks for its own end as soon as it runs."""
@@ -80,3 +84,29 @@
     with multiprocessing.get_context("spawn").Pool(1) as pool:
         ended = pool.apply_async(started_under_hangups, (str(tmp_path / "boot.toml"),))
         assert ended.get(timeout=20.0) == 0  # a process that the signal ended gives no result
+
+
+ENDS_UNDER_SIGNALS = """
+import os, signal, sys
+from tests.mesh.test_runtime_startup import Program
+from mesh.runtime import startup
+
+class SendsAtTheLast:
+    def __del__(self, kill=os.kill, me=os.getpid(), numbers=(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)):
+        for number in numbers:
+            kill(me, number)
+
+last = SendsAtTheLast()  # goes with its module, when the interpreter has put all handlers back
+sys.exit(startup.run(lambda *_: Program()))
+"""
+
+
+def test_signals_behind_an_orderly_end_do_not_turn_its_status_into_a_kill(tmp_path: Path) -> None:
+    """Seen: controllers that had ended in order exited with status -15 in four of the first 40 seeds of the
+    soak. How: a second SIGTERM came half a second behind the first, as they ended. Cause: an interpreter that
+    ends puts the system's default back, which is to end the process; SIGHUP alone was set aside for good."""
+    file = tmp_path / "boot.toml"
+    file.write_text(tomli_w.dumps(example()))
+    environment = {**os.environ, startup.VARIABLE: str(file)}
+    done = subprocess.run([sys.executable, "-c", ENDS_UNDER_SIGNALS], env=environment, cwd=ROOT, timeout=20.0)
+    assert done.returncode == 0
