Answer 503 until the operators' configuration is here, and end in order under any signal

Cause: any item counted as the configuration, that of the members too, which comes before the operators' first call is decided; and an interpreter that ends puts the system's default back, so that a second SIGTERM killed a program that had ended in order.

Change: a proxy is configured by an item of the operators; at an end SIGTERM and SIGINT are ignored as SIGHUP is.

--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -58,6 +58,7 @@
 MOST_HEARD = 64  # control processes that other proxies tell of
 TAP_SHARE = 0.9  # of what an upstream accepts, this sidecar opens; it is the only one that can
 TAP_MOST = 100  # where the operator does not say
+OPERATORS_KINDS = frozenset({INPUT_LIMITS, PLANT, ROUTE})
 HELD_SHARE = 1 / 32  # of the memory, for ends that may be asked after
 
 
@@ -261,7 +262,9 @@
                 channel.link.close("asks for all anew")
 
     def configured(self) -> bool:
-        return len(self.charter.items) > 0 and self.channels.whole_at > 0.0
+        """Whether all of the operators' configuration is here; the members come before there is any."""
+        known = any(kind in OPERATORS_KINDS for kind, _ in self.charter.items)
+        return known and self.channels.whole_at > 0.0
 
     async def _ready(self, message: http.Message) -> Answer:
         return Answer(200 if self.configured() and not self.ending else 503)
--- a/mesh/runtime/startup.py
+++ b/mesh/runtime/startup.py
@@ -14,7 +14,7 @@
 from mesh.event_log import events
 from mesh.event_log.events import Level
 from mesh.event_log.log import EventLog
-from mesh.runtime.hangup import ignore_hangup
+from mesh.runtime.hangup import ignore_hangup, ignore_signals
 from mesh.runtime.settings import Settings, Wrong, read
 
 VARIABLE = "ANISESTAIR_BOOT"
@@ -127,5 +127,5 @@
         print(f"{settings.node}: {fault}", file=sys.stderr)
         return 1
     finally:
-        ignore_hangup()  # the loop that is over has put the system's default back
+        ignore_signals()  # the interpreter puts the system's default back as it goes
     return 0
--- a/tests/mesh/test_runtime_imports.py
+++ b/tests/mesh/test_runtime_imports.py
@@ -24,7 +24,7 @@
 LIBRARIES_PATH = sysconfig.get_path("purelib")
 
 
-def words(program: str) -> list[str]:
+def words(program: str, _: str) -> list[str]:
     """How the deploy file starts it, without the interpreter's name, and with each import told."""
     roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"].values()
     runs = [shlex.split(role["run"]) for role in roles]
