--- a/simulation/mesh/troubles.py
+++ b/simulation/mesh/troubles.py
@@ -117,6 +117,7 @@
 PROCESS: dict[str, Fault] = {
     fault.__name__: fault for fault in (crash, power, wiped, all_killed, all_power_one_wiped, other_wiped)
 }
+DISK_LOSSES = frozenset({wiped, all_power_one_wiped, other_wiped})
 FRAME: dict[str, Fault] = {fault.__name__: fault for fault in (lost, doubled, late, one_way, alone)}
 DISK: dict[str, Fault] = {fault.__name__: fault for fault in (refuses, hangs)}
 
