Leave only once the others can do without, and fence under a joint view by the one before

Cause: a control process that was told to end left at once where no change could take it out, though another that had lost its disk needed it to count again, or though the others had not heard that it was out; nobody could vote then. And under a joint view an empty disk and a machine that joins waited for each other for good.

Change: it stays, within half of its grace as before, while another member is away or not whole, and until the others say that they know the view without it. A disk is fenced under a joint view by the members of the one before: each quorum of it holds one of that.

--- a/mesh/control_plane/joining.py
+++ b/mesh/control_plane/joining.py
@@ -238,7 +238,7 @@
 
     async def leave(self) -> None:
         """This machine ends: it says so, and stays up for half of its grace while a change that takes it out
-        is possible, so that what it holds is on enough others first."""
+        is possible or another member is not whole, so that what it holds is on enough others first."""
         self.leaving = True
         self.say()
         until = self._loop.time() + LEAVE_SHARE * self.settings.bounds.grace_s
@@ -249,16 +249,30 @@
 
     def _awaits(self) -> bool:
         view, me = self._council.view(), self._council.me
-        if me not in view.names or not self._council.contact():
-            return False
-        if view.joint:
-            return True
+        if me not in view.names:
+            return self._untold(view)
         known = self.known({})
+        # Contact is proven anew with each view, so it says nothing of these two.
+        if view.joint or self._lacks(view, known):
+            return True
+        if not self._council.contact():
+            return False
         coming = any(
             one.heard and name not in view.now and not one.leaves for name, one in known.items() if name != me
         )
         return coming or me not in self._after(view, known)
 
+    def _untold(self, view: View) -> bool:
+        """Whether one that counts by that view has not said that it knows it: it may have voted for it, and
+        whoever was to tell it the decision may be lost."""
+        return any(address in view.now and one.epoch < view.epoch for address, one in self.others.items())
+
+    def _lacks(self, view: View, known: Mapping[str, Known]) -> bool:
+        """Whether another member is away, or its disk is not whole: it may need what is held here, and
+        without it this one cannot be taken out."""
+        others = [one for name, one in known.items() if name in view.now and name != self._council.me]
+        return not all(one.heard and one.whole for one in others)
+
     def _after(self, view: View, known: Mapping[str, Known]) -> Mapping[str, Any]:
         planned = plan(view, known, self._council.tolerance).view
         return planned.now if planned is not None else view.now
--- a/mesh/replication/acceptor.py
+++ b/mesh/replication/acceptor.py
@@ -276,7 +276,11 @@
 def fenced_by(view: View, heard: Collection[str], member: str, tolerance: Tolerance) -> bool:
     """Whether these others of the view are enough to fence a member whose disk was lost. They are a durable
     set, so that they meet every quorum that promised, be it half of an even view; where no set of the others
-    is durable, all of them: then every ballot needs the member itself, which knows its generation."""
+    is durable, all of them: then every ballot needs the member itself, which knows its generation. Each
+    quorum of a joint view holds one of the view before, so those of that are enough: who joins may wait for
+    this one itself."""
+    if view.before is not None:
+        view = View(view.epoch, view.before)
     others = view.names - {member}
     if view.durable(others, tolerance):
         return view.durable(others & set(heard), tolerance)
