--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,12 +1,13 @@
 """A soak of real processes on loopback, seeded; judged from outside.
 
     python -m benchmarks.soak [--seed 1] [--seeds 1] [--seconds 120] [--size small|machine] [--jobs 1]
-        [--without FAULT ...] [--plan FILE] [--logs FOLDER] [--print]
+        [--without FAULT ...] [--only PHASE ...] [--plan FILE] [--logs FOLDER] [--print] [--shrink N]
 
 Configuration writes, signals, settings and link troubles come in series that overlap, all drawn from the
 seed, while clients use their connections to the last. ``--seeds``: that many seeds from the first on, some
-at once by ``--jobs``, each in a process of its own. ``--plan`` plays a plan that was printed. Exit code 1
-where a rule was broken. The last line of each seed is JSON.
+at once by ``--jobs``, each in a process of its own. ``--only``: troubles of these kinds alone. ``--plan``
+plays a plan that was printed. ``--shrink``: what fails is played up to N times more with events left out, and
+what is left is printed. Exit code 1 where a rule was broken. The last line of each seed is JSON.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 import argparse
 import asyncio
 import json
+import os
 import shutil
 import subprocess
 import sys
@@ -23,10 +25,11 @@
 
 import msgspec
 
-from rigs.soak.draw import Size, draw, sized
+from rigs.soak.draw import Phase, Size, draw, sized
 from rigs.soak.faults import FAULTS
 from rigs.soak.plan import Plan, read
 from rigs.soak.play import Result, Soak
+from rigs.soak.shrink import shrink
 
 SHOWN = 6
 FAILED = 1
@@ -50,6 +53,7 @@
         print(f"{one.rule}: {one.told}")
     told = msgspec.to_builtins(result)
     told["findings"] = len(result.findings)
+    told["processes"] = plan.controllers + len(plan.services)
     told["seed"], told["relays"], told["events"] = plan.seed, plan.relays, len(plan.events)
     print(json.dumps(told), flush=True)
 
@@ -58,6 +62,7 @@
     """A seed in a process of its own; its output is passed on whole."""
     words = [sys.executable, "-m", "benchmarks.soak", "--seed", str(seed), "--seconds", str(given.seconds)]
     words += ["--size", given.size, *(["--without", *given.without] if given.without else [])]
+    words += ["--only", *given.only] if given.only else []
     if given.logs is not None:
         words += ["--logs", str(given.logs / str(seed))]
     done = subprocess.run(words, capture_output=True, text=True, check=False)
@@ -74,6 +79,8 @@
     words.add_argument("--size", choices=[one.value for one in Size], default=Size.SMALL.value)
     words.add_argument("--jobs", type=int, default=1)
     words.add_argument("--without", nargs="*", default=[], choices=sorted(FAULTS))
+    words.add_argument("--only", nargs="*", default=[], choices=[one.name.lower() for one in Phase])
+    words.add_argument("--shrink", type=int, default=0, metavar="N")
     words.add_argument("--plan", type=Path)
     words.add_argument("--logs", type=Path)
     words.add_argument(
@@ -82,6 +89,25 @@
     return words.parse_args()
 
 
+def memory_mb() -> float:
+    """Of this machine."""
+    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def planned(given: argparse.Namespace) -> Plan:
+    """The one that is to be played."""
+    if given.plan:
+        return read(given.plan.read_text())
+    services, controllers = sized(Size(given.size), os.cpu_count() or 1, memory_mb())
+    phases = [Phase[name.upper()] for name in given.only] or list(Phase)
+    return draw(given.seed, given.seconds, services, controllers, phases)
+
+
+def shows(plan: Plan, rules: set[str], faults: list[str]) -> bool:
+    """Whether a play of it breaks one of these rules."""
+    return any(one.rule in rules for one in play(plan, faults, None).findings)
+
+
 def main() -> int:
     """The exit code."""
     given = arguments()
@@ -96,15 +122,15 @@
             )
         )
         return FAILED if any(codes) else 0
-    services, controllers = sized(Size(given.size))
-    plan = (
-        read(given.plan.read_text()) if given.plan else draw(given.seed, given.seconds, services, controllers)
-    )
+    plan = planned(given)
     if given.print:
         print(plan.lines())
         return 0
     result = play(plan, given.without, given.logs)
     tell(plan, result)
+    if result.findings and given.shrink:
+        rules = {one.rule for one in result.findings}
+        print(shrink(plan, lambda one: shows(one, rules, given.without), given.shrink).lines())
     return FAILED if result.findings else 0
 
 
--- a/rigs/mesh_peers/__init__.py
+++ b/rigs/mesh_peers/__init__.py
@@ -2,7 +2,7 @@
 
 from rigs.mesh_peers.client import Client, call
 from rigs.mesh_peers.messages import MOST_BODY, Address, read_message
-from rigs.mesh_peers.operator import Operator, change, route
+from rigs.mesh_peers.operator import Operator, change, route, service
 from rigs.mesh_peers.settings_file import free_ports, write_settings
 from rigs.mesh_peers.upstream import GOOD, NOT_RUN, OWN, WAYS, Upstream
 from rigs.mesh_peers.waiting import (
@@ -39,6 +39,7 @@
     "polled",
     "read_message",
     "route",
+    "service",
     "soon",
     "turns",
     "until",
--- a/rigs/mesh_peers/operator.py
+++ b/rigs/mesh_peers/operator.py
@@ -65,18 +65,20 @@
     }
 
 
+def service(name: str) -> dict[str, Any]:
+    """A service as the operator writes it."""
+    return {
+        "name": name,
+        "health_path": "/health",
+        "conn_saturation": 110,
+        "protocol": "h1",
+        "tls": False,
+        "epoch": "r1",
+    }
+
+
 def change(*rules: dict[str, Any], services: Sequence[str] = (), host: str = "h.example") -> dict[str, Any]:
     """A call that sets rules under one host, and services."""
-    groups = [
-        {
-            "name": name,
-            "health_path": "/health",
-            "conn_saturation": 110,
-            "protocol": "h1",
-            "tls": False,
-            "epoch": "r1",
-        }
-        for name in services
-    ]
+    groups = [service(name) for name in services]
     ports = [{"host": host, "control_law": list(rules)}] if rules else []
     return {"apply": {"input_ports": ports, "plant_groups": groups}, "remove": {"routes": []}}
--- a/rigs/soak/draw.py
+++ b/rigs/soak/draw.py
@@ -18,6 +18,9 @@
 PHASE_S = (5.0, 12.0)
 WRITE_GAP_S = 0.4
 SERIES_MOST = 20
+MEMORY_SHARE, PROCESS_MB = 0.5, 100.0  # of the machine's memory; of one process, at the most
+PROCESSES_MOST, PROCESSES_A_CORE = 200, 4  # more than four a core are late by their number alone
+MACHINE_CONTROLLERS = 5
 
 
 class Size(Enum):
@@ -322,8 +325,14 @@
         )
 
 
-def draw(seed: int, seconds: float, services: Sequence[str] = SMALL_SERVICES, controllers: int = 3) -> Plan:
-    """The plan of a seed."""
+def draw(
+    seed: int,
+    seconds: float,
+    services: Sequence[str] = SMALL_SERVICES,
+    controllers: int = 3,
+    phases: Sequence[Phase] = tuple(Phase),
+) -> Plan:
+    """The plan of a seed; ``phases``: the kinds of trouble that it may hold."""
     choose = random.Random(seed)
     relays = choose.random() < 0.7
     routes = tuple(
@@ -341,7 +350,7 @@
     troubles = Troubles(choose, controllers, services, relays)
     at = choose.uniform(0.0, 4.0)
     while at < seconds - QUIET_END_S:
-        drawn += troubles.phase(choose.choice(tuple(Phase)), at)
+        drawn += troubles.phase(choose.choice(phases), at)
         at += choose.uniform(*PHASE_S)
     kept = [one for one in drawn if one.at < seconds]
     return Plan(
@@ -355,8 +364,11 @@
     )
 
 
-def sized(size: Size) -> tuple[Sequence[str], int]:
-    """The services of the upstreams, one a proxy, and how many controllers."""
+def sized(size: Size, cores: int, memory_mb: float) -> tuple[Sequence[str], int]:
+    """The services of the upstreams, one a proxy, and how many controllers, on a machine of so many cores and
+    so much memory."""
     if size is Size.SMALL:
         return SMALL_SERVICES, 3
-    return tuple(SMALL_SERVICES[at % len(SMALL_SERVICES)] for at in range(24)), 5
+    fit = min(int(MEMORY_SHARE * memory_mb / PROCESS_MB), PROCESSES_MOST, PROCESSES_A_CORE * cores)
+    proxies = max(fit - MACHINE_CONTROLLERS, len(SMALL_SERVICES))
+    return tuple(SMALL_SERVICES[at % len(SMALL_SERVICES)] for at in range(proxies)), MACHINE_CONTROLLERS
--- a/rigs/soak/nodes.py
+++ b/rigs/soak/nodes.py
@@ -23,7 +23,6 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 USUAL_DOWN_S = 0.3
 LOOK_S = 0.1
-YOUNG_S = 3.0  # a process that has not installed its handlers yet ends by a SIGTERM with that status
 GRACE_SLACK_S = 0.5
 BEAT_MS = 500
 SEED_ORDERS = 3
@@ -94,7 +93,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self._trouble: Trouble | None = None
         self._signalled: set[int] = set()  # signals to this life
-        self._started_at = 0.0
+        self._answered = 0  # the newest life that has answered: it handles signals since before
         self._tasks: list[asyncio.Task[None]] = []
         self.relay: Between | None = None
         if layout.relays:
@@ -258,17 +257,14 @@
                 preexec_fn=end_with_parent,
             )
         self.life += 1
-        self._started_at = loop.time()
         self._end_trouble(loop.time())
         self.cold_boot = False
         self._unsettle()
 
     def _judge_end(self, status: int) -> None:
-        now = asyncio.get_running_loop().time()
         if self.retired or signal.SIGKILL in self._signalled:
             return
-        young = now - self._started_at < YOUNG_S
-        if young and -status in self._signalled & {signal.SIGTERM, signal.SIGHUP}:
+        if self._answered < self.life and -status in self._signalled & {signal.SIGTERM, signal.SIGHUP}:
             return
         if signal.SIGTERM in self._signalled:
             if status:
@@ -278,17 +274,20 @@
         self._tell("Fault", f"ended by itself with status {status}")
 
     async def _look(self) -> None:
-        """Whether this life is ready, asked as the platform does, more often."""
+        """Whether this life is ready, asked as the platform does, more often; of a controller, whether it
+        answers at all."""
+        asked = (
+            (self.control, b"/") if self.is_controller else ((self.ip, self._layout.readiness), b"/readiness")
+        )
         while True:
             await asyncio.sleep(LOOK_S)
-            if self.process is None or self.process.returncode is not None or self.is_controller:
+            if self.process is None or self.process.returncode is not None:
                 continue
             life = self.life
-            ready = (await call((self.ip, self._layout.readiness), b"GET", b"/readiness", within_s=1.0))[
-                0
-            ] == 200
-            if life == self.life and life not in self.term_at:
-                self.ready = ready
+            status, _ = await call(asked[0], b"GET", asked[1], within_s=1.0)
+            if life == self.life and status:
+                self._answered = life
+                self.ready = status == 200 and life not in self.term_at
 
     # Its files
 
--- a/rigs/soak/orders.py
+++ b/rigs/soak/orders.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct
 
-from rigs.mesh_peers import Address, call
+from rigs.mesh_peers import Address, call, service
 from rigs.soak.configuration_ledger import ConfigurationLedger, Order
 from rigs.soak.plan import DropItem, Invalid, Item, RouteItem, Share, Write
 
@@ -104,7 +104,7 @@
         {
             "apply": {
                 "input_ports": [{"host": host, "control_law": rules}] if rules else [],
-                "plant_groups": [_group(name) for name in fresh],
+                "plant_groups": [service(name) for name in fresh],
             },
             "remove": {
                 "routes": [
@@ -118,17 +118,6 @@
     return body[:-7] if invalid is Invalid.CUT_SHORT else body
 
 
-def _group(name: str) -> dict[str, Any]:
-    return {
-        "name": name,
-        "health_path": "/health",
-        "conn_saturation": 110,
-        "protocol": "h1",
-        "tls": False,
-        "epoch": "r1",
-    }
-
-
 def _rule(item: RouteItem) -> dict[str, Any]:
     response: dict[str, Any] = {"horizon_ms": HORIZON_MS, "trials": TRIALS}
     if len(item.shares) == 1:
--- a/rigs/soak/request_ledger.py
+++ b/rigs/soak/request_ledger.py
@@ -11,11 +11,10 @@
 from msgspec import Struct
 
 from mesh.data_plane.call_state import PROMISES
+from rigs.shutdown_world.judgement import EXCUSED_S, LAST_SIXTH
 from rigs.soak.configuration_ledger import Finding, Request
 from rigs.soak.contact import ContactRecord
 
-EXCUSED_S = 3.0  # a request that was sent later after SIGTERM is never excused by its upstream's work
-LAST_SIXTH = 1 / 6  # of the grace: an upstream still at work then excuses a cut
 OWN_4XX = frozenset({400, 401, 403, 405, 411, 413, 414, 431})
 DENIED_MOST, DENIED_SHARE = 5, 1 / 500
 CUTS_MOST = 3  # requests that calm nodes may cut on kept connections
--- a/tests/mesh/test_soak_processes.py
+++ b/tests/mesh/test_soak_processes.py
@@ -8,10 +8,15 @@
 import asyncio
 from pathlib import Path
 
+import pytest
+
+from rigs.soak.draw import draw
 from rigs.soak.plan import Plan, read
 from rigs.soak.play import Result, Soak
 
 PLANS = Path(__file__).parent / "soak_plans"
+SHORT_S = 25.0
+LEAST_JUDGED = 300  # of a play that shows anything
 
 
 def played(plan: Plan, folder: Path) -> Result:
@@ -41,3 +46,10 @@
     test_dissemination_peers.py."""
     result = played(read((PLANS / "all_start_over_with_many_routes.txt").read_text()), tmp_path)
     assert told(result) == []
+
+
+@pytest.mark.parametrize("seed", [1106, 804])
+def test_a_short_soak_finds_nothing(seed: int, tmp_path: Path) -> None:
+    result = played(draw(seed, SHORT_S), tmp_path)
+    assert told(result) == []
+    assert result.judged > LEAST_JUDGED and result.acknowledged > 0 and result.reads > 0
--- a/tests/mesh/test_soak_requests.py
+++ b/tests/mesh/test_soak_requests.py
@@ -7,9 +7,10 @@
 from rigs.soak import plan as events
 from rigs.soak.configuration_ledger import Finding, Request
 from rigs.soak.contact import Bounds, ContactRecord
-from rigs.soak.draw import draw
-from rigs.soak.plan import read
+from rigs.soak.draw import Phase, draw
+from rigs.soak.plan import Plan, read
 from rigs.soak.request_ledger import ADDED_LEAST, CUTS_MOST, End, RequestLedger, Sent
+from rigs.soak.shrink import shrink
 
 GRACE_S = Bounds().grace_s
 
@@ -149,3 +150,24 @@
     assert played.ledger.judge(100.0) == [
         Finding("LOST", one.at, "a0 at proxy-0: neither an answer nor an end")
     ]
+
+
+def test_a_plan_shrinks_to_the_events_that_fail_together() -> None:
+    plan = draw(7, 60.0)
+    needed = {plan.events[3], plan.events[-2]}
+    plays: list[int] = []
+
+    def fails(smaller: Plan) -> bool:
+        plays.append(len(smaller.events))
+        return needed <= set(smaller.events)
+
+    assert set(shrink(plan, fails, most=200).events) == needed
+    assert len(plays) < 100
+    assert len(shrink(plan, fails, most=0).events) == len(plan.events)
+
+
+def test_a_plan_of_one_kind_of_trouble_holds_no_other() -> None:
+    plan = draw(7, 120.0, phases=[Phase.PROXIES])
+    troubles = [one for one in plan.events if not isinstance(one, events.Write | events.AddMany)]
+    assert troubles
+    assert {type(one) for one in troubles} <= {events.Kill, events.Terminate, events.Freeze}
