--- a/rigs/soak/machines.py
+++ b/rigs/soak/machines.py
@@ -52,6 +52,7 @@
         self.upstreams: dict[str, SoakUpstream] = {}
         self._hosts = iter(range(CORE, CORE + plan.controllers + SPARES))
         self._beats: dict[str, asyncio.Task[None]] = {}
+        contact.core_names = self.controller_names
         self.links = LinkTroubles(contact, self.node, self.controller_names)
 
     def node(self, name: str) -> Node:
--- a/tests/mesh/test_soak_configuration.py
+++ b/tests/mesh/test_soak_configuration.py
@@ -213,3 +213,25 @@
     assert routes_of(sent) == {one.name: one for one in items}
     sent["input_ports"][0]["control_law"][0]["response"]["trials"] += 1
     assert routes_of(sent)["read"].shares == ()
+
+
+def test_no_bound_holds_where_no_majority_of_the_core_ran_all_the_while() -> None:
+    """Seen in seed 243: each controller was killed in turn as it acknowledged, so at each moment two of three
+    ran, and for nine seconds none of them could hand anything on. The rule asks for more than half of the core
+    that has run all the while."""
+    played = Played()
+    names = ["controller-0", "controller-1", "controller-2"]
+    played.contact.core_names = lambda: names
+    played.write([item(2, "blue")], 10.0, 10.1)
+    for at, name in enumerate(names[:2]):
+        played.contact.node(name, 11.0 + at).ended = 11.5 + at
+        played.contact.core(11.5 + at)
+    played.contact.core(20.0)
+    played.ledger.ran(played.request(21.0), "red", 21.0)
+    assert played.found() == []
+    played.contact = played.ledger._contact = ContactRecord(Bounds())
+    played.contact.core_names = lambda: names
+    played.contact.node(names[0], 11.0).ended = 11.5
+    played.contact.core(20.0)
+    played.ledger.ran(played.request(21.0), "red", 21.0)
+    assert played.found() == ["CONFIG"]
