--- a/tests/mesh/test_soak_configuration.py
+++ b/tests/mesh/test_soak_configuration.py
@@ -216,8 +216,8 @@
 
 
 def test_no_bound_holds_where_no_majority_of_the_core_ran_all_the_while() -> None:
-    """Seen in seed 243: each controller was killed in turn as it acknowledged, so at each moment two of three
-    ran, and for nine seconds none of them could hand anything on. The rule asks for more than half of the core
+    """Seen in seed 243: each controller was killed in turn as it acknowledged, so at each moment two of
+    three ran, and for nine seconds none could hand anything on. The rule asks for more than half of the core
     that has run all the while."""
     played = Played()
     names = ["controller-0", "controller-1", "controller-2"]
