--- a/rigs/relay.py
+++ b/rigs/relay.py
@@ -105,6 +105,12 @@
         self.size += len(data or b"")
         self.flush()
 
+    def widen(self) -> None:
+        """The link is narrow no more: what waited for its turn goes now."""
+        now = asyncio.get_running_loop().time()
+        self.free_at = 0.0
+        self.queue = deque((min(due, now), data) for due, data in self.queue)
+
     def flush(self) -> None:
         """Writes what is due, if the link lets it through."""
         if self.alarm is not None:
@@ -146,6 +152,8 @@
 
     def up(self) -> None:
         for end in (self.front, self.behind):
+            if end.free_at and not self.faults.bytes_s:
+                end.widen()
             if end.transport is not None:
                 end.flush()
 
--- a/tests/mesh/test_lost_links.py
+++ b/tests/mesh/test_lost_links.py
@@ -18,7 +18,8 @@
 from rigs.lost_links.hop import GUARDS
 from rigs.lost_links.ledger import Call, Ledger, Lost, Rule, Run, Trouble
 from rigs.lost_links.play import Play, Size
-from rigs.mesh_peers import soon
+from rigs.mesh_peers import soon, until
+from rigs.relay import Faults
 
 KEY, OTHER = "k1", "k2"
 
@@ -269,3 +270,31 @@
     """Else a run without it would be an ordinary one."""
     for whose, name, _ in GUARDS[guard]():
         assert hasattr(whose, name)
+
+
+def test_a_narrow_link_takes_its_time_and_gives_all_once_it_is_wide_again() -> None:
+    """Seen in seed 241: half a minute after all links were wide again a large write still crept on."""
+
+    async def run() -> None:
+        came = bytearray()
+
+        async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(65536):
+                came.extend(data)
+            writer.close()
+
+        server = await asyncio.start_server(take, "127.0.0.1", 0)
+        relay = Between("127.0.0.1", server.sockets[0].getsockname()[1], seed=1)
+        relay.set(Faults(bytes_s=1000.0))
+        _, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.write(bytes(600_000))
+        await writer.drain()
+        await until(lambda: any(end.queue for pair in relay.open() for end in (pair.front, pair.behind)), 5.0)
+        assert len(came) < 600_000
+        relay.set(Faults())
+        await until(lambda: len(came) == 600_000, 5.0)
+        writer.close()
+        relay.close()
+        server.close()
+
+    asyncio.run(run())
