Log what a proxy publishes when its upstream leaves

The log said 'instance gone' whether anything was published or not, so five hypotheses could not be told apart.

Change: event 214 names the version of the item that the call has written ('-' for none) and whether the upstream had sent a heartbeat to this process. No behaviour changes.

--- a/mesh/data_plane/upstream_registration.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -19,6 +19,7 @@
 from mesh.transport.http_calls import Answer
 
 PATH = b"/instances/"
+GONE = "gone"  # in the log, of an instance that has signed off
 
 
 class UnknownRequest(Struct, frozen=True):
@@ -81,10 +82,17 @@
                 instance=command.instance,
                 why="signed off",
             )
-            self.publish(self._upstream.leave(command.instance))
+            heard = self._upstream.instance == command.instance
+            updates = self._upstream.leave(command.instance)
+            self.publish(updates)
+            self._log_departure(command.instance, GONE, updates, heard)
             return Answer(200, b"{}")
         previous = self._upstream.heartbeat
-        self.publish(self._upstream.on_heartbeat(self._now(), command, self._has_ended(command.instance)))
+        updates = self._upstream.on_heartbeat(self._now(), command, self._has_ended(command.instance))
+        self.publish(updates)
+        if command.state == DECAYING:
+            heard = previous is not None and previous.instance == command.instance
+            self._log_departure(command.instance, DECAYING, updates, heard)
         if self._upstream.contender == command.instance:  # not accepted, so not acknowledged
             return Answer(503)
         self._log_change(previous, command)
@@ -95,6 +103,19 @@
         item = self._membership_store.items.get((INSTANCE, instance))
         return item is not None and item.value is None and item.version >= FINAL_VERSION
 
+    def _log_departure(
+        self, instance: str, state: str, updates: list[InstanceUpdate], heard: bool
+    ) -> None:
+        """Logs what was published for a departure. ``heard``: it had sent a heartbeat to this process."""
+        versions = [update.version for update in updates if update.instance == instance]
+        self._event_log.emit(
+            events.DEPARTURE_PUBLISHED,
+            instance=instance,
+            state=state,
+            version=versions[-1] if versions else None,
+            heard=heard,
+        )
+
     def _log_change(self, previous: Heartbeat | None, heartbeat: Heartbeat) -> None:
         """Logs what a heartbeat has changed. ``previous``: the latest heartbeat before it."""
         if self._upstream.instance != heartbeat.instance:
--- a/mesh/event_log/events.py
+++ b/mesh/event_log/events.py
@@ -66,6 +66,9 @@
 INSTANCE_GONE = _define_event(206, Level.INFO, "instance gone", "service", "instance", "why")
 NODE_DROPPED = _define_event(212, Level.INFO, "node given up", "peer", "silent_s", "instances")
 ZONE_KEPT = _define_event(213, Level.WARNING, "most of a zone is silent, its nodes are kept", "zone")
+DEPARTURE_PUBLISHED = _define_event(
+    214, Level.INFO, "departure published", "instance", "state", "version", "heard"
+)
 CONTACT_LOST = _define_event(220, Level.WARNING, "contact with most members lost", "heard", "of")
 CONTACT_ESTABLISHED = _define_event(221, Level.INFO, "contact with most members proven", "without_ms")
 CONTROL_LOST = _define_event(
