Acknowledge a departure only once it outlives the sidecar

Cause: the acknowledgement was bound to nothing. Upstream.leave passed over an instance of which this process had had no heartbeat, and the 200 went out all the same (event 214: version=- heard=no); where it did publish, the 200 went out before any other process had it. A sidecar has no disk: what it alone knows ends with it. A tombstone of a sign-off also had the version of an inferred end, so two late heartbeats took it back.

Change: a sign-off is published whatever this process has heard, above every other version of the instance. A departure is acknowledged once more control processes with contact hold it than may be lost at once, by the vectors in their pull requests, else answered 503 after 0.75 s; a control process tells the other sidecars before it reports that it holds one. A restarted sidecar looks an instance up in the membership in place of a copy made each 100 ms. Events 215 and 216. No new frame.

Why it works: no acknowledgement is given that rests on this process alone, so whatever is killed with it leaves a holder, from which the restarted one learns it.

Tests: Upstream.leave of an instance that was never heard was asserted to publish nothing: that is the fault, and is replaced by the test that it is published and never taken back. published_decaying and known_ended are now one look-up; their assertions stand on what is let pass.

Open: all processes killed at once and a late heartbeat behind it.

--- a/mesh/admission/final_check.py
+++ b/mesh/admission/final_check.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+from mesh.membership.instance_commands import DECAYING
 from mesh.membership.instance_lifecycle import Upstream
 
 DRAIN_SHARE = 0.5  # of drain_ms, from the acknowledgement of a drain; after it no call is admitted
@@ -48,8 +49,8 @@
     heartbeat = upstream.heartbeat
     if remaining_ms <= 0.0:
         return Rejected(RejectReason.LATE)
-    if heartbeat is None:  # no heartbeat since the start: the upstream checks the instance itself
-        return Rejected(RejectReason.LEAVING) if instance in upstream.published_decaying else Admitted()
+    if heartbeat is None:
+        return _check_without_heartbeat(upstream, instance)
     if heartbeat.instance != instance:
         return Rejected(RejectReason.OTHER)
     if upstream.gone:
@@ -60,6 +61,16 @@
     return Admitted()
 
 
+def _check_without_heartbeat(upstream: Upstream, instance: str) -> Admitted | Rejected:
+    """Checks a call before the first heartbeat since the start: the upstream checks by itself that it is this
+    instance, but may have left, as an earlier incarnation of this sidecar acknowledged."""
+    if upstream.has_signed_off(instance):
+        return Rejected(RejectReason.DOWN)
+    published = upstream.find_published(instance)
+    drains = published is not None and published.state == DECAYING
+    return Rejected(RejectReason.LEAVING) if drains else Admitted()
+
+
 def call_limits(upstream: Upstream) -> tuple[int, int]:
     """How many calls may be dispatched at once, and how many may wait."""
     slots = upstream.heartbeat.capacity if upstream.heartbeat is not None else DEFAULT_SLOTS
--- a/mesh/control_plane/program.py
+++ b/mesh/control_plane/program.py
@@ -27,7 +27,7 @@
 from mesh.control_plane.restore import RestoreCommand
 from mesh.control_plane.rollouts import Rollouts
 from mesh.control_plane.tombstone_collection import TombstoneCollection
-from mesh.data_plane.membership import CONTROLLER, NODE, ROLE_NAMES, Membership
+from mesh.data_plane.membership import CONTROLLER, NODE, ROLE_NAMES, Membership, is_departure
 from mesh.dissemination.peers import Channel, Channels
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
@@ -92,6 +92,10 @@
             one_way=(REPORTS,),
             on_hello=self._channel_greeted,
         )
+        # A sidecar acknowledges a departure once it is held here: by then the others must have been told.
+        self.channels.must_answer_first = lambda changed: any(
+            map(is_departure, changed.get(MEMBERSHIP_STORE, ()))
+        )
         self.member_set = MemberSet(
             self.own_address, self.config_store, self.disk_writer, self.channels, settings.tolerance
         )
--- a/mesh/data_plane/membership.py
+++ b/mesh/data_plane/membership.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from mesh.membership.instance_commands import read_address
+from mesh.membership.instance_commands import DECAYING, read_address
 from mesh.replication.items import Item
 from mesh.rollout.canary_selection import CanarySelection
 from mesh.transport.link import Address
@@ -16,6 +16,11 @@
 ROLE_NAMES = {PROXY: "proxy", CONTROLLER: "controller"}  # for logs and operators
 
 
+def is_departure(item: Item) -> bool:
+    """Whether the item says that an instance drains or has ended."""
+    return item.kind == INSTANCE and (item.value is None or item.value.get("state") == DECAYING)
+
+
 class Membership:
     def __init__(self) -> None:
         self.nodes: dict[str, Mapping[str, Any]] = {}
--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -17,6 +17,7 @@
 from mesh.data_plane.call_messages import End, GreetingReply
 from mesh.data_plane.client_connection import ClientListener
 from mesh.data_plane.control_contact import ControlContact
+from mesh.data_plane.departure_confirmation import DepartureConfirmation
 from mesh.data_plane.incoming_calls import IncomingCalls
 from mesh.data_plane.introspection import operator_handlers
 from mesh.data_plane.key_holds import KeyHolds
@@ -137,15 +138,7 @@
             ),
         )
         self._share_between_hops()
-        self.registry = Registry(
-            self.upstream,
-            self.membership_store,
-            self.membership,
-            event_log,
-            self.balancers.now,
-            lambda items: self._on_items("roll", items),
-            self.key_holds.answer_heartbeat,
-        )
+        self.registry = self._make_registry()
         max_clients = max((settings.limits.file_handles - SPARE_FILES) // 2, 16)
         self.client_listener = ClientListener(self.request_dispatcher, max_clients)
         self.client_listener.set_max_idle(max_idle_s(bounds.grace_s))
@@ -168,9 +161,11 @@
             one_way=(REPORTS,),
             ranked=True,
         )
-        self.channels.withheld_stores = lambda role: (
-            "charter",
-        )  # an old copy here must not restore dropped items
+        # An old copy of the configuration here must not restore dropped items.
+        self.channels.withheld_stores, self.channels.on_peer_report = (
+            lambda _: ("charter",),
+            self.departure_confirmation.check_pending,
+        )
         self.control_contact = ControlContact(bounds.contact_ms, self.channels, event_log)
         self.operator_links = OperatorLinks(operator_handlers(self, time.time))
         self.ending = False
@@ -201,6 +196,25 @@
         self.upstream_dispatch.holds_key = holds.may_run
         return holds
 
+    def _make_registry(self) -> Registry:
+        self.departure_confirmation = DepartureConfirmation(
+            lambda: self.channels,
+            self.membership,
+            lambda: len(self.membership.controllers() or self.settings.seeds),
+            lambda: self.settings.tolerance,
+            self.event_log,
+        )
+        return Registry(
+            self.upstream,
+            self.membership_store,
+            self.membership,
+            self.event_log,
+            self.balancers.now,
+            lambda items: self._on_items("roll", items),
+            self.departure_confirmation.wait,
+            self.key_holds.answer_heartbeat,
+        )
+
     # Start and shutdown
 
     async def start(self) -> None:
--- a/mesh/data_plane/upstream_registration.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -13,13 +13,21 @@
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
 from mesh.membership.instance_commands import DECAYING, Heartbeat, InvalidCommand, Leave, read_heartbeat
-from mesh.membership.instance_lifecycle import FINAL_VERSION, SILENT_HEARTBEATS, InstanceUpdate, Upstream
+from mesh.membership.instance_lifecycle import (
+    FINAL_VERSION,
+    SILENT_HEARTBEATS,
+    InstanceUpdate,
+    PublishedInstance,
+    Upstream,
+    sign_off,
+)
 from mesh.replication.items import Item
 from mesh.replication.store import Store
 from mesh.transport.http_calls import Answer
 
 PATH = b"/instances/"
 GONE = "gone"  # in the log, of an instance that has signed off
+ACKNOWLEDGE_WITHIN_S = 0.75  # an upstream waits a second for its answer
 
 
 class UnknownRequest(Struct, frozen=True):
@@ -48,7 +56,11 @@
 
 
 class Registry:
-    """Runs the upstream's commands and publishes the state of this machine's instances."""
+    """Runs the upstream's commands and publishes the state of this machine's instances.
+
+    A departure, a first draining heartbeat or a sign-off, is acknowledged once enough control processes hold
+    it: this process may be killed right after, and starts without state.
+    """
 
     def __init__(
         self,
@@ -58,54 +70,79 @@
         event_log: EventLog,
         now: Callable[[], float],
         on_items: Callable[[list[Item]], None],
+        confirm_item: Callable[[Item, float], Awaitable[bool]],
         key_fields: Callable[[Heartbeat], Awaitable[dict[str, Any]]] | None = None,
     ) -> None:
-        """``now`` returns milliseconds. ``on_items`` is called with the items written here. ``key_fields``
-        returns the fields of a heartbeat's response that say which keys the upstream may hold."""
+        """``now`` returns milliseconds. ``on_items`` is called with the items written here. ``confirm_item``
+        waits until enough control processes hold the item, for the given seconds at most, and returns whether
+        they do. ``key_fields`` returns the fields of a heartbeat's response that say which keys the upstream
+        may hold."""
         self._upstream, self._membership_store, self._membership = upstream, membership_store, membership
         self._event_log, self._now, self._changed = event_log, now, on_items
         self._began = now()
+        self._confirm_item = confirm_item
+        self._acknowledged_drain = ""  # the instance whose drain was acknowledged by this process
         self._key_fields = key_fields if key_fields is not None else _no_keys
+        upstream.find_published = self._find_published
 
     async def handle(self, message: http.Message) -> Answer:
-        """The response to a request of the upstream. It does not wait for other processes, except for a key
-        map that is on its way."""
+        """The response to a request of the upstream, within ACKNOWLEDGE_WITHIN_S. It waits for other
+        processes only where a departure has to be confirmed, or a key map is on its way."""
         command = decode(message)
         if isinstance(command, UnknownRequest):
             return Answer(command.status)
         if isinstance(command, InvalidCommand):
             return Answer(400, msgspec.json.encode({"error": command.line()}))
         if isinstance(command, Leave):
-            self._event_log.emit(
-                events.INSTANCE_GONE,
-                service=self._upstream.heartbeat.plant if self._upstream.heartbeat is not None else "",
-                instance=command.instance,
-                why="signed off",
-            )
-            heard = self._upstream.instance == command.instance
-            updates = self._upstream.leave(command.instance)
-            self.publish(updates)
-            self._log_departure(command.instance, GONE, updates, heard)
-            return Answer(200, b"{}")
-        previous = self._upstream.heartbeat
-        updates = self._upstream.on_heartbeat(self._now(), command, self._has_ended(command.instance))
+            return await self._handle_leave(command.instance)
+        return await self._handle_heartbeat(command)
+
+    async def _handle_leave(self, instance: str) -> Answer:
+        began, heard = self._now(), self._upstream.instance == instance
+        updates = self._upstream.leave(instance)
+        if updates:
+            known = self._membership.instances.get(instance)
+            service = str(known["plant"]) if known is not None else ""
+            self._event_log.emit(events.INSTANCE_GONE, service=service, instance=instance, why="signed off")
+        updates = updates or [sign_off(instance)]  # the store may have been full when it was written first
         self.publish(updates)
-        if command.state == DECAYING:
-            heard = previous is not None and previous.instance == command.instance
-            self._log_departure(command.instance, DECAYING, updates, heard)
-        if self._upstream.contender == command.instance:  # not accepted, so not acknowledged
+        self._log_departure(instance, GONE, updates, heard)
+        if not await self._is_departure_confirmed(instance, began):
             return Answer(503)
-        self._log_change(previous, command)
-        return Answer(200, msgspec.json.encode(await self._key_fields(command)))
+        return Answer(200, b"{}")
 
-    def _has_ended(self, instance: str) -> bool:
-        """Whether this machine has published its end, also in an earlier incarnation of this process."""
+    async def _handle_heartbeat(self, heartbeat: Heartbeat) -> Answer:
+        began, previous = self._now(), self._upstream.heartbeat
+        updates = self._upstream.on_heartbeat(began, heartbeat)
+        self.publish(updates)
+        if self._upstream.contender == heartbeat.instance:  # not accepted, so not acknowledged
+            return Answer(503)
+        self._log_change(previous, heartbeat)
+        fields = await self._key_fields(heartbeat)
+        if heartbeat.state == DECAYING and self._acknowledged_drain != heartbeat.instance:
+            self.reconcile()
+            heard = previous is not None and previous.instance == heartbeat.instance
+            self._log_departure(heartbeat.instance, DECAYING, updates, heard)
+            if not await self._is_departure_confirmed(heartbeat.instance, began):
+                return Answer(503)
+            self._acknowledged_drain = heartbeat.instance
+        return Answer(200, msgspec.json.encode(fields))
+
+    async def _is_departure_confirmed(self, instance: str, began: float) -> bool:
+        """Waits until enough control processes hold that the instance drains or has ended. ``began``: when
+        the call arrived, in milliseconds."""
         item = self._membership_store.items.get((INSTANCE, instance))
-        return item is not None and item.value is None and item.version >= FINAL_VERSION
+        if item is None or item.value is not None and item.value["state"] != DECAYING:
+            return False  # the store was full, or a later incarnation has replaced it
+        return await self._confirm_item(item, ACKNOWLEDGE_WITHIN_S - (self._now() - began) / 1000.0)
 
-    def _log_departure(
-        self, instance: str, state: str, updates: list[InstanceUpdate], heard: bool
-    ) -> None:
+    def _find_published(self, instance: str) -> PublishedInstance | None:
+        item = self._membership_store.items.get((INSTANCE, instance))
+        if item is None:
+            return None
+        return PublishedInstance(item.version, str(item.value["state"]) if item.value is not None else "")
+
+    def _log_departure(self, instance: str, state: str, updates: list[InstanceUpdate], heard: bool) -> None:
         """Logs what was published for a departure. ``heard``: it had sent a heartbeat to this process."""
         versions = [update.version for update in updates if update.instance == instance]
         self._event_log.emit(
@@ -148,17 +185,8 @@
         """Corrects items about this machine that no longer hold: those of earlier incarnations, and of an
         upstream that ended while this sidecar was down."""
         current = self._upstream.instance
-        if not current:
-            known_here = self._membership.instances_at(self._upstream.node)
-            states = {name: self._membership.instances[name].get("state") for name in known_here}
-            self._upstream.published_decaying = frozenset(
-                name for name in known_here if states[name] == DECAYING
-            )
         silent = self._now() - self._began > SILENT_HEARTBEATS * self._upstream.heartbeat_ms
-        updates = []
-        item = self._membership_store.items.get((INSTANCE, current))  # a dropped one is not in the membership
-        if item is not None and item.version > self._upstream.version:
-            updates += self._upstream.republish(item.version)
+        updates = self._upstream.on_published()
         for instance in self._membership.instances_at(self._upstream.node):
             if instance != current and (current or silent):
                 # above later versions published while it counted as the current instance
--- a/mesh/dissemination/peers.py
+++ b/mesh/dissemination/peers.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Any
 
 import msgspec
@@ -73,6 +73,7 @@
                 self._peer_lacking_since = None  # the peer made progress, on this link or another
             self._due.update(self.exchange.record_pull(head, self.peer_source))
             self.answer(self.channels.is_complete())
+            self.channels.on_peer_report()
         elif kind == "news":
             self.peer_complete, self.answered = bool(head["whole"]), True
             # Answers of a peer that was not complete do not count: it may have withheld a store.
@@ -85,8 +86,12 @@
                 self.channels.event_log.emit(events.STATE_FULL, reason=self.exchange.store_error)
                 self.link.close(self.exchange.store_error)
                 return True
-            self.link.send(self.exchange.pull_request())
+            if self.channels.must_answer_first(changed):
+                self.channels.pull_after_answers(self)
+            else:
+                self.link.send(self.exchange.pull_request())
             self.channels.record_answer(self)
+            self.channels.on_peer_report()
             self.channels.schedule_answers()  # the vector may have advanced without new items
         else:
             return False
@@ -191,9 +196,14 @@
         self.on_change, self.is_complete, self._on_frame = on_change, is_complete, on_frame
         self._on_open, self._on_close, self._on_hello = on_open, on_close, on_hello
         self.withheld_stores: Callable[[str], Collection[str]] = lambda role: ()  # from peers of that role
+        # Whether other peers are sent these items before their sender learns that they are held here.
+        self.must_answer_first: Callable[[Mapping[str, Sequence[Item]]], bool] = lambda _: False
+        # Called when a peer has reported what it holds, or whether it is complete.
+        self.on_peer_report: Callable[[], None] = lambda: None
         self.open: set[Channel] = set()
         self._candidates: dict[str, Candidate] = {}
         self._answer_timer: asyncio.TimerHandle | None = None
+        self._pulls_after_answers: list[Channel] = []
         self._compressed: dict[tuple[object, ...], bytes] = {}
         self._order: list[str] | None = None  # of the candidates; None: to be recomputed
         self._last_vectors: dict[str, dict[str, int]] = {name: {} for name in stores}
@@ -344,6 +354,15 @@
             if channel.rank:
                 channel.renew_pull()
             channel.answer(complete)
+        waiting, self._pulls_after_answers = self._pulls_after_answers, []
+        for channel in waiting:
+            channel.link.send(channel.exchange.pull_request())
+
+    def pull_after_answers(self, channel: Channel) -> None:
+        """Sends the pull request of this channel, which reports what is held here, behind the next answers to
+        all peers."""
+        self._pulls_after_answers.append(channel)
+        self.schedule_answers()
 
     def _changed_stores(self) -> list[str]:
         """The stores whose vectors have changed since the last call. Compared once for all links: comparing
--- a/mesh/event_log/events.py
+++ b/mesh/event_log/events.py
@@ -69,6 +69,13 @@
 DEPARTURE_PUBLISHED = _define_event(
     214, Level.INFO, "departure published", "instance", "state", "version", "heard"
 )
+DEPARTURE_CONFIRMED = _define_event(
+    215, Level.INFO, "departure held by control processes", "instance", "holders", "waited_ms"
+)
+DEPARTURE_NOT_CONFIRMED = _define_event(
+    *(216, Level.WARNING, "departure not held by enough control processes"),
+    *("instance", "holders", "linked", "waited_ms"),
+)
 CONTACT_LOST = _define_event(220, Level.WARNING, "contact with most members lost", "heard", "of")
 CONTACT_ESTABLISHED = _define_event(221, Level.INFO, "contact with most members proven", "without_ms")
 CONTROL_LOST = _define_event(
--- a/mesh/membership/instance_lifecycle.py
+++ b/mesh/membership/instance_lifecycle.py
@@ -5,11 +5,18 @@
 one, and the later of two incarnations from the earlier. A published item has the version ``sample_count``
 times `VERSIONS_PER_HEARTBEAT`, so that a sidecar that restarts without state continues above the versions
 that it published before, and has versions left for updates between two heartbeats.
+
+Versions are ordered: heartbeats, from `FINAL_VERSION` on ends that were inferred and what was published above
+them, then the sign-off.
+
+A sidecar keeps no state over a restart. What its earlier incarnations published is in the membership, and
+`Upstream.find_published` looks it up there.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 from msgspec import Struct
@@ -20,7 +27,8 @@
 VERSIONS_PER_HEARTBEAT = 1000
 SILENT_HEARTBEATS = 2.6  # periods without a heartbeat after which a refused connection means a crash
 MAX_ENDED_INSTANCES = 64  # ended incarnations that are remembered
-FINAL_VERSION = 1 << 52  # of the drop of an id that never returns
+FINAL_VERSION = 1 << 52  # of the tombstone of an inferred end
+SIGNED_OFF_VERSION = 1 << 60  # of the tombstone of an instance that has signed off; nothing outranks it
 TAKEOVER_MS = 1000.0  # an incarnation whose heartbeats alone arrive for this long is the running one
 
 
@@ -32,6 +40,28 @@
     value: dict[str, Any] | None
 
 
+class PublishedInstance(Struct, frozen=True):
+    """What the membership holds of an instance. ``state`` is "" for a tombstone."""
+
+    version: int
+    state: str
+
+    @property
+    def signed_off(self) -> bool:
+        """Whether the instance has ended by its own word."""
+        return not self.state and self.version >= SIGNED_OFF_VERSION
+
+    @property
+    def ended(self) -> bool:
+        """Whether this machine has published an end of it that is not only a crash."""
+        return not self.state and self.version >= FINAL_VERSION
+
+
+def sign_off(instance: str) -> InstanceUpdate:
+    """The update that publishes the end of an instance that has signed off."""
+    return InstanceUpdate(instance, SIGNED_OFF_VERSION, None)
+
+
 class Contender(Struct, frozen=True):
     """Another incarnation that sends heartbeats beside the current one, and since when."""
 
@@ -47,13 +77,14 @@
         self.heartbeat: Heartbeat | None = None
         self.heartbeat_at = 0.0  # when the last heartbeat arrived
         self.drain_started_at: float | None = None  # first acknowledged drain of the upstream or sidecar
-        # Decaying instances of this node in the store, used until the first heartbeat.
-        self.published_decaying: frozenset[str] = frozenset()
+        # Looks an instance up in the membership; None if it is unknown there.
+        self.find_published: Callable[[str], PublishedInstance | None] = lambda _: None
         self.leaving = False  # this sidecar shuts down: no new call can reach its upstream
         self.gone = False
         self.version = 0
         self._published: dict[str, Any] | None = None
-        self._ended: dict[str, None] = {}  # ended incarnations, the oldest first
+        self._signed_off: dict[str, None] = {}  # the oldest first
+        self._ended: dict[str, None] = {}  # replaced incarnations whose end was published, the oldest first
         self._former: dict[str, None] = {}  # replaced ones; ended once their successor is confirmed
         self._contender: Contender | None = None
         self._current_since = 0.0  # when the current incarnation became current
@@ -63,17 +94,25 @@
         """The id of the current incarnation; "" before the first heartbeat."""
         return self.heartbeat.instance if self.heartbeat is not None else ""
 
-    def on_heartbeat(
-        self, now: float, heartbeat: Heartbeat, known_ended: bool = False
-    ) -> list[InstanceUpdate]:
-        """Handles a heartbeat. A late one of the current incarnation, and any of an ended one, changes
-        nothing; another incarnation may have to be confirmed first (`contender`). ``known_ended``: this
-        machine has already published that this incarnation ended."""
+    def has_signed_off(self, instance: str) -> bool:
+        """Whether the instance has signed off, in this incarnation of the sidecar or an earlier one."""
+        if instance in self._signed_off:
+            return True
+        published = self.find_published(instance)
+        return published is not None and published.signed_off
+
+    def on_heartbeat(self, now: float, heartbeat: Heartbeat) -> list[InstanceUpdate]:
+        """Handles a heartbeat. One of an instance that has signed off changes nothing, nor does a late one;
+        another incarnation may have to be confirmed first (`contender`)."""
+        if self.has_signed_off(heartbeat.instance):
+            self._on_signed_off(heartbeat.instance)
+            return []
         if heartbeat.instance in self._ended:
             return []
         if self.heartbeat is not None and self.heartbeat.instance == heartbeat.instance:
             return self._on_current_heartbeat(now, heartbeat)
-        if not self._may_replace(now, heartbeat, known_ended):
+        published = self.find_published(heartbeat.instance)
+        if not self._may_replace(now, heartbeat, published is not None and published.ended):
             return []
         return self._replace_current(now, heartbeat)
 
@@ -108,7 +147,7 @@
 
     def _replace_current(self, now: float, heartbeat: Heartbeat) -> list[InstanceUpdate]:
         current, published = self.heartbeat, list[InstanceUpdate]()
-        if current is not None and current.instance not in self._ended:
+        if current is not None and current.instance not in {*self._signed_off, *self._ended}:
             self._former[current.instance] = None
             if not self.gone:
                 published.append(InstanceUpdate(current.instance, self._next_version(current), None))
@@ -116,15 +155,21 @@
         self.heartbeat, self.heartbeat_at, self._current_since, self._contender = heartbeat, now, now, None
         self.gone, self._published, self.version, self.drain_started_at = False, None, 0, None
         if heartbeat.state == DECAYING:  # may have been acknowledged before this sidecar restarted
-            self.drain_started_at = -math.inf if heartbeat.instance in self.published_decaying else now
+            drained_before = self._published_state(heartbeat.instance) == DECAYING
+            self.drain_started_at = -math.inf if drained_before else now
         return published + self._publish()
 
+    def _published_state(self, instance: str) -> str:
+        published = self.find_published(instance)
+        return published.state if published is not None else ""
+
     def _end_former(self) -> list[InstanceUpdate]:
         """Ends the replaced incarnations: only the current one has sent heartbeats for TAKEOVER_MS."""
         former = list(self._former)
         self._former.clear()
-        for instance in former:
-            self._note_ended(instance)
+        self._ended.update(dict.fromkeys(former))
+        while len(self._ended) > MAX_ENDED_INSTANCES:
+            del self._ended[next(iter(self._ended))]
         return [InstanceUpdate(instance, FINAL_VERSION, None) for instance in former]
 
     @property
@@ -133,10 +178,33 @@
         return self._contender.instance if self._contender is not None else ""
 
     def leave(self, instance: str) -> list[InstanceUpdate]:
-        """Handles the deregistration of an instance."""
-        if self.heartbeat is None or self.heartbeat.instance != instance or self.gone:
+        """Handles the sign-off of an instance, also of one that has sent no heartbeat to this incarnation of
+        the sidecar. A repeated one has no update."""
+        if instance in self._signed_off:
+            return []
+        self._on_signed_off(instance)
+        return [sign_off(instance)]
+
+    def _on_signed_off(self, instance: str) -> None:
+        self._former.pop(instance, None)
+        if self.instance == instance:
+            self.gone = True
+        self._signed_off[instance] = None
+        while len(self._signed_off) > MAX_ENDED_INSTANCES:
+            del self._signed_off[next(iter(self._signed_off))]
+
+    def on_published(self) -> list[InstanceUpdate]:
+        """Compares the current instance with what the membership holds of it, which an earlier incarnation of
+        this sidecar or another process may have written. Returns the update that corrects it, if any."""
+        published = self.find_published(self.instance) if self.heartbeat is not None else None
+        if self.heartbeat is None or published is None:
+            return []
+        if published.signed_off:
+            self._on_signed_off(self.instance)
             return []
-        return self._end()
+        if published.version <= self.version:
+            return []
+        return self.republish(published.version)
 
     def on_connection_refused(self, now: float) -> list[InstanceUpdate]:
         """Handles a refused connection: without a heartbeat for SILENT_HEARTBEATS periods it is a crash."""
@@ -164,17 +232,6 @@
         self.version, self._published = max(self.version, above), None
         return self._publish()
 
-    def _end(self) -> list[InstanceUpdate]:
-        self.gone = True
-        assert self.heartbeat is not None
-        self._note_ended(self.heartbeat.instance)
-        return [InstanceUpdate(self.heartbeat.instance, FINAL_VERSION, None)]
-
-    def _note_ended(self, instance: str) -> None:
-        self._ended[instance] = None
-        while len(self._ended) > MAX_ENDED_INSTANCES:
-            del self._ended[next(iter(self._ended))]
-
     def _next_version(self, heartbeat: Heartbeat) -> int:
         """Above all versions published for this incarnation, and below those of its next heartbeat."""
         return max(self.version + 1, heartbeat.sample_count * VERSIONS_PER_HEARTBEAT)
--- a/rigs/whole_sidecar.py
+++ b/rigs/whole_sidecar.py
@@ -9,8 +9,11 @@
 from typing import Any
 
 from mesh.data_plane.call_messages import Call, End, EndHead, decode_from_second_hop, read_end
+from mesh.data_plane.membership import CONTROLLER
 from mesh.data_plane.program import Proxy
+from mesh.dissemination.peers import Channels
 from mesh.event_log.log import EventLog
+from mesh.replication.store import Store
 from mesh.runtime.settings import Settings, parse_settings
 from mesh.transport.frames import Frames, frame
 from rigs.mesh_peers import (
@@ -25,6 +28,8 @@
     write_settings,
 )
 
+MAX_STAND_IN_ITEMS = 100  # in a store of the stand-in for a control process
+
 
 class SidecarRig:
     """A running sidecar and its local upstream."""
@@ -48,6 +53,21 @@
         item = self.proxy.config_store.write(kind, name, self._version, value)
         self.proxy._on_items("charter", [item])  # type: ignore[list-item]
 
+    async def start_control_process(self) -> Channels:
+        """Starts a stand-in for a control process with contact, and waits until it is linked."""
+        channels = Channels(
+            "c1",
+            {"t": "hello", "node": "c1", "source": "c1.1", "ip": "127.0.0.9", "role": CONTROLLER},
+            {name: Store("c1.1", MAX_STAND_IN_ITEMS) for name in ("charter", "roll")},
+            1,
+            EventLog("c1", io.StringIO()),
+            lambda *_: None,
+            is_complete=lambda: True,
+        )
+        channels.set_candidates({"n1": self.peers})
+        await wait_until(lambda: any(channel.peer_complete for channel in self.proxy.channels.open))
+        return channels
+
     async def client(self) -> Client:
         """Opens a client connection."""
         return await Client.connect(self.outbound)
--- a/tests/mesh/test_admission_final_check.py
+++ b/tests/mesh/test_admission_final_check.py
@@ -16,7 +16,7 @@
     check_admission,
 )
 from mesh.membership.instance_commands import DECAYING, SETTLED, Heartbeat
-from mesh.membership.instance_lifecycle import Upstream
+from mesh.membership.instance_lifecycle import SIGNED_OFF_VERSION, PublishedInstance, Upstream
 
 BEAT_MS, DRAIN_MS = 1500.0, 2000.0
 
@@ -39,7 +39,7 @@
 
 def test_a_drain_that_an_earlier_life_of_this_sidecar_acknowledged_is_over_at_once() -> None:
     found = upstream()
-    found.published_decaying = frozenset({"i-1"})
+    found.find_published = {"i-1": PublishedInstance(1000, DECAYING)}.get
     assert check_admission(0.0, found, "i-1", 100.0) == Rejected(RejectReason.LEAVING)
     assert check_admission(0.0, found, "i-2", 100.0) == Admitted()
     found.on_heartbeat(0.0, heartbeat(state=DECAYING))
@@ -48,6 +48,16 @@
     assert check_admission(1.0, found, "i-2", 100.0) == Admitted()
 
 
+def test_nothing_passes_to_one_that_signed_off_before_the_first_heartbeat_to_this_sidecar() -> None:
+    """A restarted sidecar let calls pass to an upstream whose sign-off was acknowledged (review/1)."""
+    told, restarted = upstream(), upstream()
+    told.leave("i-1")
+    restarted.find_published = {"i-1": PublishedInstance(SIGNED_OFF_VERSION, "")}.get
+    for one in told, restarted:
+        assert check_admission(0.0, one, "i-1", 100.0) == Rejected(RejectReason.DOWN)
+        assert check_admission(0.0, one, "i-2", 100.0) == Admitted()
+
+
 @pytest.mark.parametrize("remaining_ms", [0.0, -5.0])
 def test_nothing_passes_without_time(remaining_ms: float) -> None:
     assert check_admission(0.0, upstream(heartbeat()), "i-1", remaining_ms) == Rejected(RejectReason.LATE)
--- a/tests/mesh/test_data_plane_upstream_registration.py
+++ b/tests/mesh/test_data_plane_upstream_registration.py
@@ -8,6 +8,7 @@
 
 from msgspec.structs import replace
 
+from mesh.admission.final_check import Admitted, Rejected, RejectReason, check_admission
 from mesh.data_plane.membership import INSTANCE
 from mesh.data_plane.program import Proxy
 from mesh.data_plane.shutdown import NOTICE_S
@@ -67,7 +68,8 @@
         publish_from_peer(proxy, "i-drains", 5000, value(state=DECAYING))
         proxy.registry.reconcile()
         assert (state(proxy, "i-1"), state(proxy, "i-drains")) == (SETTLED, DECAYING)
-        assert proxy.upstream.published_decaying == {"i-drains"}
+        verdicts = [check_admission(0.0, proxy.upstream, name, 1.0) for name in ("i-1", "i-drains")]
+        assert verdicts == [Admitted(), Rejected(RejectReason.LEAVING)]
         advance_clock(SILENT_HEARTBEATS * proxy.upstream.heartbeat_ms / 1000.0 + 0.01)
         proxy.registry.reconcile()
         assert (state(proxy, "i-1"), state(proxy, "i-drains")) == (None, None)
--- a/tests/mesh/test_data_plane_whole.py
+++ b/tests/mesh/test_data_plane_whole.py
@@ -422,6 +422,7 @@
 ) -> None:
     async def test(rig: SidecarRig) -> None:
         proxy, upstream, path = rig.proxy, rig.upstream, b"/instances/i-1"
+        await rig.start_control_process()
 
         async def send_command(method: bytes, body: bytes = b"") -> int:
             status, said = await call(rig.control, method, path, body, timeout_s=1.0)
--- /dev/null
+++ b/tests/mesh/test_departures_world.py
@@ -0,0 +1,98 @@
+"""Departures of an upstream in virtual time: what was acknowledged holds whatever is killed around it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import pytest
+
+from mesh.membership.instance_commands import DECAYING
+from mesh.replication.quorum import Tolerance
+from simulation.mesh.departures import ANSWER_TIMEOUT_S, DepartureWorld
+from simulation.mesh.world import RESTART_S, Machine, Script, World
+
+GONE = "gone"
+ONE_MACHINE = Tolerance(machines=1, zones=0, regions=0)
+SERVES_ON_S = 8.0  # upstreams may go on for many seconds after their departure
+
+
+def run(script) -> list[str]:  # type: ignore[no-untyped-def]
+    with DepartureWorld(tolerance=ONE_MACHINE) as world:
+        return world.run(script)
+
+
+def boot(world: DepartureWorld) -> Script:
+    """Three controllers and three proxies; all know the upstream that will leave."""
+    yield from world.boot(3, proxies=3)
+    yield world.env.timeout(1.0)
+    for _ in range(3):
+        assert (yield from world.send(b"PUT", world.heartbeat_body())) == 200
+        yield world.env.timeout(1.5)
+    assert world.is_exposed()
+
+
+def victims(world: World, others: str) -> Sequence[Machine]:
+    leaver, controllers = world.machines["s1"], world.controllers()
+    return [leaver, *{"alone": [], "controller": controllers[:1], "core": controllers}[others]]
+
+
+@pytest.mark.parametrize("state", [GONE, DECAYING])
+@pytest.mark.parametrize("moment", ["before", "after", "twice"])
+@pytest.mark.parametrize("others", ["alone", "controller", "core"])
+def test_an_acknowledged_departure_outlives_the_sidecar_that_acknowledged_it(
+    state: str, moment: str, others: str
+) -> None:
+    """A sidecar that was killed acknowledges a sign-off and forgets it; others go on sending (review/1)."""
+
+    def play(world: DepartureWorld) -> Script:
+        yield from boot(world)
+        if moment == "before":
+            world.kill_and_restart(victims(world, others))
+            yield world.env.timeout(RESTART_S)
+        acknowledged_at = yield from world.depart(state)
+        check = world.env.process(world.check_departed(acknowledged_at, SERVES_ON_S))
+        if moment != "before":
+            world.kill_and_restart(victims(world, others))
+        if moment == "twice":
+            yield world.env.timeout(RESTART_S + 0.1)
+            world.kill_and_restart(victims(world, others))
+        yield check
+
+    assert run(play) == []
+
+
+def test_a_departure_that_no_control_process_can_hold_is_answered_in_time_and_not_acknowledged() -> None:
+    """An upstream waits for a second; an acknowledgement that only this sidecar knows would be a lie."""
+
+    def play(world: DepartureWorld) -> Script:
+        yield from boot(world)
+        world.partition([world.leaver], world.controllers())
+        yield world.env.timeout(0.5)
+        for method, body in (b"PUT", world.heartbeat_body(DECAYING)), (b"DELETE", b""):
+            began = world.env.now
+            assert (yield from world.send(method, body)) == 503
+            assert world.env.now - began < 0.9 * ANSWER_TIMEOUT_S
+        world.heal()
+        yield from world.depart(GONE)
+
+    assert run(play) == []
+
+
+def test_a_departure_is_acknowledged_soon_also_while_one_control_process_is_lost() -> None:
+    def play(world: DepartureWorld) -> Script:
+        yield from boot(world)
+        world.kill(world.controllers()[0])
+        for state in (DECAYING, GONE):
+            began = world.env.now
+            acknowledged_at = yield from world.depart(state)
+            assert acknowledged_at - began < 0.1
+
+    assert run(play) == []
+
+
+def test_the_check_sees_an_upstream_that_is_still_sent_to() -> None:
+    def play(world: DepartureWorld) -> Script:
+        yield from boot(world)
+        yield from world.check_departed(float(world.env.now), 1.0)
+
+    assert [line.split()[1] for line in run(play)] == ["DRAIN:"]
--- a/tests/mesh/test_membership_instance_lifecycle.py
+++ b/tests/mesh/test_membership_instance_lifecycle.py
@@ -10,11 +10,14 @@
 from mesh.membership.instance_commands import DECAYING, SETTLED, Heartbeat
 from mesh.membership.instance_lifecycle import (
     FINAL_VERSION,
+    SIGNED_OFF_VERSION,
     SILENT_HEARTBEATS,
     TAKEOVER_MS,
     VERSIONS_PER_HEARTBEAT,
     InstanceUpdate,
+    PublishedInstance,
     Upstream,
+    sign_off,
 )
 from mesh.replication.items import Item
 from mesh.replication.store import Store
@@ -28,8 +31,30 @@
     return Heartbeat(instance, "p", ("10.0.0.1", 8147), "z", "v1", slots, state, cold, count)
 
 
-def make() -> Upstream:
-    return Upstream("n", "z", BEAT_MS, DRAIN_MS)
+def make(published: Store | None = None) -> Upstream:
+    """``published``: the membership that it looks up."""
+    upstream = Upstream("n", "z", BEAT_MS, DRAIN_MS)
+    if published is not None:
+        upstream.find_published = lambda instance: find_published(published, instance)
+    return upstream
+
+
+def find_published(store: Store, instance: str) -> PublishedInstance | None:
+    item = store.items.get(("instance", instance))
+    if item is None:
+        return None
+    return PublishedInstance(item.version, item.value["state"] if item.value is not None else "")
+
+
+def write(store: Store, updates: list[InstanceUpdate]) -> None:
+    for one in updates:
+        store.write("instance", one.instance, one.version, one.value)
+
+
+def state_in(store: Store, instance: str) -> str | None:
+    """The state that others see; None: removed."""
+    value = store.items["instance", instance].value
+    return None if value is None else value["state"]
 
 
 OPS = st.lists(
@@ -177,10 +202,12 @@
 
 
 def test_a_life_that_this_machine_has_said_is_over_has_to_beat_on_before_it_counts() -> None:
-    upstream = make()
-    assert upstream.on_heartbeat(0.0, heartbeat(7), known_ended=True) == [] and upstream.contender == "i-1"
-    assert upstream.on_heartbeat(TAKEOVER_MS - 1.0, heartbeat(8), known_ended=True) == []
-    (here,) = upstream.on_heartbeat(TAKEOVER_MS, heartbeat(9), known_ended=True)
+    published = Store("others", 1000)
+    write(published, [InstanceUpdate("i-1", FINAL_VERSION, None)])
+    upstream = make(published)
+    assert upstream.on_heartbeat(0.0, heartbeat(7)) == [] and upstream.contender == "i-1"
+    assert upstream.on_heartbeat(TAKEOVER_MS - 1.0, heartbeat(8)) == []
+    (here,) = upstream.on_heartbeat(TAKEOVER_MS, heartbeat(9))
     assert here.value is not None and upstream.instance == "i-1"
 
 
@@ -204,7 +231,7 @@
 
 def test_what_another_says_of_no_instance_of_ours_is_not_answered() -> None:
     upstream = make()
-    assert upstream.republish(7) == [] and upstream.shut_down(0.0) == [] and upstream.leave("i-9") == []
+    assert upstream.republish(7) == [] and upstream.shut_down(0.0) == [] and upstream.on_published() == []
 
 
 def test_a_late_beat_of_a_life_that_ended_here_does_not_end_the_one_that_is_here() -> None:
@@ -225,6 +252,40 @@
     assert upstream.instance == "i-2" and not upstream.gone
 
 
+@pytest.mark.parametrize("heard", ["", "i-2"])
+def test_a_sign_off_is_published_though_the_sidecar_has_heard_no_heartbeat_of_it(heard: str) -> None:
+    """A restarted sidecar passed over it and acknowledged it; the others went on sending (review/1)."""
+    upstream = make()
+    if heard:
+        upstream.on_heartbeat(0.0, heartbeat(1, heard))
+    assert upstream.leave("i-1") == [sign_off("i-1")] and upstream.leave("i-1") == []
+    assert upstream.on_heartbeat(9000.0, heartbeat(8)) == [] and upstream.contender == ""
+    assert upstream.instance == heard and not upstream.gone
+
+
+def test_a_sign_off_outranks_whatever_was_published_and_is_never_taken_back() -> None:
+    """Two late heartbeats brought back an instance that had signed off before the sidecar restarted."""
+    published = Store("others", 1000)
+    write(published, [InstanceUpdate("i-1", FINAL_VERSION + 9 * VERSIONS_PER_HEARTBEAT, {"state": SETTLED})])
+    write(published, make(published).leave("i-1"))
+    assert state_in(published, "i-1") is None
+    again = make(published)
+    for now in 0.0, 2 * TAKEOVER_MS, 4 * TAKEOVER_MS:
+        write(published, again.on_heartbeat(now, heartbeat(7 + int(now))))
+        write(published, again.on_published())
+    assert published.items["instance", "i-1"].version == SIGNED_OFF_VERSION and again.instance == ""
+
+
+def test_a_sign_off_that_others_know_ends_one_that_a_late_heartbeat_made_current() -> None:
+    """The late heartbeat was read before the membership arrived."""
+    published = Store("others", 1000)
+    upstream = make(published)
+    write(published, upstream.on_heartbeat(0.0, heartbeat(7)))
+    write(published, [sign_off("i-1")])
+    assert upstream.on_published() == [] and upstream.gone
+    assert upstream.on_heartbeat(1.0, heartbeat(8)) == []
+
+
 def test_a_beat_that_comes_behind_the_signing_off_changes_nothing() -> None:
     upstream = make()
     upstream.on_heartbeat(0.0, heartbeat(7))
