Keep a drain over a restart though a late heartbeat is read first

What callers saw: an upstream whose 'decaying' was acknowledged is sent to again, later than drain_ms, once its sidecar is killed and the restarted one reads a settled heartbeat from before the drain first.

Cause: a sidecar publishes its own state above any other version of its instance's item. After a restart that version may be of its own earlier incarnation, and newer than the heartbeat at hand: the count that versions carry was not compared, and above an inferred end they did not carry it.

Change: a first heartbeat that is older than what is published changes nothing; one that was read before the membership arrived gives way to it, and nothing is published until a newer heartbeat comes. Versions above an inferred end carry the count too. The membership is looked at as its items arrive, not at the next tick.

Why it works: of two words about an instance the one with the higher count is the later, whichever process incarnation wrote it, so no order of reading puts an earlier one above a later one.

--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -354,6 +354,8 @@
                     if item.kind == NODE and item.value is None:
                         self.peer_links.forget(item.name)
             self.balancers.set_fleet_size(self.membership.proxy_count(), self.membership.zone_count())
+            if any(item.name == self.upstream.instance for item in items):
+                self.registry.reconcile()  # an earlier incarnation of this sidecar may have known more
         self.channels.schedule_answers()
 
     def _on_control_frame(self, channel: Channel, head: Any) -> None:
--- a/mesh/data_plane/upstream_registration.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -196,6 +196,7 @@
 
     def republish(self) -> None:
         """Publishes the current state again, above the version in the membership store."""
+        self.reconcile()  # an earlier incarnation may have published a drain
         item = self._membership_store.items.get((INSTANCE, self._upstream.instance))
         self.publish(self._upstream.republish(item.version if item is not None else 0))
 
--- a/mesh/membership/instance_lifecycle.py
+++ b/mesh/membership/instance_lifecycle.py
@@ -56,6 +56,10 @@
         """Whether this machine has published an end of it that is not only a crash."""
         return not self.state and self.version >= FINAL_VERSION
 
+    def is_newer_than(self, heartbeat: Heartbeat) -> bool:
+        """Whether it was published for a later heartbeat of the same instance."""
+        return self.version % FINAL_VERSION // VERSIONS_PER_HEARTBEAT > heartbeat.sample_count
+
 
 def sign_off(instance: str) -> InstanceUpdate:
     """The update that publishes the end of an instance that has signed off."""
@@ -112,6 +116,8 @@
         if self.heartbeat is not None and self.heartbeat.instance == heartbeat.instance:
             return self._on_current_heartbeat(now, heartbeat)
         published = self.find_published(heartbeat.instance)
+        if published is not None and published.is_newer_than(heartbeat):
+            return []
         if not self._may_replace(now, heartbeat, published is not None and published.ended):
             return []
         return self._replace_current(now, heartbeat)
@@ -204,7 +210,13 @@
             return []
         if published.version <= self.version:
             return []
-        return self.republish(published.version)
+        if not published.is_newer_than(self.heartbeat):
+            return self.republish(published.version)
+        # The heartbeats here were late ones: an earlier incarnation of this sidecar has handled newer ones.
+        if published.state == DECAYING:
+            self.heartbeat = replace(self.heartbeat, state=DECAYING)
+            self.drain_started_at = -math.inf
+        return []
 
     def on_connection_refused(self, now: float) -> list[InstanceUpdate]:
         """Handles a refused connection: without a heartbeat for SILENT_HEARTBEATS periods it is a crash."""
@@ -234,7 +246,8 @@
 
     def _next_version(self, heartbeat: Heartbeat) -> int:
         """Above all versions published for this incarnation, and below those of its next heartbeat."""
-        return max(self.version + 1, heartbeat.sample_count * VERSIONS_PER_HEARTBEAT)
+        base = FINAL_VERSION if self.version >= FINAL_VERSION else 0  # above an inferred end
+        return max(self.version + 1, base + heartbeat.sample_count * VERSIONS_PER_HEARTBEAT)
 
     def _publish(self) -> list[InstanceUpdate]:
         heartbeat = self.heartbeat
--- a/tests/mesh/test_data_plane_upstream_registration.py
+++ b/tests/mesh/test_data_plane_upstream_registration.py
@@ -13,7 +13,7 @@
 from mesh.data_plane.program import Proxy
 from mesh.data_plane.shutdown import NOTICE_S
 from mesh.membership.instance_commands import DECAYING, SETTLED
-from mesh.membership.instance_lifecycle import FINAL_VERSION, SILENT_HEARTBEATS
+from mesh.membership.instance_lifecycle import FINAL_VERSION, SILENT_HEARTBEATS, VERSIONS_PER_HEARTBEAT
 from rigs.mesh_peers import Upstream, advance_clock, call, run_ready_callbacks, wait_until, with_timeout
 from rigs.whole_sidecar import SidecarRig, run_with_sidecar
 
@@ -144,3 +144,18 @@
         assert rig.proxy.membership_store.items == before
 
     run_with_sidecar(tmp_path, test)
+
+
+def test_a_drain_that_the_others_know_holds_though_a_late_heartbeat_was_read_first(tmp_path: Path) -> None:
+    """A restarted sidecar read a settled heartbeat from before the drain and published it above that."""
+
+    async def test(rig: SidecarRig) -> None:
+        proxy = rig.proxy  # it has read a settled heartbeat, and no membership yet
+        publish_from_peer(proxy, "i-1", 50 * VERSIONS_PER_HEARTBEAT, value(state=DECAYING))
+        verdict = check_admission(proxy.balancers.now(), proxy.upstream, "i-1", 1000.0)
+        assert verdict == Rejected(RejectReason.LEAVING)
+        proxy.registry.reconcile()
+        proxy.registry.republish()
+        assert state(proxy, "i-1") == DECAYING
+
+    run_with_sidecar(tmp_path, test)
--- a/tests/mesh/test_departures_world.py
+++ b/tests/mesh/test_departures_world.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mesh.membership.instance_commands import DECAYING
+from mesh.membership.instance_commands import DECAYING, SETTLED
 from mesh.replication.quorum import Tolerance
 from simulation.mesh.departures import ANSWER_TIMEOUT_S, DepartureWorld
 from simulation.mesh.world import RESTART_S, Machine, Script, World
@@ -36,11 +36,23 @@
     return [leaver, *{"alone": [], "controller": controllers[:1], "core": controllers}[others]]
 
 
+def late_heartbeats(world: DepartureWorld, late: str) -> Script:
+    """Settled heartbeats from before the departure, read by the restarted proxy."""
+    if late == "none":
+        return
+    for after_s, count in ((0.0, 2), (1.2, 3)):
+        yield world.env.timeout(after_s)
+        while world.leaver.program is None:
+            yield world.env.timeout(0.001)
+        yield from world.send(b"PUT", world.heartbeat_body(SETTLED, count))
+
+
 @pytest.mark.parametrize("state", [GONE, DECAYING])
 @pytest.mark.parametrize("moment", ["before", "after", "twice"])
 @pytest.mark.parametrize("others", ["alone", "controller", "core"])
+@pytest.mark.parametrize("late", ["none", "late"])
 def test_an_acknowledged_departure_outlives_the_sidecar_that_acknowledged_it(
-    state: str, moment: str, others: str
+    state: str, moment: str, others: str, late: str
 ) -> None:
     """A sidecar that was killed acknowledges a sign-off and forgets it; others go on sending (review/1)."""
 
@@ -56,6 +68,7 @@
         if moment == "twice":
             yield world.env.timeout(RESTART_S + 0.1)
             world.kill_and_restart(victims(world, others))
+        yield from late_heartbeats(world, late)
         yield check
 
     assert run(play) == []
--- a/tests/mesh/test_membership_instance_lifecycle.py
+++ b/tests/mesh/test_membership_instance_lifecycle.py
@@ -1,6 +1,7 @@
 """Incarnations of the upstream beside a sidecar: published versions always rise, also after a restart of the
 sidecar, and an ended incarnation does not return."""
 
+import math
 from typing import Any
 
 import pytest
@@ -292,3 +293,55 @@
     upstream.leave("i-1")
     assert upstream.on_heartbeat(11.0, heartbeat(8)) == []
     assert upstream.gone
+
+
+# Late heartbeats that a restarted sidecar reads
+
+
+def drained_before_a_restart(at_count: int, above: int = 0) -> Store:
+    """The membership after an earlier incarnation of the sidecar has acknowledged a drain."""
+    published = Store("others", 1000)
+    earlier = make(published)
+    write(published, earlier.on_heartbeat(0.0, heartbeat(at_count - 1)))
+    if above:  # given up by mistake, and published again above that
+        write(published, [InstanceUpdate("i-1", above, None)])
+        write(published, earlier.on_published())
+    write(published, earlier.on_heartbeat(1.0, heartbeat(at_count, state=DECAYING)))
+    assert state_in(published, "i-1") == DECAYING
+    return published
+
+
+@pytest.mark.parametrize("above", [0, FINAL_VERSION])
+def test_a_late_heartbeat_after_a_restart_does_not_end_a_drain(above: int) -> None:
+    """A late settled one, read first, was published above the drain that others knew of."""
+    published = drained_before_a_restart(50, above)
+    again = make(published)
+    assert again.on_heartbeat(0.0, heartbeat(49)) == [] and again.heartbeat is None
+    write(published, again.on_heartbeat(1.0, heartbeat(51, state=DECAYING)))
+    write(published, again.on_published())
+    assert state_in(published, "i-1") == DECAYING and again.drain_started_at == -math.inf
+
+
+@pytest.mark.parametrize("above", [0, FINAL_VERSION])
+def test_a_late_heartbeat_that_is_read_before_the_membership_does_not_end_a_drain(above: int) -> None:
+    """It became the current one, and was published again above the drain once that arrived."""
+    known, published = drained_before_a_restart(50, above), Store("here", 1000)
+    again = make(published)
+    write(published, again.on_heartbeat(0.0, heartbeat(49)))
+    published.merge(known.items.values(), known.vector)
+    assert again.on_published() == [] and again.drain_started_at == -math.inf
+    write(published, again.on_heartbeat(1.0, heartbeat(51, state=DECAYING)))
+    write(published, again.on_published())
+    assert state_in(published, "i-1") == DECAYING and again.on_published() == []
+
+
+def test_a_sidecar_that_drained_for_its_own_shutdown_serves_again_after_its_restart() -> None:
+    """Its upstream goes on: the next heartbeats are later than what was published."""
+    published = Store("others", 1000)
+    earlier = make(published)
+    write(published, earlier.on_heartbeat(0.0, heartbeat(9)))
+    write(published, earlier.shut_down(1.0))
+    assert state_in(published, "i-1") == DECAYING
+    again = make(published)
+    write(published, again.on_heartbeat(0.0, heartbeat(10)))
+    assert state_in(published, "i-1") == SETTLED and again.drain_started_at is None
