Let late heartbeats of a dead upstream neither replace nor end the living

Cause, three of one kind: a late heartbeat of the current life ended the replaced ones before its count was looked at; a dead life took the place with two late heartbeats a second apart, less than the period in which the living one sends; and an end that was only inferred from that was for good.

Change: a late heartbeat changes nothing at all. Another life may take over only where the current one has been silent for 1.2 periods. Only a sign-off is for good: an inferred end is published as before, and a life that sends on alone for a second takes it back.

Why it works: a living upstream is heard each period, so late heartbeats of another do not take its place; where its own are late too, the dead one falls silent and the living one is back within three heartbeats.

--- a/mesh/membership/instance_lifecycle.py
+++ b/mesh/membership/instance_lifecycle.py
@@ -6,8 +6,9 @@
 times `VERSIONS_PER_HEARTBEAT`, so that a sidecar that restarts without state continues above the versions
 that it published before, and has versions left for updates between two heartbeats.
 
-Versions are ordered: heartbeats, from `FINAL_VERSION` on ends that were inferred and what was published above
-them, then the sign-off.
+An end is final only if the instance has signed off. Any other end is inferred, from silence or from another
+incarnation at the same address, and the instance may prove it wrong. Versions are ordered accordingly:
+heartbeats, from `FINAL_VERSION` on inferred ends and what was published above them, then the sign-off.
 
 A sidecar keeps no state over a restart. What its earlier incarnations published is in the membership, and
 `Upstream.find_published` looks it up there.
@@ -26,10 +27,13 @@
 
 VERSIONS_PER_HEARTBEAT = 1000
 SILENT_HEARTBEATS = 2.6  # periods without a heartbeat after which a refused connection means a crash
-MAX_ENDED_INSTANCES = 64  # ended incarnations that are remembered
+MAX_ENDED_INSTANCES = 64  # signed-off incarnations that are remembered, and replaced ones
 FINAL_VERSION = 1 << 52  # of the tombstone of an inferred end
 SIGNED_OFF_VERSION = 1 << 60  # of the tombstone of an instance that has signed off; nothing outranks it
 TAKEOVER_MS = 1000.0  # an incarnation whose heartbeats alone arrive for this long is the running one
+# Periods without a heartbeat before another incarnation may take over: with less, the heartbeats of the
+# running one would have no time to arrive in between.
+TAKEOVER_HEARTBEATS = 1.2
 
 
 class InstanceUpdate(Struct, frozen=True):
@@ -88,8 +92,8 @@
         self.version = 0
         self._published: dict[str, Any] | None = None
         self._signed_off: dict[str, None] = {}  # the oldest first
-        self._ended: dict[str, None] = {}  # replaced incarnations whose end was published, the oldest first
-        self._former: dict[str, None] = {}  # replaced ones; ended once their successor is confirmed
+        # Replaced ones, the oldest first, and whether their end has been published.
+        self._former: dict[str, bool] = {}
         self._contender: Contender | None = None
         self._current_since = 0.0  # when the current incarnation became current
 
@@ -111,8 +115,6 @@
         if self.has_signed_off(heartbeat.instance):
             self._on_signed_off(heartbeat.instance)
             return []
-        if heartbeat.instance in self._ended:
-            return []
         if self.heartbeat is not None and self.heartbeat.instance == heartbeat.instance:
             return self._on_current_heartbeat(now, heartbeat)
         published = self.find_published(heartbeat.instance)
@@ -125,10 +127,10 @@
     def _on_current_heartbeat(self, now: float, heartbeat: Heartbeat) -> list[InstanceUpdate]:
         current = self.heartbeat
         assert current is not None
+        if heartbeat.sample_count <= current.sample_count:
+            return []
         self.heartbeat_at, self._contender = now, None
         published = self._end_former() if now - self._current_since >= TAKEOVER_MS else []
-        if heartbeat.sample_count <= current.sample_count:
-            return published
         if current.state == DECAYING and heartbeat.state == SETTLED:  # an incarnation never stops draining
             heartbeat = replace(heartbeat, state=DECAYING)
         self.heartbeat = heartbeat
@@ -140,26 +142,35 @@
 
     def _may_replace(self, now: float, heartbeat: Heartbeat, known_ended: bool) -> bool:
         """Whether another incarnation may replace the current one. A process that resumes or starts may read
-        heartbeats out of order, so one that may be late replaces nothing until another one follows it."""
-        current = self.heartbeat
+        heartbeats out of order, so one that may be late replaces nothing until others follow it, without one
+        of the current incarnation in between."""
+        current, silent_ms = self.heartbeat, now - self.heartbeat_at
+        present = current is not None and not self.gone
         if not known_ended and heartbeat.instance not in self._former:
-            present = current is not None and not self.gone and now - self.heartbeat_at < self.heartbeat_ms
             # Each incarnation counts from its own start, so a successor cannot have the higher count.
-            if not present or current is None or heartbeat.sample_count <= current.sample_count:
+            if (
+                current is None
+                or not present
+                or silent_ms >= self.heartbeat_ms
+                or heartbeat.sample_count <= current.sample_count
+            ):
                 return True
         if self._contender is None or self._contender.instance != heartbeat.instance:
             self._contender = Contender(heartbeat.instance, now)
+        if present and silent_ms < TAKEOVER_HEARTBEATS * self.heartbeat_ms:
+            return False
         return now - self._contender.since >= TAKEOVER_MS
 
     def _replace_current(self, now: float, heartbeat: Heartbeat) -> list[InstanceUpdate]:
         current, published = self.heartbeat, list[InstanceUpdate]()
-        if current is not None and current.instance not in {*self._signed_off, *self._ended}:
-            self._former[current.instance] = None
+        if current is not None and current.instance not in self._signed_off:
+            self._note_former(current.instance)
             if not self.gone:
                 published.append(InstanceUpdate(current.instance, self._next_version(current), None))
-        self._former.pop(heartbeat.instance, None)
+        end_published = self._former.pop(heartbeat.instance, False)
         self.heartbeat, self.heartbeat_at, self._current_since, self._contender = heartbeat, now, now, None
-        self.gone, self._published, self.version, self.drain_started_at = False, None, 0, None
+        self.gone, self._published, self.drain_started_at = False, None, None
+        self.version = FINAL_VERSION if end_published else 0
         if heartbeat.state == DECAYING:  # may have been acknowledged before this sidecar restarted
             drained_before = self._published_state(heartbeat.instance) == DECAYING
             self.drain_started_at = -math.inf if drained_before else now
@@ -169,14 +180,17 @@
         published = self.find_published(instance)
         return published.state if published is not None else ""
 
+    def _note_former(self, instance: str) -> None:
+        self._former[instance] = False
+        while len(self._former) > MAX_ENDED_INSTANCES:
+            del self._former[next(iter(self._former))]
+
     def _end_former(self) -> list[InstanceUpdate]:
-        """Ends the replaced incarnations: only the current one has sent heartbeats for TAKEOVER_MS."""
-        former = list(self._former)
-        self._former.clear()
-        self._ended.update(dict.fromkeys(former))
-        while len(self._ended) > MAX_ENDED_INSTANCES:
-            del self._ended[next(iter(self._ended))]
-        return [InstanceUpdate(instance, FINAL_VERSION, None) for instance in former]
+        """Publishes the end of the replaced incarnations: the current one has sent heartbeats for
+        TAKEOVER_MS. That is inferred, so one of them may still return as a contender."""
+        ended = [instance for instance, end_published in self._former.items() if not end_published]
+        self._former.update(dict.fromkeys(ended, True))
+        return [InstanceUpdate(instance, FINAL_VERSION, None) for instance in ended]
 
     @property
     def contender(self) -> str:
