Refuse a sign-off whose id no heartbeat may have

Cause: since a sign-off is published whatever was heard of its instance, DELETE with an empty or endless id would become an item that all processes hold for ten minutes. Heartbeats have had the bound all along.

Change: the id of DELETE is checked as that of PUT is, 400 with the same line.

--- a/mesh/data_plane/upstream_registration.py
+++ b/mesh/data_plane/upstream_registration.py
@@ -12,7 +12,14 @@
 from mesh.data_plane.membership import INSTANCE, Membership
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
-from mesh.membership.instance_commands import DECAYING, Heartbeat, InvalidCommand, Leave, read_heartbeat
+from mesh.membership.instance_commands import (
+    DECAYING,
+    Heartbeat,
+    InvalidCommand,
+    Leave,
+    check_instance_id,
+    read_heartbeat,
+)
 from mesh.membership.instance_lifecycle import (
     FINAL_VERSION,
     SILENT_HEARTBEATS,
@@ -51,7 +58,7 @@
     if message.method == b"PUT":
         return read_heartbeat(instance, message.body)
     if message.method == b"DELETE":
-        return Leave(instance)
+        return check_instance_id(instance) or Leave(instance)
     return UnknownRequest(405)
 
 
--- a/mesh/membership/instance_commands.py
+++ b/mesh/membership/instance_commands.py
@@ -62,10 +62,17 @@
     return isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value < 2**53
 
 
+def check_instance_id(instance: str) -> InvalidCommand | None:
+    """What is wrong with the id in a call's path, if anything."""
+    if 0 < len(instance) <= MAX_INSTANCE_ID_LENGTH:
+        return None
+    return InvalidCommand("path", f"an id has 1 to {MAX_INSTANCE_ID_LENGTH} characters")
+
+
 def read_heartbeat(instance: str, body: bytes) -> Heartbeat | InvalidCommand:
     """Decodes the body of a heartbeat call."""
-    if not 0 < len(instance) <= MAX_INSTANCE_ID_LENGTH:
-        return InvalidCommand("path", f"an id has 1 to {MAX_INSTANCE_ID_LENGTH} characters")
+    if (invalid := check_instance_id(instance)) is not None:
+        return invalid
     try:
         fields = msgspec.json.decode(body)
     except (msgspec.DecodeError, RecursionError):
--- a/tests/mesh/test_data_plane_departure_confirmation.py
+++ b/tests/mesh/test_data_plane_departure_confirmation.py
@@ -10,7 +10,7 @@
 from mesh.data_plane.departure_confirmation import outlives_losses
 from mesh.data_plane.membership import INSTANCE
 from mesh.data_plane.upstream_registration import ACKNOWLEDGE_WITHIN_S
-from mesh.membership.instance_commands import DECAYING
+from mesh.membership.instance_commands import DECAYING, MAX_INSTANCE_ID_LENGTH
 from mesh.membership.instance_lifecycle import SIGNED_OFF_VERSION
 from mesh.replication.quorum import Place, Tolerance
 from rigs.mesh_peers import advance_clock, call, run_ready_callbacks, wait_until, with_timeout
@@ -79,6 +79,18 @@
     run_with_sidecar(tmp_path, test)
 
 
+def test_a_sign_off_with_an_id_that_no_heartbeat_may_have_is_refused_and_published_nowhere(
+    tmp_path: Path,
+) -> None:
+    async def test(rig: SidecarRig) -> None:
+        before = dict(rig.proxy.membership_store.items)
+        for instance in b"", b"x" * (MAX_INSTANCE_ID_LENGTH + 1):
+            assert (await call(rig.control, b"DELETE", b"/instances/" + instance))[0] == 400
+        assert rig.proxy.membership_store.items == before
+
+    run_with_sidecar(tmp_path, test)
+
+
 def test_a_departure_that_the_store_has_no_room_for_is_not_acknowledged(tmp_path: Path) -> None:
     async def test(rig: SidecarRig) -> None:
         await rig.start_control_process()
