Move controllers' addresses, resynchronization and compression out of the programs

Change: three modules with one job each (controller_addresses, configuration_resync, answer_compression); no change of behaviour. Tests patch the names at their new places, the shortened time at both.

--- a/mesh/data_plane/program.py
+++ b/mesh/data_plane/program.py
@@ -16,13 +16,14 @@
 from mesh.configuration.routes import RouteTable
 from mesh.data_plane.call_messages import End, GreetingReply
 from mesh.data_plane.client_connection import ClientListener
+from mesh.data_plane.configuration_resync import ConfigurationResync
 from mesh.data_plane.control_contact import ControlContact
+from mesh.data_plane.controller_addresses import ControllerAddresses
 from mesh.data_plane.departure_confirmation import DepartureConfirmation
 from mesh.data_plane.incoming_calls import IncomingCalls
 from mesh.data_plane.introspection import operator_handlers
 from mesh.data_plane.key_holds import KeyHolds
 from mesh.data_plane.membership import NODE, PROXY, ROLE_NAMES, Membership
-from mesh.data_plane.peer_calls import MAX_CONTROLLER_ADDRESSES
 from mesh.data_plane.peer_links import PeerLinks
 from mesh.data_plane.request_dispatch import RequestDispatcher
 from mesh.data_plane.route_preparation import prepare
@@ -37,7 +38,6 @@
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
 from mesh.membership.failure_detection import version_above, was_dropped
-from mesh.membership.instance_commands import read_address
 from mesh.membership.instance_lifecycle import Upstream
 from mesh.membership.tombstones import RESYNC_AFTER_S, Tombstones
 from mesh.ownership.key_map import OWNERSHIP
@@ -49,14 +49,13 @@
 from mesh.runtime.settings import Bounds, Settings
 from mesh.transport.body_pieces import WINDOW_BYTES
 from mesh.transport.http_calls import Answer, HttpServer
-from mesh.transport.link import Address, Link, listen
+from mesh.transport.link import Link, listen
 
 MAX_CONFIG_ITEMS = 40_000
 MAX_MEMBERSHIP_ITEMS = 20_000
 TICK_S = 0.1
 SPARE_FILES = 64  # file descriptors not used by clients, links or the upstream
 EXTRA_CONTROLLERS = 2  # pulled from, beyond those that may be lost at once
-MAX_REPORTED_CONTROLLERS = 64  # learned from other proxies
 CONNECTION_SHARE = 0.9  # of the connections that an upstream accepts; no other sidecar uses it
 DEFAULT_MAX_CONNECTIONS = 100  # where the operator sets no limit
 OPERATOR_KINDS = frozenset({INPUT_LIMITS, PLANT, ROUTE})
@@ -97,7 +96,7 @@
             settings.node, self.upstream_dispatch, event_log, self._on_reachable, self.incarnation
         )
         self.peer_links.known_controllers = lambda: self.membership.controllers()
-        self._reported_controllers: dict[str, Address] = {}  # learned from other proxies
+        self.controller_addresses = ControllerAddresses(self.membership)
         self.sessions: CallSessions[End] = CallSessions(
             int(SESSION_MEMORY_SHARE * settings.limits.memory_mb * 1e6)
         )
@@ -166,13 +165,16 @@
             lambda _: ("charter",),
             self.departure_confirmation.check_pending,
         )
+        self.configuration_resync = ConfigurationResync(
+            *(self.config_store, self.channels, self.configured),
+            lambda items: self._on_items("charter", items),
+        )
         self.control_contact = ControlContact(bounds.contact_ms, self.channels, event_log)
         self.operator_links = OperatorLinks(operator_handlers(self, time.time))
         self.ending = False
         self.incoming_links: set[Link] = set()  # with calls from other sidecars
         self._server: asyncio.Server | None = None
         self._linked_at = self.loop.time()  # when there was last a link for updates
-        self._unconfirmed_since: float | None = None  # resynchronizing the configuration since then
         self._node_version = int(time.time() * 1000)
 
     def _share_between_hops(self) -> None:
@@ -200,7 +202,7 @@
         self.departure_confirmation = DepartureConfirmation(
             lambda: self.channels,
             self.membership,
-            lambda: len(self.membership.controllers() or self.settings.seeds),
+            lambda: self.controller_addresses.count(self.settings),
             lambda: self.settings.tolerance,
             self.event_log,
         )
@@ -280,7 +282,7 @@
             self.membership_store.remove_tombstone(key)
         for key in self._config_tombstones.pop_expired(now):
             self.config_store.remove_tombstone(key)
-        self._check_unconfirmed(now)
+        self.configuration_resync.tick(now)
         if now - self._linked_at > RESYNC_AFTER_S:  # before the links, which outlast a freeze
             self._linked_at = now
             self._on_items("roll", self.membership_store.clear_remote_items())
@@ -291,20 +293,6 @@
             self._republish()
         self.registry.reconcile()
 
-    def _check_unconfirmed(self, now: float) -> None:
-        """Resynchronizes after a long time without a complete control process: items held here may have been
-        dropped, and their tombstones collected. Continues with the held items, requests everything again, and
-        removes what the first complete answer does not contain."""
-        if self._unconfirmed_since is not None:
-            if self.channels.last_complete_at > self._unconfirmed_since:
-                self._unconfirmed_since = None
-                self._on_items("charter", self.config_store.remove_unconfirmed())
-        elif self.configured() and not self.channels.complete_within(RESYNC_AFTER_S):
-            self._unconfirmed_since = now
-            self.config_store.mark_unconfirmed()
-            for channel in list(self.channels.open):
-                channel.link.close("resynchronizing")
-
     def configured(self) -> bool:
         """Whether the operators' complete configuration is here; the members are known earlier."""
         known = any(kind in OPERATOR_KINDS for kind, _ in self.config_store.items)
@@ -405,21 +393,11 @@
                 self.staged_routes.schedule_report()
 
     def _update_channels(self) -> None:
-        port = self.settings.port_range[0]
-        known = {host: (host, port) for host, _ in self.settings.seeds}
-        controllers = self.membership.controllers()
-        known.update(controllers or self._reported_controllers)
-        self.channels.set_candidates(known)
+        self.channels.set_candidates(self.controller_addresses.candidates(self.settings))
 
     def _on_reported_controllers(self, addresses: Any) -> None:
-        """Learns control processes from another proxy, which helps after a start if no seed is reachable. The
-        membership replaces them."""
-        if self.membership.controllers() or not isinstance(addresses, list):
-            return
-        for address in map(read_address, addresses[:MAX_CONTROLLER_ADDRESSES]):
-            if address is not None and len(self._reported_controllers) < MAX_REPORTED_CONTROLLERS:
-                self._reported_controllers.setdefault(address[0], address)
-        self._update_channels()
+        if self.controller_addresses.report(addresses):
+            self._update_channels()
 
     def apply_settings(self, settings: Settings) -> None:
         """Applies a changed settings file."""
--- a/mesh/dissemination/peers.py
+++ b/mesh/dissemination/peers.py
@@ -8,12 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
-from typing import Any
-
-import msgspec
 
+from mesh.dissemination.answer_compression import AnswerCompressor, decompress_parts
 from mesh.dissemination.pull_exchange import Exchange
 from mesh.event_log import events
 from mesh.event_log.log import EventLog
@@ -30,9 +27,6 @@
 # reported progress: while the first peer answers, the request is renewed with each page. The delay is the
 # price where the first peer is slow but still responds.
 RANK_DELAY_S = 0.35
-COMPRESS_FROM_ITEMS = 24  # an answer with as many items is compressed; routes resemble each other
-MAX_DECOMPRESSED_BYTES = 32 * 1024 * 1024  # of one answer
-COMPRESSED_CACHE_SIZE = 4  # most recent answers; many peers lack the same items
 
 ItemsChanged = Callable[[str, list[Item]], None]
 
@@ -142,19 +136,6 @@
             self.link.send(head)
 
 
-def decompress_parts(body: bytes) -> dict[str, Any]:
-    """Decompresses the stores' parts of an answer. Raises ValueError for malformed or oversized data."""
-    inflate = zlib.decompressobj()
-    try:
-        text = inflate.decompress(body, MAX_DECOMPRESSED_BYTES)
-        if not inflate.eof:
-            raise ValueError("compressed answer is truncated or too long")
-        parts: dict[str, Any] = msgspec.json.decode(text, type=dict[str, Any])
-    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
-        raise ValueError(str(error)) from None
-    return parts
-
-
 class Candidate:
     """A process that this one may pull from."""
 
@@ -204,7 +185,7 @@
         self._candidates: dict[str, Candidate] = {}
         self._answer_timer: asyncio.TimerHandle | None = None
         self._pulls_after_answers: list[Channel] = []
-        self._compressed: dict[tuple[object, ...], bytes] = {}
+        self._compressor = AnswerCompressor()
         self._order: list[str] | None = None  # of the candidates; None: to be recomputed
         self._last_vectors: dict[str, dict[str, int]] = {name: {} for name in stores}
         self.last_complete_at = -1e9  # last answer or heartbeat of a complete peer
@@ -374,25 +355,11 @@
 
     def send(self, link: Link, answer: Head) -> None:
         """Sends an answer, compressed where it is long."""
-        parts = answer["n"]
-        if sum(len(part["items"]) for part in parts.values()) < COMPRESS_FROM_ITEMS:
-            link.send(answer)
-            return
-        key = tuple(
-            (
-                name,
-                tuple((fields[4], fields[5]) for fields in part["items"]),
-                tuple(sorted(part["v"].items())),
-            )
-            for name, part in parts.items()
-        )
-        packed = self._compressed.pop(key, None)
+        packed = self._compressor.compress(answer["n"])
         if packed is None:
-            packed = zlib.compress(msgspec.json.encode(parts), 1)
-        self._compressed[key] = packed
-        while len(self._compressed) > COMPRESSED_CACHE_SIZE:
-            del self._compressed[next(iter(self._compressed))]
-        link.send({**answer, "n": {}, "z": True}, packed)
+            link.send(answer)
+        else:
+            link.send({**answer, "n": {}, "z": True}, packed)
 
     def complete_within(self, within_s: float) -> bool:
         """Whether a complete peer has answered or sent a heartbeat within this time."""
--- a/tests/mesh/test_catching_up_world.py
+++ b/tests/mesh/test_catching_up_world.py
@@ -45,6 +45,7 @@
     with (
         mock.patch("mesh.membership.tombstones.RETENTION_S", RETENTION_S),
         mock.patch("mesh.data_plane.program.RESYNC_AFTER_S", RESYNC_S),
+        mock.patch("mesh.data_plane.configuration_resync.RESYNC_AFTER_S", RESYNC_S),
         mock.patch("mesh.control_plane.tombstone_collection.QUERY_INTERVAL_S", 0.5),
     ):
         yield
@@ -320,7 +321,7 @@
 def test_the_checks_detect_removed_items_that_return(fault: str) -> None:
     if fault == "doubts":
         with (
-            mock.patch("mesh.data_plane.program.Proxy._check_unconfirmed"),
+            mock.patch("mesh.data_plane.configuration_resync.ConfigurationResync.tick"),
             pytest.raises(AssertionError, match="'x'"),
         ):
             test_a_sidecar_that_was_cut_off_lets_go_what_was_dropped_and_forgotten(4 * RETENTION_S)
