Leave no process behind when a case is ended midway

Need: a case that was terminated left the six or seven programs that it had started, and a fault of the script's own would have counted as a broken rule, by its exit status of 1.

Change: review/rig2.py ends what it started on SIGTERM, SIGINT and SIGHUP, has the kernel kill it when the script itself is killed, and exits with 2 for anything but a verdict.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import shutil
@@ -50,6 +51,11 @@
 Address = tuple[str, int]
 
 
+def end_with_parent() -> None:
+    """In a started process: it is killed when the case ends, however that comes about."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
 class NotRunnableError(Exception):
     """The case could not run; it says nothing about the rule."""
 
@@ -391,6 +397,7 @@
                 stdout=log,
                 stderr=log,
                 stdin=asyncio.subprocess.DEVNULL,
+                preexec_fn=end_with_parent,
             )
         self.record(f"platform starts {self.name(at)}")
 
@@ -562,12 +569,16 @@
     record(f"the case begins, {'with' if TROUBLE else 'without'} the disruption", True)
 
     async def bounded() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # what was started is ended first
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record)
 
     try:
         held = asyncio.run(bounded())
-    except (NotRunnableError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record(f"the case could not run: {type(error).__name__} {error}", True)
         sys.exit(2)
     record("the rule held" if held else "the rule was broken", True)
